--- /dev/null
+++ b/src/baobabpulley/adapters/addresses.py
@@ -0,0 +1,41 @@
+"""Connections by IP number."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+
+from baobabpulley.errors import UpstreamUnreached
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    >>> split_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def connect(address: str, *, timeout: float) -> IOStream:
+    """Open a TCP connection; raise `UpstreamUnreached` if it fails or takes too long.
+
+    ``timeout`` is in real seconds.
+    """
+    plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    stream = IOStream(plain)
+    try:
+        async with asyncio.timeout(timeout):
+            await stream.connect(split_address(address))
+    except (TimeoutError, StreamClosedError, OSError) as error:
+        stream.close()
+        raise UpstreamUnreached(f"no connection to {address}: {error}") from error
+    except BaseException:
+        stream.close()
+        raise
+    return stream
--- /dev/null
+++ b/src/baobabpulley/adapters/envelope.py
@@ -0,0 +1,106 @@
+"""Sealed messages between our processes: a keyed digest, a time and a nonce around msgpack.
+
+The digest is BLAKE2b in keyed mode from the standard library (RFC 7693).
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+import time
+from collections import OrderedDict
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.errors import MessageRejected
+from baobabpulley.ports.peers import message_kinds
+
+DIGEST_BYTES: Final = 16
+MAX_REMEMBERED_NONCES: Final = 100_000
+
+
+class _Envelope(msgspec.Struct, array_like=True):
+    sender: str
+    kind: str
+    wall: float
+    nonce: bytes
+    body: msgspec.Raw
+
+
+_decoder = msgspec.msgpack.Decoder(_Envelope)
+_encoder = msgspec.msgpack.Encoder()
+
+
+@final
+class Sealer:
+    """Seal and open messages of one process."""
+
+    __slots__ = ("_key", "_max_bytes", "_max_skew", "_nonces", "_sender")
+
+    def __init__(self, *, sender: str, secret: str, max_bytes: int, max_skew: float) -> None:
+        self._sender = sender
+        self._key = hashlib.blake2b(secret.encode(), digest_size=32).digest()
+        self._max_bytes = max_bytes
+        self._max_skew = max_skew
+        self._nonces: OrderedDict[bytes, float] = OrderedDict()
+
+    def seal(self, message: msgspec.Struct, *, kind: str) -> bytes:
+        """Return the bytes that carry a message of a registered kind."""
+        envelope = _Envelope(
+            sender=self._sender,
+            kind=kind,
+            wall=time.time(),
+            nonce=secrets.token_bytes(12),
+            body=msgspec.Raw(_encoder.encode(message)),
+        )
+        payload = _encoder.encode(envelope)
+        return self._digest(payload) + payload
+
+    def open(self, data: bytes) -> tuple[msgspec.Struct, str]:
+        """Return a message and its sender; raise `MessageRejected` if it fails any check."""
+        if not DIGEST_BYTES < len(data) <= self._max_bytes:
+            raise MessageRejected(f"a message of {len(data)} bytes is out of bounds")
+        payload = data[DIGEST_BYTES:]
+        if not hmac.compare_digest(self._digest(payload), data[:DIGEST_BYTES]):
+            raise MessageRejected("a message's digest does not match the fleet's secret")
+        try:
+            envelope = _decoder.decode(payload)
+            kind = message_kinds.lookup(envelope.kind)
+            message = msgspec.msgpack.decode(envelope.body, type=kind)
+        except Exception as error:
+            raise MessageRejected(f"a message does not parse: {error}") from error
+        self._check_fresh(envelope)
+        return message, envelope.sender
+
+    def _digest(self, payload: bytes) -> bytes:
+        return hashlib.blake2b(payload, key=self._key, digest_size=DIGEST_BYTES).digest()
+
+    def _check_fresh(self, envelope: _Envelope) -> None:
+        now = time.time()
+        if abs(now - envelope.wall) > self._max_skew:
+            raise MessageRejected("a message is older than the clock skew allowed")
+        if envelope.nonce in self._nonces:
+            raise MessageRejected("a message was replayed")
+        self._nonces[envelope.nonce] = envelope.wall
+        while self._nonces and (
+            len(self._nonces) > MAX_REMEMBERED_NONCES
+            or next(iter(self._nonces.values())) < now - 2 * self._max_skew
+        ):
+            self._nonces.popitem(last=False)
+
+
+def kind_of(message: msgspec.Struct) -> str:
+    """Return the registered name of a message's type."""
+    wanted = type(message)
+    name = _NAMES.get(wanted)
+    if name is None:
+        for candidate in message_kinds.names:
+            _NAMES[message_kinds.lookup(candidate)] = candidate
+        name = _NAMES[wanted]
+    return name
+
+
+_NAMES: dict[type[msgspec.Struct], str] = {}
--- /dev/null
+++ b/src/baobabpulley/adapters/etcd_store.py
@@ -0,0 +1,211 @@
+"""The configuration store over etcd v3's HTTP/JSON gateway.
+
+Numbers are strings and keys and values are base64 in that protocol; see its API reference for
+``/v3/kv/range``, ``/v3/kv/txn``, ``/v3/lease/*`` and ``/v3/watch``.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import StoreAnswerLost
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import StoreSnapshot
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.ports.config_store import SwapOutcome
+from baobabpulley.ports.config_store import WatchBatch
+from baobabpulley.timers import TimerService
+
+CALL_TIMEOUT: Final = 2.0
+WATCH_SILENCE: Final = 2.5
+
+
+@final
+class EtcdStore(ConfigStore):
+    """Speak to one gateway address.
+
+    The watch asks for progress notifications; ``silence`` is the model seconds without any line
+    after which it counts as broken.
+    """
+
+    __slots__ = ("_address", "_calls", "_client", "_silence", "_timers")
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        address: str,
+        timers: TimerService,
+        silence: float = WATCH_SILENCE,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._timers = timers
+        self._silence = silence
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far, each opened watch as one."""
+        return self._calls
+
+    async def read(self, prefix: str) -> StoreSnapshot:
+        body = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
+        answer = await self._ask("/v3/kv/range", body, writes=False)
+        entries = tuple(_entry(item) for item in answer.get("kvs", ()))
+        return StoreSnapshot(revision=_revision(answer), entries=entries)
+
+    async def get(self, key: str) -> StoredEntry | None:
+        answer = await self._ask("/v3/kv/range", {"key": _encode(key)}, writes=False)
+        found = answer.get("kvs", ())
+        return _entry(found[0]) if found else None
+
+    async def swap(self, *swaps: Swap) -> SwapOutcome:
+        body = {
+            "compare": [_compare(item) for item in swaps],
+            "success": [_operation(item) for item in swaps],
+        }
+        answer = await self._ask("/v3/kv/txn", body, writes=True)
+        return SwapOutcome(held=bool(answer.get("succeeded")), revision=_revision(answer))
+
+    async def grant_lease(self, seconds: float) -> int:
+        answer = await self._ask(
+            "/v3/lease/grant", {"TTL": str(max(1, round(seconds)))}, writes=True
+        )
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> float:
+        answer = await self._ask("/v3/lease/keepalive", {"ID": str(lease)}, writes=True)
+        return float(answer.get("result", {}).get("TTL", 0))
+
+    async def revoke_lease(self, lease: int) -> None:
+        await self._ask("/v3/lease/revoke", {"ID": str(lease)}, writes=True)
+
+    async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[WatchBatch]:
+        self._calls += 1
+        create = {
+            "key": _encode(prefix),
+            "range_end": _encode(_prefix_end(prefix)),
+            "start_revision": str(from_revision),
+            "progress_notify": True,
+        }
+        try:
+            async with self._client.call(
+                address=self._address,
+                method="POST",
+                path="/v3/watch",
+                body=msgspec.json.encode({"create_request": create}),
+                head_timeout=self._timers.real(self._silence),
+                fresh=True,
+            ) as answer:
+                if answer.status != 200:
+                    raise StoreUnavailable(f"the store refused a watch: status {answer.status}")
+                chunks = answer.chunks(idle_timeout=self._timers.real(self._silence))
+                async for line in _lines(chunks):
+                    yield _batch(line)
+        except (UpstreamLost, UpstreamUnreached, msgspec.DecodeError, KeyError) as error:
+            raise StoreUnavailable(f"the watch broke: {error}") from error
+        raise StoreUnavailable("the store ended the watch")
+
+    async def _ask(self, path: str, body: dict[str, Any], *, writes: bool) -> dict[str, Any]:
+        self._calls += 1
+        try:
+            status, answer = await fetch(
+                self._client,
+                address=self._address,
+                method="POST",
+                path=path,
+                body=msgspec.json.encode(body),
+                timeout=self._timers.real(CALL_TIMEOUT),
+            )
+        except UpstreamUnreached as error:
+            raise StoreUnavailable(f"the store is not reached: {error}") from error
+        except UpstreamLost as error:
+            raise _lost(str(error), writes=writes) from error
+        if status != 200:
+            raise _lost(f"the store answered with status {status}", writes=writes)
+        try:
+            document = msgspec.json.decode(answer, type=dict[str, Any])
+        except msgspec.DecodeError as error:
+            raise _lost("the store's answer does not parse", writes=writes) from error
+        return document
+
+
+def _lost(message: str, *, writes: bool) -> StoreUnavailable:
+    return StoreAnswerLost(message) if writes else StoreUnavailable(message)
+
+
+def _encode(text: str) -> str:
+    return base64.b64encode(text.encode("utf-8", "surrogateescape")).decode()
+
+
+def _prefix_end(prefix: str) -> str:
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    return int(answer["header"]["revision"])
+
+
+def _entry(item: dict[str, Any], *, deleted: bool = False) -> StoredEntry:
+    return StoredEntry(
+        key=base64.b64decode(item["key"]).decode(),
+        value=None if deleted else base64.b64decode(item.get("value", "")),
+        mod_revision=int(item["mod_revision"]),
+        create_revision=int(item.get("create_revision", 0)),
+        lease=int(item.get("lease", 0)),
+    )
+
+
+def _compare(swap: Swap) -> dict[str, str]:
+    return {
+        "key": _encode(swap.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(swap.expected_revision),
+    }
+
+
+def _operation(swap: Swap) -> dict[str, Any]:
+    if swap.value is None:
+        return {"request_delete_range": {"key": _encode(swap.key)}}
+    put: dict[str, str] = {
+        "key": _encode(swap.key),
+        "value": base64.b64encode(swap.value).decode(),
+    }
+    if swap.lease:
+        put["lease"] = str(swap.lease)
+    return {"request_put": put}
+
+
+async def _lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    buffered = b""
+    async for chunk in chunks:
+        buffered += chunk
+        *whole, buffered = buffered.split(b"\n")
+        for line in whole:
+            if line.strip():
+                yield line
+
+
+def _batch(line: bytes) -> WatchBatch:
+    result = msgspec.json.decode(line, type=dict[str, Any])["result"]
+    if result.get("canceled"):
+        raise StoreUnavailable("the store cancelled the watch")
+    entries = tuple(
+        _entry(event["kv"], deleted=event.get("type") == "DELETE")
+        for event in result.get("events", ())
+    )
+    return WatchBatch(revision=_revision(result), entries=entries)
--- /dev/null
+++ b/src/baobabpulley/adapters/events.py
@@ -0,0 +1,34 @@
+"""Server-sent events: framing only; what is in them is JSON."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Final
+
+from baobabpulley.errors import UpstreamLost
+
+MAX_EVENT_BYTES: Final = 1_048_576
+SIGN_OF_LIFE: Final = b": alive\n\n"
+DONE: Final = b"[DONE]"
+
+
+def frame_event(data: bytes) -> bytes:
+    """Return one event.
+
+    >>> frame_event(b"{}")
+    b'data: {}\\n\\n'
+    """
+    return b"data: " + data + b"\n\n"
+
+
+async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield the data of each event; comments are dropped."""
+    buffered = b""
+    async for chunk in chunks:
+        buffered += chunk
+        *whole, buffered = buffered.split(b"\n\n")
+        if len(buffered) > MAX_EVENT_BYTES:
+            raise UpstreamLost(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        for event in whole:
+            if event.startswith(b"data: "):
+                yield event[6:]
--- /dev/null
+++ b/src/baobabpulley/adapters/http_client.py
@@ -0,0 +1,298 @@
+"""HTTP client calls on Tornado's connection class, with streamed answers and careful reuse.
+
+Tornado's ready client neither reuses connections nor lets a caller drop one in mid-answer, so
+this module drives `tornado.http1connection.HTTP1Connection` itself. A connection goes back to
+the pool only after a cleanly finished answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+
+from baobabpulley.adapters.addresses import connect
+from baobabpulley.errors import UpstreamLost
+
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+MAX_IDLE_PER_ADDRESS: Final = 64
+MAX_IDLE_SECONDS: Final = 10.0
+CONNECT_TIMEOUT: Final = 1.0
+
+_END: Final = object()
+
+
+class HttpAnswer:
+    """An answer whose head has arrived; its body is read by `chunks` or `body`."""
+
+    __slots__ = ("_connection", "_delegate")
+
+    def __init__(self, *, connection: _Connection, delegate: _Delegate) -> None:
+        self._connection = connection
+        self._delegate = delegate
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._delegate.status
+
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Headers of the answer."""
+        return self._delegate.headers
+
+    async def chunks(self, *, idle_timeout: float) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        ``idle_timeout`` is the real seconds without a byte after which the connection counts as
+        silent. Raises `UpstreamLost` then, or when the connection breaks.
+        """
+        while True:
+            chunk = await self._next(idle_timeout)
+            if chunk is None:
+                return
+            yield chunk
+
+    async def body(self, *, idle_timeout: float) -> bytes:
+        """Return the whole body."""
+        parts = [chunk async for chunk in self.chunks(idle_timeout=idle_timeout)]
+        return b"".join(parts)
+
+    async def _next(self, idle_timeout: float) -> bytes | None:
+        queue = self._delegate.queue
+        if queue.empty():
+            try:
+                async with asyncio.timeout(idle_timeout):
+                    item = await queue.get()
+            except TimeoutError:
+                raise UpstreamLost(
+                    f"{self._connection.address} sent nothing for {idle_timeout:.2f} s"
+                ) from None
+        else:
+            item = queue.get_nowait()
+        if item is _END:
+            return None
+        if isinstance(item, UpstreamLost):
+            raise item
+        assert isinstance(item, bytes)
+        return item
+
+
+@final
+class HttpClient:
+    """A pool of connections by address."""
+
+    __slots__ = ("_idle", "_opened", "_reused")
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[tuple[float, IOStream]]] = defaultdict(list)
+        self._opened = 0
+        self._reused = 0
+
+    @property
+    def opened(self) -> int:
+        """Connections opened so far."""
+        return self._opened
+
+    @property
+    def reused(self) -> int:
+        """Calls that went over a connection used before."""
+        return self._reused
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self,
+        *,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        head_timeout: float = 30.0,
+        fresh: bool = False,
+    ) -> AsyncIterator[HttpAnswer]:
+        """Send a request and yield its answer; leaving the block early drops the connection.
+
+        ``head_timeout`` is the real seconds to wait for the answer's head. ``fresh`` asks for a
+        new connection. Raises `UpstreamUnreached` if no connection could be opened and
+        `UpstreamLost` once bytes may have left.
+        """
+        stream = await self._take(address, fresh=fresh)
+        connection = _Connection(address=address, stream=stream)
+        clean = False
+        try:
+            delegate = await connection.send(
+                method=method, path=path, body=body, headers=headers or {}, timeout=head_timeout
+            )
+            yield HttpAnswer(connection=connection, delegate=delegate)
+            clean = delegate.finished and delegate.queue.empty()
+        finally:
+            self._give_back(connection, clean=clean)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for streams in self._idle.values():
+            for _, stream in streams:
+                stream.close()
+        self._idle.clear()
+
+    def drop_idle(self, address: str) -> None:
+        """Forget all idle connections to an address; one was found silent."""
+        for _, stream in self._idle.pop(address, []):
+            stream.close()
+
+    async def _take(self, address: str, *, fresh: bool) -> IOStream:
+        streams = self._idle[address]
+        while streams and not fresh:
+            since, stream = streams.pop()
+            if not stream.closed() and time.monotonic() - since < MAX_IDLE_SECONDS:
+                self._reused += 1
+                stream.set_close_callback(None)
+                return stream
+            stream.close()
+        self._opened += 1
+        return await connect(address, timeout=CONNECT_TIMEOUT)
+
+    def _give_back(self, connection: _Connection, *, clean: bool) -> None:
+        stream = connection.detach(clean=clean)
+        if stream is None:
+            return
+        streams = self._idle[connection.address]
+        if len(streams) >= MAX_IDLE_PER_ADDRESS:
+            stream.close()
+            return
+        stream.set_close_callback(stream.close)
+        streams.append((time.monotonic(), stream))
+
+
+class _Delegate(HTTPMessageDelegate):
+    """Pass the parts of one answer to the task that reads it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.finished = False
+        self.queue: asyncio.Queue[object] = asyncio.Queue()
+        self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+        if not self.head.done():
+            self.head.set_result(None)
+
+    def data_received(self, chunk: bytes) -> None:
+        self.queue.put_nowait(chunk)
+
+    def finish(self) -> None:
+        self.finished = True
+        self.queue.put_nowait(_END)
+
+    def on_connection_close(self) -> None:
+        self.fail()
+
+    def fail(self) -> None:
+        """Tell the reader that no more will come."""
+        if self.finished:
+            return
+        lost = UpstreamLost(f"the connection to {self.address} broke before the answer was whole")
+        if not self.head.done():
+            self.head.set_exception(lost)
+        self.queue.put_nowait(lost)
+
+
+class _Connection:
+    """One request and its answer on one connection."""
+
+    __slots__ = ("_http", "_reader", "_stream", "address")
+
+    def __init__(self, *, address: str, stream: IOStream) -> None:
+        self.address = address
+        self._stream = stream
+        params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES)
+        self._http = HTTP1Connection(stream, True, params)
+        self._reader: asyncio.Task[None] | None = None
+
+    async def send(
+        self, *, method: str, path: str, body: bytes, headers: dict[str, str], timeout: float
+    ) -> _Delegate:
+        """Write the request and wait for the head of the answer."""
+        delegate = _Delegate(self.address)
+        all_headers = HTTPHeaders(headers)
+        all_headers["Host"] = self.address
+        all_headers["Content-Length"] = str(len(body))
+        start_line = RequestStartLine(method, path, "HTTP/1.1")
+        try:
+            async with asyncio.timeout(timeout):
+                written = self._http.write_headers(start_line, all_headers, body or None)
+                self._http.finish()
+                self._reader = asyncio.get_running_loop().create_task(self._read(delegate))
+                await delegate.head
+                written.cancel()
+        except TimeoutError:
+            raise UpstreamLost(f"{self.address} sent no answer within {timeout:.2f} s") from None
+        except StreamClosedError as error:
+            raise UpstreamLost(f"the connection to {self.address} broke: {error}") from error
+        return delegate
+
+    def detach(self, *, clean: bool) -> IOStream | None:
+        """Return the connection for reuse after a clean answer; else close it."""
+        if self._reader is not None and not clean:
+            self._reader.cancel()
+        if clean and not self._stream.closed():
+            return self._http.detach()
+        self._stream.close()
+        return None
+
+    async def _read(self, delegate: _Delegate) -> None:
+        try:
+            await self._http.read_response(delegate)
+        except StreamClosedError:
+            pass
+        finally:
+            delegate.fail()
+
+
+async def fetch(
+    client: HttpClient,
+    *,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout: float,
+) -> tuple[int, bytes]:
+    """Make a short call and return status and body; ``timeout`` is in real seconds."""
+    try:
+        async with (
+            asyncio.timeout(timeout),
+            client.call(
+                address=address,
+                method=method,
+                path=path,
+                body=body,
+                headers=headers,
+                head_timeout=timeout,
+            ) as answer,
+        ):
+            return answer.status, await answer.body(idle_timeout=timeout)
+    except TimeoutError:
+        raise UpstreamLost(f"{address}{path} did not answer within {timeout:.2f} s") from None
--- /dev/null
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -0,0 +1,221 @@
+"""Model engines over HTTP; the protocol is described in docs/PROTOCOLS.md."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import TypeVar
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.events import DONE
+from baobabpulley.adapters.events import read_events
+from baobabpulley.adapters.http_client import HttpAnswer
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import CrossedAnswer
+from baobabpulley.errors import UpstreamLeaving
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamModelMissing
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamOverloaded
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.upstreams import LoadReport
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.engine import EngineEvent
+from baobabpulley.ports.engine import EngineState
+from baobabpulley.ports.engine import Hold
+from baobabpulley.ports.engine import Order
+from baobabpulley.ports.engine import PartCall
+from baobabpulley.ports.engine import PartRef
+from baobabpulley.timers import TimerService
+
+IDLE_BOUND: Final = 3.0
+SHORT_CALL_TIMEOUT: Final = 2.0
+
+T = TypeVar("T")
+
+
+class RefusalBody(msgspec.Struct):
+    """An engine's error: ``ran`` is ``False`` when the attempt truly did not run."""
+
+    code: str
+    message: str
+    ran: bool | None = None
+
+
+class _Refusal(msgspec.Struct):
+    error: RefusalBody
+
+
+_REFUSALS: Final[dict[str, type[UpstreamRefused]]] = {
+    "out_of_memory": UpstreamOutOfMemory,
+    "leaving": UpstreamLeaving,
+    "unknown_model": UpstreamModelMissing,
+    "overloaded": UpstreamOverloaded,
+}
+
+_answer_decoder = msgspec.json.Decoder(AnswerEvent)
+_event_decoder = msgspec.json.Decoder(EngineEvent)
+
+
+@final
+class HttpEngine(Engine):
+    """Speak to engines over one pool of connections.
+
+    A running stream sends a sign of life each second of model time; ``idle_bound`` is the model
+    seconds of silence after which a connection counts as lost.
+    """
+
+    __slots__ = ("_client", "_idle_bound", "_timers")
+
+    def __init__(
+        self, *, client: HttpClient, timers: TimerService, idle_bound: float = IDLE_BOUND
+    ) -> None:
+        self._client = client
+        self._timers = timers
+        self._idle_bound = idle_bound
+
+    async def complete(self, upstream: Upstream, call: EngineCall) -> AsyncIterator[AnswerEvent]:
+        async for event in self._stream(
+            upstream, "/v1/completions", msgspec.json.encode(call), call.attempt
+        ):
+            yield event
+
+    async def resume(
+        self, upstream: Upstream, *, attempt: str, offset: int
+    ) -> AsyncIterator[AnswerEvent]:
+        body = msgspec.json.encode({"attempt": attempt, "offset": offset})
+        async for event in self._stream(upstream, "/v1/resume", body, attempt, fresh=True):
+            yield event
+
+    async def cancel(self, upstream: Upstream, *, attempt: str) -> None:
+        await self.release(upstream, ids=(attempt,))
+
+    async def prefill_part(self, upstream: Upstream, call: PartCall) -> PartRef:
+        # The engine sends signs of life while it works, so the wait is bounded by silence.
+        async with self._client.call(
+            address=upstream.address,
+            method="POST",
+            path="/v1/parts",
+            body=msgspec.json.encode(call),
+            head_timeout=self._timers.real(self._idle_bound),
+        ) as answer:
+            await self._raise_refusal(answer)
+            chunks = answer.chunks(idle_timeout=self._timers.real(self._idle_bound))
+            async for data in read_events(chunks):
+                return msgspec.json.decode(data, type=PartRef)
+        raise UpstreamLost(f"{upstream.id} ended the answer to part {call.part} without it")
+
+    async def holds(self, upstream: Upstream) -> tuple[Hold, ...]:
+        return await self._short(upstream, "GET", "/v1/holds", kind=tuple[Hold, ...])
+
+    async def renew(self, upstream: Upstream, *, holder: str, ids: tuple[str, ...]) -> None:
+        body = {"holder": holder, "ids": ids}
+        await self._short(upstream, "POST", "/v1/holds/renew", body, kind=dict)
+
+    async def release(self, upstream: Upstream, *, ids: tuple[str, ...]) -> None:
+        await self._short(upstream, "POST", "/v1/holds/release", {"ids": ids}, kind=dict)
+
+    async def load(self, upstream: Upstream) -> LoadReport:
+        return await self._short(upstream, "GET", "/v1/load", kind=LoadReport)
+
+    async def events(self, upstream: Upstream) -> AsyncIterator[EngineEvent]:
+        async with self._client.call(
+            address=upstream.address,
+            method="GET",
+            path="/v1/events",
+            head_timeout=self._timers.real(self._idle_bound),
+            fresh=True,
+        ) as answer:
+            await self._raise_refusal(answer)
+            chunks = answer.chunks(idle_timeout=self._timers.real(self._idle_bound))
+            async for data in read_events(chunks):
+                yield _decode(upstream, data, _event_decoder)
+
+    async def order(self, upstream: Upstream, order: Order) -> None:
+        await self._short(upstream, "POST", "/v1/orders", order, kind=dict)
+
+    async def state(self, upstream: Upstream) -> EngineState:
+        return await self._short(upstream, "GET", "/v1/state", kind=EngineState)
+
+    async def _stream(
+        self, upstream: Upstream, path: str, body: bytes, attempt: str, *, fresh: bool = False
+    ) -> AsyncIterator[AnswerEvent]:
+        idle = self._timers.real(self._idle_bound)
+        async with self._client.call(
+            address=upstream.address,
+            method="POST",
+            path=path,
+            body=body,
+            head_timeout=idle,
+            fresh=fresh,
+        ) as answer:
+            await self._raise_refusal(answer)
+            ended = False
+            async for data in read_events(answer.chunks(idle_timeout=idle)):
+                if data == DONE:
+                    continue
+                event = _decode(upstream, data, _answer_decoder)
+                if event.attempt != attempt:
+                    raise CrossedAnswer(f"{upstream.id} sent an event of another attempt")
+                if ended:
+                    raise CrossedAnswer(f"{upstream.id} sent an event after the end")
+                ended = isinstance(event, EndEvent)
+                yield event
+        if not ended:
+            raise UpstreamLost(f"{upstream.id} closed the answer before its end")
+
+    async def _short(
+        self,
+        upstream: Upstream,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        kind: type[T],
+    ) -> T:
+        status, answer = await fetch(
+            self._client,
+            address=upstream.address,
+            method=method,
+            path=path,
+            body=b"" if body is None else msgspec.json.encode(body),
+            timeout=self._timers.real(SHORT_CALL_TIMEOUT),
+        )
+        if status >= 400:
+            raise refusal_of(upstream.id, answer)
+        try:
+            return msgspec.json.decode(answer, type=kind)
+        except msgspec.DecodeError as error:
+            raise UpstreamLost(f"{upstream.id}{path} sent an answer that does not parse") from error
+
+    async def _raise_refusal(self, answer: HttpAnswer) -> None:
+        if answer.status < 400:
+            return
+        body = await answer.body(idle_timeout=self._timers.real(self._idle_bound))
+        raise refusal_of("the engine", body)
+
+
+def refusal_of(name: str, body: bytes) -> UpstreamLost | UpstreamRefused:
+    """Return the typed error for an error document of an upstream."""
+    try:
+        error = msgspec.json.decode(body, type=_Refusal).error
+    except msgspec.DecodeError:
+        return UpstreamLost(f"{name} sent an error that does not parse")
+    if error.ran is not False:
+        return UpstreamLost(f"{name} failed: {error.code}: {error.message}")
+    kind = _REFUSALS.get(error.code, UpstreamRefused)
+    return kind(f"{name} did not run it: {error.code}: {error.message}")
+
+
+def _decode(upstream: Upstream, data: bytes, decoder: msgspec.json.Decoder[T]) -> T:
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise UpstreamLost(f"{upstream.id} sent an event that does not parse: {error}") from error
--- /dev/null
+++ b/src/baobabpulley/adapters/http_service.py
@@ -0,0 +1,50 @@
+"""Plain services over HTTP."""
+
+from __future__ import annotations
+
+from typing import final
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_engine import refusal_of
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.plain_service import PlainService
+from baobabpulley.ports.plain_service import ServiceAnswer
+from baobabpulley.ports.plain_service import ServiceCall
+from baobabpulley.timers import TimerService
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+
+
+@final
+class HttpPlainService(PlainService):
+    """Send each call on a connection of its own, so that a stale one cannot make it doubtful."""
+
+    __slots__ = ("_client", "_timers")
+
+    def __init__(self, *, client: HttpClient, timers: TimerService) -> None:
+        self._client = client
+        self._timers = timers
+
+    async def call(self, upstream: Upstream, call: ServiceCall) -> ServiceAnswer:
+        timeout = self._timers.real(call.deadline)
+        async with self._client.call(
+            address=upstream.address,
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            headers={
+                "Content-Type": call.content_type,
+                ATTEMPT_HEADER: call.attempt,
+                "X-Team": call.team,
+            },
+            head_timeout=timeout,
+            fresh=True,
+        ) as answer:
+            body = await answer.body(idle_timeout=timeout)
+            if answer.status == 503:
+                refusal = refusal_of(upstream.id, body)
+                if isinstance(refusal, UpstreamRefused):
+                    raise refusal
+            content_type = answer.headers.get("Content-Type", "application/json")
+            return ServiceAnswer(status=answer.status, body=body, content_type=content_type)
--- /dev/null
+++ b/src/baobabpulley/adapters/metrics.py
@@ -0,0 +1,77 @@
+"""Metrics of the daemons, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+LATENCY_BUCKETS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6, 51.2, 102.4, 204.8)
+
+
+@final
+class EntryMetrics:
+    """What an entry counts. Times are model seconds."""
+
+    __slots__ = (
+        "alarms",
+        "attempts",
+        "first_token",
+        "refusals",
+        "registry",
+        "requests",
+        "revision",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "baobab_requests", "Requests by outcome", ["team", "outcome"], registry=self.registry
+        )
+        self.attempts = Counter(
+            "baobab_attempts", "Attempts at upstreams", ["service"], registry=self.registry
+        )
+        self.refusals = Counter(
+            "baobab_refusals", "Requests that did not run", ["code"], registry=self.registry
+        )
+        self.alarms = Counter("baobab_alarms", "Alarms by kind", ["kind"], registry=self.registry)
+        self.first_token = Histogram(
+            "baobab_first_token_seconds",
+            "Time to first token by lane",
+            ["lane"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            "baobab_settings_revision", "Settings revision in force", registry=self.registry
+        )
+
+
+@final
+class KeeperMetrics:
+    """What a keeper counts."""
+
+    __slots__ = ("alarms", "orders", "registry", "revision", "store_calls")
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.alarms = Counter("baobab_alarms", "Alarms by kind", ["kind"], registry=self.registry)
+        self.orders = Counter(
+            "baobab_orders", "Orders given to engines", ["kind"], registry=self.registry
+        )
+        self.revision = Gauge(
+            "baobab_settings_revision", "Settings revision in force", registry=self.registry
+        )
+        self.store_calls = Gauge(
+            "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
+        )
+
+
+def render_metrics(registry: CollectorRegistry) -> bytes:
+    """Return all metrics of a registry as text."""
+    return generate_latest(registry)
--- /dev/null
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -0,0 +1,238 @@
+"""Messages between our processes over pynng: request/reply for questions, pub/sub for state.
+
+Only the socket patterns are used; no discovery, no devices.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Final
+from typing import TypeVar
+from typing import final
+
+import msgspec
+import pynng
+from loguru import logger
+
+from baobabpulley import errors
+from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.envelope import kind_of
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import MessageRejected
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.ports.peers import Handler
+from baobabpulley.ports.peers import Listener
+from baobabpulley.ports.peers import Peers
+from baobabpulley.ports.peers import peer_message
+from baobabpulley.settings import PeersSection
+from baobabpulley.timers import TimerService
+
+ANSWERERS: Final = 16
+PUBLISH_PORT_OFFSET: Final = 1
+RECONNECT_MIN_MS: Final = 50
+RECONNECT_MAX_MS: Final = 500
+
+A = TypeVar("A", bound=msgspec.Struct)
+
+
+@peer_message("fault")
+class FaultAnswer(msgspec.Struct, frozen=True):
+    """A typed error as a peer's answer."""
+
+    code: str
+    message: str
+    remedy: str
+    retry_after: float | None = None
+
+
+@final
+class PynngPeers(Peers):
+    """Sockets of one process.
+
+    A process with an ``address`` answers questions there and publishes on the next port. One
+    without an address only asks and listens.
+    """
+
+    __slots__ = (
+        "_address",
+        "_asking",
+        "_handlers",
+        "_publisher",
+        "_rejected",
+        "_sealer",
+        "_sockets",
+        "_tasks",
+        "_timers",
+    )
+
+    def __init__(
+        self, *, node: str, section: PeersSection, timers: TimerService, address: str | None = None
+    ) -> None:
+        self._address = address
+        self._timers = timers
+        self._sealer = Sealer(
+            sender=node,
+            secret=section.secret,
+            max_bytes=section.max_message_bytes,
+            max_skew=section.max_clock_skew,
+        )
+        self._handlers: dict[type[msgspec.Struct], Handler] = {}
+        self._asking: dict[str, pynng.Req0] = {}
+        self._sockets: list[pynng.Socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._publisher: pynng.Pub0 | None = None
+        self._rejected = 0
+
+    @property
+    def rejected(self) -> int:
+        """Messages dropped because a check failed."""
+        return self._rejected
+
+    def start(self) -> None:
+        """Open the listening sockets; the event loop must run."""
+        if self._address is None:
+            return
+        replier = pynng.Rep0(listen=f"tcp://{self._address}")
+        self._publisher = pynng.Pub0(listen=f"tcp://{_publish_address(self._address)}")
+        self._sockets += [replier, self._publisher]
+        for _ in range(ANSWERERS):
+            self._run(self._answer_forever(replier.new_context()))
+
+    async def ask(
+        self, address: str, question: msgspec.Struct, *, answer: type[A], timeout: float
+    ) -> A:
+        socket = self._asking.get(address)
+        if socket is None:
+            socket = _dial(pynng.Req0(), address)
+            self._asking[address] = socket
+        context = socket.new_context()
+        try:
+            async with self._timers.limit(timeout):
+                await context.asend(self._sealer.seal(question, kind=kind_of(question)))
+                data = await context.arecv()
+            message, _ = self._sealer.open(data)
+        except (TimeoutError, pynng.NNGException, MessageRejected) as error:
+            # The next question opens a new connection: this one may be silent for good.
+            self._forget(address, socket)
+            raise PeerUnavailable(f"the process at {address} did not answer: {error!r}") from error
+        finally:
+            context.close()
+        if isinstance(message, FaultAnswer):
+            raise _fault_of(message)
+        if not isinstance(message, answer):
+            raise PeerUnavailable(
+                f"the process at {address} answered with {type(message).__name__}"
+            )
+        return message
+
+    def answer(self, kind: type[msgspec.Struct], handler: Handler) -> None:
+        self._handlers[kind] = handler
+
+    def publish(self, message: msgspec.Struct) -> None:
+        if self._publisher is None:
+            return
+        with contextlib.suppress(pynng.NNGException):
+            self._publisher.send(self._sealer.seal(message, kind=kind_of(message)), block=False)
+
+    def subscribe(self, address: str, listener: Listener) -> None:
+        self._run(self._listen_forever(address, listener))
+
+    def close(self) -> None:
+        for task in tuple(self._tasks):
+            task.cancel()
+        for socket in [*self._sockets, *self._asking.values()]:
+            socket.close()
+        self._asking.clear()
+
+    def _run(self, coroutine: object) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _forget(self, address: str, socket: pynng.Req0) -> None:
+        if self._asking.get(address) is socket:
+            del self._asking[address]
+            # Other questions may still wait on this socket; let them end first.
+            asyncio.get_running_loop().call_later(5.0, socket.close)
+
+    async def _answer_forever(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                data = await context.arecv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException:
+                continue
+            reply = await self._reply_to(data)
+            if reply is None:
+                continue
+            with contextlib.suppress(pynng.NNGException):
+                await context.asend(self._sealer.seal(reply, kind=kind_of(reply)))
+
+    async def _reply_to(self, data: bytes) -> msgspec.Struct | None:
+        try:
+            message, sender = self._sealer.open(data)
+        except MessageRejected as error:
+            self._rejected += 1
+            logger.warning("dropped a message: {}", error.message)
+            return None
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return FaultAnswer(code="not_found", message="no handler", remedy="Upgrade the peer.")
+        try:
+            return await handler(message, sender)
+        except BaobabError as error:
+            return FaultAnswer(
+                code=error.code,
+                message=error.message,
+                remedy=error.remedy,
+                retry_after=error.retry_after,
+            )
+        except Exception:
+            logger.exception("answering {} failed", type(message).__name__)
+            return FaultAnswer(
+                code="internal", message="the peer failed", remedy=BaobabError.default_remedy
+            )
+
+    async def _listen_forever(self, address: str, listener: Listener) -> None:
+        socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
+        self._sockets.append(socket)
+        while True:
+            try:
+                data = await socket.arecv()
+                message, sender = self._sealer.open(data)
+            except pynng.Closed:
+                return
+            except MessageRejected as error:
+                self._rejected += 1
+                logger.warning("dropped a message: {}", error.message)
+                continue
+            listener(message, sender)
+
+
+S = TypeVar("S", bound=pynng.Socket)
+
+
+def _dial(socket: S, address: str) -> S:
+    socket.reconnect_time_min = RECONNECT_MIN_MS
+    socket.reconnect_time_max = RECONNECT_MAX_MS
+    socket.dial(f"tcp://{address}", block=False)
+    return socket
+
+
+def _publish_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    return f"{host}:{int(port) + PUBLISH_PORT_OFFSET}"
+
+
+def _fault_of(answer: FaultAnswer) -> BaobabError:
+    kind = _KINDS.get(answer.code, BaobabError)
+    return kind(answer.message, remedy=answer.remedy, retry_after=answer.retry_after)
+
+
+_KINDS: Final[dict[str, type[BaobabError]]] = {
+    kind.code: kind
+    for kind in vars(errors).values()
+    if isinstance(kind, type) and issubclass(kind, BaobabError)
+}
--- /dev/null
+++ b/src/baobabpulley/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/baobabpulley/cli/settings.py
@@ -0,0 +1,24 @@
+"""``baobabpulley settings check``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from baobabpulley.cli.daemons import checked_settings
+from baobabpulley.cli.main import cli
+
+
+@cli.group()
+def settings() -> None:
+    """Work with settings files."""
+
+
+@settings.command()
+@click.argument("path", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--daemon", type=click.Choice(["entry", "keeper"]), required=True)
+def check(path: Path, daemon: str) -> None:
+    """Check a settings file; name every fault and exit with code 2 if there is one."""
+    checked_settings(path, daemon=daemon)
+    click.echo(f"{path}: no faults")
--- /dev/null
+++ b/src/baobabpulley/emulator/caller.py
@@ -0,0 +1,118 @@
+"""A caller of the completion API that measures and checks what it gets."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.events import DONE
+from baobabpulley.adapters.events import read_events
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamUnreached
+
+REAL_TIMEOUT = 600.0
+
+
+@final
+class Completion:
+    """What came back. Times are real seconds since sending; ``code`` is empty on success."""
+
+    __slots__ = ("code", "first_token", "ran", "request_id", "status", "text", "total", "usage")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.code = ""
+        self.ran: bool | None = None
+        self.text = ""
+        self.request_id = ""
+        self.first_token: float | None = None
+        self.total = 0.0
+        self.usage: dict[str, int] = {}
+
+    @property
+    def ok(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.status == 200 and not self.code
+
+
+@final
+class Caller:
+    """One client account's client, which sends to the entry it is told to."""
+
+    __slots__ = ("_client", "_model", "_token")
+
+    def __init__(self, *, token: str, model: str, client: HttpClient | None = None) -> None:
+        self._token = token
+        self._model = model
+        self._client = client or HttpClient()
+
+    async def complete(
+        self,
+        address: str,
+        *,
+        prompt: str,
+        max_tokens: int = 8,
+        seed: int = 0,
+        stream: bool = True,
+        headers: dict[str, str] | None = None,
+    ) -> Completion:
+        """Send a completion request and read its whole answer."""
+        body = {
+            "model": self._model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "seed": seed,
+            "stream": stream,
+        }
+        result = Completion()
+        started = time.monotonic()
+        try:
+            async with self._client.call(
+                address=address,
+                method="POST",
+                path="/v1/completions",
+                body=msgspec.json.encode(body),
+                headers={"Authorization": f"Bearer {self._token}", **(headers or {})},
+                head_timeout=REAL_TIMEOUT,
+            ) as answer:
+                result.status = answer.status
+                result.request_id = answer.headers.get("X-Request-Id", "")
+                if answer.headers.get("Content-Type", "").startswith("text/event-stream"):
+                    await _read_stream(answer.chunks(idle_timeout=REAL_TIMEOUT), result, started)
+                else:
+                    _take(result, await answer.body(idle_timeout=REAL_TIMEOUT))
+        except (UpstreamLost, UpstreamUnreached) as error:
+            result.code = "connection"
+            result.ran = error.ran
+        result.total = time.monotonic() - started
+        if result.first_token is None:
+            result.first_token = result.total
+        return result
+
+
+async def _read_stream(chunks: Any, result: Completion, started: float) -> None:
+    done = False
+    async for data in read_events(chunks):
+        if data == DONE:
+            done = True
+            continue
+        if result.first_token is None:
+            result.first_token = time.monotonic() - started
+        _take(result, data)
+    if not done and not result.code:
+        result.code = "cut"
+
+
+def _take(result: Completion, data: bytes) -> None:
+    document = msgspec.json.decode(data)
+    error = document.get("error")
+    if error is not None:
+        result.code = error["code"]
+        result.ran = error["ran"]
+        return
+    result.text += document["choices"][0]["text"]
+    result.usage = document.get("usage") or result.usage
--- /dev/null
+++ b/src/baobabpulley/emulator/fleet.py
@@ -0,0 +1,413 @@
+"""Start stand-ins, keepers and entries as separate processes on loopback, and stop them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.etcd_store import EtcdStore
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import BaobabError
+from baobabpulley.model.documents import PROMISES_KEY
+from baobabpulley.model.documents import AccessDocument
+from baobabpulley.model.documents import LimitDocument
+from baobabpulley.model.documents import ModelDocument
+from baobabpulley.model.documents import PromiseDocument
+from baobabpulley.model.documents import Route
+from baobabpulley.model.documents import ServiceDocument
+from baobabpulley.model.documents import access_key
+from baobabpulley.model.documents import encode_document
+from baobabpulley.model.documents import limit_key
+from baobabpulley.model.documents import model_key
+from baobabpulley.model.documents import service_key
+from baobabpulley.model.limits import Limit
+from baobabpulley.model.settings_book import token_digest
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.timers import TimerService
+
+HOST: Final = "127.0.0.1"
+START_TIMEOUT: Final = 30.0
+STOP_TIMEOUT: Final = 30.0
+SECRET: Final = "a-secret-for-stand-ins-only"
+MODEL: Final = "recipes"
+ENGINE_SERVICE: Final = "kitchen"
+PLAIN_SERVICE: Final = "ledger"
+
+
+@final
+class FleetPlan:
+    """What to start. Ports are taken upwards from ``base_port``."""
+
+    __slots__ = (
+        "base_port",
+        "domains",
+        "engine_options",
+        "engines",
+        "entries",
+        "entry_sections",
+        "keeper_sections",
+        "limits",
+        "plain_services",
+        "speed",
+        "vm_list_lag",
+    )
+
+    def __init__(
+        self,
+        *,
+        base_port: int,
+        domains: tuple[str, ...] = ("fes", "meknes", "rabat"),
+        entries: int = 4,
+        engines: int = 6,
+        plain_services: int = 1,
+        speed: float = 1.0,
+        vm_list_lag: float = 1.0,
+        engine_options: tuple[str, ...] = (),
+        limits: dict[str, Limit] | None = None,
+        entry_sections: dict[str, dict[str, str]] | None = None,
+        keeper_sections: dict[str, dict[str, str]] | None = None,
+    ) -> None:
+        self.base_port = base_port
+        self.domains = domains
+        self.entries = entries
+        self.engines = engines
+        self.plain_services = plain_services
+        self.speed = speed
+        self.vm_list_lag = vm_list_lag
+        self.engine_options = engine_options
+        self.limits = limits or {
+            "souk": Limit(1_000_000, 4_000_000),
+            "stall": Limit(100_000, 400_000),
+        }
+        self.entry_sections = entry_sections or {}
+        self.keeper_sections = keeper_sections or {}
+
+    def domain_of(self, index: int) -> str:
+        """Return the failure domain of the entry or upstream with an index."""
+        return self.domains[index % len(self.domains)]
+
+
+@final
+class Process:
+    """One started process; its standard error goes to a file."""
+
+    __slots__ = ("_command", "_log", "_popen", "name")
+
+    def __init__(self, *, name: str, command: list[str], log: Path) -> None:
+        self.name = name
+        self._command = command
+        self._log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self._popen is not None
+        return self._popen.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def returncode(self) -> int | None:
+        """Exit code once it has ended."""
+        return None if self._popen is None else self._popen.returncode
+
+    @property
+    def log(self) -> str:
+        """What the process wrote to standard error."""
+        return self._log.read_text(encoding="utf-8") if self._log.exists() else ""
+
+    def start(self) -> None:
+        """Start the process, also anew after it has ended."""
+        with self._log.open("ab") as log:
+            self._popen = subprocess.Popen(
+                self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.running:
+            assert self._popen is not None
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.send(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait()
+
+    def wait(self, timeout: float = STOP_TIMEOUT) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._popen is not None
+        return self._popen.wait(timeout)
+
+
+@final
+class Fleet:
+    """A running fleet; use it as an asynchronous context manager."""
+
+    __slots__ = ("_client", "_directory", "_plan", "_store", "entries", "processes", "vms")
+
+    def __init__(self, *, plan: FleetPlan, directory: Path) -> None:
+        self._plan = plan
+        self._directory = directory
+        self._client = HttpClient()
+        self._store = EtcdStore(
+            client=self._client,
+            address=self.store_address,
+            timers=TimerService(speed=plan.speed),
+        )
+        self.processes: dict[str, Process] = {}
+        self.entries: dict[str, str] = {}
+        self.vms: list[Vm] = []
+
+    @property
+    def plan(self) -> FleetPlan:
+        """What was started."""
+        return self._plan
+
+    @property
+    def store(self) -> EtcdStore:
+        """A client of the configuration store."""
+        return self._store
+
+    @property
+    def store_address(self) -> str:
+        """Address of the configuration store."""
+        return f"{HOST}:{self._plan.base_port}"
+
+    @property
+    def vm_list_address(self) -> str:
+        """Address of the VM list."""
+        return f"{HOST}:{self._plan.base_port + 1}"
+
+    @property
+    def client(self) -> HttpClient:
+        """An HTTP client for the fleet's addresses."""
+        return self._client
+
+    async def __aenter__(self) -> Fleet:
+        try:
+            await self.start()
+        except BaseException:
+            self.kill_all()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.kill_all()
+        self._client.close()
+
+    async def start(self) -> None:
+        """Start all processes and wait until every entry is ready."""
+        self._start_platform()
+        await self.wait_for(self.store_address, "/counts")
+        await self.wait_for(self.vm_list_address, "/vms")
+        await self._write_settings()
+        self._start_upstreams()
+        self._write_daemons()
+        await self.put_vms(self.vms)
+        for name, process in self.processes.items():
+            if name.startswith(("keeper", "entry")):
+                process.start()
+        for address in self.entries.values():
+            await self.wait_for(address, "/readyz")
+
+    async def put_vms(self, vms: list[Vm]) -> None:
+        """Set the rows of the VM list; readers see them after the lag."""
+        await self.request(self.vm_list_address, "PUT", "/vms", vms)
+
+    async def fault(self, address: str, kind: str, **options: object) -> None:
+        """Switch a fault of a stand-in."""
+        with contextlib.suppress(BaobabError):
+            await self.request(address, "POST", "/faults", {"kind": kind, **options})
+
+    async def request(self, address: str, method: str, path: str, body: object = None) -> Any:
+        """Make a JSON call and return the decoded answer."""
+        status, answer = await fetch(
+            self._client,
+            address=address,
+            method=method,
+            path=path,
+            body=b"" if body is None else msgspec.json.encode(body),
+            timeout=5.0,
+        )
+        if status >= 400:
+            raise BaobabError(f"{address}{path} answered {status}: {answer[:200]!r}")
+        return msgspec.json.decode(answer)
+
+    async def wait_for(self, address: str, path: str) -> None:
+        """Wait until a process answers with success."""
+        end = time.monotonic() + START_TIMEOUT
+        while True:
+            try:
+                await self.request(address, "GET", path)
+                return
+            except BaobabError as error:
+                self._check_running()
+                if time.monotonic() > end:
+                    raise BaobabError(f"{address}{path} is not up: {error.message}") from error
+                await asyncio.sleep(0.05)
+
+    def _check_running(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is not None:
+                raise BaobabError(f"{process.name} ended at its start:\n{process.log}")
+
+    def address_of(self, id: str) -> str:
+        """Return the address of a VM of the list."""
+        return next(vm.address for vm in self.vms if vm.id == id)
+
+    def kill_all(self) -> None:
+        """End every process that this fleet has started."""
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+        for process in self.processes.values():
+            process.kill()
+
+    def add(self, name: str, *arguments: str) -> Process:
+        """Register a process; it is not started yet."""
+        command = [sys.executable, "-m", "baobabpulley", *arguments]
+        process = Process(name=name, command=command, log=self._directory / f"{name}.log")
+        self.processes[name] = process
+        return process
+
+    def _start_platform(self) -> None:
+        plan = self._plan
+        speed = ("--speed", str(plan.speed))
+        self.add("store", "standin", "store", "--address", self.store_address, *speed).start()
+        lag = ("--lag", str(plan.vm_list_lag))
+        self.add("vms", "standin", "vms", "--address", self.vm_list_address, *speed, *lag).start()
+
+    def _start_upstreams(self) -> None:
+        plan = self._plan
+        speed = ("--speed", str(plan.speed))
+        for index in range(plan.engines):
+            vm = self._upstream("engine", index, ENGINE_SERVICE, plan.base_port + 100 + index)
+            common = ("--id", vm.id, "--address", vm.address, *speed)
+            options = ("--models", MODEL, "--seed", str(index), *plan.engine_options)
+            self.add(vm.id, "standin", "engine", *common, *options).start()
+        for index in range(plan.plain_services):
+            vm = self._upstream("service", index, PLAIN_SERVICE, plan.base_port + 300 + index)
+            common = ("--id", vm.id, "--address", vm.address, *speed)
+            self.add(vm.id, "standin", "service", *common).start()
+
+    def _upstream(self, kind: str, index: int, service: str, port: int) -> Vm:
+        vm = Vm(
+            id=f"{kind}-{index}",
+            role="upstream",
+            failure_domain=self._plan.domain_of(index),
+            address=f"{HOST}:{port}",
+            service=service,
+        )
+        self.vms.append(vm)
+        return vm
+
+    def _write_daemons(self) -> None:
+        for index in range(self._plan.entries):
+            self._write_vm(index)
+
+    def _write_vm(self, index: int) -> None:
+        plan = self._plan
+        vm = Vm(
+            id=f"vm-{index}",
+            role="entry",
+            failure_domain=plan.domain_of(index),
+            address=f"{HOST}:{plan.base_port + 400 + 4 * index}",
+        )
+        self.vms.append(vm)
+        http = f"{HOST}:{plan.base_port + 600 + index}"
+        self.entries[f"entry-{index}"] = http
+        entry_sections = {
+            "node": self._node(f"entry-{index}", vm, http),
+            "keeper": {"address": vm.address},
+            "peers": {"secret": SECRET},
+        }
+        self._write_daemon("entry", index, entry_sections, plan.entry_sections)
+        keeper_sections = {
+            "node": self._node(f"keeper-{index}", vm, f"{HOST}:{plan.base_port + 800 + index}"),
+            "keeper": {
+                "address": vm.address,
+                "store": self.store_address,
+                "vm_list": self.vm_list_address,
+            },
+            "peers": {"secret": SECRET},
+        }
+        self._write_daemon("keeper", index, keeper_sections, plan.keeper_sections)
+
+    def _node(self, id: str, vm: Vm, http: str) -> dict[str, str]:
+        return {
+            "id": id,
+            "vm": vm.id,
+            "failure_domain": vm.failure_domain,
+            "http": http,
+            "speed": str(self._plan.speed),
+        }
+
+    def _write_daemon(
+        self,
+        daemon: str,
+        index: int,
+        sections: dict[str, dict[str, str]],
+        extra: dict[str, dict[str, str]],
+    ) -> None:
+        for name, options in extra.items():
+            sections.setdefault(name, {}).update(options)
+        lines = []
+        for name, options in sections.items():
+            lines.append(f"[{name}]")
+            lines += [f"{option} = {value}" for option, value in options.items()]
+        path = self._directory / f"{daemon}-{index}.ini"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        self.add(f"{daemon}-{index}", daemon, "--settings", str(path))
+
+    async def _write_settings(self) -> None:
+        documents: dict[str, msgspec.Struct] = {
+            service_key(ENGINE_SERVICE): ServiceDocument(kind="engine"),
+            service_key(PLAIN_SERVICE): ServiceDocument(
+                kind="plain",
+                routes=(
+                    Route(method="POST", path="/orders", idempotent=False),
+                    Route(method="GET", path="/catalogue/", idempotent=True),
+                ),
+            ),
+            model_key(MODEL): ModelDocument(service=ENGINE_SERVICE),
+            PROMISES_KEY: PromiseDocument(teams=self._plan.limits),
+        }
+        for team, limit in self._plan.limits.items():
+            documents[limit_key(team)] = LimitDocument(limit=limit)
+            documents[access_key(team)] = AccessDocument(
+                caller_tokens=(token_digest(caller_token(team)),),
+                operator_tokens=(token_digest(operator_token(team)),),
+            )
+        swaps = [
+            Swap(key=key, value=encode_document(document), expected_revision=0)
+            for key, document in documents.items()
+        ]
+        await self._store.swap(*swaps)
+
+
+def caller_token(team: str) -> str:
+    """Return the bearer token of a team's callers in a local fleet."""
+    return f"caller-{team}"
+
+
+def operator_token(team: str) -> str:
+    """Return the bearer token of a team's operators in a local fleet."""
+    return f"operator-{team}"
--- /dev/null
+++ b/src/baobabpulley/entry/callers.py
@@ -0,0 +1,212 @@
+"""The callers' completion API: ``POST /v1/completions``."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Annotated
+from typing import final
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import stream_request_body
+
+from baobabpulley.adapters.events import DONE
+from baobabpulley.adapters.events import frame_event
+from baobabpulley.entry.web import REQUEST_ID_HEADER
+from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import route
+from baobabpulley.errors import BadRequest
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import PromptTooLong
+from baobabpulley.errors import UnknownModel
+from baobabpulley.model.decisions import DecisionRecord
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.requests import TokenEvent
+from baobabpulley.model.requests import estimate_tokens
+from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
+from baobabpulley.settings import section
+
+
+@section("callers", "entry")
+class CallersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of what callers send, and how deadlines follow from length (model seconds)."""
+
+    max_body_bytes: Count = 8_388_608
+    max_header_bytes: Count = 16_384
+    body_timeout: Seconds = 30.0
+    header_timeout: Seconds = 10.0
+    max_output_tokens: Count = 16_384
+    deadline_base: Seconds = 20.0
+    deadline_per_prompt_token: Seconds = 0.0003
+    deadline_per_output_token: Seconds = 0.2
+
+
+class CompletionBody(msgspec.Struct):
+    """The JSON body of a completion request; unknown fields are ignored, as usual there."""
+
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    prompt: Annotated[str, msgspec.Meta(min_length=1)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1)] = 16
+    seed: Annotated[int, msgspec.Meta(ge=0, le=2**62)] = 0
+    stream: bool = False
+
+
+class Choice(msgspec.Struct):
+    """A piece of an answer."""
+
+    text: str
+    index: int = 0
+    finish_reason: str | None = None
+
+
+class CompletionChunk(msgspec.Struct, omit_defaults=True):
+    """One streamed event, or the whole answer; ``usage`` stands in the last one."""
+
+    id: str
+    model: str
+    choices: tuple[Choice, ...]
+    object: str = "text_completion"
+    usage: dict[str, int] | None = None
+
+
+_body_decoder = msgspec.json.Decoder(CompletionBody)
+
+
+@route("/v1/completions")
+@stream_request_body
+@final
+class CompletionHandler(EntryHandler):
+    """Admit, dispatch and answer one completion request."""
+
+    def prepare(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._section = self.context.settings.get(CallersSection)
+        if self.request.method != "POST":
+            return
+        self._check_size(int(self.request.headers.get("Content-Length", "0")))
+        self._team = self.authenticate()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+        self._check_size(self._size)
+        self._parts.append(chunk)
+
+    async def post(self) -> None:
+        request = self._parse()
+        record = self.context.decisions.open(request_id=request.request_id, team=request.team)
+        self.context.lifecycle.begin()
+        try:
+            self._check_limit(request)
+            await self._answer(request, record)
+            self._count(record, "ok")
+        except BaobabError as error:
+            self._count(record, error.code)
+            await self._fail(error)
+        except StreamClosedError:
+            self._count(record, "client_gone")
+        finally:
+            self.context.lifecycle.end()
+
+    def _check_size(self, size: int) -> None:
+        if size > self._section.max_body_bytes:
+            raise BodyTooLarge(f"the body is longer than {self._section.max_body_bytes} bytes")
+
+    def _parse(self) -> CompletionRequest:
+        try:
+            body = _body_decoder.decode(b"".join(self._parts))
+        except msgspec.DecodeError as error:
+            raise BadRequest(f"the body does not check: {error}") from error
+        if body.max_tokens > self._section.max_output_tokens:
+            raise BadRequest(f"max_tokens is above {self._section.max_output_tokens}")
+        if body.model not in self.context.view.book.models:
+            raise UnknownModel(f"no model is called {body.model!r}")
+        now = self.context.timers.now()
+        prompt_tokens = estimate_tokens(body.prompt)
+        allowed = (
+            self._section.deadline_base
+            + self._section.deadline_per_prompt_token * prompt_tokens
+            + self._section.deadline_per_output_token * body.max_tokens
+        )
+        return CompletionRequest(
+            request_id=self.request_id,
+            team=self._team,
+            model=body.model,
+            prompt=body.prompt,
+            prompt_tokens=prompt_tokens,
+            max_tokens=body.max_tokens,
+            seed=body.seed,
+            stream=body.stream,
+            arrived=now,
+            deadline=now + allowed,
+        )
+
+    def _check_limit(self, request: CompletionRequest) -> None:
+        limit = self.context.view.book.limit(request.team)
+        if request.prompt_tokens > limit.max_prompt_tokens:
+            raise PromptTooLong(
+                f"the prompt has about {request.prompt_tokens} tokens; "
+                f"{request.team} may send {limit.max_prompt_tokens}"
+            )
+
+    async def _answer(self, request: CompletionRequest, record: DecisionRecord) -> None:
+        text: list[str] = []
+        self.set_header(REQUEST_ID_HEADER, request.request_id)
+        async with contextlib.aclosing(self.context.dispatcher.run(request, record)) as events:
+            async for event in events:
+                if isinstance(event, TokenEvent):
+                    if event.index == 0:
+                        self._observe_first(request, record)
+                    text += event.tokens
+                    if request.stream:
+                        await self._send(request, "".join(event.tokens))
+                else:
+                    await self._end(request, event, "".join(text))
+
+    async def _send(self, request: CompletionRequest, text: str) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        chunk = CompletionChunk(
+            id=request.request_id, model=request.model, choices=(Choice(text=text),)
+        )
+        self.write(frame_event(msgspec.json.encode(chunk)))
+        await self.flush()
+
+    async def _end(self, request: CompletionRequest, end: EndEvent, text: str) -> None:
+        usage = {
+            "prompt_tokens": end.usage.prompt_tokens,
+            "completion_tokens": end.usage.completion_tokens,
+            "total_tokens": end.usage.prompt_tokens + end.usage.completion_tokens,
+            "cached_tokens": end.usage.cached_tokens,
+        }
+        last = "" if request.stream else text
+        chunk = CompletionChunk(
+            id=request.request_id,
+            model=request.model,
+            choices=(Choice(text=last, finish_reason=end.reason),),
+            usage=usage,
+        )
+        body = msgspec.json.encode(chunk)
+        if request.stream:
+            await self.finish(frame_event(body) + frame_event(DONE))
+        else:
+            self.set_header("Content-Type", "application/json")
+            await self.finish(body)
+
+    async def _fail(self, error: BaobabError) -> None:
+        if not self._headers_written:
+            self.refuse(error)
+            return
+        # The status has gone out, so the error goes in the stream, and [DONE] does not follow.
+        with contextlib.suppress(StreamClosedError):
+            await self.finish(frame_event(msgspec.json.encode(error.document())))
+
+    def _observe_first(self, request: CompletionRequest, record: DecisionRecord) -> None:
+        elapsed = self.context.timers.now() - request.arrived
+        self.context.metrics.first_token.labels(lane=record.lane).observe(elapsed)
+
+    def _count(self, record: DecisionRecord, outcome: str) -> None:
+        record.outcome = outcome
+        self.context.metrics.requests.labels(team=record.team, outcome=outcome).inc()
--- /dev/null
+++ b/src/baobabpulley/keeper/context.py
@@ -0,0 +1,89 @@
+"""The parts of a running keeper, and the registry of what it runs."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import final
+
+from prometheus_client import CollectorRegistry
+
+from baobabpulley.adapters.metrics import KeeperMetrics
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.peers import Peers
+from baobabpulley.ports.vm_list import VmList
+from baobabpulley.registry import Registry
+from baobabpulley.settings import NodeSection
+from baobabpulley.settings import Settings
+from baobabpulley.timers import TimerService
+
+
+@final
+class KeeperContext:
+    """One keeper process."""
+
+    __slots__ = (
+        "address",
+        "engine",
+        "metrics",
+        "node",
+        "parts",
+        "peers",
+        "settings",
+        "store",
+        "timers",
+        "view",
+        "vm_list",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        node: NodeSection,
+        address: str,
+        timers: TimerService,
+        peers: Peers,
+        store: ConfigStore,
+        vm_list: VmList,
+        engine: Engine,
+        view: FleetView,
+        metrics: KeeperMetrics,
+    ) -> None:
+        self.settings = settings
+        self.node = node
+        self.address = address
+        self.timers = timers
+        self.peers = peers
+        self.store = store
+        self.vm_list = vm_list
+        self.engine = engine
+        self.view = view
+        self.metrics = metrics
+        self.parts: dict[str, KeeperPart] = {}
+
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Metrics registry of this process."""
+        return self.metrics.registry
+
+
+class KeeperPart(ABC):
+    """A job of the keeper, such as membership or orders."""
+
+    @abstractmethod
+    def __init__(self, context: KeeperContext) -> None:
+        """Take what it needs from the context; start nothing yet."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Register message handlers and subscribe to timers."""
+
+    async def stop(self) -> None:
+        """Hand over what must not be lost; called on graceful shutdown."""
+        return
+
+
+keeper_parts: Registry[type[KeeperPart]] = Registry("keeper part")
--- /dev/null
+++ b/src/baobabpulley/keeper/daemon.py
@@ -0,0 +1,136 @@
+"""Put a keeper together and run it until it is told to stop."""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import Any
+from typing import Final
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.adapters.etcd_store import EtcdStore
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_engine import HttpEngine
+from baobabpulley.adapters.http_vm_list import HttpVmList
+from baobabpulley.adapters.metrics import KeeperMetrics
+from baobabpulley.adapters.metrics import render_metrics
+from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.entry.daemon import stop_signal
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.logs import configure_logs
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.settings import Address
+from baobabpulley.settings import LogsSection
+from baobabpulley.settings import NodeSection
+from baobabpulley.settings import PeersSection
+from baobabpulley.settings import Settings
+from baobabpulley.settings import section
+from baobabpulley.timers import TimerService
+
+# Modules that register keeper parts when they are imported.
+_PART_MODULES: Final = ("settings_watch", "fleet_state")
+
+
+@section("keeper", "keeper")
+class KeeperSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where this keeper answers its peers, and where the platform's services answer."""
+
+    address: Address
+    store: Address
+    vm_list: Address
+
+
+def build_keeper(settings: Settings) -> KeeperContext:
+    """Return a keeper's parts, not yet started; the event loop must run."""
+    node = settings.get(NodeSection)
+    own = settings.get(KeeperSection)
+    timers = TimerService(speed=node.speed)
+    client = HttpClient()
+    metrics = KeeperMetrics()
+
+    def alarm(kind: str, message: str) -> None:
+        del message
+        metrics.alarms.labels(kind=kind).inc()
+
+    context = KeeperContext(
+        settings=settings,
+        node=node,
+        address=own.address,
+        timers=timers,
+        peers=PynngPeers(
+            node=node.id,
+            section=settings.get(PeersSection),
+            timers=timers,
+            address=own.address,
+        ),
+        store=EtcdStore(client=client, address=own.store, timers=timers),
+        vm_list=HttpVmList(client=client, address=own.vm_list, timers=timers),
+        engine=HttpEngine(client=client, timers=timers),
+        view=FleetView(failure_domain=node.failure_domain, alarm=alarm),
+        metrics=metrics,
+    )
+    for name in _PART_MODULES:
+        import_module(f"baobabpulley.keeper.{name}")
+    for name in keeper_parts.names:
+        context.parts[name] = keeper_parts.lookup(name)(context)
+    return context
+
+
+async def run_keeper(settings: Settings) -> None:
+    """Run a keeper until SIGTERM or SIGINT, then hand over."""
+    node = settings.get(NodeSection)
+    configure_logs(settings.get(LogsSection), node=node.id)
+    context = build_keeper(settings)
+    assert isinstance(context.peers, PynngPeers)
+    context.peers.start()
+    for part in context.parts.values():
+        await part.start()
+    server = _start_server(context)
+    await stop_signal()
+    for part in context.parts.values():
+        await part.stop()
+    server.stop()
+    context.timers.cancel_all()
+    context.peers.close()
+
+
+def _start_server(context: KeeperContext) -> HTTPServer:
+    own = {"context": context}
+    routes: list[Any] = [
+        ("/healthz", _HealthHandler, own),
+        ("/readyz", _ReadyHandler, own),
+        ("/metrics", _MetricsHandler, own),
+    ]
+    server = HTTPServer(Application(routes))
+    host, port = split_address(context.node.http)
+    server.listen(port, host)
+    return server
+
+
+class _Handler(RequestHandler):
+    def initialize(self, context: KeeperContext) -> None:
+        self._context = context
+
+
+class _HealthHandler(_Handler):
+    def get(self) -> None:
+        self.finish({"status": "ok"})
+
+
+class _ReadyHandler(_Handler):
+    def get(self) -> None:
+        ready = self._context.view.ready
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready, "revision": self._context.view.book.revision})
+
+
+class _MetricsHandler(_Handler):
+    def get(self) -> None:
+        self._context.metrics.revision.set(self._context.view.book.revision)
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(render_metrics(self._context.registry))
--- /dev/null
+++ b/src/baobabpulley/model/blocks.py
@@ -0,0 +1,36 @@
+"""Chained hashes of prompt blocks, by which engines name what their prefix cache holds.
+
+A block is 512 tokens of 4 bytes; its hash is XXH64 seeded with the hash of the block before it,
+so that equal hashes mean equal prefixes.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from xxhash import xxh64_intdigest
+
+from baobabpulley.model.requests import BYTES_PER_TOKEN
+
+BLOCK_TOKENS: Final = 512
+BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+def chain_blocks(data: bytes, *, seed: int = 0) -> tuple[int, ...]:
+    """Return the hashes of all whole blocks of ``data``, which follows a text of hash ``seed``.
+
+    >>> len(chain_blocks(b"x" * 4100))
+    2
+    """
+    hashes = []
+    view = memoryview(data)
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        seed = xxh64_intdigest(view[start : start + BLOCK_BYTES], seed)
+        hashes.append(seed)
+    return tuple(hashes)
+
+
+def text_digest(data: bytes, blocks: tuple[int, ...], *, seed: int = 0) -> int:
+    """Return the hash of a whole text from its block hashes and its last partial block."""
+    last = blocks[-1] if blocks else seed
+    return xxh64_intdigest(data[len(blocks) * BLOCK_BYTES :], last)
--- /dev/null
+++ b/src/baobabpulley/model/decisions.py
@@ -0,0 +1,52 @@
+"""Decision records: what was decided for a request, and why."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+from typing import final
+
+import msgspec
+
+DEFAULT_CAPACITY: Final = 20_000
+
+
+class Step(msgspec.Struct, frozen=True):
+    """One decision. ``at`` is in model seconds since the request arrived."""
+
+    at: float
+    what: str
+    detail: dict[str, str | int | float | bool | None] = {}
+
+
+class DecisionRecord(msgspec.Struct):
+    """All decisions for one request, in order."""
+
+    request_id: str
+    team: str
+    lane: str = ""
+    outcome: str = "running"
+    steps: list[Step] = []
+
+
+@final
+class DecisionLog:
+    """Keep the records of the latest requests, within a bound."""
+
+    __slots__ = ("_capacity", "_records")
+
+    def __init__(self, *, capacity: int = DEFAULT_CAPACITY) -> None:
+        self._capacity = capacity
+        self._records: OrderedDict[str, DecisionRecord] = OrderedDict()
+
+    def open(self, *, request_id: str, team: str) -> DecisionRecord:
+        """Begin a record and drop the oldest one past the bound."""
+        record = DecisionRecord(request_id=request_id, team=team)
+        self._records[request_id] = record
+        while len(self._records) > self._capacity:
+            self._records.popitem(last=False)
+        return record
+
+    def find(self, request_id: str) -> DecisionRecord | None:
+        """Return the record of a request, if it is still kept."""
+        return self._records.get(request_id)
--- /dev/null
+++ b/src/baobabpulley/model/documents.py
@@ -0,0 +1,139 @@
+"""Documents kept in the configuration store, and the keys they are kept under.
+
+Every document is JSON. One subtree holds all of one team; ``/baobab/fleet`` holds the fleet's.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Final
+from typing import TypeVar
+
+import msgspec
+
+from baobabpulley.errors import DocumentFault
+from baobabpulley.model.limits import Limit
+
+ROOT: Final = "/baobab/"
+TEAMS: Final = "/baobab/teams/"
+FLEET: Final = "/baobab/fleet/"
+LEASES: Final = "/baobab/leases/"
+CLAIMS: Final = "/baobab/claims/"
+PROMISES_KEY: Final = "/baobab/fleet/promises"
+
+MAX_DOCUMENT_BYTES: Final = 1_000_000
+
+D = TypeVar("D", bound=msgspec.Struct)
+
+
+class LimitDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/teams/<team>/limit``: the limit and the id of the change that wrote it."""
+
+    limit: Limit
+    change_id: str = ""
+
+
+class AccessDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/teams/<team>/access``: SHA-256 digests (hex) of the team's bearer tokens."""
+
+    caller_tokens: tuple[str, ...] = ()
+    operator_tokens: tuple[str, ...] = ()
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    change_id: str = ""
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One call of a plain service; ``path`` is a prefix without the service's name."""
+
+    method: str
+    path: str
+    idempotent: bool
+
+
+class ServiceDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/fleet/services/<service>``: how the upstreams of one service behave."""
+
+    kind: Annotated[str, msgspec.Meta(pattern="^(engine|plain)$")]
+    checks_fencing: bool = True
+    checks_sender: bool = True
+    dialect: str = "chunked"
+    routes: tuple[Route, ...] = ()
+
+
+class ModelDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/fleet/models/<model>``: where a model is to be loaded.
+
+    ``share`` is the part of the service's engines in each failure domain that hold it.
+    ``adapters`` are loaded beside it, and ``version`` names the weights.
+    """
+
+    service: str
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0
+    change_id: str = ""
+
+
+class PromiseDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/fleet/promises``: the limits that the fleet has promised, by team."""
+
+    teams: dict[str, Limit] = {}
+    change_id: str = ""
+
+
+class StoredEntry(msgspec.Struct, frozen=True):
+    """One key of the store as read; ``value`` is ``None`` once the key was deleted."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+    create_revision: int = 0
+    lease: int = 0
+
+
+def limit_key(team: str) -> str:
+    """Return the key of a team's limit.
+
+    >>> limit_key("souk")
+    '/baobab/teams/souk/limit'
+    """
+    return f"{TEAMS}{team}/limit"
+
+
+def access_key(team: str) -> str:
+    """Return the key of a team's tokens."""
+    return f"{TEAMS}{team}/access"
+
+
+def service_key(service: str) -> str:
+    """Return the key of a service's description."""
+    return f"{FLEET}services/{service}"
+
+
+def model_key(model: str) -> str:
+    """Return the key of a model's placement."""
+    return f"{FLEET}models/{model}"
+
+
+def tender_key(failure_domain: str) -> str:
+    """Return the key of the lease of the keeper that gives a failure domain's orders."""
+    return f"{LEASES}tender/{failure_domain}"
+
+
+def encode_document(document: msgspec.Struct) -> bytes:
+    """Encode a document as JSON."""
+    return msgspec.json.encode(document)
+
+
+def decode_document(entry: StoredEntry, kind: type[D]) -> D:
+    """Decode and check a stored document; raise `DocumentFault` naming key and revision."""
+    value = entry.value or b""
+    if len(value) > MAX_DOCUMENT_BYTES:
+        raise DocumentFault(
+            f"{entry.key} at revision {entry.mod_revision} has {len(value)} bytes; "
+            f"at most {MAX_DOCUMENT_BYTES} are read"
+        )
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise DocumentFault(f"{entry.key} at revision {entry.mod_revision}: {error}") from error
--- /dev/null
+++ b/src/baobabpulley/specs/__init__.py
@@ -0,0 +1,3 @@
+"""Specifications of the core protocols, explored by a model checker."""
+
+from __future__ import annotations
