Relay settings by publish and pull, and settle each change by a record of its own

Cause: the book's revision ran ahead of its entries (a watch's first line carries the store's revision before the events it owes), and peers that had taken over that revision never asked for the rest; the API for operators was missing. Two watching keepers a failure domain, deltas complete from one revision to another, a change record in each change's own transaction.

--- a/src/baobabpulley/adapters/etcd_store.py
+++ b/src/baobabpulley/adapters/etcd_store.py
@@ -17,6 +17,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import StoreAnswerLost
+from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreached
@@ -29,7 +30,7 @@
 from baobabpulley.timers import TimerService
 
 CALL_TIMEOUT: Final = 2.0
-WATCH_SILENCE: Final = 2.5
+WATCH_SILENCE: Final = 2.0
 
 
 @final
@@ -61,8 +62,8 @@
         """Calls made so far, each opened watch as one."""
         return self._calls
 
-    async def read(self, prefix: str) -> StoreSnapshot:
-        body = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
+    async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
+        body = {"key": _encode(prefix), "range_end": _encode(_prefix_end(last_prefix or prefix))}
         answer = await self._ask("/v3/kv/range", body, writes=False)
         entries = tuple(_entry(item) for item in answer.get("kvs", ()))
         return StoreSnapshot(revision=_revision(answer), entries=entries)
@@ -93,11 +94,13 @@
     async def revoke_lease(self, lease: int) -> None:
         await self._ask("/v3/lease/revoke", {"ID": str(lease)}, writes=True)
 
-    async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[WatchBatch]:
+    async def watch(
+        self, prefix: str, *, from_revision: int, last_prefix: str | None = None
+    ) -> AsyncIterator[WatchBatch]:
         self._calls += 1
         create = {
             "key": _encode(prefix),
-            "range_end": _encode(_prefix_end(prefix)),
+            "range_end": _encode(_prefix_end(last_prefix or prefix)),
             "start_revision": str(from_revision),
             "progress_notify": True,
         }
@@ -133,7 +136,11 @@
         except UpstreamUnreached as error:
             raise StoreUnavailable(f"the store is not reached: {error}") from error
         except UpstreamLost as error:
+            # Other idle connections may have gone silent with this one.
+            self._client.drop_idle(self._address)
             raise _lost(str(error), writes=writes) from error
+        if 400 <= status < 500:
+            raise StoreUnavailable(f"the store refused a call with status {status}")
         if status != 200:
             raise _lost(f"the store answered with status {status}", writes=writes)
         try:
@@ -161,7 +168,8 @@
 
 def _entry(item: dict[str, Any], *, deleted: bool = False) -> StoredEntry:
     return StoredEntry(
-        key=base64.b64decode(item["key"]).decode(),
+        # A key that is no UTF-8 is nobody's; it must not end the watch either.
+        key=base64.b64decode(item["key"]).decode(errors="backslashreplace"),
         value=None if deleted else base64.b64decode(item.get("value", "")),
         mod_revision=int(item["mod_revision"]),
         create_revision=int(item.get("create_revision", 0)),
@@ -202,10 +210,17 @@
 
 def _batch(line: bytes) -> WatchBatch:
     result = msgspec.json.decode(line, type=dict[str, Any])["result"]
+    if result.get("compact_revision"):
+        raise StoreCompacted(f"the store holds no history before {result['compact_revision']}")
     if result.get("canceled"):
         raise StoreUnavailable("the store cancelled the watch")
+    if result.get("created"):
+        # The header's revision runs ahead of the events that this watch still owes.
+        return WatchBatch(revision=0, entries=())
     entries = tuple(
         _entry(event["kv"], deleted=event.get("type") == "DELETE")
         for event in result.get("events", ())
     )
-    return WatchBatch(revision=_revision(result), entries=entries)
+    if entries:
+        return WatchBatch(revision=max(entry.mod_revision for entry in entries), entries=entries)
+    return WatchBatch(revision=_revision(result), entries=())
--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 from typing import final
 
@@ -56,7 +57,7 @@
 class KeeperMetrics:
     """What a keeper counts."""
 
-    __slots__ = ("alarms", "orders", "registry", "revision", "store_calls")
+    __slots__ = ("alarms", "orders", "registry", "rejected", "revision", "store_calls")
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -70,6 +71,18 @@
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
+        self.rejected = Gauge(
+            "baobab_rejected_document_revision",
+            "Revision of a stored document that is kept out",
+            ["key"],
+            registry=self.registry,
+        )
+
+    def tell_rejected(self, revisions: Mapping[str, int]) -> None:
+        """Show the documents that are kept out at present, by key."""
+        self.rejected.clear()
+        for key, revision in revisions.items():
+            self.rejected.labels(key=key).set(revision)
 
 
 def render_metrics(registry: CollectorRegistry) -> bytes:
--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -58,6 +58,7 @@
         "_address",
         "_asking",
         "_handlers",
+        "_listening",
         "_publisher",
         "_rejected",
         "_sealer",
@@ -80,6 +81,7 @@
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._asking: dict[str, pynng.Req0] = {}
         self._sockets: list[pynng.Socket] = []
+        self._listening: dict[tuple[str, Listener], pynng.Sub0] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
@@ -136,14 +138,23 @@
             self._publisher.send(self._sealer.seal(message, kind=kind_of(message)), block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
-        self._run(self._listen_forever(address, listener))
+        self.unsubscribe(address, listener)
+        socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
+        self._listening[address, listener] = socket
+        self._run(self._listen_forever(socket, listener))
+
+    def unsubscribe(self, address: str, listener: Listener) -> None:
+        socket = self._listening.pop((address, listener), None)
+        if socket is not None:
+            socket.close()
 
     def close(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
-        for socket in [*self._sockets, *self._asking.values()]:
+        for socket in [*self._sockets, *self._asking.values(), *self._listening.values()]:
             socket.close()
         self._asking.clear()
+        self._listening.clear()
 
     def _run(self, coroutine: object) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
@@ -195,9 +206,7 @@
                 code="internal", message="the peer failed", remedy=BaobabError.default_remedy
             )
 
-    async def _listen_forever(self, address: str, listener: Listener) -> None:
-        socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
-        self._sockets.append(socket)
+    async def _listen_forever(self, socket: pynng.Sub0, listener: Listener) -> None:
         while True:
             try:
                 data = await socket.arecv()
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -7,6 +7,7 @@
 from importlib import import_module
 from typing import Final
 
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -35,7 +36,7 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
-_HANDLER_MODULES: Final = ("callers", "health")
+_HANDLER_MODULES: Final = ("callers", "health", "operators")
 
 MAX_ACCEPTED_BODY: Final = 1 << 30
 
@@ -48,7 +49,7 @@
     metrics = EntryMetrics()
 
     def alarm(kind: str, message: str) -> None:
-        del message
+        logger.warning("alarm {}: {}", kind, message)
         metrics.alarms.labels(kind=kind).inc()
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Final
 from typing import TypeVar
 from typing import final
@@ -13,6 +14,8 @@
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
 from baobabpulley.model.messages import FleetQuestion
+from baobabpulley.model.settings_messages import SettingsNews
+from baobabpulley.model.settings_messages import SettingsQuestion
 from baobabpulley.ports.peers import Peers
 from baobabpulley.settings import Address
 from baobabpulley.settings import Seconds
@@ -20,6 +23,7 @@
 from baobabpulley.timers import TimerService
 
 ASK_TIMEOUT: Final = 0.5
+FAR_KEEPERS: Final = 2
 
 A = TypeVar("A", bound=msgspec.Struct)
 
@@ -54,7 +58,8 @@
         return tuple(dict.fromkeys([self._section.address, *known, *self._section.others]))
 
     def start(self) -> None:
-        """Begin to refresh the view."""
+        """Listen to this VM's keeper, and begin to refresh the view."""
+        self._peers.subscribe(self._section.address, self._on_news)
         self._timers.every(self._section.refresh, self.refresh, jitter=0.2, name="refresh")
 
     async def refresh(self) -> None:
@@ -64,9 +69,36 @@
             answer = await self.ask(question, answer=FleetAnswer)
         except PeerUnavailable as error:
             logger.debug("no keeper answers: {}", error.message)
+            await self._ask_far_keepers()
             return
         self._view.apply(answer, now=self._timers.now())
 
+    async def _ask_far_keepers(self) -> None:
+        """Get settings, which are the same everywhere, from another failure domain."""
+        own = set(self.addresses)
+        far = [vm.address for vm in self._view.entry_vms if vm.address not in own]
+        for address in random.sample(far, min(FAR_KEEPERS, len(far))):
+            question = SettingsQuestion(revision=self._view.book.revision)
+            try:
+                news = await self._peers.ask(
+                    address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
+                )
+            except PeerUnavailable:
+                continue
+            self._install(news)
+            return
+
+    def _on_news(self, message: msgspec.Struct, sender: str) -> None:
+        del sender
+        if isinstance(message, SettingsNews):
+            self._install(message)
+
+    def _install(self, news: SettingsNews) -> None:
+        # After a gap the book's revision stays, and the next refresh asks for the rest.
+        book = self._view.book
+        book.install(news.entries, revision=news.revision, since=news.since)
+        book.raise_limits(news.limits)
+
     async def ask(self, question: msgspec.Struct, *, answer: type[A]) -> A:
         """Ask keepers in turn until one answers; raise `PeerUnavailable` if none does."""
         for address in self.addresses:
--- a/src/baobabpulley/entry/web.py
+++ b/src/baobabpulley/entry/web.py
@@ -61,12 +61,16 @@
 
     def authenticate(self) -> str:
         """Return the client account of the bearer token."""
+        return self._context.view.book.team_of_token(self.bearer_token())
+
+    def bearer_token(self) -> str:
+        """Return the request's bearer token, once settings are there to check it."""
         if not self._context.view.ready:
             raise NotReady("no settings have arrived at this entry yet")
         scheme, _, token = self.request.headers.get("Authorization", "").partition(" ")
         if scheme != "Bearer" or not token:
             raise BadToken("the request carries no bearer token")
-        return self._context.view.book.team_of_token(token)
+        return token
 
     def set_default_headers(self) -> None:
         self.clear_header("Server")
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -194,6 +194,13 @@
     default_remedy = "Read back and look for the change id before writing again."
 
 
+class StoreCompacted(StoreUnavailable):
+    """The store no longer holds the history that a watch asked for."""
+
+    code = "store_compacted"
+    default_remedy = "Read all keys anew and watch from the revision of that read."
+
+
 class ChangeUnknown(BaobabError):
     """Whether a settings change took effect is not known yet."""
 
--- /dev/null
+++ b/src/baobabpulley/keeper/changes.py
@@ -0,0 +1,70 @@
+"""Make the settings changes that entries pass on from operators."""
+
+from __future__ import annotations
+
+from typing import cast
+from typing import final
+
+import msgspec
+
+from baobabpulley.keeper.change_writer import ChangeWriter
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.relay import SettingsRelay
+from baobabpulley.model.settings_messages import RaiseLimit
+from baobabpulley.model.settings_messages import ResolveChange
+from baobabpulley.model.settings_messages import WriteDocument
+from baobabpulley.policy.promises import Promisable
+from baobabpulley.policy.promises import promisable
+from baobabpulley.settings import Count
+from baobabpulley.settings import section
+
+
+@section("promises", "keeper")
+class PromisesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``tokens_per_entry_vm`` is how many prompt tokens one entry VM carries at a time."""
+
+    tokens_per_entry_vm: Count = 16_000_000
+
+
+@keeper_parts.register("settings_changes")
+@final
+class SettingsChanges(KeeperPart):
+    """Answer orders for changes; repeats with the same change id change nothing more."""
+
+    __slots__ = ("_context", "_section", "_writer")
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._section = context.settings.get(PromisesSection)
+        self._writer = ChangeWriter(
+            store=context.store,
+            book=context.view.book,
+            capacity=self._promisable,
+            timers=context.timers,
+            seed=context.node.id,
+        )
+
+    async def start(self) -> None:
+        self._context.peers.answer(RaiseLimit, self._raise)
+        self._context.peers.answer(WriteDocument, self._write)
+        self._context.peers.answer(ResolveChange, self._resolve)
+
+    def _promisable(self) -> Promisable:
+        relay = cast(SettingsRelay, self._context.parts["settings_relay"])
+        return promisable(
+            relay.capacity.domains, tokens_per_entry_vm=self._section.tokens_per_entry_vm
+        )
+
+    async def _raise(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        return await self._writer.raise_limit(cast(RaiseLimit, message))
+
+    async def _write(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        return await self._writer.write_document(cast(WriteDocument, message))
+
+    async def _resolve(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        return await self._writer.resolve(cast(ResolveChange, message))
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import msgspec
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 from tornado.web import RequestHandler
@@ -33,7 +34,10 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "fleet_state")
+_PART_MODULES: Final = ("settings_watch", "relay", "changes", "fleet_state")
+for _name in _PART_MODULES:
+    # At import, so that their sections are known before any settings file is read.
+    import_module(f"baobabpulley.keeper.{_name}")
 
 
 @section("keeper", "keeper")
@@ -54,7 +58,7 @@
     metrics = KeeperMetrics()
 
     def alarm(kind: str, message: str) -> None:
-        del message
+        logger.warning("alarm {}: {}", kind, message)
         metrics.alarms.labels(kind=kind).inc()
 
     context = KeeperContext(
@@ -74,8 +78,6 @@
         view=FleetView(failure_domain=node.failure_domain, alarm=alarm),
         metrics=metrics,
     )
-    for name in _PART_MODULES:
-        import_module(f"baobabpulley.keeper.{name}")
     for name in keeper_parts.names:
         context.parts[name] = keeper_parts.lookup(name)(context)
     return context
@@ -131,6 +133,11 @@
 
 class _MetricsHandler(_Handler):
     def get(self) -> None:
-        self._context.metrics.revision.set(self._context.view.book.revision)
+        metrics = self._context.metrics
+        book = self._context.view.book
+        metrics.revision.set(book.revision)
+        metrics.tell_rejected(book.rejected)
+        if isinstance(self._context.store, EtcdStore):
+            metrics.store_calls.set(self._context.store.calls)
         self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         self.finish(render_metrics(self._context.registry))
--- /dev/null
+++ b/src/baobabpulley/keeper/relay.py
@@ -0,0 +1,213 @@
+"""Pass settings between keepers, and from a keeper to the entries that listen to it.
+
+Each keeper publishes whatever changes in its settings book and answers those that ask. The first
+keepers of a failure domain by rendezvous hashing hold the watch on the store; the others listen
+to them, and pull from them at an interval, which also finds a subscription that went silent. The
+watching keepers of different failure domains pull from each other, for the time without a store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+from typing import final
+
+import msgspec
+from loguru import logger
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.keeper.capacity import CapacityBook
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.model.settings_messages import SettingsNews
+from baobabpulley.model.settings_messages import SettingsQuestion
+from baobabpulley.model.upstreams import LIVE
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.relays import relays
+from baobabpulley.settings import Address
+from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
+from baobabpulley.settings import section
+
+PULL_TIMEOUT: Final = 0.5
+
+
+@section("settings_relay", "keeper")
+class RelaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How settings reach this keeper; ``watchers`` are the watching keepers a failure domain.
+
+    ``full_snapshots`` publishes all settings instead of what changed. ``others`` are keepers to
+    ask before any VM list arrived. Times are model seconds.
+    """
+
+    watchers: Count = 2
+    pull_period: Seconds = 1.0
+    full_snapshots: bool = False
+    others: tuple[Address, ...] = ()
+
+
+@keeper_parts.register("settings_relay")
+@final
+class SettingsRelay(KeeperPart):
+    """Keep this keeper's settings in step with its peers', and theirs with its own."""
+
+    __slots__ = ("_capacity", "_context", "_listening", "_pulling", "_round", "_section", "_silent")
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._section = context.settings.get(RelaySection)
+        self._capacity = CapacityBook(view=context.view, timers=context.timers)
+        self._silent: set[str] = set()
+        self._listening: set[str] = set()
+        self._pulling: set[str] = set()
+        self._round = 0
+
+    @property
+    def capacity(self) -> CapacityBook:
+        """What is known of the failure domains' capacity."""
+        return self._capacity
+
+    @property
+    def watchers(self) -> tuple[Vm, ...]:
+        """Keepers of this failure domain that hold the watch, as this keeper sees it."""
+        return self._watchers_of(self._context.node.failure_domain)
+
+    @property
+    def watches(self) -> bool:
+        """Whether this keeper is to hold the watch itself."""
+        own = self._context.address
+        keepers = self._keepers_of(self._context.node.failure_domain)
+        listed = any(vm.address == own for vm in keepers)
+        return not listed or any(vm.address == own for vm in self.watchers)
+
+    async def start(self) -> None:
+        self._context.peers.answer(SettingsQuestion, self._answer)
+        self._context.view.book.on_change(self._publish)
+        self._context.timers.after(0.0, self._join, name="join")
+        self._context.timers.every(
+            self._section.pull_period, self.pull, jitter=0.2, name="settings pull"
+        )
+
+    async def pull(self) -> None:
+        """Ask the peers whose turn it is, and those that did not answer last time."""
+        self._round += 1
+        self._listen()
+        addresses = {vm.address for vm in self.watchers}
+        if self.watches:
+            addresses |= self._far_watchers()
+        self._silent &= {vm.address for vm in self._context.view.entry_vms}
+        await self._pull_from(addresses | self._silent)
+
+    def hear(self, news: SettingsNews) -> None:
+        """Install what a peer sent."""
+        book = self._context.view.book
+        self._capacity.hear(news.capacities)
+        book.install(news.entries, revision=news.revision, since=news.since)
+        book.raise_limits(news.limits)
+
+    async def _join(self) -> None:
+        # All reachable peers, not one: a single one may itself have been cut off for long.
+        vms = self._context.view.entry_vms
+        domains = {vm.failure_domain for vm in vms}
+        found = {vm.address for domain in domains for vm in self._watchers_of(domain)}
+        own = {vm.address for vm in self._keepers_of(self._context.node.failure_domain)}
+        await self._pull_from(found | own | set(self._section.others))
+
+    async def _pull_from(self, addresses: set[str]) -> None:
+        wanted = addresses - {self._context.address} - self._pulling
+        await asyncio.gather(*(self._pull_one(address) for address in sorted(wanted)))
+
+    async def _pull_one(self, address: str) -> None:
+        self._pulling.add(address)
+        try:
+            await self._pull_pages(address)
+            self._silent.discard(address)
+        except BaobabError as error:
+            logger.debug("no settings from {}: {}", address, error.message)
+            self._silent.add(address)
+        finally:
+            self._pulling.discard(address)
+
+    async def _pull_pages(self, address: str) -> None:
+        book = self._context.view.book
+        more = True
+        while more:
+            question = SettingsQuestion(
+                revision=book.revision,
+                address=self._context.address,
+                capacities=self._capacity.domains,
+            )
+            news = await self._context.peers.ask(
+                address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
+            )
+            if news.entries and address in self._listening:
+                # These should have come by the subscription; it may be silent for good.
+                self._context.peers.subscribe(address, self._on_news)
+            before = book.revision
+            self.hear(news)
+            more = news.more and book.revision > before
+
+    async def _answer(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, SettingsQuestion)
+        self._capacity.hear(message.capacities)
+        if message.address and message.revision > self._context.view.book.revision:
+            self._context.timers.after(
+                0.0, lambda: self._pull_from({message.address}), name="settings pull"
+            )
+        return self._news(message.revision)
+
+    def _news(self, since: int) -> SettingsNews:
+        book = self._context.view.book
+        page = book.page(since)
+        return SettingsNews(
+            since=since,
+            revision=page.revision,
+            entries=page.entries,
+            limits=book.limits_beyond_entries,
+            more=page.more,
+            capacities=self._capacity.domains,
+        )
+
+    def _publish(self, before: int) -> None:
+        self._context.peers.publish(self._news(0 if self._section.full_snapshots else before))
+
+    def _listen(self) -> None:
+        wanted: set[str] = set()
+        if not self.watches:
+            wanted = {vm.address for vm in self.watchers}
+        for address in self._listening - wanted:
+            self._context.peers.unsubscribe(address, self._on_news)
+        for address in wanted - self._listening:
+            self._context.peers.subscribe(address, self._on_news)
+        self._listening = wanted
+
+    def _on_news(self, message: msgspec.Struct, sender: str) -> None:
+        del sender
+        if isinstance(message, SettingsNews):
+            self.hear(message)
+
+    def _far_watchers(self) -> set[str]:
+        """Return one watching keeper of each other failure domain, in turns."""
+        vms = self._context.view.entry_vms
+        domains = {vm.failure_domain for vm in vms} - {self._context.node.failure_domain}
+        found: set[str] = set()
+        for domain in domains:
+            watchers = self._watchers_of(domain)
+            if watchers:
+                found.add(watchers[self._round % len(watchers)].address)
+        return found
+
+    def _watchers_of(self, failure_domain: str) -> tuple[Vm, ...]:
+        return relays(self._keepers_of(failure_domain), count=self._section.watchers)
+
+    def _keepers_of(self, failure_domain: str) -> list[Vm]:
+        """Return the keepers that the list names as live and that answered when last asked."""
+        return [
+            vm
+            for vm in self._context.view.entry_vms
+            if vm.failure_domain == failure_domain
+            and vm.state == LIVE
+            and vm.address not in self._silent
+        ]
--- a/src/baobabpulley/keeper/settings_watch.py
+++ b/src/baobabpulley/keeper/settings_watch.py
@@ -5,56 +5,85 @@
 import contextlib
 import random
 from typing import Final
+from typing import cast
 from typing import final
 
 from loguru import logger
 
+from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.relay import SettingsRelay
 from baobabpulley.model.documents import FLEET
 from baobabpulley.model.documents import TEAMS
+from baobabpulley.model.documents import StoredEntry
 
 RETRY_MIN: Final = 0.2
-RETRY_MAX: Final = 5.0
-SETTINGS_ROOT: Final = "/baobab/"
+RETRY_MAX: Final = 2.0
+IDLE_PERIOD: Final = 0.5
 _WATCHED: Final = (TEAMS, FLEET)
 
 
 @keeper_parts.register("settings_watch")
 @final
 class SettingsWatch(KeeperPart):
-    """Read all settings once, then follow them by a watch."""
+    """Follow the settings by a watch, from the revision that is known on.
 
-    __slots__ = ("_context", "_delay", "_random")
+    Only a keeper that has no settings yet, or that the store's compaction left behind, reads all
+    keys. Only the first keepers of a failure domain hold a watch.
+    """
+
+    __slots__ = ("_context", "_delay", "_random", "_read_needed")
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
         self._delay = RETRY_MIN
         self._random = random.Random(context.node.id)
+        self._read_needed = False
 
     async def start(self) -> None:
         self._context.timers.after(0.0, self._follow_forever, name="watch")
 
     async def _follow_forever(self) -> None:
         while True:
+            if not self._relay.watches:
+                await self._context.timers.sleep(IDLE_PERIOD)
+                continue
             try:
                 await self._follow()
+            except StoreCompacted:
+                self._read_needed = True
             except StoreUnavailable as error:
                 logger.debug("store: {}", error.message)
+            except Exception:
+                logger.exception("following the settings failed")
             # Full jitter: after an outage the keepers must not come back all at once.
             await self._context.timers.sleep(self._random.uniform(0.0, self._delay))
             self._delay = min(RETRY_MAX, self._delay * 2)
 
     async def _follow(self) -> None:
         book = self._context.view.book
-        snapshot = await self._context.store.read(SETTINGS_ROOT)
-        watched = [entry for entry in snapshot.entries if entry.key.startswith(_WATCHED)]
-        book.install(watched, revision=snapshot.revision)
-        watch = self._context.store.watch(SETTINGS_ROOT, from_revision=snapshot.revision + 1)
+        if self._read_needed or book.revision == 0:
+            await self._read()
+        watch = self._context.store.watch(FLEET, from_revision=book.revision + 1, last_prefix=TEAMS)
         async with contextlib.aclosing(watch) as batches:  # type: ignore[type-var]
             async for batch in batches:
                 self._delay = RETRY_MIN
-                entries = [entry for entry in batch.entries if entry.key.startswith(_WATCHED)]
-                book.install(entries, revision=batch.revision)
+                book.install(_watched(batch.entries), revision=batch.revision)
+                if not self._relay.watches:
+                    return
+
+    async def _read(self) -> None:
+        snapshot = await self._context.store.read(FLEET, last_prefix=TEAMS)
+        self._context.view.book.install_all(_watched(snapshot.entries), revision=snapshot.revision)
+        self._read_needed = False
+
+    @property
+    def _relay(self) -> SettingsRelay:
+        return cast(SettingsRelay, self._context.parts["settings_relay"])
+
+
+def _watched(entries: tuple[StoredEntry, ...]) -> list[StoredEntry]:
+    return [entry for entry in entries if entry.key.startswith(_WATCHED)]
--- a/src/baobabpulley/model/documents.py
+++ b/src/baobabpulley/model/documents.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Any
 from typing import Final
 from typing import TypeVar
+from typing import cast
 
 import msgspec
 
@@ -19,6 +21,7 @@
 FLEET: Final = "/baobab/fleet/"
 LEASES: Final = "/baobab/leases/"
 CLAIMS: Final = "/baobab/claims/"
+CHANGES: Final = "/baobab/changes/"
 PROMISES_KEY: Final = "/baobab/fleet/promises"
 
 MAX_DOCUMENT_BYTES: Final = 1_000_000
@@ -81,6 +84,17 @@
     change_id: str = ""
 
 
+class ChangeRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``/baobab/changes/<team>/<change_id>``: how a change ended, bound to a lease.
+
+    It is written in the change's own transaction, or in its stead with ``accepted`` false: then
+    that transaction can hold no more.
+    """
+
+    accepted: bool
+    key: str = ""
+
+
 class StoredEntry(msgspec.Struct, frozen=True):
     """One key of the store as read; ``value`` is ``None`` once the key was deleted."""
 
@@ -105,6 +119,20 @@
     return f"{TEAMS}{team}/access"
 
 
+def change_key(team: str, change_id: str) -> str:
+    """Return the key of the record of a change.
+
+    >>> change_key("souk", "c1")
+    '/baobab/changes/souk/c1'
+    """
+    return f"{CHANGES}{team}/{change_id}"
+
+
+def document_key(team: str, name: str) -> str:
+    """Return the key of a team's own settings document."""
+    return f"{TEAMS}{team}/settings/{name}"
+
+
 def service_key(service: str) -> str:
     """Return the key of a service's description."""
     return f"{FLEET}services/{service}"
@@ -125,8 +153,17 @@
     return msgspec.json.encode(document)
 
 
+def check_document(entry: StoredEntry) -> None:
+    """Check that a document without a type of its own is a JSON object of allowed size."""
+    _decode(entry, dict[str, Any])
+
+
 def decode_document(entry: StoredEntry, kind: type[D]) -> D:
     """Decode and check a stored document; raise `DocumentFault` naming key and revision."""
+    return cast(D, _decode(entry, kind))
+
+
+def _decode(entry: StoredEntry, kind: Any) -> Any:
     value = entry.value or b""
     if len(value) > MAX_DOCUMENT_BYTES:
         raise DocumentFault(
@@ -135,5 +172,5 @@
         )
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise DocumentFault(f"{entry.key} at revision {entry.mod_revision}: {error}") from error
--- a/src/baobabpulley/model/fleet_view.py
+++ b/src/baobabpulley/model/fleet_view.py
@@ -129,7 +129,9 @@
 
     def apply(self, answer: FleetAnswer, *, now: float) -> None:
         """Take over what a keeper knows."""
-        self._book.install(answer.settings, revision=answer.settings_revision)
+        self._book.install(
+            answer.settings, revision=answer.settings_revision, since=answer.settings_since
+        )
         self._book.raise_limits(answer.limits)
         self._entry_vms = answer.entry_vms
         self._upstreams = {upstream.id: upstream for upstream in answer.upstreams}
@@ -139,10 +141,12 @@
 
     def describe(self, *, settings_revision: int, now: float) -> FleetAnswer:
         """Return what this process knows, for another one."""
+        page = self._book.page(settings_revision)
         return FleetAnswer(
-            settings_revision=self._book.revision,
-            settings=self._book.newer_than(settings_revision),
-            limits=self._book.limits,
+            settings_since=settings_revision,
+            settings_revision=page.revision,
+            settings=page.entries,
+            limits=self._book.limits_beyond_entries,
             upstreams=tuple(self._upstreams.values()),
             loads=tuple(_aged(load, now) for load in self._loads.values()),
             entry_vms=self._entry_vms,
--- a/src/baobabpulley/model/messages.py
+++ b/src/baobabpulley/model/messages.py
@@ -28,7 +28,11 @@
 
 @peer_message("fleet.answer")
 class FleetAnswer(msgspec.Struct, frozen=True):
-    """What a keeper knows. ``limits`` are the limits in force, which never shrink."""
+    """What a keeper knows.
+
+    The settings are complete from ``settings_since`` to ``settings_revision``. ``limits`` are
+    those in force beyond the stored documents; limits never shrink.
+    """
 
     settings_revision: int
     settings: tuple[StoredEntry, ...]
@@ -36,6 +40,7 @@
     upstreams: tuple[Upstream, ...]
     loads: tuple[AgedLoad, ...]
     entry_vms: tuple[Vm, ...]
+    settings_since: int = 0
 
 
 @peer_message("done")
--- a/src/baobabpulley/model/settings_book.py
+++ b/src/baobabpulley/model/settings_book.py
@@ -1,7 +1,8 @@
 """The settings that a process acts on: the newest revision of each key, and never an older one.
 
 A value is installed only if its revision is greater than the one held, as the Garnet sharding
-overview does for a worker's configuration epoch. Limits only grow whatever arrives.
+overview does for a worker's configuration epoch. Limits only grow whatever arrives. The ledger of
+promises is written together with a team's limit, so it is a second witness of that limit.
 """
 
 from __future__ import annotations
@@ -12,8 +13,11 @@
 from typing import Final
 from typing import final
 
+import msgspec
+
 from baobabpulley.errors import BadToken
 from baobabpulley.errors import DocumentFault
+from baobabpulley.errors import Forbidden
 from baobabpulley.model.documents import FLEET
 from baobabpulley.model.documents import TEAMS
 from baobabpulley.model.documents import AccessDocument
@@ -22,13 +26,24 @@
 from baobabpulley.model.documents import PromiseDocument
 from baobabpulley.model.documents import ServiceDocument
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.documents import check_document
 from baobabpulley.model.documents import decode_document
 from baobabpulley.model.limits import Limit
 
 ALARM_BAD_DOCUMENT: Final = "bad_document"
 ALARM_LIMIT_LOWERED: Final = "limit_lowered"
+MAX_PAGE_BYTES: Final = 2_000_000
 
 Alarm = Callable[[str, str], None]
+ChangeListener = Callable[[int], None]
+
+
+class SettingsPage(msgspec.Struct, frozen=True):
+    """Entries that bring a reader up to ``revision``; ``more`` if the book knows later ones."""
+
+    entries: tuple[StoredEntry, ...]
+    revision: int
+    more: bool
 
 
 @final
@@ -38,10 +53,15 @@
     __slots__ = (
         "_access",
         "_alarm",
+        "_beyond",
+        "_documented",
         "_entries",
         "_limits",
+        "_listeners",
         "_models",
+        "_operators",
         "_promises",
+        "_rejected",
         "_revision",
         "_services",
         "_tokens",
@@ -57,10 +77,15 @@
         self._models: dict[str, ModelDocument] = {}
         self._promises = PromiseDocument()
         self._tokens: dict[str, str] = {}
+        self._operators: dict[str, str] = {}
+        self._documented: dict[str, Limit] = {}
+        self._beyond: dict[str, Limit] = {}
+        self._rejected: dict[str, int] = {}
+        self._listeners: list[ChangeListener] = []
 
     @property
     def revision(self) -> int:
-        """The highest revision seen, 0 before the first settings arrive."""
+        """The revision up to which all changes are known, 0 before the first settings arrive."""
         return self._revision
 
     @property
@@ -88,27 +113,76 @@
         """Limits in force by team."""
         return self._limits
 
+    @property
+    def limits_beyond_entries(self) -> dict[str, Limit]:
+        """Limits in force that the stored documents no longer tell, by team."""
+        return self._beyond
+
+    @property
+    def rejected(self) -> dict[str, int]:
+        """Revision of each stored document that is kept out, by key."""
+        return self._rejected
+
+    def on_change(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with the revision before each change of what is in force."""
+        self._listeners.append(listener)
+
     def raise_limits(self, limits: dict[str, Limit]) -> None:
         """Take over limits that another process has in force, where they are larger."""
-        for team, limit in limits.items():
+        raised = {
+            team: limit for team, limit in limits.items() if not self.limit(team).covers(limit)
+        }
+        for team, limit in raised.items():
             self._limits[team] = self.limit(team).merged(limit)
+        if raised:
+            self._tell(self._revision)
 
-    def install(self, entries: Iterable[StoredEntry], *, revision: int = 0) -> int:
+    def install(self, entries: Iterable[StoredEntry], *, revision: int = 0, since: int = 0) -> int:
         """Install newer entries and return how many were new.
 
-        ``revision`` is the store's revision up to which the entries are complete.
+        The entries are complete from ``since`` to ``revision``. After a gap they are installed
+        too, but the book's revision stays, so that the reader still asks for what it lacks.
         """
+        before = self._revision
         count = 0
         for entry in sorted(entries, key=_by_revision):
             count += self._install_one(entry)
-        self._revision = max(self._revision, revision)
+        if since <= self._revision:
+            self._revision = max(self._revision, revision)
+        if count or self._revision > before:
+            self._tell(before)
         return count
 
+    def install_all(self, entries: Iterable[StoredEntry], *, revision: int) -> int:
+        """Install a full read; a key that it lacks was deleted by ``revision``."""
+        found = tuple(entries)
+        present = {entry.key for entry in found}
+        gone = [
+            StoredEntry(key=key, value=None, mod_revision=revision)
+            for key, held in self._entries.items()
+            if key not in present and held.value is not None and held.mod_revision <= revision
+        ]
+        return self.install([*found, *gone], revision=revision)
+
     def newer_than(self, revision: int) -> tuple[StoredEntry, ...]:
         """Return all entries, deletions too, past a revision, oldest first."""
         newer = (entry for entry in self._entries.values() if entry.mod_revision > revision)
         return tuple(sorted(newer, key=_by_revision))
 
+    def page(self, since: int, *, max_bytes: int = MAX_PAGE_BYTES) -> SettingsPage:
+        """Return entries past a revision, oldest first, up to a size; one revision stays whole."""
+        newer = self.newer_than(since)
+        size = 0
+        for index, entry in enumerate(newer):
+            size += len(entry.value or b"") + len(entry.key)
+            whole = index > 0 and newer[index - 1].mod_revision < entry.mod_revision
+            if size > max_bytes and whole:
+                last = newer[index - 1].mod_revision
+                return SettingsPage(
+                    entries=newer[:index], revision=min(last, self._revision), more=True
+                )
+        return SettingsPage(entries=newer, revision=self._revision, more=False)
+
     def limit(self, team: str) -> Limit:
         """Return a team's limit; zero for a team without one."""
         return self._limits.get(team, Limit())
@@ -128,23 +202,53 @@
             raise BadToken("the bearer token belongs to no client account")
         return team
 
+    def team_of_operator(self, token: str) -> str:
+        """Return the team of an operator's token.
+
+        Raises `Forbidden` for a caller's token, and `BadToken` for one that nobody has.
+        """
+        digest = token_digest(token)
+        team = self._operators.get(digest)
+        if team is not None:
+            return team
+        if digest in self._tokens:
+            raise Forbidden("a caller's token changes no settings")
+        raise BadToken("the bearer token belongs to no operator")
+
     def _install_one(self, entry: StoredEntry) -> bool:
         held = self._entries.get(entry.key)
         if held is not None and entry.mod_revision <= held.mod_revision:
             return False
-        self._revision = max(self._revision, entry.mod_revision)
-        if entry.value is not None:
-            try:
-                self._apply(entry)
-            except DocumentFault as fault:
-                self._alarm(ALARM_BAD_DOCUMENT, fault.message)
-                return False
-        else:
-            self._remove(entry.key)
+        try:
+            self._apply(entry)
+        except DocumentFault as fault:
+            self._reject(entry, fault)
+            return False
         self._entries[entry.key] = entry
+        if self._rejected.get(entry.key, 0) < entry.mod_revision:
+            self._rejected.pop(entry.key, None)
         return True
 
+    def _reject(self, entry: StoredEntry, fault: DocumentFault) -> None:
+        if entry.mod_revision > self._rejected.get(entry.key, 0):
+            self._rejected[entry.key] = entry.mod_revision
+            self._alarm(ALARM_BAD_DOCUMENT, fault.message)
+
+    def _tell(self, before: int) -> None:
+        self._beyond = {
+            team: limit
+            for team, limit in self._limits.items()
+            if not self._documented.get(team, Limit())
+            .merged(self._promises.teams.get(team, Limit()))
+            .covers(limit)
+        }
+        for listener in self._listeners:
+            listener(before)
+
     def _apply(self, entry: StoredEntry) -> None:
+        if entry.value is None:
+            self._remove(entry.key)
+            return
         owner, _, leaf = entry.key.removeprefix(TEAMS).partition("/")
         if entry.key.startswith(TEAMS) and leaf == "limit":
             self._apply_limit(owner, decode_document(entry, LimitDocument), entry)
@@ -153,6 +257,8 @@
             self._index_tokens()
         elif entry.key.startswith(FLEET):
             self._apply_fleet(entry)
+        else:
+            check_document(entry)
 
     def _apply_fleet(self, entry: StoredEntry) -> None:
         kind, _, name = entry.key.removeprefix(FLEET).partition("/")
@@ -161,7 +267,9 @@
         elif kind == "models":
             self._models[name] = decode_document(entry, ModelDocument)
         elif kind == "promises":
-            self._promises = decode_document(entry, PromiseDocument)
+            self._apply_promises(decode_document(entry, PromiseDocument), entry)
+        else:
+            check_document(entry)
 
     def _apply_limit(self, team: str, document: LimitDocument, entry: StoredEntry) -> None:
         held = self.limit(team)
@@ -172,6 +280,19 @@
                 f"the larger figures stay",
             )
         self._limits[team] = held.merged(document.limit)
+        self._documented[team] = document.limit
+
+    def _apply_promises(self, document: PromiseDocument, entry: StoredEntry) -> None:
+        for team, promised in self._promises.teams.items():
+            if not document.teams.get(team, Limit()).covers(promised):
+                self._alarm(
+                    ALARM_LIMIT_LOWERED,
+                    f"{entry.key} at revision {entry.mod_revision} lowers the promise to {team}; "
+                    f"the limit in force stays",
+                )
+        self._promises = document
+        for team, promised in document.teams.items():
+            self._limits[team] = self.limit(team).merged(promised)
 
     def _remove(self, key: str) -> None:
         owner, _, leaf = key.removeprefix(TEAMS).partition("/")
@@ -181,6 +302,7 @@
         elif key.startswith(TEAMS) and leaf == "limit" and owner in self._limits:
             # A limit that was raised stays raised, also when its key is deleted by hand.
             self._alarm(ALARM_LIMIT_LOWERED, f"{key} was deleted; the limit in force stays")
+            self._documented.pop(owner, None)
         elif key.startswith(FLEET):
             kind, _, name = key.removeprefix(FLEET).partition("/")
             documents: dict[str, dict[str, ServiceDocument] | dict[str, ModelDocument]] = {
@@ -195,6 +317,11 @@
             for team, document in self._access.items()
             for digest in document.caller_tokens
         }
+        self._operators = {
+            digest: team
+            for team, document in self._access.items()
+            for digest in document.operator_tokens
+        }
 
 
 def token_digest(token: str) -> str:
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -38,7 +38,10 @@
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes seen by a watch; without entries it is a sign of life at ``revision``."""
+    """Changes seen by a watch; without entries it is a sign of life.
+
+    All changes up to ``revision`` have been yielded with this batch; 0 says nothing of that.
+    """
 
     revision: int
     entries: tuple[StoredEntry, ...]
@@ -52,8 +55,8 @@
     """
 
     @abstractmethod
-    async def read(self, prefix: str) -> StoreSnapshot:
-        """Return all keys that begin with ``prefix``."""
+    async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
+        """Return all keys that begin with ``prefix``, or up to those of ``last_prefix``."""
 
     @abstractmethod
     async def get(self, key: str) -> StoredEntry | None:
@@ -76,8 +79,11 @@
         """End a lease and delete the keys bound to it."""
 
     @abstractmethod
-    def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[WatchBatch]:
+    def watch(
+        self, prefix: str, *, from_revision: int, last_prefix: str | None = None
+    ) -> AsyncIterator[WatchBatch]:
         """Yield changes from a revision on, and signs of life between them.
 
-        Ends with `StoreUnavailable` when the connection breaks or stays silent.
+        The keys are those of `read`. Ends with `StoreUnavailable` when the connection breaks or
+        stays silent, and with `StoreCompacted` when the store no longer holds ``from_revision``.
         """
--- a/src/baobabpulley/ports/peers.py
+++ b/src/baobabpulley/ports/peers.py
@@ -54,6 +54,10 @@
     def subscribe(self, address: str, listener: Listener) -> None:
         """Listen to what the process at ``address`` publishes."""
 
+    @abstractmethod
+    def unsubscribe(self, address: str, listener: Listener) -> None:
+        """Stop listening; safe to call without a subscription."""
+
     @abstractmethod
     def close(self) -> None:
         """Close all sockets and end all tasks."""
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -35,6 +35,7 @@
     """Keys, leases and the history that watches read."""
 
     __slots__ = (
+        "_compacted",
         "_history",
         "_items",
         "_leases",
@@ -59,6 +60,7 @@
         self._leases: dict[int, list[float]] = {}
         self._next_lease = 1000
         self._revision = 1
+        self._compacted = 0
         self._history: list[dict[str, Any]] = []
         self._wake = asyncio.Event()
         self._server: HTTPServer | None = None
@@ -68,6 +70,15 @@
         """Revision of the newest change."""
         return self._revision
 
+    @property
+    def compacted(self) -> int:
+        """Revision up to which the history is gone."""
+        return self._compacted
+
+    def compact(self, revision: int) -> None:
+        """Forget the history up to a revision."""
+        self._compacted = max(self._compacted, min(revision, self._revision))
+
     def start(self) -> None:
         """Listen; the event loop must run."""
         self._server = HTTPServer(Application(_routes(self)), max_body_size=4_000_000)
@@ -254,6 +265,12 @@
         self.answer({})
 
 
+class _CompactionHandler(_Handler):
+    def post(self) -> None:
+        self._store.compact(int(self.body["revision"]))
+        self.answer({})
+
+
 class _WatchHandler(_Handler):
     async def post(self) -> None:
         create = self.body["create_request"]
@@ -264,6 +281,11 @@
         store.watches += 1
         try:
             await self._send({"created": True})
+            if 0 < start <= store.compacted:
+                gone = str(store.compacted + 1)
+                await self._send({"canceled": True, "compact_revision": gone})
+                self.finish()
+                return
             while not store.faults.down:
                 events = store.since(index, key, end, start)
                 index = store.history_length
@@ -302,6 +324,7 @@
         (r"/v3/kv/range", _RangeHandler, own),
         (r"/v3/kv/txn", _TxnHandler, own),
         (r"/v3/kv/put", _PutHandler, own),
+        (r"/v3/kv/compaction", _CompactionHandler, own),
         (r"/v3/lease/grant", _GrantHandler, own),
         (r"/v3/lease/keepalive", _KeepAliveHandler, own),
         (r"/v3/lease/revoke", _RevokeHandler, own),
