Specify settings, promises, orders, once-only calls and reservations, and explore them

Cause: the guards of the core protocols were prose.

What the models found in the first drafts of the protocols: - A process that joins from one keeper may act on a lower limit than another keeper of its failure domain has in force, 4 steps.

--- /dev/null
+++ b/scripts/spec_counts.py
@@ -0,0 +1,29 @@
+"""Print state counts and times of all specifications and mutants, as a table."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "testing"))
+
+from test_specs import MUTANTS
+from test_specs import SPECS
+
+from baobabpulley.specs.explore import explore
+
+
+def main() -> None:
+    """Explore every specification and mutant once."""
+    for name, build in {**SPECS, **MUTANTS}.items():
+        started = time.monotonic()
+        verdict = explore(build())
+        seconds = time.monotonic() - started
+        broken = next(iter(verdict.violated), "goal" if verdict.goal_reachable is False else "-")
+        steps = len(verdict.violated[broken]) - 1 if broken in verdict.violated else 0
+        print(f"| {name} | {verdict.states} | {seconds:.1f} s | {broken} | {steps or '-'} |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/baobabpulley/specs/once.py
@@ -0,0 +1,187 @@
+"""A once-only call under a ticket or under the caller's own key, repeated through two entries.
+
+Entry 0 issued the ticket and may crash and come back as another incarnation; entry 1 forwards.
+With a key both entries claim it in the store, whose answers may be lost. The service runs what
+reaches it, also after the entry that sent it is gone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+from typing import NamedTuple
+
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import Step
+
+ISSUER_ONLY: Final = "issuer_only"
+NO_RETRY: Final = "no_retry"
+TICKET_GUARDS: Final = frozenset({ISSUER_ONLY, NO_RETRY})
+
+READ_BACK: Final = "read_back"
+CLAIM_FIRST: Final = "claim_first"
+CLAIM_GUARDS: Final = frozenset({READ_BACK, CLAIM_FIRST})
+
+NEW, CLAIMING, CLAIM_LOST, CLAIMED, SENT, ENDED = range(6)
+NOTHING, RAN, NOT_RUN, UNKNOWN = range(4)
+NOBODY: Final = -1
+
+
+class Try(NamedTuple):
+    """One try of the caller, through the entry of the same index, and what it was told."""
+
+    phase: int = NEW
+    told: int = NOTHING
+
+
+class State(NamedTuple):
+    """The service, the issuer's memory, the store's claim and both tries.
+
+    ``travelling`` counts calls on their way to the service. ``outcome`` is what the issuer
+    remembers; ``claim`` is the entry whose claim the store holds, ``stored`` the outcome there.
+    ``lied`` notes that a caller was told "not run" of a call that ran or could still run.
+    """
+
+    ran: int = 0
+    travelling: int = 0
+    issuer_up: bool = True
+    sent: bool = False
+    outcome: int = NOTHING
+    claim: int = NOBODY
+    stored: int = NOTHING
+    tries: tuple[Try, Try] = (Try(), Try())
+    lied: bool = False
+
+
+def ticket_spec(guards: frozenset[str] = TICKET_GUARDS) -> Spec:
+    """Return the specification of call tickets; leaving a guard out gives a mutant.
+
+    ``issuer_only``: an entry never runs the call of another incarnation's ticket itself.
+    ``no_retry``: nothing is sent again once a byte may have left.
+    """
+
+    def steps(state: State) -> Iterator[Step]:
+        yield from _service_steps(state)
+        if state.issuer_up:
+            yield "issuer crashes", state._replace(issuer_up=False, outcome=NOTHING)
+            yield from _issuer_steps(state, guards)
+        for who in (0, 1):
+            yield from _ticket_try(state, who, guards)
+
+    return _spec("tickets", steps)
+
+
+def claim_spec(guards: frozenset[str] = CLAIM_GUARDS) -> Spec:
+    """Return the specification of the caller's own keys; leaving a guard out gives a mutant.
+
+    ``read_back``: a lost claim answer is resolved by reading the store. ``claim_first``: the
+    claim is created only if absent.
+    """
+
+    def steps(state: State) -> Iterator[Step]:
+        yield from _service_steps(state)
+        for who in (0, 1):
+            yield from _claim_try(state, who, guards)
+
+    return _spec("claims", steps)
+
+
+def _spec(name: str, steps: object) -> Spec:
+    return Spec(
+        name=name,
+        initial=State(),
+        steps=steps,  # type: ignore[arg-type]
+        invariants={
+            "runs_at_most_once": lambda s: s.ran <= 1,
+            "not_run_is_true": lambda s: not s.lied,
+        },
+        goal=lambda s: all(one.phase == ENDED for one in s.tries) and not s.travelling,
+    )
+
+
+def _service_steps(state: State) -> Iterator[Step]:
+    if state.travelling:
+        arrived = state._replace(travelling=state.travelling - 1)
+        yield "a call is lost", arrived
+        yield "service runs", arrived._replace(
+            ran=state.ran + 1, lied=state.lied or _told_not_run(state)
+        )
+
+
+def _issuer_steps(state: State, guards: frozenset[str]) -> Iterator[Step]:
+    if not state.sent or state.outcome:
+        return
+    if state.ran:
+        yield "issuer gets the answer", state._replace(outcome=RAN)
+    yield "issuer gives up", state._replace(outcome=UNKNOWN)
+    if NO_RETRY not in guards and state.travelling < 2 and state.ran < 2:
+        yield "issuer sends again", state._replace(travelling=state.travelling + 1)
+
+
+def _ticket_try(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    if state.tries[who].phase == ENDED:
+        return
+    if state.issuer_up:
+        if state.outcome:
+            yield f"try {who} gets the outcome", _tell(state, who, state.outcome)
+        elif not state.sent:
+            sent = state._replace(sent=True, travelling=state.travelling + 1)
+            yield f"try {who} is sent", sent
+            # The connection was refused: no byte left, and nothing is remembered as sent.
+            yield f"try {who} is not sent", _tell(state, who, NOT_RUN)
+        return
+    if ISSUER_ONLY in guards:
+        yield f"try {who} finds the issuer gone", _tell(state, who, UNKNOWN)
+    elif state.travelling < 2 and state.ran < 2:
+        yield f"try {who} is run elsewhere", _tell(
+            state._replace(travelling=state.travelling + 1), who, UNKNOWN
+        )
+
+
+def _claim_try(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    phase = state.tries[who].phase
+    if phase == NEW:
+        yield f"{who} is refused, the store is down", _tell(state, who, NOT_RUN)
+        free = state.claim == NOBODY or CLAIM_FIRST not in guards
+        taken = state._replace(claim=who) if free else state
+        yield f"{who} claims", _phase(taken, who, CLAIMED if free else CLAIMING)
+        yield f"{who}'s claim answer is lost", _phase(taken, who, CLAIM_LOST)
+        yield f"{who}'s claim is lost", _phase(state, who, CLAIM_LOST)
+    elif phase == CLAIM_LOST and READ_BACK not in guards:
+        yield f"{who} assumes that it holds the claim", _phase(state, who, CLAIMED)
+    elif phase == CLAIM_LOST:
+        if state.claim == NOBODY:
+            # The write may still arrive at the store, so it has to be made again, not dropped.
+            yield f"{who} claims again", _phase(state, who, NEW)
+        else:
+            own = state.claim == who
+            yield f"{who} reads back", _phase(state, who, CLAIMED if own else CLAIMING)
+    elif phase == CLAIMING:
+        yield f"{who} finds another's claim", _tell(state, who, state.stored or UNKNOWN)
+    elif phase == CLAIMED:
+        sent = state._replace(travelling=state.travelling + 1)
+        yield f"{who} sends", _phase(sent, who, SENT)
+        yield f"{who} crashes before sending", _tell(state, who, UNKNOWN)
+    elif phase == SENT:
+        if state.ran:
+            yield f"{who} stores the outcome", _tell(state._replace(stored=RAN), who, RAN)
+        yield f"{who} gives up", _tell(state, who, UNKNOWN)
+
+
+def _told_not_run(state: State) -> bool:
+    # A try that was refused did not run; another try of the same caller may still have run.
+    return bool(state.tries) and all(one.told == NOT_RUN for one in state.tries)
+
+
+def _tell(state: State, who: int, told: int) -> State:
+    lied = state.lied or (told == NOT_RUN and state.tries[who].phase in {CLAIMED, SENT})
+    return _with(state._replace(lied=lied), who, Try(phase=ENDED, told=told))
+
+
+def _phase(state: State, who: int, phase: int) -> State:
+    return _with(state, who, state.tries[who]._replace(phase=phase))
+
+
+def _with(state: State, who: int, one: Try) -> State:
+    tries = (one, state.tries[1]) if who == 0 else (state.tries[0], one)
+    return state._replace(tries=tries)
--- /dev/null
+++ b/src/baobabpulley/specs/orders.py
@@ -0,0 +1,148 @@
+"""A lease, a pause, a new holder, and an old order on its way to an engine.
+
+Time passes in ticks. A holder stops at its own deadline, which lies a margin before the store
+could let the lease lapse and goes on counting while the holder is paused. An order stays on its
+way for at most ``MAX_DELAY`` ticks; the connection's own deadline drops it then.
+
+For engines that check fencing numbers the pause may fall between the holder's check and its
+sending. For engines that ignore them check and sending are one step: that is the assumption
+under which the deadline alone protects them, and the reason why each order is confirmed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+from typing import NamedTuple
+
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import Step
+
+LEASE_TICKS: Final = 3
+MARGIN: Final = 1
+MAX_DELAY: Final = 3
+MAX_FENCE: Final = 2
+
+LOCAL_DEADLINE: Final = "local_deadline"
+ENGINE_CHECKS: Final = "engine_checks"
+WAIT_OUT: Final = "wait_out"
+GUARDS_CHECKED: Final = frozenset({ENGINE_CHECKS})
+GUARDS_IGNORED: Final = frozenset({LOCAL_DEADLINE, WAIT_OUT})
+
+
+class Holder(NamedTuple):
+    """A keeper: its fence (0 when it holds nothing), its own deadline, and its wait.
+
+    ``ready`` notes that it has checked its deadline and is about to send.
+    """
+
+    fence: int = 0
+    left: int = 0
+    wait: int = 0
+    paused: bool = False
+    ready: bool = False
+
+
+class State(NamedTuple):
+    """The store's lease, two keepers, orders on their way as (fence, ticks left), the engine.
+
+    ``bad`` notes that an order took effect after one with a higher fencing number had.
+    """
+
+    lease_left: int = 0
+    owner: int = -1
+    fence: int = 0
+    holders: tuple[Holder, Holder] = (Holder(), Holder())
+    orders: tuple[tuple[int, int], ...] = ()
+    applied: int = 0
+    bad: bool = False
+
+
+def orders_spec(*, checks_fencing: bool, guards: frozenset[str] | None = None) -> Spec:
+    """Return the specification for engines that check fencing numbers or ignore them."""
+    if guards is None:
+        guards = GUARDS_CHECKED if checks_fencing else GUARDS_IGNORED
+    chosen = guards
+
+    def steps(state: State) -> Iterator[Step]:
+        yield "tick", _tick(state)
+        for who in (0, 1):
+            yield from _lease_steps(state, who, chosen)
+            yield from _order_steps(state, who, chosen, split=checks_fencing)
+        for order in state.orders:
+            yield f"engine gets order of {order[0]}", _deliver(state, order, chosen)
+
+    return Spec(
+        name="orders",
+        initial=State(),
+        steps=steps,
+        invariants={"no_old_order_after_newer": lambda s: not s.bad},
+        # The last fencing number of the bounded model has no successor to put things right.
+        goal=lambda s: s.fence == MAX_FENCE or (s.fence == s.applied and s.fence > 0),
+    )
+
+
+def _tick(state: State) -> State:
+    holders = tuple(
+        holder._replace(left=max(0, holder.left - 1), wait=max(0, holder.wait - 1))
+        for holder in state.holders
+    )
+    left = max(0, state.lease_left - 1)
+    return state._replace(
+        lease_left=left,
+        owner=state.owner if left else -1,
+        holders=holders,
+        orders=tuple((fence, ticks - 1) for fence, ticks in state.orders if ticks > 1),
+    )
+
+
+def _lease_steps(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    holder = state.holders[who]
+    if holder.paused:
+        yield f"{who} thaws", _with(state, who, holder._replace(paused=False))
+        return
+    if holder.fence:
+        yield f"{who} is paused", _with(state, who, holder._replace(paused=True))
+    if state.owner == -1 and state.fence < MAX_FENCE and not holder.ready:
+        wait = MAX_DELAY if WAIT_OUT in guards else 0
+        taken = Holder(fence=state.fence + 1, left=LEASE_TICKS - MARGIN, wait=wait)
+        yield f"{who} takes the lease", _with(
+            state._replace(owner=who, lease_left=LEASE_TICKS, fence=state.fence + 1), who, taken
+        )
+    if state.owner == who and holder.fence == state.fence:
+        renewed = holder._replace(left=LEASE_TICKS - MARGIN)
+        yield f"{who} renews", _with(state._replace(lease_left=LEASE_TICKS), who, renewed)
+        yield f"{who}'s renewal answer is lost", state._replace(lease_left=LEASE_TICKS)
+
+
+def _order_steps(state: State, who: int, guards: frozenset[str], *, split: bool) -> Iterator[Step]:
+    holder = state.holders[who]
+    if holder.paused or not holder.fence:
+        return
+    may = holder.left > 0 or LOCAL_DEADLINE not in guards
+    if not holder.ready and may and not holder.wait:
+        if split:
+            yield f"{who} checks", _with(state, who, holder._replace(ready=True))
+        else:
+            yield f"{who} checks and sends", _send(state, who)
+    if holder.ready:
+        yield f"{who} sends", _send(state, who)
+
+
+def _send(state: State, who: int) -> State:
+    holder = state.holders[who]
+    orders = tuple(sorted({*state.orders, (holder.fence, MAX_DELAY)}))
+    return _with(state._replace(orders=orders), who, holder._replace(ready=False))
+
+
+def _deliver(state: State, order: tuple[int, int], guards: frozenset[str]) -> State:
+    fence = order[0]
+    left = tuple(other for other in state.orders if other != order)
+    if ENGINE_CHECKS in guards and fence < state.applied:
+        return state._replace(orders=left)
+    return state._replace(orders=left, applied=fence, bad=state.bad or fence < state.applied)
+
+
+def _with(state: State, who: int, holder: Holder) -> State:
+    holders = (holder, state.holders[1]) if who == 0 else (state.holders[0], holder)
+    return state._replace(holders=holders)
--- /dev/null
+++ b/src/baobabpulley/specs/promises.py
@@ -0,0 +1,141 @@
+"""Two operators race to raise their teams' limits while the store loses answers.
+
+Each operator swaps the promise ledger first and its team's limit second; both writes carry a
+change id. A hand edit may lower the stored limit once. The rules are those of the operators'
+API: a lost answer is resolved by reading back, and the limit in force is the larger of the
+stored one and the ledger's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+from typing import NamedTuple
+
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import Step
+
+CAPACITY: Final = 3
+WANTED: Final = 2
+MAX_LEDGER_REVISION: Final = 6
+
+SWAP_LEDGER: Final = "swap_ledger"
+READ_BACK: Final = "read_back"
+LEDGER_COUNTS: Final = "ledger_counts"
+GUARDS: Final = frozenset({SWAP_LEDGER, READ_BACK, LEDGER_COUNTS})
+
+IDLE, READ, LEDGER_LOST, LEDGERED, LIMIT_LOST, ACCEPTED, REFUSED = range(7)
+
+
+class Operator(NamedTuple):
+    """One operator's change: its phase and what it read of the ledger."""
+
+    phase: int = IDLE
+    seen_revision: int = 0
+    seen: tuple[int, int] = (0, 0)
+
+
+class State(NamedTuple):
+    """The store, both operators and whether the hand edit was made."""
+
+    ledger: tuple[int, int] = (0, 0)
+    ledger_revision: int = 0
+    limits: tuple[int, int] = (0, 0)
+    writers: tuple[int, int] = (-1, -1)
+    operators: tuple[Operator, Operator] = (Operator(), Operator())
+    edited: bool = False
+
+
+def promises_spec(guards: frozenset[str] = GUARDS) -> Spec:
+    """Return the specification; leaving a guard out gives a mutant.
+
+    ``swap_ledger``: the ledger is compared before it is swapped. ``read_back``: a lost answer is
+    resolved by reading. ``ledger_counts``: the ledger is a second witness of a limit.
+    """
+
+    def steps(state: State) -> Iterator[Step]:
+        if not state.edited and state.limits[0]:
+            yield "hand edit lowers limit 0", state._replace(
+                edited=True, limits=(0, state.limits[1]), writers=(9, state.writers[1])
+            )
+        for who in (0, 1):
+            yield from _operator_steps(state, who, guards)
+
+    def in_force(state: State, who: int) -> int:
+        if LEDGER_COUNTS in guards:
+            return max(state.limits[who], state.ledger[who])
+        return state.limits[who]
+
+    def accepted_held(state: State) -> bool:
+        return all(
+            in_force(state, who) >= WANTED
+            for who in (0, 1)
+            if state.operators[who].phase == ACCEPTED
+        )
+
+    return Spec(
+        name="promises",
+        initial=State(),
+        steps=steps,
+        invariants={
+            "promises_within_capacity": lambda s: sum(s.ledger) <= CAPACITY,
+            "limits_within_capacity": lambda s: sum(s.limits) <= CAPACITY,
+            "accepted_is_in_force": accepted_held,
+            "refused_did_not_hold": lambda s: all(
+                s.limits[who] < WANTED for who in (0, 1) if s.operators[who].phase == REFUSED
+            ),
+        },
+        goal=lambda s: all(operator.phase in {ACCEPTED, REFUSED} for operator in s.operators),
+    )
+
+
+def _operator_steps(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    operator = state.operators[who]
+    if operator.phase == IDLE:
+        seen = operator._replace(phase=READ, seen_revision=state.ledger_revision, seen=state.ledger)
+        yield f"{who} reads the ledger", _with(state, who, seen)
+    elif operator.phase == READ:
+        yield from _swap_ledger(state, who, guards)
+    elif operator.phase == LEDGER_LOST:
+        held = state.ledger[who] == WANTED
+        phase = LEDGERED if held else IDLE
+        yield f"{who} reads the ledger back", _with(state, who, Operator(phase=phase))
+    elif operator.phase == LEDGERED:
+        written = _write_limit(state, who)
+        yield f"{who} writes its limit", _with(written, who, Operator(phase=ACCEPTED))
+        yield f"{who}'s limit answer is lost", _with(written, who, Operator(phase=LIMIT_LOST))
+        yield f"{who}'s limit write is lost", _with(state, who, Operator(phase=LIMIT_LOST))
+    elif operator.phase == LIMIT_LOST:
+        if READ_BACK not in guards:
+            yield f"{who} guesses that it failed", _with(state, who, Operator(phase=REFUSED))
+            return
+        phase = ACCEPTED if state.writers[who] == who else LEDGERED
+        yield f"{who} reads its limit back", _with(state, who, Operator(phase=phase))
+
+
+def _swap_ledger(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    operator = state.operators[who]
+    if operator.seen[1 - who] + WANTED > CAPACITY:
+        yield f"{who} is refused", _with(state, who, Operator(phase=REFUSED))
+        return
+    if SWAP_LEDGER in guards and operator.seen_revision != state.ledger_revision:
+        yield f"{who}'s swap fails", _with(state, who, Operator())
+        return
+    if state.ledger_revision >= MAX_LEDGER_REVISION:
+        return
+    ledger = (WANTED, state.ledger[1]) if who == 0 else (state.ledger[0], WANTED)
+    swapped = state._replace(ledger=ledger, ledger_revision=state.ledger_revision + 1)
+    yield f"{who} swaps the ledger", _with(swapped, who, Operator(phase=LEDGERED))
+    yield f"{who}'s ledger answer is lost", _with(swapped, who, Operator(phase=LEDGER_LOST))
+    yield f"{who}'s ledger swap is lost", _with(state, who, Operator(phase=LEDGER_LOST))
+
+
+def _write_limit(state: State, who: int) -> State:
+    limits = (WANTED, state.limits[1]) if who == 0 else (state.limits[0], WANTED)
+    writers = (0, state.writers[1]) if who == 0 else (state.writers[0], 1)
+    return state._replace(limits=limits, writers=writers)
+
+
+def _with(state: State, who: int, operator: Operator) -> State:
+    operators = (operator, state.operators[1]) if who == 0 else (state.operators[0], operator)
+    return state._replace(operators=operators)
--- /dev/null
+++ b/src/baobabpulley/specs/settings.py
@@ -0,0 +1,174 @@
+"""One key of the settings on its way from the store over keepers to an entry.
+
+The store's value changes a few times, once by a hand edit that lowers it. Two keepers read the
+store or each other; their messages to the entry are delayed and overtake one another. Keepers
+and the entry restart. A keeper joins from the store or from the other keeper; the entry joins
+from all keepers that are ready, and drops what is published to it before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+from typing import NamedTuple
+
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import Step
+
+# The values that revisions 1, 2, ... hold: two raises and a hand edit below both.
+HISTORY: Final = (1, 2, 0, 3)
+MAX_RESTARTS: Final = 2
+MAX_MESSAGES: Final = 2
+
+NEWER_ONLY: Final = "newer_only"
+LIMITS_GROW: Final = "limits_grow"
+SNAPSHOT_HAS_LIMITS: Final = "snapshot_has_limits"
+JOIN_ASKS_ALL: Final = "join_asks_all"
+GUARDS: Final = frozenset({NEWER_ONLY, LIMITS_GROW, SNAPSHOT_HAS_LIMITS, JOIN_ASKS_ALL})
+
+
+class Node(NamedTuple):
+    """What a process acts on; revision 0 means that it is not ready."""
+
+    revision: int = 0
+    limit: int = 0
+
+
+class State(NamedTuple):
+    """The store's revision, two keepers, the entry, messages, and what the entry ever did.
+
+    ``ledger`` is the largest limit accepted through the operators' API. ``reverted`` and
+    ``lowered`` note that the entry acted on an older revision or a lower limit than before, or
+    that it joined below what a keeper of its failure domain had in force.
+    """
+
+    revision: int = 1
+    ledger: int = 1
+    keepers: tuple[Node, Node] = (Node(), Node())
+    entry: Node = Node()
+    messages: tuple[Node, ...] = ()
+    restarts: int = 0
+    newest: int = 0
+    highest: int = 0
+    reverted: bool = False
+    lowered: bool = False
+
+
+def settings_spec(guards: frozenset[str] = GUARDS) -> Spec:
+    """Return the specification; leaving a guard out gives a mutant.
+
+    ``newer_only``: a value is installed only if its revision is greater. ``limits_grow``: the
+    limit in force is the larger one. ``snapshot_has_limits``: a snapshot carries the limits in
+    force and not only the stored documents. ``join_asks_all``: a new process asks every keeper.
+    """
+
+    def steps(state: State) -> Iterator[Step]:
+        yield from _store_steps(state)
+        for who in (0, 1):
+            yield from _keeper_steps(state, who, guards)
+        yield from _entry_steps(state, guards)
+
+    return Spec(
+        name="settings",
+        initial=State(),
+        steps=steps,
+        invariants={
+            "never_reverts": lambda s: not s.reverted,
+            "limit_never_lowered": lambda s: not s.lowered,
+        },
+        goal=lambda s: s.entry.revision == len(HISTORY) and s.entry.limit == max(HISTORY),
+    )
+
+
+def _store_steps(state: State) -> Iterator[Step]:
+    if state.revision < len(HISTORY):
+        value = HISTORY[state.revision]
+        yield f"store takes value {value}", state._replace(
+            revision=state.revision + 1, ledger=max(state.ledger, value)
+        )
+
+
+def _keeper_steps(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    keeper, other = state.keepers[who], state.keepers[1 - who]
+    # A keeper that reads the store sees the ledger too, which is the limits' second witness.
+    limit = state.ledger if SNAPSHOT_HAS_LIMITS in guards else HISTORY[state.revision - 1]
+    seen = Node(state.revision, max(limit, HISTORY[state.revision - 1]))
+    yield f"keeper {who} reads the store", _with(state, who, _merged(keeper, seen, guards))
+    if keeper.revision:
+        # A watch tells the document alone; the ledger is another key.
+        told = Node(state.revision, HISTORY[state.revision - 1])
+        yield f"keeper {who} watches", _with(state, who, _merged(keeper, told, guards))
+    if other.revision:
+        shared = other if SNAPSHOT_HAS_LIMITS in guards else _stored(other)
+        yield f"keeper {who} pulls", _with(state, who, _merged(keeper, shared, guards))
+    if keeper.revision and len(state.messages) < MAX_MESSAGES:
+        sent = keeper if SNAPSHOT_HAS_LIMITS in guards else _stored(keeper)
+        if sent not in state.messages:
+            yield f"keeper {who} sends", state._replace(
+                messages=tuple(sorted((*state.messages, sent)))
+            )
+    if keeper.revision and state.restarts < MAX_RESTARTS:
+        yield f"keeper {who} restarts", _with(
+            state._replace(restarts=state.restarts + 1), who, Node()
+        )
+
+
+def _entry_steps(state: State, guards: frozenset[str]) -> Iterator[Step]:
+    for message in state.messages:
+        left = tuple(other for other in state.messages if other != message)
+        yield "a message is lost", state._replace(messages=left)
+        if not state.entry.revision:
+            continue
+        entry = _merged(state.entry, message, guards)
+        yield f"entry gets revision {message.revision}", _acted(
+            state._replace(messages=left, entry=entry)
+        )
+    if not state.entry.revision:
+        yield from _join(state, guards)
+    elif state.restarts < MAX_RESTARTS:
+        yield "entry restarts", state._replace(
+            entry=Node(), newest=0, highest=0, restarts=state.restarts + 1
+        )
+
+
+def _join(state: State, guards: frozenset[str]) -> Iterator[Step]:
+    ready = [keeper for keeper in state.keepers if keeper.revision]
+    highest = max((keeper.limit for keeper in ready), default=0)
+    shared = [keeper if SNAPSHOT_HAS_LIMITS in guards else _stored(keeper) for keeper in ready]
+    if JOIN_ASKS_ALL not in guards:
+        for keeper in shared:
+            joined = state._replace(entry=_merged(Node(), keeper, guards), highest=highest)
+            yield "entry joins from one keeper", _acted(joined)
+    elif shared:
+        entry = Node()
+        for keeper in sorted(shared):
+            entry = _merged(entry, keeper, guards)
+        yield "entry joins", _acted(state._replace(entry=entry, highest=highest))
+
+
+def _merged(held: Node, arrived: Node, guards: frozenset[str]) -> Node:
+    if NEWER_ONLY in guards and arrived.revision <= held.revision:
+        # An equal revision may still carry a higher limit in force.
+        limit = max(held.limit, arrived.limit) if LIMITS_GROW in guards else held.limit
+        return Node(held.revision, limit)
+    limit = max(held.limit, arrived.limit) if LIMITS_GROW in guards else arrived.limit
+    return Node(arrived.revision, limit)
+
+
+def _stored(node: Node) -> Node:
+    return Node(node.revision, HISTORY[node.revision - 1])
+
+
+def _acted(state: State) -> State:
+    entry = state.entry
+    return state._replace(
+        reverted=state.reverted or entry.revision < state.newest,
+        lowered=state.lowered or entry.limit < state.highest,
+        newest=max(state.newest, entry.revision),
+        highest=max(state.highest, entry.limit),
+    )
+
+
+def _with(state: State, who: int, keeper: Node) -> State:
+    keepers = (keeper, state.keepers[1]) if who == 0 else (state.keepers[0], keeper)
+    return state._replace(keepers=keepers)
--- /dev/null
+++ b/testing/test_specs.py
@@ -0,0 +1,79 @@
+"""The specifications hold, and leaving any guard out breaks one of their rules."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from baobabpulley.specs import once
+from baobabpulley.specs import orders
+from baobabpulley.specs import promises
+from baobabpulley.specs import reservations
+from baobabpulley.specs import settings
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import explore
+
+SPECS: dict[str, Callable[[], Spec]] = {
+    "settings": settings.settings_spec,
+    "promises": promises.promises_spec,
+    "orders_checked": lambda: orders.orders_spec(checks_fencing=True),
+    "orders_ignored": lambda: orders.orders_spec(checks_fencing=False),
+    "tickets": once.ticket_spec,
+    "claims": once.claim_spec,
+    "reservations": reservations.reservations_spec,
+}
+
+MUTANTS: dict[str, Callable[[], Spec]] = {
+    **{
+        f"settings without {guard}": lambda guard=guard: settings.settings_spec(
+            settings.GUARDS - {guard}
+        )
+        for guard in sorted(settings.GUARDS)
+    },
+    **{
+        f"promises without {guard}": lambda guard=guard: promises.promises_spec(
+            promises.GUARDS - {guard}
+        )
+        for guard in sorted(promises.GUARDS)
+    },
+    "orders without engine_checks": lambda: orders.orders_spec(
+        checks_fencing=True, guards=frozenset()
+    ),
+    **{
+        f"orders without {guard}": lambda guard=guard: orders.orders_spec(
+            checks_fencing=False, guards=orders.GUARDS_IGNORED - {guard}
+        )
+        for guard in sorted(orders.GUARDS_IGNORED)
+    },
+    **{
+        f"tickets without {guard}": lambda guard=guard: once.ticket_spec(
+            once.TICKET_GUARDS - {guard}
+        )
+        for guard in sorted(once.TICKET_GUARDS)
+    },
+    **{
+        f"claims without {guard}": lambda guard=guard: once.claim_spec(once.CLAIM_GUARDS - {guard})
+        for guard in sorted(once.CLAIM_GUARDS)
+    },
+    **{
+        f"reservations without {guard}": lambda guard=guard: reservations.reservations_spec(
+            reservations.GUARDS - {guard}
+        )
+        for guard in sorted(reservations.GUARDS)
+    },
+}
+
+
+@pytest.mark.parametrize("name", sorted(SPECS))
+def test_specification_holds_in_every_reachable_state(name: str) -> None:
+    verdict = explore(SPECS[name]())
+    assert verdict.finished, f"{name}: the search stopped at {verdict.states} states"
+    assert not verdict.violated
+    assert verdict.goal_reachable
+
+
+@pytest.mark.parametrize("name", sorted(MUTANTS))
+def test_specification_without_a_guard_fails(name: str) -> None:
+    verdict = explore(MUTANTS[name]())
+    assert verdict.violated or verdict.goal_reachable is False
