--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -12,7 +12,6 @@
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
-from baobabpulley.model.messages import FleetQuestion
 from baobabpulley.ports.peers import Peers
 from baobabpulley.settings import Address
 from baobabpulley.settings import Seconds
@@ -59,9 +58,8 @@
 
     async def refresh(self) -> None:
         """Ask for the fleet's state once."""
-        question = FleetQuestion(settings_revision=self._view.book.revision)
         try:
-            answer = await self.ask(question, answer=FleetAnswer)
+            answer = await self.ask(self._view.question(), answer=FleetAnswer)
         except PeerUnavailable as error:
             logger.debug("no keeper answers: {}", error.message)
             return
--- a/src/baobabpulley/keeper/context.py
+++ b/src/baobabpulley/keeper/context.py
@@ -12,6 +12,7 @@
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.membership import Membership
 from baobabpulley.ports.peers import Peers
 from baobabpulley.ports.vm_list import VmList
 from baobabpulley.registry import Registry
@@ -69,6 +70,13 @@
         """Metrics registry of this process."""
         return self.metrics.registry
 
+    @property
+    def membership(self) -> Membership:
+        """Which keepers are live; there is one once all parts are built."""
+        part = self.parts["membership"]
+        assert isinstance(part, Membership)
+        return part
+
 
 class KeeperPart(ABC):
     """A job of the keeper, such as membership or orders."""
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -33,7 +33,11 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "fleet_state")
+_PART_MODULES: Final = ("settings_watch", "fleet_state", "membership")
+
+# Sections are registered on import, so this must be done before any settings are read.
+for _name in _PART_MODULES:
+    import_module(f"baobabpulley.keeper.{_name}")
 
 
 @section("keeper", "keeper")
@@ -74,8 +78,6 @@
         view=FleetView(failure_domain=node.failure_domain, alarm=alarm),
         metrics=metrics,
     )
-    for name in _PART_MODULES:
-        import_module(f"baobabpulley.keeper.{name}")
     for name in keeper_parts.names:
         context.parts[name] = keeper_parts.lookup(name)(context)
     return context
--- a/src/baobabpulley/keeper/fleet_state.py
+++ b/src/baobabpulley/keeper/fleet_state.py
@@ -39,8 +39,10 @@
     async def _describe(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, FleetQuestion)
-        now = self._context.timers.now()
-        return self._context.view.describe(settings_revision=message.settings_revision, now=now)
+        view = self._context.view
+        for notice in message.leaving:
+            view.mark_leaving(notice.upstream, incarnation=notice.incarnation)
+        return view.describe(message, now=self._context.timers.now())
 
     async def _read_list(self) -> None:
         # The last list stays in force while the platform does not answer.
--- /dev/null
+++ b/src/baobabpulley/keeper/load_relay.py
@@ -0,0 +1,229 @@
+"""What a keeper passes on to the peers of its failure domain: changed loads and cache news.
+
+A load goes out when it has changed notably since that peer got it, the largest change first,
+within a budget of bytes. Cache news that does not fit is dropped, and the next news of the
+same upstream then carries the mark of a gap.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+from typing import final
+
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.messages import CacheNews
+from baobabpulley.model.messages import CompactLoad
+from baobabpulley.model.upstreams import LoadReport
+from baobabpulley.ports.engine import CacheEvent
+from baobabpulley.ports.peers import Peers
+from baobabpulley.timers import TimerService
+
+LOAD_BYTES: Final = 72
+NEWS_BYTES: Final = 40
+BLOCK_HASH_BYTES: Final = 9
+# Model seconds of prefill work by which a load must differ to be passed on before it is stale.
+NOTABLE_SECONDS: Final = 0.1
+NOTABLE_MEMORY_SHARE: Final = 0.02
+STALE_AFTER: Final = 5.0
+MAX_WAITING_NEWS: Final = 500
+URGENT: Final = float("inf")
+
+
+@final
+class SentLoad:
+    """The load that a peer was last told, and when."""
+
+    __slots__ = ("at", "report")
+
+    def __init__(self, *, report: LoadReport, at: float) -> None:
+        self.report = report
+        self.at = at
+
+
+@final
+class Outbox:
+    """What one peer has been told, and the news that waits for it."""
+
+    __slots__ = ("gaps", "news", "sent")
+
+    def __init__(self) -> None:
+        self.sent: dict[str, SentLoad] = {}
+        self.news: deque[CacheNews] = deque()
+        self.gaps: set[str] = set()
+
+
+@final
+class LoadRelay:
+    """Hand out batches for peers, and take theirs in."""
+
+    __slots__ = ("_dropped", "_outboxes", "_own", "_peers", "_timers", "_view")
+
+    def __init__(self, *, view: FleetView, timers: TimerService, peers: Peers) -> None:
+        self._view = view
+        self._timers = timers
+        self._peers = peers
+        self._own: set[str] = set()
+        self._outboxes: dict[str, Outbox] = {}
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Pieces of cache news that did not fit the budget."""
+        return self._dropped
+
+    def set_own(self, upstreams: set[str]) -> None:
+        """Name the upstreams that this keeper collects from."""
+        self._own = upstreams
+
+    def add_news(self, upstream: str, incarnation: str, event: CacheEvent, *, gap: bool) -> None:
+        """Publish a cache event to entries here and queue it for the peers."""
+        news = CacheNews(
+            upstream=upstream,
+            incarnation=incarnation,
+            sequence=event.sequence,
+            stored=event.stored,
+            evicted=event.evicted,
+            gap=gap,
+        )
+        self._peers.publish(news)
+        for outbox in self._outboxes.values():
+            outbox.news.append(news)
+            while len(outbox.news) > MAX_WAITING_NEWS:
+                self._drop(outbox, outbox.news.popleft())
+
+    def batch(
+        self, peer: str, *, max_bytes: int
+    ) -> tuple[tuple[CompactLoad, ...], tuple[CacheNews, ...]]:
+        """Return loads and news for a peer that together stay near ``max_bytes``."""
+        outbox = self._outboxes.setdefault(peer, Outbox())
+        loads = self._loads_for(outbox, max_loads=max(1, max_bytes // LOAD_BYTES))
+        left = max_bytes - len(loads) * LOAD_BYTES
+        return loads, self._news_for(outbox, max_bytes=left)
+
+    def lost(self, peer: str) -> None:
+        """Forget what a peer was told: the exchange failed, or the peer began anew."""
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            return
+        outbox.sent.clear()
+        outbox.gaps |= self._own
+        outbox.news.clear()
+
+    def take(self, loads: tuple[CompactLoad, ...], news: tuple[CacheNews, ...]) -> None:
+        """Take over what a peer has collected, and publish its news to entries here."""
+        now = self._timers.now()
+        for load in loads:
+            report = expanded(load)
+            self._view.set_load(report, taken=now - report.age)
+        for item in news:
+            self._peers.publish(item)
+
+    def _loads_for(self, outbox: Outbox, *, max_loads: int) -> tuple[CompactLoad, ...]:
+        now = self._timers.now()
+        due: list[tuple[float, str]] = []
+        for upstream in self._own:
+            weight = self._weight(upstream, outbox.sent.get(upstream), now)
+            if weight > 0:
+                due.append((weight, upstream))
+        due.sort(reverse=True)
+        chosen = []
+        for _, upstream in due[:max_loads]:
+            view = self._view.loads[upstream]
+            outbox.sent[upstream] = SentLoad(report=view.report, at=now)
+            chosen.append(compacted(view.report, age=now - view.taken))
+        return tuple(chosen)
+
+    def _weight(self, upstream: str, sent: SentLoad | None, now: float) -> float:
+        """Return how much a peer's picture of an upstream is off, 0 if it will do."""
+        view = self._view.loads.get(upstream)
+        if view is None:
+            return 0.0
+        report = view.report
+        if sent is None or _identity(sent.report) != _identity(report):
+            return URGENT
+        if sent.report.sequence == report.sequence:
+            return 0.0
+        seconds = abs(report.queued - sent.report.queued) / max(1.0, report.prefill_rate)
+        memory = abs(report.memory_held - sent.report.memory_held) / max(1, report.memory_total)
+        stale = now - sent.at > STALE_AFTER
+        if seconds < NOTABLE_SECONDS and memory < NOTABLE_MEMORY_SHARE and not stale:
+            return 0.0
+        return seconds + memory + (now - sent.at) / STALE_AFTER
+
+    def _news_for(self, outbox: Outbox, *, max_bytes: int) -> tuple[CacheNews, ...]:
+        chosen: list[CacheNews] = []
+        left = max_bytes
+        # The newest news is worth most: a cached prefix is asked for again soon or never.
+        while outbox.news:
+            item = outbox.news.pop()
+            size = NEWS_BYTES + BLOCK_HASH_BYTES * (len(item.stored) + len(item.evicted))
+            if size > left:
+                self._drop(outbox, item)
+                break
+            left -= size
+            chosen.append(item)
+        while outbox.news:
+            self._drop(outbox, outbox.news.popleft())
+        chosen.reverse()
+        return tuple(_marked(item, outbox.gaps) for item in chosen)
+
+    def _drop(self, outbox: Outbox, item: CacheNews) -> None:
+        self._dropped += 1
+        outbox.gaps.add(item.upstream)
+
+
+def compacted(report: LoadReport, *, age: float) -> CompactLoad:
+    """Return a report in its compact form; ``age`` is in model seconds."""
+    return CompactLoad(
+        upstream=report.upstream,
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        queued=report.queued,
+        queued_high=report.queued_high,
+        running=report.running,
+        long_prefills=report.long_prefills,
+        memory_total=report.memory_total,
+        memory_held=report.memory_held,
+        prefill_rate=round(report.prefill_rate),
+        models=report.models,
+        state=report.state,
+        age=round(age * 1000),
+    )
+
+
+def expanded(load: CompactLoad) -> LoadReport:
+    """Return the report that a compact form stands for."""
+    return LoadReport(
+        upstream=load.upstream,
+        incarnation=load.incarnation,
+        sequence=load.sequence,
+        queued=load.queued,
+        queued_high=load.queued_high,
+        running=load.running,
+        long_prefills=load.long_prefills,
+        memory_total=load.memory_total,
+        memory_held=load.memory_held,
+        prefill_rate=float(load.prefill_rate),
+        models=load.models,
+        state=load.state,
+        age=load.age / 1000,
+    )
+
+
+def _identity(report: LoadReport) -> tuple[str, str, tuple[str, ...]]:
+    return report.incarnation, report.state, report.models
+
+
+def _marked(item: CacheNews, gaps: set[str]) -> CacheNews:
+    if item.upstream not in gaps:
+        return item
+    gaps.discard(item.upstream)
+    return CacheNews(
+        upstream=item.upstream,
+        incarnation=item.incarnation,
+        sequence=item.sequence,
+        stored=item.stored,
+        evicted=item.evicted,
+        gap=True,
+    )
--- /dev/null
+++ b/src/baobabpulley/keeper/membership.py
@@ -0,0 +1,266 @@
+"""Heartbeats between keepers: who is live at the moment.
+
+A keeper asks each peer of its failure domain from which it has heard nothing for the better
+part of a period, and the answer is a heartbeat too, so that one exchange serves both. Between
+failure domains only the first two live keepers of each, by rendezvous hashing, exchange them.
+A connection that went silent fails the exchange within its timeout, and the next one opens a
+new connection.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.load_relay import LoadRelay
+from baobabpulley.model.messages import Heartbeat
+from baobabpulley.model.upstreams import LIVE
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.ports.membership import Membership
+from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
+from baobabpulley.settings import section
+
+DELEGATES: Final = 2
+# Part of a period within which a heartbeat received makes one's own needless.
+FRESH_SHARE: Final = 0.7
+
+
+@section("membership", "keeper")
+class MembershipSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Times of heartbeats; ``relay_bytes`` bounds what all peers get of loads in a second."""
+
+    period: Seconds = 1.0
+    timeout: Seconds = 0.8
+    suspect_after: Seconds = 3.0
+    between_domains: Seconds = 2.0
+    relay_bytes: Count = 3_000
+
+
+@final
+class PeerState:
+    """What one other keeper last said, and when this process heard or missed it."""
+
+    __slots__ = ("asking", "beat", "failed_at", "heard_at")
+
+    def __init__(self) -> None:
+        self.beat: Heartbeat | None = None
+        self.heard_at = float("-inf")
+        self.failed_at = float("-inf")
+        self.asking = False
+
+
+@keeper_parts.register("membership")
+@final
+class HeartbeatMembership(KeeperPart, Membership):
+    """Exchange heartbeats and tell who is live."""
+
+    __slots__ = (
+        "_context",
+        "_incarnation",
+        "_listeners",
+        "_peers",
+        "_relay",
+        "_section",
+        "_ticked_at",
+    )
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._section = context.settings.get(MembershipSection)
+        self._incarnation = secrets.token_hex(4)
+        self._peers: dict[str, PeerState] = {}
+        self._relay = LoadRelay(view=context.view, timers=context.timers, peers=context.peers)
+        self._listeners: list[Callable[[], None]] = []
+        self._ticked_at = context.timers.now()
+
+    @property
+    def relay(self) -> LoadRelay:
+        """What this keeper has collected and its peers do not have yet."""
+        return self._relay
+
+    async def start(self) -> None:
+        timers = self._context.timers
+        self._context.peers.answer(Heartbeat, self._answer)
+        self._context.view.set_live_keepers(self._live_ids())
+        timers.every(self._section.period, self._tick, jitter=0.3, name="heartbeats")
+        timers.every(self._section.between_domains, self._reach_domains, jitter=0.3, name="domains")
+
+    def live_keepers(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return the live entry VMs of a failure domain, sorted by id."""
+        listed = [vm for vm in self._listed() if vm.failure_domain == failure_domain]
+        if failure_domain == self._context.node.failure_domain:
+            return tuple(vm for vm in listed if self._heard(vm.id))
+        told = self._told_live(failure_domain)
+        if told is not None:
+            listed = [vm for vm in listed if vm.id in told]
+        return tuple(vm for vm in listed if not self._missed(vm.id))
+
+    def is_live(self, id: str) -> bool:
+        """Whether the keeper of an entry VM is live."""
+        found = (vm for vm in self._listed() if vm.id == id)
+        return any(vm in self.live_keepers(vm.failure_domain) for vm in found)
+
+    def delegates(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return the two keepers, at most, that talk to other failure domains."""
+        live = {vm.id: vm for vm in self.live_keepers(failure_domain)}
+        first = ranked(f"delegates:{failure_domain}", live)[:DELEGATES]
+        return tuple(live[id] for id in first)
+
+    def applied_revision(self, id: str) -> int:
+        """Return the settings revision that a keeper last said it had applied, else 0."""
+        peer = self._peers.get(id)
+        return peer.beat.applied_revision if peer is not None and peer.beat is not None else 0
+
+    def _listed(self) -> list[Vm]:
+        rows = [vm for vm in self._context.view.entry_vms if vm.state == LIVE]
+        return sorted(rows, key=lambda vm: vm.id)
+
+    def _live_ids(self) -> tuple[str, ...]:
+        return tuple(vm.id for vm in self.live_keepers(self._context.node.failure_domain))
+
+    def _heard(self, id: str) -> bool:
+        if id == self._context.node.vm:
+            return True
+        peer = self._peers.get(id)
+        now = self._context.timers.now()
+        return peer is not None and now - peer.heard_at < self._section.suspect_after
+
+    def _missed(self, id: str) -> bool:
+        """Whether the last try to reach a keeper of another failure domain failed lately."""
+        peer = self._peers.get(id)
+        if peer is None or peer.failed_at < peer.heard_at:
+            return False
+        retry = 2 * self._section.between_domains + self._section.suspect_after
+        return self._context.timers.now() - peer.failed_at < retry
+
+    def _told_live(self, failure_domain: str) -> set[str] | None:
+        now = self._context.timers.now()
+        lasts = self._section.suspect_after + 2 * self._section.between_domains
+        told: set[str] | None = None
+        for peer in self._peers.values():
+            beat = peer.beat
+            if beat is None or beat.failure_domain != failure_domain or not beat.live:
+                continue
+            if now - peer.heard_at < lasts:
+                told = (told or set()) | set(beat.live)
+        return told
+
+    async def _tick(self) -> None:
+        self._allow_for_own_pause()
+        now = self._context.timers.now()
+        fresh = FRESH_SHARE * self._section.period
+        own = self._context.node.failure_domain
+        known = {vm.id for vm in self._listed()}
+        self._peers = {id: peer for id, peer in self._peers.items() if id in known}
+        for vm in self._listed():
+            if vm.failure_domain != own or vm.id == self._context.node.vm:
+                continue
+            peer = self._peers.setdefault(vm.id, PeerState())
+            if now - peer.heard_at >= fresh:
+                self._ask_soon(vm, peer)
+        self._context.view.set_live_keepers(self._live_ids())
+
+    def _allow_for_own_pause(self) -> None:
+        # After a pause of this process nobody was heard, and none of that was the peers' doing.
+        now = self._context.timers.now()
+        pause = now - self._ticked_at - 2 * self._section.period
+        self._ticked_at = now
+        if pause > 0:
+            for peer in self._peers.values():
+                peer.heard_at += pause
+
+    async def _reach_domains(self) -> None:
+        own = self._context.node
+        if own.vm not in {vm.id for vm in self.delegates(own.failure_domain)}:
+            return
+        now = self._context.timers.now()
+        fresh = FRESH_SHARE * self._section.between_domains
+        for domain in {vm.failure_domain for vm in self._listed()} - {own.failure_domain}:
+            for vm in self.delegates(domain):
+                peer = self._peers.setdefault(vm.id, PeerState())
+                if now - peer.heard_at >= fresh:
+                    self._ask_soon(vm, peer)
+
+    def _ask_soon(self, vm: Vm, peer: PeerState) -> None:
+        if peer.asking:
+            return
+        peer.asking = True
+
+        async def ask() -> None:
+            try:
+                await self._ask(vm, peer)
+            finally:
+                peer.asking = False
+
+        self._context.timers.after(0.0, ask, name=f"heartbeat {vm.id}")
+
+    async def _ask(self, vm: Vm, peer: PeerState) -> None:
+        try:
+            beat = await self._context.peers.ask(
+                vm.address,
+                self._beat_for(vm.id, vm.failure_domain),
+                answer=Heartbeat,
+                timeout=self._section.timeout,
+            )
+        except BaobabError:
+            peer.failed_at = self._context.timers.now()
+            self._relay.lost(vm.id)
+            return
+        self._take(beat)
+
+    async def _answer(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, Heartbeat)
+        self._take(message)
+        return self._beat_for(message.vm, message.failure_domain)
+
+    def _take(self, beat: Heartbeat) -> None:
+        peer = self._peers.setdefault(beat.vm, PeerState())
+        if peer.beat is not None and peer.beat.incarnation != beat.incarnation:
+            self._relay.lost(beat.vm)
+        peer.beat = beat
+        peer.heard_at = self._context.timers.now()
+        if beat.failure_domain != self._context.node.failure_domain:
+            return
+        for notice in beat.leaving:
+            self._context.view.mark_leaving(notice.upstream, incarnation=notice.incarnation)
+        self._relay.take(beat.loads, beat.news)
+
+    def _beat_for(self, vm: str, failure_domain: str) -> Heartbeat:
+        own = self._context.node
+        view = self._context.view
+        if failure_domain != own.failure_domain:
+            return Heartbeat(
+                vm=own.vm,
+                failure_domain=own.failure_domain,
+                incarnation=self._incarnation,
+                applied_revision=view.book.revision,
+                headroom=self._headroom(),
+                live=self._live_ids(),
+            )
+        others = max(1, len(view.live_keepers) - 1)
+        budget = int(self._section.relay_bytes * self._section.period) // others
+        loads, news = self._relay.batch(vm, max_bytes=budget)
+        return Heartbeat(
+            vm=own.vm,
+            failure_domain=own.failure_domain,
+            incarnation=self._incarnation,
+            applied_revision=view.book.revision,
+            leaving=view.leaving,
+            loads=loads,
+            news=news,
+        )
+
+    def _headroom(self) -> int:
+        loads = self._context.view.loads.values()
+        return sum(load.report.memory_total - load.report.memory_held for load in loads)
--- a/src/baobabpulley/model/fleet_view.py
+++ b/src/baobabpulley/model/fleet_view.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import final
 
 from baobabpulley.model.messages import AgedLoad
 from baobabpulley.model.messages import FleetAnswer
+from baobabpulley.model.messages import FleetQuestion
+from baobabpulley.model.messages import Leaving
 from baobabpulley.model.settings_book import Alarm
 from baobabpulley.model.settings_book import SettingsBook
 from baobabpulley.model.upstreams import LEAVING
@@ -19,26 +22,44 @@
 class LoadView:
     """A load report and the time, on this process's clock, at which its figures were taken."""
 
-    __slots__ = ("report", "taken")
+    __slots__ = ("report", "taken", "version")
 
-    def __init__(self, *, report: LoadReport, taken: float) -> None:
+    def __init__(self, *, report: LoadReport, taken: float, version: int = 0) -> None:
         self.report = report
         self.taken = taken
+        self.version = version
 
 
 @final
 class FleetView:
     """The state of one failure domain as this process last heard it."""
 
-    __slots__ = ("_book", "_entry_vms", "_failure_domain", "_leaving", "_loads", "_upstreams")
+    __slots__ = (
+        "_answer",
+        "_book",
+        "_entry_vms",
+        "_failure_domain",
+        "_leaving",
+        "_live_keepers",
+        "_loads",
+        "_loads_version",
+        "_origin",
+        "_upstreams",
+        "_vms_version",
+    )
 
     def __init__(self, *, failure_domain: str, alarm: Alarm | None = None) -> None:
+        self._origin = secrets.token_hex(4)
         self._failure_domain = failure_domain
         self._book = SettingsBook(alarm=alarm)
         self._upstreams: dict[str, Upstream] = {}
         self._loads: dict[str, LoadView] = {}
         self._entry_vms: tuple[Vm, ...] = ()
-        self._leaving: set[str] = set()
+        self._leaving: dict[str, str] = {}
+        self._live_keepers: tuple[str, ...] = ()
+        self._loads_version = 0
+        self._vms_version = 0
+        self._answer: FleetAnswer | None = None
 
     @property
     def failure_domain(self) -> str:
@@ -76,10 +97,25 @@
         own = (vm for vm in self._entry_vms if vm.failure_domain == self._failure_domain)
         return tuple(sorted(own, key=lambda vm: vm.id))
 
+    @property
+    def live_keepers(self) -> tuple[Vm, ...]:
+        """Entry VMs of this failure domain whose keepers are live, sorted by id."""
+        return tuple(vm for vm in self.keepers if vm.id in self._live_keepers)
+
+    @property
+    def leaving(self) -> tuple[Leaving, ...]:
+        """Upstreams that said, themselves or through a peer, that they leave."""
+        items = sorted(self._leaving.items())
+        return tuple(Leaving(upstream=id, incarnation=incarnation) for id, incarnation in items)
+
+    def set_live_keepers(self, ids: tuple[str, ...]) -> None:
+        """Take over which entry VMs of this failure domain have live keepers."""
+        self._live_keepers = ids
+
     def set_vms(self, rows: tuple[Vm, ...]) -> None:
         """Take over the platform's VM list."""
-        self._entry_vms = tuple(vm for vm in rows if vm.role == "entry")
-        self._upstreams = {
+        entry_vms = tuple(vm for vm in rows if vm.role == "entry")
+        upstreams = {
             vm.id: Upstream(
                 id=vm.id,
                 service=vm.service,
@@ -90,7 +126,11 @@
             for vm in rows
             if vm.role == "upstream" and vm.failure_domain == self._failure_domain
         }
-        self._leaving &= set(self._upstreams)
+        if (entry_vms, upstreams) == (self._entry_vms, self._upstreams):
+            return
+        self._entry_vms = entry_vms
+        self._set_upstreams(upstreams)
+        self._vms_version += 1
 
     def set_load(self, report: LoadReport, *, taken: float) -> None:
         """Take over a load report unless a newer one of the same incarnation is held."""
@@ -101,18 +141,30 @@
             and held.report.sequence >= report.sequence
         ):
             return
-        if held is not None and held.report.incarnation != report.incarnation:
-            # A restarted engine starts anew; whatever its predecessor said no longer holds.
-            self._leaving.discard(report.upstream)
-            if held.taken > taken:
-                return
+        restarted = held is not None and held.report.incarnation != report.incarnation
+        if held is not None and restarted and held.taken > taken:
+            return
+        # A restarted engine starts anew; whatever its predecessor said no longer holds.
+        if self._leaving.get(report.upstream, report.incarnation) != report.incarnation:
+            del self._leaving[report.upstream]
         if report.state == LEAVING:
-            self._leaving.add(report.upstream)
-        self._loads[report.upstream] = LoadView(report=report, taken=taken)
+            self._leaving[report.upstream] = report.incarnation
+        self._loads_version += 1
+        self._loads[report.upstream] = LoadView(
+            report=report, taken=taken, version=self._loads_version
+        )
+
+    def mark_leaving(self, upstream: str, *, incarnation: str = "") -> None:
+        """Note that an upstream said itself, or through a peer, that it leaves.
 
-    def mark_leaving(self, upstream: str) -> None:
-        """Note that an upstream said itself, or through a peer, that it leaves."""
-        self._leaving.add(upstream)
+        Without ``incarnation`` the one of its last load report is meant. A notice of an earlier
+        incarnation is dropped.
+        """
+        held = self._loads.get(upstream)
+        current = held.report.incarnation if held is not None else ""
+        if incarnation and current and incarnation != current:
+            return
+        self._leaving[upstream] = incarnation or current
 
     def takes_work(self, upstream: Upstream) -> bool:
         """Whether an upstream may get new work."""
@@ -131,23 +183,53 @@
         """Take over what a keeper knows."""
         self._book.install(answer.settings, revision=answer.settings_revision)
         self._book.raise_limits(answer.limits)
-        self._entry_vms = answer.entry_vms
-        self._upstreams = {upstream.id: upstream for upstream in answer.upstreams}
-        self._leaving &= set(self._upstreams)
+        # A keeper that has just started has no list yet; the one held stays.
+        if answer.whole and answer.vms_version:
+            self._entry_vms = answer.entry_vms
+            self._set_upstreams({upstream.id: upstream for upstream in answer.upstreams})
         for load in answer.loads:
             self.set_load(load.report, taken=now - load.held - load.report.age)
+        for notice in answer.leaving:
+            self.mark_leaving(notice.upstream, incarnation=notice.incarnation)
+        self._live_keepers = answer.live_keepers
+        self._answer = answer
+
+    def question(self) -> FleetQuestion:
+        """Return the question for what is new since the last answer."""
+        last = self._answer
+        return FleetQuestion(
+            settings_revision=self._book.revision,
+            origin=last.origin if last else "",
+            vms_version=last.vms_version if last else 0,
+            loads_version=last.loads_version if last else 0,
+            leaving=self.leaving,
+        )
 
-    def describe(self, *, settings_revision: int, now: float) -> FleetAnswer:
-        """Return what this process knows, for another one."""
+    def describe(self, question: FleetQuestion, *, now: float) -> FleetAnswer:
+        """Return what this process knows and the asker does not, for another process."""
+        known = question.origin == self._origin
+        whole = not known or question.vms_version != self._vms_version
+        after = question.loads_version if known else 0
         return FleetAnswer(
             settings_revision=self._book.revision,
-            settings=self._book.newer_than(settings_revision),
+            settings=self._book.newer_than(question.settings_revision),
             limits=self._book.limits,
-            upstreams=tuple(self._upstreams.values()),
-            loads=tuple(_aged(load, now) for load in self._loads.values()),
-            entry_vms=self._entry_vms,
+            upstreams=tuple(self._upstreams.values()) if whole else (),
+            loads=tuple(_aged(load, now) for load in self._loads.values() if load.version > after),
+            entry_vms=self._entry_vms if whole else (),
+            origin=self._origin,
+            vms_version=self._vms_version,
+            loads_version=self._loads_version,
+            whole=whole,
+            leaving=self.leaving,
+            live_keepers=self._live_keepers,
         )
 
+    def _set_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+        self._upstreams = upstreams
+        self._leaving = {id: of for id, of in self._leaving.items() if id in upstreams}
+        self._loads = {id: load for id, load in self._loads.items() if id in upstreams}
+
 
 def _aged(load: LoadView, now: float) -> AgedLoad:
     return AgedLoad(report=load.report, held=max(0.0, now - load.taken - load.report.age))
--- /dev/null
+++ b/src/baobabpulley/ports/membership.py
@@ -0,0 +1,36 @@
+"""Which keepers are live at the moment.
+
+The platform's lagging list names candidates and heartbeats decide. Two keepers may differ for a
+moment, so nothing that must be exclusive rests on this.
+"""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+
+from baobabpulley.model.upstreams import Vm
+
+
+class Membership(ABC):
+    """Live keepers as this process sees them; ids are those of entry VMs."""
+
+    @abstractmethod
+    def live_keepers(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return the live entry VMs of a failure domain, sorted by id.
+
+        This VM is always among those of its own. Of another failure domain only what its
+        delegates last said is known; before they said anything, the list's live rows.
+        """
+
+    @abstractmethod
+    def is_live(self, id: str) -> bool:
+        """Whether the keeper of an entry VM is live."""
+
+    @abstractmethod
+    def delegates(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return the two keepers, at most, that talk to other failure domains."""
+
+    @abstractmethod
+    def applied_revision(self, id: str) -> int:
+        """Return the settings revision that a keeper last said it had applied, else 0."""
