--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Final
 from typing import TypeVar
@@ -13,7 +14,6 @@
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
-from baobabpulley.model.messages import FleetQuestion
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
 from baobabpulley.ports.peers import Peers
@@ -64,33 +64,51 @@
 
     async def refresh(self) -> None:
         """Ask for the fleet's state once."""
-        question = FleetQuestion(settings_revision=self._view.book.revision)
         try:
-            answer = await self.ask(question, answer=FleetAnswer)
+            answer = await self.ask(self._view.question(), answer=FleetAnswer)
         except PeerUnavailable as error:
             logger.debug("no keeper answers: {}", error.message)
             await self._ask_far_keepers()
             return
-        self._view.apply(answer, now=self._timers.now())
+        if self._view.ready:
+            self._view.apply(answer, now=self._timers.now())
+        else:
+            await self._join(answer)
+
+    async def _join(self, first: FleetAnswer) -> None:
+        """Take settings from all keepers that answer, before the first request is served.
+
+        A single one may have been cut off for long, and hold lower limits than its peers.
+        """
+        bare = msgspec.structs.replace(first, settings=(), settings_revision=0, limits={})
+        self._view.apply(bare, now=self._timers.now())
+        answers = await asyncio.gather(*(self._settings_of(address) for address in self.addresses))
+        for news in answers:
+            if news is not None:
+                self._install(news)
 
     async def _ask_far_keepers(self) -> None:
         """Get settings, which are the same everywhere, from another failure domain."""
         own = set(self.addresses)
         far = [vm.address for vm in self._view.entry_vms if vm.address not in own]
         for address in random.sample(far, min(FAR_KEEPERS, len(far))):
-            question = SettingsQuestion(revision=self._view.book.revision)
-            try:
-                news = await self._peers.ask(
-                    address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
-                )
-            except PeerUnavailable:
-                continue
-            self._install(news)
-            return
+            news = await self._settings_of(address)
+            if news is not None:
+                self._install(news)
+                return
+
+    async def _settings_of(self, address: str) -> SettingsNews | None:
+        question = SettingsQuestion(revision=self._view.book.revision)
+        try:
+            return await self._peers.ask(
+                address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
+            )
+        except PeerUnavailable:
+            return None
 
     def _on_news(self, message: msgspec.Struct, sender: str) -> None:
         del sender
-        if isinstance(message, SettingsNews):
+        if isinstance(message, SettingsNews) and self._view.ready:
             self._install(message)
 
     def _install(self, news: SettingsNews) -> None:
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -34,9 +34,10 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "relay", "changes", "fleet_state")
+_PART_MODULES: Final = ("settings_watch", "relay", "changes", "fleet_state", "membership")
+
+# Sections are registered on import, so this must be done before any settings are read.
 for _name in _PART_MODULES:
-    # At import, so that their sections are known before any settings file is read.
     import_module(f"baobabpulley.keeper.{_name}")
 
 
