--- /dev/null
+++ b/testing/settings_cluster.py
@@ -0,0 +1,413 @@
+"""Keepers and entries in one process, over a fake store and a fake network, on a clock by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import cast
+
+import msgspec
+
+from baobabpulley.adapters.metrics import KeeperMetrics
+from baobabpulley.entry.keeper_link import KeeperLink
+from baobabpulley.entry.keeper_link import KeeperLinkSection
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.errors import StoreAnswerLost
+from baobabpulley.errors import StoreCompacted
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.keeper import changes
+from baobabpulley.keeper import settings_watch
+from baobabpulley.keeper.changes import PromisesSection
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.relay import RelaySection
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.messages import FleetQuestion
+from baobabpulley.model.settings_book import SettingsBook
+from baobabpulley.model.upstreams import LoadReport
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import StoreSnapshot
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.ports.config_store import SwapOutcome
+from baobabpulley.ports.config_store import WatchBatch
+from baobabpulley.ports.peers import Handler
+from baobabpulley.ports.peers import Listener
+from baobabpulley.ports.peers import Peers
+from baobabpulley.settings import NodeSection
+from baobabpulley.settings import Settings
+from baobabpulley.timers import ManualTimers
+from baobabpulley.timers import TimerService
+
+PARTS = ("settings_relay", "settings_watch", "settings_changes")
+assert changes and settings_watch
+STEP = 0.1
+PROGRESS = 1.0
+SILENCE = 2.0
+
+
+class StoreState:
+    """What the store holds, and what is wrong with it."""
+
+    def __init__(self, *, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.items: dict[str, StoredEntry] = {}
+        self.history: list[StoredEntry] = []
+        self.revision = 1
+        self.compacted = 0
+        self.down = False
+        self.cut: set[str] = set()
+        self.silent_before = 0
+        self.opened = 0
+        self.lose_answers = 0.0
+        self.lose_next = 0
+        self.interleave = 0
+        self.calls = 0
+        self.late: list[tuple[Swap, ...]] = []
+
+    def put(self, key: str, value: bytes | None) -> int:
+        """Write a key as an operator with the store's own tools would."""
+        held = self.items.get(key)
+        revision = held.mod_revision if held else 0
+        assert self.apply((Swap(key=key, value=value, expected_revision=revision),)).held
+        return self.revision
+
+    def apply(self, swaps: tuple[Swap, ...]) -> SwapOutcome:
+        """Run a transaction."""
+        for swap in swaps:
+            held = self.items.get(swap.key)
+            if (held.mod_revision if held else 0) != swap.expected_revision:
+                return SwapOutcome(held=False, revision=self.revision)
+        self.revision += 1
+        for swap in swaps:
+            entry = StoredEntry(key=swap.key, value=swap.value, mod_revision=self.revision)
+            self.history.append(entry)
+            self.items[swap.key] = entry
+            if swap.value is None:
+                del self.items[swap.key]
+        return SwapOutcome(held=True, revision=self.revision)
+
+
+class FakeStore(ConfigStore):
+    """One process's client of the store."""
+
+    def __init__(self, state: StoreState, *, timers: TimerService, domain: str = "") -> None:
+        self._state = state
+        self._timers = timers
+        self._domain = domain
+
+    async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
+        await self._call()
+        end = (last_prefix or prefix) + "\uffff"
+        found = [item for key, item in sorted(self._state.items.items()) if prefix <= key < end]
+        return StoreSnapshot(revision=self._state.revision, entries=tuple(found))
+
+    async def get(self, key: str) -> StoredEntry | None:
+        await self._call()
+        return self._state.items.get(key)
+
+    async def swap(self, *swaps: Swap) -> SwapOutcome:
+        state = self._state
+        await self._call()
+        if state.random.random() < state.lose_answers or state.lose_next > 0:
+            state.lose_next -= 1
+            # The transaction runs at once, never, or once the writer has looked.
+            fate = state.random.choice(("now", "never", "late"))
+            if fate == "now":
+                state.apply(swaps)
+            elif fate == "late":
+                state.late.append(swaps)
+            raise StoreAnswerLost("the answer was lost")
+        outcome = state.apply(swaps)
+        await self._yield()
+        return outcome
+
+    async def grant_lease(self, seconds: float) -> int:
+        await self._call()
+        return 7
+
+    async def keep_alive(self, lease: int) -> float:
+        raise NotImplementedError
+
+    async def revoke_lease(self, lease: int) -> None:
+        raise NotImplementedError
+
+    async def watch(
+        self, prefix: str, *, from_revision: int, last_prefix: str | None = None
+    ) -> AsyncIterator[WatchBatch]:
+        state = self._state
+        await self._call()
+        state.opened += 1
+        opened = state.opened
+        end = (last_prefix or prefix) + "\uffff"
+        yield WatchBatch(revision=0, entries=())
+        if from_revision <= state.compacted:
+            raise StoreCompacted("the history is gone")
+        sent, told = from_revision - 1, self._timers.now()
+        while True:
+            await self._timers.sleep(STEP)
+            if opened <= state.silent_before:
+                await self._timers.sleep(SILENCE)
+                raise StoreUnavailable("the watch went silent")
+            self._check()
+            upto = state.revision
+            new = [
+                item
+                for item in state.history
+                if sent < item.mod_revision <= upto and prefix <= item.key < end
+            ]
+            sent = upto
+            if new:
+                yield WatchBatch(revision=new[-1].mod_revision, entries=tuple(new))
+            elif self._timers.now() - told >= PROGRESS:
+                told = self._timers.now()
+                yield WatchBatch(revision=upto, entries=())
+
+    async def _call(self) -> None:
+        self._state.calls += 1
+        await self._yield()
+        late = self._state.late
+        if late and self._state.random.random() < 0.5:
+            self._state.apply(late.pop(0))
+        self._check()
+
+    def _check(self) -> None:
+        if self._state.down or self._domain in self._state.cut:
+            raise StoreUnavailable("the store is down")
+
+    async def _yield(self) -> None:
+        for _ in range(self._state.random.randint(0, self._state.interleave)):
+            await asyncio.sleep(0)
+
+
+class FakePeers(Peers):
+    """One process's sockets in a network whose processes freeze, die and are cut off."""
+
+    def __init__(self, cluster: Cluster, *, address: str, domain: str, timers: Any) -> None:
+        self._cluster = cluster
+        self.address = address
+        self.domain = domain
+        self.timers = timers
+        self.frozen = False
+        self.dead = False
+        self.handlers: dict[type[msgspec.Struct], Handler] = {}
+        self.listeners: dict[tuple[str, Listener], None] = {}
+        self.waiting: list[tuple[Listener, msgspec.Struct]] = []
+
+    def reaches(self, other: FakePeers | None) -> bool:
+        """Whether messages pass between two processes."""
+        if other is None or other.dead or self.dead:
+            return False
+        return frozenset((self.domain, other.domain)) not in self._cluster.cuts
+
+    async def ask(self, address: str, question: Any, *, answer: Any, timeout: float) -> Any:
+        target = self._cluster.peers.get(address)
+        if not self.reaches(target) or target.frozen:
+            await self.timers.sleep(timeout)
+            raise PeerUnavailable(f"{address} does not answer")
+        reply = await target.handlers[type(question)](_copied(question), self.address)
+        if not self.reaches(target):
+            raise PeerUnavailable(f"{address} does not answer")
+        return _copied(reply)
+
+    def answer(self, kind: type[msgspec.Struct], handler: Handler) -> None:
+        self.handlers[kind] = handler
+
+    def publish(self, message: msgspec.Struct) -> None:
+        for other in self._cluster.all_peers:
+            for address, listener in other.listeners:
+                if address != self.address or not self.reaches(other):
+                    continue
+                if self._cluster.random.random() < self._cluster.lose_news:
+                    continue
+                if other.frozen:
+                    other.waiting.append((listener, _copied(message)))
+                else:
+                    listener(_copied(message), self.address)
+
+    def subscribe(self, address: str, listener: Listener) -> None:
+        self.listeners[address, listener] = None
+
+    def unsubscribe(self, address: str, listener: Listener) -> None:
+        self.listeners.pop((address, listener), None)
+
+    def close(self) -> None:
+        self.dead = True
+
+
+class Member:
+    """A keeper or an entry, and the most that it has ever had in force."""
+
+    def __init__(self, *, name: str, peers: FakePeers, view: FleetView) -> None:
+        self.name = name
+        self.peers = peers
+        self.view = view
+        self.seen: dict[str, int] = {}
+        self.limits: dict[str, Any] = {}
+        self.context: KeeperContext | None = None
+
+    @property
+    def book(self) -> SettingsBook:
+        """Settings in force."""
+        return self.view.book
+
+    def check(self) -> None:
+        """Fail if a key or a limit went back."""
+        for entry in self.book.newer_than(0):
+            assert entry.mod_revision >= self.seen.get(entry.key, 0), f"{self.name} went back"
+            self.seen[entry.key] = entry.mod_revision
+        for team, held in self.limits.items():
+            assert self.book.limit(team).covers(held), f"{self.name} lowered {team}"
+        self.limits = dict(self.book.limits)
+
+
+class Cluster:
+    """Keepers by failure domain, with one entry on each keeper's VM."""
+
+    def __init__(self, *, keepers: dict[str, int], seed: int = 0, memory: int = 1_000_000) -> None:
+        self.state = StoreState(seed=seed)
+        self.random = random.Random(seed)
+        self.cuts: set[frozenset[str]] = set()
+        self.lose_news = 0.0
+        self.alarms: list[tuple[str, str]] = []
+        self.peers: dict[str, FakePeers] = {}
+        self.members: dict[str, Member] = {}
+        self.memory = memory
+        self.vms = tuple(
+            Vm(id=f"{domain}-{n}", role="entry", failure_domain=domain, address=f"{domain}:{n}")
+            for domain, count in keepers.items()
+            for n in range(count)
+        )
+        self._now = 1000.0
+
+    @property
+    def all_peers(self) -> list[FakePeers]:
+        """Sockets of all processes that run."""
+        return [member.peers for member in self.members.values()]
+
+    async def start(self) -> None:
+        """Start all keepers and entries."""
+        for vm in self.vms:
+            await self.start_keeper(vm)
+            self.start_entry(vm)
+
+    async def start_keeper(self, vm: Vm) -> Member:
+        """Start a keeper anew; it knows nothing."""
+        timers = ManualTimers(start=self._now)
+        peers = FakePeers(self, address=vm.address, domain=vm.failure_domain, timers=timers)
+        view = FleetView(failure_domain=vm.failure_domain, alarm=self._alarm)
+        self._fill(view, vm.failure_domain)
+        node = NodeSection(
+            id=f"keeper-{vm.id}", vm=vm.id, failure_domain=vm.failure_domain, http="127.0.0.1:1"
+        )
+        sections = {"node": node, "relay": RelaySection(), "promises": PromisesSection()}
+        context = KeeperContext(
+            settings=Settings(daemon="keeper", sections=sections),
+            node=node,
+            address=vm.address,
+            timers=timers,
+            peers=peers,
+            store=FakeStore(self.state, timers=timers, domain=vm.failure_domain),
+            vm_list=cast(Any, None),
+            engine=cast(Any, None),
+            view=view,
+            metrics=KeeperMetrics(),
+        )
+
+        async def describe(message: Any, sender: str) -> msgspec.Struct:
+            return view.describe(message, now=timers.now())
+
+        peers.answer(FleetQuestion, describe)
+        self.peers[vm.address] = peers
+        member = Member(name=f"keeper-{vm.id}", peers=peers, view=view)
+        member.context = context
+        self.members[member.name] = member
+        for name in PARTS:
+            context.parts[name] = keeper_parts.lookup(name)(context)
+        for part in context.parts.values():
+            await part.start()
+        return member
+
+    def start_entry(self, vm: Vm) -> Member:
+        """Start an entry anew."""
+        timers = ManualTimers(start=self._now)
+        peers = FakePeers(self, address="", domain=vm.failure_domain, timers=timers)
+        view = FleetView(failure_domain=vm.failure_domain, alarm=self._alarm)
+        section = KeeperLinkSection(address=vm.address)
+        KeeperLink(section=section, peers=peers, view=view, timers=timers).start()
+        member = Member(name=f"entry-{vm.id}", peers=peers, view=view)
+        self.members[member.name] = member
+        return member
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        member = self.members.pop(name)
+        member.peers.close()
+        member.peers.timers.cancel_all()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process; its clock and its connections go on without it."""
+        self.members[name].peers.frozen = True
+
+    async def thaw(self, name: str) -> None:
+        """Let a process go on: what waited for it arrives first."""
+        peers = self.members[name].peers
+        peers.frozen = False
+        for listener, message in peers.waiting:
+            listener(message, "")
+        peers.waiting.clear()
+        await peers.timers.advance(self._now - peers.timers.now())
+
+    async def advance(self, seconds: float) -> None:
+        """Pass model time on all processes that are not frozen, checking each step."""
+        end = self._now + seconds - STEP / 2
+        while self._now < end:
+            self._now += STEP
+            for member in tuple(self.members.values()):
+                if not member.peers.frozen:
+                    await member.peers.timers.advance(self._now - member.peers.timers.now())
+                    member.check()
+
+    def lagging(self, key: str, revision: int) -> list[str]:
+        """Return the running processes that act on an older revision of a key."""
+        return [
+            member.name
+            for member in self.members.values()
+            if not member.peers.frozen
+            and getattr(member.book.entry(key), "mod_revision", 0) < revision
+        ]
+
+    def _alarm(self, kind: str, message: str) -> None:
+        self.alarms.append((kind, message))
+
+    def _fill(self, view: FleetView, domain: str) -> None:
+        upstream = Vm(
+            id=f"engine-{domain}", role="upstream", failure_domain=domain, address="", service="x"
+        )
+        view.set_vms((*self.vms, upstream))
+        assert isinstance(view.upstreams[upstream.id], Upstream)
+        view.set_load(load_of(upstream.id, memory=self.memory), taken=self._now)
+
+
+def load_of(upstream: str, *, memory: int) -> LoadReport:
+    """Return the report of an idle engine."""
+    return LoadReport(
+        upstream=upstream,
+        incarnation="a",
+        sequence=1,
+        queued=0,
+        queued_high=0,
+        running=0,
+        long_prefills=0,
+        memory_total=memory,
+        memory_held=0,
+        prefill_rate=1.0,
+    )
+
+
+def _copied(message: Any) -> Any:
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=type(message))
--- /dev/null
+++ b/testing/test_changes.py
@@ -0,0 +1,227 @@
+"""Changes of settings: accepted if and only if they held, and promises that can be kept."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Awaitable
+
+import pytest
+from settings_cluster import FakeStore
+from settings_cluster import StoreState
+
+from baobabpulley.errors import ChangeUnknown
+from baobabpulley.errors import Conflict
+from baobabpulley.errors import LimitLowered
+from baobabpulley.errors import PromiseRefused
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.keeper.change_writer import ChangeWriter
+from baobabpulley.model.documents import PROMISES_KEY
+from baobabpulley.model.documents import LimitDocument
+from baobabpulley.model.documents import PromiseDocument
+from baobabpulley.model.documents import decode_document
+from baobabpulley.model.documents import document_key
+from baobabpulley.model.documents import encode_document
+from baobabpulley.model.documents import limit_key
+from baobabpulley.model.limits import Limit
+from baobabpulley.model.settings_book import SettingsBook
+from baobabpulley.model.settings_messages import ChangeAccepted
+from baobabpulley.model.settings_messages import DomainCapacity
+from baobabpulley.model.settings_messages import RaiseLimit
+from baobabpulley.model.settings_messages import ResolveChange
+from baobabpulley.model.settings_messages import WriteDocument
+from baobabpulley.policy.promises import Promisable
+from baobabpulley.policy.promises import promisable
+from baobabpulley.timers import ManualTimers
+
+CAPACITY = Promisable(in_flight=1000, prompt=600)
+HELD = Limit(100, 300)
+
+
+class Desk:
+    """Writers of two keepers over one store, and the clock."""
+
+    def __init__(self, *, seed: int = 0, interleave: int = 0, lose_answers: float = 0.0) -> None:
+        self.state = StoreState(seed=seed)
+        for team in ("souk", "stall"):
+            self.state.put(limit_key(team), encode_document(LimitDocument(limit=HELD)))
+        promises = PromiseDocument(teams={"souk": HELD, "stall": HELD})
+        self.state.put(PROMISES_KEY, encode_document(promises))
+        self.state.interleave = interleave
+        self.state.lose_answers = lose_answers
+        self.timers = ManualTimers()
+        self.writers = [
+            ChangeWriter(
+                store=FakeStore(self.state, timers=self.timers),
+                book=SettingsBook(),
+                capacity=lambda: CAPACITY,
+                timers=self.timers,
+                seed=f"{seed}-{number}",
+            )
+            for number in range(2)
+        ]
+
+    async def run(self, *work: Awaitable[object]) -> list[object]:
+        """Pass time until all work is done; errors are returned."""
+        gathered = asyncio.gather(*work, return_exceptions=True)
+        while not gathered.done():
+            await self.timers.advance(0.1)
+        return gathered.result()
+
+    async def one(self, work: Awaitable[object]) -> object:
+        """Do one piece of work, raising its error."""
+        (result,) = await self.run(work)
+        if isinstance(result, BaseException):
+            raise result
+        return result
+
+    def ledger(self) -> dict[str, Limit]:
+        """Return what is promised."""
+        return decode_document(self.state.items[PROMISES_KEY], PromiseDocument).teams
+
+    def limit(self, team: str) -> Limit:
+        """Return a team's stored limit."""
+        return decode_document(self.state.items[limit_key(team)], LimitDocument).limit
+
+
+async def persist(writer: ChangeWriter, team: str, limit: Limit) -> str:
+    """Act as an operator who asks until the outcome is known; return it."""
+    for attempt in range(100):
+        change_id = f"{team}-change-{attempt}"
+        try:
+            return await settle(writer, team, change_id, limit)
+        except Conflict as error:
+            if type(error) is not Conflict:
+                return error.code
+    raise AssertionError("no outcome")
+
+
+async def settle(writer: ChangeWriter, team: str, change_id: str, limit: Limit) -> str:
+    order: RaiseLimit | ResolveChange = RaiseLimit(team, change_id, limit)
+    while True:
+        try:
+            if isinstance(order, RaiseLimit):
+                await writer.raise_limit(order)
+            else:
+                await writer.resolve(order)
+            return "accepted"
+        except (ChangeUnknown, StoreUnavailable):
+            order = ResolveChange(team, change_id)
+
+
+@pytest.mark.parametrize("first_seed", range(0, 200, 50))
+async def test_of_two_operators_racing_for_the_last_capacity_one_passes(first_seed: int) -> None:
+    for seed in range(first_seed, first_seed + 50):
+        desk = Desk(seed=seed, interleave=4, lose_answers=0.3)
+        wanted = Limit(100, 700)
+        outcomes = await desk.run(
+            persist(desk.writers[0], "souk", wanted), persist(desk.writers[1], "stall", wanted)
+        )
+        for late in desk.state.late:
+            desk.state.apply(late)
+        assert sorted(map(str, outcomes)) == ["accepted", "promise_refused"], seed
+        winner, loser = ("souk", "stall") if outcomes[0] == "accepted" else ("stall", "souk")
+        assert desk.ledger() == {winner: wanted, loser: HELD}, seed
+        assert (desk.limit(winner), desk.limit(loser)) == (wanted, HELD), seed
+
+
+@pytest.mark.parametrize("seed", range(40))
+async def test_accepted_is_said_of_exactly_the_changes_that_held(seed: int) -> None:
+    desk = Desk(seed=seed, interleave=2)
+    desk.state.lose_next = 1 + seed % 3
+    change_id = "change-0001"
+    order = RaiseLimit("souk", change_id, Limit(200, 400))
+    (first,) = await desk.run(desk.writers[0].raise_limit(order))
+    (final,) = await desk.run(desk.writers[1].resolve(ResolveChange("souk", change_id)))
+    for late in desk.state.late:
+        desk.state.apply(late)
+    held = desk.limit("souk") == Limit(200, 400)
+    assert isinstance(final, ChangeAccepted) == held
+    assert isinstance(final, ChangeAccepted | Conflict)
+    if isinstance(first, ChangeAccepted):
+        assert held
+    elif isinstance(first, Conflict):
+        assert not held
+    written = [item for item in desk.state.history if item.key == limit_key("souk")]
+    assert len(written) == 1 + held
+
+
+async def test_an_answer_lost_for_long_is_unknown_until_the_store_tells() -> None:
+    desk = Desk()
+    desk.state.lose_answers = 1.0
+    order = RaiseLimit("souk", "change-0001", Limit(200, 400))
+    with pytest.raises(ChangeUnknown, match="change-0001"):
+        await desk.one(desk.writers[0].raise_limit(order))
+    desk.state.down = True
+    resolve = ResolveChange("souk", "change-0001")
+    with pytest.raises(StoreUnavailable):
+        await desk.one(desk.writers[0].resolve(resolve))
+
+
+async def test_a_repeat_with_the_same_change_id_writes_nothing_more() -> None:
+    desk = Desk()
+    order = RaiseLimit("souk", "change-0001", Limit(200, 400))
+    first = await desk.one(desk.writers[0].raise_limit(order))
+    await desk.one(desk.writers[0].raise_limit(RaiseLimit("souk", "change-0002", Limit(250, 450))))
+    revision = desk.state.revision
+    assert await desk.one(desk.writers[1].raise_limit(order)) == first
+    assert desk.state.revision == revision
+
+
+@pytest.mark.parametrize(
+    "hand_edited", [None, b"{}", b'{"limit": {"max_prompt_tokens": 1}}'], ids=str
+)
+async def test_a_lower_limit_is_refused_whatever_the_store_says(hand_edited: bytes | None) -> None:
+    desk = Desk()
+    desk.state.put(limit_key("souk"), hand_edited)
+    revision = desk.state.revision
+    order = RaiseLimit("souk", "change-0001", Limit(100, 299))
+    with pytest.raises(LimitLowered, match="max_tokens_in_flight 300"):
+        await desk.one(desk.writers[0].raise_limit(order))
+    assert desk.state.revision == revision
+
+
+@pytest.mark.parametrize("which", [0, 1], ids=["prompt", "in_flight"])
+async def test_the_figure_of_a_refusal_is_accepted_and_one_more_is_not(which: int) -> None:
+    desk = Desk()
+    writer = desk.writers[0]
+    wanted = [Limit(601, 700), Limit(600, 701)][which]
+    with pytest.raises(PromiseRefused) as refused:
+        await desk.one(writer.raise_limit(RaiseLimit("souk", "change-0001", wanted)))
+    figures = [int(text) for text in re.findall(r"tokens\w* (\d+)", refused.value.message)]
+    assert figures == [600, 700]
+    assert desk.limit("souk") == HELD
+    await desk.one(writer.raise_limit(RaiseLimit("souk", "change-0002", Limit(*figures))))
+    assert desk.limit("souk") == Limit(600, 700)
+
+
+async def test_a_change_during_an_outage_is_refused_and_not_written() -> None:
+    desk = Desk()
+    desk.state.down = True
+    order = WriteDocument("souk", "change-0001", "menu", b"{}")
+    with pytest.raises(StoreUnavailable) as refused:
+        await desk.one(desk.writers[0].write_document(order))
+    assert refused.value.ran is False
+    assert document_key("souk", "menu") not in desk.state.items
+
+
+@pytest.mark.parametrize(
+    ("domains", "expected"),
+    [
+        ([("fes", 10, 2), ("meknes", 20, 1), ("rabat", 30, 1)], Promisable(30, 20)),
+        ([("fes", 10, 1), ("meknes", 0, 1)], Promisable(0, 0)),
+        ([("fes", 10, 0), ("meknes", 20, 1), ("rabat", 30, 1)], Promisable(20, 20)),
+        ([], Promisable(0, 0)),
+    ],
+    ids=["largest_domain_lost", "only_memory_lost", "domain_without_entry", "nothing_known"],
+)
+def test_what_can_be_promised_survives_any_one_loss(
+    domains: list[tuple[str, int, int]], expected: Promisable
+) -> None:
+    fleet = [DomainCapacity(*domain) for domain in domains]
+    assert promisable(fleet, tokens_per_entry_vm=1000) == expected
+
+
+def test_entry_vms_bound_the_promise_too() -> None:
+    fleet = [DomainCapacity("fes", 1000, 2), DomainCapacity("meknes", 1000, 2)]
+    assert promisable(fleet, tokens_per_entry_vm=100).in_flight == 200
--- /dev/null
+++ b/testing/test_settings.py
@@ -0,0 +1,287 @@
+"""Settings spread to all processes and never go back, whatever fails."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+from settings_cluster import Cluster
+
+from baobabpulley.model.documents import MAX_DOCUMENT_BYTES
+from baobabpulley.model.documents import PROMISES_KEY
+from baobabpulley.model.documents import LimitDocument
+from baobabpulley.model.documents import PromiseDocument
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.documents import document_key
+from baobabpulley.model.documents import encode_document
+from baobabpulley.model.documents import limit_key
+from baobabpulley.model.limits import Limit
+from baobabpulley.model.settings_book import SettingsBook
+
+DOMAINS = {"fes": 3, "meknes": 2, "rabat": 1}
+IN_FORCE_WITHIN = 3.0
+KEY = document_key("souk", "menu")
+LIMIT = Limit(100, 1000)
+
+
+@pytest_asyncio.fixture
+async def cluster() -> AsyncIterator[Cluster]:
+    running = Cluster(keepers=DOMAINS)
+    running.state.put(limit_key("souk"), encode_document(LimitDocument(limit=LIMIT)))
+    running.state.put(PROMISES_KEY, encode_document(PromiseDocument(teams={"souk": LIMIT})))
+    running.state.put(KEY, b'{"n": 0}')
+    await running.start()
+    await running.advance(IN_FORCE_WITHIN)
+    assert running.lagging(KEY, running.state.revision) == []
+    yield running
+    for name in tuple(running.members):
+        running.kill(name)
+
+
+def watchers(cluster: Cluster, domain: str) -> list[str]:
+    relay = cluster.members[f"keeper-{domain}-0"].context.parts["settings_relay"]
+    return [f"keeper-{vm.id}" for vm in relay.watchers]
+
+
+async def changed_everywhere(cluster: Cluster, *, except_for: tuple[str, ...] = ()) -> None:
+    revision = cluster.state.put(KEY, b'{"n": 1}')
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert set(cluster.lagging(KEY, revision)) <= set(except_for)
+
+
+async def test_a_change_is_in_force_everywhere(cluster: Cluster) -> None:
+    calls = cluster.state.opened
+    await changed_everywhere(cluster)
+    assert cluster.state.opened == calls
+
+
+@pytest.mark.parametrize("count", [1, 2], ids=["one_watcher", "both_watchers"])
+async def test_a_change_passes_killed_watchers(cluster: Cluster, count: int) -> None:
+    for name in watchers(cluster, "fes")[:count]:
+        cluster.kill(name)
+    await cluster.advance(2.0)
+    await changed_everywhere(cluster)
+
+
+async def test_entries_go_on_when_the_only_keeper_of_their_domain_is_killed(
+    cluster: Cluster,
+) -> None:
+    cluster.kill("keeper-rabat-0")
+    await changed_everywhere(cluster)
+
+
+async def test_a_killed_entry_comes_back_with_the_newest_settings(cluster: Cluster) -> None:
+    cluster.kill("entry-fes-0")
+    revision = cluster.state.put(KEY, b'{"n": 1}')
+    cluster.start_entry(cluster.vms[0])
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert cluster.lagging(KEY, revision) == []
+
+
+async def test_a_thawed_keeper_catches_up_and_takes_nobody_back(cluster: Cluster) -> None:
+    for name in watchers(cluster, "fes"):
+        cluster.freeze(name)
+    await changed_everywhere(cluster)
+    for name in watchers(cluster, "fes"):
+        await cluster.thaw(name)
+    await changed_everywhere(cluster)
+
+
+async def test_settings_stay_through_an_outage_and_follow_after_it(cluster: Cluster) -> None:
+    cluster.state.down = True
+    calls = cluster.state.calls
+    await cluster.advance(60.0)
+    # Five watchers call once a second each on average: full jitter below a cap of two seconds.
+    assert cluster.state.calls - calls <= 1.5 * 5 * 60
+    cluster.state.down = False
+    await changed_everywhere(cluster)
+
+
+async def test_a_domain_cut_off_from_the_store_follows_its_peers(cluster: Cluster) -> None:
+    cluster.state.cut.add("rabat")
+    await changed_everywhere(cluster)
+
+
+async def test_a_domain_cut_off_from_all_serves_and_follows_once_mended(cluster: Cluster) -> None:
+    cluster.state.cut.add("rabat")
+    cluster.cuts |= {frozenset(("rabat", "fes")), frozenset(("rabat", "meknes"))}
+    await changed_everywhere(cluster, except_for=("keeper-rabat-0", "entry-rabat-0"))
+    assert cluster.members["entry-rabat-0"].book.limit("souk") == LIMIT
+    cluster.state.cut.clear()
+    cluster.cuts.clear()
+    await changed_everywhere(cluster)
+
+
+async def test_a_silent_watch_is_reopened(cluster: Cluster) -> None:
+    cluster.state.silent_before = cluster.state.opened
+    await changed_everywhere(cluster)
+
+
+async def test_lost_news_is_pulled(cluster: Cluster) -> None:
+    cluster.lose_news = 1.0
+    await changed_everywhere(cluster)
+
+
+async def test_a_key_deleted_during_an_outage_is_gone_after_compaction(cluster: Cluster) -> None:
+    cluster.state.down = True
+    await cluster.advance(1.0)
+    cluster.state.put(KEY, None)
+    cluster.state.put("/baobab/claims/x", b"{}")
+    cluster.state.compacted = cluster.state.revision
+    cluster.state.down = False
+    await cluster.advance(IN_FORCE_WITHIN)
+    left = [m.name for m in cluster.members.values() if m.book.entry(KEY).value is not None]
+    assert left == []
+
+
+async def test_a_vm_started_during_an_outage_joins_from_its_peers(cluster: Cluster) -> None:
+    held = Limit(200, 2000)
+    for member in cluster.members.values():
+        member.book.raise_limits({"souk": held})
+    cluster.kill("keeper-rabat-0")
+    cluster.kill("entry-rabat-0")
+    cluster.state.down = True
+    vm = cluster.vms[-1]
+    keeper = await cluster.start_keeper(vm)
+    entry = cluster.start_entry(vm)
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert cluster.lagging(KEY, cluster.state.items[KEY].mod_revision) == []
+    assert (keeper.book.limit("souk"), entry.book.limit("souk")) == (held, held)
+
+
+async def test_a_vm_with_neither_store_nor_peer_is_not_ready(cluster: Cluster) -> None:
+    for name in tuple(cluster.members):
+        cluster.kill(name)
+    cluster.state.down = True
+    members = [await cluster.start_keeper(cluster.vms[0]), cluster.start_entry(cluster.vms[0])]
+    await cluster.advance(10.0)
+    assert [member.view.ready for member in members] == [False, False]
+
+
+async def test_an_entry_joins_from_all_keepers_not_from_a_stale_one(cluster: Cluster) -> None:
+    stale = cluster.members["keeper-fes-0"]
+    for name, member in cluster.members.items():
+        if name != stale.name:
+            member.book.raise_limits({"souk": Limit(500, 5000)})
+    cluster.kill("entry-fes-0")
+    entry = cluster.start_entry(cluster.vms[0])
+    while not entry.view.ready:
+        await cluster.advance(0.1)
+    assert entry.book.limit("souk") == Limit(500, 5000)
+
+
+async def test_a_limit_lowered_by_hand_stays_and_raises_an_alarm(cluster: Cluster) -> None:
+    lowered = LimitDocument(limit=Limit(1, 1))
+    revision = cluster.state.put(limit_key("souk"), encode_document(lowered))
+    await cluster.advance(IN_FORCE_WITHIN)
+    fresh = await cluster.start_keeper(cluster.vms[0])
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert {m.book.limit("souk") for m in cluster.members.values()} == {LIMIT}
+    assert fresh.book.limit("souk") == LIMIT
+    assert any(kind == "limit_lowered" and str(revision) in text for kind, text in cluster.alarms)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b'{"limit": ', b'{"limit": 5}', b'{"limit": {"x": "' + b"y" * MAX_DOCUMENT_BYTES + b'"}}'],
+    ids=["broken", "wrong_type", "too_large"],
+)
+async def test_a_bad_document_is_kept_out_and_named(cluster: Cluster, value: bytes) -> None:
+    key = limit_key("souk")
+    revision = cluster.state.put(key, value)
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert {m.book.limit("souk") for m in cluster.members.values()} == {LIMIT}
+    named = [text for kind, text in cluster.alarms if kind == "bad_document"]
+    assert named and all(key in text and str(revision) in text for text in named)
+    watching = cluster.members[watchers(cluster, "fes")[0]]
+    assert watching.book.rejected == {key: revision}
+    cluster.state.put(key, encode_document(LimitDocument(limit=Limit(300, 3000))))
+    await cluster.advance(IN_FORCE_WITHIN)
+    assert {m.book.limit("souk") for m in cluster.members.values()} == {Limit(300, 3000)}
+    assert watching.book.rejected == {}
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_random_faults_never_take_settings_back(seed: int) -> None:
+    cluster = Cluster(keepers={"fes": 2, "meknes": 1, "rabat": 1}, seed=seed)
+    cluster.lose_news = 0.2
+    cluster.state.put(KEY, b'{"n": 0}')
+    await cluster.start()
+    await cluster.advance(IN_FORCE_WITHIN)
+    pairs = [frozenset(p) for p in (("fes", "meknes"), ("fes", "rabat"), ("meknes", "rabat"))]
+    for number in range(12):
+        await one_fault(cluster, pairs)
+        cluster.state.put(KEY, b'{"n": %d}' % number)
+        await cluster.advance(cluster.random.uniform(0.1, 4.0))
+    cluster.state.down = False
+    cluster.state.cut.clear()
+    cluster.cuts.clear()
+    for name, member in tuple(cluster.members.items()):
+        if member.peers.frozen:
+            await cluster.thaw(name)
+    await cluster.advance(1.0)
+    await changed_everywhere(cluster)
+    for name in tuple(cluster.members):
+        cluster.kill(name)
+
+
+async def one_fault(cluster: Cluster, pairs: list[frozenset[str]]) -> None:
+    chance = cluster.random
+    name = chance.choice(sorted(cluster.members))
+    vm = next(vm for vm in cluster.vms if name.endswith(vm.id))
+    kind = chance.choice(("kill", "freeze", "thaw", "cut", "mend", "store", "silent", "domain"))
+    if kind == "kill":
+        cluster.kill(name)
+        if name.startswith("keeper"):
+            await cluster.start_keeper(vm)
+        else:
+            cluster.start_entry(vm)
+    elif kind == "freeze":
+        cluster.freeze(name)
+    elif kind == "thaw":
+        for frozen in [m.name for m in cluster.members.values() if m.peers.frozen]:
+            await cluster.thaw(frozen)
+    elif kind == "cut":
+        cluster.cuts.add(chance.choice(pairs))
+    elif kind == "mend":
+        cluster.cuts.clear()
+        cluster.state.cut.clear()
+    elif kind == "store":
+        cluster.state.down = not cluster.state.down
+    elif kind == "silent":
+        cluster.state.silent_before = cluster.state.opened
+    else:
+        cluster.state.cut.add(vm.failure_domain)
+
+
+def entry_at(revision: int, key: str = KEY) -> StoredEntry:
+    return StoredEntry(key=key, value=b'{"n": %d}' % revision, mod_revision=revision)
+
+
+def test_an_older_revision_is_not_installed_after_a_newer_one() -> None:
+    book = SettingsBook()
+    book.install([entry_at(9)], revision=9)
+    assert book.install([entry_at(8)], revision=8) == 0
+    assert (book.entry(KEY).mod_revision, book.revision) == (9, 9)
+
+
+def test_news_after_a_gap_leaves_the_gap_to_be_asked_for() -> None:
+    book = SettingsBook()
+    book.install([entry_at(5)], revision=5)
+    book.install([entry_at(8)], revision=8, since=7)
+    assert (book.entry(KEY).mod_revision, book.revision) == (8, 5)
+
+
+def test_pages_bring_a_reader_up_to_date_in_bounded_pieces() -> None:
+    writer, reader = SettingsBook(), SettingsBook()
+    entries = [entry_at(n, document_key("souk", f"d{n}")) for n in range(2, 60)]
+    writer.install(entries, revision=70)
+    more, pages = True, 0
+    while more:
+        page = writer.page(reader.revision, max_bytes=300)
+        reader.install(page.entries, revision=page.revision, since=reader.revision)
+        more, pages = page.more, pages + 1
+    assert pages > 5
+    assert reader.newer_than(0) == writer.newer_than(0)
+    assert reader.revision == writer.revision
