Test settings over real processes; end a silent watch of the stand-in with its connection

Cause of the 8.2 calls and watches a second first seen: the stand-in went on counting watches that it had silenced after their clients were gone. Ruled out: more watchers than two a failure domain (a fresh fleet of 4 entries shows 0 calls a second and 4 watches).

--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -135,7 +135,6 @@
         while more:
             question = SettingsQuestion(
                 revision=book.revision,
-                address=self._context.address,
                 capacities=self._capacity.domains,
             )
             news = await self._context.peers.ask(
@@ -152,10 +151,6 @@
         del sender
         assert isinstance(message, SettingsQuestion)
         self._capacity.hear(message.capacities)
-        if message.address and message.revision > self._context.view.book.revision:
-            self._context.timers.after(
-                0.0, lambda: self._pull_from({message.address}), name="settings pull"
-            )
         return self._news(message.revision)
 
     def _news(self, since: int) -> SettingsNews:
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -25,10 +25,9 @@
 
 @peer_message("settings.question")
 class SettingsQuestion(msgspec.Struct, frozen=True):
-    """Ask for settings past ``revision``; ``address`` is where the asker answers, if it does."""
+    """Ask for settings past ``revision``, and tell what is known of capacity."""
 
     revision: int
-    address: str = ""
     capacities: tuple[DomainCapacity, ...] = ()
 
 
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -272,6 +272,13 @@
 
 
 class _WatchHandler(_Handler):
+    def initialize(self, store: StoreStandin) -> None:
+        super().initialize(store)
+        self._gone = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        self._gone.set()
+
     async def post(self) -> None:
         create = self.body["create_request"]
         key, end = _text(create["key"]), _text(create["range_end"])
@@ -300,7 +307,8 @@
 
     async def _send(self, document: dict[str, Any]) -> None:
         if self._store.faults.silences(self._opened):
-            await asyncio.Event().wait()
+            await self._gone.wait()
+            raise StreamClosedError
         self.write(msgspec.json.encode({"result": {"header": self._store.header(), **document}}))
         self.write(b"\n")
         await self.flush()
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -67,7 +67,9 @@
         self.lose_next = 0
         self.interleave = 0
         self.calls = 0
+        self.fates = ("now", "never", "late")
         self.late: list[tuple[Swap, ...]] = []
+        self.late_chance = 0.5
 
     def put(self, key: str, value: bytes | None) -> int:
         """Write a key as an operator with the store's own tools would."""
@@ -116,7 +118,7 @@
         if state.random.random() < state.lose_answers or state.lose_next > 0:
             state.lose_next -= 1
             # The transaction runs at once, never, or once the writer has looked.
-            fate = state.random.choice(("now", "never", "late"))
+            fate = state.random.choice(state.fates)
             if fate == "now":
                 state.apply(swaps)
             elif fate == "late":
@@ -171,7 +173,7 @@
         self._state.calls += 1
         await self._yield()
         late = self._state.late
-        if late and self._state.random.random() < 0.5:
+        if late and self._state.random.random() < self._state.late_chance:
             self._state.apply(late.pop(0))
         self._check()
 
--- a/testing/test_changes.py
+++ b/testing/test_changes.py
@@ -158,6 +158,24 @@
         await desk.one(desk.writers[0].resolve(resolve))
 
 
+async def test_a_change_that_was_refused_cannot_hold_later() -> None:
+    desk = Desk()
+    desk.state.fates, desk.state.late_chance, desk.state.lose_next = ("late",), 0.0, 1
+    key = document_key("souk", "menu")
+    order = WriteDocument("souk", "change-0001", "menu", b'{"late": 1}')
+    work = asyncio.ensure_future(desk.writers[0].write_document(order))
+    # Far less than the pause after which the writer repeats; no model time passes.
+    await desk.timers.advance(0.0)
+    assert desk.state.late
+    desk.state.put(key, b"{}")
+    with pytest.raises(Conflict):
+        await desk.one(work)
+    # The key is as the delayed transaction wants it: absent.
+    desk.state.put(key, None)
+    desk.state.apply(desk.state.late.pop())
+    assert key not in desk.state.items
+
+
 async def test_a_repeat_with_the_same_change_id_writes_nothing_more() -> None:
     desk = Desk()
     order = RaiseLimit("souk", "change-0001", Limit(200, 400))
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -161,6 +161,8 @@
 
 async def test_an_entry_joins_from_all_keepers_not_from_a_stale_one(cluster: Cluster) -> None:
     stale = cluster.members["keeper-fes-0"]
+    cluster.lose_news = 1.0
+    stale.peers.timers.cancel_all()
     for name, member in cluster.members.items():
         if name != stale.name:
             member.book.raise_limits({"souk": Limit(500, 5000)})
@@ -184,7 +186,11 @@
 
 @pytest.mark.parametrize(
     "value",
-    [b'{"limit": ', b'{"limit": 5}', b'{"limit": {"x": "' + b"y" * MAX_DOCUMENT_BYTES + b'"}}'],
+    [
+        b'{"limit": ',
+        b'{"limit": 5}',
+        encode_document(LimitDocument(limit=Limit(999, 9999))) + b" " * MAX_DOCUMENT_BYTES,
+    ],
     ids=["broken", "wrong_type", "too_large"],
 )
 async def test_a_bad_document_is_kept_out_and_named(cluster: Cluster, value: bytes) -> None:
--- /dev/null
+++ b/testing/test_settings_fleet.py
@@ -0,0 +1,258 @@
+"""Settings over real processes: the operators' API, the store's faults, frozen keepers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import pytest
+import pytest_asyncio
+from click.testing import CliRunner
+
+from baobabpulley.adapters.etcd_store import EtcdStore
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.cli.limits import limits
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.emulator.fleet import operator_token
+from baobabpulley.errors import StoreCompacted
+from baobabpulley.model.limits import Limit
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.standins.store import StoreStandin
+from baobabpulley.timers import TimerService
+
+SPEED = 4.0
+PATIENCE = 60.0
+OWN = "/v1/teams/souk/limit"
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
+    held = {"souk": Limit(10_000, 20_000), "stall": Limit(10_000, 20_000)}
+    plan = FleetPlan(base_port=base_port, speed=SPEED, engines=3, plain_services=0, limits=held)
+    async with Fleet(plan=plan, directory=tmp_path_factory.mktemp("settings")) as running:
+        yield running
+
+
+async def call(
+    fleet: Fleet, entry: str, method: str, path: str, body: Any = None, *, team: str = "souk"
+) -> tuple[int, dict[str, Any]]:
+    status, answer = await fetch(
+        fleet.client,
+        address=fleet.entries[entry],
+        method=method,
+        path=path,
+        body=b"" if body is None else msgspec.json.encode(body),
+        headers={"Authorization": f"Bearer {operator_token(team)}"},
+        timeout=PATIENCE,
+    )
+    return status, msgspec.json.decode(answer)
+
+
+async def settled(fleet: Fleet, entry: str, limit: Limit) -> dict[str, Any]:
+    """Raise the limit as an operator who asks until the outcome is known."""
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        status, answer = await call(fleet, entry, "PUT", OWN, limit)
+        if status == 200:
+            return answer
+        assert answer["error"]["code"] in {"change_unknown", "store_unavailable", "promise_refused"}
+        await asyncio.sleep(0.2)
+    raise AssertionError(answer)
+
+
+async def in_force(fleet: Fleet, limit: Limit, entries: tuple[str, ...] = ()) -> None:
+    """Wait until entries act on a limit; fail if one goes back meanwhile."""
+    revisions: dict[str, int] = {}
+    waiting = set(entries or fleet.entries)
+    end = time.monotonic() + PATIENCE
+    while waiting:
+        assert time.monotonic() < end, waiting
+        for name in entries or fleet.entries:
+            _, view = await call(fleet, name, "GET", OWN)
+            assert view["revision"] >= revisions.get(name, 0)
+            revisions[name] = view["revision"]
+            if view["limit"] == msgspec.to_builtins(limit):
+                waiting.discard(name)
+        await asyncio.sleep(0.02)
+
+
+async def serves(fleet: Fleet, entry: str) -> bool:
+    caller = Caller(token=caller_token("souk"), model=MODEL)
+    return (await caller.complete(fleet.entries[entry], prompt="saffron and cumin")).ok
+
+
+async def counts(fleet: Fleet) -> tuple[int, int]:
+    answer = await fleet.request(fleet.store_address, "GET", "/counts")
+    return sum(answer["calls"].values()), answer["watches"]
+
+
+async def test_a_raise_is_in_force_at_every_entry(fleet: Fleet) -> None:
+    wanted = Limit(11_000, 30_000)
+    await settled(fleet, "entry-1", wanted)
+    await in_force(fleet, wanted)
+
+
+@pytest.mark.parametrize(
+    ("wanted", "code"),
+    [
+        (Limit(10_000, 30_000), "limit_lowered"),
+        (Limit(11_000, 2_000_000), "promise_refused"),
+        (Limit(50_000, 40_000), "bad_request"),
+    ],
+    ids=["lowered", "beyond_the_fleet", "prompt_above_in_flight"],
+)
+async def test_a_raise_that_cannot_be_kept_is_refused(
+    fleet: Fleet, wanted: Limit, code: str
+) -> None:
+    before = await fleet.store.read("/baobab/teams/")
+    _, answer = await call(fleet, "entry-0", "PUT", OWN, wanted)
+    assert answer["error"]["code"] == code
+    assert answer["error"]["ran"] is False
+    assert (await fleet.store.read("/baobab/teams/")).entries == before.entries
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/v1/teams/stall/limit",
+        "/v1/teams/souk/access",
+        "/v1/teams/souk/../stall/limit",
+        "/v1/teams/souk/%2e%2e/stall/limit",
+        "/v1/teams/s%6fuk/limit",
+        "/v1/teams/souk/settings/..",
+        "/v1/teams/souk/settings/a/b",
+        "/v1/teams/souk//limit",
+        "/v1/teams/souk/limit/",
+        "/v1/fleet/promises",
+        "/v1/leases/tender/fes",
+    ],
+)
+async def test_a_path_outside_the_teams_own_is_refused(fleet: Fleet, path: str) -> None:
+    before = (await fleet.store.read("/baobab/")).entries
+    log = fleet.processes["entry-2"].log.count("was refused PUT")
+    status, answer = await call(fleet, "entry-2", "PUT", path, Limit(12_000, 40_000))
+    assert (status, answer["error"]["code"]) == (403, "forbidden")
+    keys = {entry.key: entry.mod_revision for entry in before if "/leases/" not in entry.key}
+    after = (await fleet.store.read("/baobab/")).entries
+    assert {e.key: e.mod_revision for e in after if "/leases/" not in e.key} == keys
+    assert fleet.processes["entry-2"].log.count("was refused PUT") == log + 1
+
+
+async def test_a_team_reads_back_its_own_documents(fleet: Fleet) -> None:
+    path = "/v1/teams/souk/settings/menu"
+    status, change = await call(fleet, "entry-0", "PUT", path, {"dish": "rfissa"})
+    assert status == 200
+    status, again = await call(fleet, "entry-3", "GET", f"/v1/changes/{change['change_id']}")
+    assert (status, again) == (200, change)
+    status, _ = await call(
+        fleet, "entry-3", "GET", f"/v1/changes/{change['change_id']}", team="stall"
+    )
+    assert status == 409
+    view: dict[str, Any] = {}
+    while view.get("revision") != change["revision"]:
+        _, view = await call(fleet, "entry-2", "GET", path)
+    assert view["document"] == {"dish": "rfissa"}
+
+
+async def test_the_command_line_tells_the_limit_and_refusals(fleet: Fleet) -> None:
+    common = ["--entry", fleet.entries["entry-0"], "--token", operator_token("souk"), "souk"]
+    lower = ["--max-prompt-tokens", "1", "--max-tokens-in-flight", "2"]
+    shown = await asyncio.to_thread(CliRunner().invoke, limits, ["get", *common])
+    assert (shown.exit_code, "max_prompt_tokens" in shown.output) == (0, True)
+    refused = await asyncio.to_thread(CliRunner().invoke, limits, ["raise", *common, *lower])
+    assert (refused.exit_code, "limit_lowered" in refused.output) == (1, True)
+
+
+async def test_a_lost_answer_is_resolved_by_the_change_id(fleet: Fleet) -> None:
+    wanted = Limit(12_000, 40_000)
+    await fleet.fault(fleet.store_address, "lose_answer", count=1)
+    answer = await settled(fleet, "entry-0", wanted)
+    await in_force(fleet, wanted)
+    _, again = await call(fleet, "entry-1", "GET", f"/v1/changes/{answer['change_id']}")
+    assert again == answer
+
+
+async def test_a_silent_watch_is_reopened(fleet: Fleet) -> None:
+    wanted = Limit(13_000, 50_000)
+    await fleet.fault(fleet.store_address, "silent")
+    await settled(fleet, "entry-0", wanted)
+    await in_force(fleet, wanted)
+
+
+async def test_a_frozen_keeper_is_passed_over_and_takes_nobody_back(fleet: Fleet) -> None:
+    wanted = Limit(14_000, 60_000)
+    frozen = [fleet.processes[name] for name in ("keeper-0", "keeper-1")]
+    for process in frozen:
+        process.send(signal.SIGSTOP)
+    await settled(fleet, "entry-2", wanted)
+    await in_force(fleet, wanted)
+    for process in frozen:
+        process.send(signal.SIGCONT)
+    await in_force(fleet, wanted)
+
+
+async def test_the_store_is_called_seldom_and_an_outage_changes_nothing(fleet: Fleet) -> None:
+    rates = [await calls_a_second(fleet)]
+    await fleet.fault(fleet.store_address, "down", seconds=10_000.0)
+    rates.append(await calls_a_second(fleet))
+    await new_vm_joins(fleet, "3")
+    assert all([await serves(fleet, name) for name in fleet.entries])
+    _, refused = await call(fleet, "entry-0", "PUT", OWN, Limit(15_000, 70_000))
+    assert refused["error"]["code"] in {"store_unavailable", "change_unknown"}
+    await fleet.fault(fleet.store_address, "none")
+    await settled(fleet, "entry-3", Limit(16_000, 80_000))
+    await in_force(fleet, Limit(16_000, 80_000))
+    rates.append(await calls_a_second(fleet))
+    print("store calls a second with waiting watches, before, during and after:", rates)
+    assert rates[0] < 5
+    assert rates[1] < 10
+    assert rates[2] < 5
+
+
+async def calls_a_second(fleet: Fleet) -> float:
+    """Return the store's calls a model second, and the watches that wait."""
+    seconds = 12.0
+    before, _ = await counts(fleet)
+    await asyncio.sleep(seconds / SPEED)
+    after, watches = await counts(fleet)
+    return (after - before) / seconds + watches
+
+
+async def new_vm_joins(fleet: Fleet, number: str) -> None:
+    """Replace a VM's processes by fresh ones, and wait until the entry serves."""
+    for kind in ("keeper", "entry"):
+        fleet.processes[f"{kind}-{number}"].kill()
+        fleet.processes[f"{kind}-{number}"].start()
+    await fleet.wait_for(fleet.entries[f"entry-{number}"], "/readyz")
+    assert await serves(fleet, f"entry-{number}")
+
+
+async def test_a_watch_owes_its_first_events_and_tells_of_compaction(base_port: int) -> None:
+    timers = TimerService(speed=SPEED)
+    address = f"127.0.0.1:{base_port + 90}"
+    standin = StoreStandin(address=address, timers=timers)
+    standin.start()
+    store = EtcdStore(client=HttpClient(), address=address, timers=timers)
+    for number in range(3):
+        await store.swap(Swap(key=f"/baobab/fleet/{number}", value=b"{}", expected_revision=0))
+    async with contextlib.aclosing(store.watch("/baobab/fleet/", from_revision=2)) as batches:
+        first = await anext(batches)
+        second = await anext(batches)
+    assert (first.revision, second.revision, len(second.entries)) == (0, 4, 3)
+    standin.compact(3)
+    with pytest.raises(StoreCompacted):
+        async for _ in store.watch("/baobab/fleet/", from_revision=3):
+            pass
+    timers.cancel_all()
