Run once-only calls at most once under tickets and the callers' own keys

Plain services are routed by their documents' routes. Idempotent calls are retried within a budget; once-only ones leave an entry at most once. A call ticket is run by the incarnation that issued it alone, wherever the repeat arrives, and needs no store; an Idempotency-Key is claimed by create-if-absent, with the claims of concurrent calls in one transaction. Messages between our processes are now bound to their receiver, and replies to their question.

--- a/src/baobabpulley/adapters/envelope.py
+++ b/src/baobabpulley/adapters/envelope.py
@@ -19,17 +19,38 @@
 from baobabpulley.ports.peers import message_kinds
 
 DIGEST_BYTES: Final = 16
+NONCE_BYTES: Final = 12
 MAX_REMEMBERED_NONCES: Final = 100_000
 
 
+EVERYONE: Final = "*"
+
+
 class _Envelope(msgspec.Struct, array_like=True):
     sender: str
+    receiver: str
     kind: str
     wall: float
     nonce: bytes
+    reply_to: bytes
     body: msgspec.Raw
 
 
+class Sealed(msgspec.Struct, frozen=True):
+    """Bytes to send, and the nonce that the reply must name."""
+
+    data: bytes
+    nonce: bytes
+
+
+class Opened(msgspec.Struct, frozen=True):
+    """A message that passed all checks, its sender, and the nonce that a reply must name."""
+
+    message: msgspec.Struct
+    sender: str
+    nonce: bytes
+
+
 _decoder = msgspec.msgpack.Decoder(_Envelope)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -47,20 +68,32 @@
         self._max_skew = max_skew
         self._nonces: OrderedDict[bytes, float] = OrderedDict()
 
-    def seal(self, message: msgspec.Struct, *, kind: str) -> bytes:
-        """Return the bytes that carry a message of a registered kind."""
+    def seal(
+        self, message: msgspec.Struct, *, kind: str, receiver: str = "", reply_to: bytes = b""
+    ) -> Sealed:
+        """Return the bytes that carry a message of a registered kind.
+
+        A question names its receiver's address, a reply the question's nonce, and a published
+        message is for `EVERYONE`; `open` takes each only as what it is.
+        """
+        nonce = secrets.token_bytes(NONCE_BYTES)
         envelope = _Envelope(
             sender=self._sender,
+            receiver=receiver,
             kind=kind,
             wall=time.time(),
-            nonce=secrets.token_bytes(12),
+            nonce=nonce,
+            reply_to=reply_to,
             body=msgspec.Raw(_encoder.encode(message)),
         )
         payload = _encoder.encode(envelope)
-        return self._digest(payload) + payload
+        return Sealed(data=self._digest(payload) + payload, nonce=nonce)
+
+    def open(self, data: bytes, *, receiver: str = "", reply_to: bytes = b"") -> Opened:
+        """Return a message for ``receiver`` or in reply to a question.
 
-    def open(self, data: bytes) -> tuple[msgspec.Struct, str]:
-        """Return a message and its sender; raise `MessageRejected` if it fails any check."""
+        Raises `MessageRejected` if the message fails any check.
+        """
         if not DIGEST_BYTES < len(data) <= self._max_bytes:
             raise MessageRejected(f"a message of {len(data)} bytes is out of bounds")
         payload = data[DIGEST_BYTES:]
@@ -72,8 +105,10 @@
             message = msgspec.msgpack.decode(envelope.body, type=kind)
         except Exception as error:
             raise MessageRejected(f"a message does not parse: {error}") from error
+        if envelope.receiver != receiver or envelope.reply_to != reply_to:
+            raise MessageRejected(f"a message from {envelope.sender} was meant for another place")
         self._check_fresh(envelope)
-        return message, envelope.sender
+        return Opened(message=message, sender=envelope.sender, nonce=envelope.nonce)
 
     def _digest(self, payload: bytes) -> bytes:
         return hashlib.blake2b(payload, key=self._key, digest_size=DIGEST_BYTES).digest()
--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -24,6 +24,7 @@
         "first_token",
         "refusals",
         "registry",
+        "rejected",
         "requests",
         "revision",
     )
@@ -40,6 +41,11 @@
             "baobab_refusals", "Requests that did not run", ["code"], registry=self.registry
         )
         self.alarms = Counter("baobab_alarms", "Alarms by kind", ["kind"], registry=self.registry)
+        self.rejected = Counter(
+            "baobab_rejected_messages",
+            "Messages between processes that failed a check",
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "baobab_first_token_seconds",
             "Time to first token by lane",
--- /dev/null
+++ b/src/baobabpulley/adapters/no_store.py
@@ -0,0 +1,48 @@
+"""The configuration store of a process whose settings name none: every call is refused."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import NoReturn
+from typing import final
+
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import StoreSnapshot
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.ports.config_store import SwapOutcome
+from baobabpulley.ports.config_store import WatchBatch
+
+
+@final
+class NoStore(ConfigStore):
+    """Refuse every call as not made."""
+
+    __slots__ = ()
+
+    async def read(self, prefix: str) -> StoreSnapshot:
+        _refuse()
+
+    async def get(self, key: str) -> StoredEntry | None:
+        _refuse()
+
+    async def swap(self, *swaps: Swap) -> SwapOutcome:
+        _refuse()
+
+    async def grant_lease(self, seconds: float) -> int:
+        _refuse()
+
+    async def keep_alive(self, lease: int) -> float:
+        _refuse()
+
+    async def revoke_lease(self, lease: int) -> None:
+        _refuse()
+
+    async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[WatchBatch]:
+        _refuse()
+        yield WatchBatch(revision=0, entries=())
+
+
+def _refuse() -> NoReturn:
+    raise StoreUnavailable("this process's settings name no configuration store")
--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -15,12 +15,14 @@
 import pynng
 from loguru import logger
 
-from baobabpulley import errors
+from baobabpulley.adapters.envelope import EVERYONE
+from baobabpulley.adapters.envelope import Opened
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.envelope import kind_of
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import MessageRejected
 from baobabpulley.errors import PeerUnavailable
+from baobabpulley.errors import error_kinds
 from baobabpulley.ports.peers import Handler
 from baobabpulley.ports.peers import Listener
 from baobabpulley.ports.peers import Peers
@@ -109,9 +111,10 @@
         context = socket.new_context()
         try:
             async with self._timers.limit(timeout):
-                await context.asend(self._sealer.seal(question, kind=kind_of(question)))
+                sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
+                await context.asend(sealed.data)
                 data = await context.arecv()
-            message, _ = self._sealer.open(data)
+            message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
             # The next question opens a new connection: this one may be silent for good.
             self._forget(address, socket)
@@ -133,7 +136,8 @@
         if self._publisher is None:
             return
         with contextlib.suppress(pynng.NNGException):
-            self._publisher.send(self._sealer.seal(message, kind=kind_of(message)), block=False)
+            sealed = self._sealer.seal(message, kind=kind_of(message), receiver=EVERYONE)
+            self._publisher.send(sealed.data, block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
         self._run(self._listen_forever(address, listener))
@@ -164,24 +168,26 @@
                 return
             except pynng.NNGException:
                 continue
-            reply = await self._reply_to(data)
-            if reply is None:
+            try:
+                opened = self._sealer.open(data, receiver=self._address or "")
+            except MessageRejected as error:
+                self._reject(error)
                 continue
+            reply = await self._reply_to(opened)
+            sealed = self._sealer.seal(reply, kind=kind_of(reply), reply_to=opened.nonce)
             with contextlib.suppress(pynng.NNGException):
-                await context.asend(self._sealer.seal(reply, kind=kind_of(reply)))
+                await context.asend(sealed.data)
 
-    async def _reply_to(self, data: bytes) -> msgspec.Struct | None:
-        try:
-            message, sender = self._sealer.open(data)
-        except MessageRejected as error:
-            self._rejected += 1
-            logger.warning("dropped a message: {}", error.message)
-            return None
-        handler = self._handlers.get(type(message))
+    def _reject(self, error: MessageRejected) -> None:
+        self._rejected += 1
+        logger.warning("dropped a message: {}", error.message)
+
+    async def _reply_to(self, opened: Opened) -> msgspec.Struct:
+        handler = self._handlers.get(type(opened.message))
         if handler is None:
             return FaultAnswer(code="not_found", message="no handler", remedy="Upgrade the peer.")
         try:
-            return await handler(message, sender)
+            return await handler(opened.message, opened.sender)
         except BaobabError as error:
             return FaultAnswer(
                 code=error.code,
@@ -190,7 +196,7 @@
                 retry_after=error.retry_after,
             )
         except Exception:
-            logger.exception("answering {} failed", type(message).__name__)
+            logger.exception("answering {} failed", type(opened.message).__name__)
             return FaultAnswer(
                 code="internal", message="the peer failed", remedy=BaobabError.default_remedy
             )
@@ -201,14 +207,13 @@
         while True:
             try:
                 data = await socket.arecv()
-                message, sender = self._sealer.open(data)
+                opened = self._sealer.open(data, receiver=EVERYONE)
             except pynng.Closed:
                 return
             except MessageRejected as error:
-                self._rejected += 1
-                logger.warning("dropped a message: {}", error.message)
+                self._reject(error)
                 continue
-            listener(message, sender)
+            listener(opened.message, opened.sender)
 
 
 S = TypeVar("S", bound=pynng.Socket)
@@ -227,12 +232,5 @@
 
 
 def _fault_of(answer: FaultAnswer) -> BaobabError:
-    kind = _KINDS.get(answer.code, BaobabError)
+    kind = error_kinds().get(answer.code, BaobabError)
     return kind(answer.message, remedy=answer.remedy, retry_after=answer.retry_after)
-
-
-_KINDS: Final[dict[str, type[BaobabError]]] = {
-    kind.code: kind
-    for kind in vars(errors).values()
-    if isinstance(kind, type) and issubclass(kind, BaobabError)
-}
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -338,6 +338,7 @@
             "node": self._node(f"entry-{index}", vm, http),
             "keeper": {"address": vm.address},
             "peers": {"secret": SECRET},
+            "claims": {"store": self.store_address},
         }
         self._write_daemon("entry", index, entry_sections, plan.entry_sections)
         keeper_sections = {
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -14,9 +14,12 @@
 
 if TYPE_CHECKING:
     from baobabpulley.adapters.metrics import EntryMetrics
+    from baobabpulley.entry.claims import Claims
     from baobabpulley.entry.dispatch import Dispatcher
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
+    from baobabpulley.entry.plain import ServiceCaller
+    from baobabpulley.entry.tickets import Tickets
 
 
 @final
@@ -24,6 +27,7 @@
     """One entry process."""
 
     __slots__ = (
+        "claims",
         "decisions",
         "dispatcher",
         "keeper",
@@ -31,7 +35,9 @@
         "metrics",
         "node",
         "peers",
+        "services",
         "settings",
+        "tickets",
         "timers",
         "view",
     )
@@ -49,6 +55,9 @@
         decisions: DecisionLog,
         metrics: EntryMetrics,
         lifecycle: Lifecycle,
+        services: ServiceCaller,
+        tickets: Tickets,
+        claims: Claims,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -60,3 +69,6 @@
         self.decisions = decisions
         self.metrics = metrics
         self.lifecycle = lifecycle
+        self.services = services
+        self.tickets = tickets
+        self.claims = claims
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -11,23 +11,35 @@
 from tornado.web import Application
 
 from baobabpulley.adapters.addresses import split_address
+from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_engine import HttpEngine
+from baobabpulley.adapters.http_service import HttpPlainService
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.adapters.no_store import NoStore
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.entry.callers import CallersSection
+from baobabpulley.entry.claims import Claims
+from baobabpulley.entry.claims import ClaimsSection
 from baobabpulley.entry.context import EntryContext
 from baobabpulley.entry.dispatch import Dispatcher
 from baobabpulley.entry.keeper_link import KeeperLink
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.plain import ServiceCaller
+from baobabpulley.entry.plain import ServicesSection
+from baobabpulley.entry.tickets import Tickets
+from baobabpulley.entry.tickets import TicketsSection
 from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.retries import RetriesSection
 from baobabpulley.policy.routing import routing_policies
+from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.settings import LogsSection
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import PeersSection
@@ -35,7 +47,7 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
-_HANDLER_MODULES: Final = ("callers", "health")
+_HANDLER_MODULES: Final = ("callers", "health", "plain", "tickets")
 
 MAX_ACCEPTED_BODY: Final = 1 << 30
 
@@ -61,6 +73,7 @@
         metrics=metrics,
         timers=timers,
     )
+    services = _service_caller(settings, view=view, metrics=metrics, timers=timers)
     return EntryContext(
         settings=settings,
         node=node,
@@ -74,6 +87,55 @@
         decisions=DecisionLog(),
         metrics=metrics,
         lifecycle=Lifecycle(section=settings.get(ShutdownSection), timers=timers),
+        services=services,
+        tickets=_tickets(settings, services=services, timers=timers),
+        claims=_claims(settings, services=services, timers=timers),
+    )
+
+
+def _service_caller(
+    settings: Settings, *, view: FleetView, metrics: EntryMetrics, timers: TimerService
+) -> ServiceCaller:
+    return ServiceCaller(
+        services=HttpPlainService(client=HttpClient(), timers=timers),
+        view=view,
+        section=settings.get(ServicesSection),
+        retries=settings.get(RetriesSection),
+        metrics=metrics,
+        timers=timers,
+    )
+
+
+def _tickets(settings: Settings, *, services: ServiceCaller, timers: TimerService) -> Tickets:
+    node, peers = settings.get(NodeSection), settings.get(PeersSection)
+    return Tickets(
+        address=node.http,
+        secret=peers.secret,
+        section=settings.get(TicketsSection),
+        run_once=services.run_once,
+        sealer=Sealer(
+            sender=node.id,
+            secret=peers.secret,
+            max_bytes=peers.max_message_bytes,
+            max_skew=peers.max_clock_skew,
+        ),
+        client=HttpClient(),
+        timers=timers,
+    )
+
+
+def _claims(settings: Settings, *, services: ServiceCaller, timers: TimerService) -> Claims:
+    section = settings.get(ClaimsSection)
+    store: ConfigStore = NoStore()
+    if section.store is not None:
+        store = EtcdStore(client=HttpClient(), address=section.store, timers=timers)
+    return Claims(
+        entry=settings.get(NodeSection).id,
+        owner=settings.get(NodeSection).http,
+        store=store,
+        section=section,
+        run_once=services.run_once,
+        timers=timers,
     )
 
 
--- /dev/null
+++ b/src/baobabpulley/entry/plain.py
@@ -0,0 +1,265 @@
+"""Plain services: ``/services/<service>/<path>``, idempotent calls and once-only ones."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections import defaultdict
+from typing import Final
+from typing import final
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import stream_request_body
+
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.claims import IDEMPOTENCY_HEADER
+from baobabpulley.entry.tickets import TICKET_HEADER
+from baobabpulley.entry.web import REQUEST_ID_HEADER
+from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import route
+from baobabpulley.errors import BadRequest
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import NotFound
+from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import OutcomeUnknown
+from baobabpulley.errors import UpstreamLeaving
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.calls import PlainCall
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.policy.retries import RetriesSection
+from baobabpulley.policy.retries import RetryBudget
+from baobabpulley.policy.retries import full_jitter
+from baobabpulley.policy.service_routes import route_of
+from baobabpulley.ports.plain_service import PlainService
+from baobabpulley.ports.plain_service import ServiceAnswer
+from baobabpulley.ports.plain_service import ServiceCall
+from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
+from baobabpulley.settings import section
+from baobabpulley.timers import TimerService
+
+METHODS: Final = ("GET", "POST", "PUT", "PATCH", "DELETE")
+
+
+@section("services", "entry")
+class ServicesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of calls to plain services (bytes, model seconds).
+
+    ``answer_timeout`` is how long an idempotent attempt may take; ``once_timeout`` how long a
+    once-only call is waited for before its outcome counts as unknown.
+    """
+
+    max_body_bytes: Count = 262_144
+    answer_timeout: Seconds = 2.0
+    deadline: Seconds = 10.0
+    once_timeout: Seconds = 10.0
+
+
+@final
+class ServiceCaller:
+    """Send calls to the upstreams of plain services in this failure domain."""
+
+    __slots__ = (
+        "_budgets",
+        "_metrics",
+        "_random",
+        "_retries",
+        "_section",
+        "_services",
+        "_suspects",
+        "_timers",
+        "_turn",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        services: PlainService,
+        view: FleetView,
+        section: ServicesSection,
+        retries: RetriesSection,
+        metrics: EntryMetrics,
+        timers: TimerService,
+        seed: int | None = None,
+    ) -> None:
+        self._services = services
+        self._view = view
+        self._section = section
+        self._retries = retries
+        self._metrics = metrics
+        self._timers = timers
+        self._random = random.Random(seed)
+        self._turn = 0
+        self._suspects: dict[str, float] = {}
+        self._budgets: dict[str, RetryBudget] = defaultdict(self._new_budget)
+
+    async def run_idempotent(self, call: PlainCall) -> ServiceAnswer:
+        """Return the answer of an idempotent call, retried within the budget and the deadline."""
+        budget = self._budgets[call.service]
+        budget.earn()
+        ends = self._timers.now() + self._section.deadline
+        tried: set[str] = set()
+        retry = 0
+        while True:
+            upstream = self._choose(call.service, tried)
+            try:
+                return await self._send(
+                    upstream, call, timeout=min(self._section.answer_timeout, ends - self._now())
+                )
+            except (UpstreamUnreached, UpstreamRefused, UpstreamLost) as error:
+                tried.add(upstream.id)
+                self._suspect(upstream, error)
+                pause = full_jitter(self._random, pause=self._retries.pause, retry=retry)
+                retry += 1
+                spent = retry >= self._retries.max_attempts or not budget.spend()
+                if spent or self._now() + pause >= ends:
+                    raise _give_up(call, error) from error
+                await self._timers.sleep(pause)
+
+    async def run_once(self, call: PlainCall) -> ServiceAnswer:
+        """Send a once-only call at most once, and return its answer.
+
+        Goes to another upstream only while no byte of the call can have run. Raises
+        `OutcomeUnknown` once a byte may have left and no answer came.
+        """
+        tried: set[str] = set()
+        while True:
+            upstream = self._choose(call.service, tried, again=False)
+            try:
+                return await self._send(upstream, call, timeout=self._section.once_timeout)
+            except (UpstreamUnreached, UpstreamRefused) as error:
+                tried.add(upstream.id)
+                self._suspect(upstream, error)
+            except UpstreamLost as error:
+                self._suspect(upstream, error)
+                raise OutcomeUnknown(
+                    f"{call.service} got the call and its answer never came: {error.message}"
+                ) from error
+
+    def _now(self) -> float:
+        return self._timers.now()
+
+    def _new_budget(self) -> RetryBudget:
+        return RetryBudget(share=self._retries.share, burst=self._retries.burst)
+
+    def _choose(self, service: str, tried: set[str], *, again: bool = True) -> Upstream:
+        live = self._view.live(service)
+        fresh = [upstream for upstream in live if upstream.id not in tried]
+        if not fresh and again:
+            fresh = list(live)
+        if not fresh:
+            raise NoUpstream(f"no upstream of {service} took the call", retry_after=1.0)
+        now = self._now()
+        well = [one for one in fresh if self._suspects.get(one.id, 0.0) <= now]
+        self._turn += 1
+        chosen = well or fresh
+        return chosen[self._turn % len(chosen)]
+
+    def _suspect(self, upstream: Upstream, error: BaobabError) -> None:
+        if isinstance(error, UpstreamLeaving):
+            self._view.mark_leaving(upstream.id)
+        self._suspects[upstream.id] = self._now() + self._retries.suspect
+
+    async def _send(self, upstream: Upstream, call: PlainCall, *, timeout: float) -> ServiceAnswer:
+        self._metrics.attempts.labels(service=call.service).inc()
+        attempt = ServiceCall(
+            attempt=secrets.token_hex(8),
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            content_type=call.content_type,
+            deadline=timeout,
+            team=call.team,
+        )
+        answer = await self._services.call(upstream, attempt)
+        self._suspects.pop(upstream.id, None)
+        return answer
+
+
+def _give_up(call: PlainCall, error: BaobabError) -> BaobabError:
+    if error.ran is False:
+        return NoUpstream(f"no upstream of {call.service} took the call", retry_after=1.0)
+    return DeadlineExceeded(f"{call.service} did not answer: {error.message}")
+
+
+@route(r"/services/([a-z0-9][a-z0-9._-]*)(/.*)")
+@stream_request_body
+@final
+class ServiceHandler(EntryHandler):
+    """One call of a plain service."""
+
+    SUPPORTED_METHODS = METHODS  # type: ignore[assignment]
+
+    def prepare(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._team = self.authenticate()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+        limit = self.context.settings.get(ServicesSection).max_body_bytes
+        if self._size > limit:
+            raise BodyTooLarge(f"the body is longer than {limit} bytes")
+        self._parts.append(chunk)
+
+    async def _serve(self, service: str, path: str) -> None:
+        self.context.lifecycle.begin()
+        record = self.context.decisions.open(request_id=self.request_id, team=self._team)
+        record.lane = "service"
+        try:
+            answer = await self._run(service, path)
+            record.outcome = "ok"
+            await self._reply(answer)
+        except BaobabError as error:
+            record.outcome = error.code
+            self.refuse(error)
+        except StreamClosedError:
+            record.outcome = "client_gone"
+        finally:
+            labels = {"team": self._team, "outcome": record.outcome}
+            self.context.metrics.requests.labels(**labels).inc()
+            self.context.lifecycle.end()
+
+    get = post = put = patch = delete = _serve
+
+    async def _run(self, service: str, path: str) -> ServiceAnswer:
+        document = self.context.view.book.services.get(service)
+        if document is None or document.kind != "plain":
+            raise NotFound(f"no plain service is called {service!r}")
+        query = f"?{self.request.query}" if self.request.query else ""
+        call = PlainCall(
+            service=service,
+            team=self._team,
+            method=str(self.request.method),
+            path=path + query,
+            body=b"".join(self._parts),
+            content_type=self.request.headers.get("Content-Type", "application/json"),
+        )
+        found = route_of(document, service=service, method=call.method, path=call.path)
+        if found.idempotent:
+            return await self.context.services.run_idempotent(call)
+        return await self._run_once(call)
+
+    async def _run_once(self, call: PlainCall) -> ServiceAnswer:
+        ticket = self.request.headers.get(TICKET_HEADER)
+        key = self.request.headers.get(IDEMPOTENCY_HEADER)
+        if ticket and key:
+            raise BadRequest(f"send {TICKET_HEADER} or {IDEMPOTENCY_HEADER}, not both")
+        if ticket:
+            return await self.context.tickets.run(ticket, call)
+        if key:
+            return await self.context.claims.run(key, call)
+        return await self.context.services.run_once(call)
+
+    async def _reply(self, answer: ServiceAnswer) -> None:
+        self.set_status(answer.status)
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+        self.set_header("Content-Type", answer.content_type)
+        await self.finish(answer.body)
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -212,6 +212,27 @@
     default_remedy = "Ask the service for the state of the order before placing it anew."
 
 
+class OutcomeForgotten(OutcomeUnknown):
+    """The call's outcome is older than the entry's memory of outcomes."""
+
+    code = "outcome_forgotten"
+    status = 410
+
+
+class TicketInvalid(Forbidden):
+    """A call ticket is forged, malformed or another team's."""
+
+    code = "ticket_invalid"
+    default_remedy = "Get a ticket by POST /v1/tickets with the same client account's token."
+
+
+class CallMismatch(Conflict):
+    """A ticket or an idempotency key was used before for another call."""
+
+    code = "call_mismatch"
+    default_remedy = "Use one ticket or key for one call; repeat it with the same body."
+
+
 class DeadlineExceeded(BaobabError):
     """The request's deadline passed before its answer was whole."""
 
@@ -331,6 +352,21 @@
     default_remedy = "Use one of the names in the message."
 
 
+def error_kinds() -> dict[str, type[BaobabError]]:
+    """Return every kind of error by its code.
+
+    >>> error_kinds()["bad_token"].status
+    401
+    """
+    found: dict[str, type[BaobabError]] = {}
+    waiting = [BaobabError]
+    while waiting:
+        kind = waiting.pop()
+        found[kind.code] = kind
+        waiting += kind.__subclasses__()
+    return found
+
+
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_BAD_SETTINGS: Final = 2
--- /dev/null
+++ b/src/baobabpulley/policy/outcomes.py
@@ -0,0 +1,100 @@
+"""A bounded memory of the outcomes of once-only calls, by sequence number.
+
+What has been forgotten is known exactly: every finished call up to a floor.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import final
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import CallMismatch
+from baobabpulley.errors import OutcomeForgotten
+from baobabpulley.ports.plain_service import ServiceAnswer
+
+Run = Callable[[], Awaitable[ServiceAnswer]]
+
+
+@final
+class _Record:
+    __slots__ = ("fingerprint", "task")
+
+    def __init__(self, *, fingerprint: str, task: asyncio.Task[ServiceAnswer]) -> None:
+        self.fingerprint = fingerprint
+        self.task = task
+
+
+@final
+class OutcomeMemory:
+    """Run each sequence number's call once and give every repeat the first outcome.
+
+    At most ``capacity`` finished outcomes are kept. A call that truly did not run is forgotten
+    at once, so that a repeat may run it.
+    """
+
+    __slots__ = ("_capacity", "_floor", "_issued", "_owner", "_records")
+
+    def __init__(self, *, capacity: int, owner: str = "") -> None:
+        self._capacity = capacity
+        self._owner = owner
+        self._records: OrderedDict[int, _Record] = OrderedDict()
+        self._issued = 0
+        self._floor = 0
+
+    @property
+    def size(self) -> int:
+        """Calls that run or whose outcome is kept."""
+        return len(self._records)
+
+    @property
+    def running(self) -> int:
+        """Calls that have no outcome yet."""
+        return sum(1 for record in self._records.values() if not record.task.done())
+
+    def issue(self) -> int:
+        """Return the next sequence number."""
+        self._issued += 1
+        return self._issued
+
+    async def run(self, sequence: int, *, fingerprint: str, run: Run) -> ServiceAnswer:
+        """Return the outcome of a call, running it if this is its first time.
+
+        The call goes on when its caller goes away. Raises `OutcomeForgotten` past the memory's
+        bound, `CallMismatch` for another call than the first, and the call's own error.
+        """
+        record = self._records.get(sequence)
+        if record is None:
+            if sequence <= self._floor:
+                raise OutcomeForgotten(
+                    f"outcomes up to call {self._floor} are forgotten; this is call {sequence}"
+                )
+            record = self._start(sequence, fingerprint, run)
+        elif record.fingerprint != fingerprint:
+            raise CallMismatch("the ticket was used before for another call")
+        return await asyncio.shield(record.task)
+
+    def _start(self, sequence: int, fingerprint: str, run: Run) -> _Record:
+        async def once() -> ServiceAnswer:
+            return await run()
+
+        task = asyncio.get_running_loop().create_task(once(), name=f"{self._owner} call {sequence}")
+        record = _Record(fingerprint=fingerprint, task=task)
+        self._records[sequence] = record
+        task.add_done_callback(lambda done: self._finished(sequence, done))
+        return record
+
+    def _finished(self, sequence: int, task: asyncio.Task[ServiceAnswer]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, BaobabError) and error.ran is False:
+            del self._records[sequence]
+        self._forget()
+
+    def _forget(self) -> None:
+        done = [number for number, record in self._records.items() if record.task.done()]
+        for number in sorted(done)[: max(0, len(done) - self._capacity)]:
+            del self._records[number]
+            self._floor = max(self._floor, number)
--- /dev/null
+++ b/testing/entry_builders.py
@@ -0,0 +1,215 @@
+"""Builders of whole entries inside the test's own process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+import msgspec
+from tornado.httpserver import HTTPServer
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.entry.context import EntryContext
+from baobabpulley.entry.daemon import build_entry
+from baobabpulley.entry.daemon import start_server
+from baobabpulley.model.documents import AccessDocument
+from baobabpulley.model.documents import Route
+from baobabpulley.model.documents import ServiceDocument
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.documents import access_key
+from baobabpulley.model.documents import encode_document
+from baobabpulley.model.documents import service_key
+from baobabpulley.model.settings_book import token_digest
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.settings import load_settings
+from baobabpulley.standins.service import ServiceStandin
+from baobabpulley.standins.store import StoreStandin
+from baobabpulley.timers import TimerService
+
+TEAMS: Final = ("souk", "stall")
+QUICK: Final = {"services": {"once_timeout": 0.5}, "tickets": {"wait": 1.0}}
+SECRET: Final = "a-secret-for-tests-only"
+LEDGER: Final = ServiceDocument(
+    kind="plain",
+    routes=(
+        Route(method="POST", path="/orders", idempotent=False),
+        Route(method="GET", path="/catalogue/", idempotent=True),
+    ),
+)
+
+
+class LocalEntry:
+    """An entry in this process; ``kill`` ends it as a crash would."""
+
+    def __init__(self, *, directory: Path, name: str, port: int, **sections: dict[str, Any]):
+        self.address = f"127.0.0.1:{port}"
+        self._path = directory / f"{name}-{port}.ini"
+        self._sections = {
+            "node": {
+                "id": name,
+                "vm": name,
+                "failure_domain": "fes",
+                "http": self.address,
+                "speed": 1.0,
+            },
+            "keeper": {"address": "127.0.0.1:9"},
+            "peers": {"secret": SECRET},
+        }
+        for section, options in sections.items():
+            self._sections.setdefault(section, {}).update(options)
+        self.context: EntryContext | None = None
+        self._server: HTTPServer | None = None
+
+    @property
+    def running(self) -> EntryContext:
+        """The parts of the running entry."""
+        assert self.context is not None
+        return self.context
+
+    def start(self, *, vms: tuple[Vm, ...]) -> None:
+        """Start a new incarnation that knows the teams, the ledger service and some VMs."""
+        lines = [
+            line
+            for section, options in self._sections.items()
+            for line in (f"[{section}]", *(f"{key} = {value}" for key, value in options.items()))
+        ]
+        self._path.write_text("\n".join(lines), encoding="utf-8")
+        self.context = build_entry(load_settings(self._path, daemon="entry"))
+        self.context.view.book.install(settings_entries())
+        self.context.view.set_vms(vms)
+        self._server = start_server(self.context)
+
+    async def kill(self) -> None:
+        """Drop the listener, all connections and all that runs behind them."""
+        assert self._server is not None
+        self._server.stop()
+        context = self.running
+        context.timers.cancel_all()
+        for task in asyncio.all_tasks():
+            if task.get_name().startswith(f"{self.address} "):
+                task.cancel()
+        await self._server.close_all_connections()
+        context.peers.close()
+
+
+class LedgerFleet:
+    """Two entries, two ledger upstreams and a store in this process."""
+
+    def __init__(self, *, port: int, directory: Path) -> None:
+        self.timers = TimerService()
+        self.vms = tuple(ledger_vm(port + index, name=f"ledger-{index}") for index in range(2))
+        self.services = [
+            ServiceStandin(
+                id=f"ledger-{index}", address=f"127.0.0.1:{port + index}", timers=self.timers
+            )
+            for index in range(2)
+        ]
+        self.store = StoreStandin(address=f"127.0.0.1:{port + 2}", timers=self.timers)
+        sections = {**QUICK, "claims": {"store": self.store.address, "wait": 1.0, "poll": 0.05}}
+        self.entries = [
+            LocalEntry(
+                directory=directory,
+                name=f"entry-{index}",
+                port=port + 10 + index,
+                **sections,
+            )
+            for index in range(2)
+        ]
+
+    @property
+    def ran(self) -> list[dict]:
+        """Every order that ran, at any upstream."""
+        return [line["order"] for service in self.services for line in service.journal]
+
+    def lose_upstream(self) -> None:
+        """Have the list name an upstream at whose address nothing listens."""
+        dead = msgspec.structs.replace(self.vms[0], address="127.0.0.1:9")
+        for entry in self.entries:
+            entry.running.view.set_vms((dead, *self.vms[1:]))
+
+    def start(self) -> None:
+        for service in self.services:
+            service.start()
+        self.store.start()
+        for entry in self.entries:
+            entry.start(vms=self.vms)
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            await entry.kill()
+        self.timers.cancel_all()
+
+
+def settings_entries() -> tuple[StoredEntry, ...]:
+    """Return stored settings for the teams and the ledger service."""
+    documents: dict[str, msgspec.Struct] = {service_key("ledger"): LEDGER}
+    for team in TEAMS:
+        tokens = (token_digest(f"caller-{team}"),)
+        documents[access_key(team)] = AccessDocument(caller_tokens=tokens)
+    return tuple(
+        StoredEntry(key=key, value=encode_document(document), mod_revision=number)
+        for number, (key, document) in enumerate(documents.items(), start=1)
+    )
+
+
+def ledger_vm(port: int, *, name: str = "ledger-0") -> Vm:
+    """Return the VM list's row of a ledger upstream."""
+    return Vm(
+        id=name,
+        role="upstream",
+        failure_domain="fes",
+        address=f"127.0.0.1:{port}",
+        service="ledger",
+    )
+
+
+async def call(
+    client: HttpClient,
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    *,
+    team: str = "souk",
+    timeout: float = 30.0,
+    **headers: str,
+) -> tuple[int, Any]:
+    """Make a caller's JSON call; header names are given with underscores for dashes."""
+    status, data = await fetch(
+        client,
+        address=address,
+        method=method,
+        path=path,
+        body=b"" if body is None else msgspec.json.encode(body),
+        headers={
+            "Authorization": f"Bearer caller-{team}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        },
+        timeout=timeout,
+    )
+    return status, msgspec.json.decode(data)
+
+
+async def order(
+    client: HttpClient, address: str, id: int | str, *, team: str = "souk", **headers: str
+) -> tuple[int, Any]:
+    """Place an order through an entry."""
+    body = {"id": id}
+    return await call(
+        client, address, "POST", "/services/ledger/orders", body, team=team, **headers
+    )
+
+
+@contextlib.asynccontextmanager
+async def client() -> AsyncIterator[HttpClient]:
+    """Yield an HTTP client and close it."""
+    opened = HttpClient()
+    try:
+        yield opened
+    finally:
+        opened.close()
--- /dev/null
+++ b/testing/test_services.py
@@ -0,0 +1,207 @@
+"""Plain services through an entry: routes, retries, tickets and the callers' own keys."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from entry_builders import LedgerFleet
+from entry_builders import call
+from entry_builders import client
+from entry_builders import order
+
+from baobabpulley.errors import OutcomeForgotten
+from baobabpulley.policy.outcomes import OutcomeMemory
+from baobabpulley.ports.plain_service import ServiceAnswer
+from baobabpulley.standins.faults import FaultOrder
+
+CATALOGUE = "/services/ledger/catalogue"
+
+
+_starts = itertools.count(step=20)
+
+
+@pytest.fixture
+async def ledger(base_port: int, tmp_path: Path) -> AsyncIterator[LedgerFleet]:
+    running = LedgerFleet(port=base_port + next(_starts), directory=tmp_path)
+    running.start()
+    yield running
+    await running.stop()
+
+
+async def test_lookup_survives_a_dead_upstream(ledger: LedgerFleet) -> None:
+    ledger.lose_upstream()
+    async with client() as http:
+        for number in range(10):
+            status, answer = await call(
+                http,
+                ledger.entries[0].address,
+                "GET",
+                f"/services/ledger/catalogue/saffron-{number}",
+            )
+            assert status == 200
+            assert answer["item"] == f"saffron-{number}"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status", "code"),
+    [
+        ("GET", "/services/ledger/orders", 404, "not_found"),
+        ("GET", "/services/baker/catalogue/x", 404, "not_found"),
+        ("GET", "/services/ledger/catalogue/../orders", 400, "bad_request"),
+        ("GET", "/services/ledger/catalogue/%2e%2e/orders", 400, "bad_request"),
+    ],
+    ids=["method", "service", "dotted", "encoded"],
+)
+async def test_call_without_a_route_is_refused_as_not_run(
+    ledger: LedgerFleet, method: str, path: str, status: int, code: str
+) -> None:
+    async with client() as http:
+        got, answer = await call(http, ledger.entries[0].address, method, path)
+    assert (got, answer["error"]["code"], answer["error"]["ran"]) == (status, code, False)
+    assert ledger.ran == []
+
+
+async def test_order_whose_answer_is_lost_has_an_unknown_outcome_and_is_not_sent_again(
+    ledger: LedgerFleet,
+) -> None:
+    for service in ledger.services:
+        service.faults.apply(FaultOrder(kind="lose_answer", count=5))
+    async with client() as http:
+        status, answer = await order(http, ledger.entries[0].address, 1)
+    assert (status, answer["error"]["code"], answer["error"]["ran"]) == (
+        504,
+        "outcome_unknown",
+        None,
+    )
+    assert ledger.ran == [{"id": 1}]
+
+
+async def test_order_goes_elsewhere_while_no_byte_of_it_can_have_run(ledger: LedgerFleet) -> None:
+    ledger.lose_upstream()
+    async with client() as http:
+        for number in range(4):
+            status, _ = await order(http, ledger.entries[0].address, number)
+            assert status == 201
+    assert sorted(order["id"] for order in ledger.ran) == [0, 1, 2, 3]
+
+
+async def test_ticket_repeated_through_every_entry_gives_the_first_answer(
+    ledger: LedgerFleet,
+) -> None:
+    async with client() as http:
+        first, second = (entry.address for entry in ledger.entries)
+        _, issued = await call(http, first, "POST", "/v1/tickets")
+        answers = [
+            await order(http, address, 7, Call_Ticket=issued["ticket"])
+            for address in (second, first, second)
+        ]
+    assert [status for status, _ in answers] == [201, 201, 201]
+    assert answers[0] == answers[1] == answers[2]
+    assert ledger.ran == [{"id": 7}]
+
+
+async def test_ticket_goes_on_while_the_store_is_down_and_a_key_is_refused(
+    ledger: LedgerFleet,
+) -> None:
+    ledger.store.faults.apply(FaultOrder(kind="down", seconds=60.0))
+    async with client() as http:
+        address = ledger.entries[0].address
+        _, issued = await call(http, address, "POST", "/v1/tickets")
+        ticketed, _ = await order(http, address, 1, Call_Ticket=issued["ticket"])
+        keyed, answer = await order(http, address, 2, Idempotency_Key="two")
+    assert ticketed == 201
+    assert (keyed, answer["error"]["ran"]) == (503, False)
+    assert "ticket" in answer["error"]["remedy"]
+    assert ledger.ran == [{"id": 1}]
+
+
+async def test_ticket_of_a_replaced_entry_has_an_unknown_outcome(ledger: LedgerFleet) -> None:
+    async with client() as http:
+        first, second = ledger.entries
+        _, issued = await call(http, first.address, "POST", "/v1/tickets")
+        await first.kill()
+        gone = await order(http, second.address, 1, Call_Ticket=issued["ticket"])
+        first.start(vms=ledger.vms)
+        replaced = await order(http, first.address, 1, Call_Ticket=issued["ticket"])
+    for status, answer in (gone, replaced):
+        assert (status, answer["error"]["code"]) == (504, "outcome_unknown")
+    assert ledger.ran == []
+
+
+@pytest.mark.parametrize("header", ["Call_Ticket", "Idempotency_Key"], ids=["ticket", "key"])
+async def test_another_call_under_the_same_ticket_or_key_is_refused(
+    ledger: LedgerFleet, header: str
+) -> None:
+    async with client() as http:
+        address = ledger.entries[0].address
+        _, issued = await call(http, address, "POST", "/v1/tickets")
+        mark = {header: issued["ticket"]}
+        await order(http, address, 1, **mark)
+        status, answer = await order(http, address, 2, **mark)
+    assert (status, answer["error"]["code"]) == (409, "call_mismatch")
+    assert ledger.ran == [{"id": 1}]
+
+
+async def test_ticket_of_another_team_or_a_forged_one_is_refused(ledger: LedgerFleet) -> None:
+    async with client() as http:
+        address = ledger.entries[0].address
+        _, issued = await call(http, address, "POST", "/v1/tickets")
+        forged = issued["ticket"][:-4] + "AAAA"
+        for team, ticket in (("stall", issued["ticket"]), ("souk", forged), ("souk", "x")):
+            status, answer = await order(http, address, 1, team=team, Call_Ticket=ticket)
+            assert (status, answer["error"]["code"]) == (403, "ticket_invalid")
+    assert ledger.ran == []
+
+
+async def test_key_claimed_with_a_lost_answer_runs_once(ledger: LedgerFleet) -> None:
+    ledger.store.faults.apply(FaultOrder(kind="lose_answer", count=2))
+    async with client() as http:
+        for entry in (*ledger.entries, *ledger.entries):
+            status, answer = await order(http, entry.address, 3, Idempotency_Key="k")
+            assert status == 201, answer
+    assert ledger.ran == [{"id": 3}]
+
+
+async def test_concurrent_repeats_of_one_key_run_once(ledger: LedgerFleet) -> None:
+    async with client() as http:
+        addresses = [entry.address for entry in ledger.entries]
+        answers = await asyncio.gather(
+            *(order(http, addresses[number % 2], 5, Idempotency_Key="same") for number in range(12))
+        )
+    assert [status for status, _ in answers] == [201] * 12
+    assert ledger.ran == [{"id": 5}]
+
+
+async def test_concurrent_keys_share_store_transactions(ledger: LedgerFleet) -> None:
+    async with client() as http:
+        address = ledger.entries[0].address
+        answers = await asyncio.gather(
+            *(
+                order(http, address, number, Idempotency_Key=f"order-{number}")
+                for number in range(64)
+            )
+        )
+    assert all(status == 201 for status, _ in answers)
+    assert sorted(order["id"] for order in ledger.ran) == list(range(64))
+    # Unshared, 64 claims and 64 outcomes would take 128 transactions.
+    assert ledger.store.calls["/v3/kv/txn"] <= 64
+
+
+async def test_memory_of_outcomes_is_bounded_and_says_what_it_forgot() -> None:
+    memory = OutcomeMemory(capacity=4)
+
+    async def place() -> ServiceAnswer:
+        return ServiceAnswer(status=201, body=b"placed", content_type="text/plain")
+
+    for number in range(1, 11):
+        assert memory.issue() == number
+        await memory.run(number, fingerprint="order", run=place)
+        await asyncio.sleep(0)
+    assert memory.size == 4
+    with pytest.raises(OutcomeForgotten) as caught:
+        await memory.run(3, fingerprint="order", run=place)
+    assert caught.value.ran is None
