--- a/testing/test_once_under_faults.py
+++ b/testing/test_once_under_faults.py
@@ -52,7 +52,7 @@
     base_port: int, tmp_path: Path
 ) -> None:
     lanes = [
-        LedgerFleet(port=base_port + 200 + lane * PORTS_OF_A_LANE, directory=tmp_path)
+        LedgerFleet(port=base_port + 500 + lane * PORTS_OF_A_LANE, directory=tmp_path)
         for lane in range(LANES)
     ]
     answered = await asyncio.gather(
