--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -59,6 +59,7 @@
     __slots__ = (
         "_address",
         "_asking",
+        "_contexts",
         "_handlers",
         "_publisher",
         "_rejected",
@@ -82,6 +83,7 @@
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._asking: dict[str, pynng.Req0] = {}
         self._sockets: list[pynng.Socket] = []
+        self._contexts: list[pynng.Context] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
@@ -99,7 +101,9 @@
         self._publisher = pynng.Pub0(listen=f"tcp://{_publish_address(self._address)}")
         self._sockets += [replier, self._publisher]
         for _ in range(ANSWERERS):
-            self._run(self._answer_forever(replier.new_context()))
+            context = replier.new_context()
+            self._contexts.append(context)
+            self._run(self._answer_forever(context))
 
     async def ask(
         self, address: str, question: msgspec.Struct, *, answer: type[A], timeout: float
@@ -145,6 +149,9 @@
     def close(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
+        # A context that outlives its socket raises when it is collected.
+        for context in self._contexts:
+            context.close()
         for socket in [*self._sockets, *self._asking.values()]:
             socket.close()
         self._asking.clear()
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -8,7 +8,7 @@
 import click
 
 # Modules that add commands to `cli` when they are imported.
-_COMMAND_MODULES: Final = ("daemons", "standins", "settings")
+_COMMAND_MODULES: Final = ("daemons", "standins", "settings", "report", "explain")
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -21,7 +21,12 @@
 
 
 def main() -> None:
-    """Load all commands and run the one asked for."""
+    """Run the command asked for."""
+    load_commands()
+    cli()
+
+
+def load_commands() -> None:
+    """Add all commands to `cli`."""
     for name in _COMMAND_MODULES:
         import_module(f"baobabpulley.cli.{name}")
-    cli()
--- /dev/null
+++ b/src/baobabpulley/cli/report.py
@@ -0,0 +1,75 @@
+"""``baobabpulley report burn``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from baobabpulley.cli.daemons import checked_settings
+from baobabpulley.cli.fleet_access import FleetAccess
+from baobabpulley.cli.main import cli
+from baobabpulley.errors import EXIT_FAILED
+from baobabpulley.policy.burn import BurnDocument
+from baobabpulley.policy.burn import BurnSeries
+from baobabpulley.policy.burn import alert_state
+from baobabpulley.policy.burn import burn_rate
+from baobabpulley.policy.burn import merge_series
+
+_HEADS = ("team", "objective", "target", "5 min", "1 h", "6 h", "state")
+
+
+@cli.group()
+def report() -> None:
+    """Report on running daemons."""
+
+
+@report.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=Path, dir_okay=False),
+    required=True,
+    help="An entry's settings file, for the fleet's secret.",
+)
+@click.option("--entry", "addresses", multiple=True, required=True, help="ip:port of an entry.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON in place of a table.")
+def burn(path: Path, addresses: tuple[str, ...], as_json: bool) -> None:
+    """Show how fast each team uses up its error budgets, over all entries given.
+
+    Exits with code 1 if an entry does not answer; the report then covers the others.
+    """
+    access = FleetAccess(checked_settings(path, daemon="entry"))
+    answers = asyncio.run(access.get_all(addresses, "/v1/burn", kind=BurnDocument))
+    documents = tuple(answer for answer in answers if isinstance(answer, BurnDocument))
+    series = merge_series(documents)
+    fast = min((document.fast_burn for document in documents), default=0.0)
+    slow = min((document.slow_burn for document in documents), default=0.0)
+    rows = [_row(one, fast_burn=fast, slow_burn=slow) for one in series]
+    if as_json:
+        click.echo(msgspec.json.encode([dict(zip(_HEADS, row, strict=True)) for row in rows]))
+    else:
+        click.echo(_table(rows))
+    for address, answer in zip(addresses, answers, strict=True):
+        if not isinstance(answer, BurnDocument):
+            click.echo(f"{address}: {answer}", err=True)
+    if len(documents) < len(addresses):
+        sys.exit(EXIT_FAILED)
+
+
+def _row(series: BurnSeries, *, fast_burn: float, slow_burn: float) -> tuple[str | float, ...]:
+    rates = tuple(round(burn_rate(count, target=series.target), 2) for count in series.windows)
+    state = alert_state(series, fast_burn=fast_burn, slow_burn=slow_burn)
+    return (series.team, series.objective, series.target, *rates, state)
+
+
+def _table(rows: list[tuple[str | float, ...]]) -> str:
+    lines = [_HEADS, *rows]
+    widths = [max(len(str(line[column])) for line in lines) for column in range(len(_HEADS))]
+    return "\n".join(
+        "  ".join(str(cell).ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -20,11 +20,14 @@
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import PromptTooLong
 from baobabpulley.errors import UnknownModel
+from baobabpulley.errors import error_kinds
 from baobabpulley.model.decisions import DecisionRecord
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.requests import EndEvent
 from baobabpulley.model.requests import TokenEvent
 from baobabpulley.model.requests import estimate_tokens
+from baobabpulley.policy.burn import FAILURES
+from baobabpulley.policy.lanes import SHORT
 from baobabpulley.settings import Count
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import section
@@ -206,7 +209,26 @@
     def _observe_first(self, request: CompletionRequest, record: DecisionRecord) -> None:
         elapsed = self.context.timers.now() - request.arrived
         self.context.metrics.first_token.labels(lane=record.lane).observe(elapsed)
+        self.context.burn.first_token(
+            team=request.team,
+            tokens=request.prompt_tokens,
+            short=record.lane == SHORT,
+            elapsed=elapsed,
+            now=self.context.timers.now(),
+        )
 
     def _count(self, record: DecisionRecord, outcome: str) -> None:
         record.outcome = outcome
+        self._count_failure(record, outcome)
         self.context.metrics.requests.labels(team=record.team, outcome=outcome).inc()
+
+    def _count_failure(self, record: DecisionRecord, outcome: str) -> None:
+        # What callers bring on themselves uses up no budget.
+        kind = error_kinds().get(outcome)
+        if kind is None or kind.status >= 500:
+            self.context.burn.count(
+                team=record.team,
+                objective=FAILURES,
+                good=kind is None,
+                now=self.context.timers.now(),
+            )
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -13,6 +13,7 @@
 from baobabpulley.timers import TimerService
 
 if TYPE_CHECKING:
+    from baobabpulley.adapters.envelope import Sealer
     from baobabpulley.adapters.metrics import EntryMetrics
     from baobabpulley.entry.claims import Claims
     from baobabpulley.entry.dispatch import Dispatcher
@@ -20,6 +21,7 @@
     from baobabpulley.entry.lifecycle import Lifecycle
     from baobabpulley.entry.plain import ServiceCaller
     from baobabpulley.entry.tickets import Tickets
+    from baobabpulley.policy.burn import BurnCounters
 
 
 @final
@@ -27,6 +29,7 @@
     """One entry process."""
 
     __slots__ = (
+        "burn",
         "claims",
         "decisions",
         "dispatcher",
@@ -35,6 +38,7 @@
         "metrics",
         "node",
         "peers",
+        "sealer",
         "services",
         "settings",
         "tickets",
@@ -58,6 +62,8 @@
         services: ServiceCaller,
         tickets: Tickets,
         claims: Claims,
+        sealer: Sealer,
+        burn: BurnCounters,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -72,3 +78,5 @@
         self.services = services
         self.tickets = tickets
         self.claims = claims
+        self.sealer = sealer
+        self.burn = burn
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -36,6 +36,8 @@
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.policy.burn import BurnCounters
+from baobabpulley.policy.burn import BurnSection
 from baobabpulley.policy.lanes import LanesSection
 from baobabpulley.policy.retries import RetriesSection
 from baobabpulley.policy.routing import routing_policies
@@ -47,7 +49,7 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
-_HANDLER_MODULES: Final = ("callers", "health", "plain", "tickets")
+_HANDLER_MODULES: Final = ("burn", "callers", "explain", "health", "plain", "tickets")
 
 MAX_ACCEPTED_BODY: Final = 1 << 30
 
@@ -90,6 +92,18 @@
         services=services,
         tickets=_tickets(settings, services=services, timers=timers),
         claims=_claims(settings, services=services, timers=timers),
+        sealer=_sealer(settings),
+        burn=BurnCounters(section=settings.get(BurnSection)),
+    )
+
+
+def _sealer(settings: Settings) -> Sealer:
+    peers = settings.get(PeersSection)
+    return Sealer(
+        sender=settings.get(NodeSection).id,
+        secret=peers.secret,
+        max_bytes=peers.max_message_bytes,
+        max_skew=peers.max_clock_skew,
     )
 
 
@@ -113,12 +127,7 @@
         secret=peers.secret,
         section=settings.get(TicketsSection),
         run_once=services.run_once,
-        sealer=Sealer(
-            sender=node.id,
-            secret=peers.secret,
-            max_bytes=peers.max_message_bytes,
-            max_skew=peers.max_clock_skew,
-        ),
+        sealer=_sealer(settings),
         client=HttpClient(),
         timers=timers,
     )
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import ClassVar
 from typing import Final
 
@@ -361,6 +362,7 @@
     default_remedy = "Use one of the names in the message."
 
 
+@functools.cache
 def error_kinds() -> dict[str, type[BaobabError]]:
     """Return every kind of error by its code.
 
--- a/src/baobabpulley/model/settings_book.py
+++ b/src/baobabpulley/model/settings_book.py
@@ -128,6 +128,14 @@
             raise BadToken("the bearer token belongs to no client account")
         return team
 
+    def team_of_operator(self, token: str) -> str:
+        """Return the team of an operator's bearer token; raise `BadToken` if there is none."""
+        digest = token_digest(token)
+        for team, document in self._access.items():
+            if digest in document.operator_tokens:
+                return team
+        raise BadToken("the bearer token belongs to no operator")
+
     def _install_one(self, entry: StoredEntry) -> bool:
         held = self._entries.get(entry.key)
         if held is not None and entry.mod_revision <= held.mod_revision:
--- a/testing/entry_builders.py
+++ b/testing/entry_builders.py
@@ -150,7 +150,9 @@
     documents: dict[str, msgspec.Struct] = {service_key("ledger"): LEDGER}
     for team in TEAMS:
         tokens = (token_digest(f"caller-{team}"),)
-        documents[access_key(team)] = AccessDocument(caller_tokens=tokens)
+        documents[access_key(team)] = AccessDocument(
+            caller_tokens=tokens, operator_tokens=(token_digest(f"operator-{team}"),)
+        )
     return tuple(
         StoredEntry(key=key, value=encode_document(document), mod_revision=number)
         for number, (key, document) in enumerate(documents.items(), start=1)
--- /dev/null
+++ b/testing/test_envelope.py
@@ -0,0 +1,139 @@
+"""Messages between processes: only what is whole, fresh and meant for its receiver is taken."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from typing import Final
+
+import msgspec
+import pynng
+import pytest
+
+from baobabpulley.adapters.envelope import EVERYONE
+from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.adapters.signing import Signer
+from baobabpulley.errors import Forbidden
+from baobabpulley.errors import MessageRejected
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.model.calls import Ticket
+from baobabpulley.model.messages import Done
+from baobabpulley.settings import PeersSection
+from baobabpulley.timers import TimerService
+
+SECRET: Final = "a-secret-for-tests-only"
+OTHER_SECRET: Final = "another-secret-of-a-fleet"
+RECEIVER: Final = "127.0.0.1:1"
+
+
+def sealer(*, secret: str = SECRET, max_bytes: int = 4096) -> Sealer:
+    return Sealer(sender="vm-0", secret=secret, max_bytes=max_bytes, max_skew=30.0)
+
+
+def test_message_for_its_receiver_is_taken_once() -> None:
+    data = sealer().seal(Done(), kind="done", receiver=RECEIVER).data
+    receiving = sealer()
+    assert receiving.open(data, receiver=RECEIVER).message == Done()
+    with pytest.raises(MessageRejected, match="replayed"):
+        receiving.open(data, receiver=RECEIVER)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        sealer(secret=OTHER_SECRET).seal(Done(), kind="done", receiver=RECEIVER).data,
+        sealer().seal(Done(), kind="done", receiver="127.0.0.1:2").data,
+        sealer().seal(Done(), kind="done", receiver=EVERYONE).data,
+        sealer().seal(Done(), kind="done", reply_to=b"x" * 12).data,
+        sealer(max_bytes=1 << 20).seal(Done(), kind="done", receiver=RECEIVER).data + b"\0" * 5000,
+        b"",
+        b"\0" * 64,
+    ],
+    ids=["secret", "receiver", "published", "reply", "size", "empty", "zeros"],
+)
+def test_message_that_fails_a_check_is_rejected(data: bytes) -> None:
+    with pytest.raises(MessageRejected):
+        sealer().open(data, receiver=RECEIVER)
+
+
+def test_message_with_any_byte_changed_is_rejected() -> None:
+    data = sealer().seal(Done(), kind="done", receiver=RECEIVER).data
+    for position in range(len(data)):
+        changed = bytearray(data)
+        changed[position] ^= 1
+        with pytest.raises(MessageRejected):
+            sealer().open(bytes(changed), receiver=RECEIVER)
+
+
+def test_stale_message_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
+    data = sealer().seal(Done(), kind="done", receiver=RECEIVER).data
+    later = time.time() + 31.0
+    monkeypatch.setattr(time, "time", lambda: later)
+    with pytest.raises(MessageRejected, match="older"):
+        sealer().open(data, receiver=RECEIVER)
+
+
+def test_reply_to_another_question_is_rejected() -> None:
+    asking = sealer()
+    first = asking.seal(Done(), kind="done", receiver=RECEIVER)
+    second = asking.seal(Done(), kind="done", receiver=RECEIVER)
+    reply = sealer().seal(Done(), kind="done", reply_to=first.nonce).data
+    with pytest.raises(MessageRejected, match="another place"):
+        asking.open(reply, reply_to=second.nonce)
+
+
+def test_token_of_another_kind_or_secret_does_not_open() -> None:
+    ticket = Ticket(address=RECEIVER, incarnation="a", sequence=1, team="souk")
+    signer = Signer(secret=SECRET, kind="call-ticket", struct=Ticket)
+    assert signer.open(signer.sign(ticket)) == ticket
+    for kind, secret in (("resume", SECRET), ("call-ticket", OTHER_SECRET)):
+        with pytest.raises(Forbidden):
+            Signer(secret=secret, kind=kind, struct=Ticket).open(signer.sign(ticket))
+
+
+@pytest.fixture
+async def answering(base_port: int) -> AsyncIterator[PynngPeers]:
+    address = f"127.0.0.1:{base_port + 900}"
+    section = PeersSection(secret=SECRET)
+    peers = PynngPeers(node="vm-1", section=section, timers=TimerService(), address=address)
+
+    async def done(message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del message, sender
+        return Done()
+
+    peers.answer(Done, done)
+    peers.start()
+    yield peers
+    peers.close()
+
+
+async def test_process_drops_and_counts_what_fails_and_goes_on_answering(
+    answering: PynngPeers, base_port: int
+) -> None:
+    address = f"127.0.0.1:{base_port + 900}"
+    replayed = sealer().seal(Done(), kind="done", receiver=address).data
+    with pynng.Req0(dial=f"tcp://{address}", recv_timeout=300) as stranger:
+        for data in (b"", b"rubbish" * 100, replayed):
+            await stranger.asend(data)
+            await asyncio.sleep(0.05)
+        await stranger.arecv()
+        await stranger.asend(replayed)
+        with pytest.raises(pynng.Timeout):
+            await stranger.arecv()
+    assert answering.rejected == 3
+    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
+    assert await friend.ask(address, Done(), answer=Done, timeout=5.0) == Done()
+    friend.close()
+
+
+async def test_process_with_another_secret_gets_no_answer(
+    answering: PynngPeers, base_port: int
+) -> None:
+    section = PeersSection(secret=OTHER_SECRET)
+    stranger = PynngPeers(node="vm-2", section=section, timers=TimerService())
+    with pytest.raises(PeerUnavailable):
+        await stranger.ask(f"127.0.0.1:{base_port + 900}", Done(), answer=Done, timeout=0.3)
+    assert answering.rejected == 1
+    stranger.close()
