--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -82,8 +82,8 @@
         )
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._asking: dict[str, pynng.Req0] = {}
+        self._contexts: set[pynng.Context] = set()
         self._sockets: list[pynng.Socket] = []
-        self._contexts: list[pynng.Context] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
@@ -101,9 +101,7 @@
         self._publisher = pynng.Pub0(listen=f"tcp://{_publish_address(self._address)}")
         self._sockets += [replier, self._publisher]
         for _ in range(ANSWERERS):
-            context = replier.new_context()
-            self._contexts.append(context)
-            self._run(self._answer_forever(context))
+            self._run(self._answer_forever(self._open_context(replier)))
 
     async def ask(
         self, address: str, question: msgspec.Struct, *, answer: type[A], timeout: float
@@ -112,7 +110,7 @@
         if socket is None:
             socket = _dial(pynng.Req0(), address)
             self._asking[address] = socket
-        context = socket.new_context()
+        context = self._open_context(socket)
         try:
             async with self._timers.limit(timeout):
                 sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
@@ -124,7 +122,7 @@
             self._forget(address, socket)
             raise PeerUnavailable(f"the process at {address} did not answer: {error!r}") from error
         finally:
-            context.close()
+            self._close_context(context)
         if isinstance(message, FaultAnswer):
             raise _fault_of(message)
         if not isinstance(message, answer):
@@ -149,13 +147,24 @@
     def close(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
-        # A context that outlives its socket raises when it is collected.
-        for context in self._contexts:
-            context.close()
+        # A context must be closed before its socket: pynng raises afterwards, also on collection.
+        for context in tuple(self._contexts):
+            self._close_context(context)
         for socket in [*self._sockets, *self._asking.values()]:
             socket.close()
         self._asking.clear()
 
+    def _open_context(self, socket: pynng.Rep0 | pynng.Req0) -> pynng.Context:
+        context = socket.new_context()
+        self._contexts.add(context)
+        return context
+
+    def _close_context(self, context: pynng.Context) -> None:
+        if context in self._contexts:
+            self._contexts.discard(context)
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
     def _run(self, coroutine: object) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
         self._tasks.add(task)
