Let a keeper be reached at further addresses

Cause: questions name the address they were sent to, and a keeper behind a proxy or address translation is reached at another one than it listens on; two membership tests that go through a proxy failed with 'meant for another place' (20 s each until their wait ran out).

--- a/src/baobabpulley/adapters/envelope.py
+++ b/src/baobabpulley/adapters/envelope.py
@@ -89,8 +89,10 @@
         payload = _encoder.encode(envelope)
         return Sealed(data=self._digest(payload) + payload, nonce=nonce)
 
-    def open(self, data: bytes, *, receiver: str = "", reply_to: bytes = b"") -> Opened:
-        """Return a message for ``receiver`` or in reply to a question.
+    def open(
+        self, data: bytes, *, receiver: str | frozenset[str] = "", reply_to: bytes = b""
+    ) -> Opened:
+        """Return a message for ``receiver``, or any of several, or in reply to a question.
 
         Raises `MessageRejected` if the message fails any check.
         """
@@ -105,7 +107,8 @@
             message = msgspec.msgpack.decode(envelope.body, type=kind)
         except Exception as error:
             raise MessageRejected(f"a message does not parse: {error}") from error
-        if envelope.receiver != receiver or envelope.reply_to != reply_to:
+        names = {receiver} if isinstance(receiver, str) else receiver
+        if envelope.receiver not in names or envelope.reply_to != reply_to:
             raise MessageRejected(f"a message from {envelope.sender} was meant for another place")
         self._check_fresh(envelope)
         return Opened(message=message, sender=envelope.sender, nonce=envelope.nonce)
--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -53,7 +53,8 @@
     """Sockets of one process.
 
     A process with an ``address`` answers questions there and publishes on the next port. One
-    without an address only asks and listens.
+    without an address only asks and listens. Questions have to name that address, or one of
+    ``also_reached_at``, as the place they were sent to.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "_asking",
         "_contexts",
         "_handlers",
+        "_names",
         "_publisher",
         "_rejected",
         "_sealer",
@@ -70,9 +72,16 @@
     )
 
     def __init__(
-        self, *, node: str, section: PeersSection, timers: TimerService, address: str | None = None
+        self,
+        *,
+        node: str,
+        section: PeersSection,
+        timers: TimerService,
+        address: str | None = None,
+        also_reached_at: tuple[str, ...] = (),
     ) -> None:
         self._address = address
+        self._names = frozenset(filter(None, (address, *also_reached_at)))
         self._timers = timers
         self._sealer = Sealer(
             sender=node,
@@ -185,7 +194,7 @@
             except pynng.NNGException:
                 continue
             try:
-                opened = self._sealer.open(data, receiver=self._address or "")
+                opened = self._sealer.open(data, receiver=self._names)
             except MessageRejected as error:
                 self._reject(error)
                 continue
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -42,11 +42,16 @@
 
 @section("keeper", "keeper")
 class KeeperSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where this keeper answers its peers, and where the platform's services answer."""
+    """Where this keeper answers its peers, and where the platform's services answer.
+
+    ``also_reached_at`` are further addresses under which others reach it, as behind address
+    translation.
+    """
 
     address: Address
     store: Address
     vm_list: Address
+    also_reached_at: tuple[Address, ...] = ()
 
 
 def build_keeper(settings: Settings) -> KeeperContext:
@@ -71,6 +76,7 @@
             section=settings.get(PeersSection),
             timers=timers,
             address=own.address,
+            also_reached_at=own.also_reached_at,
         ),
         store=EtcdStore(client=client, address=own.store, timers=timers),
         vm_list=HttpVmList(client=client, address=own.vm_list, timers=timers),
