--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -15,12 +15,14 @@
 import pynng
 from loguru import logger
 
-from baobabpulley import errors
+from baobabpulley.adapters.envelope import EVERYONE
+from baobabpulley.adapters.envelope import Opened
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.envelope import kind_of
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import MessageRejected
 from baobabpulley.errors import PeerUnavailable
+from baobabpulley.errors import error_kinds
 from baobabpulley.ports.peers import Handler
 from baobabpulley.ports.peers import Listener
 from baobabpulley.ports.peers import Peers
@@ -51,14 +53,17 @@
     """Sockets of one process.
 
     A process with an ``address`` answers questions there and publishes on the next port. One
-    without an address only asks and listens.
+    without an address only asks and listens. Questions have to name that address, or one of
+    ``also_reached_at``, as the place they were sent to.
     """
 
     __slots__ = (
         "_address",
         "_asking",
+        "_contexts",
         "_handlers",
         "_listening",
+        "_names",
         "_publisher",
         "_rejected",
         "_sealer",
@@ -68,9 +73,16 @@
     )
 
     def __init__(
-        self, *, node: str, section: PeersSection, timers: TimerService, address: str | None = None
+        self,
+        *,
+        node: str,
+        section: PeersSection,
+        timers: TimerService,
+        address: str | None = None,
+        also_reached_at: tuple[str, ...] = (),
     ) -> None:
         self._address = address
+        self._names = frozenset(filter(None, (address, *also_reached_at)))
         self._timers = timers
         self._sealer = Sealer(
             sender=node,
@@ -80,6 +92,7 @@
         )
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._asking: dict[str, pynng.Req0] = {}
+        self._contexts: set[pynng.Context] = set()
         self._sockets: list[pynng.Socket] = []
         self._listening: dict[tuple[str, Listener], pynng.Sub0] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -99,7 +112,7 @@
         self._publisher = pynng.Pub0(listen=f"tcp://{_publish_address(self._address)}")
         self._sockets += [replier, self._publisher]
         for _ in range(ANSWERERS):
-            self._run(self._answer_forever(replier.new_context()))
+            self._run(self._answer_forever(self._open_context(replier)))
 
     async def ask(
         self, address: str, question: msgspec.Struct, *, answer: type[A], timeout: float
@@ -108,18 +121,19 @@
         if socket is None:
             socket = _dial(pynng.Req0(), address)
             self._asking[address] = socket
-        context = socket.new_context()
+        context = self._open_context(socket)
         try:
             async with self._timers.limit(timeout):
-                await context.asend(self._sealer.seal(question, kind=kind_of(question)))
+                sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
+                await context.asend(sealed.data)
                 data = await context.arecv()
-            message, _ = self._sealer.open(data)
+            message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
             # The next question opens a new connection: this one may be silent for good.
             self._forget(address, socket)
             raise PeerUnavailable(f"the process at {address} did not answer: {error!r}") from error
         finally:
-            context.close()
+            self._close_context(context)
         if isinstance(message, FaultAnswer):
             raise _fault_of(message)
         if not isinstance(message, answer):
@@ -135,7 +149,8 @@
         if self._publisher is None:
             return
         with contextlib.suppress(pynng.NNGException):
-            self._publisher.send(self._sealer.seal(message, kind=kind_of(message)), block=False)
+            sealed = self._sealer.seal(message, kind=kind_of(message), receiver=EVERYONE)
+            self._publisher.send(sealed.data, block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
         self.unsubscribe(address, listener)
@@ -151,11 +166,25 @@
     def close(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
+        # A context must be closed before its socket: pynng raises afterwards, also on collection.
+        for context in tuple(self._contexts):
+            self._close_context(context)
         for socket in [*self._sockets, *self._asking.values(), *self._listening.values()]:
             socket.close()
         self._asking.clear()
         self._listening.clear()
 
+    def _open_context(self, socket: pynng.Rep0 | pynng.Req0) -> pynng.Context:
+        context = socket.new_context()
+        self._contexts.add(context)
+        return context
+
+    def _close_context(self, context: pynng.Context) -> None:
+        if context in self._contexts:
+            self._contexts.discard(context)
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
     def _run(self, coroutine: object) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
         self._tasks.add(task)
@@ -175,24 +204,26 @@
                 return
             except pynng.NNGException:
                 continue
-            reply = await self._reply_to(data)
-            if reply is None:
+            try:
+                opened = self._sealer.open(data, receiver=self._names)
+            except MessageRejected as error:
+                self._reject(error)
                 continue
+            reply = await self._reply_to(opened)
+            sealed = self._sealer.seal(reply, kind=kind_of(reply), reply_to=opened.nonce)
             with contextlib.suppress(pynng.NNGException):
-                await context.asend(self._sealer.seal(reply, kind=kind_of(reply)))
+                await context.asend(sealed.data)
 
-    async def _reply_to(self, data: bytes) -> msgspec.Struct | None:
-        try:
-            message, sender = self._sealer.open(data)
-        except MessageRejected as error:
-            self._rejected += 1
-            logger.warning("dropped a message: {}", error.message)
-            return None
-        handler = self._handlers.get(type(message))
+    def _reject(self, error: MessageRejected) -> None:
+        self._rejected += 1
+        logger.warning("dropped a message: {}", error.message)
+
+    async def _reply_to(self, opened: Opened) -> msgspec.Struct:
+        handler = self._handlers.get(type(opened.message))
         if handler is None:
             return FaultAnswer(code="not_found", message="no handler", remedy="Upgrade the peer.")
         try:
-            return await handler(message, sender)
+            return await handler(opened.message, opened.sender)
         except BaobabError as error:
             return FaultAnswer(
                 code=error.code,
@@ -201,7 +232,7 @@
                 retry_after=error.retry_after,
             )
         except Exception:
-            logger.exception("answering {} failed", type(message).__name__)
+            logger.exception("answering {} failed", type(opened.message).__name__)
             return FaultAnswer(
                 code="internal", message="the peer failed", remedy=BaobabError.default_remedy
             )
@@ -210,14 +241,13 @@
         while True:
             try:
                 data = await socket.arecv()
-                message, sender = self._sealer.open(data)
+                opened = self._sealer.open(data, receiver=EVERYONE)
             except pynng.Closed:
                 return
             except MessageRejected as error:
-                self._rejected += 1
-                logger.warning("dropped a message: {}", error.message)
+                self._reject(error)
                 continue
-            listener(message, sender)
+            listener(opened.message, opened.sender)
 
 
 S = TypeVar("S", bound=pynng.Socket)
@@ -236,12 +266,5 @@
 
 
 def _fault_of(answer: FaultAnswer) -> BaobabError:
-    kind = _KINDS.get(answer.code, BaobabError)
+    kind = error_kinds().get(answer.code, BaobabError)
     return kind(answer.message, remedy=answer.remedy, retry_after=answer.retry_after)
-
-
-_KINDS: Final[dict[str, type[BaobabError]]] = {
-    kind.code: kind
-    for kind in vars(errors).values()
-    if isinstance(kind, type) and issubclass(kind, BaobabError)
-}
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -13,10 +13,15 @@
 from baobabpulley.timers import TimerService
 
 if TYPE_CHECKING:
+    from baobabpulley.adapters.envelope import Sealer
     from baobabpulley.adapters.metrics import EntryMetrics
+    from baobabpulley.entry.claims import Claims
     from baobabpulley.entry.dispatch import Dispatcher
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
+    from baobabpulley.entry.plain import ServiceCaller
+    from baobabpulley.entry.tickets import Tickets
+    from baobabpulley.policy.burn import BurnCounters
 
 
 @final
@@ -24,6 +29,8 @@
     """One entry process."""
 
     __slots__ = (
+        "burn",
+        "claims",
         "decisions",
         "dispatcher",
         "keeper",
@@ -31,7 +38,10 @@
         "metrics",
         "node",
         "peers",
+        "sealer",
+        "services",
         "settings",
+        "tickets",
         "timers",
         "view",
     )
@@ -49,6 +59,11 @@
         decisions: DecisionLog,
         metrics: EntryMetrics,
         lifecycle: Lifecycle,
+        services: ServiceCaller,
+        tickets: Tickets,
+        claims: Claims,
+        sealer: Sealer,
+        burn: BurnCounters,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -60,3 +75,8 @@
         self.decisions = decisions
         self.metrics = metrics
         self.lifecycle = lifecycle
+        self.services = services
+        self.tickets = tickets
+        self.claims = claims
+        self.sealer = sealer
+        self.burn = burn
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -37,11 +37,13 @@
 class RelaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How settings reach this keeper; ``watchers`` are the watching keepers a failure domain.
 
-    ``full_snapshots`` publishes all settings instead of what changed. ``others`` are keepers to
-    ask before any VM list arrived. Times are model seconds.
+    With ``direct_watches`` every keeper holds a watch. ``full_snapshots`` publishes all settings
+    instead of what changed. ``others`` are keepers to ask before any VM list arrived. Times are
+    model seconds.
     """
 
     watchers: Count = 2
+    direct_watches: bool = False
     pull_period: Seconds = 1.0
     full_snapshots: bool = False
     others: tuple[Address, ...] = ()
@@ -79,7 +81,8 @@
         own = self._context.address
         keepers = self._keepers_of(self._context.node.failure_domain)
         listed = any(vm.address == own for vm in keepers)
-        return not listed or any(vm.address == own for vm in self.watchers)
+        chosen = any(vm.address == own for vm in self.watchers)
+        return self._section.direct_watches or not listed or chosen
 
     async def start(self) -> None:
         self._context.peers.answer(SettingsQuestion, self._answer)
