--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -13,6 +13,8 @@
     "standins",
     "settings",
     "limits",
+    "bench",
+    "bench_converge",
     "report",
     "explain",
 )
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_converge.py
@@ -0,0 +1,197 @@
+"""Measure how soon a settings change is in force at every keeper, over real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+from typing import final
+
+import msgspec
+import numpy
+
+from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.emulator.fleet import HOST
+from baobabpulley.emulator.fleet import SECRET
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.model.documents import document_key
+from baobabpulley.model.settings_messages import SettingsNews
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.settings import PeersSection
+from baobabpulley.timers import TimerService
+
+CHANGE_TIMEOUT: Final = 30.0
+SETTLE: Final = 4.0
+IDLE: Final = 5.0
+MAX_PAUSE: Final = 0.05
+DOCUMENT_BYTES: Final = 500
+
+HEADS: Final = (
+    "keepers",
+    "way",
+    "p50, ms",
+    "p99, ms",
+    "worst, ms",
+    "bytes of news a change and keeper",
+    "keeper's core share, idle",
+    "keeper's core share, changes",
+    "store calls a second, idle",
+    "waiting watches",
+)
+
+WAYS: Final[dict[str, dict[str, str]]] = {
+    "deltas, two watches a failure domain": {},
+    "full snapshots, two watches a failure domain": {"full_snapshots": "true"},
+    "deltas, a watch of each keeper": {"direct_watches": "true"},
+}
+
+Row = tuple[str, ...]
+
+
+@final
+class ConvergePlan:
+    """What to measure; ports are taken upwards from ``base_port``."""
+
+    __slots__ = ("base_port", "changes", "documents", "seed")
+
+    def __init__(self, *, base_port: int, changes: int, documents: int, seed: int) -> None:
+        self.base_port = base_port
+        self.changes = changes
+        self.documents = documents
+        self.seed = seed
+
+
+@final
+class Witness:
+    """Listen to what keepers publish, and tell when all have a revision."""
+
+    __slots__ = ("_applied", "_changed", "news_bytes")
+
+    def __init__(self, names: list[str]) -> None:
+        self._applied = dict.fromkeys(names, 0)
+        self._changed = asyncio.Event()
+        self.news_bytes = 0
+
+    @property
+    def slowest(self) -> int:
+        """The lowest revision that a keeper has published."""
+        return min(self._applied.values())
+
+    def hear(self, message: msgspec.Struct, sender: str) -> None:
+        """Take over what a keeper published."""
+        if not isinstance(message, SettingsNews) or sender not in self._applied:
+            return
+        if message.entries:
+            self.news_bytes += len(msgspec.msgpack.encode(message))
+        newest = max((entry.mod_revision for entry in message.entries), default=0)
+        self._applied[sender] = max(self._applied[sender], message.revision, newest)
+        self._changed.set()
+
+    async def wait(self, revision: int) -> None:
+        """Wait until every keeper has published a revision."""
+        async with asyncio.timeout(CHANGE_TIMEOUT):
+            while self.slowest < revision:
+                self._changed.clear()
+                await self._changed.wait()
+
+
+async def measure_all(plan: ConvergePlan, *, sizes: list[int], show: Callable[[Row], None]) -> None:
+    """Measure each way at each number of keepers, in turns of one run."""
+    for keepers in sizes:
+        for way, options in WAYS.items():
+            with tempfile.TemporaryDirectory() as directory:
+                fleet = Fleet(
+                    plan=FleetPlan(
+                        base_port=plan.base_port,
+                        entries=keepers,
+                        engines=0,
+                        plain_services=0,
+                        keeper_sections={"settings_relay": options},
+                        daemons=("keeper",),
+                    ),
+                    directory=Path(directory),
+                )
+                async with fleet:
+                    show((str(keepers), way, *await _measure(fleet, plan)))
+
+
+async def _measure(fleet: Fleet, plan: ConvergePlan) -> Row:
+    names = [name for name in fleet.processes if name.startswith("keeper")]
+    for index in range(len(names)):
+        await fleet.wait_for(f"{HOST}:{plan.base_port + 800 + index}", "/readyz")
+    chance = random.Random(plan.seed)
+    await _write_documents(fleet, plan, chance)
+    timers = TimerService()
+    section = PeersSection(secret=SECRET)
+    peers = PynngPeers(node="bench", section=section, timers=timers)
+    witness = Witness(names)
+    for vm in fleet.vms:
+        peers.subscribe(vm.address, witness.hear)
+    await asyncio.sleep(SETTLE)
+    idle_share, calls, watches = await _idle(fleet, names)
+    witness.news_bytes = 0
+    began, used = time.monotonic(), _core_seconds(fleet, names)
+    times = [await _one_change(fleet, witness, chance) for _ in range(plan.changes)]
+    share = (_core_seconds(fleet, names) - used) / (time.monotonic() - began) / len(names)
+    peers.close()
+    milliseconds = numpy.array(times) * 1000.0
+    return (
+        f"{numpy.percentile(milliseconds, 50):.1f}",
+        f"{numpy.percentile(milliseconds, 99):.1f}",
+        f"{milliseconds.max():.1f}",
+        f"{witness.news_bytes / plan.changes / len(names):.0f}",
+        f"{idle_share:.2%}",
+        f"{share:.2%}",
+        f"{calls:.2f}",
+        str(watches),
+    )
+
+
+async def _one_change(fleet: Fleet, witness: Witness, chance: random.Random) -> float:
+    """Return the real seconds from sending a write until every keeper has published it."""
+    await asyncio.sleep(chance.uniform(0.0, MAX_PAUSE))
+    key = document_key("souk", "changing")
+    held = await fleet.store.get(key)
+    swap = Swap(
+        key=key, value=_document(chance), expected_revision=held.mod_revision if held else 0
+    )
+    began = time.monotonic()
+    outcome = await fleet.store.swap(swap)
+    assert outcome.held
+    await witness.wait(outcome.revision)
+    return time.monotonic() - began
+
+
+async def _write_documents(fleet: Fleet, plan: ConvergePlan, chance: random.Random) -> None:
+    for number in range(plan.documents):
+        key = document_key("souk", f"document-{number}")
+        await fleet.store.swap(Swap(key=key, value=_document(chance), expected_revision=0))
+
+
+def _document(chance: random.Random) -> bytes:
+    return msgspec.json.encode({"text": chance.randbytes(DOCUMENT_BYTES // 2).hex()})
+
+
+async def _idle(fleet: Fleet, names: list[str]) -> tuple[float, float, int]:
+    used = _core_seconds(fleet, names)
+    before = await fleet.request(fleet.store_address, "GET", "/counts")
+    await asyncio.sleep(IDLE)
+    after = await fleet.request(fleet.store_address, "GET", "/counts")
+    calls = sum(after["calls"].values()) - sum(before["calls"].values())
+    share = (_core_seconds(fleet, names) - used) / IDLE / len(names)
+    return share, calls / IDLE, after["watches"]
+
+
+def _core_seconds(fleet: Fleet, names: list[str]) -> float:
+    ticks = 0
+    for name in names:
+        stat = Path(f"/proc/{fleet.processes[name].pid}/stat").read_text(encoding="utf-8")
+        fields = stat.rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "base_port",
+        "daemons",
         "domains",
         "engine_options",
         "engines",
@@ -78,8 +79,10 @@
         limits: dict[str, Limit] | None = None,
         entry_sections: dict[str, dict[str, str]] | None = None,
         keeper_sections: dict[str, dict[str, str]] | None = None,
+        daemons: tuple[str, ...] = ("keeper", "entry"),
     ) -> None:
         self.base_port = base_port
+        self.daemons = daemons
         self.domains = domains
         self.entries = entries
         self.engines = engines
@@ -223,10 +226,11 @@
         self._write_daemons()
         await self.put_vms(self.vms)
         for name, process in self.processes.items():
-            if name.startswith(("keeper", "entry")):
+            if name.startswith(self._plan.daemons):
                 process.start()
-        for address in self.entries.values():
-            await self.wait_for(address, "/readyz")
+        if "entry" in self._plan.daemons:
+            for address in self.entries.values():
+                await self.wait_for(address, "/readyz")
 
     async def put_vms(self, vms: list[Vm]) -> None:
         """Set the rows of the VM list; readers see them after the lag."""
