Send capacity figures only where they are needed, and let old ones lapse

Cause: each pull carried the figures of all failure domains both ways; at 20 domains a watching keeper would have spent over 30 KB/s on them (worked out, not measured). Now a keeper tells its own domain's figures, and gets all only from its own domain. Figures older than 30 s no longer count, so that a keeper that was cut off promises nothing on them. An entry that asked a keeper that went silent takes no other keeper's refusal for the outcome.

--- a/src/baobabpulley/emulator/bench_converge.py
+++ b/src/baobabpulley/emulator/bench_converge.py
@@ -46,8 +46,8 @@
 )
 
 WAYS: Final[dict[str, dict[str, str]]] = {
-    "deltas, two watches a failure domain": {},
-    "full snapshots, two watches a failure domain": {"full_snapshots": "true"},
+    "deltas, at most two watches a failure domain": {},
+    "full snapshots, at most two watches a failure domain": {"full_snapshots": "true"},
     "deltas, a watch of each keeper": {"direct_watches": "true"},
 }
 
--- a/src/baobabpulley/keeper/capacity.py
+++ b/src/baobabpulley/keeper/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Final
 from typing import final
 
 import msgspec
@@ -12,10 +13,15 @@
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.timers import TimerService
 
+MAX_AGE: Final = 30.0
+
 
 @final
 class CapacityBook:
-    """Keep the newest figures of each failure domain; the own one's come from load reports."""
+    """Keep the newest figures of each failure domain; the own one's come from load reports.
+
+    Figures older than ``MAX_AGE`` model seconds no longer count: nothing is promised on them.
+    """
 
     __slots__ = ("_heard", "_timers", "_view")
 
@@ -26,25 +32,18 @@
 
     @property
     def domains(self) -> tuple[DomainCapacity, ...]:
-        """Figures of all failure domains, the own one first."""
+        """Figures of all failure domains that are fresh enough, the own one first."""
         now = self._timers.now()
         others = (
             msgspec.structs.replace(capacity, age=now - taken)
             for name, (taken, capacity) in sorted(self._heard.items())
-            if name != self._view.failure_domain
+            if name != self._view.failure_domain and now - taken <= MAX_AGE
         )
-        return (self._own(), *others)
-
-    def hear(self, capacities: Iterable[DomainCapacity]) -> None:
-        """Take over figures that are newer than those held."""
-        now = self._timers.now()
-        for capacity in capacities:
-            taken = now - capacity.age
-            held = self._heard.get(capacity.failure_domain)
-            if held is None or held[0] < taken:
-                self._heard[capacity.failure_domain] = (taken, capacity)
+        return (self.own, *others)
 
-    def _own(self) -> DomainCapacity:
+    @property
+    def own(self) -> DomainCapacity:
+        """Figures of this keeper's own failure domain."""
         loads = self._view.loads
         memory = sum(
             loads[upstream.id].report.memory_total
@@ -53,3 +52,12 @@
         )
         live = [vm for vm in self._view.keepers if vm.state == LIVE]
         return DomainCapacity(self._view.failure_domain, memory, len(live))
+
+    def hear(self, capacities: Iterable[DomainCapacity]) -> None:
+        """Take over figures that are newer than those held."""
+        now = self._timers.now()
+        for capacity in capacities:
+            taken = now - capacity.age
+            held = self._heard.get(capacity.failure_domain)
+            if held is None or held[0] < taken:
+                self._heard[capacity.failure_domain] = (taken, capacity)
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -20,6 +20,7 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.model.settings_messages import DomainCapacity
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
 from baobabpulley.model.upstreams import LIVE
@@ -136,10 +137,7 @@
         book = self._context.view.book
         more = True
         while more:
-            question = SettingsQuestion(
-                revision=book.revision,
-                capacities=self._capacity.domains,
-            )
+            question = SettingsQuestion(revision=book.revision, capacity=self._capacity.own)
             news = await self._context.peers.ask(
                 address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
             )
@@ -153,10 +151,15 @@
     async def _answer(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, SettingsQuestion)
-        self._capacity.hear(message.capacities)
-        return self._news(message.revision)
-
-    def _news(self, since: int) -> SettingsNews:
+        asker = message.capacity
+        if asker is None:
+            return self._news(message.revision)
+        self._capacity.hear((asker,))
+        own_domain = asker.failure_domain == self._context.node.failure_domain
+        known = self._capacity.domains if own_domain else (self._capacity.own,)
+        return self._news(message.revision, capacities=known)
+
+    def _news(self, since: int, *, capacities: tuple[DomainCapacity, ...] = ()) -> SettingsNews:
         book = self._context.view.book
         page = book.page(since)
         return SettingsNews(
@@ -165,7 +168,7 @@
             entries=page.entries,
             limits=book.limits_beyond_entries,
             more=page.more,
-            capacities=self._capacity.domains,
+            capacities=capacities,
         )
 
     def _publish(self, before: int) -> None:
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -25,17 +25,18 @@
 
 @peer_message("settings.question")
 class SettingsQuestion(msgspec.Struct, frozen=True):
-    """Ask for settings past ``revision``, and tell what is known of capacity."""
+    """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it."""
 
     revision: int
-    capacities: tuple[DomainCapacity, ...] = ()
+    capacity: DomainCapacity | None = None
 
 
 @peer_message("settings.news")
 class SettingsNews(msgspec.Struct, frozen=True):
     """Settings complete from ``since`` to ``revision``; ``more`` if a repeat brings later ones.
 
-    ``limits`` are in force beyond what the entries tell.
+    ``limits`` are in force beyond what the entries tell. ``capacities`` are those of all failure
+    domains for a keeper of the own one, and else that of the own one.
     """
 
     since: int
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -217,6 +217,24 @@
     assert watching.book.rejected == {}
 
 
+async def test_every_keeper_knows_the_fresh_capacity_of_all_failure_domains(
+    cluster: Cluster,
+) -> None:
+    await cluster.advance(IN_FORCE_WITHIN)
+    known = {name: capacities(cluster, name) for name in cluster.members if "keeper" in name}
+    one = cluster.memory
+    assert set(known.values()) == {(("fes", one, 3), ("meknes", one, 2), ("rabat", one, 1))}
+    cluster.cuts |= {frozenset(("rabat", "fes")), frozenset(("rabat", "meknes"))}
+    await cluster.advance(40.0)
+    assert capacities(cluster, "keeper-rabat-0") == (("rabat", one, 1),)
+    assert [row[0] for row in capacities(cluster, "keeper-fes-0")] == ["fes", "meknes"]
+
+
+def capacities(cluster: Cluster, name: str) -> tuple[tuple[str, int, int], ...]:
+    domains = cluster.members[name].context.parts["settings_relay"].capacity.domains
+    return tuple(sorted((d.failure_domain, d.memory_tokens, d.entry_vms) for d in domains))
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_random_faults_never_take_settings_back(seed: int) -> None:
     cluster = Cluster(keepers={"fes": 2, "meknes": 1, "rabat": 1}, seed=seed)
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -203,6 +203,17 @@
     await in_force(fleet, wanted)
 
 
+async def test_a_refusal_after_a_silent_keeper_is_not_taken_for_the_outcome(fleet: Fleet) -> None:
+    frozen = fleet.processes["keeper-0"]
+    frozen.send(signal.SIGSTOP)
+    status, answer = await call(fleet, "entry-0", "PUT", OWN, Limit(1, 1))
+    frozen.send(signal.SIGCONT)
+    assert (status, answer["error"]["code"]) == (504, "change_unknown")
+    change_id = answer["error"]["remedy"].split("/v1/changes/")[1].split()[0]
+    status, answer = await call(fleet, "entry-1", "GET", f"/v1/changes/{change_id}")
+    assert (status, answer["error"]["code"]) == (409, "conflict")
+
+
 async def test_the_store_is_called_seldom_and_an_outage_changes_nothing(fleet: Fleet) -> None:
     rates = [await calls_a_second(fleet)]
     await fleet.fault(fleet.store_address, "down", seconds=10_000.0)
@@ -239,6 +250,32 @@
     assert await serves(fleet, f"entry-{number}")
 
 
+async def test_a_bad_document_is_named_in_log_and_metrics(fleet: Fleet) -> None:
+    held = (await fleet.store.get("/baobab/teams/souk/limit")).mod_revision
+    swap = Swap(key="/baobab/teams/souk/limit", value=b"?", expected_revision=held)
+    revision = (await fleet.store.swap(swap)).revision
+    line = f"/baobab/teams/souk/limit at revision {revision}"
+    await logged(fleet, "keeper-1", line)
+    port = fleet.plan.base_port + 801
+    _, metrics = await fetch(
+        fleet.client, address=f"127.0.0.1:{port}", method="GET", path="/metrics", timeout=PATIENCE
+    )
+    name = b'baobab_rejected_document_revision{key="/baobab/teams/souk/limit"}'
+    assert name + f" {float(revision)}".encode() in metrics
+    assert all([await serves(fleet, name) for name in fleet.entries])
+    await settled(fleet, "entry-0", Limit(17_000, 90_000))
+    await in_force(fleet, Limit(17_000, 90_000))
+
+
+async def logged(fleet: Fleet, name: str, line: str) -> None:
+    end = time.monotonic() + PATIENCE
+    while True:
+        if line in fleet.processes[name].log:
+            return
+        assert time.monotonic() < end, line
+        await asyncio.sleep(0.05)
+
+
 async def test_a_watch_owes_its_first_events_and_tells_of_compaction(base_port: int) -> None:
     timers = TimerService(speed=SPEED)
     address = f"127.0.0.1:{base_port + 90}"
