--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -174,7 +174,7 @@
         streams = self._idle[address]
         while streams and not fresh:
             since, stream = streams.pop()
-            if not stream.closed() and time.monotonic() - since < MAX_IDLE_SECONDS:
+            if _is_quiet(stream) and time.monotonic() - since < MAX_IDLE_SECONDS:
                 self._reused += 1
                 stream.set_close_callback(None)
                 return stream
@@ -298,6 +298,19 @@
             delegate.fail()
 
 
+def _is_quiet(stream: IOStream) -> bool:
+    """Whether an idle connection is open and holds no byte that nobody asked for."""
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 async def fetch(
     client: HttpClient,
     *,
--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -167,6 +167,17 @@
 
     async def _stream(
         self, upstream: Upstream, path: str, body: bytes, attempt: str, *, fresh: bool = False
+    ) -> AsyncIterator[AnswerEvent]:
+        try:
+            async for event in self._checked_stream(upstream, path, body, attempt, fresh=fresh):
+                yield event
+        except UpstreamLost:
+            # What made this connection silent may have done so to the idle ones beside it.
+            self._client.drop_idle(upstream.address)
+            raise
+
+    async def _checked_stream(
+        self, upstream: Upstream, path: str, body: bytes, attempt: str, *, fresh: bool
     ) -> AsyncIterator[AnswerEvent]:
         idle = self._timers.real(self._idle_bound)
         async with self._client.call(
--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -26,6 +26,7 @@
         "registry",
         "rejected",
         "requests",
+        "resumes",
         "revision",
     )
 
@@ -41,6 +42,9 @@
             "baobab_refusals", "Requests that did not run", ["code"], registry=self.registry
         )
         self.alarms = Counter("baobab_alarms", "Alarms by kind", ["kind"], registry=self.registry)
+        self.resumes = Counter(
+            "baobab_resumes", "Streams resumed on a new connection", registry=self.registry
+        )
         self.rejected = Counter(
             "baobab_rejected_messages",
             "Messages between processes that failed a check",
--- a/src/baobabpulley/cli/standins.py
+++ b/src/baobabpulley/cli/standins.py
@@ -9,7 +9,7 @@
 import click
 
 from baobabpulley.cli.main import cli
-from baobabpulley.entry.daemon import stop_signal
+from baobabpulley.signals import stop_event
 from baobabpulley.standins.engine import EngineStandin
 from baobabpulley.standins.engine_core import EngineProfile
 from baobabpulley.standins.service import ServiceStandin
@@ -105,7 +105,8 @@
 
 def _run(build: Callable[[], _Standin]) -> None:
     async def serve() -> None:
+        stop = stop_event()
         build().start()
-        await stop_signal()
+        await stop.wait()
 
     asyncio.run(serve())
--- a/src/baobabpulley/emulator/caller.py
+++ b/src/baobabpulley/emulator/caller.py
@@ -21,9 +21,22 @@
 class Completion:
     """What came back. Times are real seconds since sending; ``code`` is empty on success."""
 
-    __slots__ = ("code", "first_token", "ran", "request_id", "status", "text", "total", "usage")
+    __slots__ = (
+        "code",
+        "first_token",
+        "offset",
+        "ran",
+        "request_id",
+        "resume_token",
+        "status",
+        "text",
+        "total",
+        "usage",
+    )
 
     def __init__(self) -> None:
+        self.offset = 0
+        self.resume_token = ""
         self.status = 0
         self.code = ""
         self.ran: bool | None = None
@@ -69,18 +82,46 @@
             "stream": stream,
         }
         result = Completion()
+        await self._send(address, "/v1/completions", body, headers or {}, result)
+        return result
+
+    async def resume(self, address: str, lost: Completion, *, prompt: str) -> Completion:
+        """Go on with an answer through another entry; the result holds the whole text so far."""
+        body = {
+            "resume_token": lost.resume_token,
+            "prompt": prompt,
+            "delivered": lost.text,
+            "offset": lost.offset,
+        }
+        result = Completion()
+        result.text = lost.text
+        result.offset = lost.offset
+        result.resume_token = lost.resume_token
+        result.first_token = lost.first_token
+        await self._send(address, "/v1/completions/resume", body, {}, result)
+        return result
+
+    async def _send(
+        self,
+        address: str,
+        path: str,
+        body: dict[str, object],
+        headers: dict[str, str],
+        result: Completion,
+    ) -> None:
         started = time.monotonic()
         try:
             async with self._client.call(
                 address=address,
                 method="POST",
-                path="/v1/completions",
+                path=path,
                 body=msgspec.json.encode(body),
-                headers={"Authorization": f"Bearer {self._token}", **(headers or {})},
+                headers={"Authorization": f"Bearer {self._token}", **headers},
                 head_timeout=REAL_TIMEOUT,
             ) as answer:
                 result.status = answer.status
                 result.request_id = answer.headers.get("X-Request-Id", "")
+                result.resume_token = answer.headers.get("Resume-Token", result.resume_token)
                 if answer.headers.get("Content-Type", "").startswith("text/event-stream"):
                     await _read_stream(answer.chunks(idle_timeout=REAL_TIMEOUT), result, started)
                 else:
@@ -91,7 +132,6 @@
         result.total = time.monotonic() - started
         if result.first_token is None:
             result.first_token = result.total
-        return result
 
 
 async def _read_stream(chunks: Any, result: Completion, started: float) -> None:
@@ -115,4 +155,5 @@
         result.ran = error["ran"]
         return
     result.text += document["choices"][0]["text"]
+    result.offset = max(result.offset, document.get("offset", 0))
     result.usage = document.get("usage") or result.usage
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -4,7 +4,6 @@
 
 import contextlib
 from typing import Annotated
-from typing import final
 
 import msgspec
 from tornado.iostream import StreamClosedError
@@ -12,12 +11,14 @@
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import frame_event
+from baobabpulley.entry.resume_tokens import RESUME_HEADER
 from baobabpulley.entry.web import REQUEST_ID_HEADER
 from baobabpulley.entry.web import EntryHandler
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import NotReady
 from baobabpulley.errors import PromptTooLong
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import error_kinds
@@ -66,12 +67,16 @@
 
 
 class CompletionChunk(msgspec.Struct, omit_defaults=True):
-    """One streamed event, or the whole answer; ``usage`` stands in the last one."""
+    """One streamed event, or the whole answer; ``usage`` stands in the last one.
+
+    ``offset`` counts the answer's tokens up to the end of this event's text.
+    """
 
     id: str
     model: str
     choices: tuple[Choice, ...]
     object: str = "text_completion"
+    offset: int = 0
     usage: dict[str, int] | None = None
 
 
@@ -80,7 +85,6 @@
 
 @route("/v1/completions")
 @stream_request_body
-@final
 class CompletionHandler(EntryHandler):
     """Admit, dispatch and answer one completion request."""
 
@@ -91,6 +95,8 @@
         if self.request.method != "POST":
             return
         self._check_size(int(self.request.headers.get("Content-Length", "0")))
+        if self.context.lifecycle.refusing:
+            raise NotReady("this entry is shutting down", retry_after=1.0)
         self._team = self.authenticate()
 
     def data_received(self, chunk: bytes) -> None:
@@ -129,11 +135,7 @@
             raise UnknownModel(f"no model is called {body.model!r}")
         now = self.context.timers.now()
         prompt_tokens = estimate_tokens(body.prompt)
-        allowed = (
-            self._section.deadline_base
-            + self._section.deadline_per_prompt_token * prompt_tokens
-            + self._section.deadline_per_output_token * body.max_tokens
-        )
+        allowed = self._allowed_time(prompt_tokens=prompt_tokens, max_tokens=body.max_tokens)
         return CompletionRequest(
             request_id=self.request_id,
             team=self._team,
@@ -147,6 +149,13 @@
             deadline=now + allowed,
         )
 
+    def _allowed_time(self, *, prompt_tokens: int, max_tokens: int) -> float:
+        return (
+            self._section.deadline_base
+            + self._section.deadline_per_prompt_token * prompt_tokens
+            + self._section.deadline_per_output_token * max_tokens
+        )
+
     def _check_limit(self, request: CompletionRequest) -> None:
         limit = self.context.view.book.limit(request.team)
         if request.prompt_tokens > limit.max_prompt_tokens:
@@ -158,21 +167,27 @@
     async def _answer(self, request: CompletionRequest, record: DecisionRecord) -> None:
         text: list[str] = []
         self.set_header(REQUEST_ID_HEADER, request.request_id)
+        if request.stream:
+            # The caller needs the token before the first one, so the head goes out with it.
+            self.set_header(RESUME_HEADER, self.context.resume_tokens.make(request))
         async with contextlib.aclosing(self.context.dispatcher.run(request, record)) as events:
             async for event in events:
                 if isinstance(event, TokenEvent):
-                    if event.index == 0:
+                    if event.index == request.offset:
                         self._observe_first(request, record)
                     text += event.tokens
                     if request.stream:
-                        await self._send(request, "".join(event.tokens))
+                        await self._send(request, event)
                 else:
                     await self._end(request, event, "".join(text))
 
-    async def _send(self, request: CompletionRequest, text: str) -> None:
+    async def _send(self, request: CompletionRequest, event: TokenEvent) -> None:
         self.set_header("Content-Type", "text/event-stream")
         chunk = CompletionChunk(
-            id=request.request_id, model=request.model, choices=(Choice(text=text),)
+            id=request.request_id,
+            model=request.model,
+            choices=(Choice(text="".join(event.tokens)),),
+            offset=event.index + len(event.tokens),
         )
         self.write(frame_event(msgspec.json.encode(chunk)))
         await self.flush()
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -20,6 +20,7 @@
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
     from baobabpulley.entry.plain import ServiceCaller
+    from baobabpulley.entry.resume_tokens import ResumeTokens
     from baobabpulley.entry.tickets import Tickets
     from baobabpulley.policy.burn import BurnCounters
 
@@ -38,6 +39,7 @@
         "metrics",
         "node",
         "peers",
+        "resume_tokens",
         "sealer",
         "services",
         "settings",
@@ -64,6 +66,7 @@
         claims: Claims,
         sealer: Sealer,
         burn: BurnCounters,
+        resume_tokens: ResumeTokens,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -80,3 +83,4 @@
         self.claims = claims
         self.sealer = sealer
         self.burn = burn
+        self.resume_tokens = resume_tokens
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import signal
 from importlib import import_module
 from typing import Final
 
@@ -30,6 +28,8 @@
 from baobabpulley.entry.lifecycle import ShutdownSection
 from baobabpulley.entry.plain import ServiceCaller
 from baobabpulley.entry.plain import ServicesSection
+from baobabpulley.entry.resume_tokens import ResumeTokens
+from baobabpulley.entry.resuming_engine import ResumingEngine
 from baobabpulley.entry.tickets import Tickets
 from baobabpulley.entry.tickets import TicketsSection
 from baobabpulley.entry.web import routes
@@ -46,10 +46,11 @@
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import PeersSection
 from baobabpulley.settings import Settings
+from baobabpulley.signals import stop_event
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
-_HANDLER_MODULES: Final = ("burn", "callers", "explain", "health", "plain", "tickets")
+_HANDLER_MODULES: Final = ("burn", "callers", "explain", "health", "plain", "resume", "tickets")
 
 MAX_ACCEPTED_BODY: Final = 1 << 30
 
@@ -68,7 +69,9 @@
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
     dispatcher = Dispatcher(
         holder=node.id,
-        engine=HttpEngine(client=HttpClient(), timers=timers),
+        engine=ResumingEngine(
+            engine=HttpEngine(client=HttpClient(), timers=timers), metrics=metrics
+        ),
         view=view,
         policy=routing_policies.lookup("least_in_flight")(),
         lanes=settings.get(LanesSection),
@@ -94,6 +97,7 @@
         claims=_claims(settings, services=services, timers=timers),
         sealer=_sealer(settings),
         burn=BurnCounters(section=settings.get(BurnSection)),
+        resume_tokens=ResumeTokens(secret=settings.get(PeersSection).secret, timers=timers),
     )
 
 
@@ -170,22 +174,16 @@
     """Run an entry until SIGTERM or SIGINT, then drain it."""
     node = settings.get(NodeSection)
     configure_logs(settings.get(LogsSection), node=node.id)
+    stop = stop_event()
     context = build_entry(settings)
     server = start_server(context)
+    context.lifecycle.watch(lambda: context.tickets.running)
+    context.lifecycle.watch(lambda: context.claims.running)
     await context.keeper.refresh()
     context.keeper.start()
-    await stop_signal()
+    await stop.wait()
     await context.lifecycle.drain()
     server.stop()
     await server.close_all_connections()
     context.timers.cancel_all()
     context.peers.close()
-
-
-async def stop_signal() -> None:
-    """Wait for SIGTERM or SIGINT; further ones are ignored."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await stop.wait()
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -48,16 +48,23 @@
 class Delivery:
     """What the caller has of an answer."""
 
-    __slots__ = ("started", "tokens")
+    __slots__ = ("_before", "_offset", "started", "tokens")
 
-    def __init__(self) -> None:
+    def __init__(self, request: CompletionRequest) -> None:
+        self._before = request.delivered
+        self._offset = request.offset
         self.tokens: list[str] = []
-        self.started = False
+        self.started = request.offset > 0
 
     @property
     def offset(self) -> int:
         """Index of the token that the caller needs next."""
-        return len(self.tokens)
+        return self._offset + len(self.tokens)
+
+    @property
+    def text(self) -> str:
+        """All tokens that the caller has."""
+        return self._before + "".join(self.tokens)
 
 
 @final
@@ -111,7 +118,7 @@
             async for event in self._gangs.run(request, record):
                 yield event
             return
-        delivery = Delivery()
+        delivery = Delivery(request)
         excluded: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
             self._check_deadline(request, delivery)
@@ -169,7 +176,7 @@
             priority=PRIORITY_SHORT if self._lane(request) == SHORT else PRIORITY_LONG,
             deadline=request.deadline - self._timers.now(),
             offset=delivery.offset,
-            delivered="".join(delivery.tokens),
+            delivered=delivery.text,
         )
         self._metrics.attempts.labels(service=upstream.service).inc()
         self._in_flight[upstream.id] += 1
--- a/src/baobabpulley/entry/plain.py
+++ b/src/baobabpulley/entry/plain.py
@@ -23,6 +23,7 @@
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import NotFound
+from baobabpulley.errors import NotReady
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import OutcomeUnknown
 from baobabpulley.errors import UpstreamLeaving
@@ -200,6 +201,8 @@
     def prepare(self) -> None:
         self._parts: list[bytes] = []
         self._size = 0
+        if self.context.lifecycle.refusing:
+            raise NotReady("this entry is shutting down", retry_after=1.0)
         self._team = self.authenticate()
 
     def data_received(self, chunk: bytes) -> None:
--- /dev/null
+++ b/src/baobabpulley/entry/resume.py
@@ -0,0 +1,75 @@
+"""``POST /v1/completions/resume``: the rest of an answer whose entry was lost."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import final
+
+import msgspec
+from tornado.web import stream_request_body
+
+from baobabpulley.entry.callers import CompletionHandler
+from baobabpulley.entry.web import route
+from baobabpulley.errors import BadRequest
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.model.decisions import DecisionRecord
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.requests import Usage
+from baobabpulley.model.requests import estimate_tokens
+
+
+class ResumeBody(msgspec.Struct):
+    """The token, the prompt again, and what the caller has: ``offset`` tokens as one text."""
+
+    resume_token: str
+    prompt: Annotated[str, msgspec.Meta(min_length=1)]
+    delivered: str = ""
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
+    stream: bool = True
+
+
+_decoder = msgspec.json.Decoder(ResumeBody)
+
+
+@route("/v1/completions/resume")
+@stream_request_body
+@final
+class ResumeHandler(CompletionHandler):
+    """Answer with the tokens that the caller does not have yet, each once."""
+
+    def _parse(self) -> CompletionRequest:
+        try:
+            body = _decoder.decode(b"".join(self._parts))
+        except msgspec.DecodeError as error:
+            raise BadRequest(f"the body does not check: {error}") from error
+        tokens = self.context.resume_tokens
+        grant = tokens.open(body.resume_token, team=self._team, prompt=body.prompt)
+        if body.offset > grant.max_tokens or bool(body.offset) != bool(body.delivered):
+            raise BadRequest("offset and delivered do not say the same of the answer")
+        left = tokens.seconds_left(grant)
+        if left <= 0:
+            raise DeadlineBeforeStart("the deadline of the request has passed")
+        now = self.context.timers.now()
+        return CompletionRequest(
+            request_id=grant.request_id,
+            team=grant.team,
+            model=grant.model,
+            prompt=body.prompt,
+            prompt_tokens=estimate_tokens(body.prompt),
+            max_tokens=grant.max_tokens,
+            seed=grant.seed,
+            stream=body.stream,
+            arrived=now,
+            deadline=now + left,
+            delivered=body.delivered,
+            offset=body.offset,
+        )
+
+    async def _answer(self, request: CompletionRequest, record: DecisionRecord) -> None:
+        if request.offset < request.max_tokens:
+            await super()._answer(request, record)
+            return
+        # Only the end was missing.
+        usage = Usage(prompt_tokens=request.prompt_tokens, completion_tokens=request.offset)
+        await self._end(request, EndEvent(attempt="", reason="length", usage=usage), "")
--- /dev/null
+++ b/src/baobabpulley/entry/resuming_engine.py
@@ -0,0 +1,73 @@
+"""Go on with a running stream on a new connection when the old one broke or went silent."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import final
+
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.errors import CrossedAnswer
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.requests import TokenEvent
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.wrapped_engine import WrappedEngine
+
+MAX_RESUMES: Final = 3
+ALARM_CROSSED: Final = "crossed_answer"
+
+
+@final
+class ResumingEngine(WrappedEngine):
+    """Resume lost streams; pass everything else on.
+
+    A stream that is lost after its start is resumed at its offset on a new connection, as long
+    as the upstream still has the attempt. What cannot be resumed is raised as lost.
+    """
+
+    __slots__ = ("_metrics",)
+
+    def __init__(self, *, engine: Engine, metrics: EntryMetrics) -> None:
+        super().__init__(engine=engine)
+        self._metrics = metrics
+
+    async def complete(self, upstream: Upstream, call: EngineCall) -> AsyncIterator[AnswerEvent]:
+        offset = call.offset
+        events = self._engine.complete(upstream, call)
+        for resumes in range(MAX_RESUMES + 1):
+            try:
+                async with contextlib.aclosing(events) as arriving:  # type: ignore[type-var]
+                    async for event in arriving:
+                        offset = _next_offset(event, offset)
+                        yield event
+                return
+            except UpstreamLost as error:
+                self._count(error)
+                if resumes == MAX_RESUMES:
+                    raise
+                lost = error
+            except (UpstreamRefused, UpstreamUnreached) as error:
+                if not resumes:
+                    raise
+                # The first connection's attempt may have run, so this is not "not run".
+                raise lost from error
+            self._metrics.resumes.inc()
+            events = self._engine.resume(upstream, attempt=call.attempt, offset=offset)
+
+    def _count(self, error: UpstreamLost) -> None:
+        if isinstance(error, CrossedAnswer):
+            self._metrics.alarms.labels(kind=ALARM_CROSSED).inc()
+
+
+def _next_offset(event: AnswerEvent, offset: int) -> int:
+    if isinstance(event, TokenEvent) and event.index <= offset:
+        return max(offset, event.index + len(event.tokens))
+    assert isinstance(event, TokenEvent | EndEvent)
+    return offset
--- a/src/baobabpulley/entry/web.py
+++ b/src/baobabpulley/entry/web.py
@@ -48,6 +48,9 @@
         given = self.request.headers.get(REQUEST_ID_HEADER, "")
         usable = given.isprintable() and 0 < len(given) <= MAX_REQUEST_ID
         self._request_id = given if usable else secrets.token_hex(8)
+        if context.lifecycle.draining:
+            # A caller's next request then opens a connection to an entry that stays.
+            self.set_header("Connection", "close")
 
     @property
     def context(self) -> EntryContext:
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -19,7 +19,6 @@
 from baobabpulley.adapters.metrics import KeeperMetrics
 from baobabpulley.adapters.metrics import render_metrics
 from baobabpulley.adapters.pynng_peers import PynngPeers
-from baobabpulley.entry.daemon import stop_signal
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import keeper_parts
 from baobabpulley.logs import configure_logs
@@ -30,6 +29,7 @@
 from baobabpulley.settings import PeersSection
 from baobabpulley.settings import Settings
 from baobabpulley.settings import section
+from baobabpulley.signals import stop_event
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
@@ -93,13 +93,14 @@
     """Run a keeper until SIGTERM or SIGINT, then hand over."""
     node = settings.get(NodeSection)
     configure_logs(settings.get(LogsSection), node=node.id)
+    stop = stop_event()
     context = build_keeper(settings)
     assert isinstance(context.peers, PynngPeers)
     context.peers.start()
     for part in context.parts.values():
         await part.start()
     server = _start_server(context)
-    await stop_signal()
+    await stop.wait()
     for part in context.parts.values():
         await part.stop()
     server.stop()
--- a/src/baobabpulley/model/requests.py
+++ b/src/baobabpulley/model/requests.py
@@ -41,14 +41,17 @@
 class CompletionRequest:
     """An authenticated completion request of one caller.
 
-    ``deadline`` is in model seconds on the clock of this process's timer service.
+    ``deadline`` is in model seconds on the clock of this process's timer service. A resumed
+    request's caller already has ``delivered``, which are the first ``offset`` tokens.
     """
 
     __slots__ = (
         "arrived",
         "deadline",
+        "delivered",
         "max_tokens",
         "model",
+        "offset",
         "prompt",
         "prompt_tokens",
         "request_id",
@@ -70,6 +73,8 @@
         stream: bool,
         arrived: float,
         deadline: float,
+        delivered: str = "",
+        offset: int = 0,
     ) -> None:
         self.request_id = request_id
         self.team = team
@@ -81,6 +86,8 @@
         self.stream = stream
         self.arrived = arrived
         self.deadline = deadline
+        self.delivered = delivered
+        self.offset = offset
 
     @property
     def total_tokens(self) -> int:
--- /dev/null
+++ b/src/baobabpulley/ports/wrapped_engine.py
@@ -0,0 +1,69 @@
+"""A base for engine ports that add something to another one."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.upstreams import LoadReport
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.engine import EngineEvent
+from baobabpulley.ports.engine import EngineState
+from baobabpulley.ports.engine import Guard
+from baobabpulley.ports.engine import Hold
+from baobabpulley.ports.engine import Order
+from baobabpulley.ports.engine import PartCall
+from baobabpulley.ports.engine import PartRef
+
+
+class WrappedEngine(Engine):
+    """Pass every call on to another engine port."""
+
+    __slots__ = ("_engine",)
+
+    def __init__(self, *, engine: Engine) -> None:
+        self._engine = engine
+
+    def complete(self, upstream: Upstream, call: EngineCall) -> AsyncIterator[AnswerEvent]:
+        return self._engine.complete(upstream, call)
+
+    def resume(
+        self, upstream: Upstream, *, attempt: str, offset: int
+    ) -> AsyncIterator[AnswerEvent]:
+        return self._engine.resume(upstream, attempt=attempt, offset=offset)
+
+    async def cancel(self, upstream: Upstream, *, attempt: str) -> None:
+        await self._engine.cancel(upstream, attempt=attempt)
+
+    async def prefill_part(self, upstream: Upstream, call: PartCall) -> PartRef:
+        return await self._engine.prefill_part(upstream, call)
+
+    async def holds(self, upstream: Upstream) -> tuple[Hold, ...]:
+        return await self._engine.holds(upstream)
+
+    async def renew(self, upstream: Upstream, *, holder: str, ids: tuple[str, ...]) -> None:
+        await self._engine.renew(upstream, holder=holder, ids=ids)
+
+    async def release(self, upstream: Upstream, *, ids: tuple[str, ...]) -> None:
+        await self._engine.release(upstream, ids=ids)
+
+    async def load(self, upstream: Upstream) -> LoadReport:
+        return await self._engine.load(upstream)
+
+    def events(self, upstream: Upstream) -> AsyncIterator[EngineEvent]:
+        return self._engine.events(upstream)
+
+    async def order(
+        self,
+        upstream: Upstream,
+        order: Order,
+        *,
+        guard: Guard | None = None,
+        window: float | None = None,
+    ) -> None:
+        await self._engine.order(upstream, order, guard=guard, window=window)
+
+    async def state(self, upstream: Upstream) -> EngineState:
+        return await self._engine.state(upstream)
--- /dev/null
+++ b/testing/test_streams.py
@@ -0,0 +1,231 @@
+"""Streams under faults: whole answers, each token once, nobody else's; clean shutdowns."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Final
+
+import pytest
+import pytest_asyncio
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.caller import Completion
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.errors import BaobabError
+from baobabpulley.standins.text import expected_text
+from baobabpulley.standins.text import make_prompt
+
+SPEED: Final = 10.0
+ENTRIES: Final = 4
+ENGINES: Final = 4
+WAIT_SECONDS: Final = 60.0
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
+    plan = FleetPlan(
+        base_port=base_port,
+        domains=("fes", "rabat"),
+        speed=SPEED,
+        entries=ENTRIES,
+        engines=ENGINES,
+    )
+    directory: Path = tmp_path_factory.mktemp("fleet")
+    async with Fleet(plan=plan, directory=directory) as running:
+        yield running
+
+
+def souk(client: HttpClient | None = None) -> Caller:
+    return Caller(token=caller_token("souk"), model=MODEL, client=client)
+
+
+def engine_addresses(fleet: Fleet) -> list[str]:
+    return [fleet.address_of(f"engine-{index}") for index in range(ENGINES)]
+
+
+async def metric(fleet: Fleet, name: str) -> float:
+    """Return a metric's sum over all entries."""
+    total = 0.0
+    for address in fleet.entries.values():
+        async with fleet.client.call(address=address, method="GET", path="/metrics") as answer:
+            text = (await answer.body(idle_timeout=5.0)).decode()
+        lines = (line for line in text.splitlines() if line.startswith(name))
+        total += sum(float(line.rpartition(" ")[2]) for line in lines)
+    return total
+
+
+async def test_ten_thousand_answers_are_whole_and_nobody_elses(fleet: Fleet) -> None:
+    requests, callers, tokens = 10_000, 40, 3
+    addresses = itertools.cycle(fleet.entries.values())
+    numbers = iter(range(requests))
+    faults = ("cross", "repeat", "lose_answer")
+    prompts = [make_prompt(tokens=40 + index, seed=index) for index in range(50)]
+
+    async def one_caller() -> int:
+        caller = souk()
+        wrong = 0
+        for number in numbers:
+            prompt = prompts[number % len(prompts)]
+            answer = await caller.complete(
+                next(addresses), prompt=prompt, max_tokens=tokens, seed=number
+            )
+            expected = expected_text(prompt, seed=number, max_tokens=tokens)
+            # An answer may fail under so many faults, but what arrives must be its own.
+            wrong += not expected.startswith(answer.text)
+            wrong += answer.ok and answer.text != expected
+            whole.append(answer.ok)
+        return wrong
+
+    async def switch_faults() -> None:
+        for engine in itertools.cycle(engine_addresses(fleet)):
+            for kind in faults:
+                await fleet.fault(engine, kind, count=2)
+            await asyncio.sleep(0.1)
+
+    whole: list[bool] = []
+    switching = asyncio.create_task(switch_faults())
+    wrong = await asyncio.gather(*(one_caller() for _ in range(callers)))
+    switching.cancel()
+    assert len(whole) == requests
+    assert sum(wrong) == 0
+    assert sum(whole) > 0.99 * requests
+    assert await metric(fleet, 'baobab_alarms_total{kind="crossed_answer"}') > 0
+
+
+async def test_stream_on_a_connection_gone_silent_is_resumed_at_its_offset(fleet: Fleet) -> None:
+    tokens = 250
+    before = await metric(fleet, "baobab_resumes_total")
+    prompts = [make_prompt(tokens=500, seed=900 + index) for index in range(8)]
+    addresses = list(fleet.entries.values())
+    running = [
+        asyncio.create_task(
+            souk().complete(addresses[index % ENTRIES], prompt=prompt, max_tokens=tokens)
+        )
+        for index, prompt in enumerate(prompts)
+    ]
+    await asyncio.sleep(0.2)
+    for engine in engine_addresses(fleet):
+        await fleet.fault(engine, "silent")
+    answers = await asyncio.wait_for(asyncio.gather(*running), WAIT_SECONDS)
+    for answer, prompt in zip(answers, prompts, strict=True):
+        assert answer.ok, answer.code
+        assert answer.text == expected_text(prompt, seed=0, max_tokens=tokens)
+    assert await metric(fleet, "baobab_resumes_total") > before
+
+
+async def test_killed_entrys_callers_go_on_elsewhere_by_resume_token(fleet: Fleet) -> None:
+    tokens = 200
+    addresses = list(fleet.entries.values())
+    prompts = [make_prompt(tokens=400, seed=700 + index) for index in range(12)]
+
+    async def with_resume(index: int, prompt: str) -> Completion:
+        caller = souk()
+        answer = await caller.complete(
+            addresses[index % ENTRIES], prompt=prompt, max_tokens=tokens, seed=index
+        )
+        for turn in range(1, ENTRIES):
+            if answer.ok or not answer.resume_token:
+                break
+            resumed.append(index)
+            other = addresses[(index + turn) % ENTRIES]
+            answer = await caller.resume(other, answer, prompt=prompt)
+        return answer
+
+    resumed: list[int] = []
+    running = [
+        asyncio.create_task(with_resume(index, prompt)) for index, prompt in enumerate(prompts)
+    ]
+    await asyncio.sleep(0.25)
+    fleet.processes["entry-1"].kill()
+    answers = await asyncio.wait_for(asyncio.gather(*running), WAIT_SECONDS)
+    fleet.processes["entry-1"].start()
+    await fleet.wait_for(addresses[1], "/readyz")
+    for index, (answer, prompt) in enumerate(zip(answers, prompts, strict=True)):
+        assert answer.ok, answer.code
+        assert answer.text == expected_text(prompt, seed=index, max_tokens=tokens)
+    # Only what was in flight at the killed entry had to be resumed.
+    assert set(resumed) == {index for index in range(len(prompts)) if index % ENTRIES == 1}
+
+
+async def test_resume_token_opens_for_its_own_team_and_prompt_alone(fleet: Fleet) -> None:
+    address = next(iter(fleet.entries.values()))
+    prompt = make_prompt(tokens=100, seed=1)
+    given = await souk().complete(address, prompt=prompt, max_tokens=4)
+    assert given.resume_token
+    part = Completion()
+    part.resume_token = given.resume_token
+    part.text, part.offset = given.text[:8], 2
+    rest = await souk().resume(address, part, prompt=prompt)
+    assert (rest.ok, rest.text) == (True, given.text)
+    stranger = Caller(token=caller_token("stall"), model=MODEL)
+    other_team = await stranger.resume(address, part, prompt=prompt)
+    other_prompt = await souk().resume(address, part, prompt=prompt + "x")
+    part.resume_token = given.resume_token[:-6] + "AAAAAA"
+    forged = await souk().resume(address, part, prompt=prompt)
+    assert [answer.status for answer in (other_team, other_prompt, forged)] == [404, 404, 403]
+    assert all(answer.text == part.text for answer in (other_team, other_prompt, forged))
+
+
+async def test_rolling_restart_under_load_fails_no_request(fleet: Fleet) -> None:
+    requests, callers, tokens = 2_000, 12, 6
+    numbers = iter(range(requests))
+    ready: set[str] = set(fleet.entries.values())
+
+    async def balance() -> None:
+        # The platform's balancer: it sends to entries whose last probe was good.
+        while True:
+            for address in fleet.entries.values():
+                try:
+                    await fleet.request(address, "GET", "/readyz")
+                    ready.add(address)
+                except BaobabError:
+                    ready.discard(address)
+            await asyncio.sleep(0.02)
+
+    async def one_caller(index: int) -> list[str]:
+        caller = souk()
+        failures = []
+        for number in numbers:
+            targets = sorted(ready)
+            address = targets[(number + index) % len(targets)]
+            prompt = make_prompt(tokens=200 + number % 50, seed=number)
+            answer = await caller.complete(address, prompt=prompt, max_tokens=tokens, seed=number)
+            expected = expected_text(prompt, seed=number, max_tokens=tokens)
+            if not answer.ok or answer.text != expected:
+                failures.append(f"{number} at {address}: {answer.status} {answer.code}")
+            done.append(number)
+        return failures
+
+    async def restart_all() -> None:
+        for index in range(ENTRIES):
+            for name in (f"entry-{index}", f"keeper-{index}"):
+                process = fleet.processes[name]
+                process.send(signal.SIGTERM)
+                await asyncio.sleep(0.05)
+                # A second signal must not cut anything either.
+                process.send(signal.SIGTERM)
+                codes.append(await asyncio.to_thread(process.wait))
+                process.start()
+            await fleet.wait_for(fleet.entries[f"entry-{index}"], "/readyz")
+
+    done: list[int] = []
+    codes: list[int] = []
+    balancing = asyncio.create_task(balance())
+    restarting = asyncio.create_task(restart_all())
+    failures = await asyncio.gather(*(one_caller(index) for index in range(callers)))
+    served = len(done)
+    await asyncio.wait_for(restarting, WAIT_SECONDS)
+    balancing.cancel()
+    assert [failure for some in failures for failure in some] == []
+    assert served == requests
+    assert codes == [0] * (2 * ENTRIES)
