--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -127,6 +127,7 @@
                 data = await context.arecv()
             message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
+            _raise_cancellation()
             # The next question opens a new connection: this one may be silent for good.
             self._forget(address, socket)
             raise PeerUnavailable(f"the process at {address} did not answer: {error!r}") from error
@@ -192,6 +193,7 @@
             except pynng.Closed:
                 return
             except pynng.NNGException:
+                _raise_cancellation()
                 continue
             try:
                 opened = self._sealer.open(data, receiver=self._names)
@@ -241,6 +243,13 @@
             listener(opened.message, opened.sender)
 
 
+def _raise_cancellation() -> None:
+    # pynng reports an operation that ends while its task is cancelled as that end alone.
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 S = TypeVar("S", bound=pynng.Socket)
 
 
--- a/src/baobabpulley/cli/standins.py
+++ b/src/baobabpulley/cli/standins.py
@@ -9,7 +9,7 @@
 import click
 
 from baobabpulley.cli.main import cli
-from baobabpulley.signals import stop_event
+from baobabpulley.shutdown import stop_event
 from baobabpulley.standins.engine import EngineStandin
 from baobabpulley.standins.engine_core import EngineProfile
 from baobabpulley.standins.service import ServiceStandin
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -46,7 +46,8 @@
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import PeersSection
 from baobabpulley.settings import Settings
-from baobabpulley.signals import stop_event
+from baobabpulley.shutdown import end_tasks
+from baobabpulley.shutdown import stop_event
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
@@ -186,4 +187,5 @@
     server.stop()
     await server.close_all_connections()
     context.timers.cancel_all()
+    await end_tasks()
     context.peers.close()
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -29,7 +29,8 @@
 from baobabpulley.settings import PeersSection
 from baobabpulley.settings import Settings
 from baobabpulley.settings import section
-from baobabpulley.signals import stop_event
+from baobabpulley.shutdown import end_tasks
+from baobabpulley.shutdown import stop_event
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
@@ -105,6 +106,7 @@
         await part.stop()
     server.stop()
     context.timers.cancel_all()
+    await end_tasks()
     context.peers.close()
 
 
