--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -11,12 +11,8 @@
 from typing import final
 
 import msgspec
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
-from tornado.web import Application
-from tornado.web import RequestHandler
 
-from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import SIGN_OF_LIFE
 from baobabpulley.adapters.events import frame_event
@@ -27,8 +23,8 @@
 from baobabpulley.model.requests import TokenEvent
 from baobabpulley.model.requests import Usage
 from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.engine import EngineEvent
 from baobabpulley.ports.engine import EngineState
-from baobabpulley.ports.engine import LoadEvent
 from baobabpulley.ports.engine import Order
 from baobabpulley.ports.engine import PartCall
 from baobabpulley.ports.engine import PartRef
@@ -36,12 +32,14 @@
 from baobabpulley.standins.engine_core import EngineCore
 from baobabpulley.standins.engine_core import EngineProfile
 from baobabpulley.standins.engine_core import Job
-from baobabpulley.standins.engine_core import Refusal
 from baobabpulley.standins.faults import Faults
-from baobabpulley.standins.faults import FaultsHandler
+from baobabpulley.standins.faults import Refusal
+from baobabpulley.standins.web import StandinHandler
+from baobabpulley.standins.web import call_route
+from baobabpulley.standins.web import listen
+from baobabpulley.standins.web import wait_for
 from baobabpulley.timers import TimerService
 
-MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 JOURNAL_CAPACITY: Final = 200_000
 LIFE_PERIOD: Final = 1.0
 SWEEP_PERIOD: Final = 0.1
@@ -62,7 +60,6 @@
         "_address",
         "_checks_fencing",
         "_client",
-        "_core",
         "_fence",
         "_id",
         "_incarnation",
@@ -72,6 +69,7 @@
         "_orders",
         "_server",
         "_timers",
+        "core",
         "faults",
     )
 
@@ -95,27 +93,11 @@
         self._loading: set[str] = set()
         self._orders: set[str] = set()
         self._fence = 0
-        self._core = EngineCore(profile=profile, timers=timers, seed=seed)
+        self.core = EngineCore(profile=profile, timers=timers, seed=seed)
         self._client = HttpClient()
         self._journal: deque[dict[str, Any]] = deque(maxlen=JOURNAL_CAPACITY)
-        self._server: HTTPServer | None = None
         self.faults = Faults(timers)
 
-    @property
-    def core(self) -> EngineCore:
-        """The scheduler."""
-        return self._core
-
-    @property
-    def timers(self) -> TimerService:
-        """The engine's clock."""
-        return self._timers
-
-    @property
-    def journal(self) -> tuple[dict[str, Any], ...]:
-        """Everything that reached this engine, oldest first."""
-        return tuple(self._journal)
-
     @property
     def state(self) -> EngineState:
         """What is loaded."""
@@ -130,26 +112,51 @@
 
     def start(self) -> None:
         """Listen and begin to step; the event loop must run."""
-        application = Application(_routes(self))
-        self._server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
-        host, port = split_address(self._address)
-        self._server.listen(port, host)
+        self._server = listen(self, self._address, *_ROUTES)
         self._timers.every(REPORT_PERIOD, self._report, name="report")
-        self._timers.every(SWEEP_PERIOD, self._core.sweep, name="sweep")
+        self._timers.every(SWEEP_PERIOD, self.core.sweep, name="sweep")
         self._report()
-        asyncio.get_running_loop().create_task(self._core.run(), name="engine")
+        self._timers.after(0.0, self.core.run, name="engine")
+
+    async def stop(self) -> None:
+        """Close all connections and stop stepping."""
+        self._server.stop()
+        await self._server.close_all_connections()
+        self._timers.cancel_all()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the memory held and everything that reached this engine, oldest first."""
+        return {"held": self.core.memory_held, "lines": tuple(self._journal)}
 
     def note(self, kind: str, id: str, outcome: str, **detail: object) -> None:
         """Write a line of the journal."""
         line = {"at": self._timers.now(), "kind": kind, "id": id, "outcome": outcome, **detail}
         self._journal.append(line)
 
-    def check_fit(self, model: str) -> None:
-        """Raise `Refusal` if new work for a model cannot be taken at all."""
-        if self.faults.leaving:
-            raise Refusal("leaving", f"{self._id} is leaving")
-        if model not in self._models:
-            raise Refusal("unknown_model", f"{self._id} has not loaded {model}", status=404)
+    async def admit(self, call: EngineCall) -> Job:
+        """Start a completion, or a part if it asks for no tokens; may raise `Refusal`."""
+        kind = "completion" if call.max_tokens else "part"
+        try:
+            self._check_fit(call.model)
+            digest = await self.import_parts(call.imports)
+            context = sum(part.tokens for part in call.imports) if call.max_tokens else 0
+            job = self.core.start(call, seed_digest=digest, context=context)
+        except Refusal as refusal:
+            self.note(kind, call.attempt, refusal.code, request=call.request_id)
+            raise
+        self.note(kind, call.attempt, "started", request=call.request_id, cached=job.cached)
+        return job
+
+    def export(self, part: str) -> KvAnswer:
+        """Return what other engines import of a part; raise `Refusal` if it is not here."""
+        job = self.core.find(part)
+        if job is None or not job.is_part or job.remaining > 0 or job.failed:
+            raise Refusal("not_found", f"part {part} is not here", status=404)
+        return KvAnswer(tokens=job.prompt_tokens, digest=job.digest)
+
+    def part_of(self, job: Job) -> PartRef:
+        """Return the reference by which other engines import a part."""
+        return PartRef(part=job.call.attempt, address=self._address, tokens=job.prompt_tokens)
 
     async def import_parts(self, imports: tuple[PartRef, ...]) -> int:
         """Fetch the parts' exports; return the digest of the text up to their end."""
@@ -186,270 +193,128 @@
         elif order.kind == "load" and self._models.get(order.model) != order.version:
             self._loading.add(order.model)
             self._timers.after(
-                self._core.profile.load_seconds,
+                self.core.profile.load_seconds,
                 lambda: self._finish_load(order),
                 name=f"load {order.model}",
             )
 
+    def _check_fit(self, model: str) -> None:
+        if self.faults.leaving:
+            raise Refusal("leaving", f"{self._id} is leaving")
+        if model not in self._models:
+            raise Refusal("unknown_model", f"{self._id} has not loaded {model}", status=404)
+
     def _finish_load(self, order: Order) -> None:
         self._loading.discard(order.model)
         self._models[order.model] = order.version
         self.note("loaded", order.id, order.model, fence=order.fence)
 
     def _report(self) -> None:
-        self._core.report(
-            upstream=self._id,
-            incarnation=self._incarnation,
-            models=tuple(sorted(self._models)),
-            state="leaving" if self.faults.leaving else "live",
-        )
-
+        self.core.report(self.state)
 
-class _Handler(RequestHandler):
-    """Common parts of all handlers: faults, refusals, streaming."""
 
-    def initialize(self, engine: EngineStandin) -> None:
-        self._engine = engine
-        self._opened = engine.timers.now()
-
-    async def prepare(self) -> None:
-        faults = self._engine.faults
-        if faults.delay:
-            await self._engine.timers.sleep(faults.delay)
-        if faults.down or faults.take("lose_request"):
-            self._drop()
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Answer that the call did not run."""
-        self.set_status(refusal.status)
-        error = {"code": refusal.code, "message": str(refusal), "ran": False}
-        self.finish({"error": error})
-
-    async def send(self, data: bytes) -> None:
-        """Write and flush, unless this connection has gone silent."""
-        if self._engine.faults.silences(self._opened):
-            await asyncio.Event().wait()
-        self.write(data)
-        await self.flush()
-
-    def _drop(self) -> None:
-        self._finished = True
-        connection = self.request.connection
-        if connection is not None:
-            connection.stream.close()  # type: ignore[attr-defined]
-
-    def on_finish(self) -> None:
-        """Leave nothing open."""
-
-
-class _CompletionHandler(_Handler):
-    async def post(self) -> None:
-        call = msgspec.json.decode(self.request.body, type=EngineCall)
-        engine = self._engine
-        try:
-            engine.check_fit(call.model)
-            digest = await engine.import_parts(call.imports)
-            context = sum(part.tokens for part in call.imports)
-            job = engine.core.start_completion(call, seed_digest=digest, context=context)
-        except Refusal as refusal:
-            engine.note("completion", call.attempt, refusal.code, request=call.request_id)
-            self.refuse(refusal)
-            return
-        engine.note(
-            "completion", call.attempt, "started", request=call.request_id, cached=job.cached
-        )
-        if engine.faults.take("lose_answer"):
-            self._drop()
-            engine.core.detach(job)
-            return
-        await self.stream(job, call.offset)
+class _StreamHandler(StandinHandler):
+    _standin: EngineStandin
 
-    async def stream(self, job: Job, offset: int) -> None:
-        """Send the tokens of a job from an index on, then its usage."""
+    async def follow(self, job: Job, offset: int) -> None:
+        """Send what a job makes from an index on; its reader may go at any time."""
         self.set_header("Content-Type", "text/event-stream")
-        faults = self._engine.faults
-        attempt = f"not-{job.id}" if faults.take("cross") else job.id
-        job.attached = True
-        try:
+        with contextlib.suppress(StreamClosedError), self._standin.core.reading(job):
             await self.send(SIGN_OF_LIFE)
-            while True:
-                ready = job.tokens[offset - job.offset :]
-                if ready:
-                    event = TokenEvent(attempt=attempt, index=offset, tokens=tuple(ready))
-                    data = frame_event(msgspec.json.encode(event))
-                    await self.send(data * (2 if faults.take("repeat") else 1))
-                    offset += len(ready)
-                elif job.failed:
-                    self._drop()
-                    return
-                elif job.ended:
-                    break
-                else:
-                    await self._wait(job)
+            await self._send_tokens(job, offset)
+
+    async def _send_tokens(self, job: Job, offset: int) -> None:
+        attempt = job.call.attempt
+        if self.faults.take("cross"):
+            attempt = f"not-{attempt}"
+        while not job.failed:
+            ready = job.tokens[offset - job.call.offset :]
+            if ready:
+                event = TokenEvent(attempt=attempt, index=offset, tokens=tuple(ready))
+                data = frame_event(msgspec.json.encode(event))
+                await self.send(data * (2 if self.faults.take("repeat") else 1))
+                offset += len(ready)
+            elif job.ended:
+                await self._send_end(job, attempt)
+                return
+            else:
+                job.wake.clear()
+                if not await wait_for(job.wake, LIFE_PERIOD, timers=self.faults.timers):
+                    await self.send(SIGN_OF_LIFE)
+        self.drop()
+
+    async def _send_end(self, job: Job, attempt: str) -> None:
+        if job.is_part:
+            data = frame_event(msgspec.json.encode(self._standin.part_of(job)))
+        else:
             usage = Usage(
                 prompt_tokens=job.prompt_tokens,
                 completion_tokens=job.next_index,
                 cached_tokens=job.cached,
             )
             end = EndEvent(attempt=attempt, reason="length", usage=usage)
-            await self.send(frame_event(msgspec.json.encode(end)) + frame_event(DONE))
-            await self.finish()
-        except StreamClosedError:
-            pass
-        finally:
-            if not job.ended:
-                self._engine.core.detach(job)
-
-    async def _wait(self, job: Job) -> None:
-        job.wake.clear()
-        try:
-            async with self._engine.timers.limit(LIFE_PERIOD):
-                await job.wake.wait()
-        except TimeoutError:
-            await self.send(SIGN_OF_LIFE)
+            data = frame_event(msgspec.json.encode(end)) + frame_event(DONE)
+        await self.send(data, last=True)
 
-    def on_connection_close(self) -> None:
-        self._opened = float("-inf")
 
-
-class _ResumeHandler(_CompletionHandler):
+class _CompletionHandler(_StreamHandler):
     async def post(self) -> None:
-        body = msgspec.json.decode(self.request.body, type=dict[str, Any])
-        job = self._engine.core.find(body["attempt"])
-        if job is None or job.failed or body["offset"] < job.offset:
-            self.refuse(Refusal("unknown_attempt", "nothing to resume", status=404))
+        call = self.json(EngineCall)
+        job = await self._standin.admit(call)
+        if self.faults.take("lose_answer"):
+            self.drop()
             return
-        self._engine.note("resume", job.id, "started")
-        await self.stream(job, body["offset"])
+        await self.follow(job, call.offset)
 
 
-class _PartHandler(_Handler):
+class _ResumeHandler(_StreamHandler):
     async def post(self) -> None:
-        call = msgspec.json.decode(self.request.body, type=PartCall)
-        engine = self._engine
-        try:
-            engine.check_fit(call.model)
-            digest = await engine.import_parts(call.imports)
-            job = engine.core.start_part(call, seed_digest=digest)
-        except Refusal as refusal:
-            engine.note("part", call.part, refusal.code, request=call.request_id)
-            self.refuse(refusal)
-            return
-        engine.note("part", call.part, "started", request=call.request_id)
-        with contextlib.suppress(StreamClosedError):
-            await self._answer(job)
-        engine.core.detach(job)
-
-    async def _answer(self, job: Job) -> None:
-        await self.send(SIGN_OF_LIFE)
-        while not job.ended:
-            job.wake.clear()
-            try:
-                async with self._engine.timers.limit(LIFE_PERIOD):
-                    await job.wake.wait()
-            except TimeoutError:
-                await self.send(SIGN_OF_LIFE)
-        if job.failed:
-            self._drop()
-            return
-        address = self._engine._address
-        ref = PartRef(part=job.id, address=address, tokens=job.prompt_tokens)
-        await self.send(frame_event(msgspec.json.encode(ref)))
-        await self.finish()
+        body = self.json()
+        job = self._standin.core.find(body["attempt"])
+        if job is None or job.failed or body["offset"] < job.call.offset:
+            raise Refusal("unknown_attempt", "nothing to resume", status=404)
+        self._standin.note("resume", job.call.attempt, "started")
+        await self.follow(job, body["offset"])
 
 
-class _KvHandler(_Handler):
-    def get(self, part: str) -> None:
-        job = self._engine.core.find(part)
-        if job is None or not job.is_part or job.remaining > 0 or job.failed:
-            self.refuse(Refusal("not_found", f"part {part} is not here", status=404))
-            return
-        self.finish(msgspec.json.encode(KvAnswer(tokens=job.prompt_tokens, digest=job.digest)))
-
-
-class _HoldsHandler(_Handler):
-    def get(self) -> None:
-        self.finish(msgspec.json.encode(self._engine.core.holds()))
-
-    def post(self, verb: str) -> None:
-        ids = tuple(msgspec.json.decode(self.request.body, type=dict[str, Any])["ids"])
-        if verb == "renew":
-            self._engine.core.renew(ids)
-        else:
-            for id in ids:
-                self._engine.core.free(id)
-        self.finish({})
-
-
-class _LoadHandler(_Handler):
-    def get(self) -> None:
-        self.finish(msgspec.json.encode(self._engine.core.lagged_report()))
+class _PartHandler(_StreamHandler):
+    async def post(self) -> None:
+        part = msgspec.structs.asdict(self.json(PartCall))
+        own = {"attempt": part.pop("part"), "prompt": part.pop("text"), "max_tokens": 0, "seed": 0}
+        call = EngineCall(**own, **part)
+        await self.follow(await self._standin.admit(call), 0)
 
 
-class _EventsHandler(_Handler):
+class _EventsHandler(StandinHandler):
     async def get(self) -> None:
         self.set_header("Content-Type", "text/event-stream")
-        core = self._engine.core
-        queue = core.subscribe()
-        sent = -1
-        try:
+        queue: asyncio.Queue[EngineEvent] = asyncio.Queue()
+        subscribers = self._standin.core.subscribers
+        subscribers.add(queue)
+        with contextlib.suppress(StreamClosedError):
             await self.send(SIGN_OF_LIFE)
-            while not self.request.connection.stream.closed():  # type: ignore[union-attr]
-                report = core.lagged_report()
-                if report is not None and report.sequence != sent:
-                    sent = report.sequence
-                    await self.send(frame_event(msgspec.json.encode(LoadEvent(report=report))))
-                with contextlib.suppress(TimeoutError):
-                    async with self._engine.timers.limit(REPORT_PERIOD):
-                        event = await queue.get()
-                        await self.send(frame_event(msgspec.json.encode(event)))
-        except StreamClosedError:
-            pass
-        finally:
-            core.unsubscribe(queue)
-
-
-class _OrdersHandler(_Handler):
+            while not self.stream.closed():
+                await self.send(frame_event(msgspec.json.encode(await queue.get())))
+        subscribers.discard(queue)
+
+
+class _OrdersHandler(StandinHandler):
     async def post(self) -> None:
-        order = msgspec.json.decode(self.request.body, type=Order)
-        try:
-            await self._engine.take_order(order)
-        except Refusal as refusal:
-            self.refuse(refusal)
-            return
-        if self._engine.faults.take("lose_answer"):
-            self._drop()
-            return
-        self.finish({})
-
-
-class _StateHandler(_Handler):
-    def get(self) -> None:
-        self.finish(msgspec.json.encode(self._engine.state))
-
-
-class _JournalHandler(_Handler):
-    async def prepare(self) -> None:
-        """The journal is for tests and has no faults."""
-
-    def get(self) -> None:
-        journal = {"held": self._engine.core.memory_held, "lines": self._engine.journal}
-        self.finish(msgspec.json.encode(journal))
-
-
-def _routes(engine: EngineStandin) -> list[Any]:
-    own = {"engine": engine}
-    return [
-        (r"/v1/completions", _CompletionHandler, own),
-        (r"/v1/resume", _ResumeHandler, own),
-        (r"/v1/parts", _PartHandler, own),
-        (r"/v1/kv/([^/]+)", _KvHandler, own),
-        (r"/v1/holds", _HoldsHandler, own),
-        (r"/v1/holds/(renew|release)", _HoldsHandler, own),
-        (r"/v1/load", _LoadHandler, own),
-        (r"/v1/events", _EventsHandler, own),
-        (r"/v1/orders", _OrdersHandler, own),
-        (r"/v1/state", _StateHandler, own),
-        (r"/journal", _JournalHandler, own),
-        (r"/faults", FaultsHandler, {"faults": engine.faults}),
-    ]
+        await self._standin.take_order(self.json(Order))
+        await self.answer({}, loses=True)
+
+
+_ROUTES: Final = (
+    (r"/v1/completions", _CompletionHandler, {}),
+    (r"/v1/resume", _ResumeHandler, {}),
+    (r"/v1/parts", _PartHandler, {}),
+    (r"/v1/events", _EventsHandler, {}),
+    (r"/v1/orders", _OrdersHandler, {}),
+    call_route(r"/v1/kv/([^/]+)", lambda own, _, part: own.export(part)),
+    call_route(r"/v1/holds", lambda own, _: own.core.holds()),
+    call_route(r"/v1/holds/renew", lambda own, body: own.core.renew(body["ids"]) or {}),
+    call_route(r"/v1/holds/release", lambda own, body: own.core.release(body["ids"]) or {}),
+    call_route(r"/v1/load", lambda own, _: own.core.lagged_report()),
+    call_route(r"/v1/state", lambda own, _: own.state),
+    call_route(r"/journal", lambda own, _: own.describe(), False),
+)
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import random
 from collections import OrderedDict
 from collections import deque
+from collections.abc import Iterator
 from typing import Final
 from typing import final
 
@@ -22,225 +25,157 @@
 from baobabpulley.ports.engine import PRIORITY_SHORT
 from baobabpulley.ports.engine import CacheEvent
 from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.engine import EngineEvent
+from baobabpulley.ports.engine import EngineState
 from baobabpulley.ports.engine import Hold
-from baobabpulley.ports.engine import PartCall
+from baobabpulley.ports.engine import LoadEvent
+from baobabpulley.standins.faults import Refusal
 from baobabpulley.standins.text import token_at
 from baobabpulley.timers import TimerService
 
 HOLD_LIFETIME: Final = 5.0
 FINISHED_KEPT: Final = 10.0
 REPORT_PERIOD: Final = 0.25
+MAX_STEP_DEBT: Final = 0.05
 
 
-class Refusal(Exception):
-    """The engine did not run a call; ``code`` and ``status`` go into the answer."""
-
-    def __init__(self, code: str, message: str, *, status: int = 503) -> None:
-        super().__init__(message)
-        self.code = code
-        self.status = status
-
-
-@final
-class EngineProfile:
+class EngineProfile(msgspec.Struct, frozen=True):
     """Rates in tokens a model second, memory in tokens, lags in model seconds."""
 
-    __slots__ = (
-        "chunk_tokens",
-        "decode_rate",
-        "event_gap_share",
-        "event_lag",
-        "load_lag",
-        "load_seconds",
-        "max_waiting",
-        "memory_tokens",
-        "prefill_rate",
-    )
-
-    def __init__(
-        self,
-        *,
-        prefill_rate: float = 20_000.0,
-        decode_rate: float = 50.0,
-        memory_tokens: int = 400_000,
-        chunk_tokens: int = 512,
-        load_lag: float = 0.5,
-        event_lag: float = 0.5,
-        event_gap_share: float = 0.02,
-        load_seconds: float = 3.0,
-        max_waiting: int = 2_000,
-    ) -> None:
-        self.prefill_rate = prefill_rate
-        self.decode_rate = decode_rate
-        self.memory_tokens = memory_tokens
-        self.chunk_tokens = chunk_tokens
-        self.load_lag = load_lag
-        self.event_lag = event_lag
-        self.event_gap_share = event_gap_share
-        self.load_seconds = load_seconds
-        self.max_waiting = max_waiting
+    prefill_rate: float = 20_000.0
+    decode_rate: float = 50.0
+    memory_tokens: int = 400_000
+    chunk_tokens: int = 512
+    load_lag: float = 0.5
+    event_lag: float = 0.5
+    event_gap_share: float = 0.02
+    load_seconds: float = 3.0
+    max_waiting: int = 2_000
 
 
 @final
 class Job:
-    """A running completion or a part; holds memory until it is freed."""
+    """A running completion or a part; holds memory until it is freed.
+
+    A part is prefilled only: its ``attempt`` is its own id and its ``max_tokens`` 0.
+    """
 
     __slots__ = (
-        "attached",
         "blocks",
         "cached",
+        "call",
         "digest",
         "ended",
         "expires",
         "failed",
-        "holder",
-        "id",
-        "is_part",
         "lapses",
-        "max_tokens",
         "memory",
-        "offset",
-        "priority",
         "prompt_tokens",
+        "readers",
         "remaining",
-        "seed",
-        "seed_digest",
         "tokens",
         "wake",
     )
 
-    def __init__(self, *, id: str, holder: str, priority: int, expires: float) -> None:
-        self.id = id
-        self.holder = holder
-        self.priority = priority
-        self.expires = expires
-        self.attached = True
-        self.blocks: tuple[int, ...] = ()
-        self.cached = 0
-        self.digest = 0
-        self.seed_digest = 0
+    def __init__(self, *, call: EngineCall, seed_digest: int, now: float) -> None:
+        data = call.prompt.encode()
+        self.call = call
+        self.blocks = chain_blocks(data, seed=seed_digest)
+        self.digest = text_digest(data, self.blocks, seed=seed_digest)
+        if self.is_part:
+            self.digest = self.blocks[-1] if self.blocks else seed_digest
+        self.prompt_tokens = estimate_tokens(call.prompt) if call.prompt else 0
+        self.expires = now + call.deadline
+        self.lapses = now + HOLD_LIFETIME
+        self.cached = self.memory = self.readers = self.remaining = 0
         self.ended = False
-        self.failed = ""
-        self.is_part = False
-        self.lapses = 0.0
-        self.max_tokens = 0
-        self.memory = 0
-        self.offset = 0
-        self.prompt_tokens = 0
-        self.remaining = 0
-        self.seed = 0
+        self.failed = False
         self.tokens: list[str] = []
         self.wake = asyncio.Event()
 
+    @property
+    def is_part(self) -> bool:
+        """Whether it only prefills."""
+        return self.call.max_tokens == 0
+
     @property
     def next_index(self) -> int:
         """Index of the token that is made next."""
-        return self.offset + len(self.tokens)
+        return self.call.offset + len(self.tokens)
 
 
 @final
 class EngineCore:
-    """All jobs of one engine and the loop that steps them."""
+    """All jobs of one engine and the loop that steps them.
+
+    ``subscribers`` are queues that get load reports, and cache events with gaps, both late. The
+    prefix cache uses
+    only the memory that jobs leave free.
+    """
 
     __slots__ = (
         "_cache",
         "_event_sequence",
         "_events",
-        "_held",
         "_jobs",
-        "_profile",
+        "_published",
         "_random",
         "_reports",
-        "_sequence",
-        "_step_end",
-        "_subscribers",
+        "_running",
         "_timers",
         "_work",
+        "memory_held",
+        "profile",
+        "subscribers",
     )
 
     def __init__(self, *, profile: EngineProfile, timers: TimerService, seed: int = 0) -> None:
-        self._profile = profile
+        self.profile = profile
+        self.memory_held = 0
+        self.subscribers: set[asyncio.Queue[EngineEvent]] = set()
         self._timers = timers
         self._random = random.Random(seed)
-        self._jobs: OrderedDict[str, Job] = OrderedDict()
+        self._jobs: dict[str, Job] = {}
+        self._running: dict[str, Job] = {}
         self._cache: OrderedDict[int, None] = OrderedDict()
-        self._held = 0
-        self._step_end = 0.0
         self._work = asyncio.Event()
         self._reports: deque[tuple[float, LoadReport]] = deque(maxlen=64)
         self._events: deque[tuple[float, CacheEvent]] = deque()
-        self._subscribers: set[asyncio.Queue[CacheEvent]] = set()
-        self._sequence = 0
-        self._event_sequence = 0
-
-    @property
-    def profile(self) -> EngineProfile:
-        """Rates and sizes."""
-        return self._profile
-
-    @property
-    def memory_held(self) -> int:
-        """Tokens of KV memory held by jobs; the prefix cache uses only what is left."""
-        return self._held
+        self._event_sequence = self._published = 0
 
-    @property
-    def idle(self) -> bool:
-        """Whether nothing waits or runs."""
-        return all(job.ended for job in self._jobs.values())
-
-    def start_completion(self, call: EngineCall, *, seed_digest: int, context: int) -> Job:
-        """Admit a completion whose imported parts hold ``context`` tokens elsewhere."""
-        data = call.prompt.encode()
-        job = Job(
-            id=call.attempt,
-            holder=call.holder,
-            priority=call.priority,
-            expires=self._timers.now() + call.deadline,
-        )
-        job.blocks = chain_blocks(data, seed=seed_digest)
-        job.digest = text_digest(data, job.blocks, seed=seed_digest)
-        job.seed = call.seed
-        job.max_tokens = call.max_tokens
-        job.offset = call.offset
-        own = estimate_tokens(call.prompt) if call.prompt else 0
-        job.prompt_tokens = own + context
+    def start(self, call: EngineCall, *, seed_digest: int = 0, context: int = 0) -> Job:
+        """Admit a call whose imported parts hold ``context`` tokens elsewhere, or refuse it."""
+        job = Job(call=call, seed_digest=seed_digest, now=self._timers.now())
         delivered = estimate_tokens(call.delivered) if call.delivered else 0
+        memory = job.prompt_tokens + max(call.max_tokens, delivered)
+        free = self.profile.memory_tokens - self.memory_held
+        if call.attempt in self._jobs:
+            raise Refusal("duplicate_attempt", f"{call.attempt} is known already", status=409)
+        if memory > free:
+            raise Refusal("out_of_memory", f"{memory} tokens do not fit into {free}")
+        if len(self._running) >= self.profile.max_waiting:
+            raise Refusal("overloaded", f"{len(self._running)} jobs are here already")
         job.cached = self._cached_tokens(job.blocks)
-        job.remaining = max(1, own + delivered - job.cached)
-        self._admit(job, own + max(call.max_tokens, delivered))
-        return job
-
-    def start_part(self, call: PartCall, *, seed_digest: int) -> Job:
-        """Admit a part of a prompt; its memory stays held until it is released or lapses."""
-        data = call.text.encode()
-        job = Job(
-            id=call.part,
-            holder=call.holder,
-            priority=call.priority,
-            expires=self._timers.now() + call.deadline,
-        )
-        job.is_part = True
-        job.seed_digest = seed_digest
-        job.blocks = chain_blocks(data, seed=seed_digest)
-        job.digest = job.blocks[-1] if job.blocks else seed_digest
-        job.prompt_tokens = estimate_tokens(call.text)
-        job.remaining = job.prompt_tokens
-        self._admit(job, job.prompt_tokens)
+        job.remaining = max(1, job.prompt_tokens + delivered - job.cached)
+        job.prompt_tokens += context
+        job.memory = memory
+        self.memory_held += memory
+        self._jobs[call.attempt] = self._running[call.attempt] = job
+        self._evict()
+        self._work.set()
         return job
 
     def find(self, id: str) -> Job | None:
         """Return a job that runs, is held or ended a short while ago."""
         return self._jobs.get(id)
 
-    def free(self, id: str) -> None:
-        """End a job and give its memory back; idempotent."""
-        job = self._jobs.pop(id, None)
-        if job is not None:
-            job.failed = job.failed or ("" if job.ended else "cancelled")
-            self._end(job)
-            job.wake.set()
+    def release(self, ids: list[str]) -> None:
+        """End jobs and give their memory back; idempotent."""
+        for job in [self._jobs.pop(id) for id in ids if id in self._jobs]:
+            job.failed = job.failed or not job.ended
+            self._stop(job)
 
-    def renew(self, ids: tuple[str, ...]) -> None:
+    def renew(self, ids: list[str]) -> None:
         """Keep held jobs from lapsing."""
         for id in ids:
             job = self._jobs.get(id)
@@ -252,112 +187,91 @@
         now = self._timers.now()
         return tuple(
             Hold(
-                id=job.id,
-                holder=job.holder,
+                id=id,
+                holder=job.call.holder,
                 kind="part" if job.is_part else "stream",
                 tokens=job.memory,
                 lapses_in=max(0.0, job.lapses - now),
             )
-            for job in self._jobs.values()
+            for id, job in self._jobs.items()
             if job.memory
         )
 
-    def report(
-        self, *, upstream: str, incarnation: str, models: tuple[str, ...], state: str
-    ) -> None:
+    def report(self, state: EngineState) -> None:
         """Take a load report; it is served once the lag has passed."""
-        waiting = [job for job in self._jobs.values() if job.remaining > 0 and not job.ended]
-        self._sequence += 1
+        waiting = [job for job in self._running.values() if job.remaining > 0]
+        high = [job for job in waiting if job.call.priority <= PRIORITY_SHORT]
         report = LoadReport(
-            upstream=upstream,
-            incarnation=incarnation,
-            sequence=self._sequence,
+            upstream=state.upstream,
+            incarnation=state.incarnation,
+            sequence=self._reports[-1][1].sequence + 1 if self._reports else 1,
             queued=sum(job.remaining for job in waiting),
-            queued_high=sum(job.remaining for job in waiting if job.priority <= PRIORITY_SHORT),
-            running=sum(1 for job in self._jobs.values() if not job.ended),
-            long_prefills=sum(1 for job in waiting if job.priority > PRIORITY_SHORT),
-            memory_total=self._profile.memory_tokens,
-            memory_held=self._held,
-            prefill_rate=self._profile.prefill_rate,
-            models=models,
-            state=state,
+            queued_high=sum(job.remaining for job in high),
+            running=len(self._running),
+            long_prefills=len(waiting) - len(high),
+            memory_total=self.profile.memory_tokens,
+            memory_held=self.memory_held,
+            prefill_rate=self.profile.prefill_rate,
+            models=tuple(sorted(state.models)),
+            state=state.state,
         )
         self._reports.append((self._timers.now(), report))
 
-    def lagged_report(self) -> LoadReport | None:
+    def lagged_report(self) -> LoadReport:
         """Return the newest report that is at least as old as the lag, with its age."""
         now = self._timers.now()
-        found = None
-        for taken, report in self._reports:
-            if now - taken >= self._profile.load_lag or found is None:
-                found = (taken, report)
-        if found is None:
-            return None
-        taken, report = found
-        return _aged(report, now - taken)
-
-    def subscribe(self) -> asyncio.Queue[CacheEvent]:
-        """Return a queue that gets cache events, late and with gaps."""
-        queue: asyncio.Queue[CacheEvent] = asyncio.Queue()
-        self._subscribers.add(queue)
-        return queue
-
-    def unsubscribe(self, queue: asyncio.Queue[CacheEvent]) -> None:
-        """Stop sending events to a queue."""
-        self._subscribers.discard(queue)
+        old = [item for item in self._reports if now - item[0] >= self.profile.load_lag]
+        taken, report = old[-1] if old else self._reports[0]
+        return msgspec.structs.replace(report, age=now - taken)
 
     async def run(self) -> None:
         """Step all jobs for ever."""
+        end = 0.0
         while True:
-            if self.idle:
+            if not self._running:
                 self._work.clear()
                 await self._work.wait()
-                self._step_end = self._timers.now()
+                end = self._timers.now()
             duration = self._step()
-            self._step_end = max(self._step_end, self._timers.now() - 0.05) + duration
-            await self._timers.sleep(self._step_end - self._timers.now())
+            end = max(end, self._timers.now() - MAX_STEP_DEBT) + duration
+            await self._timers.sleep(end - self._timers.now())
             self._finish_step()
 
     def sweep(self) -> None:
         """Free what lapsed and deliver late events; called some times a second."""
         now = self._timers.now()
         for job in tuple(self._jobs.values()):
-            lapsed = not job.attached and now > job.lapses
+            lapsed = (job.ended or not job.readers) and now > job.lapses
             expired = now > job.expires and not job.ended
             if lapsed or expired:
-                job.failed = job.failed or ("deadline" if expired else "")
-                self.free(job.id)
-        while self._events and now - self._events[0][0] >= self._profile.event_lag:
+                self.release([job.call.attempt])
+        while self._events and now - self._events[0][0] >= self.profile.event_lag:
             _, event = self._events.popleft()
-            for queue in self._subscribers:
-                queue.put_nowait(event)
-
-    def detach(self, job: Job) -> None:
-        """Note that nobody reads a job's stream; it is freed unless renewed or resumed."""
-        job.attached = False
-        job.lapses = max(job.lapses, self._timers.now() + HOLD_LIFETIME)
-
-    def _admit(self, job: Job, memory: int) -> None:
-        if job.id in self._jobs:
-            raise Refusal("duplicate_attempt", f"{job.id} is known already", status=409)
-        if memory > self._profile.memory_tokens - self._held:
-            raise Refusal(
-                "out_of_memory",
-                f"{memory} tokens do not fit into {self._profile.memory_tokens - self._held}",
-            )
-        if len(self._jobs) >= self._profile.max_waiting:
-            raise Refusal("overloaded", f"{len(self._jobs)} jobs are here already")
-        job.memory = memory
-        self._held += memory
-        self._jobs[job.id] = job
-        self._evict()
-        self._work.set()
+            self._publish(event)
+        report = self.lagged_report()
+        if report.sequence != self._published:
+            self._published = report.sequence
+            self._publish(LoadEvent(report=report))
+
+    def _publish(self, event: EngineEvent) -> None:
+        for queue in self.subscribers:
+            queue.put_nowait(event)
+
+    @contextlib.contextmanager
+    def reading(self, job: Job) -> Iterator[None]:
+        """Count a reader of a job; one without readers is freed unless renewed or resumed."""
+        job.readers += 1
+        try:
+            yield
+        finally:
+            job.readers -= 1
+            job.lapses = max(job.lapses, self._timers.now() + HOLD_LIFETIME)
 
     def _step(self) -> float:
         """Spend one step's chunk on waiting prefills; return the step's length."""
-        budget = self._profile.chunk_tokens
-        waiting = [job for job in self._jobs.values() if job.remaining > 0 and not job.ended]
-        waiting.sort(key=lambda job: job.priority)
+        budget = self.profile.chunk_tokens
+        waiting = [job for job in self._running.values() if job.remaining > 0]
+        waiting.sort(key=lambda job: job.call.priority)
         spent = 0
         for job in waiting:
             if spent >= budget:
@@ -367,50 +281,49 @@
             spent += share
             if job.remaining == 0:
                 self._remember(job)
-        decoding = any(
-            job.remaining == 0 and not job.ended and not job.is_part for job in self._jobs.values()
-        )
-        step = spent / self._profile.prefill_rate
-        return max(step, 1.0 / self._profile.decode_rate if decoding else 0.0, 0.001)
+        decoding = any(job.remaining == 0 and not job.is_part for job in self._running.values())
+        step = spent / self.profile.prefill_rate
+        return max(step, 1.0 / self.profile.decode_rate if decoding else 0.0, 0.001)
 
     def _finish_step(self) -> None:
-        for job in tuple(self._jobs.values()):
-            if job.ended or job.remaining > 0:
+        for job in tuple(self._running.values()):
+            if job.remaining > 0:
                 continue
-            if not job.is_part:
-                job.tokens.append(token_at(job.digest, job.seed, job.next_index))
-            if job.is_part or job.next_index >= job.max_tokens:
-                job.ended = True
-                if not job.is_part:
-                    self._end(job)
-                    job.lapses = self._timers.now() + FINISHED_KEPT
-                    job.attached = False
-            job.wake.set()
-
-    def _end(self, job: Job) -> None:
-        self._held -= job.memory
-        job.memory = 0
+            if job.next_index < job.call.max_tokens:
+                job.tokens.append(token_at(job.digest, job.call.seed, job.next_index))
+                job.wake.set()
+            if job.next_index >= job.call.max_tokens:
+                self._stop(job, keeps_memory=job.is_part)
+
+    def _stop(self, job: Job, *, keeps_memory: bool = False) -> None:
         job.ended = True
+        job.lapses = self._timers.now() + (HOLD_LIFETIME if keeps_memory else FINISHED_KEPT)
+        self._running.pop(job.call.attempt, None)
+        if not keeps_memory:
+            self.memory_held -= job.memory
+            job.memory = 0
+        job.wake.set()
 
     def _cached_tokens(self, blocks: tuple[int, ...]) -> int:
-        count = 0
-        for block in blocks:
-            if block not in self._cache:
-                break
-            self._cache.move_to_end(block)
-            count += 1
-        return count * BLOCK_TOKENS
+        hits = tuple(itertools.takewhile(self._cache.__contains__, blocks))
+        self._touch(hits)
+        return len(hits) * BLOCK_TOKENS
 
     def _remember(self, job: Job) -> None:
         stored = tuple(block for block in job.blocks if block not in self._cache)
-        for block in stored:
-            self._cache[block] = None
+        self._touch(job.blocks)
         if stored:
             self._emit(stored=stored)
         self._evict()
 
+    def _touch(self, blocks: tuple[int, ...]) -> None:
+        # The end of a prefix goes first: without its beginning the rest is of no use.
+        for block in reversed(blocks):
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+
     def _evict(self) -> None:
-        room = (self._profile.memory_tokens - self._held) // BLOCK_TOKENS
+        room = (self.profile.memory_tokens - self.memory_held) // BLOCK_TOKENS
         evicted = []
         while len(self._cache) > room:
             evicted.append(self._cache.popitem(last=False)[0])
@@ -419,11 +332,7 @@
 
     def _emit(self, *, stored: tuple[int, ...] = (), evicted: tuple[int, ...] = ()) -> None:
         self._event_sequence += 1
-        if self._random.random() < self._profile.event_gap_share:
+        if self._random.random() < self.profile.event_gap_share:
             return
         event = CacheEvent(sequence=self._event_sequence, stored=stored, evicted=evicted)
         self._events.append((self._timers.now(), event))
-
-
-def _aged(report: LoadReport, age: float) -> LoadReport:
-    return msgspec.structs.replace(report, age=age)
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -8,267 +8,190 @@
 
 import asyncio
 import base64
-import contextlib
+import itertools
 from typing import Any
 from typing import Final
 from typing import final
 
 import msgspec
 from sortedcontainers import SortedDict
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
-from tornado.web import Application
-from tornado.web import RequestHandler
 
-from baobabpulley.adapters.addresses import split_address
 from baobabpulley.standins.faults import Faults
-from baobabpulley.standins.faults import FaultsHandler
+from baobabpulley.standins.web import CallHandler
+from baobabpulley.standins.web import call_route
+from baobabpulley.standins.web import listen
+from baobabpulley.standins.web import wait_for
 from baobabpulley.timers import TimerService
 
 PROGRESS_PERIOD: Final = 1.0
 LEASE_SWEEP_PERIOD: Final = 0.2
-HISTORY: Final = 100_000
+FIRST_LEASE: Final = 1001
+
+Body = dict[str, Any]
 
 
 @final
 class StoreStandin:
-    """Keys, leases and the history that watches read."""
+    """Keys, leases and the history that watches read.
+
+    The public methods take the documents of the gateway's calls and return their answers.
+    """
 
     __slots__ = (
-        "_history",
+        "_address",
         "_items",
+        "_lease_ids",
         "_leases",
-        "_next_lease",
-        "_revision",
-        "_server",
         "_wake",
-        "address",
         "calls",
         "faults",
-        "timers",
+        "history",
+        "revision",
         "watches",
     )
 
     def __init__(self, *, address: str, timers: TimerService) -> None:
-        self.address = address
-        self.timers = timers
-        self.faults = Faults(timers)
-        self.calls: dict[str, int] = {}
-        self.watches = 0
+        self._address = address
         self._items: SortedDict = SortedDict()
-        self._leases: dict[int, list[float]] = {}
-        self._next_lease = 1000
-        self._revision = 1
-        self._history: list[dict[str, Any]] = []
+        self._lease_ids = itertools.count(FIRST_LEASE)
+        self._leases: dict[str, tuple[float, float]] = {}
         self._wake = asyncio.Event()
-        self._server: HTTPServer | None = None
-
-    @property
-    def revision(self) -> int:
-        """Revision of the newest change."""
-        return self._revision
+        self.calls: dict[str, int] = {}
+        self.faults = Faults(timers)
+        self.history: list[dict[str, Any]] = []
+        self.revision = 1
+        self.watches = 0
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        self._server = HTTPServer(Application(_routes(self)), max_body_size=4_000_000)
-        host, port = split_address(self.address)
-        self._server.listen(port, host)
-        self.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
+        listen(self, self._address, *_ROUTES)
+        self.faults.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
 
-    def header(self) -> dict[str, str]:
-        """Return the header that each answer carries."""
-        return {"revision": str(self._revision)}
-
-    def find(self, key: str, range_end: str | None) -> list[dict[str, Any]]:
+    def range(self, body: Body) -> Body:
         """Return one key, or all from ``key`` up to ``range_end`` without it."""
-        if range_end is None:
-            found = self._items.get(key)
-            return [found] if found is not None else []
-        return [self._items[name] for name in self._items.irange(key, range_end, (True, False))]
-
-    def transact(self, body: dict[str, Any]) -> bool:
+        key = _text(body["key"])
+        if "range_end" in body:
+            names = self._items.irange(key, _text(body["range_end"]), (True, False))
+        else:
+            names = [key] if key in self._items else []
+        found = [self._items[name] for name in names]
+        return {"kvs": found, "count": str(len(found))}
+
+    def txn(self, body: Body) -> Body:
         """Apply the operations if all comparisons hold."""
-        for compare in body.get("compare", ()):
-            held = self._items.get(_text(compare["key"]))
-            revision = int(held["mod_revision"]) if held else 0
-            if revision != int(compare.get("mod_revision", 0)):
-                return False
         operations = body.get("success", ())
-        if any(
-            int(item.get("request_put", {}).get("lease", 0)) not in {0, *self._leases}
-            for item in operations
-        ):
-            return False
-        if operations:
-            self._revision += 1
-        for item in operations:
-            if "request_put" in item:
-                self.put(item["request_put"])
-            else:
-                self.delete(_text(item["request_delete_range"]["key"]))
-        self._tell()
-        return True
-
-    def put(self, body: dict[str, str]) -> None:
-        """Write a key at the current revision."""
-        key = _text(body["key"])
-        held = self._items.get(key)
-        item = {
-            "key": body["key"],
-            "value": body.get("value", ""),
-            "mod_revision": str(self._revision),
-            "create_revision": held["create_revision"] if held else str(self._revision),
-            "lease": str(body.get("lease", "0")),
-        }
-        self._items[key] = item
-        self._history.append({"type": "PUT", "kv": item, "name": key})
-
-    def delete(self, key: str) -> None:
-        """Remove a key at the current revision."""
-        held = self._items.pop(key, None)
-        if held is not None:
-            kv = {"key": held["key"], "mod_revision": str(self._revision)}
-            self._history.append({"type": "DELETE", "kv": kv, "name": key})
-
-    def grant(self, seconds: float) -> int:
-        """Return a new lease."""
-        self._next_lease += 1
-        self._leases[self._next_lease] = [seconds, self.timers.now() + seconds]
-        return self._next_lease
-
-    def keep_alive(self, lease: int) -> float:
-        """Renew a lease; return its seconds, 0 if it has lapsed."""
-        held = self._leases.get(lease)
-        if held is None:
-            return 0.0
-        held[1] = self.timers.now() + held[0]
-        return held[0]
-
-    def revoke(self, lease: int) -> None:
+        leases = {str(item.get("request_put", {}).get("lease", 0)) for item in operations}
+        held = all(self._holds(compare) for compare in body.get("compare", ()))
+        if not held or not leases <= {"0", *self._leases}:
+            return {"succeeded": False}
+        self._write(operations)
+        return {"succeeded": True}
+
+    def put(self, body: Body) -> Body:
+        """Write a key."""
+        self._write([{"request_put": body}])
+        return {}
+
+    def grant(self, body: Body) -> Body:
+        """Grant a lease."""
+        lease = str(next(self._lease_ids))
+        self._leases[lease] = (float(body["TTL"]), 0.0)
+        return {"ID": lease, "TTL": self.keep_alive({"ID": lease})["result"]["TTL"]}
+
+    def keep_alive(self, body: Body) -> Body:
+        """Renew a lease; its seconds are 0 if it has lapsed."""
+        seconds, _ = self._leases.get(body["ID"], (0.0, 0.0))
+        if seconds:
+            self._leases[body["ID"]] = (seconds, self.faults.timers.now() + seconds)
+        return {"result": {"ID": body["ID"], "TTL": str(int(seconds))}}
+
+    def revoke(self, body: Body) -> Body:
         """End a lease and delete its keys."""
-        if self._leases.pop(lease, None) is None:
-            return
-        bound = [key for key, item in self._items.items() if item["lease"] == str(lease)]
-        if bound:
-            self._revision += 1
-        for key in bound:
-            self.delete(key)
-        self._tell()
-
-    def since(self, index: int, key: str, range_end: str, start: int) -> list[dict[str, Any]]:
+        if self._leases.pop(body["ID"], None):
+            bound = [item for item in self._items.values() if item["lease"] == body["ID"]]
+            self._write([{"request_delete_range": {"key": item["key"]}} for item in bound])
+        return {}
+
+    def since(self, index: int, key: str, range_end: str, start: int) -> list[Body]:
         """Return the history from an index on, as far as a watch wants it."""
         return [
             {"type": event["type"], "kv": event["kv"]}
-            for event in self._history[index:]
+            for event in self.history[index:]
             if key <= event["name"] < range_end and int(event["kv"]["mod_revision"]) >= start
         ]
 
-    @property
-    def history_length(self) -> int:
-        """Number of events so far."""
-        return len(self._history)
-
     async def wait(self, seconds: float) -> None:
         """Wait for a change, at most ``seconds``."""
-        with contextlib.suppress(TimeoutError):
-            async with self.timers.limit(seconds):
-                await self._wake.wait()
+        await wait_for(self._wake, seconds, timers=self.faults.timers)
 
-    def _tell(self) -> None:
+    def _holds(self, compare: Body) -> bool:
+        held = self._items.get(_text(compare["key"]), {"mod_revision": "0"})
+        return int(held["mod_revision"]) == int(compare.get("mod_revision", 0))
+
+    def _write(self, operations: list[Body]) -> None:
+        self.revision += 1 if operations else 0
+        for item in operations:
+            if "request_put" in item:
+                self._put(item["request_put"])
+            else:
+                self._delete(item["request_delete_range"]["key"])
         self._wake.set()
         self._wake = asyncio.Event()
 
+    def _put(self, body: Body) -> None:
+        name = _text(body["key"])
+        revision = str(self.revision)
+        item = {
+            "key": body["key"],
+            "value": body.get("value", ""),
+            "mod_revision": revision,
+            "create_revision": self._items.get(name, {}).get("create_revision", revision),
+            "lease": str(body.get("lease", "0")),
+        }
+        self._items[name] = item
+        self.history.append({"type": "PUT", "kv": item, "name": name})
+
+    def _delete(self, key: str) -> None:
+        if self._items.pop(_text(key), None) is not None:
+            kv = {"key": key, "mod_revision": str(self.revision)}
+            self.history.append({"type": "DELETE", "kv": kv, "name": _text(key)})
+
     def _lapse(self) -> None:
-        now = self.timers.now()
+        now = self.faults.timers.now()
         for lease, (_, ends) in tuple(self._leases.items()):
             if now > ends:
-                self.revoke(lease)
-
+                self.revoke({"ID": lease})
 
-class _Handler(RequestHandler):
-    def initialize(self, store: StoreStandin) -> None:
-        self._store = store
-        self._opened = store.timers.now()
 
+class _Handler(CallHandler):
     async def prepare(self) -> None:
-        store = self._store
-        path = self.request.path
-        store.calls[path] = store.calls.get(path, 0) + 1
-        if store.faults.delay:
-            await store.timers.sleep(store.faults.delay)
-        if store.faults.down or store.faults.take("lose_request"):
-            self.drop()
-
-    def drop(self) -> None:
-        """Close the connection without an answer."""
-        self._finished = True
-        self.request.connection.stream.close()  # type: ignore[union-attr]
-
-    def answer(self, document: dict[str, Any]) -> None:
-        """Send an answer, unless it is to be lost."""
-        if self.request.path != "/v3/kv/range" and self._store.faults.take("lose_answer"):
-            self.drop()
-            return
-        self.finish({"header": self._store.header(), **document})
-
-    @property
-    def body(self) -> dict[str, Any]:
-        """The request's JSON document."""
-        return msgspec.json.decode(self.request.body, type=dict[str, Any])
+        calls = self._standin.calls
+        calls[self.request.path] = calls.get(self.request.path, 0) + 1
+        await super().prepare()
 
+    async def answer(self, document: Any, *, status: int = 200, loses: bool = False) -> None:
+        await super().answer({**self._header(), **document}, status=status, loses=loses)
 
-class _RangeHandler(_Handler):
-    def post(self) -> None:
-        body = self.body
-        end = _text(body["range_end"]) if "range_end" in body else None
-        found = self._store.find(_text(body["key"]), end)
-        self.answer({"kvs": found, "count": str(len(found))})
-
-
-class _TxnHandler(_Handler):
-    def post(self) -> None:
-        self.answer({"succeeded": self._store.transact(self.body)})
-
-
-class _PutHandler(_Handler):
-    def post(self) -> None:
-        self._store.transact({"success": [{"request_put": self.body}]})
-        self.answer({})
-
-
-class _GrantHandler(_Handler):
-    def post(self) -> None:
-        seconds = float(self.body["TTL"])
-        self.answer({"ID": str(self._store.grant(seconds)), "TTL": self.body["TTL"]})
-
-
-class _KeepAliveHandler(_Handler):
-    def post(self) -> None:
-        left = self._store.keep_alive(int(self.body["ID"]))
-        self.answer({"result": {"ID": self.body["ID"], "TTL": str(int(left))}})
-
-
-class _RevokeHandler(_Handler):
-    def post(self) -> None:
-        self._store.revoke(int(self.body["ID"]))
-        self.answer({})
+    def _header(self) -> Body:
+        return {"header": {"revision": str(self._standin.revision)}}
 
 
 class _WatchHandler(_Handler):
-    async def post(self) -> None:
-        create = self.body["create_request"]
+    async def post(self, *_: str) -> None:
+        create = self.json()["create_request"]
         key, end = _text(create["key"]), _text(create["range_end"])
         start = int(create.get("start_revision", 0))
-        store = self._store
-        index = 0 if start else store.history_length
+        store = self._standin
+        index = 0 if start else len(store.history)
         store.watches += 1
         try:
-            await self._send({"created": True})
+            await self._tell({"created": True})
             while not store.faults.down:
                 events = store.since(index, key, end, start)
-                index = store.history_length
-                await self._send({"events": events})
-                if index == store.history_length:
+                index = len(store.history)
+                await self._tell({"events": events})
+                if index == len(store.history):
                     await store.wait(PROGRESS_PERIOD)
             self.drop()
         except StreamClosedError:
@@ -276,36 +199,22 @@
         finally:
             store.watches -= 1
 
-    async def _send(self, document: dict[str, Any]) -> None:
-        if self._store.faults.silences(self._opened):
-            await asyncio.Event().wait()
-        self.write(msgspec.json.encode({"result": {"header": self._store.header(), **document}}))
-        self.write(b"\n")
-        await self.flush()
-
-
-class _CountsHandler(RequestHandler):
-    def initialize(self, store: StoreStandin) -> None:
-        self._store = store
-
-    def get(self) -> None:
-        self.finish({"calls": self._store.calls, "watches": self._store.watches})
+    async def _tell(self, document: Body) -> None:
+        result = {**self._header(), **document}
+        await self.send(msgspec.json.encode({"result": result}) + b"\n")
 
 
 def _text(encoded: str) -> str:
     return base64.b64decode(encoded).decode()
 
 
-def _routes(store: StoreStandin) -> list[Any]:
-    own = {"store": store}
-    return [
-        (r"/v3/kv/range", _RangeHandler, own),
-        (r"/v3/kv/txn", _TxnHandler, own),
-        (r"/v3/kv/put", _PutHandler, own),
-        (r"/v3/lease/grant", _GrantHandler, own),
-        (r"/v3/lease/keepalive", _KeepAliveHandler, own),
-        (r"/v3/lease/revoke", _RevokeHandler, own),
-        (r"/v3/watch", _WatchHandler, own),
-        (r"/counts", _CountsHandler, own),
-        (r"/faults", FaultsHandler, {"faults": store.faults}),
-    ]
+_ROUTES: Final = (
+    (r"/v3/kv/range", _Handler, {"run": StoreStandin.range}),
+    (r"/v3/kv/txn", _Handler, {"run": StoreStandin.txn, "loses": True}),
+    (r"/v3/kv/put", _Handler, {"run": StoreStandin.put, "loses": True}),
+    (r"/v3/lease/grant", _Handler, {"run": StoreStandin.grant, "loses": True}),
+    (r"/v3/lease/keepalive", _Handler, {"run": StoreStandin.keep_alive, "loses": True}),
+    (r"/v3/lease/revoke", _Handler, {"run": StoreStandin.revoke, "loses": True}),
+    (r"/v3/watch", _WatchHandler, {"run": StoreStandin.range}),
+    call_route(r"/counts", lambda own, _: {"calls": own.calls, "watches": own.watches}, False),
+)
--- /dev/null
+++ b/src/baobabpulley/standins/web.py
@@ -0,0 +1,165 @@
+"""What the HTTP servers of all stand-ins have in common: faults, JSON, refusals, streams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.standins.faults import FaultOrder
+from baobabpulley.standins.faults import Faults
+from baobabpulley.standins.faults import Refusal
+from baobabpulley.timers import TimerService
+
+MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+FAULT_DELAY: Final = 0.01
+
+Run = Callable[..., object]
+Route = tuple[str, type[RequestHandler], dict[str, Any]]
+
+
+class StandinHandler(RequestHandler):
+    """Answer JSON under the faults that are switched on, unless ``faulty`` is off."""
+
+    faulty = True
+
+    def initialize(self, standin: Any) -> None:
+        self._standin = standin
+        self._gone = asyncio.Event()
+        self.faults: Faults = standin.faults
+        self.stream: IOStream = self.request.connection.stream  # type: ignore[union-attr]
+
+    async def prepare(self) -> None:
+        # Tests set what a stand-in shows by PUT.
+        if self.faulty and self.request.method != "PUT":
+            await self.faults.timers.sleep(self.faults.delay)
+            await self._check_silence()
+            if self.faults.down or self.faults.take("lose_request"):
+                self.drop()
+
+    def json(self, kind: Any = Any) -> Any:
+        """Return the request's document."""
+        return msgspec.json.decode(self.request.body, type=kind)
+
+    async def answer(self, document: object, *, status: int = 200, loses: bool = False) -> None:
+        """Send a whole answer; ``loses`` says that ``lose_answer`` counts for this call."""
+        if loses and self.faults.take("lose_answer"):
+            self.drop()
+            return
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        await self.send(msgspec.json.encode(document), last=True)
+
+    async def send(self, data: bytes, *, last: bool = False) -> None:
+        """Write and flush a piece of a stream, unless this connection has gone silent."""
+        if self.faulty:
+            if not self._headers_written:
+                await self.faults.timers.sleep(self.faults.delay_answer)
+            await self._check_silence()
+        self.write(data)
+        await (self.finish() if last else self.flush())
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self._finished = True
+        self.stream.close()
+
+    def on_connection_close(self) -> None:
+        self._gone.set()
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        error = kwargs.get("exc_info", (None, None))[1]
+        code = f"http_{status_code}"
+        if isinstance(error, Refusal):
+            code, status_code = error.code, error.status
+        elif isinstance(error, msgspec.DecodeError):
+            code, status_code = "bad_request", 400
+        self.set_status(status_code)
+        ran = None if status_code == 500 else False
+        self.finish({"error": {"code": code, "message": str(error), "ran": ran}})
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        if not isinstance(value, Refusal | StreamClosedError | msgspec.DecodeError):
+            super().log_exception(typ, value, tb)
+
+    async def _check_silence(self) -> None:
+        if self.faults.silences(self.stream):
+            await self._gone.wait()
+            self._finished = True
+            raise StreamClosedError
+
+
+class CallHandler(StandinHandler):
+    """Answer a short call with what ``run`` returns for the body and the path's groups.
+
+    ``loses`` says that ``lose_answer`` counts for this call.
+    """
+
+    def initialize(self, standin: Any, run: Run, loses: bool = False, faulty: bool = True) -> None:
+        super().initialize(standin)
+        self.faulty = faulty
+        self._run = run
+        self._loses = loses
+
+    async def get(self, *groups: str) -> None:
+        await self.post(*groups)
+
+    async def put(self) -> None:
+        await self.post()
+
+    async def post(self, *groups: str) -> None:
+        body = self.json() if self.request.body else {}
+        await self.answer(self._run(self._standin, body, *groups), loses=self._loses)
+
+
+class StandinServer(HTTPServer):
+    """A server that tells the faults of each new connection."""
+
+    faults: Faults
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        self.faults.open.add(stream)
+        super().handle_stream(stream, address)  # type: ignore[arg-type]
+
+
+def call_route(pattern: str, run: Run, faulty: bool = True) -> Route:
+    """Return the route of a short call; see `CallHandler`."""
+    return pattern, CallHandler, {"run": run, "faulty": faulty}
+
+
+def listen(standin: Any, address: str, *routes: Route) -> HTTPServer:
+    """Serve a stand-in's routes and ``/faults``; the event loop must run."""
+    all_routes: Any = [
+        (pattern, handler, {"standin": standin, **options})
+        for pattern, handler, options in [*routes, call_route(r"/faults", _take_fault, False)]
+    ]
+    server = StandinServer(Application(all_routes), max_body_size=MAX_BODY_BYTES)
+    server.faults = standin.faults
+    host, port = split_address(address)
+    server.listen(port, host)
+    return server
+
+
+async def wait_for(event: asyncio.Event, seconds: float, *, timers: TimerService) -> bool:
+    """Wait for an event at most ``seconds`` and tell whether it came."""
+    try:
+        async with timers.limit(seconds):
+            return await event.wait()
+    except TimeoutError:
+        return False
+
+
+def _take_fault(standin: Any, body: object) -> dict[str, str]:
+    order = msgspec.convert(body, FaultOrder)
+    # The answer leaves first, so that the test knows that the order was taken.
+    asyncio.get_running_loop().call_later(FAULT_DELAY, standin.faults.apply, order)
+    return {}
--- /dev/null
+++ b/testing/test_standins.py
@@ -0,0 +1,220 @@
+"""The stand-ins hold memory, refuse, lag, evict and fail as they say."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import pytest
+from builders import MODEL
+from builders import WAIT_SECONDS
+from builders import call_of
+from builders import eventually
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.http_engine import HttpEngine
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.model.blocks import BLOCK_TOKENS
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.requests import TokenEvent
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import CacheEvent
+from baobabpulley.ports.engine import LoadEvent
+from baobabpulley.ports.engine import Order
+from baobabpulley.standins.engine import EngineStandin
+from baobabpulley.standins.engine_core import EngineProfile
+from baobabpulley.standins.faults import FaultOrder
+from baobabpulley.standins.text import expected_text
+from baobabpulley.timers import TimerService
+
+SPEED = 20.0
+
+Start = Callable[..., EngineStandin]
+
+
+def text_of(events: list[AnswerEvent]) -> str:
+    return "".join("".join(event.tokens) for event in events if isinstance(event, TokenEvent))
+
+
+@pytest.fixture
+def upstream(base_port: int) -> Upstream:
+    address = f"127.0.0.1:{base_port + 950}"
+    return Upstream(id="engine", service="kitchen", failure_domain="fes", address=address)
+
+
+@pytest.fixture
+async def start(upstream: Upstream) -> AsyncIterator[Start]:
+    started: list[EngineStandin] = []
+
+    def start_engine(*, checks_fencing: bool = True, **profile: float) -> EngineStandin:
+        engine = EngineStandin(
+            id=upstream.id,
+            address=upstream.address,
+            models=(MODEL,),
+            profile=EngineProfile(**profile),
+            timers=TimerService(speed=SPEED),
+            checks_fencing=checks_fencing,
+        )
+        started.append(engine)
+        engine.start()
+        return engine
+
+    yield start_engine
+    for engine in started:
+        await engine.stop()
+
+
+@pytest.fixture
+def engine_client() -> HttpEngine:
+    return HttpEngine(client=HttpClient(), timers=TimerService(speed=SPEED), idle_bound=10.0)
+
+
+async def test_memory_is_held_refused_and_given_back(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(memory_tokens=1_000)
+    first = engine_client.complete(upstream, call_of("a", tokens=600, max_tokens=300))
+    await anext(first)
+    assert engine.core.memory_held == 900
+    with pytest.raises(UpstreamOutOfMemory):
+        await anext(engine_client.complete(upstream, call_of("b", tokens=100, max_tokens=4)))
+    await first.aclose()
+    await engine_client.cancel(upstream, attempt="a")
+    assert engine.core.memory_held == 0
+
+
+async def test_prefix_cache_gives_way_to_held_memory(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    start(memory_tokens=8_192, event_gap_share=0.0)
+    prompt = call_of("a", tokens=4_096)
+    usages = []
+    for attempt in ("a", "b"):
+        events = [
+            event async for event in engine_client.complete(upstream, call_of(attempt, tokens=4096))
+        ]
+        assert text_of(events) == expected_text(prompt.prompt, seed=0, max_tokens=4)
+        assert isinstance(events[-1], EndEvent)
+        usages.append(events[-1].usage.cached_tokens)
+    assert usages == [0, 7 * BLOCK_TOKENS]
+    events = engine_client.events(upstream)
+    await anext(events)
+    big = engine_client.complete(upstream, call_of("c", tokens=8_000, max_tokens=100))
+    await anext(big)
+    evicted: set[int] = set()
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not evicted:
+            event = await anext(events)
+            evicted |= set(event.evicted) if isinstance(event, CacheEvent) else set()
+    await events.aclose()
+    await big.aclose()
+
+
+async def test_short_goes_before_a_long_prefill(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(prefill_rate=20_000.0)
+    long = engine_client.complete(upstream, call_of("long", tokens=200_000, priority=1))
+    waiting = asyncio.create_task(anext(long))
+    await eventually(lambda: engine.core.find("long") is not None)
+    await anext(engine_client.complete(upstream, call_of("short", tokens=500)))
+    job = engine.core.find("long")
+    assert job is not None
+    assert job.remaining > 100_000
+    waiting.cancel()
+
+
+async def test_resumed_stream_survives_the_end_of_its_first_reader(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(decode_rate=20.0)
+    first = engine_client.complete(upstream, call_of("a", max_tokens=200))
+    begun = await anext(first)
+    assert isinstance(begun, TokenEvent)
+    second = engine_client.resume(upstream, attempt="a", offset=len(begun.tokens))
+    rest = [await anext(second)]
+    await first.aclose()
+    rest += [event async for event in second]
+    expected = expected_text(call_of("a").prompt, seed=0, max_tokens=200)
+    assert text_of([begun, *rest]) == expected
+    assert engine.core.memory_held == 0
+
+
+async def test_unread_stream_is_freed_when_its_hold_lapses(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(decode_rate=1.0)
+    events = engine_client.complete(upstream, call_of("a", max_tokens=500))
+    await anext(events)
+    await events.aclose()
+    await eventually(lambda: engine.core.memory_held == 0)
+    assert engine.core.find("a") is None
+
+
+async def test_finished_answers_do_not_fill_the_queue(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    start(max_waiting=2, decode_rate=1_000.0)
+    for index in range(6):
+        events = engine_client.complete(upstream, call_of(str(index), tokens=1, max_tokens=1))
+        assert len([event async for event in events]) == 2
+
+
+async def test_silence_strikes_every_connection_open_now_and_no_later_one(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start()
+    client = HttpClient()
+    path = {"address": upstream.address, "method": "GET", "path": "/v1/load"}
+    assert (await fetch(client, **path, timeout=10.0))[0] == 200
+    engine.faults.apply(FaultOrder(kind="silent"))
+    with pytest.raises(UpstreamLost):
+        await fetch(client, **path, timeout=0.3)
+    assert client.reused == 1
+    assert (await fetch(client, **path, timeout=10.0))[0] == 200
+
+
+async def test_load_lags_and_cache_events_have_gaps(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    start(load_lag=2.0, event_gap_share=0.5)
+    seen: list[int] = []
+    ages: list[float] = []
+    events = engine_client.events(upstream)
+    await anext(events)
+    for index in range(40):
+        call = call_of(f"{index}", tokens=1_024, max_tokens=1, prompt_seed=index)
+        async for _ in engine_client.complete(upstream, call):
+            pass
+    async with asyncio.timeout(WAIT_SECONDS):
+        while len(seen) < 5 or len(ages) < 20:
+            event = await anext(events)
+            if isinstance(event, CacheEvent):
+                seen.append(event.sequence)
+            elif isinstance(event, LoadEvent):
+                ages.append(event.report.age)
+    await events.aclose()
+    assert ages[-1] >= 2.0
+    assert seen == sorted(seen)
+    assert max(seen) > len(seen)
+
+
+@pytest.mark.parametrize("checks", [True, False], ids=["checks", "ignores"])
+async def test_old_fencing_number(
+    start: Start, upstream: Upstream, engine_client: HttpEngine, checks: bool
+) -> None:
+    start(checks_fencing=checks)
+    newer = Order(id="2", kind="load", model="b", version="2", fence=9)
+    older = Order(id="1", kind="unload", model=MODEL, version="1", fence=3)
+    await engine_client.order(upstream, newer)
+    if checks:
+        with pytest.raises(UpstreamRefused):
+            await engine_client.order(upstream, older)
+    else:
+        await engine_client.order(upstream, older)
+    assert (MODEL in (await engine_client.state(upstream)).models) is checks
