--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -33,16 +33,25 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "fleet_state")
+_PART_MODULES: Final = ("settings_watch", "fleet_state", "membership", "tender")
+
+# Sections are registered on import, so this must be done before any settings are read.
+for _name in _PART_MODULES:
+    import_module(f"baobabpulley.keeper.{_name}")
 
 
 @section("keeper", "keeper")
 class KeeperSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where this keeper answers its peers, and where the platform's services answer."""
+    """Where this keeper answers its peers, and where the platform's services answer.
+
+    ``also_reached_at`` are further addresses under which others reach it, as behind address
+    translation.
+    """
 
     address: Address
     store: Address
     vm_list: Address
+    also_reached_at: tuple[Address, ...] = ()
 
 
 def build_keeper(settings: Settings) -> KeeperContext:
@@ -67,6 +76,7 @@
             section=settings.get(PeersSection),
             timers=timers,
             address=own.address,
+            also_reached_at=own.also_reached_at,
         ),
         store=EtcdStore(client=client, address=own.store, timers=timers),
         vm_list=HttpVmList(client=client, address=own.vm_list, timers=timers),
@@ -74,8 +84,6 @@
         view=FleetView(failure_domain=node.failure_domain, alarm=alarm),
         metrics=metrics,
     )
-    for name in _PART_MODULES:
-        import_module(f"baobabpulley.keeper.{name}")
     for name in keeper_parts.names:
         context.parts[name] = keeper_parts.lookup(name)(context)
     return context
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from tornado.iostream import StreamClosedError
+from tornado.web import stream_request_body
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import SIGN_OF_LIFE
@@ -22,9 +23,11 @@
 from baobabpulley.model.requests import EndEvent
 from baobabpulley.model.requests import TokenEvent
 from baobabpulley.model.requests import Usage
+from baobabpulley.model.upstreams import LoadReport
+from baobabpulley.ports.engine import CacheEvent
 from baobabpulley.ports.engine import EngineCall
-from baobabpulley.ports.engine import EngineEvent
 from baobabpulley.ports.engine import EngineState
+from baobabpulley.ports.engine import LoadEvent
 from baobabpulley.ports.engine import Order
 from baobabpulley.ports.engine import PartCall
 from baobabpulley.ports.engine import PartRef
@@ -43,6 +46,7 @@
 JOURNAL_CAPACITY: Final = 200_000
 LIFE_PERIOD: Final = 1.0
 SWEEP_PERIOD: Final = 0.1
+BODY_TIMEOUT: Final = 3.0
 
 
 class KvAnswer(msgspec.Struct):
@@ -57,6 +61,7 @@
     """One engine process."""
 
     __slots__ = (
+        "_adapters",
         "_address",
         "_checks_fencing",
         "_client",
@@ -91,6 +96,7 @@
         self._incarnation = secrets.token_hex(4)
         self._models = dict.fromkeys(models, "1")
         self._loading: set[str] = set()
+        self._adapters: dict[str, tuple[str, ...]] = {}
         self._orders: set[str] = set()
         self._fence = 0
         self.core = EngineCore(profile=profile, timers=timers, seed=seed)
@@ -108,6 +114,7 @@
             fence=self._fence,
             models=dict(self._models),
             loading=tuple(sorted(self._loading)),
+            adapters=dict(self._adapters),
         )
 
     def start(self) -> None:
@@ -190,7 +197,8 @@
         self._orders.add(order.id)
         if order.kind == "unload":
             self._models.pop(order.model, None)
-        elif order.kind == "load" and self._models.get(order.model) != order.version:
+            self._adapters.pop(order.model, None)
+        elif order.kind == "load" and not self._has(order):
             self._loading.add(order.model)
             self._timers.after(
                 self.core.profile.load_seconds,
@@ -198,6 +206,10 @@
                 name=f"load {order.model}",
             )
 
+    def _has(self, order: Order) -> bool:
+        adapters = self._adapters.get(order.model, ())
+        return (self._models.get(order.model), adapters) == (order.version, order.adapters)
+
     def _check_fit(self, model: str) -> None:
         if self.faults.leaving:
             raise Refusal("leaving", f"{self._id} is leaving")
@@ -207,6 +219,7 @@
     def _finish_load(self, order: Order) -> None:
         self._loading.discard(order.model)
         self._models[order.model] = order.version
+        self._adapters[order.model] = order.adapters
         self.note("loaded", order.id, order.model, fence=order.fence)
 
     def _report(self) -> None:
@@ -288,19 +301,48 @@
 class _EventsHandler(StandinHandler):
     async def get(self) -> None:
         self.set_header("Content-Type", "text/event-stream")
-        queue: asyncio.Queue[EngineEvent] = asyncio.Queue()
-        subscribers = self._standin.core.subscribers
-        subscribers.add(queue)
+        every = float(self.get_query_argument("every", "0"))
+        core, timers = self._standin.core, self.faults.timers
+        queue: asyncio.Queue[CacheEvent] = asyncio.Queue()
+        core.subscribers.add(queue)
+        sent: LoadReport | None = None
+        sent_at = written_at = float("-inf")
         with contextlib.suppress(StreamClosedError):
-            await self.send(SIGN_OF_LIFE)
             while not self.stream.closed():
-                await self.send(frame_event(msgspec.json.encode(await queue.get())))
-        subscribers.discard(queue)
+                report, now = core.lagged_report(), timers.now()
+                if _is_due(report, sent, age=now - sent_at, every=every):
+                    sent, sent_at, written_at = report, now, now
+                    await self.send(frame_event(msgspec.json.encode(LoadEvent(report=report))))
+                elif now - written_at >= LIFE_PERIOD:
+                    written_at = now
+                    await self.send(SIGN_OF_LIFE)
+                await timers.sleep(REPORT_PERIOD)
+                while not queue.empty():
+                    await self.send(frame_event(msgspec.json.encode(queue.get_nowait())))
+        core.subscribers.discard(queue)
+
 
+def _is_due(report: LoadReport, sent: LoadReport | None, *, age: float, every: float) -> bool:
+    if sent is None or (report.state, report.models) != (sent.state, sent.models):
+        return True
+    return report.sequence != sent.sequence and age >= every
 
+
+@stream_request_body
 class _OrdersHandler(StandinHandler):
+    """Orders; as HTTP servers do, close a connection whose body does not come in time."""
+
+    async def prepare(self) -> None:
+        self._body = b""
+        connection: Any = self.request.connection
+        connection.set_body_timeout(self.faults.timers.real(BODY_TIMEOUT))
+        await super().prepare()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body += chunk
+
     async def post(self) -> None:
-        await self._standin.take_order(self.json(Order))
+        await self._standin.take_order(msgspec.json.decode(self._body, type=Order))
         await self.answer({}, loses=True)
 
 
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -25,10 +25,8 @@
 from baobabpulley.ports.engine import PRIORITY_SHORT
 from baobabpulley.ports.engine import CacheEvent
 from baobabpulley.ports.engine import EngineCall
-from baobabpulley.ports.engine import EngineEvent
 from baobabpulley.ports.engine import EngineState
 from baobabpulley.ports.engine import Hold
-from baobabpulley.ports.engine import LoadEvent
 from baobabpulley.standins.faults import Refusal
 from baobabpulley.standins.text import token_at
 from baobabpulley.timers import TimerService
@@ -108,8 +106,7 @@
 class EngineCore:
     """All jobs of one engine and the loop that steps them.
 
-    ``subscribers`` are queues that get load reports, and cache events with gaps, both late. The
-    prefix cache uses
+    ``subscribers`` are queues that get cache events, late and with gaps. The prefix cache uses
     only the memory that jobs leave free.
     """
 
@@ -118,7 +115,6 @@
         "_event_sequence",
         "_events",
         "_jobs",
-        "_published",
         "_random",
         "_reports",
         "_running",
@@ -132,7 +128,7 @@
     def __init__(self, *, profile: EngineProfile, timers: TimerService, seed: int = 0) -> None:
         self.profile = profile
         self.memory_held = 0
-        self.subscribers: set[asyncio.Queue[EngineEvent]] = set()
+        self.subscribers: set[asyncio.Queue[CacheEvent]] = set()
         self._timers = timers
         self._random = random.Random(seed)
         self._jobs: dict[str, Job] = {}
@@ -141,7 +137,7 @@
         self._work = asyncio.Event()
         self._reports: deque[tuple[float, LoadReport]] = deque(maxlen=64)
         self._events: deque[tuple[float, CacheEvent]] = deque()
-        self._event_sequence = self._published = 0
+        self._event_sequence = 0
 
     def start(self, call: EngineCall, *, seed_digest: int = 0, context: int = 0) -> Job:
         """Admit a call whose imported parts hold ``context`` tokens elsewhere, or refuse it."""
@@ -247,15 +243,8 @@
                 self.release([job.call.attempt])
         while self._events and now - self._events[0][0] >= self.profile.event_lag:
             _, event = self._events.popleft()
-            self._publish(event)
-        report = self.lagged_report()
-        if report.sequence != self._published:
-            self._published = report.sequence
-            self._publish(LoadEvent(report=report))
-
-    def _publish(self, event: EngineEvent) -> None:
-        for queue in self.subscribers:
-            queue.put_nowait(event)
+            for queue in self.subscribers:
+                queue.put_nowait(event)
 
     @contextlib.contextmanager
     def reading(self, job: Job) -> Iterator[None]:
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -39,11 +39,11 @@
     """
 
     __slots__ = (
-        "_address",
         "_items",
         "_lease_ids",
         "_leases",
         "_wake",
+        "address",
         "calls",
         "faults",
         "history",
@@ -52,7 +52,7 @@
     )
 
     def __init__(self, *, address: str, timers: TimerService) -> None:
-        self._address = address
+        self.address = address
         self._items: SortedDict = SortedDict()
         self._lease_ids = itertools.count(FIRST_LEASE)
         self._leases: dict[str, tuple[float, float]] = {}
@@ -65,7 +65,7 @@
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        listen(self, self._address, *_ROUTES)
+        listen(self, self.address, *_ROUTES)
         self.faults.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
 
     def range(self, body: Body) -> Body:
