Answer bad input with typed errors, and free the engine of a caller that goes

Cause, each seen as a failing test before: - a chunked body past the limit, raised in data_received, dropped the connection without an answer; now it is refused in place and the rest is dropped unread; - malformed HTTP got Tornado's bare 400, a long header and a slow body nothing; CallerStream and the body's own timer answer 400, 431 and 408 as typed JSON; - unknown paths and methods got HTML or a code outside the table of errors; - a caller that went away before the first token, or from a whole answer, was noticed only when bytes were written; its task is now cancelled at once. New: GET /v1/models, X-Request-Id on every handler's answer, Retry-After on all 429 and 503, one log line for each finished request with team and upstream.

--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from typing import Annotated
 from typing import final
@@ -12,12 +13,10 @@
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import frame_event
-from baobabpulley.entry.web import REQUEST_ID_HEADER
-from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import StreamedBodyHandler
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
-from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import PromptTooLong
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import error_kinds
@@ -81,29 +80,36 @@
 @route("/v1/completions")
 @stream_request_body
 @final
-class CompletionHandler(EntryHandler):
+class CompletionHandler(StreamedBodyHandler):
     """Admit, dispatch and answer one completion request."""
 
+    @property
+    def log_fields(self) -> dict[str, str]:
+        steps = self._record.steps if self._record is not None else []
+        tried = [step.detail.get("upstream") for step in steps if step.what == "attempt"]
+        upstream = {"upstream": str(tried[-1])} if tried else {}
+        return {**super().log_fields, **upstream}
+
     def prepare(self) -> None:
-        self._parts: list[bytes] = []
-        self._size = 0
         self._section = self.context.settings.get(CallersSection)
-        if self.request.method != "POST":
-            return
-        self._check_size(int(self.request.headers.get("Content-Length", "0")))
-        self._team = self.authenticate()
-
-    def data_received(self, chunk: bytes) -> None:
-        self._size += len(chunk)
-        self._check_size(self._size)
-        self._parts.append(chunk)
+        self._work: asyncio.Task[None] | None = None
+        self._record: DecisionRecord | None = None
+        self.expect_body(max_bytes=self._section.max_body_bytes, timeout=self._section.body_timeout)
+        if self.request.method == "POST":
+            self._team = self.authenticate()
+            self._log_fields["team"] = self._team
 
     async def post(self) -> None:
+        if self._finished:
+            return
         request = self._parse()
-        record = self.context.decisions.open(request_id=request.request_id, team=request.team)
+        self._record = record = self.context.decisions.open(
+            request_id=request.request_id, team=request.team
+        )
         self.context.lifecycle.begin()
         try:
             self._check_limit(request)
+            self._work = asyncio.current_task()
             await self._answer(request, record)
             self._count(record, "ok")
         except BaobabError as error:
@@ -111,16 +117,21 @@
             await self._fail(error)
         except StreamClosedError:
             self._count(record, "client_gone")
+        except asyncio.CancelledError:
+            # Only on_connection_close cancels this task; nobody is left to answer.
+            self._count(record, "client_gone")
         finally:
+            self._work = None
             self.context.lifecycle.end()
 
-    def _check_size(self, size: int) -> None:
-        if size > self._section.max_body_bytes:
-            raise BodyTooLarge(f"the body is longer than {self._section.max_body_bytes} bytes")
+    def on_connection_close(self) -> None:
+        super().on_connection_close()
+        if self._work is not None:
+            self._work.cancel()
 
     def _parse(self) -> CompletionRequest:
         try:
-            body = _body_decoder.decode(b"".join(self._parts))
+            body = _body_decoder.decode(self.whole_body)
         except msgspec.DecodeError as error:
             raise BadRequest(f"the body does not check: {error}") from error
         if body.max_tokens > self._section.max_output_tokens:
@@ -157,7 +168,6 @@
 
     async def _answer(self, request: CompletionRequest, record: DecisionRecord) -> None:
         text: list[str] = []
-        self.set_header(REQUEST_ID_HEADER, request.request_id)
         async with contextlib.aclosing(self.context.dispatcher.run(request, record)) as events:
             async for event in events:
                 if isinstance(event, TokenEvent):
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -8,9 +8,7 @@
 from typing import Final
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
-from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
@@ -19,7 +17,6 @@
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.adapters.no_store import NoStore
 from baobabpulley.adapters.pynng_peers import PynngPeers
-from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.claims import Claims
 from baobabpulley.entry.claims import ClaimsSection
 from baobabpulley.entry.context import EntryContext
@@ -28,11 +25,11 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.listener import start_listener
 from baobabpulley.entry.plain import ServiceCaller
 from baobabpulley.entry.plain import ServicesSection
 from baobabpulley.entry.tickets import Tickets
 from baobabpulley.entry.tickets import TicketsSection
-from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
@@ -49,9 +46,7 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
-_HANDLER_MODULES: Final = ("burn", "callers", "explain", "health", "plain", "tickets")
-
-MAX_ACCEPTED_BODY: Final = 1 << 30
+_HANDLER_MODULES: Final = ("burn", "callers", "explain", "health", "models", "plain", "tickets")
 
 
 def build_entry(settings: Settings) -> EntryContext:
@@ -152,18 +147,7 @@
     """Listen for callers."""
     for name in _HANDLER_MODULES:
         import_module(f"baobabpulley.entry.{name}")
-    callers = context.settings.get(CallersSection)
-    server = HTTPServer(
-        Application(routes(context)),
-        # The handlers bound bodies themselves, so that callers get a typed answer.
-        max_body_size=MAX_ACCEPTED_BODY,
-        max_header_size=callers.max_header_bytes,
-        body_timeout=context.timers.real(callers.body_timeout),
-        idle_connection_timeout=context.timers.real(callers.header_timeout),
-    )
-    host, port = split_address(context.node.http)
-    server.listen(port, host)
-    return server
+    return start_listener(context)
 
 
 async def run_entry(settings: Settings) -> None:
--- /dev/null
+++ b/src/baobabpulley/entry/listener.py
@@ -0,0 +1,117 @@
+"""The callers' listener: it answers in typed JSON also where Tornado answers bare or not at all."""
+
+from __future__ import annotations
+
+import contextlib
+from asyncio import Future
+from typing import Any
+from typing import Final
+from typing import final
+
+import msgspec
+from loguru import logger
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.iostream import UnsatisfiableReadError
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.entry.callers import CallersSection
+from baobabpulley.entry.context import EntryContext
+from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import routes
+from baobabpulley.errors import BadRequest
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import HeaderTooLarge
+from baobabpulley.errors import NotFound
+
+# Handlers refuse long bodies themselves; what follows a refusal is read and dropped up to here.
+MAX_DROPPED_BODY: Final = 1 << 30
+# The handlers' own bound on a slow body comes first, so that callers get a typed answer.
+BODY_TIMEOUT_FACTOR: Final = 2.0
+
+_BARE_BAD_REQUEST: Final = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+
+
+@final
+class CallerStream(IOStream):
+    """A connection that answers malformed HTTP and long headers with typed errors."""
+
+    def write(self, data: bytes | memoryview) -> Future[None]:
+        if data == _BARE_BAD_REQUEST:
+            data = raw_answer(BadRequest("the request is not well-formed HTTP/1.1"))
+        return super().write(data)
+
+    def close(self, exc_info: Any = False) -> None:
+        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
+            error = HeaderTooLarge("the request's header is longer than this entry reads")
+            with contextlib.suppress(OSError):
+                self.socket.send(raw_answer(error))
+        super().close(exc_info)
+
+
+@final
+class CallerServer(HTTPServer):
+    """An HTTP server over `CallerStream` connections."""
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        # Nothing listens on the given stream yet, so that its socket can change hands.
+        own = CallerStream(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        super().handle_stream(own, address)
+
+
+class UnknownPathHandler(EntryHandler):
+    """Any path that no route matches."""
+
+    def prepare(self) -> None:
+        raise NotFound(f"no such path: {self.request.path[:128]}")
+
+
+def start_listener(context: EntryContext) -> HTTPServer:
+    """Listen for callers with all registered routes; the event loop must run."""
+    callers = context.settings.get(CallersSection)
+    application = Application(
+        routes(context),
+        default_handler_class=UnknownPathHandler,
+        default_handler_args={"context": context},
+        log_function=log_request,
+    )
+    server = CallerServer(
+        application,
+        max_body_size=MAX_DROPPED_BODY,
+        max_header_size=callers.max_header_bytes,
+        body_timeout=context.timers.real(callers.body_timeout * BODY_TIMEOUT_FACTOR),
+        idle_connection_timeout=context.timers.real(callers.header_timeout),
+    )
+    host, port = split_address(context.node.http)
+    server.listen(port, host)
+    return server
+
+
+def log_request(handler: RequestHandler) -> None:
+    """Write one line for a finished request; never its body or its token."""
+    if not isinstance(handler, EntryHandler):
+        return
+    request = handler.request
+    fields = {
+        "request_id": handler.request_id,
+        **handler.log_fields,
+        "status": handler.get_status(),
+        "seconds": round(request.request_time(), 4),
+    }
+    logger.bind(**fields).info("{} {}", request.method, request.path)
+
+
+def raw_answer(error: BaobabError) -> bytes:
+    """Return a whole HTTP answer for a request that no handler has seen."""
+    body = msgspec.json.encode(error.document())
+    head = (
+        f"HTTP/1.1 {error.status} Refused\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/src/baobabpulley/entry/models.py
@@ -0,0 +1,19 @@
+"""``GET /v1/models``: the models that callers may ask for."""
+
+from __future__ import annotations
+
+from typing import final
+
+from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import route
+
+
+@route("/v1/models")
+@final
+class ModelsHandler(EntryHandler):
+    """List the models as the usual completion API does."""
+
+    def get(self) -> None:
+        self.authenticate()
+        models = [{"id": name, "object": "model"} for name in sorted(self.context.view.book.models)]
+        self.finish({"object": "list", "data": models})
--- a/src/baobabpulley/entry/plain.py
+++ b/src/baobabpulley/entry/plain.py
@@ -16,11 +16,10 @@
 from baobabpulley.entry.claims import IDEMPOTENCY_HEADER
 from baobabpulley.entry.tickets import TICKET_HEADER
 from baobabpulley.entry.web import REQUEST_ID_HEADER
-from baobabpulley.entry.web import EntryHandler
+from baobabpulley.entry.web import StreamedBodyHandler
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
-from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import NotFound
 from baobabpulley.errors import NoUpstream
@@ -56,6 +55,7 @@
     """
 
     max_body_bytes: Count = 262_144
+    body_timeout: Seconds = 30.0
     answer_timeout: Seconds = 2.0
     deadline: Seconds = 10.0
     once_timeout: Seconds = 10.0
@@ -192,29 +192,26 @@
 @route(r"/services/([a-z0-9][a-z0-9._-]*)(/.*)")
 @stream_request_body
 @final
-class ServiceHandler(EntryHandler):
+class ServiceHandler(StreamedBodyHandler):
     """One call of a plain service."""
 
     SUPPORTED_METHODS = METHODS  # type: ignore[assignment]
 
     def prepare(self) -> None:
-        self._parts: list[bytes] = []
-        self._size = 0
+        section = self.context.settings.get(ServicesSection)
+        self.expect_body(max_bytes=section.max_body_bytes, timeout=section.body_timeout)
         self._team = self.authenticate()
-
-    def data_received(self, chunk: bytes) -> None:
-        self._size += len(chunk)
-        limit = self.context.settings.get(ServicesSection).max_body_bytes
-        if self._size > limit:
-            raise BodyTooLarge(f"the body is longer than {limit} bytes")
-        self._parts.append(chunk)
+        self._log_fields["team"] = self._team
 
     async def _serve(self, service: str, path: str) -> None:
+        if self._finished:
+            return
+        body = self.whole_body
         self.context.lifecycle.begin()
         record = self.context.decisions.open(request_id=self.request_id, team=self._team)
         record.lane = "service"
         try:
-            answer = await self._run(service, path)
+            answer = await self._run(service, path, body)
             record.outcome = "ok"
             await self._reply(answer)
         except BaobabError as error:
@@ -229,7 +226,7 @@
 
     get = post = put = patch = delete = _serve
 
-    async def _run(self, service: str, path: str) -> ServiceAnswer:
+    async def _run(self, service: str, path: str, body: bytes) -> ServiceAnswer:
         document = self.context.view.book.services.get(service)
         if document is None or document.kind != "plain":
             raise NotFound(f"no plain service is called {service!r}")
@@ -239,7 +236,7 @@
             team=self._team,
             method=str(self.request.method),
             path=path + query,
-            body=b"".join(self._parts),
+            body=body,
             content_type=self.request.headers.get("Content-Type", "application/json"),
         )
         found = route_of(document, service=service, method=call.method, path=call.path)
--- a/src/baobabpulley/entry/web.py
+++ b/src/baobabpulley/entry/web.py
@@ -13,12 +13,19 @@
 from tornado.web import RequestHandler
 
 from baobabpulley.entry.context import EntryContext
+from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BadToken
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import BodyTooSlow
+from baobabpulley.errors import MethodNotAllowed
 from baobabpulley.errors import NotReady
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 MAX_REQUEST_ID: Final = 128
+DEFAULT_RETRY_AFTER: Final = 1.0
+
+_RETRIED_STATUSES: Final = (429, 503)
 
 H = TypeVar("H", bound=type[RequestHandler])
 
@@ -43,11 +50,15 @@
 class EntryHandler(RequestHandler):
     """Answer typed errors as JSON and give each request an id."""
 
+    _request_id = ""
+
     def initialize(self, context: EntryContext) -> None:
         self._context = context
+        self._log_fields: dict[str, str] = {}
         given = self.request.headers.get(REQUEST_ID_HEADER, "")
-        usable = given.isprintable() and 0 < len(given) <= MAX_REQUEST_ID
+        usable = given.isascii() and given.isprintable() and 0 < len(given) <= MAX_REQUEST_ID
         self._request_id = given if usable else secrets.token_hex(8)
+        self.set_default_headers()
 
     @property
     def context(self) -> EntryContext:
@@ -68,24 +79,26 @@
             raise BadToken("the request carries no bearer token")
         return self._context.view.book.team_of_token(token)
 
+    @property
+    def log_fields(self) -> dict[str, str]:
+        """What the line of this request in the log says of team and upstream."""
+        return self._log_fields
+
     def set_default_headers(self) -> None:
         self.clear_header("Server")
+        if self._request_id:
+            self.set_header(REQUEST_ID_HEADER, self._request_id)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         error = kwargs.get("exc_info", (None, None))[1]
         if isinstance(error, BaobabError):
             self.refuse(error)
-            return
-        self.set_header("Content-Type", "application/json")
-        document = {
-            "error": {
-                "code": f"http_{status_code}",
-                "message": self._reason,
-                "ran": False if status_code < 500 else None,
-                "remedy": "Check method, path and headers against the README.",
-            }
-        }
-        self.finish(msgspec.json.encode(document))
+        elif status_code == 405:
+            self.refuse(MethodNotAllowed(f"{self.request.method} is not taken here"))
+        elif 400 <= status_code < 500:
+            self.refuse(BadRequest(self._reason))
+        else:
+            self.refuse(BaobabError("the entry failed"))
 
     def refuse(self, error: BaobabError) -> None:
         """Answer with a typed error."""
@@ -94,10 +107,63 @@
         self.set_status(error.status)
         self.set_header(REQUEST_ID_HEADER, self._request_id)
         self.set_header("Content-Type", "application/json")
-        if error.retry_after is not None:
-            self.set_header("Retry-After", str(max(1, round(error.retry_after))))
+        retry_after = error.retry_after
+        if retry_after is None and error.status in _RETRIED_STATUSES:
+            retry_after = DEFAULT_RETRY_AFTER
+        if retry_after is not None:
+            self.set_header("Retry-After", str(max(1, round(retry_after))))
         self.finish(msgspec.json.encode(error.document()))
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         if not isinstance(value, BaobabError):
             logger.opt(exception=value).error("request {} failed", self._request_id)
+
+
+class StreamedBodyHandler(EntryHandler):
+    """Collect a body within a bound of size and time; past it refuse at once.
+
+    Subclasses are decorated with `tornado.web.stream_request_body`.
+    """
+
+    def expect_body(self, *, max_bytes: int, timeout: float) -> None:
+        """Set the bounds; ``timeout`` is in model seconds."""
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._max_bytes = max_bytes
+        self._slow = self.context.timers.after(timeout, lambda: self._refuse_slow(timeout))
+        declared = self.request.headers.get("Content-Length", "0")
+        if not declared.isdecimal():
+            raise BadRequest("Content-Length is not a number")
+        if int(declared) > max_bytes:
+            raise self._too_large()
+
+    @property
+    def whole_body(self) -> bytes:
+        """The body, once it has arrived."""
+        self._slow.cancel()
+        return b"".join(self._parts)
+
+    def data_received(self, chunk: bytes) -> None:
+        # Raising here would drop the connection without an answer.
+        if self._finished:
+            return
+        self._size += len(chunk)
+        if self._size > self._max_bytes:
+            self.refuse(self._too_large())
+            return
+        self._parts.append(chunk)
+
+    def on_finish(self) -> None:
+        if hasattr(self, "_slow"):
+            self._slow.cancel()
+            self._parts.clear()
+
+    def on_connection_close(self) -> None:
+        self.on_finish()
+
+    def _too_large(self) -> BodyTooLarge:
+        return BodyTooLarge(f"the body is longer than {self._max_bytes} bytes")
+
+    def _refuse_slow(self, timeout: float) -> None:
+        if not self._finished:
+            self.refuse(BodyTooSlow(f"the body did not arrive within {timeout:g} s"))
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -133,6 +133,33 @@
     default_remedy = "Shorten the prompt below the limit in the message."
 
 
+class HeaderTooLarge(BaobabError):
+    """The request's header is longer than callers may send."""
+
+    code = "header_too_large"
+    status = 431
+    ran = False
+    default_remedy = "Send fewer and shorter headers."
+
+
+class BodyTooSlow(BaobabError):
+    """The request's body did not arrive in time."""
+
+    code = "body_too_slow"
+    status = 408
+    ran = False
+    default_remedy = "Send the whole body within the time in the message."
+
+
+class MethodNotAllowed(BaobabError):
+    """The path does not take this method."""
+
+    code = "method_not_allowed"
+    status = 405
+    ran = False
+    default_remedy = "Use a method that the README names for this path."
+
+
 class PromptTooLong(BaobabError):
     """The prompt is longer than the team's limit."""
 
