--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import signal
 from importlib import import_module
 from typing import Final
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
-from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
@@ -20,7 +16,6 @@
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.adapters.no_store import NoStore
 from baobabpulley.adapters.pynng_peers import PynngPeers
-from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.claims import Claims
 from baobabpulley.entry.claims import ClaimsSection
 from baobabpulley.entry.context import EntryContext
@@ -29,11 +24,13 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.listener import start_listener
 from baobabpulley.entry.plain import ServiceCaller
 from baobabpulley.entry.plain import ServicesSection
+from baobabpulley.entry.resume_tokens import ResumeTokens
+from baobabpulley.entry.resuming_engine import ResumingEngine
 from baobabpulley.entry.tickets import Tickets
 from baobabpulley.entry.tickets import TicketsSection
-from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
@@ -47,6 +44,8 @@
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import PeersSection
 from baobabpulley.settings import Settings
+from baobabpulley.shutdown import end_tasks
+from baobabpulley.shutdown import stop_event
 from baobabpulley.timers import TimerService
 
 # Modules that register routes when they are imported.
@@ -55,13 +54,13 @@
     "callers",
     "explain",
     "health",
+    "models",
     "operators",
     "plain",
+    "resume",
     "tickets",
 )
 
-MAX_ACCEPTED_BODY: Final = 1 << 30
-
 
 def build_entry(settings: Settings) -> EntryContext:
     """Return an entry's parts, not yet started; the event loop must run."""
@@ -77,7 +76,9 @@
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
     dispatcher = Dispatcher(
         holder=node.id,
-        engine=HttpEngine(client=HttpClient(), timers=timers),
+        engine=ResumingEngine(
+            engine=HttpEngine(client=HttpClient(), timers=timers), metrics=metrics
+        ),
         view=view,
         policy=routing_policies.lookup("least_in_flight")(),
         lanes=settings.get(LanesSection),
@@ -103,6 +104,7 @@
         claims=_claims(settings, services=services, timers=timers),
         sealer=_sealer(settings),
         burn=BurnCounters(section=settings.get(BurnSection)),
+        resume_tokens=ResumeTokens(secret=settings.get(PeersSection).secret, timers=timers),
     )
 
 
@@ -161,40 +163,24 @@
     """Listen for callers."""
     for name in _HANDLER_MODULES:
         import_module(f"baobabpulley.entry.{name}")
-    callers = context.settings.get(CallersSection)
-    server = HTTPServer(
-        Application(routes(context)),
-        # The handlers bound bodies themselves, so that callers get a typed answer.
-        max_body_size=MAX_ACCEPTED_BODY,
-        max_header_size=callers.max_header_bytes,
-        body_timeout=context.timers.real(callers.body_timeout),
-        idle_connection_timeout=context.timers.real(callers.header_timeout),
-    )
-    host, port = split_address(context.node.http)
-    server.listen(port, host)
-    return server
+    return start_listener(context)
 
 
 async def run_entry(settings: Settings) -> None:
     """Run an entry until SIGTERM or SIGINT, then drain it."""
     node = settings.get(NodeSection)
     configure_logs(settings.get(LogsSection), node=node.id)
+    stop = stop_event()
     context = build_entry(settings)
     server = start_server(context)
+    context.lifecycle.watch(lambda: context.tickets.running)
+    context.lifecycle.watch(lambda: context.claims.running)
     await context.keeper.refresh()
     context.keeper.start()
-    await stop_signal()
+    await stop.wait()
     await context.lifecycle.drain()
     server.stop()
     await server.close_all_connections()
     context.timers.cancel_all()
+    await end_tasks()
     context.peers.close()
-
-
-async def stop_signal() -> None:
-    """Wait for SIGTERM or SIGINT; further ones are ignored."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await stop.wait()
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -288,7 +288,7 @@
         first = await anext(batches)
         second = await anext(batches)
     assert (first.revision, second.revision, len(second.entries)) == (0, 4, 3)
-    standin.compact(3)
+    standin.compact({"revision": "3"})
     with pytest.raises(StoreCompacted):
         async for _ in store.watch("/baobab/fleet/", from_revision=3):
             pass
