Adapt test builders to books that count complete revisions

Cause: SettingsBook.install now takes the revision up to which its entries are complete, so builders that gave none left their books not ready (21 failures, all 'not_ready' or a repeated revision).

--- a/testing/entry_builders.py
+++ b/testing/entry_builders.py
@@ -80,7 +80,8 @@
         ]
         self._path.write_text("\n".join(lines), encoding="utf-8")
         self.context = build_entry(load_settings(self._path, daemon="entry"))
-        self.context.view.book.install(settings_entries())
+        entries = settings_entries()
+        self.context.view.book.install_all(entries, revision=len(entries))
         self.context.view.set_vms(vms)
         self._server = start_server(self.context)
 
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -10,12 +10,14 @@
 from testing.proxy import SilentProxy
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.keeper.changes import PromisesSection
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.daemon import KeeperSection
 from baobabpulley.keeper.daemon import build_keeper
 from baobabpulley.keeper.fleet_state import CollectionSection
 from baobabpulley.keeper.membership import HeartbeatMembership
 from baobabpulley.keeper.membership import MembershipSection
+from baobabpulley.keeper.relay import RelaySection
 from baobabpulley.keeper.tender import TenderSection
 from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.upstreams import LEAVING
@@ -63,6 +65,8 @@
         "membership": MembershipSection(),
         "collection": CollectionSection(),
         "tender": TenderSection(),
+        "promises": PromisesSection(),
+        "relay": RelaySection(),
     }
     return build_keeper(Settings(daemon="keeper", sections=sections))
 
