Place prompts by estimated wait, in lanes, and measure the mix

Cause: the first path took the engine with the fewest own attempts, knew no lanes, retried without bound, and could report "not run" after an earlier attempt had been lost.

Now: lanes with waiting by deficit round robin, longs by response ratio within a team, one long prefill an engine, refusal at once when a queue cannot meet the deadline, a retry budget with full jitter, suspicion of unreachable engines until their next report, one pass to another failure domain. `bench mix` sends a seeded open-loop trace from separate client processes.

--- /dev/null
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -0,0 +1,65 @@
+"""``baobabpulley bench mix``."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+import msgspec
+
+from baobabpulley.cli.bench import bench
+from baobabpulley.emulator.bench_mix import run_variant
+from baobabpulley.emulator.bench_mix import variants
+from baobabpulley.emulator.mix_report import MixResult
+from baobabpulley.emulator.mix_report import bucket_table
+from baobabpulley.emulator.mix_report import plot
+from baobabpulley.emulator.mix_report import table
+from baobabpulley.emulator.trace import Mix
+
+
+@bench.command()
+@click.option("--variant", "names", multiple=True, help="Variant to run; all if none is given.")
+@click.option("--seed", "seeds", multiple=True, type=int, default=(1,), help="May be repeated.")
+@click.option("--speed", default=3.0, help="Model seconds in a real second.")
+@click.option("--seconds", default=90.0, help="Model seconds of load.")
+@click.option("--load", default=0.7, help="Share of the fleet's prefill capacity.")
+@click.option("--longest", default=350_000, help="Longest prompt in tokens.")
+@click.option("--prefix-share", default=0.0, help="Share of prompts with a shared prefix.")
+@click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON and plot.")
+def mix(
+    names: tuple[str, ...],
+    seeds: tuple[int, ...],
+    speed: float,
+    seconds: float,
+    load: float,
+    longest: int,
+    prefix_share: float,
+    base_port: int,
+    out: Path | None,
+) -> None:
+    """Measure time to first token by length and the slowdown of shorts."""
+    parts = Mix(longest=longest, prefix_share=prefix_share)
+    results: list[MixResult] = []
+    for seed in seeds:
+        for name in names or variants.names:
+            result = asyncio.run(
+                run_variant(
+                    name,
+                    seed=seed,
+                    speed=speed,
+                    seconds=seconds,
+                    load=load,
+                    mix=parts,
+                    base_port=base_port,
+                )
+            )
+            results.append(result)
+            click.echo(f"\n{name}, seed {seed}: {result.outcomes}; cpu {result.cpu_shares}")
+            click.echo(bucket_table(result))
+    click.echo("\n" + table(results))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "mix.json").write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+        plot(results, out / "mix.png")
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -0,0 +1,181 @@
+"""``baobabpulley bench mix``: long and short prompts on one fleet, variant by variant."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import Final
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.load import Sample
+from baobabpulley.emulator.load import start_load
+from baobabpulley.emulator.mix_report import MixResult
+from baobabpulley.emulator.mix_report import summarise
+from baobabpulley.emulator.trace import Mix
+from baobabpulley.emulator.trace import TraceItem
+from baobabpulley.emulator.trace import make_trace
+from baobabpulley.emulator.trace import team_names
+from baobabpulley.emulator.trace import without_longs
+from baobabpulley.model.limits import Limit
+from baobabpulley.registry import Registry
+
+PREFILL_RATE: Final = 20_000.0
+SETTLE_SECONDS: Final = 3.0
+
+Sections = dict[str, dict[str, str]]
+
+variants: Registry[Sections] = Registry("mix variant")
+
+for _name, _sections in {
+    "least_wait": {},
+    "two_choices": {"routing": {"policy": "two_choices"}},
+    "least_in_flight": {"routing": {"policy": "least_in_flight"}},
+    "round_robin": {"routing": {"policy": "round_robin"}},
+    "unprotected": {
+        "routing": {"policy": "round_robin", "corrected": "no", "prefix_aware": "no"},
+        "lanes": {
+            "short_priority": "no",
+            "single_long": "no",
+            "long_order": "arrival",
+            "engine_backlog": "1000",
+        },
+    },
+    "no_priority": {"lanes": {"short_priority": "no"}},
+    "no_single_long": {"lanes": {"single_long": "no"}},
+    "arrival_order": {"lanes": {"long_order": "arrival"}},
+    "no_correction": {"routing": {"corrected": "no"}},
+    "shorts_only_fifth": {"lanes": {"shorts_only_share": "0.2"}},
+    "no_prefixes": {"routing": {"prefix_aware": "no"}},
+}.items():
+    variants.register(_name)(_sections)
+
+
+def mix_plan(
+    *,
+    base_port: int,
+    speed: float,
+    engines: int = 16,
+    entries: int = 4,
+    sections: Sections | None = None,
+    engine_options: tuple[str, ...] = (),
+) -> FleetPlan:
+    """Return a fleet for a mix of prompts, with limits that do not bind."""
+    return FleetPlan(
+        base_port=base_port,
+        speed=speed,
+        engines=engines,
+        entries=entries,
+        plain_services=0,
+        entry_sections=sections or {},
+        engine_options=engine_options,
+        limits={team: Limit(1_000_000, 100_000_000) for team in team_names()},
+    )
+
+
+def balancer_weights(fleet: Fleet) -> dict[str, float]:
+    """Return each entry's share: its failure domain's engines over its entries."""
+    plan = fleet.plan
+    engines = [plan.domain_of(index) for index in range(plan.engines)]
+    domains = [plan.domain_of(index) for index in range(plan.entries)]
+    return {
+        name: engines.count(domain) / domains.count(domain)
+        for name, domain in zip(fleet.entries, domains, strict=True)
+    }
+
+
+def mix_trace(fleet: Fleet, *, seed: int, seconds: float, load: float, mix: Mix) -> list[TraceItem]:
+    """Return a trace that asks for ``load`` of the fleet's prefill capacity."""
+    return make_trace(
+        seed=seed,
+        seconds=seconds,
+        tokens_per_second=load * PREFILL_RATE * fleet.plan.engines,
+        entries=balancer_weights(fleet),
+        mix=mix,
+    )
+
+
+async def run_trace(fleet: Fleet, trace: list[TraceItem]) -> list[Sample]:
+    """Send a trace to the fleet and return the samples."""
+    run = await start_load(trace, addresses=fleet.entries, speed=fleet.plan.speed)
+    try:
+        return await run.wait()
+    finally:
+        run.kill()
+
+
+async def attempts(fleet: Fleet) -> float:
+    """Return the attempts at upstreams that all running entries have counted."""
+    total = 0.0
+    for name, address in fleet.entries.items():
+        if not fleet.processes[name].running:
+            continue
+        _, body = await fetch(
+            fleet.client, address=address, method="GET", path="/metrics", timeout=5.0
+        )
+        total += _sum(body.decode(), "baobab_attempts_total")
+    return total
+
+
+async def run_variant(
+    name: str,
+    *,
+    seed: int,
+    speed: float,
+    seconds: float,
+    load: float,
+    mix: Mix,
+    base_port: int,
+) -> MixResult:
+    """Run the same trace with and without longs on a fresh fleet with a variant's settings."""
+    plan = mix_plan(base_port=base_port, speed=speed, sections=variants.lookup(name))
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(plan=plan, directory=Path(directory)) as fleet:
+            trace = mix_trace(fleet, seed=seed, seconds=seconds, load=load, mix=mix)
+            alone = await run_trace(fleet, without_longs(trace))
+            await asyncio.sleep(SETTLE_SECONDS / speed)
+            before = await attempts(fleet)
+            started, cpu = time.monotonic(), _cpu_seconds(fleet)
+            mixed = await run_trace(fleet, trace)
+            elapsed, used = time.monotonic() - started, _cpu_seconds(fleet)
+            count = await attempts(fleet) - before
+    return summarise(
+        variant=name,
+        seed=seed,
+        load=load,
+        mixed=mixed,
+        alone=alone,
+        rate=PREFILL_RATE,
+        attempts_per_request=count / len(trace),
+        cpu_shares={name: round((used[name] - cpu[name]) / elapsed, 3) for name in cpu},
+    )
+
+
+def _cpu_seconds(fleet: Fleet) -> dict[str, float]:
+    """Return processor seconds used so far, the largest of each kind of process."""
+    ticks = os.sysconf("SC_CLK_TCK")
+    found: dict[str, float] = {}
+    for name, process in fleet.processes.items():
+        if process.running:
+            fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+            found[name] = (int(fields[11]) + int(fields[12])) / ticks
+    kinds = ("entry", "keeper", "engine")
+    return {
+        kind: max((value for name, value in found.items() if name.startswith(kind)), default=0.0)
+        for kind in kinds
+    }
+
+
+def _sum(text: str, name: str) -> float:
+    return sum(
+        sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == name
+    )
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -325,14 +325,15 @@
 
     def _write_vm(self, index: int) -> None:
         plan = self._plan
+        http = f"{HOST}:{plan.base_port + 600 + index}"
         vm = Vm(
             id=f"vm-{index}",
             role="entry",
             failure_domain=plan.domain_of(index),
             address=f"{HOST}:{plan.base_port + 400 + 4 * index}",
+            http=http,
         )
         self.vms.append(vm)
-        http = f"{HOST}:{plan.base_port + 600 + index}"
         self.entries[f"entry-{index}"] = http
         entry_sections = {
             "node": self._node(f"entry-{index}", vm, http),
--- /dev/null
+++ b/src/baobabpulley/emulator/mix_report.py
@@ -0,0 +1,197 @@
+"""Percentiles of a run: time to first token by length, slowdown of shorts, outcomes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from baobabpulley.emulator.load import Sample
+from baobabpulley.emulator.trace import LONGEST_SHORT
+
+BUCKETS: Final = (1_000, 8_000, 32_000, 100_000, 300_000, 1_000_000)
+MICROSECONDS: Final = 1_000_000
+LARGEST: Final = 3_600 * MICROSECONDS
+PERCENTILES: Final = (50.0, 95.0, 99.0)
+
+
+class Spread(msgspec.Struct):
+    """Three percentiles of ``count`` values."""
+
+    count: int = 0
+    p50: float = 0.0
+    p95: float = 0.0
+    p99: float = 0.0
+
+
+class Bucket(msgspec.Struct):
+    """Time to first token (model seconds) of prompts up to ``tokens``, and over the ideal."""
+
+    tokens: int
+    seconds: Spread
+    ideal_p50: float
+    ratio: Spread
+
+
+class MixResult(msgspec.Struct):
+    """One variant's figures. ``late_p99`` is the clients' own lateness in model seconds."""
+
+    variant: str
+    seed: int
+    load: float
+    buckets: list[Bucket]
+    slowdown: Spread
+    up_to_8k: Spread
+    late_p99: float
+    outcomes: dict[str, int]
+    attempts_per_request: float
+    cached_share: float
+    cpu_shares: dict[str, float]
+
+
+def spread(values: Iterable[float]) -> Spread:
+    """Return the percentiles of values, kept to three digits."""
+    histogram = HdrHistogram(1, LARGEST, 3)
+    for value in values:
+        histogram.record_value(max(1, round(value * MICROSECONDS)))
+    found = [histogram.get_value_at_percentile(share) / MICROSECONDS for share in PERCENTILES]
+    count = histogram.get_total_count()
+    return Spread(count, *found) if count else Spread()
+
+
+def summarise(
+    *,
+    variant: str,
+    seed: int,
+    load: float,
+    mixed: list[Sample],
+    alone: list[Sample],
+    rate: float,
+    attempts_per_request: float,
+    cpu_shares: dict[str, float],
+) -> MixResult:
+    """Return the figures of a run with longs beside the same shorts without them.
+
+    ``rate`` is an engine's prefill rate in tokens a model second.
+    """
+    whole = [sample for sample in mixed if sample.ok]
+    alone_by_index = {sample.index: sample for sample in alone if sample.ok}
+    ratios = [
+        sample.first_token / alone_by_index[sample.index].first_token
+        for sample in whole
+        if sample.index in alone_by_index
+    ]
+    return MixResult(
+        variant=variant,
+        seed=seed,
+        load=load,
+        buckets=_buckets(whole, rate),
+        slowdown=spread(ratios),
+        up_to_8k=spread(s.first_token for s in whole if s.tokens <= LONGEST_SHORT),
+        late_p99=spread(sample.late for sample in mixed).p99,
+        outcomes=dict(Counter(outcome_of(sample) for sample in mixed)),
+        attempts_per_request=attempts_per_request,
+        cached_share=sum(s.cached for s in whole) / max(1, sum(s.tokens for s in whole)),
+        cpu_shares=cpu_shares,
+    )
+
+
+def outcome_of(sample: Sample) -> str:
+    """Return ``ok``, ``wrong`` or the error's code."""
+    if sample.ok:
+        return "ok"
+    return sample.code or "wrong"
+
+
+def table(results: list[MixResult]) -> str:
+    """Return all results as Markdown."""
+    lines = [
+        "| variant | seed | slowdown p50 | p95 | p99 | up to 8k p50 s | p95 | p99 | "
+        "100k-350k over ideal p50 | p95 | failed | attempts | client late p99 s |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for result in results:
+        slow = result.slowdown
+        first = result.up_to_8k
+        longs = longs_of(result)
+        failed = sum(count for code, count in result.outcomes.items() if code != "ok")
+        lines.append(
+            f"| {result.variant} | {result.seed} | {slow.p50:.2f} | {slow.p95:.2f} "
+            f"| {slow.p99:.2f} | {first.p50:.2f} | {first.p95:.2f} | {first.p99:.2f} "
+            f"| {longs.p50:.2f} | {longs.p95:.2f} | {failed} of {sum(result.outcomes.values())} "
+            f"| {result.attempts_per_request:.3f} | {result.late_p99:.3f} |"
+        )
+    return "\n".join(lines)
+
+
+def bucket_table(result: MixResult) -> str:
+    """Return one result's buckets as Markdown."""
+    lines = [
+        "| up to tokens | count | p50 s | p95 s | p99 s | ideal p50 s | "
+        "over ideal p50 | p95 | p99 |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    for bucket in result.buckets:
+        seconds = bucket.seconds
+        ratio = bucket.ratio
+        lines.append(
+            f"| {bucket.tokens} | {seconds.count} | {seconds.p50:.3f} | {seconds.p95:.3f} "
+            f"| {seconds.p99:.3f} | {bucket.ideal_p50:.3f} | {ratio.p50:.2f} | {ratio.p95:.2f} "
+            f"| {ratio.p99:.2f} |"
+        )
+    return "\n".join(lines)
+
+
+def longs_of(result: MixResult) -> Spread:
+    """Return the ratios to the ideal of the bucket up to 300,000 tokens, which has most longs."""
+    return next(bucket.ratio for bucket in result.buckets if bucket.tokens == BUCKETS[-2])
+
+
+def plot(results: list[MixResult], path: Path) -> None:
+    """Draw the slowdown of shorts and the longs' ratio to the ideal by variant."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(12, 1.5 + 0.4 * len(results)))
+    names = [f"{result.variant} ({result.seed})" for result in results]
+    spreads = ([result.slowdown for result in results], [longs_of(result) for result in results])
+    titles = ("slowdown of shorts", "first token over ideal, 100k to 300k")
+    for axis, values, title in zip(axes, spreads, titles, strict=True):
+        axis.barh(names, [value.p99 for value in values], label="p99")
+        axis.barh(names, [value.p95 for value in values], label="p95")
+        axis.barh(names, [value.p50 for value in values], label="p50")
+        axis.set_xscale("log")
+        axis.set_title(title)
+        axis.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def _buckets(samples: list[Sample], rate: float) -> list[Bucket]:
+    found = []
+    floor = 0
+    for limit in BUCKETS:
+        inside = [sample for sample in samples if floor < sample.tokens <= limit]
+        ideals = [_ideal(sample, rate) for sample in inside]
+        found.append(
+            Bucket(
+                tokens=limit,
+                seconds=spread(sample.first_token for sample in inside),
+                ideal_p50=spread(ideals).p50,
+                ratio=spread(
+                    sample.first_token / ideal for sample, ideal in zip(inside, ideals, strict=True)
+                ),
+            )
+        )
+        floor = limit
+    return found
+
+
+def _ideal(sample: Sample, rate: float) -> float:
+    return max(1, sample.tokens - sample.cached) / rate
--- /dev/null
+++ b/src/baobabpulley/emulator/trace.py
@@ -0,0 +1,130 @@
+"""Seeded open-loop traces: Poisson arrivals of prompts of very unlike lengths."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+import msgspec
+import numpy as np
+
+LONGEST_SHORT: Final = 8_000
+SHORTEST_SHORT: Final = 200
+SHORT_MEDIAN: Final = 2_600
+SHORT_SIGMA: Final = 0.6
+SHORTEST_LONG: Final = 100_000
+PARETO_SHAPE: Final = 1.2
+TEAM_SHARES: Final = (0.35, 0.2, 0.15, 0.06, 0.06, 0.06, 0.04, 0.04, 0.02, 0.02)
+PREFIX_TOKENS: Final = 2_048
+
+
+class TraceItem(msgspec.Struct, frozen=True):
+    """One request: ``at`` model seconds after the start, of ``tokens`` prompt tokens.
+
+    ``prefix`` is the number of a shared prefix, or -1. ``content`` seeds the rest of the text.
+    """
+
+    index: int
+    at: float
+    tokens: int
+    entry: str
+    team: str
+    content: int
+    prefix: int = -1
+
+    @property
+    def short(self) -> bool:
+        """Whether the prompt counts as a short one."""
+        return self.tokens <= LONGEST_SHORT
+
+
+@final
+class Mix:
+    """What a trace is made of.
+
+    ``long_share`` of the prompts follow a Pareto law from 100,000 tokens to ``longest``,
+    ``middle_share`` are log-uniform between shorts and longs, the rest are lognormal shorts.
+    ``prefix_share`` of the prompts begin with one of ``prefixes`` shared texts.
+    """
+
+    __slots__ = ("long_share", "longest", "middle_share", "prefix_share", "prefixes")
+
+    def __init__(
+        self,
+        *,
+        long_share: float = 0.02,
+        middle_share: float = 0.01,
+        longest: int = 350_000,
+        prefix_share: float = 0.0,
+        prefixes: int = 40,
+    ) -> None:
+        self.long_share = long_share
+        self.middle_share = middle_share
+        self.longest = longest
+        self.prefix_share = prefix_share
+        self.prefixes = prefixes
+
+
+def team_names() -> tuple[str, ...]:
+    """Return the client accounts of a trace, the heaviest first."""
+    return tuple(f"stall-{index}" for index in range(len(TEAM_SHARES)))
+
+
+def make_trace(
+    *, seed: int, seconds: float, tokens_per_second: float, entries: dict[str, float], mix: Mix
+) -> list[TraceItem]:
+    """Return a trace of ``seconds`` whose prompts sum up to the given load.
+
+    ``entries`` maps entry names to the weights by which the balancer spreads requests.
+    """
+    source = np.random.default_rng(seed)
+    lengths: list[int] = []
+    left = seconds * tokens_per_second
+    while left > 0:
+        length = _length(source, mix)
+        lengths.append(length)
+        left -= length
+    count = len(lengths)
+    times = np.sort(source.uniform(0.0, seconds, count))
+    names = list(entries)
+    weights = np.array([entries[name] for name in names])
+    chosen = source.choice(len(names), count, p=weights / weights.sum())
+    teams = source.choice(len(TEAM_SHARES), count, p=TEAM_SHARES)
+    shared = source.random(count) < mix.prefix_share
+    prefixes = source.zipf(1.3, count) % mix.prefixes
+    return [
+        TraceItem(
+            index=index,
+            at=float(times[index]),
+            tokens=lengths[index],
+            entry=names[int(chosen[index])],
+            team=team_names()[int(teams[index])],
+            content=seed * 10_000_000 + index,
+            prefix=_prefix(lengths[index], bool(shared[index]), int(prefixes[index])),
+        )
+        for index in range(count)
+    ]
+
+
+def without_longs(trace: list[TraceItem]) -> list[TraceItem]:
+    """Return the shorts of a trace, with other texts of the same lengths and shared prefixes."""
+    return [
+        msgspec.structs.replace(item, content=item.content + 5_000_000)
+        for item in trace
+        if item.short
+    ]
+
+
+def _length(source: np.random.Generator, mix: Mix) -> int:
+    kind = source.random()
+    if kind < mix.long_share:
+        bounded = 1.0 - (SHORTEST_LONG / mix.longest) ** PARETO_SHAPE
+        return int(SHORTEST_LONG * (1.0 - source.random() * bounded) ** (-1.0 / PARETO_SHAPE))
+    if kind < mix.long_share + mix.middle_share:
+        return int(np.exp(source.uniform(np.log(LONGEST_SHORT + 1), np.log(SHORTEST_LONG))))
+    length = source.lognormal(np.log(SHORT_MEDIAN), SHORT_SIGMA)
+    return int(np.clip(length, SHORTEST_SHORT, LONGEST_SHORT))
+
+
+def _prefix(tokens: int, shared: bool, prefix: int) -> int:
+    return prefix if shared and tokens > PREFIX_TOKENS else -1
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import frame_event
+from baobabpulley.entry.passing import PASSED_HEADER
 from baobabpulley.entry.web import REQUEST_ID_HEADER
 from baobabpulley.entry.web import EntryHandler
 from baobabpulley.entry.web import route
@@ -142,6 +143,8 @@
             stream=body.stream,
             arrived=now,
             deadline=now + allowed,
+            token=self.request.headers["Authorization"].partition(" ")[2],
+            passed=PASSED_HEADER in self.request.headers,
         )
 
     def _check_limit(self, request: CompletionRequest) -> None:
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -22,11 +22,16 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.passing import EntryPasser
+from baobabpulley.entry.placer import Placer
 from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.policy.admission import AdmissionSection
 from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.retries import RetriesSection
+from baobabpulley.policy.routing import RoutingSection
 from baobabpulley.policy.routing import routing_policies
 from baobabpulley.settings import LogsSection
 from baobabpulley.settings import NodeSection
@@ -52,14 +57,17 @@
         metrics.alarms.labels(kind=kind).inc()
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
+    client = HttpClient()
     dispatcher = Dispatcher(
         holder=node.id,
-        engine=HttpEngine(client=HttpClient(), timers=timers),
+        engine=HttpEngine(client=client, timers=timers),
         view=view,
-        policy=routing_policies.lookup("least_in_flight")(),
+        placer=build_placer(settings, view=view, timers=timers),
         lanes=settings.get(LanesSection),
+        retries=settings.get(RetriesSection),
         metrics=metrics,
         timers=timers,
+        passer=EntryPasser(client=client, view=view, timers=timers),
     )
     return EntryContext(
         settings=settings,
@@ -77,6 +85,19 @@
     )
 
 
+def build_placer(settings: Settings, *, view: FleetView, timers: TimerService) -> Placer:
+    """Return the placer that the settings ask for."""
+    routing = settings.get(RoutingSection)
+    return Placer(
+        view=view,
+        policy=routing_policies.lookup(routing.policy)(),
+        routing=routing,
+        lanes=settings.get(LanesSection),
+        admission=settings.get(AdmissionSection),
+        timers=timers,
+    )
+
+
 def start_server(context: EntryContext) -> HTTPServer:
     """Listen for callers."""
     for name in _HANDLER_MODULES:
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import secrets
-from collections import defaultdict
 from collections.abc import AsyncIterator
 from typing import Final
 from typing import final
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.passing import EntryPasser
+from baobabpulley.entry.placer import Placement
+from baobabpulley.entry.placer import Placer
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import Overloaded
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.decisions import DecisionRecord
@@ -29,19 +35,19 @@
 from baobabpulley.model.requests import Usage
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.lanes import GANG
+from baobabpulley.policy.lanes import LONG
 from baobabpulley.policy.lanes import SHORT
 from baobabpulley.policy.lanes import LanesSection
 from baobabpulley.policy.lanes import lane_of
-from baobabpulley.policy.routing import Candidate
-from baobabpulley.policy.routing import RoutingPolicy
-from baobabpulley.ports.engine import PRIORITY_LONG
-from baobabpulley.ports.engine import PRIORITY_SHORT
+from baobabpulley.policy.retries import RetriesSection
+from baobabpulley.policy.retries import RetryBudget
+from baobabpulley.policy.retries import full_jitter
 from baobabpulley.ports.engine import Engine
 from baobabpulley.ports.engine import EngineCall
 from baobabpulley.ports.gangs import GangRunner
 from baobabpulley.timers import TimerService
 
-MAX_ATTEMPTS: Final = 4
+RETRY_AFTER: Final = 1.0
 
 
 @final
@@ -60,18 +66,48 @@
         return len(self.tokens)
 
 
+class _History:
+    """The failed attempts of one request, and whether one of them may have run."""
+
+    __slots__ = ("excluded", "failures", "may_have_run", "overloads")
+
+    def __init__(self) -> None:
+        self.excluded: set[str] = set()
+        self.failures = 0
+        self.overloads = 0
+        self.may_have_run = False
+
+    def add(self, upstream: str, error: BaobabError, *, started: bool) -> None:
+        """Count a failed attempt."""
+        self.excluded.add(upstream)
+        self.failures += 1
+        self.overloads += isinstance(error, UpstreamOverloaded | UpstreamOutOfMemory)
+        self.may_have_run = self.may_have_run or started or error.ran is not False
+
+    def honest(self, error: BaobabError) -> BaobabError:
+        """Return the error, or one that does not say "not run" if an attempt may have run."""
+        if error.ran is not False or not self.may_have_run:
+            return error
+        if isinstance(error, DeadlineExceeded):
+            return DeadlineExceeded(error.message)
+        return UpstreamLost(f"an attempt was lost, and it cannot be repeated: {error.message}")
+
+
 @final
 class Dispatcher:
     """Run completion requests against the engines of this failure domain."""
 
     __slots__ = (
+        "_budgets",
         "_engine",
         "_gangs",
         "_holder",
-        "_in_flight",
         "_lanes",
         "_metrics",
-        "_policy",
+        "_passer",
+        "_placer",
+        "_random",
+        "_retries",
         "_timers",
         "_view",
     )
@@ -82,21 +118,26 @@
         holder: str,
         engine: Engine,
         view: FleetView,
-        policy: RoutingPolicy,
+        placer: Placer,
         lanes: LanesSection,
+        retries: RetriesSection,
         metrics: EntryMetrics,
         timers: TimerService,
         gangs: GangRunner | None = None,
+        passer: EntryPasser | None = None,
     ) -> None:
         self._holder = holder
         self._engine = engine
         self._view = view
-        self._policy = policy
+        self._placer = placer
         self._lanes = lanes
+        self._retries = retries
         self._gangs = gangs
+        self._passer = passer
         self._metrics = metrics
         self._timers = timers
-        self._in_flight: dict[str, int] = defaultdict(int)
+        self._random = random.Random()
+        self._budgets: dict[str, RetryBudget] = {}
 
     async def run(
         self, request: CompletionRequest, record: DecisionRecord
@@ -104,59 +145,108 @@
         """Yield the answer, each token once, whatever attempts it takes.
 
         Raises a typed error if the request is refused, its deadline passes, or no upstream is
-        left to go on with.
+        left to go on with. A request that no upstream of this failure domain fits is passed to
+        an entry of another one, unless it has been passed already.
         """
         record.lane = self._lane(request)
+        delivery = Delivery()
+        runner = self._run_here(request, record, delivery)
         if record.lane == GANG and self._gangs is not None:
-            async for event in self._gangs.run(request, record):
-                yield event
+            runner = self._gangs.run(request, record)
+        try:
+            async with contextlib.aclosing(runner) as events:  # type: ignore[type-var]
+                async for event in events:
+                    yield event
             return
-        delivery = Delivery()
-        excluded: set[str] = set()
-        for _ in range(MAX_ATTEMPTS):
-            self._check_deadline(request, delivery)
-            upstream = self._choose(request, excluded)
-            self._note(request, record, "attempt", upstream=upstream.id, offset=delivery.offset)
+        except NoUpstream as error:
+            if self._passer is None or request.passed or delivery.started:
+                raise
+            self._note(request, record, "passed on", why=error.message)
+        async with contextlib.aclosing(self._passer.run(request)) as events:
+            async for event in events:
+                yield event
+
+    async def _run_here(
+        self, request: CompletionRequest, record: DecisionRecord, delivery: Delivery
+    ) -> AsyncIterator[AnswerEvent]:
+        history = _History()
+        budget = self._budget(request)
+        budget.earn()
+        while True:
+            self._check_deadline(request, history)
+            placement = await self._place(request, record, history)
             try:
                 async with contextlib.aclosing(
-                    self._attempt(request, upstream, delivery)
+                    self._attempt(request, placement, delivery)
                 ) as events:
                     async for event in events:
                         yield event
                 return
             except (UpstreamRefused, UpstreamUnreached, UpstreamLost) as error:
-                excluded.add(upstream.id)
+                upstream = placement.upstream
                 self._note(request, record, error.code, upstream=upstream.id)
-                if isinstance(error, UpstreamLeaving):
-                    self._view.mark_leaving(upstream.id)
-                last: BaobabError = error
-        raise last
+                history.add(upstream.id, error, started=delivery.started)
+                self._judge(upstream, error)
+                self._check_retry(history, budget, error)
+            pause = full_jitter(self._random, pause=self._retries.pause, retry=history.failures - 1)
+            await self._timers.sleep(pause)
 
-    def _lane(self, request: CompletionRequest) -> str:
-        memory = max((load.report.memory_total for load in self._view.loads.values()), default=0)
-        return lane_of(request, section=self._lanes, engine_memory=memory)
+    async def _place(
+        self, request: CompletionRequest, record: DecisionRecord, history: _History
+    ) -> Placement:
+        try:
+            placement = await self._placer.place(
+                request,
+                lane=SHORT if record.lane == SHORT else LONG,
+                excluded=frozenset(history.excluded),
+            )
+        except BaobabError as error:
+            raise history.honest(error) from error
+        self._note(
+            request,
+            record,
+            "attempt",
+            upstream=placement.upstream.id,
+            waited=round(placement.waited, 4),
+            cached=round(placement.cached_tokens),
+        )
+        return placement
 
-    def _choose(self, request: CompletionRequest, excluded: set[str]) -> Upstream:
+    def _budget(self, request: CompletionRequest) -> RetryBudget:
         document = self._view.book.models.get(request.model)
         if document is None:
             raise UnknownModel(f"no model is called {request.model!r}")
-        live = self._view.live(document.service)
-        fit = [upstream for upstream in live if upstream.id not in excluded]
-        if not fit:
-            raise NoUpstream(f"no upstream of {document.service} can take the request now")
-        candidates = [self._candidate(upstream) for upstream in fit]
-        return self._policy.choose(candidates, prompt_tokens=request.prompt_tokens).upstream
-
-    def _candidate(self, upstream: Upstream) -> Candidate:
-        return Candidate(
-            upstream=upstream,
-            load=self._view.loads.get(upstream.id),
-            in_flight=self._in_flight[upstream.id],
-        )
+        budget = self._budgets.get(document.service)
+        if budget is None:
+            budget = RetryBudget(share=self._retries.share, burst=self._retries.burst)
+            self._budgets[document.service] = budget
+        return budget
+
+    def _judge(self, upstream: Upstream, error: BaobabError) -> None:
+        if isinstance(error, UpstreamLeaving):
+            self._view.mark_leaving(upstream.id)
+        elif isinstance(error, UpstreamUnreached | UpstreamLost):
+            self._placer.suspect(upstream.id, seconds=self._retries.suspect)
+
+    def _check_retry(self, history: _History, budget: RetryBudget, error: BaobabError) -> None:
+        """Raise the final error unless the request may be tried again."""
+        if history.overloads > 1:
+            raise history.honest(
+                Overloaded(
+                    f"two upstreams in turn had no room: {error.message}", retry_after=RETRY_AFTER
+                )
+            ) from error
+        if history.failures >= self._retries.max_attempts or not budget.spend():
+            raise history.honest(error) from error
+
+    def _lane(self, request: CompletionRequest) -> str:
+        memory = max((load.report.memory_total for load in self._view.loads.values()), default=0)
+        return lane_of(request, section=self._lanes, engine_memory=memory)
 
     async def _attempt(
-        self, request: CompletionRequest, upstream: Upstream, delivery: Delivery
+        self, request: CompletionRequest, placement: Placement, delivery: Delivery
     ) -> AsyncIterator[AnswerEvent]:
+        upstream = placement.upstream
         attempt = f"{request.request_id}.{secrets.token_hex(4)}"
         call = EngineCall(
             attempt=attempt,
@@ -166,13 +256,12 @@
             prompt=request.prompt,
             max_tokens=request.max_tokens,
             seed=request.seed,
-            priority=PRIORITY_SHORT if self._lane(request) == SHORT else PRIORITY_LONG,
+            priority=placement.priority,
             deadline=request.deadline - self._timers.now(),
             offset=delivery.offset,
             delivered="".join(delivery.tokens),
         )
         self._metrics.attempts.labels(service=upstream.service).inc()
-        self._in_flight[upstream.id] += 1
         ended = False
         try:
             async with (
@@ -180,13 +269,16 @@
                 contextlib.aclosing(self._engine.complete(upstream, call)) as events,
             ):
                 async for event in events:
+                    self._placer.first_token(placement)
                     checked = _check_order(event, delivery, request)
                     if checked is None:
                         continue
-                    ended = isinstance(checked, EndEvent)
+                    if isinstance(checked, EndEvent):
+                        ended = True
+                        self._placer.usage(placement, cached_tokens=checked.usage.cached_tokens)
                     yield checked
         finally:
-            self._in_flight[upstream.id] -= 1
+            self._placer.end(placement)
             if not ended:
                 self._cancel_soon(upstream, attempt)
 
@@ -200,11 +292,11 @@
         except TimeoutError:
             raise _deadline_error(delivery) from None
 
-    def _check_deadline(self, request: CompletionRequest, delivery: Delivery) -> None:
+    def _check_deadline(self, request: CompletionRequest, history: _History) -> None:
         if self._timers.now() >= request.deadline:
-            if delivery.started:
-                raise _deadline_error(delivery)
-            raise DeadlineBeforeStart("the deadline passed before an engine took the request")
+            raise history.honest(
+                DeadlineBeforeStart("the deadline passed before an engine took the request")
+            )
 
     def _cancel_soon(self, upstream: Upstream, attempt: str) -> None:
         async def cancel() -> None:
--- a/src/baobabpulley/model/requests.py
+++ b/src/baobabpulley/model/requests.py
@@ -41,7 +41,9 @@
 class CompletionRequest:
     """An authenticated completion request of one caller.
 
-    ``deadline`` is in model seconds on the clock of this process's timer service.
+    ``deadline`` is in model seconds on the clock of this process's timer service. ``token`` is
+    the caller's own, for passing the request to another failure domain; ``passed`` says that it
+    came from one.
     """
 
     __slots__ = (
@@ -49,12 +51,14 @@
         "deadline",
         "max_tokens",
         "model",
+        "passed",
         "prompt",
         "prompt_tokens",
         "request_id",
         "seed",
         "stream",
         "team",
+        "token",
     )
 
     def __init__(
@@ -70,6 +74,8 @@
         stream: bool,
         arrived: float,
         deadline: float,
+        token: str = "",
+        passed: bool = False,
     ) -> None:
         self.request_id = request_id
         self.team = team
@@ -81,6 +87,8 @@
         self.stream = stream
         self.arrived = arrived
         self.deadline = deadline
+        self.token = token
+        self.passed = passed
 
     @property
     def total_tokens(self) -> int:
--- a/src/baobabpulley/model/upstreams.py
+++ b/src/baobabpulley/model/upstreams.py
@@ -17,7 +17,8 @@
     """One row of the platform's VM list.
 
     ``role`` is ``entry`` or ``upstream``. ``address`` is the ``ip:port`` of an upstream's HTTP
-    server or of an entry VM's keeper; ``service`` is empty for entry VMs.
+    server or of an entry VM's keeper; ``service`` is empty for entry VMs. ``http`` is the
+    address at which an entry VM's entry takes callers, empty if it is not known.
     """
 
     id: str
@@ -26,6 +27,7 @@
     address: str
     service: str = ""
     state: State = LIVE
+    http: str = ""
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/baobabpulley/policy/fairness.py
@@ -0,0 +1,110 @@
+"""Deficit round robin over teams, with tokens as cost."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Generic
+from typing import TypeVar
+from typing import final
+
+T = TypeVar("T")
+
+
+@final
+class DeficitQueue(Generic[T]):
+    """A queue of items by team; each team gets tokens in proportion to its weight.
+
+    ``quantum`` is the tokens that a team of weight 1 is credited in a round.
+
+    >>> queue = DeficitQueue[str](quantum=10, cost=lambda item: 10)
+    >>> for item in ("a1", "a2", "b1"):
+    ...     queue.push(item[0], item)
+    >>> [queue.take(), queue.take(), queue.take()]
+    ['a1', 'b1', 'a2']
+    """
+
+    __slots__ = ("_cost", "_deficits", "_quantum", "_rank", "_teams", "_weight")
+
+    def __init__(
+        self,
+        *,
+        quantum: int,
+        cost: Callable[[T], int],
+        rank: Callable[[T], float] | None = None,
+        weight: Callable[[str], float] | None = None,
+    ) -> None:
+        self._quantum = quantum
+        self._cost = cost
+        self._rank = rank
+        self._weight = weight
+        self._teams: OrderedDict[str, list[T]] = OrderedDict()
+        self._deficits: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return sum(len(items) for items in self._teams.values())
+
+    def __iter__(self) -> Iterator[T]:
+        for items in self._teams.values():
+            yield from items
+
+    @property
+    def teams(self) -> int:
+        """Teams that have something waiting."""
+        return len(self._teams)
+
+    def of_team(self, team: str) -> tuple[T, ...]:
+        """Return what a team has waiting, oldest first."""
+        return tuple(self._teams.get(team, ()))
+
+    def push(self, team: str, item: T) -> None:
+        """Add an item behind the team's others."""
+        self._teams.setdefault(team, []).append(item)
+        self._deficits.setdefault(team, 0.0)
+
+    def remove(self, team: str, item: T) -> None:
+        """Take an item out, if it is still there."""
+        items = self._teams.get(team, [])
+        if item in items:
+            items.remove(item)
+        self._forget_empty(team)
+
+    def head(self) -> T | None:
+        """Return the item that goes next, without taking it; teams are credited meanwhile.
+
+        The item is the team's oldest, or the one of highest ``rank``.
+        """
+        while self._teams:
+            team = next(iter(self._teams))
+            item = self._best(team)
+            if self._deficits[team] >= self._cost(item):
+                return item
+            weight = 1.0 if self._weight is None else self._weight(team)
+            self._deficits[team] += self._quantum * weight
+            if self._deficits[team] < self._cost(item) or len(self._teams) > 1:
+                self._teams.move_to_end(team)
+        return None
+
+    def take(self) -> T | None:
+        """Take the item that goes next."""
+        item = self.head()
+        if item is not None:
+            team = next(iter(self._teams))
+            self.charge(team, item)
+        return item
+
+    def charge(self, team: str, item: T) -> None:
+        """Take an item out and charge its team, also out of turn."""
+        self._deficits[team] -= self._cost(item)
+        self.remove(team, item)
+
+    def _best(self, team: str) -> T:
+        items = self._teams[team]
+        return items[0] if self._rank is None else max(items, key=self._rank)
+
+    def _forget_empty(self, team: str) -> None:
+        # A team with nothing waiting saves up nothing.
+        if not self._teams.get(team):
+            self._teams.pop(team, None)
+            self._deficits.pop(team, None)
--- a/src/baobabpulley/policy/lanes.py
+++ b/src/baobabpulley/policy/lanes.py
@@ -1,13 +1,15 @@
-"""Lanes: prompts are told apart by how much of an engine they need."""
+"""Lanes: prompts are told apart by how much of an engine they need, and wait accordingly."""
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Final
 
 import msgspec
 
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
 from baobabpulley.settings import Share
 from baobabpulley.settings import section
 
@@ -18,14 +20,31 @@
 
 @section("lanes", "entry")
 class LanesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``short_tokens`` is the longest short prompt.
+    """Bounds of the lanes and the protection of short prompts.
 
-    A request goes to a gang of engines if its prompt and output need more than
-    ``engine_share`` of the largest engine's memory.
+    ``short_tokens`` is the longest short prompt. A request goes to a gang of engines if its
+    prompt and output need more than ``engine_share`` of the largest engine's memory.
+    ``short_priority`` sends shorts at the engines' higher priority. ``single_long`` keeps an
+    engine to one long prefill at a time. ``long_order`` is ``response_ratio`` or ``arrival``;
+    a long that has waited ``long_wait_bound`` model seconds goes before all others.
+    ``shorts_only_share`` of the engines take no longs. ``engine_backlog`` is the model seconds
+    of prefill at the priority of shorts past which an engine gets no further short.
+    ``segment_tokens`` is the pace of long prompts where a dialect needs it.
     """
 
     short_tokens: Count = 8_000
     engine_share: Share = 0.9
+    short_priority: bool = True
+    single_long: bool = True
+    long_order: Annotated[str, msgspec.Meta(pattern="^(response_ratio|arrival)$")] = (
+        "response_ratio"
+    )
+    long_wait_bound: Seconds = 60.0
+    shorts_only_share: Share = 0.0
+    engine_backlog: Seconds = 0.5
+    segment_tokens: Count = 8_192
+    short_quantum: Count = 8_000
+    long_quantum: Count = 100_000
 
 
 def lane_of(request: CompletionRequest, *, section: LanesSection, engine_memory: int) -> str:
@@ -35,3 +54,12 @@
     if engine_memory and request.total_tokens > section.engine_share * engine_memory:
         return GANG
     return LONG
+
+
+def response_ratio(*, waited: float, ideal: float) -> float:
+    """Return how many times its ideal duration a request takes if it starts now.
+
+    >>> response_ratio(waited=5.0, ideal=5.0)
+    2.0
+    """
+    return (waited + ideal) / ideal
--- /dev/null
+++ b/src/baobabpulley/policy/retries.py
@@ -0,0 +1,65 @@
+"""Whether and when a failed attempt is repeated."""
+
+from __future__ import annotations
+
+import random
+from typing import Annotated
+from typing import final
+
+import msgspec
+
+from baobabpulley.settings import Count
+from baobabpulley.settings import Seconds
+from baobabpulley.settings import Share
+from baobabpulley.settings import section
+
+
+@section("retries", "entry")
+class RetriesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Each request adds ``share`` of a retry to its upstream group's budget, up to ``burst``.
+
+    The pause before a retry is random between zero and ``pause`` model seconds, doubled with
+    each further retry of a request. ``suspect`` is how long an upstream whose connection failed
+    gets no work unless it reports before.
+    """
+
+    share: Share = 0.1
+    burst: Annotated[int, msgspec.Meta(ge=0)] = 20
+    pause: Seconds = 0.05
+    max_attempts: Count = 4
+    suspect: Seconds = 3.0
+
+
+@final
+class RetryBudget:
+    """A token bucket of retries for one upstream group.
+
+    >>> budget = RetryBudget(share=0.5, burst=1)
+    >>> budget.spend(), budget.spend()
+    (True, False)
+    >>> budget.earn(); budget.earn(); budget.spend()
+    True
+    """
+
+    __slots__ = ("_burst", "_left", "_share")
+
+    def __init__(self, *, share: float, burst: int) -> None:
+        self._share = share
+        self._burst = burst
+        self._left = float(burst)
+
+    def earn(self) -> None:
+        """Count a request that was not a retry."""
+        self._left = min(float(self._burst), self._left + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry out; return whether there was one."""
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
+def full_jitter(source: random.Random, *, pause: float, retry: int) -> float:
+    """Return the model seconds before a retry, counted from 0."""
+    return source.uniform(0.0, pause * 2**retry)
--- a/src/baobabpulley/policy/routing.py
+++ b/src/baobabpulley/policy/routing.py
@@ -2,42 +2,71 @@
 
 from __future__ import annotations
 
+import random
 from abc import ABC
 from abc import abstractmethod
 from collections.abc import Sequence
+from typing import Final
 from typing import final
 
-from baobabpulley.model.fleet_view import LoadView
+import msgspec
+
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.registry import Registry
+from baobabpulley.settings import Count
+from baobabpulley.settings import Name
+from baobabpulley.settings import section
+
+CHOICE_SEED: Final = 20
+
+
+@section("routing", "entry")
+class RoutingSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How an upstream is chosen.
+
+    ``policy`` names a registered routing policy. ``corrected`` adjusts lagging load reports by
+    what this entry has sent and seen finish; ``prefix_aware`` counts the tokens that an engine's
+    prefix cache is thought to hold. ``prefill_rate`` (tokens a second) stands in until an
+    engine's first report.
+    """
+
+    policy: Name = "least_wait"
+    corrected: bool = True
+    prefix_aware: bool = True
+    prefill_rate: Count = 20_000
 
 
 @final
 class Candidate:
     """An upstream that may take a request, and what is known of it.
 
-    ``sent_tokens`` are prefill tokens that this process has sent since the load report was
-    taken; ``in_flight`` are this process's own running attempts there; ``cached_tokens`` is the
-    estimate of how much of the prompt its prefix cache holds.
+    ``in_flight`` are this process's own running attempts there. ``ahead_tokens`` is the estimate
+    of the prefill tokens that go first. ``cached_tokens`` is the estimate of how much of the
+    prompt the upstream's prefix cache holds. ``prefill_rate`` is in tokens a second.
     """
 
-    __slots__ = ("cached_tokens", "in_flight", "load", "sent_tokens", "upstream")
+    __slots__ = ("ahead_tokens", "cached_tokens", "in_flight", "prefill_rate", "upstream")
 
     def __init__(
         self,
         *,
         upstream: Upstream,
-        load: LoadView | None,
+        prefill_rate: float,
         in_flight: int = 0,
-        sent_tokens: int = 0,
-        cached_tokens: int = 0,
+        ahead_tokens: float = 0.0,
+        cached_tokens: float = 0.0,
     ) -> None:
         self.upstream = upstream
-        self.load = load
+        self.prefill_rate = prefill_rate
         self.in_flight = in_flight
-        self.sent_tokens = sent_tokens
+        self.ahead_tokens = ahead_tokens
         self.cached_tokens = cached_tokens
 
+    def first_token_seconds(self, prompt_tokens: int) -> float:
+        """Estimate the model seconds until the first token of a prompt."""
+        own = max(1.0, prompt_tokens - self.cached_tokens)
+        return (self.ahead_tokens + own) / self.prefill_rate
+
 
 class RoutingPolicy(ABC):
     """Choose one of several candidates."""
@@ -82,3 +111,39 @@
         fewest = min(candidate.in_flight for candidate in candidates)
         best = [candidate for candidate in candidates if candidate.in_flight == fewest]
         return best[self._turn % len(best)]
+
+
+@routing_policies.register("two_choices")
+@final
+class TwoChoices(RoutingPolicy):
+    """Take the one with less estimated wait of two random upstreams."""
+
+    __slots__ = ("_random",)
+
+    def __init__(self) -> None:
+        self._random = random.Random(CHOICE_SEED)
+
+    def choose(self, candidates: Sequence[Candidate], *, prompt_tokens: int) -> Candidate:
+        pair = self._random.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda candidate: candidate.first_token_seconds(prompt_tokens))
+
+
+@routing_policies.register("least_wait")
+@final
+class LeastWait(RoutingPolicy):
+    """Take the upstream with the least estimated time to first token; break ties at random."""
+
+    __slots__ = ("_random",)
+
+    def __init__(self) -> None:
+        # Unseeded: entries that see equal loads must not all take the same upstream.
+        self._random = random.Random()
+
+    def choose(self, candidates: Sequence[Candidate], *, prompt_tokens: int) -> Candidate:
+        return min(
+            candidates,
+            key=lambda candidate: (
+                round(candidate.first_token_seconds(prompt_tokens), 3),
+                self._random.random(),
+            ),
+        )
