--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -22,6 +22,7 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.load_estimates import LoadEstimates
 from baobabpulley.entry.passing import EntryPasser
 from baobabpulley.entry.placer import Placer
 from baobabpulley.entry.web import routes
@@ -88,9 +89,16 @@
 def build_placer(settings: Settings, *, view: FleetView, timers: TimerService) -> Placer:
     """Return the placer that the settings ask for."""
     routing = settings.get(RoutingSection)
-    return Placer(
+    estimates = LoadEstimates(
         vm=settings.get(NodeSection).vm,
         view=view,
+        routing=routing,
+        lanes=settings.get(LanesSection),
+        timers=timers,
+    )
+    return Placer(
+        view=view,
+        estimates=estimates,
         policy=routing_policies.lookup(routing.policy)(),
         routing=routing,
         lanes=settings.get(LanesSection),
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -256,7 +256,7 @@
             prompt=request.prompt,
             max_tokens=request.max_tokens,
             seed=request.seed,
-            priority=placement.priority,
+            priority=placement.sent.priority,
             deadline=request.deadline - self._timers.now(),
             offset=delivery.offset,
             delivered="".join(delivery.tokens),
--- /dev/null
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -0,0 +1,194 @@
+"""What this entry knows of the engines: which are fit, have room, and how long each makes wait."""
+
+from __future__ import annotations
+
+from typing import final
+
+from baobabpulley.entry.outstanding import Outstanding
+from baobabpulley.entry.outstanding import Sent
+from baobabpulley.entry.prefix_index import PrefixIndex
+from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import UnknownModel
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.policy.lanes import SHORT
+from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.routing import Candidate
+from baobabpulley.policy.routing import RoutingSection
+from baobabpulley.ports.engine import PRIORITY_LONG
+from baobabpulley.ports.engine import PRIORITY_SHORT
+from baobabpulley.timers import TimerService
+
+
+@final
+class LoadEstimates:
+    """Lagging load reports, corrected by what this entry has sent and seen finish.
+
+    ``vm`` is the id of this entry's VM.
+    """
+
+    __slots__ = (
+        "_lanes",
+        "_outstanding",
+        "_prefixes",
+        "_routing",
+        "_suspects",
+        "_timers",
+        "_view",
+        "_vm",
+    )
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        view: FleetView,
+        routing: RoutingSection,
+        lanes: LanesSection,
+        timers: TimerService,
+    ) -> None:
+        self._vm = vm
+        self._view = view
+        self._routing = routing
+        self._lanes = lanes
+        self._timers = timers
+        self._outstanding = Outstanding(corrected=routing.corrected)
+        self._prefixes = PrefixIndex()
+        self._suspects: dict[str, tuple[float, float]] = {}
+
+    @property
+    def prefixes(self) -> PrefixIndex:
+        """What the engines' caches are thought to hold; fed by cache events too."""
+        return self._prefixes
+
+    def fit(
+        self, request: CompletionRequest, *, lane: str, excluded: frozenset[str]
+    ) -> list[Upstream]:
+        """Return the upstreams that could run a request now or later; suspects are left out.
+
+        Raises `NoUpstream` if there is none or none is large enough.
+        """
+        document = self._view.book.models.get(request.model)
+        if document is None:
+            raise UnknownModel(f"no model is called {request.model!r}")
+        live = self._view.live(document.service)
+        if lane != SHORT:
+            live = live[int(self._lanes.shorts_only_share * len(live)) :]
+        found = [
+            upstream
+            for upstream in live
+            if upstream.id not in excluded
+            and self._has_model(upstream.id, request.model)
+            and not self._is_suspect(upstream.id)
+        ]
+        self._check_fit(request, found)
+        return found
+
+    def has_room(self, upstream: Upstream, request: CompletionRequest, *, lane: str) -> bool:
+        """Whether an upstream may get a request of a lane now."""
+        load = self._view.loads.get(upstream.id)
+        if self._outstanding.memory_free(upstream.id, load) < request.total_tokens:
+            return False
+        if lane == SHORT:
+            bound = self.rate(upstream.id) * self._lanes.engine_backlog
+            return self.ahead(upstream.id, self.priority(SHORT)) <= bound
+        return not self._lanes.single_long or self._long_prefills(upstream.id) == 0
+
+    def candidate(
+        self, upstream: Upstream, request: CompletionRequest, *, lane: str, blocks: tuple[int, ...]
+    ) -> Candidate:
+        """Return what the routing policy needs to know of an upstream."""
+        cached = self._prefixes.cached_tokens(upstream.id, blocks)
+        in_flight = self._outstanding.in_flight(upstream.id)
+        ahead = self.ahead(upstream.id, self.priority(lane))
+        return Candidate(
+            upstream=upstream,
+            prefill_rate=self.rate(upstream.id),
+            in_flight=in_flight,
+            ahead_tokens=ahead + self._handicap(upstream.id, in_flight),
+            cached_tokens=min(cached, request.prompt_tokens),
+        )
+
+    def begin(self, chosen: Candidate, request: CompletionRequest, *, lane: str) -> Sent:
+        """Count a request as sent to the chosen upstream."""
+        sent = Sent(
+            tokens=max(1, request.prompt_tokens - int(chosen.cached_tokens)),
+            memory=request.total_tokens,
+            priority=self.priority(lane),
+            at=self._timers.now(),
+        )
+        self._outstanding.begin(chosen.upstream.id, sent)
+        return sent
+
+    def suspect(self, upstream: str, *, seconds: float) -> None:
+        """Give an upstream no work until it reports anew, at most for ``seconds``."""
+        now = self._timers.now()
+        self._suspects[upstream] = (now, now + seconds)
+
+    def priority(self, lane: str) -> int:
+        """Return the engine priority of a lane."""
+        first = lane == SHORT or not self._lanes.short_priority
+        return PRIORITY_SHORT if first else PRIORITY_LONG
+
+    def rate(self, upstream: str) -> float:
+        """Return an upstream's prefill rate in tokens a second."""
+        load = self._view.loads.get(upstream)
+        return float(self._routing.prefill_rate) if load is None else load.report.prefill_rate
+
+    def ahead(self, upstream: str, priority: int) -> float:
+        """Estimate the prefill tokens that a new attempt of a priority waits for."""
+        return self._outstanding.ahead(
+            upstream,
+            self._view.loads.get(upstream),
+            priority=priority,
+            now=self._timers.now(),
+            rate=self.rate(upstream),
+        )
+
+    def _check_fit(self, request: CompletionRequest, found: list[Upstream]) -> None:
+        if not found:
+            raise NoUpstream(
+                f"no upstream in {self._view.failure_domain} can take {request.model} now"
+            )
+        loads = [self._view.loads.get(upstream.id) for upstream in found]
+        largest = max(float("inf") if load is None else load.report.memory_total for load in loads)
+        if largest < request.total_tokens:
+            raise NoUpstream(
+                f"the request needs {request.total_tokens} tokens of memory; "
+                f"the largest engine has {largest:.0f}"
+            )
+
+    def _has_model(self, upstream: str, model: str) -> bool:
+        load = self._view.loads.get(upstream)
+        return load is None or model in load.report.models
+
+    def _is_suspect(self, upstream: str) -> bool:
+        found = self._suspects.get(upstream)
+        if found is None:
+            return False
+        since, until = found
+        load = self._view.loads.get(upstream)
+        reported = load is not None and load.taken > since
+        if reported or self._timers.now() > until:
+            del self._suspects[upstream]
+            return False
+        return True
+
+    def _long_prefills(self, upstream: str) -> int:
+        load = self._view.loads.get(upstream)
+        return self._outstanding.long_prefills(upstream, load, now=self._timers.now())
+
+    def _handicap(self, upstream: str, in_flight: int) -> float:
+        """Return the tokens that stand for a running step and for other entries' unseen sends."""
+        busy = in_flight or self._long_prefills(upstream)
+        step = self._routing.step_tokens / 2 if busy else 0.0
+        return step + (0.0 if self._is_own(upstream) else self._routing.foreign_tokens)
+
+    def _is_own(self, upstream: str) -> bool:
+        """Whether an engine is dealt to this entry's VM, by the order of ids."""
+        vms = [vm.id for vm in self._view.keepers]
+        if self._vm not in vms or upstream not in self._view.upstreams:
+            return True
+        rank = sorted(self._view.upstreams).index(upstream)
+        return rank % len(vms) == vms.index(self._vm)
--- a/src/baobabpulley/policy/routing.py
+++ b/src/baobabpulley/policy/routing.py
@@ -138,7 +138,7 @@
 @routing_policies.register("least_wait")
 @final
 class LeastWait(RoutingPolicy):
-    """Take the upstream with the least estimated time to first token, of equal ones the least used."""
+    """Take the least estimated time to first token; of equal ones the least used."""
 
     __slots__ = ("_random",)
 
