--- a/src/baobabpulley/cli/bench_mix.py
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -1,4 +1,4 @@
-"""``baobabpulley bench mix``."""
+"""``baobabpulley bench mix`` and ``baobabpulley bench overload``."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 from baobabpulley.cli.bench import bench
 from baobabpulley.emulator.bench_mix import run_variant
 from baobabpulley.emulator.bench_mix import variants
+from baobabpulley.emulator.bench_overload import overload_table
+from baobabpulley.emulator.bench_overload import run_overload
 from baobabpulley.emulator.mix_report import MixResult
 from baobabpulley.emulator.mix_report import bucket_table
 from baobabpulley.emulator.mix_report import plot
@@ -63,3 +65,41 @@
         out.mkdir(parents=True, exist_ok=True)
         (out / "mix.json").write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
         plot(results, out / "mix.png")
+
+
+@bench.command()
+@click.option("--load", "loads", multiple=True, type=float, default=(1.0, 1.5, 3.0))
+@click.option("--seed", default=1, help="Seed of the first phase; each further one adds 1.")
+@click.option("--speed", default=3.0, help="Model seconds in a real second.")
+@click.option("--seconds", default=40.0, help="Model seconds of load in each phase.")
+@click.option("--engines", default=16, help="Engines of the fleet.")
+@click.option("--lose", default="", help="Failure domain to kill first.")
+@click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON.")
+def overload(
+    loads: tuple[float, ...],
+    seed: int,
+    speed: float,
+    seconds: float,
+    engines: int,
+    lose: str,
+    base_port: int,
+    out: Path | None,
+) -> None:
+    """Measure goodput, refusals and recovery under more load than the fleet can carry."""
+    results = asyncio.run(
+        run_overload(
+            seed=seed,
+            speed=speed,
+            seconds=seconds,
+            loads=loads,
+            base_port=base_port,
+            engines=engines,
+            lose=lose,
+        )
+    )
+    click.echo(overload_table(results))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        document = msgspec.json.format(msgspec.json.encode(results), indent=1)
+        (out / "overload.json").write_bytes(document)
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_overload.py
@@ -0,0 +1,172 @@
+"""``baobabpulley bench overload``: more load than the fleet can carry, and what comes after."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from baobabpulley.emulator.bench_mix import PREFILL_RATE
+from baobabpulley.emulator.bench_mix import Sections
+from baobabpulley.emulator.bench_mix import attempts
+from baobabpulley.emulator.bench_mix import balancer_weights
+from baobabpulley.emulator.bench_mix import mix_plan
+from baobabpulley.emulator.bench_mix import run_trace
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.load import Sample
+from baobabpulley.emulator.mix_report import Spread
+from baobabpulley.emulator.mix_report import outcome_of
+from baobabpulley.emulator.mix_report import spread
+from baobabpulley.emulator.trace import Mix
+from baobabpulley.emulator.trace import TraceItem
+from baobabpulley.emulator.trace import make_trace
+
+RECOVERY_SECONDS: Final = 5.0
+PROBE_SECONDS: Final = 6.0
+PROBE_LOAD: Final = 0.2
+REFUSALS: Final = ("overloaded", "no_upstream", "team_limit", "not_ready")
+
+
+class PhaseResult(msgspec.Struct):
+    """One phase at ``load`` of the capacity. Goodput is in prompt tokens a model second.
+
+    ``refusal`` is how long refused callers waited; ``attempts`` are per request not refused.
+    ``probe_before`` and ``probe_after`` are first tokens of shorts before the load, and from
+    five model seconds after its end.
+    """
+
+    load: float
+    goodput: float
+    whole: int
+    outcomes: dict[str, int]
+    refusal: Spread
+    attempts: float
+    shorts: Spread
+    probe_before: Spread
+    probe_after: Spread
+
+
+async def run_overload(
+    *,
+    seed: int,
+    speed: float,
+    seconds: float,
+    loads: tuple[float, ...],
+    base_port: int,
+    engines: int,
+    entries: int = 4,
+    lose: str = "",
+    sections: Sections | None = None,
+) -> list[PhaseResult]:
+    """Run one phase for each load on one fleet, after losing failure domain ``lose`` if named."""
+    plan = mix_plan(
+        base_port=base_port, speed=speed, engines=engines, entries=entries, sections=sections
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(plan=plan, directory=Path(directory)) as fleet:
+            if lose:
+                lose_domain(fleet, lose)
+            results = []
+            for number, load in enumerate(loads):
+                results.append(
+                    await run_phase(fleet, seed=seed + number, seconds=seconds, load=load)
+                )
+    return results
+
+
+async def run_phase(fleet: Fleet, *, seed: int, seconds: float, load: float) -> PhaseResult:
+    """Probe, load the fleet, wait five model seconds, probe again."""
+    speed = fleet.plan.speed
+    before = await _probe(fleet, seed=seed + 500)
+    counted = await attempts(fleet)
+    trace = live_trace(fleet, seed=seed, seconds=seconds, load=load, mix=Mix())
+    running = asyncio.create_task(run_trace(fleet, trace))
+    # The clients begin a moment after they are told; their end is the trace's end.
+    await asyncio.sleep((seconds + RECOVERY_SECONDS) / speed + 1.5)
+    after = await _probe(fleet, seed=seed + 900)
+    samples = await running
+    whole = [sample for sample in samples if sample.ok]
+    refused = [sample for sample in samples if sample.code in REFUSALS]
+    made = await attempts(fleet) - counted - before.count - after.count
+    end = max((sample.at + sample.total for sample in whole), default=seconds)
+    return PhaseResult(
+        load=load,
+        goodput=sum(sample.tokens for sample in whole) / max(seconds, end),
+        whole=len(whole),
+        outcomes=dict(Counter(outcome_of(sample) for sample in samples)),
+        refusal=spread(sample.total for sample in refused),
+        attempts=made / max(1, len(samples) - len(refused)),
+        shorts=spread(sample.first_token for sample in whole if sample.tokens <= 8_000),
+        probe_before=before,
+        probe_after=after,
+    )
+
+
+def lose_domain(fleet: Fleet, domain: str) -> None:
+    """Kill every process of a failure domain."""
+    for vm in fleet.vms:
+        if vm.failure_domain == domain:
+            for name in _processes_of(vm.id):
+                fleet.processes[name].kill()
+
+
+def live_trace(
+    fleet: Fleet, *, seed: int, seconds: float, load: float, mix: Mix
+) -> list[TraceItem]:
+    """Return a trace for the entries that run, at a share of the running engines' capacity."""
+    engines = sum(
+        1
+        for name, process in fleet.processes.items()
+        if name.startswith("engine") and process.running
+    )
+    weights = {
+        name: weight
+        for name, weight in balancer_weights(fleet).items()
+        if fleet.processes[name].running
+    }
+    return make_trace(
+        seed=seed,
+        seconds=seconds,
+        tokens_per_second=load * PREFILL_RATE * engines,
+        entries=weights,
+        mix=mix,
+    )
+
+
+def overload_table(results: list[PhaseResult]) -> str:
+    """Return the phases as Markdown."""
+    lines = [
+        "| load | goodput tokens/s | share of first | whole | outcomes | refused after p99 s | "
+        "attempts | shorts p95 s | probe p50/p95 before | after |",
+        "|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for result in results:
+        lines.append(
+            f"| {result.load} | {result.goodput:.0f} "
+            f"| {result.goodput / max(1.0, results[0].goodput):.2f} | {result.whole} "
+            f"| {_counts(result.outcomes)} | {result.refusal.p99:.3f} | {result.attempts:.3f} "
+            f"| {result.shorts.p95:.2f} "
+            f"| {result.probe_before.p50:.3f}/{result.probe_before.p95:.3f} "
+            f"| {result.probe_after.p50:.3f}/{result.probe_after.p95:.3f} |"
+        )
+    return "\n".join(lines)
+
+
+def _processes_of(vm: str) -> tuple[str, ...]:
+    index = vm.rpartition("-")[2]
+    return (f"entry-{index}", f"keeper-{index}") if vm.startswith("vm-") else (vm,)
+
+
+def _counts(outcomes: dict[str, int]) -> str:
+    return ", ".join(f"{code} {count}" for code, count in sorted(outcomes.items()))
+
+
+async def _probe(fleet: Fleet, *, seed: int) -> Spread:
+    mix = Mix(long_share=0.0, middle_share=0.0)
+    trace = live_trace(fleet, seed=seed, seconds=PROBE_SECONDS, load=PROBE_LOAD, mix=mix)
+    samples: list[Sample] = await run_trace(fleet, trace)
+    return spread(sample.first_token for sample in samples if sample.ok)
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -22,9 +22,8 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
-from baobabpulley.entry.load_estimates import LoadEstimates
 from baobabpulley.entry.passing import EntryPasser
-from baobabpulley.entry.placer import Placer
+from baobabpulley.entry.placer import make_placer
 from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
@@ -33,7 +32,6 @@
 from baobabpulley.policy.lanes import LanesSection
 from baobabpulley.policy.retries import RetriesSection
 from baobabpulley.policy.routing import RoutingSection
-from baobabpulley.policy.routing import routing_policies
 from baobabpulley.settings import LogsSection
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import PeersSection
@@ -63,7 +61,14 @@
         holder=node.id,
         engine=HttpEngine(client=client, timers=timers),
         view=view,
-        placer=build_placer(settings, view=view, timers=timers),
+        placer=make_placer(
+            vm=node.vm,
+            view=view,
+            routing=settings.get(RoutingSection),
+            lanes=settings.get(LanesSection),
+            admission=settings.get(AdmissionSection),
+            timers=timers,
+        ),
         lanes=settings.get(LanesSection),
         retries=settings.get(RetriesSection),
         metrics=metrics,
@@ -86,27 +91,6 @@
     )
 
 
-def build_placer(settings: Settings, *, view: FleetView, timers: TimerService) -> Placer:
-    """Return the placer that the settings ask for."""
-    routing = settings.get(RoutingSection)
-    estimates = LoadEstimates(
-        vm=settings.get(NodeSection).vm,
-        view=view,
-        routing=routing,
-        lanes=settings.get(LanesSection),
-        timers=timers,
-    )
-    return Placer(
-        view=view,
-        estimates=estimates,
-        policy=routing_policies.lookup(routing.policy)(),
-        routing=routing,
-        lanes=settings.get(LanesSection),
-        admission=settings.get(AdmissionSection),
-        timers=timers,
-    )
-
-
 def start_server(context: EntryContext) -> HTTPServer:
     """Listen for callers."""
     for name in _HANDLER_MODULES:
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -24,6 +24,7 @@
 from baobabpulley.policy.lanes import response_ratio
 from baobabpulley.policy.routing import RoutingPolicy
 from baobabpulley.policy.routing import RoutingSection
+from baobabpulley.policy.routing import routing_policies
 from baobabpulley.ports.engine import PRIORITY_LONG
 from baobabpulley.timers import Subscription
 from baobabpulley.timers import TimerService
@@ -327,3 +328,25 @@
 
 def _cost(waiter: _Waiter) -> int:
     return waiter.request.prompt_tokens
+
+
+def make_placer(
+    *,
+    vm: str,
+    view: FleetView,
+    routing: RoutingSection,
+    lanes: LanesSection,
+    admission: AdmissionSection,
+    timers: TimerService,
+) -> Placer:
+    """Return the placer that the settings ask for; ``vm`` is the id of this entry's VM."""
+    estimates = LoadEstimates(vm=vm, view=view, routing=routing, lanes=lanes, timers=timers)
+    return Placer(
+        view=view,
+        estimates=estimates,
+        policy=routing_policies.lookup(routing.policy)(),
+        routing=routing,
+        lanes=lanes,
+        admission=admission,
+        timers=timers,
+    )
--- /dev/null
+++ b/testing/fakes.py
@@ -0,0 +1,45 @@
+"""Small fakes at the ports."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from typing import Any
+
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import EndEvent
+from baobabpulley.model.requests import TokenEvent
+from baobabpulley.model.requests import Usage
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.engine import EngineCall
+
+
+class ScriptedEngine(Engine):
+    """Answer each attempt by the next step of a script: an error, a count of tokens, or both.
+
+    A step is a tuple ``(tokens, error)``; without an error the answer ends after its tokens.
+    """
+
+    def __init__(self, script: Sequence[tuple[int, Exception | None]]) -> None:
+        self.script = list(script)
+        self.calls: list[tuple[str, EngineCall]] = []
+
+    async def complete(self, upstream: Upstream, call: EngineCall) -> AsyncIterator[AnswerEvent]:
+        self.calls.append((upstream.id, call))
+        tokens, error = self.script.pop(0) if self.script else (call.max_tokens, None)
+        for index in range(call.offset, call.offset + tokens):
+            yield TokenEvent(attempt=call.attempt, index=index, tokens=(f"{index:03} ",))
+        if error is not None:
+            raise error
+        usage = Usage(prompt_tokens=1, completion_tokens=call.offset + tokens)
+        yield EndEvent(attempt=call.attempt, reason="length", usage=usage)
+
+    async def cancel(self, upstream: Upstream, *, attempt: str) -> None:
+        return
+
+    def _unused(self, *_: Any, **__: Any) -> Any:
+        raise NotImplementedError
+
+    resume = prefill_part = holds = renew = release = _unused
+    load = events = order = state = _unused
--- /dev/null
+++ b/testing/test_placer.py
@@ -0,0 +1,211 @@
+"""Waiting in lanes: who goes first, who is refused, and what is given back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from testing.builders import make_report
+from testing.builders import make_request
+from testing.builders import make_view
+
+from baobabpulley.entry.placer import Placement
+from baobabpulley.entry.placer import make_placer
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import Overloaded
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.policy.admission import AdmissionSection
+from baobabpulley.policy.fairness import DeficitQueue
+from baobabpulley.policy.lanes import LONG
+from baobabpulley.policy.lanes import SHORT
+from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.routing import RoutingSection
+from baobabpulley.timers import ManualTimers
+
+
+class _Bench:
+    """A placer, its view and its clock."""
+
+    def __init__(self, *, engines: int, lanes: LanesSection | None = None) -> None:
+        self.timers = ManualTimers()
+        self.view: FleetView = make_view(engines=engines)
+        self.placer = make_placer(
+            vm="vm-0",
+            view=self.view,
+            routing=RoutingSection(),
+            lanes=lanes or LanesSection(),
+            admission=AdmissionSection(),
+            timers=self.timers,
+        )
+        self.order: list[str] = []
+
+    async def place(self, request: CompletionRequest) -> Placement:
+        """Place a request in the lane of its length and note when its turn came."""
+        lane = SHORT if request.prompt_tokens <= 8_000 else LONG
+        placement = await self.placer.place(request, lane=lane, excluded=frozenset())
+        self.order.append(request.request_id)
+        return placement
+
+    def start(self, request: CompletionRequest) -> asyncio.Task[Placement]:
+        """Begin to place a request."""
+        return asyncio.create_task(self.place(request))
+
+
+async def settle() -> None:
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def test_one_long_prefill_at_a_time_and_shorts_do_not_wait_for_it() -> None:
+    bench = _Bench(engines=1)
+    first = await bench.place(make_request(tokens=100_000))
+    second = bench.start(make_request(tokens=50_000))
+    await settle()
+    assert not second.done()
+    short = await bench.place(make_request(tokens=3_000))
+    assert short.sent.priority < first.sent.priority
+    bench.placer.first_token(first)
+    await settle()
+    assert second.done()
+
+
+async def test_without_the_single_long_setting_longs_share_an_engine() -> None:
+    bench = _Bench(engines=1, lanes=LanesSection(single_long=False))
+    await bench.place(make_request(tokens=100_000))
+    await bench.place(make_request(tokens=50_000))
+    assert bench.placer.waiting == 0
+
+
+@pytest.mark.parametrize(
+    ("order", "bound", "first"),
+    [
+        ("response_ratio", 60.0, "small"),
+        ("arrival", 60.0, "large"),
+        ("response_ratio", 0.1, "large"),
+    ],
+    ids=["response_ratio", "arrival", "past_the_wait_bound"],
+)
+async def test_waiting_longs_go_in_the_order_set(order: str, bound: float, first: str) -> None:
+    bench = _Bench(engines=1, lanes=LanesSection(long_order=order, long_wait_bound=bound))
+    running = await bench.place(make_request(tokens=9_000))
+    large = make_request(tokens=200_000, seconds=1_000)
+    small = make_request(tokens=10_000, seconds=1_000)
+    tasks = [bench.start(large)]
+    await settle()
+    await bench.timers.advance(0.05)
+    tasks.append(bench.start(small))
+    await settle()
+    await bench.timers.advance(0.06)
+    bench.placer.first_token(running)
+    await settle()
+    expected = small if first == "small" else large
+    assert bench.order[1:] == [expected.request_id]
+    for task in tasks:
+        task.cancel()
+
+
+async def test_shorts_only_engines_get_no_long() -> None:
+    bench = _Bench(engines=2, lanes=LanesSection(shorts_only_share=0.5))
+    assert (await bench.place(make_request(tokens=100_000))).upstream.id == "engine-1"
+    waiting = bench.start(make_request(tokens=100_000))
+    await settle()
+    assert not waiting.done()
+    waiting.cancel()
+
+
+async def test_heavy_team_does_not_hold_up_another_teams_shorts() -> None:
+    bench = _Bench(engines=1)
+    running = [await bench.place(make_request(tokens=8_000)) for _ in range(2)]
+    heavy = [make_request(tokens=4_000, team="heavy") for _ in range(8)]
+    light = make_request(tokens=4_000, team="light")
+    tasks = [bench.start(request) for request in (*heavy, light)]
+    await settle()
+    for placement in running:
+        bench.placer.first_token(placement)
+        await settle()
+    assert light.request_id in bench.order[2:6]
+    for task in tasks:
+        task.cancel()
+
+
+def test_deficit_round_robin_shares_tokens_by_weight() -> None:
+    queue = DeficitQueue[str](
+        quantum=100, cost=lambda item: int(item[1:]), weight=lambda team: 2.0 if team == "a" else 1
+    )
+    for _ in range(40):
+        queue.push("a", "a50")
+        queue.push("b", "b100")
+    served = [queue.take() or "" for _ in range(40)]
+    tokens = {team: sum(int(s[1:]) for s in served if s[0] == team) for team in "ab"}
+    assert 1.8 <= tokens["a"] / tokens["b"] <= 2.2
+
+
+async def test_queue_past_the_bound_refuses_at_once_as_not_run() -> None:
+    bench = _Bench(engines=1)
+    tasks = [bench.start(make_request(tokens=8_000)) for _ in range(12)]
+    await settle()
+    refused = [task for task in tasks if task.done() and task.exception() is not None]
+    errors = [task.exception() for task in refused]
+    assert refused
+    assert all(isinstance(error, Overloaded) and error.retry_after for error in errors)
+    assert bench.placer.waiting == len(tasks) - len(refused) - len(bench.order)
+    assert bench.placer.waiting * 8_000 <= 2.0 * 20_000
+    for task in tasks:
+        task.cancel()
+
+
+async def test_long_that_cannot_end_beside_the_shorts_is_refused_at_once() -> None:
+    bench = _Bench(engines=1)
+    for _ in range(24):
+        placement = await bench.place(make_request(tokens=8_000))
+        bench.placer.first_token(placement)
+        bench.placer.end(placement)
+    with pytest.raises(Overloaded):
+        await bench.place(make_request(tokens=100_000, seconds=50.0))
+
+
+async def test_wait_that_outlasts_the_deadline_ends_before_it() -> None:
+    bench = _Bench(engines=1)
+    await bench.place(make_request(tokens=9_000))
+    request = make_request(tokens=10_000, seconds=1.3)
+    request.deadline = bench.timers.now() + 2.0
+    with pytest.raises(DeadlineBeforeStart):
+        await asyncio.wait_for(bench.place(request), timeout=30.0)
+    assert bench.placer.waiting == 0
+
+
+async def test_cancelled_waiter_leaves_no_trace() -> None:
+    bench = _Bench(engines=1)
+    first = await bench.place(make_request(tokens=100_000))
+    waiting = bench.start(make_request(tokens=100_000))
+    await settle()
+    bench.placer.first_token(first)
+    waiting.cancel()
+    await settle()
+    assert bench.placer.waiting == 0
+    # The place that the cancelled one had got is free again.
+    await asyncio.wait_for(bench.place(make_request(tokens=100_000)), timeout=30.0)
+
+
+async def test_suspected_engine_gets_work_again_after_its_next_report() -> None:
+    bench = _Bench(engines=1)
+    bench.placer.suspect("engine-0", seconds=100.0)
+    with pytest.raises(NoUpstream):
+        await bench.place(make_request(tokens=1_000))
+    await bench.timers.advance(1.0)
+    bench.view.set_load(make_report("engine-0"), taken=bench.timers.now())
+    await bench.place(make_request(tokens=1_000))
+
+
+@pytest.mark.parametrize(
+    "report",
+    [make_report("engine-0", models=()), make_report("engine-0", memory_total=50_000)],
+    ids=["model_not_loaded", "too_little_memory"],
+)
+async def test_engine_that_cannot_run_it_is_not_fit(report: object) -> None:
+    bench = _Bench(engines=1)
+    bench.view.set_load(report, taken=bench.timers.now())  # type: ignore[arg-type]
+    with pytest.raises(NoUpstream):
+        await bench.place(make_request(tokens=60_000))
--- /dev/null
+++ b/testing/test_retries.py
@@ -0,0 +1,136 @@
+"""What the dispatcher does after a failed attempt, and what it tells the caller."""
+
+from __future__ import annotations
+
+import pytest
+from testing.builders import make_request
+from testing.builders import make_view
+from testing.fakes import ScriptedEngine
+
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.dispatch import Dispatcher
+from baobabpulley.entry.placer import make_placer
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import Overloaded
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOverloaded
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.decisions import DecisionRecord
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.model.requests import TokenEvent
+from baobabpulley.policy.admission import AdmissionSection
+from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.retries import RetriesSection
+from baobabpulley.policy.routing import RoutingSection
+from baobabpulley.timers import TimerService
+
+
+def make_dispatcher(
+    engine: ScriptedEngine, *, engines: int = 6, retries: RetriesSection | None = None
+) -> Dispatcher:
+    timers = TimerService(speed=100.0)
+    view = make_view(engines=engines)
+    return Dispatcher(
+        holder="entry-0",
+        engine=engine,
+        view=view,
+        placer=make_placer(
+            vm="vm-0",
+            view=view,
+            routing=RoutingSection(),
+            lanes=LanesSection(),
+            admission=AdmissionSection(),
+            timers=timers,
+        ),
+        lanes=LanesSection(),
+        retries=retries or RetriesSection(),
+        metrics=EntryMetrics(),
+        timers=timers,
+    )
+
+
+def fresh_request(tokens: int = 1_000) -> CompletionRequest:
+    now = TimerService(speed=100.0).now()
+    return make_request(tokens=tokens, arrived=now, seconds=3_000.0)
+
+
+async def run(dispatcher: Dispatcher, request: CompletionRequest) -> str:
+    record = DecisionRecord(request_id=request.request_id, team=request.team)
+    return "".join(
+        [
+            "".join(event.tokens)
+            async for event in dispatcher.run(request, record)
+            if isinstance(event, TokenEvent)
+        ]
+    )
+
+
+WHOLE = "".join(f"{index:03} " for index in range(8))
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        (0, UpstreamUnreached("no connection")),
+        (0, UpstreamRefused("no")),
+        (0, UpstreamLost("died in mid-prefill")),
+        (3, UpstreamLost("died in mid-decode")),
+    ],
+    ids=["unreached", "refused", "lost_in_prefill", "lost_in_decode"],
+)
+async def test_failed_attempt_goes_on_elsewhere(failure: tuple[int, Exception]) -> None:
+    engine = ScriptedEngine([failure, (8 - failure[0], None)])
+    assert await run(make_dispatcher(engine), fresh_request()) == WHOLE
+    assert len({upstream for upstream, _ in engine.calls}) == 2
+    assert engine.calls[1][1].offset == failure[0]
+
+
+async def test_second_overload_is_not_retried_and_says_not_run() -> None:
+    engine = ScriptedEngine([(0, UpstreamOverloaded("full"))] * 4)
+    with pytest.raises(Overloaded) as caught:
+        await run(make_dispatcher(engine), fresh_request())
+    assert len(engine.calls) == 2
+    assert caught.value.ran is False
+    assert caught.value.retry_after
+
+
+async def test_budget_bounds_attempts_when_all_engines_fail() -> None:
+    script = [(0, UpstreamRefused("no"))] * 10_000
+    engine = ScriptedEngine(script)
+    dispatcher = make_dispatcher(engine, retries=RetriesSection(burst=5))
+    for _ in range(200):
+        with pytest.raises(BaobabError):
+            await run(dispatcher, fresh_request())
+    assert 200 < len(engine.calls) <= 200 * 1.1 + 5
+
+
+@pytest.mark.parametrize(
+    "last",
+    [UpstreamRefused("no"), UpstreamUnreached("gone"), UpstreamOverloaded("full")],
+    ids=["refused", "unreached", "overloaded"],
+)
+@pytest.mark.parametrize("delivered", [0, 2], ids=["nothing_sent", "two_tokens_sent"])
+async def test_never_says_not_run_after_an_attempt_may_have_run(
+    last: Exception, delivered: int
+) -> None:
+    engine = ScriptedEngine([(delivered, UpstreamLost("died")), (0, last), (0, last), (0, last)])
+    with pytest.raises(BaobabError) as caught:
+        await run(make_dispatcher(engine), fresh_request())
+    assert caught.value.ran is not False
+
+
+async def test_last_engine_lost_is_not_told_as_no_upstream() -> None:
+    engine = ScriptedEngine([(0, UpstreamLost("died"))])
+    with pytest.raises(UpstreamLost):
+        await run(make_dispatcher(engine, engines=1), fresh_request())
+
+
+async def test_request_past_its_deadline_reaches_no_engine() -> None:
+    engine = ScriptedEngine([])
+    request = fresh_request()
+    request.deadline = request.arrived
+    with pytest.raises(DeadlineBeforeStart):
+        await run(make_dispatcher(engine), request)
+    assert engine.calls == []
--- /dev/null
+++ b/testing/test_routing.py
@@ -0,0 +1,131 @@
+"""Estimates of load, knowledge of caches, and the routing policies."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from testing.builders import make_report
+
+from baobabpulley.entry.outstanding import Outstanding
+from baobabpulley.entry.outstanding import Sent
+from baobabpulley.entry.prefix_index import PrefixIndex
+from baobabpulley.model.fleet_view import LoadView
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.policy.routing import Candidate
+from baobabpulley.policy.routing import routing_policies
+from baobabpulley.ports.engine import PRIORITY_LONG
+from baobabpulley.ports.engine import PRIORITY_SHORT
+
+RATE = 20_000.0
+
+
+def candidates(*ahead: int, in_flight: tuple[int, ...] = (0, 0, 0)) -> list[Candidate]:
+    return [
+        Candidate(
+            upstream=Upstream(f"engine-{index}", "kitchen", "fes", "127.0.0.1:1"),
+            prefill_rate=RATE,
+            ahead_tokens=tokens,
+            in_flight=in_flight[index],
+        )
+        for index, tokens in enumerate(ahead)
+    ]
+
+
+def test_round_robin_uses_all_alike() -> None:
+    policy = routing_policies.lookup("round_robin")()
+    chosen = Counter(
+        policy.choose(candidates(9, 0, 5), prompt_tokens=1).upstream.id for _ in range(9)
+    )
+    assert set(chosen.values()) == {3}
+
+
+def test_least_wait_weighs_queue_rate_and_cache() -> None:
+    policy = routing_policies.lookup("least_wait")()
+    found = candidates(4_000, 3_000, 9_000)
+    assert policy.choose(found, prompt_tokens=5_000).upstream.id == "engine-1"
+    found[0].cached_tokens = 2_048
+    assert policy.choose(found, prompt_tokens=5_000).upstream.id == "engine-0"
+    found[2].prefill_rate = 10 * RATE
+    assert policy.choose(found, prompt_tokens=5_000).upstream.id == "engine-2"
+
+
+def test_least_wait_takes_the_less_used_of_equals() -> None:
+    policy = routing_policies.lookup("least_wait")()
+    found = candidates(0, 0, 0, in_flight=(2, 1, 2))
+    assert policy.choose(found, prompt_tokens=5_000).upstream.id == "engine-1"
+
+
+def test_two_choices_never_takes_the_worst_of_three() -> None:
+    policy = routing_policies.lookup("two_choices")()
+    chosen = Counter(
+        policy.choose(candidates(0, 5, 9_000), prompt_tokens=1).upstream.id for _ in range(60)
+    )
+    assert chosen["engine-0"] > chosen["engine-1"] > 0
+    assert chosen["engine-2"] == 0
+
+
+@pytest.mark.parametrize("corrected", [True, False], ids=["corrected", "as_reported"])
+def test_sends_since_the_report_count_only_with_correction(corrected: bool) -> None:
+    outstanding = Outstanding(corrected=corrected)
+    load = LoadView(report=make_report(queued_high=0), taken=10.0)
+    sent = Sent(tokens=6_000, memory=6_008, priority=PRIORITY_SHORT, at=10.5)
+    outstanding.begin("engine-0", sent)
+
+    def ahead(now: float) -> float:
+        return outstanding.ahead("engine-0", load, priority=PRIORITY_SHORT, now=now, rate=RATE)
+
+    assert ahead(10.6) == (6_000 if corrected else 0)
+    assert outstanding.memory_free("engine-0", load) == 400_000 - (6_008 if corrected else 0)
+    sent.prefilled = 10.7
+    sent.ended = 10.8
+    assert ahead(10.9) == 0
+
+
+def test_report_of_work_known_to_be_done_is_not_counted_again() -> None:
+    outstanding = Outstanding()
+    sent = Sent(tokens=8_000, memory=8_008, priority=PRIORITY_SHORT, at=9.0)
+    outstanding.begin("engine-0", sent)
+    sent.prefilled = sent.ended = 10.1
+    load = LoadView(report=make_report(queued_high=8_000, memory_held=8_008), taken=10.0)
+    ahead = outstanding.ahead("engine-0", load, priority=PRIORITY_SHORT, now=10.1, rate=RATE)
+    assert ahead == 0
+    assert outstanding.memory_free("engine-0", load) == 400_000
+
+
+def test_other_entries_work_is_taken_to_drain_since_the_report() -> None:
+    load = LoadView(report=make_report(queued_high=30_000, queued=90_000), taken=10.0)
+    estimate = Outstanding().ahead
+    assert estimate("engine-0", load, priority=PRIORITY_SHORT, now=11.0, rate=RATE) == 10_000
+    assert estimate("engine-0", load, priority=PRIORITY_LONG, now=11.0, rate=RATE) == 70_000
+
+
+def test_long_prefills_of_this_and_other_entries_add_up() -> None:
+    outstanding = Outstanding()
+    own = Sent(tokens=100_000, memory=100_008, priority=PRIORITY_LONG, at=9.0)
+    outstanding.begin("engine-0", own)
+    load = LoadView(report=make_report(long_prefills=2), taken=10.0)
+    assert outstanding.long_prefills("engine-0", load, now=10.5) == 2
+    own.prefilled = 10.2
+    assert outstanding.long_prefills("engine-0", load, now=10.5) == 1
+
+
+def test_gap_halves_the_weight_until_a_usage_report_agrees() -> None:
+    index = PrefixIndex()
+    index.add("engine-0", (1, 2, 3))
+    assert index.cached_tokens("engine-0", (1, 2, 9)) == 1_024
+    index.note_gap("engine-0")
+    assert index.cached_tokens("engine-0", (1, 2, 9)) == 512
+    index.correct("engine-0", expected=512, cached_tokens=1_024)
+    assert index.cached_tokens("engine-0", (1, 2, 9)) == 1_024
+    index.correct("engine-0", expected=1_024, cached_tokens=0)
+    assert index.is_doubtful("engine-0")
+
+
+def test_prefix_counts_only_up_to_the_first_missing_block() -> None:
+    index = PrefixIndex(capacity=3)
+    index.add("engine-0", (1, 2, 3))
+    index.remove("engine-0", (2,))
+    assert index.cached_tokens("engine-0", (1, 2, 3)) == 512
+    index.add("engine-0", (7, 8))
+    assert index.cached_tokens("engine-0", (1,)) == 0
