--- a/src/baobabpulley/emulator/load.py
+++ b/src/baobabpulley/emulator/load.py
@@ -53,6 +53,7 @@
     ran: bool | None
     right: bool
     cached: int = 0
+    request_id: str = ""
 
     @property
     def ok(self) -> bool:
@@ -153,6 +154,7 @@
         ran=answer.ran,
         right=answer.text == expected,
         cached=answer.usage.get("cached_tokens", 0),
+        request_id=answer.request_id,
     )
 
 
--- a/src/baobabpulley/policy/routing.py
+++ b/src/baobabpulley/policy/routing.py
@@ -29,7 +29,8 @@
     what this entry has sent and seen finish; ``prefix_aware`` counts the tokens that an engine's
     prefix cache is thought to hold. ``prefill_rate`` (tokens a second) stands in until an
     engine's first report. ``step_tokens`` is the prefill between two looks of an engine at its
-    queue; half of it is waited for on average where something runs, 0 leaves that out.
+    queue: half of it counts as waiting where something runs, the whole where a long prompt is
+    being prefilled; 0 leaves that out.
     ``foreign_tokens`` count as waiting at engines that belong to another entry of the failure
     domain: the engines are dealt out among the entries, so that entries that cannot know of each
     other's newest sends seldom meet on one engine.
--- /dev/null
+++ b/testing/test_mix.py
@@ -0,0 +1,147 @@
+"""A small fleet of processes under overload and with parts of it killed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from baobabpulley.emulator.bench_mix import attempts
+from baobabpulley.emulator.bench_mix import mix_plan
+from baobabpulley.emulator.bench_mix import mix_trace
+from baobabpulley.emulator.bench_mix import run_trace
+from baobabpulley.emulator.bench_overload import REFUSALS
+from baobabpulley.emulator.bench_overload import live_trace
+from baobabpulley.emulator.bench_overload import run_phase
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.emulator.load import Sample
+from baobabpulley.emulator.load import start_load
+from baobabpulley.emulator.mix_report import outcome_of
+from baobabpulley.emulator.trace import Mix
+from baobabpulley.entry.passing import PASSED_HEADER
+from baobabpulley.standins.text import make_prompt
+
+SPEED = 4.0
+MIX = Mix(longest=150_000)
+ALLOWED = {"ok", "deadline_before_start", "deadline_exceeded", *REFUSALS}
+# What the clients and a busy machine may add, in model seconds.
+GRACE = 20.0
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
+    plan = mix_plan(base_port=base_port, speed=SPEED, engines=6, entries=3)
+    async with Fleet(plan=plan, directory=tmp_path_factory.mktemp("mix")) as running:
+        yield running
+
+
+def deadline_of(sample: Sample) -> float:
+    """Return the model seconds that an entry allows for a request of this length."""
+    return 20.0 + 0.0003 * sample.tokens + 0.2 * 8
+
+
+async def journal_of(fleet: Fleet, engine: str) -> dict[str, Any]:
+    """Return an engine's journal."""
+    journal: dict[str, Any] = await fleet.request(fleet.address_of(engine), "GET", "/journal")
+    return journal
+
+
+def engines_of(fleet: Fleet) -> list[str]:
+    """Return the engines that run."""
+    return [
+        name
+        for name, process in fleet.processes.items()
+        if name.startswith("engine") and process.running
+    ]
+
+
+async def test_overload_keeps_goodput_and_refuses_without_running(fleet: Fleet) -> None:
+    full, _ = await run_phase(fleet, seed=1, seconds=6.0, load=1.0, mix=MIX)
+    over, samples = await run_phase(fleet, seed=2, seconds=6.0, load=5.0, mix=MIX)
+    assert over.goodput >= 0.9 * full.goodput
+    assert set(over.outcomes) <= ALLOWED
+    assert over.attempts <= 1.1
+    assert over.refusal.count > 50
+    assert over.refusal.p95 < over.shorts.p50
+    assert over.probe_after.p50 <= 1.5 * over.probe_before.p50
+    refused = {sample.request_id for sample in samples if sample.ran is False}
+    journals = [await journal_of(fleet, engine) for engine in engines_of(fleet)]
+    reached = {line.get("request") for journal in journals for line in journal["lines"]}
+    assert len(refused) >= over.refusal.count
+    assert not refused & reached
+    assert {sample.request_id for sample in samples if sample.ok} <= reached
+
+
+async def test_engines_killed_under_load_leave_nothing_hanging(fleet: Fleet) -> None:
+    trace = mix_trace(fleet, seed=7, seconds=16.0, load=0.6, mix=MIX)
+    counted = await attempts(fleet)
+    run = await start_load(trace, addresses=fleet.entries, speed=SPEED)
+    await asyncio.sleep(2.5)
+    fleet.processes["engine-0"].kill()
+    await asyncio.sleep(1.5)
+    fleet.processes["engine-1"].kill()
+    samples = await run.wait()
+    made = await attempts(fleet) - counted
+    fleet.processes["engine-0"].start()
+    fleet.processes["engine-1"].start()
+    await fleet.wait_for(fleet.address_of("engine-0"), "/v1/state")
+    await fleet.wait_for(fleet.address_of("engine-1"), "/v1/state")
+    late = [sample for sample in samples if sample.total > deadline_of(sample) + GRACE]
+    outcomes = Counter(outcome_of(sample) for sample in samples)
+    assert late == []
+    assert set(outcomes) <= ALLOWED
+    assert outcomes["ok"] >= 0.9 * len(samples)
+    assert made <= 1.1 * len(samples)
+
+
+async def test_entry_killed_under_load_fails_only_what_was_in_flight_there(fleet: Fleet) -> None:
+    trace = mix_trace(fleet, seed=9, seconds=12.0, load=0.5, mix=MIX)
+    run = await start_load(trace, addresses=fleet.entries, speed=SPEED)
+    await asyncio.sleep(1.5 + 6.0 / SPEED)
+    fleet.processes["entry-1"].kill()
+    samples = await run.wait()
+    fleet.processes["entry-1"].start()
+    await fleet.wait_for(fleet.entries["entry-1"], "/readyz")
+    failed = [sample for sample in samples if not sample.ok]
+    assert failed
+    assert {sample.entry for sample in failed} == {"entry-1"}
+    begun = [sample for sample in samples if sample.entry == "entry-1" and sample.ok]
+    assert begun
+    # Nothing that had ended before the kill is among the failures.
+    kill = max(sample.at + sample.total for sample in begun)
+    assert all(sample.at + sample.total >= kill - GRACE for sample in failed)
+    assert all(sample.code in ("connection", "cut") for sample in failed)
+
+
+async def test_failure_domain_without_engines_passes_requests_on_once(fleet: Fleet) -> None:
+    own = [vm.id for vm in fleet.vms if vm.id.startswith("engine") and vm.failure_domain == "fes"]
+    for name in own:
+        fleet.processes[name].kill()
+    caller = Caller(token=caller_token("stall-0"), model=MODEL)
+    entry = fleet.entries["entry-0"]
+    prompts = [make_prompt(tokens=size, seed=900 + size) for size in (500, 3_000, 40_000)]
+    answers = [await caller.complete(entry, prompt=prompt) for prompt in prompts]
+    assert [answer.code for answer in answers] == [""] * 3
+    assert all(len(answer.text) == 32 for answer in answers)
+    marked = {PASSED_HEADER: "rabat"}
+    refused = await caller.complete(entry, prompt=prompts[0], headers=marked)
+    assert (refused.code, refused.ran) == ("no_upstream", False)
+
+
+async def test_lost_failure_domain_leaves_the_others_in_order(fleet: Fleet) -> None:
+    for name in ("entry-0", "keeper-0"):
+        fleet.processes[name].kill()
+    trace = live_trace(fleet, seed=11, seconds=8.0, load=2.0, mix=MIX)
+    samples = await run_trace(fleet, trace)
+    outcomes = Counter(outcome_of(sample) for sample in samples)
+    assert set(outcomes) <= ALLOWED
+    assert outcomes["ok"] > 0.3 * len(samples)
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -12,6 +12,7 @@
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOverloaded
@@ -87,6 +88,13 @@
     assert engine.calls[1][1].offset == failure[0]
 
 
+async def test_engine_that_refused_is_not_asked_again() -> None:
+    engine = ScriptedEngine([(0, UpstreamRefused("no"))])
+    with pytest.raises(NoUpstream):
+        await run(make_dispatcher(engine, engines=1), fresh_request())
+    assert len(engine.calls) == 1
+
+
 async def test_second_overload_is_not_retried_and_says_not_run() -> None:
     engine = ScriptedEngine([(0, UpstreamOverloaded("full"))] * 4)
     with pytest.raises(Overloaded) as caught:
