--- a/src/baobabpulley/cli/bench_mix.py
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from baobabpulley.cli.bench import bench
+from baobabpulley.emulator.bench_mix import register_profile
 from baobabpulley.emulator.bench_mix import run_variant
 from baobabpulley.emulator.bench_mix import variants
 from baobabpulley.emulator.bench_overload import overload_table
@@ -22,6 +23,13 @@
 
 @bench.command()
 @click.option("--variant", "names", multiple=True, help="Variant to run; all if none is given.")
+@click.option(
+    "--profile",
+    "profiles",
+    multiple=True,
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="Settings file of an entry to run as a variant.",
+)
 @click.option("--seed", "seeds", multiple=True, type=int, default=(1,), help="May be repeated.")
 @click.option("--speed", default=3.0, help="Model seconds in a real second.")
 @click.option("--seconds", default=90.0, help="Model seconds of load.")
@@ -32,6 +40,7 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON and plot.")
 def mix(
     names: tuple[str, ...],
+    profiles: tuple[Path, ...],
     seeds: tuple[int, ...],
     speed: float,
     seconds: float,
@@ -44,6 +53,7 @@
     """Measure time to first token by length and the slowdown of shorts."""
     parts = Mix(longest=longest, prefix_share=prefix_share)
     results: list[MixResult] = []
+    names = (*names, *(register_profile(path) for path in profiles))
     for seed in seeds:
         for name in names or variants.names:
             result = asyncio.run(
@@ -60,6 +70,7 @@
             results.append(result)
             click.echo(f"\n{name}, seed {seed}: {result.outcomes}; cpu {result.cpu_shares}")
             click.echo(bucket_table(result))
+            click.echo(table([result]))
     click.echo("\n" + table(results))
     if out is not None:
         out.mkdir(parents=True, exist_ok=True)
--- a/src/baobabpulley/emulator/bench_mix.py
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import configparser
 import os
 import tempfile
 import time
@@ -18,6 +19,7 @@
 from baobabpulley.emulator.load import start_load
 from baobabpulley.emulator.mix_report import MixResult
 from baobabpulley.emulator.mix_report import summarise
+from baobabpulley.emulator.trace import PREFIX_TOKENS
 from baobabpulley.emulator.trace import Mix
 from baobabpulley.emulator.trace import TraceItem
 from baobabpulley.emulator.trace import make_trace
@@ -28,6 +30,7 @@
 
 PREFILL_RATE: Final = 20_000.0
 SETTLE_SECONDS: Final = 3.0
+PROFILE_SECTIONS: Final = ("routing", "lanes", "admission", "retries")
 
 Sections = dict[str, dict[str, str]]
 
@@ -39,26 +42,37 @@
     "least_in_flight": {"routing": {"policy": "least_in_flight"}},
     "round_robin": {"routing": {"policy": "round_robin"}},
     "unprotected": {
-        "routing": {"policy": "round_robin", "corrected": "no", "prefix_aware": "no"},
+        "routing": {"policy": "round_robin", "corrected": "false", "prefix_aware": "false"},
         "lanes": {
-            "short_priority": "no",
-            "single_long": "no",
+            "short_priority": "false",
+            "single_long": "false",
             "long_order": "arrival",
             "engine_backlog": "1000",
         },
     },
-    "no_priority": {"lanes": {"short_priority": "no"}},
-    "no_single_long": {"lanes": {"single_long": "no"}},
+    "no_priority": {"lanes": {"short_priority": "false"}},
+    "no_single_long": {"lanes": {"single_long": "false"}},
     "arrival_order": {"lanes": {"long_order": "arrival"}},
-    "no_correction": {"routing": {"corrected": "no"}},
+    "no_correction": {"routing": {"corrected": "false"}},
     "shorts_only_fifth": {"lanes": {"shorts_only_share": "0.2"}},
-    "no_step": {"routing": {"step_tokens": "0"}},
+    "no_step": {"routing": {"step_tokens": "0", "beside_long_tokens": "0"}},
+    "away_from_longs": {"routing": {"beside_long_tokens": "4096"}},
     "no_dealing": {"routing": {"foreign_tokens": "0"}},
-    "no_prefixes": {"routing": {"prefix_aware": "no"}},
+    "no_prefixes": {"routing": {"prefix_aware": "false"}},
 }.items():
     variants.register(_name)(_sections)
 
 
+def register_profile(path: Path) -> str:
+    """Register a settings file's decisions as a variant; return its name."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(path.read_text(encoding="utf-8"))
+    variants.register(path.stem)(
+        {name: dict(parser[name]) for name in PROFILE_SECTIONS if parser.has_section(name)}
+    )
+    return path.stem
+
+
 def mix_plan(
     *,
     base_port: int,
@@ -147,7 +161,9 @@
             mixed = await run_trace(fleet, trace)
             elapsed, used = time.monotonic() - started, _cpu_seconds(fleet)
             count = await attempts(fleet) - before
+    domains = {name: plan.domain_of(index) for index, name in enumerate(fleet.entries)}
     return summarise(
+        best_cached_share=best_cached_share(trace, domains),
         variant=name,
         seed=seed,
         load=load,
@@ -159,6 +175,17 @@
     )
 
 
+def best_cached_share(trace: list[TraceItem], domains: dict[str, str]) -> float:
+    """Return the share of tokens cached if each failure domain prefills a shared text once."""
+    seen: set[tuple[str, int]] = set()
+    cached = 0
+    for item in trace:
+        known = (domains[item.entry], item.prefix)
+        cached += PREFIX_TOKENS if item.prefix >= 0 and known in seen else 0
+        seen.add(known)
+    return cached / max(1, sum(item.tokens for item in trace))
+
+
 def _cpu_seconds(fleet: Fleet) -> dict[str, float]:
     """Return processor seconds used so far, the largest of each kind of process."""
     ticks = os.sysconf("SC_CLK_TCK")
--- a/src/baobabpulley/emulator/mix_report.py
+++ b/src/baobabpulley/emulator/mix_report.py
@@ -51,6 +51,7 @@
     attempts_per_request: float
     cached_share: float
     cpu_shares: dict[str, float]
+    best_cached_share: float = 0.0
 
 
 def spread(values: Iterable[float]) -> Spread:
@@ -73,6 +74,7 @@
     rate: float,
     attempts_per_request: float,
     cpu_shares: dict[str, float],
+    best_cached_share: float,
 ) -> MixResult:
     """Return the figures of a run with longs beside the same shorts without them.
 
@@ -97,6 +99,7 @@
         attempts_per_request=attempts_per_request,
         cached_share=sum(s.cached for s in whole) / max(1, sum(s.tokens for s in whole)),
         cpu_shares=cpu_shares,
+        best_cached_share=best_cached_share,
     )
 
 
@@ -111,8 +114,8 @@
     """Return all results as Markdown."""
     lines = [
         "| variant | seed | slowdown p50 | p95 | p99 | up to 8k p50 s | p95 | p99 | "
-        "100k-350k over ideal p50 | p95 | failed | attempts | client late p99 s |",
-        "|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+        "100k-350k over ideal p50 | p95 | failed | attempts | client late p99 s | cached of best |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
     ]
     for result in results:
         slow = result.slowdown
@@ -123,7 +126,8 @@
             f"| {result.variant} | {result.seed} | {slow.p50:.2f} | {slow.p95:.2f} "
             f"| {slow.p99:.2f} | {first.p50:.2f} | {first.p95:.2f} | {first.p99:.2f} "
             f"| {longs.p50:.2f} | {longs.p95:.2f} | {failed} of {sum(result.outcomes.values())} "
-            f"| {result.attempts_per_request:.3f} | {result.late_p99:.3f} |"
+            f"| {result.attempts_per_request:.3f} | {result.late_p99:.3f} "
+            f"| {result.cached_share:.3f} of {result.best_cached_share:.3f} |"
         )
     return "\n".join(lines)
 
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -70,18 +70,20 @@
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
     client = HttpClient()
+    placer = make_placer(
+        vm=node.vm,
+        view=view,
+        routing=settings.get(RoutingSection),
+        lanes=settings.get(LanesSection),
+        admission=settings.get(AdmissionSection),
+        timers=timers,
+    )
+    peers.subscribe(settings.get(KeeperLinkSection).address, placer.hear)
     dispatcher = Dispatcher(
         holder=node.id,
         engine=HttpEngine(client=client, timers=timers),
         view=view,
-        placer=make_placer(
-            vm=node.vm,
-            view=view,
-            routing=settings.get(RoutingSection),
-            lanes=settings.get(LanesSection),
-            admission=settings.get(AdmissionSection),
-            timers=timers,
-        ),
+        placer=placer,
         lanes=settings.get(LanesSection),
         retries=settings.get(RetriesSection),
         metrics=metrics,
--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -183,8 +183,7 @@
         """Return the tokens that stand for a running step and for other entries' unseen sends."""
         step = self._routing.step_tokens / 2 if in_flight else 0.0
         if self._long_prefills(upstream):
-            # Half a step until the engine looks at its queue, and the last one is filled up.
-            step = float(self._routing.step_tokens)
+            step = max(step, float(self._routing.beside_long_tokens))
         return step + (0.0 if self._is_own(upstream) else self._routing.foreign_tokens)
 
     def _is_own(self, upstream: str) -> bool:
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -7,12 +7,15 @@
 from typing import Final
 from typing import final
 
+import msgspec
+
 from baobabpulley.entry.load_estimates import LoadEstimates
 from baobabpulley.entry.outstanding import Sent
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import NoUpstream
 from baobabpulley.model.blocks import chain_blocks
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.admission import AdmissionSection
@@ -164,6 +167,12 @@
             placement.upstream.id, expected=placement.cached_tokens, cached_tokens=cached_tokens
         )
 
+    def hear(self, message: msgspec.Struct, sender: str) -> None:
+        """Take over cache news that the keeper publishes."""
+        del sender
+        if isinstance(message, CacheNews):
+            self._estimates.prefixes.learn(message)
+
     def suspect(self, upstream: str, *, seconds: float) -> None:
         """Give an upstream no work until it reports anew, at most for ``seconds``."""
         self._estimates.suspect(upstream, seconds=seconds)
--- a/src/baobabpulley/entry/prefix_index.py
+++ b/src/baobabpulley/entry/prefix_index.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from baobabpulley.model.blocks import BLOCK_TOKENS
+from baobabpulley.model.messages import CacheNews
 
 DOUBT_WEIGHT: Final = 0.5
 DEFAULT_BLOCKS: Final = 4_096
@@ -20,12 +21,13 @@
     report agrees with the index.
     """
 
-    __slots__ = ("_blocks", "_capacity", "_doubtful")
+    __slots__ = ("_blocks", "_capacity", "_doubtful", "_incarnations")
 
     def __init__(self, *, capacity: int = DEFAULT_BLOCKS) -> None:
         self._capacity = capacity
         self._blocks: dict[str, OrderedDict[int, None]] = {}
         self._doubtful: set[str] = set()
+        self._incarnations: dict[str, str] = {}
 
     def cached_tokens(self, upstream: str, blocks: tuple[int, ...]) -> float:
         """Estimate the tokens of a prompt's blocks that an upstream holds."""
@@ -36,6 +38,17 @@
         """Whether events of an upstream were missed."""
         return upstream in self._doubtful
 
+    def learn(self, news: CacheNews) -> None:
+        """Take over what an engine says of its cache, late and perhaps with gaps."""
+        known = self._incarnations.get(news.upstream)
+        self._incarnations[news.upstream] = news.incarnation
+        if known is not None and known != news.incarnation:
+            self.forget(news.upstream)
+        if news.gap:
+            self.note_gap(news.upstream)
+        self.add(news.upstream, news.stored)
+        self.remove(news.upstream, news.evicted)
+
     def add(self, upstream: str, blocks: tuple[int, ...]) -> None:
         """Note blocks that an upstream has stored."""
         held = self._blocks.setdefault(upstream, OrderedDict())
--- a/src/baobabpulley/policy/lanes.py
+++ b/src/baobabpulley/policy/lanes.py
@@ -28,8 +28,8 @@
     engine to one long prefill at a time. ``long_order`` is ``response_ratio`` or ``arrival``;
     a long that has waited ``long_wait_bound`` model seconds goes before all others.
     ``shorts_only_share`` of the engines take no longs. ``engine_backlog`` is the model seconds
-    of prefill at the priority of shorts past which an engine gets no further short.
-    ``segment_tokens`` is the pace of long prompts where a dialect needs it.
+    of prefill at the priority of shorts past which an engine gets no further short. A team's
+    turn in its lane is worth ``short_quantum`` or ``long_quantum`` tokens times its weight.
     """
 
     short_tokens: Count = 8_000
@@ -42,7 +42,6 @@
     long_wait_bound: Seconds = 60.0
     shorts_only_share: Share = 0.0
     engine_backlog: Seconds = 0.5
-    segment_tokens: Count = 8_192
     short_quantum: Count = 8_000
     long_quantum: Count = 100_000
 
--- a/src/baobabpulley/policy/routing.py
+++ b/src/baobabpulley/policy/routing.py
@@ -29,8 +29,10 @@
     what this entry has sent and seen finish; ``prefix_aware`` counts the tokens that an engine's
     prefix cache is thought to hold. ``prefill_rate`` (tokens a second) stands in until an
     engine's first report. ``step_tokens`` is the prefill between two looks of an engine at its
-    queue: half of it counts as waiting where something runs, the whole where a long prompt is
-    being prefilled; 0 leaves that out.
+    queue: half of it counts as waiting where something runs, 0 leaves that out.
+    ``beside_long_tokens`` count as waiting where a long prompt is being prefilled: half a step
+    until the engine looks, and the last step is filled up. A larger value keeps shorts away from
+    engines with longs, to the longs' advantage.
     ``foreign_tokens`` count as waiting at engines that belong to another entry of the failure
     domain: the engines are dealt out among the entries, so that entries that cannot know of each
     other's newest sends seldom meet on one engine.
@@ -41,6 +43,7 @@
     prefix_aware: bool = True
     prefill_rate: Count = 20_000
     step_tokens: Annotated[int, msgspec.Meta(ge=0)] = 512
+    beside_long_tokens: Annotated[int, msgspec.Meta(ge=0)] = 512
     foreign_tokens: Annotated[int, msgspec.Meta(ge=0)] = 1_024
 
 
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -11,6 +11,7 @@
 from baobabpulley.entry.outstanding import Sent
 from baobabpulley.entry.prefix_index import PrefixIndex
 from baobabpulley.model.fleet_view import LoadView
+from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.routing import Candidate
 from baobabpulley.policy.routing import routing_policies
@@ -122,6 +123,18 @@
     assert index.is_doubtful("engine-0")
 
 
+def test_cache_news_adds_evicts_doubts_and_starts_anew() -> None:
+    index = PrefixIndex()
+    index.learn(CacheNews("engine-0", "a", 1, stored=(1, 2, 3)))
+    assert index.cached_tokens("engine-0", (1, 2, 3)) == 1_536
+    index.learn(CacheNews("engine-0", "a", 2, evicted=(3,)))
+    assert index.cached_tokens("engine-0", (1, 2, 3)) == 1_024
+    index.learn(CacheNews("engine-0", "a", 9, gap=True))
+    assert index.cached_tokens("engine-0", (1, 2, 3)) == 512
+    index.learn(CacheNews("engine-0", "b", 1))
+    assert index.cached_tokens("engine-0", (1, 2, 3)) == 0
+
+
 def test_prefix_counts_only_up_to_the_first_missing_block() -> None:
     index = PrefixIndex(capacity=3)
     index.add("engine-0", (1, 2, 3))
