Pace long prompts at engines that cannot interrupt a prefill

Cause: a service whose engines finish a prefill once begun holds shorts up for a long prompt's whole length, whatever their priority. Now ServiceDocument.dialect names how its engines are spoken to (registry: chunked, whole); for `whole` a long prompt goes in growing prefixes into the engine's cache first.

--- a/src/baobabpulley/cli/bench_mix.py
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -37,6 +37,7 @@
 @click.option("--longest", default=350_000, help="Longest prompt in tokens.")
 @click.option("--prefix-share", default=0.0, help="Share of prompts with a shared prefix.")
 @click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
+@click.option("--whole-prefills", is_flag=True, help="Engines that cannot interrupt a prefill.")
 @click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON and plot.")
 def mix(
     names: tuple[str, ...],
@@ -48,6 +49,7 @@
     longest: int,
     prefix_share: float,
     base_port: int,
+    whole_prefills: bool,
     out: Path | None,
 ) -> None:
     """Measure time to first token by length and the slowdown of shorts."""
@@ -65,6 +67,7 @@
                     load=load,
                     mix=parts,
                     base_port=base_port,
+                    whole_prefills=whole_prefills,
                 )
             )
             results.append(result)
--- a/src/baobabpulley/emulator/bench_mix.py
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -58,6 +58,7 @@
     "no_step": {"routing": {"step_tokens": "0", "beside_long_tokens": "0"}},
     "away_from_longs": {"routing": {"beside_long_tokens": "4096"}},
     "no_dealing": {"routing": {"foreign_tokens": "0"}},
+    "no_pacing": {"lanes": {"segment_tokens": "1000000"}},
     "no_prefixes": {"routing": {"prefix_aware": "false"}},
 }.items():
     variants.register(_name)(_sections)
@@ -80,9 +81,12 @@
     engines: int = 16,
     entries: int = 4,
     sections: Sections | None = None,
-    engine_options: tuple[str, ...] = (),
+    whole_prefills: bool = False,
 ) -> FleetPlan:
-    """Return a fleet for a mix of prompts, with limits that do not bind."""
+    """Return a fleet for a mix of prompts, with limits that do not bind.
+
+    ``whole_prefills`` makes engines that cannot interrupt a prefill.
+    """
     return FleetPlan(
         base_port=base_port,
         speed=speed,
@@ -90,7 +94,8 @@
         entries=entries,
         plain_services=0,
         entry_sections=sections or {},
-        engine_options=engine_options,
+        engine_options=("--chunk", "1000000") if whole_prefills else (),
+        dialect="whole" if whole_prefills else "chunked",
         limits={team: Limit(1_000_000, 100_000_000) for team in team_names()},
     )
 
@@ -148,9 +153,15 @@
     load: float,
     mix: Mix,
     base_port: int,
+    whole_prefills: bool = False,
 ) -> MixResult:
     """Run the same trace with and without longs on a fresh fleet with a variant's settings."""
-    plan = mix_plan(base_port=base_port, speed=speed, sections=variants.lookup(name))
+    plan = mix_plan(
+        base_port=base_port,
+        speed=speed,
+        sections=variants.lookup(name),
+        whole_prefills=whole_prefills,
+    )
     with tempfile.TemporaryDirectory() as directory:
         async with Fleet(plan=plan, directory=Path(directory)) as fleet:
             trace = mix_trace(fleet, seed=seed, seconds=seconds, load=load, mix=mix)
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "base_port",
+        "dialect",
         "domains",
         "engine_options",
         "engines",
@@ -78,8 +79,10 @@
         limits: dict[str, Limit] | None = None,
         entry_sections: dict[str, dict[str, str]] | None = None,
         keeper_sections: dict[str, dict[str, str]] | None = None,
+        dialect: str = "chunked",
     ) -> None:
         self.base_port = base_port
+        self.dialect = dialect
         self.domains = domains
         self.entries = entries
         self.engines = engines
@@ -381,7 +384,7 @@
 
     async def _write_settings(self) -> None:
         documents: dict[str, msgspec.Struct] = {
-            service_key(ENGINE_SERVICE): ServiceDocument(kind="engine"),
+            service_key(ENGINE_SERVICE): ServiceDocument(kind="engine", dialect=self._plan.dialect),
             service_key(PLAIN_SERVICE): ServiceDocument(
                 kind="plain",
                 routes=(
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.pacing import Pacer
 from baobabpulley.entry.passing import EntryPasser
 from baobabpulley.entry.placer import Placement
 from baobabpulley.entry.placer import Placer
@@ -104,6 +105,7 @@
         "_holder",
         "_lanes",
         "_metrics",
+        "_pacer",
         "_passer",
         "_placer",
         "_random",
@@ -134,6 +136,7 @@
         self._retries = retries
         self._gangs = gangs
         self._passer = passer
+        self._pacer = Pacer(engine=engine, view=view, lanes=lanes, timers=timers)
         self._metrics = metrics
         self._timers = timers
         self._random = random.Random()
@@ -266,7 +269,7 @@
         try:
             async with (
                 self._deadline(request, delivery),
-                contextlib.aclosing(self._engine.complete(upstream, call)) as events,
+                contextlib.aclosing(self._pacer.complete(upstream, call)) as events,
             ):
                 async for event in events:
                     self._placer.first_token(placement)
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -22,11 +22,11 @@
 _numbers = itertools.count(1)
 
 
-def make_view(*, engines: int, entry_vms: int = 1) -> FleetView:
+def make_view(*, engines: int, entry_vms: int = 1, dialect: str = "chunked") -> FleetView:
     """Return a view of one failure domain whose engines have not reported yet."""
     view = FleetView(failure_domain=DOMAIN)
     documents = {
-        service_key(SERVICE): ServiceDocument(kind="engine"),
+        service_key(SERVICE): ServiceDocument(kind="engine", dialect=dialect),
         model_key(MODEL): ModelDocument(service=SERVICE),
     }
     view.book.install(
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -29,10 +29,16 @@
 
 
 def make_dispatcher(
-    engine: ScriptedEngine, *, engines: int = 6, retries: RetriesSection | None = None
+    engine: ScriptedEngine,
+    *,
+    engines: int = 6,
+    retries: RetriesSection | None = None,
+    dialect: str = "chunked",
+    segment_tokens: int = 8_192,
 ) -> Dispatcher:
+    lanes = LanesSection(segment_tokens=segment_tokens)
     timers = TimerService(speed=100.0)
-    view = make_view(engines=engines)
+    view = make_view(engines=engines, dialect=dialect)
     return Dispatcher(
         holder="entry-0",
         engine=engine,
@@ -41,11 +47,11 @@
             vm="vm-0",
             view=view,
             routing=RoutingSection(),
-            lanes=LanesSection(),
+            lanes=lanes,
             admission=AdmissionSection(),
             timers=timers,
         ),
-        lanes=LanesSection(),
+        lanes=lanes,
         retries=retries or RetriesSection(),
         metrics=EntryMetrics(),
         timers=timers,
@@ -142,3 +148,31 @@
     with pytest.raises(DeadlineBeforeStart):
         await run(make_dispatcher(engine), request)
     assert engine.calls == []
+
+
+async def test_long_prompt_is_paced_where_a_prefill_cannot_be_interrupted() -> None:
+    engine = ScriptedEngine([])
+    request = fresh_request(tokens=20_000)
+    assert await run(make_dispatcher(engine, dialect="whole"), request) == WHOLE
+    prompts = [call.prompt for _, call in engine.calls]
+    assert [len(prompt) for prompt in prompts] == [4 * 8_192, 8 * 8_192, 4 * 20_000]
+    assert all(request.prompt.startswith(prompt) for prompt in prompts)
+    assert len({upstream for upstream, _ in engine.calls}) == 1
+    assert len({call.attempt for _, call in engine.calls}) == 3
+
+
+@pytest.mark.parametrize("dialect", ["whole", "chunked"])
+async def test_shorts_and_interruptible_engines_need_no_pacing(dialect: str) -> None:
+    engine = ScriptedEngine([])
+    tokens = 1_000 if dialect == "whole" else 20_000
+    dispatcher = make_dispatcher(engine, dialect=dialect, segment_tokens=500)
+    await run(dispatcher, fresh_request(tokens=tokens))
+    assert len(engine.calls) == 1
+
+
+async def test_refusal_after_a_paced_part_is_not_told_as_not_run() -> None:
+    engine = ScriptedEngine([(1, None), *[(0, UpstreamRefused("no"))] * 4])
+    dispatcher = make_dispatcher(engine, dialect="whole", retries=RetriesSection(burst=0))
+    with pytest.raises(BaobabError) as caught:
+        await run(dispatcher, fresh_request(tokens=20_000))
+    assert caught.value.ran is not False
--- /dev/null
+++ b/testing/test_trace.py
@@ -0,0 +1,54 @@
+"""The load generator's traces and figures."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from baobabpulley.emulator.mix_report import spread
+from baobabpulley.emulator.trace import LONGEST_SHORT
+from baobabpulley.emulator.trace import Mix
+from baobabpulley.emulator.trace import TraceItem
+from baobabpulley.emulator.trace import make_trace
+from baobabpulley.emulator.trace import without_longs
+
+
+def trace_of(seed: int) -> list[TraceItem]:
+    return make_trace(
+        seed=seed,
+        seconds=400.0,
+        tokens_per_second=200_000.0,
+        entries={"entry-0": 2.0, "entry-1": 1.0},
+        mix=Mix(prefix_share=0.5),
+    )
+
+
+def test_trace_depends_on_nothing_but_its_seed() -> None:
+    assert trace_of(4) == trace_of(4)
+    assert trace_of(4) != trace_of(5)
+
+
+def test_trace_has_the_load_and_the_mix_asked_for() -> None:
+    trace = trace_of(4)
+    assert sum(item.tokens for item in trace) == pytest.approx(400 * 200_000, rel=0.01)
+    longs = sum(item.tokens >= 100_000 for item in trace)
+    assert longs / len(trace) == pytest.approx(0.02, rel=0.2)
+    assert max(item.tokens for item in trace) <= 350_000
+    entries = Counter(item.entry for item in trace)
+    assert entries["entry-0"] / entries["entry-1"] == pytest.approx(2.0, rel=0.1)
+    assert [item.at for item in trace] == sorted(item.at for item in trace)
+
+
+def test_shorts_alone_keep_times_and_lengths_but_share_no_text() -> None:
+    trace = trace_of(4)
+    alone = without_longs(trace)
+    shorts = [item for item in trace if item.tokens <= LONGEST_SHORT]
+    assert [(item.at, item.tokens) for item in alone] == [(i.at, i.tokens) for i in shorts]
+    assert not {item.content for item in alone} & {item.content for item in trace}
+
+
+def test_percentiles_of_known_values() -> None:
+    figures = spread(value / 100 for value in range(1, 101))
+    assert figures.count == 100
+    assert (figures.p50, figures.p95, figures.p99) == pytest.approx((0.5, 0.95, 0.99), rel=0.01)
