--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -55,16 +55,23 @@
 class Delivery:
     """What the caller has of an answer."""
 
-    __slots__ = ("started", "tokens")
+    __slots__ = ("_before", "_offset", "started", "tokens")
 
-    def __init__(self) -> None:
+    def __init__(self, request: CompletionRequest) -> None:
+        self._before = request.delivered
+        self._offset = request.offset
         self.tokens: list[str] = []
-        self.started = False
+        self.started = request.offset > 0
 
     @property
     def offset(self) -> int:
         """Index of the token that the caller needs next."""
-        return len(self.tokens)
+        return self._offset + len(self.tokens)
+
+    @property
+    def text(self) -> str:
+        """All tokens that the caller has."""
+        return self._before + "".join(self.tokens)
 
 
 class _History:
@@ -152,7 +159,7 @@
         an entry of another one, unless it has been passed already.
         """
         record.lane = self._lane(request)
-        delivery = Delivery()
+        delivery = Delivery(request)
         runner = self._run_here(request, record, delivery)
         if record.lane == GANG and self._gangs is not None:
             runner = self._gangs.run(request, record)
@@ -262,7 +269,7 @@
             priority=placement.sent.priority,
             deadline=request.deadline - self._timers.now(),
             offset=delivery.offset,
-            delivered="".join(delivery.tokens),
+            delivered=delivery.text,
         )
         self._metrics.attempts.labels(service=upstream.service).inc()
         ended = False
--- a/src/baobabpulley/entry/passing.py
+++ b/src/baobabpulley/entry/passing.py
@@ -43,7 +43,7 @@
         self._turn = 0
 
     async def run(self, request: CompletionRequest) -> AsyncIterator[AnswerEvent]:
-        """Yield the other entry's answer; each event's index counts pieces of text, not tokens.
+        """Yield the other entry's answer; an event's text stands in its first token.
 
         Raises the other entry's own typed error, `NoUpstream` if no entry could be reached,
         `UpstreamLost` if the connection broke.
@@ -103,7 +103,7 @@
     ) -> AsyncIterator[AnswerEvent]:
         if answer.status >= 400:
             raise _error_of(msgspec.json.decode(await answer.body(idle_timeout=idle)))
-        pieces = 0
+        offset = 0
         ended = False
         async for data in read_events(answer.chunks(idle_timeout=idle)):
             if data == DONE:
@@ -115,13 +115,20 @@
                 ended = True
                 yield _end_of(document, request.request_id)
             else:
-                text = document["choices"][0]["text"]
-                yield TokenEvent(attempt=request.request_id, index=pieces, tokens=(text,))
-                pieces += 1
+                event = _piece_of(document, request.request_id, offset)
+                offset += len(event.tokens)
+                yield event
         if not ended:
             raise UpstreamLost("the entry of another failure domain ended its answer early")
 
 
+def _piece_of(document: dict[str, Any], attempt: str, offset: int) -> TokenEvent:
+    text = document["choices"][0]["text"]
+    count = max(1, document.get("offset", 0) - offset)
+    # The parts between tokens are not known here; their number is, for resumption.
+    return TokenEvent(attempt=attempt, index=offset, tokens=(text, *[""] * (count - 1)))
+
+
 def _end_of(document: dict[str, Any], attempt: str) -> EndEvent:
     usage = document["usage"]
     return EndEvent(
--- a/src/baobabpulley/model/requests.py
+++ b/src/baobabpulley/model/requests.py
@@ -43,14 +43,17 @@
 
     ``deadline`` is in model seconds on the clock of this process's timer service. ``token`` is
     the caller's own, for passing the request to another failure domain; ``passed`` says that it
-    came from one.
+    came from one. A resumed request's caller already has ``delivered``, which are the first
+    ``offset`` tokens.
     """
 
     __slots__ = (
         "arrived",
         "deadline",
+        "delivered",
         "max_tokens",
         "model",
+        "offset",
         "passed",
         "prompt",
         "prompt_tokens",
@@ -76,6 +79,8 @@
         deadline: float,
         token: str = "",
         passed: bool = False,
+        delivered: str = "",
+        offset: int = 0,
     ) -> None:
         self.request_id = request_id
         self.team = team
@@ -89,6 +94,8 @@
         self.deadline = deadline
         self.token = token
         self.passed = passed
+        self.delivered = delivered
+        self.offset = offset
 
     @property
     def total_tokens(self) -> int:
