Leave an engine that keeps failing alone for longer

Cause: an engine that died or froze and no longer reports was tried again every three seconds; a frozen one holds each request tried there up to the idle bound. Now the time doubles with each failure in turn, up to 16 times; a new report lifts it at once. Guards off on a scratch copy: no doubling, and counting one failure many times: both fail engine_that_fails_again.

--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import final
 
 from baobabpulley.entry.outstanding import Outstanding
@@ -20,6 +21,8 @@
 from baobabpulley.ports.engine import PRIORITY_SHORT
 from baobabpulley.timers import TimerService
 
+MAX_DOUBLINGS: Final = 4
+
 
 @final
 class LoadEstimates:
@@ -29,6 +32,7 @@
     """
 
     __slots__ = (
+        "_failures",
         "_lanes",
         "_outstanding",
         "_prefixes",
@@ -56,6 +60,7 @@
         self._outstanding = Outstanding(corrected=routing.corrected)
         self._prefixes = PrefixIndex()
         self._suspects: dict[str, tuple[float, float]] = {}
+        self._failures: dict[str, int] = {}
 
     @property
     def prefixes(self) -> PrefixIndex:
@@ -122,9 +127,16 @@
         return sent
 
     def suspect(self, upstream: str, *, seconds: float) -> None:
-        """Give an upstream no work until it reports anew, at most for ``seconds``."""
+        """Give an upstream no work until it reports anew.
+
+        Without a report it is tried again after ``seconds``, doubled with each failure in turn.
+        """
+        if self._is_suspect(upstream):
+            return
         now = self._timers.now()
-        self._suspects[upstream] = (now, now + seconds)
+        failures = self._failures.get(upstream, 0)
+        self._failures[upstream] = failures + 1
+        self._suspects[upstream] = (now, now + seconds * 2 ** min(failures, MAX_DOUBLINGS))
 
     def priority(self, lane: str) -> int:
         """Return the engine priority of a lane."""
@@ -170,6 +182,8 @@
         since, until = found
         load = self._view.loads.get(upstream)
         reported = load is not None and load.taken > since
+        if reported:
+            self._failures.pop(upstream, None)
         if reported or self._timers.now() > until:
             del self._suspects[upstream]
             return False
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -174,7 +174,7 @@
             self._estimates.prefixes.learn(message)
 
     def suspect(self, upstream: str, *, seconds: float) -> None:
-        """Give an upstream no work until it reports anew, at most for ``seconds``."""
+        """Give an upstream no work until it reports anew, or for ``seconds`` and longer."""
         self._estimates.suspect(upstream, seconds=seconds)
 
     def _waiter(self, request: CompletionRequest, lane: str, excluded: frozenset[str]) -> _Waiter:
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -199,6 +199,18 @@
     await bench.place(make_request(tokens=1_000))
 
 
+async def test_engine_that_fails_again_without_a_report_is_left_alone_for_longer() -> None:
+    bench = _Bench(engines=1)
+    for seconds in (3.0, 6.0, 12.0):
+        bench.placer.suspect("engine-0", seconds=3.0)
+        bench.placer.suspect("engine-0", seconds=3.0)
+        await bench.timers.advance(seconds - 0.1)
+        with pytest.raises(NoUpstream):
+            await bench.place(make_request(tokens=1_000))
+        await bench.timers.advance(0.2)
+        await bench.place(make_request(tokens=1_000))
+
+
 @pytest.mark.parametrize(
     "report",
     [make_report("engine-0", models=()), make_report("engine-0", memory_total=50_000)],
