--- a/src/baobabpulley/entry/resume.py
+++ b/src/baobabpulley/entry/resume.py
@@ -40,7 +40,7 @@
 
     def _parse(self) -> CompletionRequest:
         try:
-            body = _decoder.decode(b"".join(self._parts))
+            body = _decoder.decode(self.whole_body)
         except msgspec.DecodeError as error:
             raise BadRequest(f"the body does not check: {error}") from error
         tokens = self.context.resume_tokens
--- a/testing/builders.py
+++ b/testing/builders.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+from collections.abc import Callable
 
 from baobabpulley.model.documents import ModelDocument
 from baobabpulley.model.documents import ServiceDocument
@@ -14,10 +16,13 @@
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.model.upstreams import Vm
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.standins.text import make_prompt
 
 DOMAIN = "fes"
 MODEL = "recipes"
 SERVICE = "kitchen"
+WAIT_SECONDS = 30.0
 
 _numbers = itertools.count(1)
 
@@ -78,3 +83,32 @@
         arrived=arrived,
         deadline=arrived + seconds,
     )
+
+
+def call_of(
+    attempt: str,
+    *,
+    tokens: int = 100,
+    max_tokens: int = 4,
+    priority: int = 0,
+    prompt_seed: int = 7,
+) -> EngineCall:
+    """Return an attempt whose prompt has a number of tokens."""
+    return EngineCall(
+        attempt=attempt,
+        request_id=attempt,
+        holder="test",
+        model=MODEL,
+        prompt=make_prompt(tokens=tokens, seed=prompt_seed),
+        max_tokens=max_tokens,
+        seed=0,
+        priority=priority,
+        deadline=600.0,
+    )
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail after a generous time."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
