--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -313,14 +313,9 @@
 
     def _evict(self) -> None:
         room = (self.profile.memory_tokens - self.memory_held) // BLOCK_TOKENS
-        if len(self._cache) <= room:
-            return
-        # Blocks of running jobs are in the memory that the jobs hold, and stay.
-        pinned = {block for job in self._jobs.values() if job.memory for block in job.blocks}
-        loose = [block for block in self._cache if block not in pinned]
-        evicted = loose[: max(0, len(loose) - room)]
-        for block in evicted:
-            del self._cache[block]
+        evicted = []
+        while len(self._cache) > room:
+            evicted.append(self._cache.popitem(last=False)[0])
         if evicted:
             self._emit(evicted=tuple(evicted))
 
