--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import frame_event
+from baobabpulley.entry.passing import PASSED_HEADER
 from baobabpulley.entry.resume_tokens import RESUME_HEADER
 from baobabpulley.entry.web import StreamedBodyHandler
 from baobabpulley.entry.web import route
@@ -156,6 +157,8 @@
             stream=body.stream,
             arrived=now,
             deadline=now + allowed,
+            token=self.request.headers["Authorization"].partition(" ")[2],
+            passed=PASSED_HEADER in self.request.headers,
         )
 
     def _allowed_time(self, *, prompt_tokens: int, max_tokens: int) -> float:
--- a/src/baobabpulley/model/requests.py
+++ b/src/baobabpulley/model/requests.py
@@ -41,8 +41,10 @@
 class CompletionRequest:
     """An authenticated completion request of one caller.
 
-    ``deadline`` is in model seconds on the clock of this process's timer service. A resumed
-    request's caller already has ``delivered``, which are the first ``offset`` tokens.
+    ``deadline`` is in model seconds on the clock of this process's timer service. ``token`` is
+    the caller's own, for passing the request to another failure domain; ``passed`` says that it
+    came from one. A resumed request's caller already has ``delivered``, which are the first
+    ``offset`` tokens.
     """
 
     __slots__ = (
@@ -52,12 +54,14 @@
         "max_tokens",
         "model",
         "offset",
+        "passed",
         "prompt",
         "prompt_tokens",
         "request_id",
         "seed",
         "stream",
         "team",
+        "token",
     )
 
     def __init__(
@@ -73,6 +77,8 @@
         stream: bool,
         arrived: float,
         deadline: float,
+        token: str = "",
+        passed: bool = False,
         delivered: str = "",
         offset: int = 0,
     ) -> None:
@@ -86,6 +92,8 @@
         self.stream = stream
         self.arrived = arrived
         self.deadline = deadline
+        self.token = token
+        self.passed = passed
         self.delivered = delivered
         self.offset = offset
 
