Have an entry ready only once it knows the upstreams

Cause: an entry that had just started called itself ready when settings had arrived; its keeper, restarted beside it, had no VM list yet, so requests were refused as no_upstream (4 of 2000 in the rolling restart, load average 22). Ruled out: a keeper's empty list wiping a full one (the entry keeps the list it has). Readiness needs the list, and a new entry asks on past a keeper without one.

--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -65,7 +65,7 @@
     async def refresh(self) -> None:
         """Ask for the fleet's state once."""
         try:
-            answer = await self.ask(self._view.question(), answer=FleetAnswer)
+            answer = await self._ask_for_fleet()
         except PeerUnavailable as error:
             logger.debug("no keeper answers: {}", error.message)
             await self._ask_far_keepers()
@@ -75,6 +75,23 @@
         else:
             await self._join(answer)
 
+    async def _ask_for_fleet(self) -> FleetAnswer:
+        """Ask keepers in turn; go on past one without a VM list while this entry has none."""
+        empty = None
+        for address in self.addresses:
+            try:
+                answer = await self._peers.ask(
+                    address, self._view.question(), answer=FleetAnswer, timeout=ASK_TIMEOUT
+                )
+            except PeerUnavailable:
+                continue
+            if answer.vms_version or self._view.lists_vms:
+                return answer
+            empty = answer
+        if empty is None:
+            raise PeerUnavailable("no keeper of this failure domain answers")
+        return empty
+
     async def _join(self, first: FleetAnswer) -> None:
         """Take settings from all keepers that answer, before the first request is served.
 
--- a/src/baobabpulley/model/fleet_view.py
+++ b/src/baobabpulley/model/fleet_view.py
@@ -40,6 +40,7 @@
         "_entry_vms",
         "_failure_domain",
         "_leaving",
+        "_lists_vms",
         "_live_keepers",
         "_loads",
         "_loads_version",
@@ -52,6 +53,7 @@
         self._origin = secrets.token_hex(4)
         self._failure_domain = failure_domain
         self._book = SettingsBook(alarm=alarm)
+        self._lists_vms = False
         self._upstreams: dict[str, Upstream] = {}
         self._loads: dict[str, LoadView] = {}
         self._entry_vms: tuple[Vm, ...] = ()
@@ -73,8 +75,13 @@
 
     @property
     def ready(self) -> bool:
-        """Whether settings have arrived."""
-        return self._book.revision > 0
+        """Whether settings and the VM list have arrived."""
+        return self._book.revision > 0 and self.lists_vms
+
+    @property
+    def lists_vms(self) -> bool:
+        """Whether the VM list has arrived, from the platform or through a keeper."""
+        return self._lists_vms
 
     @property
     def upstreams(self) -> dict[str, Upstream]:
@@ -114,6 +121,7 @@
 
     def set_vms(self, rows: tuple[Vm, ...]) -> None:
         """Take over the platform's VM list."""
+        self._lists_vms = True
         entry_vms = tuple(vm for vm in rows if vm.role == "entry")
         upstreams = {
             vm.id: Upstream(
@@ -187,6 +195,7 @@
         self._book.raise_limits(answer.limits)
         # A keeper that has just started has no list yet; the one held stays.
         if answer.whole and answer.vms_version:
+            self._lists_vms = True
             self._entry_vms = answer.entry_vms
             self._set_upstreams({upstream.id: upstream for upstream in answer.upstreams})
         for load in answer.loads:
