Share a fixed number of bytes among heartbeats, load reports and the relay

Cause (profile of one of 17 keepers with 500 engines in one failure domain, cProfile): the shares of engines were worked out anew twice a second, 21 ms each under the profile, the largest part of the keeper's own work; the holder of the tender lease audited 25 engine states a second; relayed loads repeated what does not change. Now the shares are kept until their inputs change, the audit takes 60 s a round, changes go out in half the bytes, and heartbeats, reports and relay share control_bytes a second (policy/control_budget.py).

Also: a closed context of pynng ended its answering task with a TypeError; the task now ends.

--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -182,7 +182,7 @@
             asyncio.get_running_loop().call_later(5.0, socket.close)
 
     async def _answer_forever(self, context: pynng.Context) -> None:
-        while True:
+        while context in self._contexts:
             try:
                 data = await context.arecv()
             except pynng.Closed:
--- a/src/baobabpulley/keeper/engine_states.py
+++ b/src/baobabpulley/keeper/engine_states.py
@@ -17,7 +17,7 @@
 from baobabpulley.ports.engine import EngineState
 from baobabpulley.timers import TimerService
 
-AUDIT_PERIOD: Final = 20.0
+AUDIT_PERIOD: Final = 60.0
 # A slow answer must not look like a dead engine: its models would be loaded elsewhere.
 KEPT_UNANSWERED: Final = 6.0
 MAX_AT_ONCE: Final = 16
--- a/src/baobabpulley/keeper/fleet_state.py
+++ b/src/baobabpulley/keeper/fleet_state.py
@@ -20,14 +20,12 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
-from baobabpulley.keeper.load_relay import LoadRelay
 from baobabpulley.keeper.membership import HeartbeatMembership
 from baobabpulley.model.messages import FleetQuestion
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.rendezvous import home_of
 from baobabpulley.ports.engine import EngineEvent
 from baobabpulley.ports.engine import LoadEvent
-from baobabpulley.settings import Count
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import section
 
@@ -35,18 +33,19 @@
 SHARE_PERIOD: Final = 0.5
 RETRY_MIN: Final = 0.1
 RETRY_MAX: Final = 2.0
+# Reports of all engines of a keeper in a second, however little the budget leaves.
+MIN_REPORTS: Final = 1.0
 
 
 @section("collection", "keeper")
 class CollectionSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``period`` is the time between two load reports of an engine where there are few engines.
 
-    ``max_reports`` bounds the reports of all engines of one keeper in a second; with more
-    engines each reports more seldom. An engine silent for ``quiet`` seconds is asked.
+    With many engines each reports more seldom, as the bytes for control allow. An engine silent
+    for ``quiet`` seconds is asked.
     """
 
     period: Seconds = 0.5
-    max_reports: Count = 12
     quiet: Seconds = 2.0
 
 
@@ -81,12 +80,14 @@
 class FleetState(KeeperPart):
     """Follow what the platform and the engines publish."""
 
-    __slots__ = ("_context", "_followed", "_random", "_section")
+    __slots__ = ("_context", "_followed", "_known", "_own", "_random", "_section")
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
         self._section = context.settings.get(CollectionSection)
         self._followed: dict[str, FollowedEngine] = {}
+        self._known: _Known | None = None
+        self._own: dict[str, Upstream] = {}
         self._random = random.Random(context.node.id)
 
     @property
@@ -107,10 +108,10 @@
             self._unfollow(id)
 
     @property
-    def _relay(self) -> LoadRelay:
+    def _membership(self) -> HeartbeatMembership:
         membership = self._context.membership
         assert isinstance(membership, HeartbeatMembership)
-        return membership.relay
+        return membership
 
     async def _describe(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
@@ -128,28 +129,33 @@
     def _share_engines(self) -> None:
         """Follow the engines that are this keeper's to collect from, and no others."""
         own = self._own_engines()
-        every = max(self._section.period, len(own) / self._section.max_reports)
+        reports = max(MIN_REPORTS, self._membership.share.reports)
+        every = max(self._section.period, len(own) / reports)
         for id, followed in tuple(self._followed.items()):
             if own.get(id) != followed.upstream or not _near(followed.every, every):
                 self._unfollow(id)
         for id, upstream in own.items():
             if id not in self._followed:
                 self._follow(upstream, every)
-        self._relay.set_own(set(own))
+        self._membership.relay.set_own(set(own))
 
     def _own_engines(self) -> dict[str, Upstream]:
         view = self._context.view
         node = self._context.node
         live = [vm.id for vm in self._context.membership.live_keepers(node.failure_domain)]
         # An entry VM that the list does not name yet still serves its own entries.
-        keepers = {*live, node.vm}
+        keepers = frozenset({*live, node.vm})
         services = view.book.services
-        engines = {name for name, service in services.items() if service.kind == "engine"}
-        return {
-            id: upstream
-            for id, upstream in view.upstreams.items()
-            if upstream.service in engines and home_of(id, keepers) == node.vm
-        }
+        engines = frozenset(name for name, service in services.items() if service.kind == "engine")
+        known = _Known(upstreams=view.upstreams, keepers=keepers, engines=engines)
+        if self._known is None or not self._known.same_as(known):
+            self._known = known
+            self._own = {
+                id: upstream
+                for id, upstream in view.upstreams.items()
+                if upstream.service in engines and home_of(id, keepers) == node.vm
+            }
+        return self._own
 
     def _follow(self, upstream: Upstream, every: float) -> None:
         now = self._context.timers.now()
@@ -193,7 +199,7 @@
         gap = followed.gap or event.sequence != followed.sequence + 1
         followed.gap = False
         followed.sequence = event.sequence
-        self._relay.add_news(followed.upstream.id, followed.incarnation, event, gap=gap)
+        self._membership.relay.add_news(followed.upstream.id, followed.incarnation, event, gap=gap)
 
     async def _ask_quiet(self) -> None:
         now = self._context.timers.now()
@@ -213,3 +219,26 @@
 def _near(held: float, wanted: float) -> bool:
     """Whether a stream's report interval is near enough that it need not be reopened."""
     return 0.5 <= held / wanted <= 2.0
+
+
+@final
+class _Known:
+    """What the share of engines was worked out from."""
+
+    __slots__ = ("_engines", "_keepers", "_upstreams")
+
+    def __init__(
+        self,
+        *,
+        upstreams: dict[str, Upstream],
+        keepers: frozenset[str],
+        engines: frozenset[str],
+    ) -> None:
+        self._upstreams = upstreams
+        self._keepers = keepers
+        self._engines = engines
+
+    def same_as(self, other: _Known) -> bool:
+        """Whether nothing has changed; the view replaces its upstreams when they change."""
+        same = (self._keepers, self._engines) == (other._keepers, other._engines)
+        return same and self._upstreams is other._upstreams
--- a/src/baobabpulley/keeper/load_relay.py
+++ b/src/baobabpulley/keeper/load_relay.py
@@ -11,15 +11,19 @@
 from typing import Final
 from typing import final
 
+import msgspec
+
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.messages import CompactLoad
+from baobabpulley.model.messages import LoadChange
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.ports.engine import CacheEvent
 from baobabpulley.ports.peers import Peers
 from baobabpulley.timers import TimerService
 
 LOAD_BYTES: Final = 72
+CHANGE_BYTES: Final = 34
 NEWS_BYTES: Final = 40
 BLOCK_HASH_BYTES: Final = 9
 # Model seconds of prefill work by which a load must differ to be passed on before it is stale.
@@ -41,6 +45,14 @@
         self.at = at
 
 
+class Batch(msgspec.Struct, frozen=True):
+    """What goes to one peer: whole loads, changes to loads it has, and cache news."""
+
+    loads: tuple[CompactLoad, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
+    news: tuple[CacheNews, ...] = ()
+
+
 @final
 class Outbox:
     """What one peer has been told, and the news that waits for it."""
@@ -92,14 +104,26 @@
             while len(outbox.news) > MAX_WAITING_NEWS:
                 self._drop(outbox, outbox.news.popleft())
 
-    def batch(
-        self, peer: str, *, max_bytes: int
-    ) -> tuple[tuple[CompactLoad, ...], tuple[CacheNews, ...]]:
-        """Return loads and news for a peer that together stay near ``max_bytes``."""
+    def batch(self, peer: str, *, max_bytes: int) -> Batch:
+        """Return what a peer should get now, together near ``max_bytes`` and at least one load."""
         outbox = self._outboxes.setdefault(peer, Outbox())
-        loads = self._loads_for(outbox, max_loads=max(1, max_bytes // LOAD_BYTES))
-        left = max_bytes - len(loads) * LOAD_BYTES
-        return loads, self._news_for(outbox, max_bytes=left)
+        now = self._timers.now()
+        loads: list[CompactLoad] = []
+        changes: list[LoadChange] = []
+        left = max_bytes
+        for weight, upstream in self._due(outbox, now):
+            size = LOAD_BYTES if weight == URGENT else CHANGE_BYTES
+            if size > left and (loads or changes):
+                break
+            left -= size
+            view = self._view.loads[upstream]
+            outbox.sent[upstream] = SentLoad(report=view.report, at=now)
+            if weight == URGENT:
+                loads.append(compacted(view.report, age=now - view.taken))
+            else:
+                changes.append(changed(view.report, age=now - view.taken))
+        news = self._news_for(outbox, max_bytes=left)
+        return Batch(loads=tuple(loads), changes=tuple(changes), news=news)
 
     def lost(self, peer: str) -> None:
         """Forget what a peer was told: the exchange failed, or the peer began anew."""
@@ -110,29 +134,29 @@
         outbox.gaps |= self._own
         outbox.news.clear()
 
-    def take(self, loads: tuple[CompactLoad, ...], news: tuple[CacheNews, ...]) -> None:
+    def take(self, batch: Batch) -> None:
         """Take over what a peer has collected, and publish its news to entries here."""
         now = self._timers.now()
-        for load in loads:
+        for load in batch.loads:
             report = expanded(load)
             self._view.set_load(report, taken=now - report.age)
-        for item in news:
+        for change in batch.changes:
+            held = self._view.loads.get(change.upstream)
+            if held is not None:
+                report = merged(held.report, change)
+                self._view.set_load(report, taken=now - report.age)
+        for item in batch.news:
             self._peers.publish(item)
 
-    def _loads_for(self, outbox: Outbox, *, max_loads: int) -> tuple[CompactLoad, ...]:
-        now = self._timers.now()
+    def _due(self, outbox: Outbox, now: float) -> list[tuple[float, str]]:
+        """Return the upstreams of which a peer's picture is off, the worst first."""
         due: list[tuple[float, str]] = []
         for upstream in self._own:
             weight = self._weight(upstream, outbox.sent.get(upstream), now)
             if weight > 0:
                 due.append((weight, upstream))
         due.sort(reverse=True)
-        chosen = []
-        for _, upstream in due[:max_loads]:
-            view = self._view.loads[upstream]
-            outbox.sent[upstream] = SentLoad(report=view.report, at=now)
-            chosen.append(compacted(view.report, age=now - view.taken))
-        return tuple(chosen)
+        return due
 
     def _weight(self, upstream: str, sent: SentLoad | None, now: float) -> float:
         """Return how much a peer's picture of an upstream is off, 0 if it will do."""
@@ -192,6 +216,34 @@
     )
 
 
+def changed(report: LoadReport, *, age: float) -> LoadChange:
+    """Return what may differ between two reports of one engine; ``age`` is in model seconds."""
+    return LoadChange(
+        upstream=report.upstream,
+        sequence=report.sequence,
+        queued=report.queued,
+        queued_high=report.queued_high,
+        running=report.running,
+        long_prefills=report.long_prefills,
+        memory_held=report.memory_held,
+        age=round(age * 1000),
+    )
+
+
+def merged(held: LoadReport, change: LoadChange) -> LoadReport:
+    """Return a report with a change applied."""
+    return msgspec.structs.replace(
+        held,
+        sequence=change.sequence,
+        queued=change.queued,
+        queued_high=change.queued_high,
+        running=change.running,
+        long_prefills=change.long_prefills,
+        memory_held=change.memory_held,
+        age=change.age / 1000,
+    )
+
+
 def expanded(load: CompactLoad) -> LoadReport:
     """Return the report that a compact form stands for."""
     return LoadReport(
--- a/src/baobabpulley/keeper/membership.py
+++ b/src/baobabpulley/keeper/membership.py
@@ -20,10 +20,13 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.load_relay import LoadRelay
 from baobabpulley.model.messages import Heartbeat
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.control_budget import ControlShare
+from baobabpulley.policy.control_budget import share_budget
 from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.ports.membership import Membership
 from baobabpulley.settings import Count
@@ -37,13 +40,17 @@
 
 @section("membership", "keeper")
 class MembershipSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Times of heartbeats; ``relay_bytes`` bounds what all peers get of loads in a second."""
+    """Times of heartbeats, which many peers stretch.
+
+    ``control_bytes`` is what heartbeats, load reports and relayed loads may take in a second,
+    both ways together.
+    """
 
     period: Seconds = 1.0
     timeout: Seconds = 0.8
     suspect_after: Seconds = 3.0
     between_domains: Seconds = 2.0
-    relay_bytes: Count = 3_000
+    control_bytes: Count = 5_000
 
 
 @final
@@ -88,11 +95,20 @@
         """What this keeper has collected and its peers do not have yet."""
         return self._relay
 
+    @property
+    def share(self) -> ControlShare:
+        """How the bytes for control are shared with the peers that are live now."""
+        return share_budget(
+            budget=self._section.control_bytes,
+            peers=max(0, len(self._context.view.live_keepers) - 1),
+            period=self._section.period,
+        )
+
     async def start(self) -> None:
         timers = self._context.timers
         self._context.peers.answer(Heartbeat, self._answer)
         self._context.view.set_live_keepers(self._live_ids())
-        timers.every(self._section.period, self._tick, jitter=0.3, name="heartbeats")
+        timers.every(self._section.period / 2, self._tick, jitter=0.3, name="heartbeats")
         timers.every(self._section.between_domains, self._reach_domains, jitter=0.3, name="domains")
 
     def live_keepers(self, failure_domain: str) -> tuple[Vm, ...]:
@@ -137,7 +153,11 @@
             return True
         peer = self._peers.get(id)
         now = self._context.timers.now()
-        return peer is not None and now - peer.heard_at < self._section.suspect_after
+        return peer is not None and now - peer.heard_at < self._suspect_after
+
+    @property
+    def _suspect_after(self) -> float:
+        return self._section.suspect_after * self.share.period / self._section.period
 
     def _missed(self, id: str) -> bool:
         """Whether the last try to reach a keeper of another failure domain failed lately."""
@@ -162,7 +182,7 @@
     async def _tick(self) -> None:
         self._allow_for_own_pause()
         now = self._context.timers.now()
-        fresh = FRESH_SHARE * self._section.period
+        fresh = FRESH_SHARE * self.share.period
         own = self._context.node.failure_domain
         known = {vm.id for vm in self._listed()}
         self._peers = {id: peer for id, peer in self._peers.items() if id in known}
@@ -238,7 +258,7 @@
             return
         for notice in beat.leaving:
             self._context.view.mark_leaving(notice.upstream, incarnation=notice.incarnation)
-        self._relay.take(beat.loads, beat.news)
+        self._relay.take(Batch(loads=beat.loads, changes=beat.changes, news=beat.news))
 
     def _beat_for(self, vm: str, failure_domain: str) -> Heartbeat:
         own = self._context.node
@@ -252,17 +272,19 @@
                 headroom=self._headroom(),
                 live=self._live_ids(),
             )
+        share = self.share
         others = max(1, len(view.live_keepers) - 1)
-        budget = int(self._section.relay_bytes * self._section.period) // others
-        loads, news = self._relay.batch(vm, max_bytes=budget)
+        max_bytes = int(share.relay_bytes * share.period) // others
+        batch = self._relay.batch(vm, max_bytes=max_bytes)
         return Heartbeat(
             vm=own.vm,
             failure_domain=own.failure_domain,
             incarnation=self._incarnation,
             applied_revision=view.book.revision,
             leaving=view.leaving,
-            loads=loads,
-            news=news,
+            loads=batch.loads,
+            changes=batch.changes,
+            news=batch.news,
         )
 
     def _headroom(self) -> int:
--- a/src/baobabpulley/model/messages.py
+++ b/src/baobabpulley/model/messages.py
@@ -103,6 +103,19 @@
     age: int
 
 
+class LoadChange(msgspec.Struct, frozen=True, array_like=True):
+    """What changed in a load since its sender last gave it whole; ``age`` is in milliseconds."""
+
+    upstream: str
+    sequence: int
+    queued: int
+    queued_high: int
+    running: int
+    long_prefills: int
+    memory_held: int
+    age: int
+
+
 @peer_message("heartbeat")
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """A keeper's sign of life and, in the same failure domain, what it has collected.
@@ -121,6 +134,7 @@
     leaving: tuple[Leaving, ...] = ()
     loads: tuple[CompactLoad, ...] = ()
     news: tuple[CacheNews, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
 
 
 class TenderDecision(msgspec.Struct, frozen=True):
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
+import msgspec
 import pytest
 import pytest_asyncio
 from testing.proxy import SilentProxy
@@ -16,6 +17,7 @@
 from baobabpulley.keeper.daemon import KeeperSection
 from baobabpulley.keeper.daemon import build_keeper
 from baobabpulley.keeper.fleet_state import CollectionSection
+from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.membership import HeartbeatMembership
 from baobabpulley.keeper.membership import MembershipSection
 from baobabpulley.keeper.tender import TenderSection
@@ -165,7 +167,7 @@
     return LoadReport(
         upstream=upstream,
         incarnation="a",
-        sequence=1,
+        sequence=sequence,
         queued=queued,
         queued_high=0,
         running=0,
@@ -193,7 +195,10 @@
     collector.view.mark_leaving("engine-2")
     await _until(lambda: len(peer.view.loads) == 2 and bool(published))
     await _until(lambda: len(peer.view.leaving) == 2)
-    assert peer.view.loads["engine-0"].report.queued == 70_000
+    whole = msgspec.structs.replace(peer.view.loads["engine-0"].report, age=0.0)
+    assert whole == _report("engine-0", queued=70_000)
+    collector.view.set_load(_report("engine-0", queued=90_000, sequence=2), taken=now)
+    await _until(lambda: peer.view.loads["engine-0"].report.queued == 90_000)
     assert [item.upstream for item in peer.view.leaving] == ["engine-1", "engine-2"]
     news = published[0]
     assert isinstance(news, CacheNews)
@@ -218,16 +223,21 @@
     relay.batch("vm-9", max_bytes=10_000)
     for index, id in enumerate(sorted(own)):
         view.set_load(_report(id, queued=index * 20_000), taken=0.0)
-    loads, _ = relay.batch("vm-9", max_bytes=150)
-    assert len(loads) == 2
-    rest, _ = relay.batch("vm-9", max_bytes=10_000)
-    assert {load.upstream for load in (*loads, *rest)} == own
-    assert relay.batch("vm-9", max_bytes=10_000)[0] == ()
+    first = relay.batch("vm-9", max_bytes=150)
+    assert len(first.loads) == 2
+    second = relay.batch("vm-9", max_bytes=10_000)
+    assert {load.upstream for load in (*first.loads, *second.loads)} == own
+    assert relay.batch("vm-9", max_bytes=10_000) == Batch()
+    for id in own:
+        view.set_load(_report(id, queued=90_000, sequence=2), taken=0.0)
+    third = relay.batch("vm-9", max_bytes=110)
+    assert [change.upstream for change in third.changes] == ["engine-0", "engine-1", "engine-2"]
+    relay.batch("vm-9", max_bytes=10_000)
     for sequence in range(50):
         relay.add_news(
             "engine-0", "a", CacheEvent(sequence=sequence, stored=tuple(range(8))), gap=False
         )
-    _, news = relay.batch("vm-9", max_bytes=300)
+    news = relay.batch("vm-9", max_bytes=300).news
     assert [item.sequence for item in news] == [48, 49]
     assert news[0].gap
     assert relay.dropped == 48
