--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -42,11 +42,16 @@
 
 @section("keeper", "keeper")
 class KeeperSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where this keeper answers its peers, and where the platform's services answer."""
+    """Where this keeper answers its peers, and where the platform's services answer.
+
+    ``also_reached_at`` are further addresses under which others reach it, as behind address
+    translation.
+    """
 
     address: Address
     store: Address
     vm_list: Address
+    also_reached_at: tuple[Address, ...] = ()
 
 
 def build_keeper(settings: Settings) -> KeeperContext:
@@ -62,7 +67,11 @@
         metrics.alarms.labels(kind=kind).inc()
 
     peers = PynngPeers(
-        node=node.id, section=settings.get(PeersSection), timers=timers, address=own.address
+        node=node.id,
+        section=settings.get(PeersSection),
+        timers=timers,
+        address=own.address,
+        also_reached_at=own.also_reached_at,
     )
     metrics.follow_traffic("http", client.traffic)
     metrics.follow_traffic("peers", peers.traffic)
