Follow engines over streams that may go silent, and show orders in explain

testing/test_collection.py: two keepers share six engines without overlap and one takes over all when the other dies; a silent event stream is reopened on a new connection; an engine whose stream says nothing is asked.

The keepers of the tests are built from a settings file, so that new sections need no change here.

--- a/src/baobabpulley/cli/explain.py
+++ b/src/baobabpulley/cli/explain.py
@@ -1,4 +1,4 @@
-"""``baobabpulley explain REQUEST_ID``."""
+"""``baobabpulley explain REQUEST_ID`` and ``baobabpulley explain UPSTREAM --keeper ADDRESS``."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from baobabpulley.cli.daemons import checked_settings
 from baobabpulley.cli.fleet_access import FleetAccess
 from baobabpulley.cli.main import cli
+from baobabpulley.cli.order_decisions import ask_keepers
+from baobabpulley.cli.order_decisions import describe_orders
 from baobabpulley.errors import EXIT_FAILED
 from baobabpulley.model.decisions import DecisionRecord
 
@@ -25,12 +27,21 @@
     required=True,
     help="An entry's settings file, for the fleet's secret.",
 )
-@click.option("--entry", "addresses", multiple=True, required=True, help="ip:port of an entry.")
-def explain(request_id: str, path: Path, addresses: tuple[str, ...]) -> None:
+@click.option("--entry", "addresses", multiple=True, help="ip:port of an entry.")
+@click.option("--keeper", "keepers", multiple=True, help="ip:port of a keeper, for its peers.")
+def explain(
+    request_id: str, path: Path, addresses: tuple[str, ...], keepers: tuple[str, ...]
+) -> None:
     """Show what was decided for a request, and why, at every entry that saw it.
 
-    Exits with code 1 if no entry keeps a record of it.
+    With --keeper, REQUEST_ID is the id of an upstream, and the orders to it are shown. Exits
+    with code 1 if nothing asked keeps a record of it.
     """
+    if keepers:
+        _explain_orders(request_id, path, keepers)
+        return
+    if not addresses:
+        raise click.UsageError("name entries with --entry, or keepers with --keeper")
     access = FleetAccess(checked_settings(path, daemon="entry"))
     target = f"/v1/explain/{quote(request_id, safe='')}"
     answers = asyncio.run(access.get_all(addresses, target, kind=DecisionRecord))
@@ -46,6 +57,21 @@
         sys.exit(EXIT_FAILED)
 
 
+def _explain_orders(upstream: str, path: Path, keepers: tuple[str, ...]) -> None:
+    settings = checked_settings(path, daemon="entry")
+    answers = asyncio.run(ask_keepers(settings, keepers, upstream))
+    found = False
+    for address, answer in answers.items():
+        if isinstance(answer, str):
+            click.echo(f"{address}: {answer}", err=True)
+            continue
+        found = found or bool(answer.decisions)
+        click.echo(describe_orders(address, answer))
+    if not found:
+        click.echo(f"no keeper asked keeps a record of orders to {upstream}", err=True)
+        sys.exit(EXIT_FAILED)
+
+
 def _describe(address: str, record: DecisionRecord) -> str:
     head = f"{record.request_id} at {address}: team {record.team}, lane {record.lane or '-'}"
     lines = [f"{head}, outcome {record.outcome}"]
--- /dev/null
+++ b/src/baobabpulley/cli/order_decisions.py
@@ -0,0 +1,58 @@
+"""What keepers decided about orders to an upstream, for ``baobabpulley explain``."""
+
+from __future__ import annotations
+
+import datetime
+
+from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.errors import BaobabError
+from baobabpulley.model.messages import TenderAnswer
+from baobabpulley.model.messages import TenderDecision
+from baobabpulley.model.messages import TenderQuestion
+from baobabpulley.settings import NodeSection
+from baobabpulley.settings import PeersSection
+from baobabpulley.settings import Settings
+from baobabpulley.timers import TimerService
+
+ASK_TIMEOUT = 5.0
+
+
+async def ask_keepers(
+    settings: Settings, addresses: tuple[str, ...], upstream: str
+) -> dict[str, TenderAnswer | str]:
+    """Return each keeper's answer, or why it gave none, by address."""
+    node = settings.get(NodeSection)
+    peers = PynngPeers(
+        node=f"{node.id}/explain", section=settings.get(PeersSection), timers=TimerService()
+    )
+    answers: dict[str, TenderAnswer | str] = {}
+    try:
+        for address in addresses:
+            question = TenderQuestion(upstream=upstream)
+            try:
+                answers[address] = await peers.ask(
+                    address, question, answer=TenderAnswer, timeout=ASK_TIMEOUT
+                )
+            except BaobabError as error:
+                answers[address] = error.message
+    finally:
+        peers.close()
+    return answers
+
+
+def describe_orders(address: str, answer: TenderAnswer) -> str:
+    """Return a keeper's decisions as lines of text."""
+    role = f"gives orders under fence {answer.fence}" if answer.holds else "gives no orders now"
+    head = f"{answer.vm} at {address}, failure domain {answer.failure_domain}: {role}"
+    return "\n".join([head, *(_line(decision) for decision in answer.decisions)])
+
+
+def _line(decision: TenderDecision) -> str:
+    at = datetime.datetime.fromtimestamp(decision.at, tz=datetime.UTC)
+    model = f"{decision.model} version {decision.version}" if decision.model else ""
+    parts = [f"  {at:%H:%M:%S}", decision.what, decision.upstream, model]
+    if decision.order:
+        parts.append(f"order {decision.order}")
+    if decision.reason:
+        parts.append(f"({decision.reason})")
+    return "  ".join(part for part in parts if part)
--- /dev/null
+++ b/testing/keeper_builders.py
@@ -0,0 +1,51 @@
+"""Keepers in the test's own process, from a settings file as a daemon reads it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.daemon import build_keeper
+from baobabpulley.settings import load_settings
+
+HOST = "127.0.0.1"
+NOWHERE = f"{HOST}:9"
+
+_SETTINGS = """
+[node]
+id = {vm}
+vm = {vm}
+failure_domain = {domain}
+http = {nowhere}
+speed = {speed}
+[peers]
+secret = a-secret-for-tests-only
+[keeper]
+address = {address}
+store = {nowhere}
+vm_list = {nowhere}
+also_reached_at = {proxies}
+"""
+
+
+def make_keeper(
+    directory: Path,
+    *,
+    vm: str,
+    domain: str,
+    address: str,
+    speed: float,
+    proxies: tuple[str, ...] = (),
+) -> KeeperContext:
+    """Return a keeper, not started, whose store and VM list do not answer."""
+    path = directory / f"{vm}.ini"
+    text = _SETTINGS.format(
+        vm=vm,
+        domain=domain,
+        nowhere=NOWHERE,
+        speed=speed,
+        address=address,
+        proxies=" ".join(proxies),
+    )
+    path.write_text(text, encoding="utf-8")
+    return build_keeper(load_settings(path, daemon="keeper"))
--- /dev/null
+++ b/testing/test_collection.py
@@ -0,0 +1,164 @@
+"""Loads and cache events: shared among keepers, followed over streams that may go silent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from testing.keeper_builders import HOST
+from testing.keeper_builders import make_keeper
+
+from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.fleet_state import FleetState
+from baobabpulley.keeper.fleet_state import FollowedEngine
+from baobabpulley.model.documents import ServiceDocument
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.documents import encode_document
+from baobabpulley.model.documents import service_key
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.standins.engine import EngineStandin
+from baobabpulley.standins.engine_core import EngineProfile
+from baobabpulley.standins.faults import FaultOrder
+from baobabpulley.timers import TimerService
+
+SPEED = 4.0
+ENGINES = 6
+KEEPERS = 2
+WAIT_SECONDS = 20.0
+
+
+def _rows(base: int) -> tuple[Vm, ...]:
+    entries = [
+        Vm(
+            id=f"vm-{index}",
+            role="entry",
+            failure_domain="fes",
+            address=f"{HOST}:{base + 10 * index}",
+        )
+        for index in range(KEEPERS)
+    ]
+    engines = [
+        Vm(
+            id=f"engine-{index}",
+            role="upstream",
+            failure_domain="fes",
+            address=f"{HOST}:{base + 50 + index}",
+            service="kitchen",
+        )
+        for index in range(ENGINES)
+    ]
+    return (*entries, *engines)
+
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def engines(base_port: int) -> AsyncIterator[list[EngineStandin]]:
+    running = []
+    for row in _rows(base_port)[KEEPERS:]:
+        engine = EngineStandin(
+            id=row.id,
+            address=row.address,
+            models=("recipes",),
+            profile=EngineProfile(),
+            timers=TimerService(speed=SPEED),
+        )
+        engine.start()
+        running.append(engine)
+    yield running
+    for engine in running:
+        engine.timers.cancel_all()
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def keepers(
+    base_port: int, engines: list[EngineStandin], tmp_path: Path
+) -> AsyncIterator[list[KeeperContext]]:
+    document = encode_document(ServiceDocument(kind="engine"))
+    service = StoredEntry(key=service_key("kitchen"), value=document, mod_revision=2)
+    contexts = []
+    for row in _rows(base_port)[:KEEPERS]:
+        context = make_keeper(tmp_path, vm=row.id, domain="fes", address=row.address, speed=SPEED)
+        context.view.set_vms(_rows(base_port))
+        context.view.book.install([service])
+        assert isinstance(context.peers, PynngPeers)
+        context.peers.start()
+        for name in ("membership", "fleet_state"):
+            await context.parts[name].start()
+        contexts.append(context)
+    yield contexts
+    for context in contexts:
+        await _end(context)
+
+
+async def _end(context: KeeperContext) -> None:
+    context.timers.cancel_all()
+    await context.parts["fleet_state"].stop()
+    context.peers.close()
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+def _followed(context: KeeperContext) -> dict[str, FollowedEngine]:
+    part = context.parts["fleet_state"]
+    assert isinstance(part, FleetState)
+    return part.followed
+
+
+def _is_shared(keepers: list[KeeperContext]) -> bool:
+    """Whether each keeper follows some engines, and no engine is followed twice."""
+    counts = [len(_followed(context)) for context in keepers]
+    return all(counts) and sum(counts) == ENGINES
+
+
+async def test_keepers_share_the_engines_and_take_over_from_a_dead_one(
+    keepers: list[KeeperContext],
+) -> None:
+    everything = {f"engine-{index}" for index in range(ENGINES)}
+    await _until(lambda: all(len(context.view.loads) == ENGINES for context in keepers))
+    await _until(lambda: _is_shared(keepers))
+    first, second = keepers
+    assert set(_followed(first)) | set(_followed(second)) == everything
+    await _end(second)
+    await _until(lambda: set(_followed(first)) == everything)
+
+
+async def test_silent_event_stream_is_reopened_on_a_new_connection(
+    keepers: list[KeeperContext], engines: list[EngineStandin]
+) -> None:
+    await _until(lambda: _is_shared(keepers))
+    followed = {id: item for context in keepers for id, item in _followed(context).items()}
+    await _until(lambda: all(item.incarnation for item in followed.values()))
+    reopened = {id: item.reopened for id, item in followed.items()}
+    silenced = engines[0].timers.now()
+    for engine in engines:
+        engine.faults.apply(FaultOrder(kind="silent"))
+    await _until(lambda: all(item.reopened > reopened[id] for id, item in followed.items()))
+    await _until(lambda: all(item.heard_at > silenced for item in followed.values()))
+    assert all(item.gap for item in followed.values())
+
+
+async def test_engine_whose_stream_says_nothing_is_asked(keepers: list[KeeperContext]) -> None:
+    await _until(lambda: all(len(context.view.loads) == ENGINES for context in keepers))
+    for context in keepers:
+        await context.parts["fleet_state"].stop()
+    context = keepers[0]
+    before = {id: load.report.sequence for id, load in context.view.loads.items()}
+    part = context.parts["fleet_state"]
+    assert isinstance(part, FleetState)
+    now = context.timers.now()
+    for upstream in context.view.upstreams.values():
+        part.followed[upstream.id] = FollowedEngine(upstream=upstream, every=0.5, now=now - 60)
+    await part._ask_quiet()
+    loads = context.view.loads
+    assert all(loads[id].report.sequence > sequence for id, sequence in before.items())
--- a/testing/test_members_fleet.py
+++ b/testing/test_members_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import sys
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -53,8 +54,9 @@
 class Watcher:
     """Ask the keepers of a fleet, as an entry does."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, directory: Path) -> None:
         self.fleet = fleet
+        self.directory = directory
         self.timers = TimerService(speed=SPEED)
         self.peers = PynngPeers(
             node="watcher", section=PeersSection(secret=SECRET), timers=self.timers
@@ -134,7 +136,7 @@
         },
     )
     async with Fleet(plan=plan, directory=directory) as fleet:
-        running = Watcher(fleet)
+        running = Watcher(fleet, directory)
         unfenced = ServiceDocument(kind="engine", checks_fencing=False)
         await running.put(service_key(ENGINE_SERVICE), unfenced)
         yield running
@@ -180,6 +182,26 @@
     repair = (await watcher.decisions("engine-1"))[before:]
     assert [item.what for item in repair if item.what != "unanswered"] == ["load", "confirmed"]
     assert repair[0].reason == "missing"
+    shown = await _explain(watcher, "engine-1")
+    assert f"{MODEL} version 1  order {repair[0].order}  (missing)" in shown
+    assert "confirmed  engine-1" in shown
+
+
+async def _explain(watcher: Watcher, upstream: str) -> str:
+    """Return what the command prints, asked of all keepers."""
+    keepers = [
+        option
+        for index in range(KEEPERS)
+        for option in ("--keeper", watcher.fleet.address_of(f"vm-{index}"))
+    ]
+    settings = watcher.directory / "entry-0.ini"
+    command = ["-m", "baobabpulley", "explain", upstream, "--settings", str(settings), *keepers]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *command, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await process.communicate()
+    assert process.returncode == 0
+    return output.decode()
 
 
 async def _is(value: Awaitable[Any], expected: Any) -> bool:
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -5,29 +5,22 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 import pytest_asyncio
+from testing.keeper_builders import make_keeper
 from testing.proxy import SilentProxy
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.keeper.context import KeeperContext
-from baobabpulley.keeper.daemon import KeeperSection
-from baobabpulley.keeper.daemon import build_keeper
-from baobabpulley.keeper.fleet_state import CollectionSection
 from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.membership import HeartbeatMembership
-from baobabpulley.keeper.membership import MembershipSection
-from baobabpulley.keeper.tender import TenderSection
 from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.upstreams import LEAVING
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.engine import CacheEvent
-from baobabpulley.settings import LogsSection
-from baobabpulley.settings import NodeSection
-from baobabpulley.settings import PeersSection
-from baobabpulley.settings import Settings
 
 SPEED = 4.0
 HOST = "127.0.0.1"
@@ -52,23 +45,6 @@
     return (*entries, *engines)
 
 
-def _keeper(vm: str, address: str, proxies: tuple[str, ...]) -> KeeperContext:
-    sections = {
-        "node": NodeSection(
-            id=vm, vm=vm, failure_domain=DOMAINS[vm], http=f"{HOST}:1", speed=SPEED
-        ),
-        "logs": LogsSection(),
-        "peers": PeersSection(secret="a-secret-for-tests-only"),
-        "keeper": KeeperSection(
-            address=address, store=f"{HOST}:9", vm_list=f"{HOST}:9", also_reached_at=proxies
-        ),
-        "membership": MembershipSection(),
-        "collection": CollectionSection(),
-        "tender": TenderSection(),
-    }
-    return build_keeper(Settings(daemon="keeper", sections=sections))
-
-
 @pytest_asyncio.fixture
 async def proxy(base_port: int) -> AsyncIterator[SilentProxy]:
     running = SilentProxy(listen=f"{HOST}:{base_port + 90}", target=f"{HOST}:{base_port + 10}")
@@ -78,12 +54,21 @@
 
 
 @pytest_asyncio.fixture
-async def keepers(base_port: int, proxy: SilentProxy) -> AsyncIterator[dict[str, KeeperContext]]:
+async def keepers(
+    base_port: int, proxy: SilentProxy, tmp_path: Path
+) -> AsyncIterator[dict[str, KeeperContext]]:
     """Two keepers of one failure domain and three of another; vm-0 reaches vm-1 by the proxy."""
     contexts = {}
-    for index, vm in enumerate(DOMAINS):
+    for index, (vm, domain) in enumerate(DOMAINS.items()):
         proxies = (f"{HOST}:{base_port + 90}",) if vm == "vm-1" else ()
-        context = _keeper(vm, f"{HOST}:{base_port + 10 * index}", proxies)
+        context = make_keeper(
+            tmp_path,
+            vm=vm,
+            domain=domain,
+            address=f"{HOST}:{base_port + 10 * index}",
+            speed=SPEED,
+            proxies=proxies,
+        )
         proxied = {"vm-1": f"{HOST}:{base_port + 90}"} if vm == "vm-0" else {}
         context.view.set_vms(_rows(base_port, proxied))
         assert isinstance(context.peers, PynngPeers)
