--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -132,6 +132,7 @@
                 self.traffic.received += len(data)
             message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
+            _raise_cancellation()
             # The next question opens a new connection: this one may be silent for good.
             self._forget(address, socket)
             raise PeerUnavailable(f"the process at {address} did not answer: {error!r}") from error
@@ -197,6 +198,7 @@
             except pynng.Closed:
                 return
             except pynng.NNGException:
+                _raise_cancellation()
                 continue
             self.traffic.received += len(data)
             try:
@@ -248,6 +250,13 @@
             listener(opened.message, opened.sender)
 
 
+def _raise_cancellation() -> None:
+    # pynng reports an operation that ends while its task is cancelled as that end alone.
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 S = TypeVar("S", bound=pynng.Socket)
 
 
