Stretch heartbeats between many failure domains, and count them in the budget

Cause: at 20 failure domains a delegate would exchange 19 heartbeats a second with others, about 5.7 KB/s by their size, on top of its own domain's. They are bounded to 4 a second and taken off control_bytes. The budget counted one message of a pair's two; it counts both now, with control_bytes 6400 for the same shares at 16 peers (5.0 reports a second, 850 bytes a second relayed).

--- a/src/baobabpulley/keeper/membership.py
+++ b/src/baobabpulley/keeper/membership.py
@@ -25,6 +25,7 @@
 from baobabpulley.model.messages import Heartbeat
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.control_budget import HEARTBEAT_BYTES
 from baobabpulley.policy.control_budget import ControlShare
 from baobabpulley.policy.control_budget import share_budget
 from baobabpulley.policy.rendezvous import ranked
@@ -36,11 +37,13 @@
 DELEGATES: Final = 2
 # Part of a period within which a heartbeat received makes one's own needless.
 FRESH_SHARE: Final = 0.7
+# Heartbeats that one delegate exchanges with other failure domains in a second, at most.
+BETWEEN_A_SECOND: Final = 4.0
 
 
 @section("membership", "keeper")
 class MembershipSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Times of heartbeats, which many peers stretch.
+    """Times of heartbeats, which many peers and many failure domains stretch.
 
     ``control_bytes`` is what heartbeats, load reports and relayed loads may take in a second,
     both ways together.
@@ -50,7 +53,7 @@
     timeout: Seconds = 0.8
     suspect_after: Seconds = 3.0
     between_domains: Seconds = 2.0
-    control_bytes: Count = 5_000
+    control_bytes: Count = 6_400
 
 
 @final
@@ -72,6 +75,8 @@
     """Exchange heartbeats and tell who is live."""
 
     __slots__ = (
+        "_between",
+        "_between_bytes",
         "_context",
         "_incarnation",
         "_listeners",
@@ -89,6 +94,8 @@
         self._relay = LoadRelay(view=context.view, timers=context.timers, peers=context.peers)
         self._listeners: list[Callable[[], None]] = []
         self._ticked_at = context.timers.now()
+        self._between = self._section.between_domains
+        self._between_bytes = 0
 
     @property
     def relay(self) -> LoadRelay:
@@ -99,7 +106,7 @@
     def share(self) -> ControlShare:
         """How the bytes for control are shared with the peers that are live now."""
         return share_budget(
-            budget=self._section.control_bytes,
+            budget=self._section.control_bytes - self._between_bytes,
             peers=max(0, len(self._context.view.live_keepers) - 1),
             period=self._section.period,
         )
@@ -164,12 +171,12 @@
         peer = self._peers.get(id)
         if peer is None or peer.failed_at < peer.heard_at:
             return False
-        retry = 2 * self._section.between_domains + self._section.suspect_after
+        retry = 2 * self._between + self._section.suspect_after
         return self._context.timers.now() - peer.failed_at < retry
 
     def _told_live(self, failure_domain: str) -> set[str] | None:
         now = self._context.timers.now()
-        lasts = self._section.suspect_after + 2 * self._section.between_domains
+        lasts = self._section.suspect_after + 2 * self._between
         told: set[str] | None = None
         for peer in self._peers.values():
             beat = peer.beat
@@ -205,14 +212,19 @@
 
     async def _reach_domains(self) -> None:
         own = self._context.node
+        domains = {vm.failure_domain for vm in self._listed()} - {own.failure_domain}
+        others = DELEGATES * len(domains)
+        self._between = max(self._section.between_domains, others / BETWEEN_A_SECOND)
+        self._between_bytes = 0
         if own.vm not in {vm.id for vm in self.delegates(own.failure_domain)}:
             return
+        self._between_bytes = int(2 * HEARTBEAT_BYTES * others / self._between)
         now = self._context.timers.now()
-        fresh = FRESH_SHARE * self._section.between_domains
-        for domain in {vm.failure_domain for vm in self._listed()} - {own.failure_domain}:
+        fresh = FRESH_SHARE * self._between
+        for domain in domains:
             for vm in self.delegates(domain):
                 peer = self._peers.setdefault(vm.id, PeerState())
-                if now - peer.heard_at >= fresh:
+                if now - max(peer.heard_at, peer.failed_at) >= fresh:
                     self._ask_soon(vm, peer)
 
     def _ask_soon(self, vm: Vm, peer: PeerState) -> None:
--- a/src/baobabpulley/policy/control_budget.py
+++ b/src/baobabpulley/policy/control_budget.py
@@ -27,14 +27,14 @@
 def share_budget(*, budget: int, peers: int, period: float) -> ControlShare:
     """Share ``budget`` bytes a second; what peers relay comes in at the rate at which it goes out.
 
-    >>> share_budget(budget=6_000, peers=0, period=1.0)
-    ControlShare(period=1.0, reports=17.647058823529413, relay_bytes=0)
-    >>> share_budget(budget=6_000, peers=16, period=1.0)
-    ControlShare(period=1.6, reports=6.617647058823529, relay_bytes=1125)
+    >>> share_budget(budget=6_800, peers=0, period=1.0)
+    ControlShare(period=1.0, reports=20.0, relay_bytes=0)
+    >>> share_budget(budget=6_400, peers=16, period=1.0)
+    ControlShare(period=1.6, reports=5.0, relay_bytes=850)
     """
     stretched = max(period, peers / PEERS_A_SECOND)
     # A pair exchanges one heartbeat each way in a period, so each keeper gets and sends one.
-    heartbeats = 2 * HEARTBEAT_BYTES * peers / stretched / 2
+    heartbeats = 2 * HEARTBEAT_BYTES * peers / stretched
     rest = max(0.0, budget - heartbeats)
     if not peers:
         return ControlShare(period=stretched, reports=rest / REPORT_BYTES, relay_bytes=0)
--- a/testing/test_collection.py
+++ b/testing/test_collection.py
@@ -61,19 +61,19 @@
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def engines(base_port: int) -> AsyncIterator[list[EngineStandin]]:
     running = []
+    timers = TimerService(speed=SPEED)
     for row in _rows(base_port)[KEEPERS:]:
         engine = EngineStandin(
             id=row.id,
             address=row.address,
             models=("recipes",),
             profile=EngineProfile(),
-            timers=TimerService(speed=SPEED),
+            timers=timers,
         )
         engine.start()
         running.append(engine)
     yield running
-    for engine in running:
-        engine.timers.cancel_all()
+    timers.cancel_all()
 
 
 @pytest_asyncio.fixture(loop_scope="module")
@@ -140,7 +140,7 @@
     followed = {id: item for context in keepers for id, item in _followed(context).items()}
     await _until(lambda: all(item.incarnation for item in followed.values()))
     reopened = {id: item.reopened for id, item in followed.items()}
-    silenced = engines[0].timers.now()
+    silenced = keepers[0].timers.now()
     for engine in engines:
         engine.faults.apply(FaultOrder(kind="silent"))
     await _until(lambda: all(item.reopened > reopened[id] for id, item in followed.items()))
