--- a/testing/test_collection.py
+++ b/testing/test_collection.py
@@ -73,6 +73,8 @@
         engine.start()
         running.append(engine)
     yield running
+    for engine in running:
+        await engine.stop()
     timers.cancel_all()
 
 
--- a/testing/test_order_wire.py
+++ b/testing/test_order_wire.py
@@ -40,6 +40,7 @@
     )
     running.start()
     yield running
+    await running.stop()
     timers.cancel_all()
 
 
