--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -12,6 +12,8 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+from baobabpulley.adapters.traffic import Traffic
+
 LATENCY_BUCKETS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6, 51.2, 102.4, 204.8)
 
 
@@ -67,7 +69,15 @@
 class KeeperMetrics:
     """What a keeper counts."""
 
-    __slots__ = ("alarms", "orders", "registry", "rejected", "revision", "store_calls")
+    __slots__ = (
+        "alarms",
+        "control_bytes",
+        "orders",
+        "registry",
+        "rejected",
+        "revision",
+        "store_calls",
+    )
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -81,6 +91,12 @@
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
+        self.control_bytes = Gauge(
+            "baobab_control_bytes",
+            "Bytes of the control traffic so far",
+            ["link", "direction"],
+            registry=self.registry,
+        )
         self.rejected = Gauge(
             "baobab_rejected_document_revision",
             "Revision of a stored document that is kept out",
@@ -88,6 +104,13 @@
             registry=self.registry,
         )
 
+    def follow_traffic(self, link: str, traffic: Traffic) -> None:
+        """Show the bytes of one kind of connection."""
+        sent = self.control_bytes.labels(link=link, direction="out")
+        sent.set_function(lambda: traffic.sent)
+        received = self.control_bytes.labels(link=link, direction="in")
+        received.set_function(lambda: traffic.received)
+
     def tell_rejected(self, revisions: Mapping[str, int]) -> None:
         """Show the documents that are kept out at present, by key."""
         self.rejected.clear()
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -14,6 +14,7 @@
     "settings",
     "limits",
     "bench",
+    "bench_control",
     "bench_converge",
     "bench_mix",
     "report",
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -5,29 +5,22 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from pathlib import Path
 
+import msgspec
 import pytest_asyncio
+from testing.keeper_builders import make_keeper
 from testing.proxy import SilentProxy
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
-from baobabpulley.keeper.changes import PromisesSection
 from baobabpulley.keeper.context import KeeperContext
-from baobabpulley.keeper.daemon import KeeperSection
-from baobabpulley.keeper.daemon import build_keeper
-from baobabpulley.keeper.fleet_state import CollectionSection
+from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.membership import HeartbeatMembership
-from baobabpulley.keeper.membership import MembershipSection
-from baobabpulley.keeper.relay import RelaySection
-from baobabpulley.keeper.tender import TenderSection
 from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.upstreams import LEAVING
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.engine import CacheEvent
-from baobabpulley.settings import LogsSection
-from baobabpulley.settings import NodeSection
-from baobabpulley.settings import PeersSection
-from baobabpulley.settings import Settings
 
 SPEED = 4.0
 HOST = "127.0.0.1"
@@ -52,25 +45,6 @@
     return (*entries, *engines)
 
 
-def _keeper(vm: str, address: str, proxies: tuple[str, ...]) -> KeeperContext:
-    sections = {
-        "node": NodeSection(
-            id=vm, vm=vm, failure_domain=DOMAINS[vm], http=f"{HOST}:1", speed=SPEED
-        ),
-        "logs": LogsSection(),
-        "peers": PeersSection(secret="a-secret-for-tests-only"),
-        "keeper": KeeperSection(
-            address=address, store=f"{HOST}:9", vm_list=f"{HOST}:9", also_reached_at=proxies
-        ),
-        "membership": MembershipSection(),
-        "collection": CollectionSection(),
-        "tender": TenderSection(),
-        "promises": PromisesSection(),
-        "relay": RelaySection(),
-    }
-    return build_keeper(Settings(daemon="keeper", sections=sections))
-
-
 @pytest_asyncio.fixture
 async def proxy(base_port: int) -> AsyncIterator[SilentProxy]:
     running = SilentProxy(listen=f"{HOST}:{base_port + 90}", target=f"{HOST}:{base_port + 10}")
@@ -80,12 +54,21 @@
 
 
 @pytest_asyncio.fixture
-async def keepers(base_port: int, proxy: SilentProxy) -> AsyncIterator[dict[str, KeeperContext]]:
+async def keepers(
+    base_port: int, proxy: SilentProxy, tmp_path: Path
+) -> AsyncIterator[dict[str, KeeperContext]]:
     """Two keepers of one failure domain and three of another; vm-0 reaches vm-1 by the proxy."""
     contexts = {}
-    for index, vm in enumerate(DOMAINS):
+    for index, (vm, domain) in enumerate(DOMAINS.items()):
         proxies = (f"{HOST}:{base_port + 90}",) if vm == "vm-1" else ()
-        context = _keeper(vm, f"{HOST}:{base_port + 10 * index}", proxies)
+        context = make_keeper(
+            tmp_path,
+            vm=vm,
+            domain=domain,
+            address=f"{HOST}:{base_port + 10 * index}",
+            speed=SPEED,
+            proxies=proxies,
+        )
         proxied = {"vm-1": f"{HOST}:{base_port + 90}"} if vm == "vm-0" else {}
         context.view.set_vms(_rows(base_port, proxied))
         assert isinstance(context.peers, PynngPeers)
@@ -168,7 +151,7 @@
     return LoadReport(
         upstream=upstream,
         incarnation="a",
-        sequence=1,
+        sequence=sequence,
         queued=queued,
         queued_high=0,
         running=0,
@@ -196,7 +179,10 @@
     collector.view.mark_leaving("engine-2")
     await _until(lambda: len(peer.view.loads) == 2 and bool(published))
     await _until(lambda: len(peer.view.leaving) == 2)
-    assert peer.view.loads["engine-0"].report.queued == 70_000
+    whole = msgspec.structs.replace(peer.view.loads["engine-0"].report, age=0.0)
+    assert whole == _report("engine-0", queued=70_000)
+    collector.view.set_load(_report("engine-0", queued=90_000, sequence=2), taken=now)
+    await _until(lambda: peer.view.loads["engine-0"].report.queued == 90_000)
     assert [item.upstream for item in peer.view.leaving] == ["engine-1", "engine-2"]
     news = published[0]
     assert isinstance(news, CacheNews)
@@ -221,16 +207,21 @@
     relay.batch("vm-9", max_bytes=10_000)
     for index, id in enumerate(sorted(own)):
         view.set_load(_report(id, queued=index * 20_000), taken=0.0)
-    loads, _ = relay.batch("vm-9", max_bytes=150)
-    assert len(loads) == 2
-    rest, _ = relay.batch("vm-9", max_bytes=10_000)
-    assert {load.upstream for load in (*loads, *rest)} == own
-    assert relay.batch("vm-9", max_bytes=10_000)[0] == ()
+    first = relay.batch("vm-9", max_bytes=150)
+    assert len(first.loads) == 2
+    second = relay.batch("vm-9", max_bytes=10_000)
+    assert {load.upstream for load in (*first.loads, *second.loads)} == own
+    assert relay.batch("vm-9", max_bytes=10_000) == Batch()
+    for id in own:
+        view.set_load(_report(id, queued=90_000, sequence=2), taken=0.0)
+    third = relay.batch("vm-9", max_bytes=110)
+    assert [change.upstream for change in third.changes] == ["engine-0", "engine-1", "engine-2"]
+    relay.batch("vm-9", max_bytes=10_000)
     for sequence in range(50):
         relay.add_news(
             "engine-0", "a", CacheEvent(sequence=sequence, stored=tuple(range(8))), gap=False
         )
-    _, news = relay.batch("vm-9", max_bytes=300)
+    news = relay.batch("vm-9", max_bytes=300).news
     assert [item.sequence for item in news] == [48, 49]
     assert news[0].gap
     assert relay.dropped == 48
