--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -15,6 +15,7 @@
     "limits",
     "bench",
     "bench_converge",
+    "bench_mix",
     "report",
     "explain",
 )
