--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
@@ -11,6 +12,17 @@
 from baobabpulley.errors import UpstreamUnreached
 
 
+class NoDelayStream(IOStream):
+    """A connection on which each write leaves at once, whatever its user sets between."""
+
+    def __init__(self, plain: socket.socket, **options: Any) -> None:
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(plain, **options)
+
+    def set_nodelay(self, value: bool) -> None:
+        """Leave Nagle's algorithm off: a token that waits for an ACK is late."""
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port``.
 
@@ -27,8 +39,7 @@
     ``timeout`` is in real seconds.
     """
     plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream = IOStream(plain)
+    stream = NoDelayStream(plain)
     try:
         async with asyncio.timeout(timeout):
             await stream.connect(split_address(address))
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -8,7 +8,14 @@
 import click
 
 # Modules that add commands to `cli` when they are imported.
-_COMMAND_MODULES: Final = ("daemons", "standins", "settings", "report", "explain")
+_COMMAND_MODULES: Final = (
+    "bench_path",
+    "daemons",
+    "explain",
+    "report",
+    "settings",
+    "standins",
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_client.py
@@ -0,0 +1,205 @@
+"""A client process of a bench, light enough not to be what is measured."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.standins.text import make_prompt
+
+MAX_MICROSECONDS: Final = 60_000_000
+DIGITS: Final = 3
+REQUEST_TIMEOUT: Final = 30.0
+
+_LAST_CHUNK: Final = b"0\r\n\r\n"
+_WHOLE_ANSWER: Final = b"data: [DONE]"
+_EVENT: Final = b"data: "
+
+
+class ClientOrder(msgspec.Struct, frozen=True):
+    """What one client sends: streamed completions of one length.
+
+    With ``rate`` 0 each connection sends again as soon as it has its answer; else requests leave
+    at ``rate`` a second in all, at random times. ``direct`` calls an engine itself.
+    """
+
+    address: str
+    token: str
+    model: str
+    connections: int
+    seconds: float
+    rate: float = 0.0
+    direct: bool = False
+    prompt_tokens: int = 256
+    max_tokens: int = 2
+    seed: int = 0
+
+
+class ClientResult(msgspec.Struct, frozen=True):
+    """What came back. Histograms are encoded `HdrHistogram` of microseconds, times real seconds."""
+
+    whole: int
+    failed: int
+    elapsed: float
+    first_token: str
+    cpu: float
+
+
+@final
+class Connection:
+    """One keep-alive connection that sends a request and reads its whole stream."""
+
+    __slots__ = ("_reader", "_writer")
+
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def exchange(self, request: bytes) -> tuple[float, bool]:
+        """Return the seconds to the first event, and whether the answer is whole."""
+        started = time.perf_counter()
+        first = 0.0
+        self._writer.write(request)
+        received = b""
+        async with asyncio.timeout(REQUEST_TIMEOUT):
+            while not received.endswith(_LAST_CHUNK):
+                piece = await self._reader.read(65_536)
+                if not piece:
+                    return first, False
+                received += piece
+                if not first and _EVENT in received:
+                    first = time.perf_counter() - started
+                if first == 0.0 and b"Content-Length" in received:
+                    return first, False
+        return first, _WHOLE_ANSWER in received
+
+
+@final
+class Tally:
+    """Counts and times of one client."""
+
+    __slots__ = ("failed", "first_token", "whole")
+
+    def __init__(self) -> None:
+        self.whole = 0
+        self.failed = 0
+        self.first_token = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+
+    def add(self, *, first: float, whole: bool) -> None:
+        """Count one answer."""
+        self.whole += whole
+        self.failed += not whole
+        if whole:
+            self.first_token.record_value(max(1, round(first * 1e6)))
+
+
+async def run_client(order: ClientOrder) -> ClientResult:
+    """Carry out an order and return what was measured."""
+    tally = Tally()
+    started = time.perf_counter()
+    cpu = time.process_time()
+    make = _direct_request if order.direct else _entry_request
+    if order.rate:
+        await _send_at_rate(order, make(order), tally, end=started + order.seconds)
+    else:
+        request, end = make(order), started + order.seconds
+        loops = (_send_in_turn(order, request, tally, end=end) for _ in range(order.connections))
+        await asyncio.gather(*loops)
+    return ClientResult(
+        whole=tally.whole,
+        failed=tally.failed,
+        elapsed=time.perf_counter() - started,
+        first_token=tally.first_token.encode().decode(),
+        cpu=time.process_time() - cpu,
+    )
+
+
+async def _open(order: ClientOrder) -> Connection:
+    host, port = split_address(order.address)
+    reader, writer = await asyncio.open_connection(host, port)
+    return Connection(reader=reader, writer=writer)
+
+
+async def _send_in_turn(
+    order: ClientOrder, request: Callable[[], bytes], tally: Tally, *, end: float
+) -> None:
+    connection = await _open(order)
+    while time.perf_counter() < end:
+        first, whole = await connection.exchange(request())
+        tally.add(first=first, whole=whole)
+        if not whole:
+            connection = await _open(order)
+
+
+async def _send_at_rate(
+    order: ClientOrder, request: Callable[[], bytes], tally: Tally, *, end: float
+) -> None:
+    idle = [await _open(order) for _ in range(order.connections)]
+    chance = random.Random(order.seed)
+    running: set[asyncio.Task[None]] = set()
+
+    async def send() -> None:
+        connection = idle.pop() if idle else await _open(order)
+        first, whole = await connection.exchange(request())
+        tally.add(first=first, whole=whole)
+        if whole:
+            idle.append(connection)
+
+    due = time.perf_counter()
+    while due < end:
+        due += chance.expovariate(order.rate)
+        await asyncio.sleep(max(0.0, due - time.perf_counter()))
+        task = asyncio.create_task(send())
+        running.add(task)
+        task.add_done_callback(running.discard)
+    await asyncio.gather(*running)
+
+
+def _entry_request(order: ClientOrder) -> Callable[[], bytes]:
+    body = {
+        "model": order.model,
+        "prompt": make_prompt(tokens=order.prompt_tokens, seed=order.seed),
+        "max_tokens": order.max_tokens,
+        "stream": True,
+    }
+    request = _frame(order, msgspec.json.encode(body))
+    return lambda: request
+
+
+def _direct_request(order: ClientOrder) -> Callable[[], bytes]:
+    prompt = make_prompt(tokens=order.prompt_tokens, seed=order.seed)
+
+    def build() -> bytes:
+        attempt = secrets.token_hex(8)
+        call = EngineCall(
+            attempt=attempt,
+            request_id=attempt,
+            holder="bench",
+            model=order.model,
+            prompt=prompt,
+            max_tokens=order.max_tokens,
+            seed=0,
+            priority=0,
+            deadline=600.0,
+        )
+        return _frame(order, msgspec.json.encode(call))
+
+    return build
+
+
+def _frame(order: ClientOrder, body: bytes) -> bytes:
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: {order.address}\r\n"
+        f"Authorization: Bearer {order.token}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_path.py
@@ -0,0 +1,236 @@
+"""Measure the entry's own cost: short completions a second, and time to first token added."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+from typing import final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from baobabpulley.emulator.bench_client import DIGITS
+from baobabpulley.emulator.bench_client import MAX_MICROSECONDS
+from baobabpulley.emulator.bench_client import ClientOrder
+from baobabpulley.emulator.bench_client import ClientResult
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.fleet import Process
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.errors import BaobabError
+
+# Stand-ins run this many times faster, so that their own model time hides nothing.
+SPEED: Final = 20.0
+WARM_UP_SECONDS: Final = 1.0
+KEEP_ALIVE_SECONDS: Final = 60.0
+REFRESH_SECONDS: Final = 0.25
+HALF: Final = 0.5
+# Direct calls leave at this share of the rate of those through the entry.
+DIRECT_SHARE: Final = 0.2
+
+
+@final
+class PathPlan:
+    """Size of the run; ``seconds`` are real."""
+
+    __slots__ = ("base_port", "clients", "connections", "engines", "seconds", "seed")
+
+    def __init__(
+        self,
+        *,
+        base_port: int,
+        seconds: float,
+        clients: int,
+        engines: int,
+        connections: int,
+        seed: int,
+    ) -> None:
+        self.base_port = base_port
+        self.seconds = seconds
+        self.clients = clients
+        self.engines = engines
+        self.connections = connections
+        self.seed = seed
+
+
+class Times(msgspec.Struct, frozen=True):
+    """Milliseconds to the first token."""
+
+    count: int
+    mean: float
+    p50: float
+    p95: float
+    p99: float
+
+
+class PathReport(msgspec.Struct, frozen=True):
+    """What the run gave.
+
+    ``per_second`` is at full load of one entry, ``entry_cores`` the cores that it used then,
+    ``entry_to_engines`` its processor time over that of all engines, ``client_cores`` those of
+    the busiest client. ``added_*`` are milliseconds at half of that load, over direct calls in
+    the same run.
+    """
+
+    seed: int
+    per_second: float
+    per_cpu_second: float
+    entry_cores: float
+    entry_to_engines: float
+    client_cores: float
+    half_rate: float
+    entry: Times
+    direct: Times
+    added_mean: float
+    added_p50: float
+    added_p95: float
+    failed: int
+
+
+async def measure_path(plan: PathPlan) -> PathReport:
+    """Start a fleet of one entry, load it fully, then by half beside direct calls."""
+    fleet_plan = FleetPlan(
+        base_port=plan.base_port,
+        domains=("fes",),
+        entries=1,
+        engines=plan.engines,
+        plain_services=0,
+        speed=SPEED,
+        entry_sections={
+            "callers": {"header_timeout": str(KEEP_ALIVE_SECONDS * SPEED)},
+            "keeper": {"refresh": str(REFRESH_SECONDS * SPEED)},
+            "logs": {"level": "WARNING"},
+        },
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(plan=fleet_plan, directory=Path(directory)) as fleet:
+            return await _measure(fleet, plan)
+
+
+async def _measure(fleet: Fleet, plan: PathPlan) -> PathReport:
+    await _run_all([_order(fleet, plan, seconds=WARM_UP_SECONDS)])
+    engines_cpu, cpu = _engines_cpu(fleet), _cpu_seconds(fleet.processes["entry-0"])
+    full = await _run_all([_order(fleet, plan, index=index) for index in range(plan.clients)])
+    cpu = _cpu_seconds(fleet.processes["entry-0"]) - cpu
+    engines_cpu = _engines_cpu(fleet) - engines_cpu
+    whole = sum(result.whole for result in full)
+    elapsed = max(result.elapsed for result in full)
+    half = HALF * whole / elapsed
+    through = [
+        _order(fleet, plan, index=index, rate=half / plan.clients) for index in range(plan.clients)
+    ]
+    beside = _order(fleet, plan, rate=DIRECT_SHARE * half, direct=True)
+    *via_entry, direct = await _run_all([*through, beside])
+    entry_times, direct_times = _times(via_entry), _times([direct])
+    return PathReport(
+        seed=plan.seed,
+        per_second=round(whole / elapsed, 1),
+        per_cpu_second=round(whole / cpu, 1),
+        entry_cores=round(cpu / elapsed, 3),
+        entry_to_engines=round(cpu / engines_cpu, 3),
+        client_cores=round(max(result.cpu / result.elapsed for result in full), 3),
+        half_rate=round(half, 1),
+        entry=entry_times,
+        direct=direct_times,
+        added_mean=round(entry_times.mean - direct_times.mean, 3),
+        added_p50=round(entry_times.p50 - direct_times.p50, 3),
+        added_p95=round(entry_times.p95 - direct_times.p95, 3),
+        failed=sum(result.failed for result in [*full, *via_entry, direct]),
+    )
+
+
+def render_report(report: PathReport) -> str:
+    """Return the report as a table."""
+    rows = [
+        ("completions a second at full load", f"{report.per_second:.0f}"),
+        ("completions a CPU second of the entry", f"{report.per_cpu_second:.0f}"),
+        ("cores used by the entry", f"{report.entry_cores:.2f}"),
+        ("processor time over that of all engines", f"{report.entry_to_engines:.2f}"),
+        ("cores used by the busiest client", f"{report.client_cores:.2f}"),
+        ("rate at half load, a second", f"{report.half_rate:.0f}"),
+        ("first token through the entry p50/p95, ms", _pair(report.entry)),
+        ("first token of a direct call p50/p95, ms", _pair(report.direct)),
+        ("first token added mean/p50/p95, ms", _added(report)),
+        ("failed", str(report.failed)),
+    ]
+    return "\n".join(f"{name:<44} {value:>20}" for name, value in rows)
+
+
+def _order(
+    fleet: Fleet,
+    plan: PathPlan,
+    *,
+    index: int = 0,
+    seconds: float | None = None,
+    rate: float = 0.0,
+    direct: bool = False,
+) -> ClientOrder:
+    address = fleet.address_of("engine-0") if direct else fleet.entries["entry-0"]
+    return ClientOrder(
+        address=address,
+        token=caller_token("souk"),
+        model=MODEL,
+        connections=plan.connections,
+        seconds=seconds or plan.seconds,
+        rate=rate,
+        direct=direct,
+        seed=plan.seed * 1_000 + index + 500 * direct,
+    )
+
+
+async def _run_all(orders: list[ClientOrder]) -> list[ClientResult]:
+    return list(await asyncio.gather(*(_run(order) for order in orders)))
+
+
+async def _run(order: ClientOrder) -> ClientResult:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "baobabpulley",
+        "bench",
+        "client",
+        msgspec.json.encode(order).decode(),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    if process.returncode != 0:
+        raise BaobabError(f"a client of the bench ended with code {process.returncode}")
+    return msgspec.json.decode(output, type=ClientResult)
+
+
+def _times(results: list[ClientResult]) -> Times:
+    merged = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+    for result in results:
+        merged.decode_and_add(result.first_token.encode())
+    return Times(
+        count=merged.total_count,
+        mean=round(merged.get_mean_value() / 1e3, 3),
+        p50=merged.get_value_at_percentile(50.0) / 1e3,
+        p95=merged.get_value_at_percentile(95.0) / 1e3,
+        p99=merged.get_value_at_percentile(99.0) / 1e3,
+    )
+
+
+def _engines_cpu(fleet: Fleet) -> float:
+    engines = [item for name, item in fleet.processes.items() if name.startswith("engine")]
+    return sum(_cpu_seconds(engine) for engine in engines)
+
+
+def _cpu_seconds(process: Process) -> float:
+    fields = (
+        Path(f"/proc/{process.pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    )
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _pair(times: Times) -> str:
+    return f"{times.p50:.2f} / {times.p95:.2f}"
+
+
+def _added(report: PathReport) -> str:
+    return f"{report.added_mean:.2f} / {report.added_p50:.2f} / {report.added_p95:.2f}"
--- a/src/baobabpulley/entry/listener.py
+++ b/src/baobabpulley/entry/listener.py
@@ -16,6 +16,7 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from baobabpulley.adapters.addresses import NoDelayStream
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.context import EntryContext
@@ -35,7 +36,7 @@
 
 
 @final
-class CallerStream(IOStream):
+class CallerStream(NoDelayStream):
     """A connection that answers malformed HTTP and long headers with typed errors."""
 
     def write(self, data: bytes | memoryview) -> Future[None]:
