--- a/src/baobabpulley/entry/web.py
+++ b/src/baobabpulley/entry/web.py
@@ -59,6 +59,9 @@
         usable = given.isascii() and given.isprintable() and 0 < len(given) <= MAX_REQUEST_ID
         self._request_id = given if usable else secrets.token_hex(8)
         self.set_default_headers()
+        if context.lifecycle.draining:
+            # A caller's next request then opens a connection to an entry that stays.
+            self.set_header("Connection", "close")
 
     @property
     def context(self) -> EntryContext:
@@ -70,6 +73,11 @@
         """The caller's own request id, or one made here."""
         return self._request_id
 
+    def check_open(self) -> None:
+        """Raise `NotReady` once the balancer knows that this entry is shutting down."""
+        if self._context.lifecycle.refusing:
+            raise NotReady("this entry is shutting down", retry_after=1.0)
+
     def authenticate(self) -> str:
         """Return the client account of the bearer token."""
         if not self._context.view.ready:
