--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -214,7 +214,7 @@
         self._client.close()
 
     async def start(self) -> None:
-        """Start all processes and wait until every entry is ready."""
+        """Start all processes and wait until every upstream listens and every entry is ready."""
         self._start_platform()
         await self.wait_for(self.store_address, "/counts")
         await self.wait_for(self.vm_list_address, "/vms")
@@ -225,6 +225,9 @@
         for name, process in self.processes.items():
             if name.startswith(("keeper", "entry")):
                 process.start()
+        for vm in self.vms:
+            if vm.role == "upstream":
+                await self.wait_for(vm.address, "/journal")
         for address in self.entries.values():
             await self.wait_for(address, "/readyz")
 
