--- a/src/baobabpulley/settings.py
+++ b/src/baobabpulley/settings.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Annotated
 from typing import Any
+from typing import Final
 from typing import TypeVar
 from typing import cast
 from typing import final
@@ -27,6 +28,9 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
+SECRET_OPTIONS: Final = frozenset({"secret"})
+HIDDEN: Final = "(hidden)"
+
 _SECTIONS: dict[str, dict[str, type[msgspec.Struct]]] = {"entry": {}, "keeper": {}}
 
 
@@ -92,6 +96,11 @@
         raise SettingsFault(f"no section of type {kind.__name__} belongs to {self._daemon}")
 
 
+def section_kinds(daemon: str) -> dict[str, type[msgspec.Struct]]:
+    """Return the registered sections of a daemon by name."""
+    return dict(_SECTIONS[daemon])
+
+
 def load_settings(path: Path, *, daemon: str) -> Settings:
     """Read and check a settings file; raise `SettingsFault` that lists every fault."""
     parser = configparser.ConfigParser(interpolation=None)
@@ -131,7 +140,8 @@
         try:
             values[option] = _convert(text, fields[option].type)
         except msgspec.ValidationError as error:
-            faults.append(f"{path}: [{name}] {option} = {text}: {error}; mend the value")
+            shown = HIDDEN if option in SECRET_OPTIONS else text
+            faults.append(f"{path}: [{name}] {option} = {shown}: {error}; mend the value")
     for option, field in fields.items():
         if field.required and option not in options:
             faults.append(f"{path}: [{name}] {option}: missing; add the option")
--- /dev/null
+++ b/testing/test_settings_files.py
@@ -0,0 +1,90 @@
+"""Settings files: the examples check, faults are told all at once, and the pages name all."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.adapters.metrics import KeeperMetrics
+from baobabpulley.cli.main import cli
+from baobabpulley.cli.main import load_commands
+from baobabpulley.errors import EXIT_BAD_SETTINGS
+from baobabpulley.errors import error_kinds
+from baobabpulley.settings import load_settings
+from baobabpulley.settings import section_kinds
+
+ROOT = Path(__file__).resolve().parent.parent
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+
+FAULTY = """\
+[node]
+id = UPPER
+vm = vm-1
+http = nowhere
+color = red
+[shop]
+a = 1
+[keeper]
+address = 127.0.0.1:1
+[peers]
+secret = too-short
+[callers]
+max_body_bytes = 0
+"""
+
+
+load_commands()
+
+
+@pytest.mark.parametrize("daemon", ["entry", "keeper"])
+def test_example_settings_check(daemon: str) -> None:
+    path = ROOT / "examples" / f"{daemon}.ini"
+    outcome = CliRunner().invoke(cli, ["settings", "check", "--daemon", daemon, str(path)])
+    assert (outcome.exit_code, "no faults" in outcome.output) == (0, True)
+    assert load_settings(path, daemon=daemon).daemon == daemon
+
+
+def test_all_faults_are_told_at_once_and_secrets_are_not(tmp_path: Path) -> None:
+    path = tmp_path / "faulty.ini"
+    path.write_text(FAULTY, encoding="utf-8")
+    outcome = CliRunner().invoke(cli, ["settings", "check", "--daemon", "entry", str(path)])
+    assert outcome.exit_code == EXIT_BAD_SETTINGS
+    lines = outcome.output.splitlines()
+    for part in (
+        "[shop]: unknown section; allowed: ",
+        "[node] id = UPPER: Expected `str` matching regex",
+        "[node] http = nowhere: Expected `str` matching regex",
+        "[node] color = red: unknown option; allowed: ",
+        "[node] failure_domain: missing",
+        "[peers] secret = (hidden): Expected `str` of length >= 16",
+        "[callers] max_body_bytes = 0: Expected `int` >= 1",
+    ):
+        assert sum(str(path) in line and part in line for line in lines) == 1, part
+    assert "remedy: " in outcome.output
+    assert "too-short" not in outcome.output
+
+
+@pytest.mark.parametrize("code", sorted(error_kinds()))
+def test_operations_page_names_error_code(code: str) -> None:
+    assert f"`{code}`" in OPERATIONS
+
+
+@pytest.mark.parametrize("daemon", ["entry", "keeper"])
+def test_operations_page_names_each_setting(daemon: str) -> None:
+    missing = [
+        f"[{name}] {field.name}"
+        for name, kind in section_kinds(daemon).items()
+        for field in msgspec.structs.fields(kind)
+        if f"`[{name}] {field.name}`" not in OPERATIONS
+    ]
+    assert missing == []
+
+
+@pytest.mark.parametrize("metrics", [EntryMetrics, KeeperMetrics], ids=["entry", "keeper"])
+def test_operations_page_names_each_metric(metrics: type[EntryMetrics | KeeperMetrics]) -> None:
+    families = [family.name for family in metrics().registry.collect()]
+    assert [name for name in families if f"`{name}`" not in OPERATIONS] == []
