--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -9,12 +9,15 @@
 
 # Modules that add commands to `cli` when they are imported.
 _COMMAND_MODULES: Final = (
-    "bench_path",
     "daemons",
-    "explain",
-    "report",
-    "settings",
     "standins",
+    "settings",
+    "limits",
+    "bench",
+    "bench_converge",
+    "report",
+    "explain",
+    "bench_path",
 )
 
 
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import msgspec
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 from tornado.web import RequestHandler
@@ -34,7 +35,14 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "fleet_state", "membership", "tender")
+_PART_MODULES: Final = (
+    "settings_watch",
+    "relay",
+    "changes",
+    "fleet_state",
+    "membership",
+    "tender",
+)
 
 # Sections are registered on import, so this must be done before any settings are read.
 for _name in _PART_MODULES:
@@ -64,7 +72,7 @@
     metrics = KeeperMetrics()
 
     def alarm(kind: str, message: str) -> None:
-        del message
+        logger.warning("alarm {}: {}", kind, message)
         metrics.alarms.labels(kind=kind).inc()
 
     context = KeeperContext(
@@ -142,6 +150,11 @@
 
 class _MetricsHandler(_Handler):
     def get(self) -> None:
-        self._context.metrics.revision.set(self._context.view.book.revision)
+        metrics = self._context.metrics
+        book = self._context.view.book
+        metrics.revision.set(book.revision)
+        metrics.tell_rejected(book.rejected)
+        if isinstance(self._context.store, EtcdStore):
+            metrics.store_calls.set(self._context.store.calls)
         self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
         self.finish(render_metrics(self._context.registry))
