--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,9 +7,13 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
+
+from baobabpulley.adapters.http_client import fetch
 from baobabpulley.emulator.caller import Caller
 from baobabpulley.emulator.caller import Completion
 from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import PLAIN_SERVICE
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
 from baobabpulley.emulator.fleet import caller_token
@@ -19,6 +23,8 @@
 BASE_PORT = 21_000
 SPEED = 4.0
 MAX_TOKENS = 16
+ORDER_TIMEOUT = 10.0
+CREATED = 201
 LENGTHS = (1_000, 1_000, 1_000, 8_000, 8_000, 32_000, 100_000)
 
 
@@ -28,7 +34,8 @@
         plan = FleetPlan(base_port=BASE_PORT, speed=SPEED)
         async with Fleet(plan=plan, directory=Path(directory)) as fleet:
             print(f"{len(fleet.processes)} processes are up")
-            return await send_prompts(fleet)
+            wrong = await send_prompts(fleet)
+            return wrong or await place_order(fleet)
 
 
 async def send_prompts(fleet: Fleet) -> int:
@@ -57,6 +64,26 @@
     return 1 if wrong else 0
 
 
+async def place_order(fleet: Fleet) -> int:
+    """Place one order through an entry; return 0 only if it ran exactly once."""
+    address = next(iter(fleet.entries.values()))
+    order = {"spice": "cumin", "kilograms": 2}
+    status, body = await fetch(
+        fleet.client,
+        address=address,
+        method="POST",
+        path=f"/services/{PLAIN_SERVICE}/orders",
+        body=msgspec.json.encode(order),
+        headers={"Authorization": f"Bearer {caller_token('souk')}"},
+        timeout=ORDER_TIMEOUT,
+    )
+    ran = await fleet.request(fleet.address_of("service-0"), "GET", "/journal")
+    once = [line["order"] for line in ran["lines"]] == [order]
+    right = status == CREATED and once
+    print(f"order: status {status}, {'ran once' if right else f'WRONG: {body!r}'}")
+    return 0 if right else 1
+
+
 def is_right(prompt: str, answer: Completion, *, seed: int) -> bool:
     """Whether an answer is the engine's own text for the prompt, from its first token to last."""
     return answer.ok and answer.text == expected_text(prompt, seed=seed, max_tokens=MAX_TOKENS)
