--- a/testing/test_bad_input.py
+++ b/testing/test_bad_input.py
@@ -13,6 +13,7 @@
 import pytest_asyncio
 from builders import WAIT_SECONDS
 
+from baobabpulley.adapters.http_client import fetch
 from baobabpulley.emulator.caller import Caller
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
@@ -184,6 +185,20 @@
     assert [model["id"] for model in json.loads(answer.body)["data"]] == [MODEL]
 
 
+@pytest.mark.parametrize("daemon", ["entry", "keeper"])
+@pytest.mark.parametrize("path", ["/healthz", "/readyz", "/metrics"])
+async def test_each_daemon_tells_health_readiness_and_metrics(
+    fleet: Fleet, daemon: str, path: str
+) -> None:
+    keeper = f"127.0.0.1:{fleet.plan.base_port + 800}"
+    address = fleet.entries["entry-0"] if daemon == "entry" else keeper
+    status, body = await fetch(
+        fleet.client, address=address, method="GET", path=path, timeout=WAIT_SECONDS
+    )
+    assert status == 200
+    assert path != "/metrics" or b"baobab_settings_revision" in body
+
+
 @pytest.mark.parametrize("stream", [True, False], ids=["streamed", "whole"])
 async def test_request_id_comes_back(fleet: Fleet, stream: bool) -> None:
     caller = Caller(token=TOKEN, model=MODEL)
