--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -53,6 +53,7 @@
     __slots__ = (
         "base_port",
         "daemons",
+        "dialect",
         "domains",
         "engine_options",
         "engines",
@@ -80,9 +81,11 @@
         entry_sections: dict[str, dict[str, str]] | None = None,
         keeper_sections: dict[str, dict[str, str]] | None = None,
         daemons: tuple[str, ...] = ("keeper", "entry"),
+        dialect: str = "chunked",
     ) -> None:
         self.base_port = base_port
         self.daemons = daemons
+        self.dialect = dialect
         self.domains = domains
         self.entries = entries
         self.engines = engines
@@ -217,7 +220,7 @@
         self._client.close()
 
     async def start(self) -> None:
-        """Start all processes and wait until every upstream listens and every entry is ready."""
+        """Start all processes and wait until every upstream answers and every entry is ready."""
         self._start_platform()
         await self.wait_for(self.store_address, "/counts")
         await self.wait_for(self.vm_list_address, "/vms")
@@ -332,14 +335,15 @@
 
     def _write_vm(self, index: int) -> None:
         plan = self._plan
+        http = f"{HOST}:{plan.base_port + 600 + index}"
         vm = Vm(
             id=f"vm-{index}",
             role="entry",
             failure_domain=plan.domain_of(index),
             address=f"{HOST}:{plan.base_port + 400 + 4 * index}",
+            http=http,
         )
         self.vms.append(vm)
-        http = f"{HOST}:{plan.base_port + 600 + index}"
         self.entries[f"entry-{index}"] = http
         entry_sections = {
             "node": self._node(f"entry-{index}", vm, http),
@@ -387,7 +391,7 @@
 
     async def _write_settings(self) -> None:
         documents: dict[str, msgspec.Struct] = {
-            service_key(ENGINE_SERVICE): ServiceDocument(kind="engine"),
+            service_key(ENGINE_SERVICE): ServiceDocument(kind="engine", dialect=self._plan.dialect),
             service_key(PLAIN_SERVICE): ServiceDocument(
                 kind="plain",
                 routes=(
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -25,6 +25,8 @@
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
 from baobabpulley.entry.listener import start_listener
+from baobabpulley.entry.passing import EntryPasser
+from baobabpulley.entry.placer import make_placer
 from baobabpulley.entry.plain import ServiceCaller
 from baobabpulley.entry.plain import ServicesSection
 from baobabpulley.entry.resume_tokens import ResumeTokens
@@ -34,11 +36,12 @@
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.policy.admission import AdmissionSection
 from baobabpulley.policy.burn import BurnCounters
 from baobabpulley.policy.burn import BurnSection
 from baobabpulley.policy.lanes import LanesSection
 from baobabpulley.policy.retries import RetriesSection
-from baobabpulley.policy.routing import routing_policies
+from baobabpulley.policy.routing import RoutingSection
 from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.settings import LogsSection
 from baobabpulley.settings import NodeSection
@@ -74,16 +77,26 @@
         metrics.alarms.labels(kind=kind).inc()
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
+    client = HttpClient()
+    placer = make_placer(
+        vm=node.vm,
+        view=view,
+        routing=settings.get(RoutingSection),
+        lanes=settings.get(LanesSection),
+        admission=settings.get(AdmissionSection),
+        timers=timers,
+    )
+    peers.subscribe(settings.get(KeeperLinkSection).address, placer.hear)
     dispatcher = Dispatcher(
         holder=node.id,
-        engine=ResumingEngine(
-            engine=HttpEngine(client=HttpClient(), timers=timers), metrics=metrics
-        ),
+        engine=ResumingEngine(engine=HttpEngine(client=client, timers=timers), metrics=metrics),
         view=view,
-        policy=routing_policies.lookup("least_in_flight")(),
+        placer=placer,
         lanes=settings.get(LanesSection),
+        retries=settings.get(RetriesSection),
         metrics=metrics,
         timers=timers,
+        passer=EntryPasser(client=client, view=view, timers=timers),
     )
     services = _service_caller(settings, view=view, metrics=metrics, timers=timers)
     return EntryContext(
