--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -19,6 +19,7 @@
     "bench_mix",
     "report",
     "explain",
+    "bench_path",
 )
 
 
