--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -8,7 +8,17 @@
 import click
 
 # Modules that add commands to `cli` when they are imported.
-_COMMAND_MODULES: Final = ("daemons", "standins", "settings", "report", "explain", "bench_mix")
+_COMMAND_MODULES: Final = (
+    "daemons",
+    "standins",
+    "settings",
+    "limits",
+    "bench",
+    "bench_converge",
+    "bench_mix",
+    "report",
+    "explain",
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "base_port",
+        "daemons",
         "dialect",
         "domains",
         "engine_options",
@@ -79,9 +80,11 @@
         limits: dict[str, Limit] | None = None,
         entry_sections: dict[str, dict[str, str]] | None = None,
         keeper_sections: dict[str, dict[str, str]] | None = None,
+        daemons: tuple[str, ...] = ("keeper", "entry"),
         dialect: str = "chunked",
     ) -> None:
         self.base_port = base_port
+        self.daemons = daemons
         self.dialect = dialect
         self.domains = domains
         self.entries = entries
@@ -226,10 +229,11 @@
         self._write_daemons()
         await self.put_vms(self.vms)
         for name, process in self.processes.items():
-            if name.startswith(("keeper", "entry")):
+            if name.startswith(self._plan.daemons):
                 process.start()
-        for address in self.entries.values():
-            await self.wait_for(address, "/readyz")
+        if "entry" in self._plan.daemons:
+            for address in self.entries.values():
+                await self.wait_for(address, "/readyz")
 
     async def put_vms(self, vms: list[Vm]) -> None:
         """Set the rows of the VM list; readers see them after the lag."""
--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from typing import Final
 from typing import TypeVar
 from typing import final
@@ -12,6 +14,8 @@
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
+from baobabpulley.model.settings_messages import SettingsNews
+from baobabpulley.model.settings_messages import SettingsQuestion
 from baobabpulley.ports.peers import Peers
 from baobabpulley.settings import Address
 from baobabpulley.settings import Seconds
@@ -19,6 +23,7 @@
 from baobabpulley.timers import TimerService
 
 ASK_TIMEOUT: Final = 0.5
+FAR_KEEPERS: Final = 2
 
 A = TypeVar("A", bound=msgspec.Struct)
 
@@ -53,7 +58,8 @@
         return tuple(dict.fromkeys([self._section.address, *known, *self._section.others]))
 
     def start(self) -> None:
-        """Begin to refresh the view."""
+        """Listen to this VM's keeper, and begin to refresh the view."""
+        self._peers.subscribe(self._section.address, self._on_news)
         self._timers.every(self._section.refresh, self.refresh, jitter=0.2, name="refresh")
 
     async def refresh(self) -> None:
@@ -62,8 +68,54 @@
             answer = await self.ask(self._view.question(), answer=FleetAnswer)
         except PeerUnavailable as error:
             logger.debug("no keeper answers: {}", error.message)
+            await self._ask_far_keepers()
             return
-        self._view.apply(answer, now=self._timers.now())
+        if self._view.ready:
+            self._view.apply(answer, now=self._timers.now())
+        else:
+            await self._join(answer)
+
+    async def _join(self, first: FleetAnswer) -> None:
+        """Take settings from all keepers that answer, before the first request is served.
+
+        A single one may have been cut off for long, and hold lower limits than its peers.
+        """
+        bare = msgspec.structs.replace(first, settings=(), settings_revision=0, limits={})
+        self._view.apply(bare, now=self._timers.now())
+        answers = await asyncio.gather(*(self._settings_of(address) for address in self.addresses))
+        for news in answers:
+            if news is not None:
+                self._install(news)
+
+    async def _ask_far_keepers(self) -> None:
+        """Get settings, which are the same everywhere, from another failure domain."""
+        own = set(self.addresses)
+        far = [vm.address for vm in self._view.entry_vms if vm.address not in own]
+        for address in random.sample(far, min(FAR_KEEPERS, len(far))):
+            news = await self._settings_of(address)
+            if news is not None:
+                self._install(news)
+                return
+
+    async def _settings_of(self, address: str) -> SettingsNews | None:
+        question = SettingsQuestion(revision=self._view.book.revision)
+        try:
+            return await self._peers.ask(
+                address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
+            )
+        except PeerUnavailable:
+            return None
+
+    def _on_news(self, message: msgspec.Struct, sender: str) -> None:
+        del sender
+        if isinstance(message, SettingsNews) and self._view.ready:
+            self._install(message)
+
+    def _install(self, news: SettingsNews) -> None:
+        # After a gap the book's revision stays, and the next refresh asks for the rest.
+        book = self._view.book
+        book.install(news.entries, revision=news.revision, since=news.since)
+        book.raise_limits(news.limits)
 
     async def ask(self, question: msgspec.Struct, *, answer: type[A]) -> A:
         """Ask keepers in turn until one answers; raise `PeerUnavailable` if none does."""
--- /dev/null
+++ b/src/baobabpulley/policy/relays.py
@@ -0,0 +1,30 @@
+"""Which keepers of a failure domain hold the watch on the settings and relay it to the others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.rendezvous import ranked
+
+RELAY_KEY = "settings"
+
+
+def relays(keepers: Iterable[Vm], *, count: int) -> tuple[Vm, ...]:
+    """Return the first ``count`` keepers by rendezvous hashing, but at most half of them.
+
+    A waiting watch counts as a call of the store. Where there are few keepers, one that holds no
+    watch notices a silent watcher by its pulls and takes its place.
+
+    >>> len(relays([], count=2))
+    0
+
+    >>> vms = [Vm(id=f"vm-{n}", role="entry", failure_domain="fes", address="") for n in range(5)]
+    >>> [vm.id for vm in relays(vms, count=2)] == [vm.id for vm in relays(vms[::-1], count=2)]
+    True
+    >>> [len(relays(vms[:n], count=2)) for n in range(1, 5)]
+    [1, 1, 2, 2]
+    """
+    by_id = {vm.id: vm for vm in keepers}
+    half = (len(by_id) + 1) // 2
+    return tuple(by_id[id] for id in ranked(RELAY_KEY, by_id)[: min(count, half)])
