Estimate a short's wait from what other teams keep getting

The estimate counted what waited at arrival; under deficit round robin the lighter teams' later requests go before a team that asks for more than its share. Now the estimate takes off what other teams have got in the last 5 s.

--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -20,7 +20,7 @@
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.admission import AdmissionSection
 from baobabpulley.policy.admission import check_wait
-from baobabpulley.policy.admission import team_wait_tokens
+from baobabpulley.policy.admission import short_wait
 from baobabpulley.policy.fairness import DeficitQueue
 from baobabpulley.policy.lanes import SHORT
 from baobabpulley.policy.lanes import LanesSection
@@ -33,7 +33,7 @@
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD: Final = 0.1
-SHORTS_WINDOW: Final = 10.0
+SHORTS_WINDOW: Final = 5.0
 
 
 @final
@@ -118,7 +118,7 @@
         self._lanes = lanes
         self._admission = admission
         self._timers = timers
-        self._short_sends: deque[tuple[float, int]] = deque()
+        self._short_sends: deque[tuple[float, str, int]] = deque()
         self._ticker: Subscription | None = None
         self._shorts: DeficitQueue[_Waiter] = DeficitQueue(
             quantum=lanes.short_quantum, cost=_cost, weight=self._weight
@@ -279,7 +279,7 @@
         chosen = self._policy.choose(candidates, prompt_tokens=request.prompt_tokens)
         sent = self._estimates.begin(chosen, request, lane=waiter.lane)
         if waiter.lane == SHORT:
-            self._short_sends.append((sent.at, sent.tokens))
+            self._short_sends.append((sent.at, request.team, sent.tokens))
         return Placement(
             upstream=chosen.upstream,
             sent=sent,
@@ -291,38 +291,46 @@
     def _check_admission(self, waiter: _Waiter, fit: list[Upstream], *, waits: bool) -> None:
         """Raise `Overloaded` unless the request fits the bounds; entries share evenly."""
         entries = max(1, len(self._view.keepers))
-        rate = sum(self._estimates.rate(upstream.id) for upstream in fit)
-        service = waiter.ideal
-        bound = self._admission.max_short_wait
-        ahead = float(self._tokens_before(waiter) * entries)
-        if waiter.lane != SHORT:
-            share = self._long_share(rate, entries)
-            rate *= share
-            service /= share
+        rate = sum(self._estimates.rate(upstream.id) for upstream in fit) / entries
+        if waiter.lane == SHORT:
+            wait, service = self._short_wait(waiter, rate), waiter.ideal
+            bound = self._admission.max_short_wait
+        else:
+            share = self._long_share(rate)
+            total = sum(_cost(item) for item in self._longs) + _cost(waiter)
+            running = sum(self._estimates.ahead(upstream.id, PRIORITY_LONG) for upstream in fit)
+            wait = (total + running / entries) / (rate * share)
+            service = waiter.ideal / share
             bound = float("inf")
-            ahead += sum(self._estimates.ahead(upstream.id, PRIORITY_LONG) for upstream in fit)
         check_wait(
-            wait=ahead / rate if waits else 0.0,
+            wait=wait if waits else 0.0,
             service=service,
             remaining=waiter.request.deadline - self._timers.now(),
             bound=bound,
         )
 
-    def _tokens_before(self, waiter: _Waiter) -> int:
-        queue = self._queue(waiter.lane)
+    def _short_wait(self, waiter: _Waiter, rate: float) -> float:
         team = waiter.request.team
-        own = sum(_cost(item) for item in queue.of_team(team)) + _cost(waiter)
-        total = sum(_cost(item) for item in queue) + _cost(waiter)
-        teams = queue.teams + (0 if queue.of_team(team) else 1)
-        return team_wait_tokens(own_tokens=own, total_tokens=total, teams=teams)
+        own = self._shorts.of_team(team)
+        others = self._short_tokens() - self._short_tokens(team)
+        return short_wait(
+            own_tokens=sum(_cost(item) for item in own) + _cost(waiter),
+            total_tokens=sum(_cost(item) for item in self._shorts) + _cost(waiter),
+            teams=self._shorts.teams + (0 if own else 1),
+            rate=rate,
+            others_rate=others / SHORTS_WINDOW,
+        )
 
-    def _long_share(self, rate: float, entries: int) -> float:
-        """Return the share of the engines' prefill that shorts have lately left over."""
+    def _short_tokens(self, team: str = "") -> int:
+        """Return the prefill tokens of shorts sent within the window, of one team or of all."""
         horizon = self._timers.now() - SHORTS_WINDOW
         while self._short_sends and self._short_sends[0][0] < horizon:
             self._short_sends.popleft()
-        used = sum(tokens for _, tokens in self._short_sends) * entries
-        left = 1.0 - used / (rate * SHORTS_WINDOW)
+        return sum(tokens for _, sender, tokens in self._short_sends if team in ("", sender))
+
+    def _long_share(self, rate: float) -> float:
+        """Return the share of this entry's part of the prefill that shorts have left over."""
+        left = 1.0 - self._short_tokens() / (rate * SHORTS_WINDOW)
         return max(self._admission.least_long_share, left)
 
     def _rank(self, waiter: _Waiter) -> float:
--- a/src/baobabpulley/policy/admission.py
+++ b/src/baobabpulley/policy/admission.py
@@ -48,3 +48,22 @@
     40
     """
     return min(total_tokens, own_tokens * max(1, teams))
+
+
+def short_wait(
+    *, own_tokens: int, total_tokens: int, teams: int, rate: float, others_rate: float
+) -> float:
+    """Estimate a short's wait in model seconds under deficit round robin.
+
+    ``own_tokens`` wait for its team, itself included, ``total_tokens`` for all. ``others_rate``
+    is what other teams have lately got of ``rate``: requests of theirs that arrive later still
+    go before those of a team that asks for more than its share.
+
+    >>> short_wait(own_tokens=100, total_tokens=200, teams=4, rate=100.0, others_rate=0.0)
+    2.0
+    >>> short_wait(own_tokens=100, total_tokens=200, teams=4, rate=100.0, others_rate=80.0)
+    4.0
+    """
+    left = max(rate / max(1, teams), rate - others_rate)
+    ahead = team_wait_tokens(own_tokens=own_tokens, total_tokens=total_tokens, teams=teams)
+    return max(ahead / rate, own_tokens / left)
