--- a/src/baobabpulley/emulator/bench_mix.py
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -187,8 +187,11 @@
 
 
 def best_cached_share(trace: list[TraceItem], domains: dict[str, str]) -> float:
-    """Return the share of tokens cached if each failure domain prefills a shared text once."""
-    seen: set[tuple[str, int]] = set()
+    """Return the share of tokens cached if each failure domain prefills a shared text once.
+
+    The shorts of the trace count as sent before, as `run_variant` does.
+    """
+    seen = {(domains[item.entry], item.prefix) for item in trace if item.short}
     cached = 0
     for item in trace:
         known = (domains[item.entry], item.prefix)
