--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -15,6 +15,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import CrossedAnswer
+from baobabpulley.errors import UpstreamImportFailed
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamModelMissing
@@ -55,6 +56,7 @@
 
 _REFUSALS: Final[dict[str, type[UpstreamRefused]]] = {
     "out_of_memory": UpstreamOutOfMemory,
+    "import_failed": UpstreamImportFailed,
     "leaving": UpstreamLeaving,
     "unknown_model": UpstreamModelMissing,
     "overloaded": UpstreamOverloaded,
--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -56,7 +56,7 @@
 class KeeperMetrics:
     """What a keeper counts."""
 
-    __slots__ = ("alarms", "orders", "registry", "revision", "store_calls")
+    __slots__ = ("alarms", "orders", "registry", "revision", "store_calls", "swept")
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -67,6 +67,9 @@
         self.revision = Gauge(
             "baobab_settings_revision", "Settings revision in force", registry=self.registry
         )
+        self.swept = Counter(
+            "baobab_swept_holds", "Holds freed because nobody kept them", registry=self.registry
+        )
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import secrets
 from typing import Annotated
 from typing import final
 
@@ -85,6 +86,8 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._section = self.context.settings.get(CallersSection)
+        # Callers may use a request id twice at once, so the count has an id of its own.
+        self._spending = secrets.token_hex(8)
         if self.request.method != "POST":
             return
         self._check_size(int(self.request.headers.get("Content-Length", "0")))
@@ -101,6 +104,7 @@
         self.context.lifecycle.begin()
         try:
             self._check_limit(request)
+            await self._spend(request)
             await self._answer(request, record)
             self._count(record, "ok")
         except BaobabError as error:
@@ -109,8 +113,14 @@
         except StreamClosedError:
             self._count(record, "client_gone")
         finally:
+            await self.context.reservations.refund(team=request.team, request_id=self._spending)
             self.context.lifecycle.end()
 
+    async def _spend(self, request: CompletionRequest) -> None:
+        await self.context.reservations.spend(
+            team=request.team, request_id=self._spending, tokens=request.prompt_tokens
+        )
+
     def _check_size(self, size: int) -> None:
         if size > self._section.max_body_bytes:
             raise BodyTooLarge(f"the body is longer than {self._section.max_body_bytes} bytes")
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -15,8 +15,10 @@
 if TYPE_CHECKING:
     from baobabpulley.adapters.metrics import EntryMetrics
     from baobabpulley.entry.dispatch import Dispatcher
+    from baobabpulley.entry.hold_renewal import HoldRenewal
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
+    from baobabpulley.entry.reservations import EntryReservations
 
 
 @final
@@ -26,11 +28,13 @@
     __slots__ = (
         "decisions",
         "dispatcher",
+        "holds",
         "keeper",
         "lifecycle",
         "metrics",
         "node",
         "peers",
+        "reservations",
         "settings",
         "timers",
         "view",
@@ -46,6 +50,8 @@
         view: FleetView,
         keeper: KeeperLink,
         dispatcher: Dispatcher,
+        reservations: EntryReservations,
+        holds: HoldRenewal,
         decisions: DecisionLog,
         metrics: EntryMetrics,
         lifecycle: Lifecycle,
@@ -57,6 +63,8 @@
         self.view = view
         self.keeper = keeper
         self.dispatcher = dispatcher
+        self.reservations = reservations
+        self.holds = holds
         self.decisions = decisions
         self.metrics = metrics
         self.lifecycle = lifecycle
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 from importlib import import_module
 from typing import Final
@@ -18,15 +19,22 @@
 from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.context import EntryContext
 from baobabpulley.entry.dispatch import Dispatcher
+from baobabpulley.entry.gang_acquire import GangAcquirer
+from baobabpulley.entry.gangs import EntryGangs
+from baobabpulley.entry.hold_renewal import HoldRenewal
+from baobabpulley.entry.homes import Homes
 from baobabpulley.entry.keeper_link import KeeperLink
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
+from baobabpulley.entry.reservations import EntryReservations
+from baobabpulley.entry.reserving_engine import ReservingEngine
 from baobabpulley.entry.web import routes
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.routing import routing_policies
 from baobabpulley.settings import LogsSection
 from baobabpulley.settings import NodeSection
@@ -52,14 +60,45 @@
         metrics.alarms.labels(kind=kind).inc()
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
+    lanes = settings.get(LanesSection)
+    section = settings.get(ReservationsSection)
+    holder = f"{node.id}.{secrets.token_hex(4)}"
+    reservations = EntryReservations(
+        holder=holder,
+        homes=Homes(peers=peers, view=view),
+        view=view,
+        section=section,
+        timers=timers,
+    )
+    engine = HttpEngine(client=HttpClient(), timers=timers)
+    holds = HoldRenewal(holder=holder, engine=engine, timers=timers)
+    gangs = EntryGangs(
+        engine=engine,
+        view=view,
+        reservations=reservations,
+        acquirer=GangAcquirer(
+            reservations=reservations, view=view, timers=timers, stale_load=section.stale_load
+        ),
+        holds=holds,
+        lanes=lanes,
+        metrics=metrics,
+        timers=timers,
+    )
     dispatcher = Dispatcher(
-        holder=node.id,
-        engine=HttpEngine(client=HttpClient(), timers=timers),
+        holder=holder,
+        engine=ReservingEngine(
+            engine=engine,
+            reservations=reservations,
+            holds=holds,
+            short_tokens=lanes.short_tokens,
+            timers=timers,
+        ),
         view=view,
         policy=routing_policies.lookup("least_in_flight")(),
-        lanes=settings.get(LanesSection),
+        lanes=lanes,
         metrics=metrics,
         timers=timers,
+        gangs=gangs,
     )
     return EntryContext(
         settings=settings,
@@ -71,6 +110,8 @@
             section=settings.get(KeeperLinkSection), peers=peers, view=view, timers=timers
         ),
         dispatcher=dispatcher,
+        reservations=reservations,
+        holds=holds,
         decisions=DecisionLog(),
         metrics=metrics,
         lifecycle=Lifecycle(section=settings.get(ShutdownSection), timers=timers),
@@ -103,6 +144,8 @@
     server = start_server(context)
     await context.keeper.refresh()
     context.keeper.start()
+    context.reservations.start()
+    context.holds.start()
     await stop_signal()
     await context.lifecycle.drain()
     server.stop()
--- /dev/null
+++ b/src/baobabpulley/entry/gang_acquire.py
@@ -0,0 +1,206 @@
+"""Acquire the members of a gang: all or none, in ascending id, in turn with other gangs."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+from typing import final
+
+from baobabpulley.entry.reservations import EntryReservations
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.reservations import MemoryClaim
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.policy.gangs import GangCandidate
+from baobabpulley.policy.gangs import choose_next
+from baobabpulley.timers import TimerService
+
+POLL: Final = 0.25
+# A gang that is blocked so long gives way to running gangs that need a replacement.
+PATIENCE: Final = 12.0
+FAILED_KEPT: Final = 6.0
+
+
+@final
+class GangPlan:
+    """What a gang needs: memory in tokens for each part, and times in model seconds."""
+
+    __slots__ = (
+        "arrived",
+        "failed",
+        "give_up",
+        "ideal",
+        "model",
+        "needs",
+        "reservation",
+        "service",
+    )
+
+    def __init__(
+        self,
+        *,
+        reservation: str,
+        service: str,
+        model: str,
+        needs: tuple[int, ...],
+        ideal: float,
+        arrived: float,
+        give_up: float,
+    ) -> None:
+        self.reservation = reservation
+        self.service = service
+        self.model = model
+        self.needs = needs
+        self.ideal = ideal
+        self.arrived = arrived
+        self.give_up = give_up
+        # Engines that failed this gang, and until when they are passed over.
+        self.failed: dict[str, float] = {}
+
+
+@final
+class GangAcquirer:
+    """Get the members of gangs of one entry."""
+
+    __slots__ = ("_random", "_reservations", "_stale", "_timers", "_view")
+
+    def __init__(
+        self,
+        *,
+        reservations: EntryReservations,
+        view: FleetView,
+        timers: TimerService,
+        stale_load: float,
+    ) -> None:
+        self._reservations = reservations
+        self._view = view
+        self._timers = timers
+        self._stale = stale_load
+        self._random = random.Random()
+
+    def in_all(self, service: str, model: str) -> list[GangCandidate]:
+        """Return all engines that could become members, also those that are silent now."""
+        return [
+            GangCandidate(upstream=upstream, load=self._view.loads[upstream.id])
+            for upstream in self._view.live(service)
+            if upstream.id in self._view.loads
+            and model in self._view.loads[upstream.id].report.models
+        ]
+
+    async def acquire(self, plan: GangPlan) -> tuple[Upstream, ...]:
+        """Return one member for each part, ascending by id, all reserved.
+
+        Raises `DeadlineBeforeStart` if that takes longer than the deadline leaves time for.
+        """
+        members: list[Upstream] = []
+        done = False
+        try:
+            while not done:
+                self._check_time(plan)
+                if await self._has_turn(plan):
+                    done = await self._acquire_in_turn(plan, members)
+                else:
+                    await self._timers.sleep(POLL)
+            return tuple(members)
+        finally:
+            self._reservations.end_turn(plan.reservation)
+            if not done:
+                self._release(plan, members)
+
+    async def replace(self, plan: GangPlan, *, tokens: int, members: set[str]) -> Upstream | None:
+        """Return a reserved engine in place of one that failed, or ``None`` if there is none."""
+        give_up = min(self._timers.now() + PATIENCE * (1 + self._random.random()), plan.give_up)
+        refused: set[str] = set()
+        while self._timers.now() < give_up:
+            candidates = self._candidates(plan, without=members)
+            chosen = choose_next(candidates, missing=1, after="", tokens=tokens, refused=refused)
+            if chosen is None:
+                refused.clear()
+                await self._timers.sleep(POLL)
+            elif await self._claim(plan, chosen, tokens):
+                self._release_refused(plan, refused)
+                return chosen
+            else:
+                self._refuse(refused, chosen, candidates)
+                await self._timers.sleep(POLL)
+        self._release_refused(plan, refused)
+        return None
+
+    async def _has_turn(self, plan: GangPlan) -> bool:
+        waited = self._timers.now() - plan.arrived
+        try:
+            return await self._reservations.turn(plan.reservation, waited=waited, ideal=plan.ideal)
+        except PeerUnavailable:
+            return False
+
+    async def _acquire_in_turn(self, plan: GangPlan, members: list[Upstream]) -> bool:
+        refused: set[str] = set()
+        give_way = self._timers.now() + PATIENCE
+        try:
+            while len(members) < len(plan.needs):
+                self._check_time(plan)
+                if not await self._has_turn(plan) or self._timers.now() > give_way:
+                    self._release(plan, members)
+                    return False
+                await self._take_next(plan, members, refused)
+            return True
+        finally:
+            self._release_refused(plan, refused - {member.id for member in members})
+
+    async def _take_next(self, plan: GangPlan, members: list[Upstream], refused: set[str]) -> None:
+        candidates = self._candidates(plan, without=set())
+        tokens = plan.needs[len(members)]
+        chosen = choose_next(
+            candidates,
+            missing=len(plan.needs) - len(members),
+            after=members[-1].id if members else "",
+            tokens=tokens,
+            refused=refused,
+        )
+        if chosen is None:
+            # Too few are left above the last member; begin anew with those that are there.
+            self._release(plan, members)
+            await self._timers.sleep(POLL)
+        elif await self._claim(plan, chosen, tokens):
+            members.append(chosen)
+        else:
+            self._refuse(refused, chosen, candidates)
+            await self._timers.sleep(POLL)
+
+    async def _claim(self, plan: GangPlan, upstream: Upstream, tokens: int) -> bool:
+        claim = MemoryClaim(upstream=upstream.id, tokens=tokens)
+        try:
+            answer = await self._reservations.claim(plan.reservation, claim, gang=True)
+        except PeerUnavailable:
+            return False
+        return answer.granted
+
+    def _candidates(self, plan: GangPlan, *, without: set[str]) -> list[GangCandidate]:
+        now = self._timers.now()
+        return [
+            candidate
+            for candidate in self.in_all(plan.service, plan.model)
+            if candidate.upstream.id not in without
+            and plan.failed.get(candidate.upstream.id, 0.0) < now
+            and now - self._view.loads[candidate.upstream.id].taken <= self._stale
+        ]
+
+    def _refuse(self, refused: set[str], chosen: Upstream, candidates: list[GangCandidate]) -> None:
+        refused.add(chosen.id)
+        if all(candidate.upstream.id in refused for candidate in candidates):
+            refused.clear()
+
+    def _release(self, plan: GangPlan, members: list[Upstream]) -> None:
+        self._reservations.release_claims(plan.reservation, tuple(member.id for member in members))
+        members.clear()
+
+    def _release_refused(self, plan: GangPlan, refused: set[str]) -> None:
+        self._reservations.release_claims(plan.reservation, tuple(refused))
+
+    def _check_time(self, plan: GangPlan) -> None:
+        if self._timers.now() >= plan.give_up:
+            raise DeadlineBeforeStart(
+                f"no {len(plan.needs)} engines had room together within "
+                f"{self._timers.now() - plan.arrived:.1f} s"
+            )
--- /dev/null
+++ b/src/baobabpulley/entry/gangs.py
@@ -0,0 +1,167 @@
+"""Run prompts that need the memory of several engines."""
+
+from __future__ import annotations
+
+import contextlib
+import secrets
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import final
+
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.delivery import AnswerProgress
+from baobabpulley.entry.gang_acquire import GangAcquirer
+from baobabpulley.entry.gang_acquire import GangPlan
+from baobabpulley.entry.gang_run import GangBroken
+from baobabpulley.entry.gang_run import GangRun
+from baobabpulley.entry.hold_renewal import HoldRenewal
+from baobabpulley.entry.reservations import EntryReservations
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import TooFewEngines
+from baobabpulley.errors import UnknownModel
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.model.decisions import DecisionRecord
+from baobabpulley.model.decisions import Step
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.policy.gangs import cut_prompt
+from baobabpulley.policy.gangs import members_needed
+from baobabpulley.policy.lanes import LanesSection
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.gangs import GangRunner
+from baobabpulley.timers import TimerService
+
+# What the answer itself may take at least, beside the prefill, when the deadline is judged.
+ANSWER_RESERVE: Final = 2.0
+
+
+@final
+class EntryGangs(GangRunner):
+    """Cut, acquire, run, and begin anew on other engines if a gang breaks."""
+
+    __slots__ = (
+        "_acquirer",
+        "_engine",
+        "_holds",
+        "_lanes",
+        "_metrics",
+        "_reservations",
+        "_timers",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        view: FleetView,
+        reservations: EntryReservations,
+        acquirer: GangAcquirer,
+        holds: HoldRenewal,
+        lanes: LanesSection,
+        metrics: EntryMetrics,
+        timers: TimerService,
+    ) -> None:
+        self._engine = engine
+        self._view = view
+        self._reservations = reservations
+        self._acquirer = acquirer
+        self._holds = holds
+        self._lanes = lanes
+        self._metrics = metrics
+        self._timers = timers
+
+    async def run(
+        self, request: CompletionRequest, record: DecisionRecord
+    ) -> AsyncIterator[AnswerEvent]:
+        progress = AnswerProgress(max_tokens=request.max_tokens)
+        started = False
+        try:
+            while True:
+                plan = self._plan(request)
+                run = await self._acquire(request, record, plan, progress)
+                started = True
+                try:
+                    async with (
+                        self._timers.limit(request.deadline - self._timers.now()),
+                        contextlib.aclosing(run.events()) as events,
+                    ):
+                        async for event in events:
+                            yield event
+                    return
+                except GangBroken as broken:
+                    self._note(request, record, "gang broken", why=str(broken))
+                finally:
+                    run.release()
+        except TimeoutError:
+            raise DeadlineExceeded(f"the deadline passed after {progress.offset} tokens") from None
+        except DeadlineBeforeStart as error:
+            if not started:
+                raise
+            raise DeadlineExceeded(error.message) from error
+        except TooFewEngines as error:
+            if not started:
+                raise
+            raise UpstreamLost(f"engines were lost while parts ran: {error.message}") from error
+
+    async def _acquire(
+        self,
+        request: CompletionRequest,
+        record: DecisionRecord,
+        plan: GangPlan,
+        progress: AnswerProgress,
+    ) -> GangRun:
+        self._note(request, record, "gang", members=len(plan.needs))
+        members = await self._acquirer.acquire(plan)
+        names = ",".join(member.id for member in members)
+        self._note(request, record, "gang acquired", members=names)
+        return GangRun(
+            request=request,
+            cut=cut_prompt(request.prompt, len(members)),
+            plan=plan,
+            members=members,
+            progress=progress,
+            note=lambda what, **detail: self._note(request, record, what, **detail),
+            engine=self._engine,
+            acquirer=self._acquirer,
+            reservations=self._reservations,
+            holds=self._holds,
+            metrics=self._metrics,
+            timers=self._timers,
+        )
+
+    def _plan(self, request: CompletionRequest) -> GangPlan:
+        """Return what the prompt needs; raise `TooFewEngines` if that is not there at all."""
+        document = self._view.book.models.get(request.model)
+        if document is None:
+            raise UnknownModel(f"no model is called {request.model!r}")
+        candidates = self._acquirer.in_all(document.service, request.model)
+        count = members_needed(
+            tokens=request.total_tokens, share=self._lanes.engine_share, candidates=candidates
+        )
+        cut = cut_prompt(request.prompt, count)
+        needs = [cut.tokens(index) for index in range(count)]
+        needs[-1] += request.max_tokens
+        rate = min(candidate.rate for candidate in candidates)
+        ideal = request.prompt_tokens / rate
+        return GangPlan(
+            reservation=f"gang-{secrets.token_hex(8)}",
+            service=document.service,
+            model=request.model,
+            needs=tuple(needs),
+            ideal=ideal,
+            arrived=request.arrived,
+            give_up=request.deadline - ideal - ANSWER_RESERVE,
+        )
+
+    def _note(
+        self,
+        request: CompletionRequest,
+        record: DecisionRecord,
+        what: str,
+        **detail: str | int | float | bool | None,
+    ) -> None:
+        at = self._timers.now() - request.arrived
+        record.steps.append(Step(at=round(at, 4), what=what, detail=detail))
--- /dev/null
+++ b/src/baobabpulley/entry/hold_renewal.py
@@ -0,0 +1,63 @@
+"""Keep alive what engines hold for this entry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import defaultdict
+from typing import Final
+from typing import final
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Engine
+from baobabpulley.timers import TimerService
+
+PERIOD: Final = 1.0
+
+
+@final
+class HoldRenewal:
+    """Renew streams and parts at their engines once a second."""
+
+    __slots__ = ("_engine", "_holder", "_ids", "_timers", "_upstreams")
+
+    def __init__(self, *, holder: str, engine: Engine, timers: TimerService) -> None:
+        self._holder = holder
+        self._engine = engine
+        self._timers = timers
+        self._upstreams: dict[str, Upstream] = {}
+        self._ids: dict[str, set[str]] = defaultdict(set)
+
+    def start(self) -> None:
+        """Begin to renew."""
+        self._timers.every(PERIOD, self._renew, jitter=0.1, name="holds")
+
+    def keep(self, upstream: Upstream, id: str) -> None:
+        """Renew a stream or part from now on."""
+        self._upstreams[upstream.id] = upstream
+        self._ids[upstream.id].add(id)
+
+    def drop(self, upstream: Upstream, id: str) -> None:
+        """Renew it no longer; idempotent."""
+        self._ids[upstream.id].discard(id)
+
+    def free(self, upstream: Upstream, id: str) -> None:
+        """Renew it no longer, and have the engine free it soon; idempotent."""
+        self.drop(upstream, id)
+
+        async def release() -> None:
+            # What this does not reach lapses at the engine.
+            with contextlib.suppress(BaobabError):
+                await self._engine.release(upstream, ids=(id,))
+
+        self._timers.after(0.0, release, name="free")
+
+    async def _renew(self) -> None:
+        await asyncio.gather(
+            *(self._renew_at(name, tuple(ids)) for name, ids in self._ids.items() if ids)
+        )
+
+    async def _renew_at(self, name: str, ids: tuple[str, ...]) -> None:
+        with contextlib.suppress(BaobabError):
+            await self._engine.renew(self._upstreams[name], holder=self._holder, ids=ids)
--- /dev/null
+++ b/src/baobabpulley/entry/homes.py
@@ -0,0 +1,65 @@
+"""Find the home keeper of a key, also while the first one does not answer."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TypeVar
+from typing import final
+
+import msgspec
+
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.ports.peers import Peers
+
+ASK_TIMEOUT: Final = 1.0
+
+A = TypeVar("A", bound=msgspec.Struct)
+
+
+@final
+class Homes:
+    """Rendezvous over the keepers of this failure domain, less those that do not answer.
+
+    Entries may differ for a moment; a new home waits for one expiry time before it grants.
+    """
+
+    __slots__ = ("_peers", "_silent", "_view")
+
+    def __init__(self, *, peers: Peers, view: FleetView) -> None:
+        self._peers = peers
+        self._view = view
+        self._silent: set[str] = set()
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses of all keepers of this failure domain, silent ones too."""
+        return tuple(vm.address for vm in self._view.keepers)
+
+    def home(self, key: str) -> str | None:
+        """Return the address of a key's home, or ``None`` if no keeper answers."""
+        by_id = {vm.id: vm.address for vm in self._view.keepers}
+        for id in ranked(key, by_id):
+            if by_id[id] not in self._silent:
+                return by_id[id]
+        return None
+
+    async def ask(self, key: str, question: msgspec.Struct, *, answer: type[A]) -> A:
+        """Ask the home of a key; raise `PeerUnavailable` if no keeper answers."""
+        while (address := self.home(key)) is not None:
+            try:
+                return await self.ask_at(address, question, answer=answer)
+            except PeerUnavailable:
+                continue
+        raise PeerUnavailable(f"no keeper of this failure domain answers for {key}")
+
+    async def ask_at(self, address: str, question: msgspec.Struct, *, answer: type[A]) -> A:
+        """Ask one keeper, and note whether it answers."""
+        try:
+            reply = await self._peers.ask(address, question, answer=answer, timeout=ASK_TIMEOUT)
+        except PeerUnavailable:
+            self._silent.add(address)
+            raise
+        self._silent.discard(address)
+        return reply
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -168,6 +168,13 @@
     default_remedy = "Repeat shortly; if it lasts, check the upstreams with 'baobabpulley explain'."
 
 
+class TooFewEngines(NoUpstream):
+    """All engines of this failure domain together have too little memory for the prompt."""
+
+    code = "too_few_engines"
+    default_remedy = "Shorten the prompt to the figure in the message, or add engines."
+
+
 class NotReady(BaobabError):
     """The process has no settings yet, or is shutting down."""
 
@@ -274,6 +281,12 @@
     code = "upstream_model_missing"
 
 
+class UpstreamImportFailed(UpstreamRefused):
+    """The engine could not import the KV cache of a part from another engine."""
+
+    code = "upstream_import_failed"
+
+
 class UpstreamOverloaded(UpstreamRefused):
     """The upstream's queue is full."""
 
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -33,7 +33,7 @@
 from baobabpulley.timers import TimerService
 
 # Modules that register keeper parts when they are imported.
-_PART_MODULES: Final = ("settings_watch", "fleet_state")
+_PART_MODULES: Final = ("settings_watch", "fleet_state", "reservations", "sweep")
 
 
 @section("keeper", "keeper")
--- /dev/null
+++ b/src/baobabpulley/keeper/reservations.py
@@ -0,0 +1,111 @@
+"""The home keeper's side of reservations: memory, gangs' turns and teams' tokens in flight."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.model.messages import Done
+from baobabpulley.model.reservation_messages import GangTurnAnswer
+from baobabpulley.model.reservation_messages import GangTurnAsk
+from baobabpulley.model.reservation_messages import HolderRenewal
+from baobabpulley.model.reservation_messages import HolderRenewed
+from baobabpulley.model.reservation_messages import MemoryAsk
+from baobabpulley.model.reservation_messages import MemoryRelease
+from baobabpulley.model.reservation_messages import TeamAsk
+from baobabpulley.policy.gang_queue import GangQueue
+from baobabpulley.policy.handover import Handover
+from baobabpulley.policy.reservation_book import MemoryBook
+from baobabpulley.policy.reservation_book import ReservationsSection
+from baobabpulley.policy.team_book import TeamBook
+
+FORGET_HOLDER: Final = 60.0
+
+
+@keeper_parts.register("reservations")
+@final
+class ReservationKeeper(KeeperPart):
+    """Answer questions and renewals for the keys that holders take this keeper for the home of."""
+
+    __slots__ = ("_context", "_gangs", "_handover", "_holders", "_memory", "_section", "_teams")
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._section = context.settings.get(ReservationsSection)
+        self._handover = Handover(expiry=self._section.expiry)
+        self._memory = MemoryBook(section=self._section, handover=self._handover)
+        self._teams = TeamBook(section=self._section, handover=self._handover)
+        self._gangs = GangQueue(section=self._section, handover=self._handover)
+        self._holders: dict[str, float] = {}
+
+    async def start(self) -> None:
+        peers = self._context.peers
+        peers.answer(HolderRenewal, self._renew)
+        peers.answer(MemoryAsk, self._ask_memory)
+        peers.answer(MemoryRelease, self._release_memory)
+        peers.answer(TeamAsk, self._ask_team)
+        peers.answer(GangTurnAsk, self._ask_turn)
+
+    def may_sweep(self, upstream: str) -> bool:
+        """Whether this keeper is the home of an upstream and knows its holders."""
+        now = self._context.timers.now()
+        is_home = self._handover.is_home(upstream, now=now)
+        return is_home and self._handover.remaining(upstream, now=now) <= 0
+
+    def is_live(self, holder: str) -> bool:
+        """Whether a holder has been heard within one expiry time."""
+        heard = self._holders.get(holder)
+        return heard is not None and self._context.timers.now() - heard <= self._section.expiry
+
+    async def _renew(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, HolderRenewal)
+        now = self._hear(message.holder)
+        for key in message.keys:
+            self._handover.hear(key, now=now)
+        for held in message.claims:
+            self._memory.renew(message.holder, held, now=now)
+        recalled = [
+            hold.team for hold in message.teams if self._teams.renew(message.holder, hold, now=now)
+        ]
+        return HolderRenewed(recalled=tuple(recalled))
+
+    async def _ask_memory(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, MemoryAsk)
+        now = self._hear(message.holder)
+        load = self._context.view.loads.get(message.claim.upstream)
+        return self._memory.ask(message, load=load, now=now)
+
+    async def _release_memory(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, MemoryRelease)
+        self._hear(message.holder)
+        for upstream in message.upstreams:
+            self._memory.release(message.reservation, upstream)
+        return Done()
+
+    async def _ask_team(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, TeamAsk)
+        now = self._hear(message.holder)
+        limit = self._context.view.book.limit(message.team).max_tokens_in_flight
+        return self._teams.ask(message, limit=limit, now=now)
+
+    async def _ask_turn(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
+        del sender
+        assert isinstance(message, GangTurnAsk)
+        now = self._hear(message.holder)
+        return GangTurnAnswer(granted=self._gangs.ask(message, now=now))
+
+    def _hear(self, holder: str) -> float:
+        now = self._context.timers.now()
+        self._holders[holder] = now
+        for name in [name for name, heard in self._holders.items() if now - heard > FORGET_HOLDER]:
+            del self._holders[name]
+        return now
--- /dev/null
+++ b/src/baobabpulley/model/reservation_messages.py
@@ -0,0 +1,123 @@
+"""Messages between entries and home keepers about memory, gangs' turns and teams' tokens."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabpulley.model.reservations import MemoryClaim
+from baobabpulley.ports.peers import peer_message
+
+
+@peer_message("memory.ask")
+class MemoryAsk(msgspec.Struct, frozen=True):
+    """Ask for memory on one upstream.
+
+    A claim of a ``gang`` that finds no room stops newer grants of others on that upstream.
+    """
+
+    holder: str
+    reservation: str
+    claim: MemoryClaim
+    gang: bool
+
+
+@peer_message("memory.answer")
+class MemoryAnswer(msgspec.Struct, frozen=True):
+    """Whether memory was granted; if not, why, and the model seconds after which to ask again."""
+
+    granted: bool
+    reason: str = ""
+    retry_after: float = 0.0
+
+
+@peer_message("memory.release")
+class MemoryRelease(msgspec.Struct, frozen=True):
+    """Give memory back, or stop waiting for it, on the upstreams named."""
+
+    holder: str
+    reservation: str
+    upstreams: tuple[str, ...]
+
+
+class HeldClaim(msgspec.Struct, frozen=True):
+    """Memory that a holder was granted."""
+
+    reservation: str
+    claim: MemoryClaim
+
+
+class TeamHold(msgspec.Struct, frozen=True):
+    """What a holder may spend of a team's tokens in flight, and how much of it is in use.
+
+    ``version`` grows with each question about the team, so that an older message is known.
+    """
+
+    team: str
+    held: int
+    in_use: int
+    version: int
+
+
+@peer_message("holder.renewal")
+class HolderRenewal(msgspec.Struct, frozen=True):
+    """All that a holder has of one home keeper; ``keys`` are all whose home it takes it for."""
+
+    holder: str
+    keys: tuple[str, ...]
+    claims: tuple[HeldClaim, ...]
+    teams: tuple[TeamHold, ...]
+
+
+@peer_message("holder.renewed")
+class HolderRenewed(msgspec.Struct, frozen=True):
+    """The answer to a renewal: teams of which unused tokens are wanted back."""
+
+    recalled: tuple[str, ...] = ()
+
+
+@peer_message("team.ask")
+class TeamAsk(msgspec.Struct, frozen=True):
+    """Ask for tokens in flight of a team: ``need`` in all at least, ``want`` at best."""
+
+    holder: str
+    team: str
+    held: int
+    need: int
+    want: int
+    version: int
+
+
+@peer_message("team.answer")
+class TeamAnswer(msgspec.Struct, frozen=True):
+    """What the holder may spend now.
+
+    ``retry_after`` is 0 if only the team's own work in flight is in the way. ``warming`` says
+    that the keeper has just become the team's home.
+    """
+
+    granted: bool
+    held: int
+    limit: int
+    warming: bool = False
+    retry_after: float = 0.0
+
+
+@peer_message("gang.ask")
+class GangTurnAsk(msgspec.Struct, frozen=True):
+    """Ask for the failure domain's turn to acquire members, or keep it, or end it (``done``).
+
+    ``waited`` and ``ideal`` are model seconds.
+    """
+
+    holder: str
+    reservation: str
+    waited: float
+    ideal: float
+    done: bool = False
+
+
+@peer_message("gang.answer")
+class GangTurnAnswer(msgspec.Struct, frozen=True):
+    """Whether it is this gang's turn."""
+
+    granted: bool
--- a/src/baobabpulley/ports/engine.py
+++ b/src/baobabpulley/ports/engine.py
@@ -30,7 +30,7 @@
 
     ``prompt`` follows the text of ``imports``. ``delivered`` are tokens that the caller already
     has: the engine goes on at index ``offset``. Lower ``priority`` goes first. ``deadline`` is
-    the model seconds left.
+    the model seconds left. ``encoding`` turns ``prompt`` into its bytes.
     """
 
     attempt: str
@@ -45,10 +45,14 @@
     offset: int = 0
     delivered: str = ""
     imports: tuple[PartRef, ...] = ()
+    encoding: str = "utf-8"
 
 
 class PartCall(msgspec.Struct, frozen=True):
-    """Prefill one part of a prompt against the KV cache of the parts before it."""
+    """Prefill one part of a prompt against the KV cache of the parts before it.
+
+    ``encoding`` turns ``text`` into its bytes; a part may begin inside a character.
+    """
 
     part: str
     request_id: str
@@ -58,6 +62,7 @@
     imports: tuple[PartRef, ...]
     priority: int
     deadline: float
+    encoding: str = "utf-8"
 
 
 class Hold(msgspec.Struct, frozen=True):
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -17,6 +17,7 @@
 from baobabpulley.model.blocks import BLOCK_TOKENS
 from baobabpulley.model.blocks import chain_blocks
 from baobabpulley.model.blocks import text_digest
+from baobabpulley.model.requests import BYTES_PER_TOKEN
 from baobabpulley.model.requests import estimate_tokens
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.ports.engine import PRIORITY_SHORT
@@ -190,7 +191,7 @@
 
     def start_completion(self, call: EngineCall, *, seed_digest: int, context: int) -> Job:
         """Admit a completion whose imported parts hold ``context`` tokens elsewhere."""
-        data = call.prompt.encode()
+        data = call.prompt.encode(call.encoding)
         job = Job(
             id=call.attempt,
             holder=call.holder,
@@ -202,7 +203,7 @@
         job.seed = call.seed
         job.max_tokens = call.max_tokens
         job.offset = call.offset
-        own = estimate_tokens(call.prompt) if call.prompt else 0
+        own = -(-len(data) // BYTES_PER_TOKEN)
         job.prompt_tokens = own + context
         delivered = estimate_tokens(call.delivered) if call.delivered else 0
         job.cached = self._cached_tokens(job.blocks)
@@ -212,7 +213,7 @@
 
     def start_part(self, call: PartCall, *, seed_digest: int) -> Job:
         """Admit a part of a prompt; its memory stays held until it is released or lapses."""
-        data = call.text.encode()
+        data = call.text.encode(call.encoding)
         job = Job(
             id=call.part,
             holder=call.holder,
@@ -223,7 +224,7 @@
         job.seed_digest = seed_digest
         job.blocks = chain_blocks(data, seed=seed_digest)
         job.digest = job.blocks[-1] if job.blocks else seed_digest
-        job.prompt_tokens = estimate_tokens(call.text)
+        job.prompt_tokens = max(1, -(-len(data) // BYTES_PER_TOKEN))
         job.remaining = job.prompt_tokens
         self._admit(job, job.prompt_tokens)
         return job
