Ask a quiet engine for its load before refusing memory on it, and rank homes over live keepers

Cause: a keeper that has just started answered 'no handler' and the renewal timer logged a fault; a load report older than the bound refused memory on idle engines.

--- a/src/baobabpulley/entry/gang_acquire.py
+++ b/src/baobabpulley/entry/gang_acquire.py
@@ -82,7 +82,7 @@
     def in_all(self, service: str, model: str) -> list[GangCandidate]:
         """Return all engines that could become members, also those that are silent now."""
         return [
-            GangCandidate(upstream=upstream, load=self._view.loads[upstream.id])
+            self._candidate(upstream)
             for upstream in self._view.live(service)
             if upstream.id in self._view.loads
             and model in self._view.loads[upstream.id].report.models
@@ -183,9 +183,14 @@
             for candidate in self.in_all(plan.service, plan.model)
             if candidate.upstream.id not in without
             and plan.failed.get(candidate.upstream.id, 0.0) < now
-            and now - self._view.loads[candidate.upstream.id].taken <= self._stale
         ]
 
+    def _candidate(self, upstream: Upstream) -> GangCandidate:
+        load = self._view.loads[upstream.id]
+        # An engine that has been silent may be gone; its home finds out when it is asked.
+        fresh = self._timers.now() - load.taken <= self._stale
+        return GangCandidate(upstream=upstream, load=load, fresh=fresh)
+
     def _refuse(self, refused: set[str], chosen: Upstream, candidates: list[GangCandidate]) -> None:
         refused.add(chosen.id)
         if all(candidate.upstream.id in refused for candidate in candidates):
--- a/src/baobabpulley/entry/homes.py
+++ b/src/baobabpulley/entry/homes.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from baobabpulley.errors import NotFound
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.policy.rendezvous import ranked
@@ -20,7 +21,7 @@
 
 @final
 class Homes:
-    """Rendezvous over the keepers of this failure domain, less those that do not answer.
+    """Rendezvous over the live keepers of this failure domain, less those that do not answer.
 
     Entries may differ for a moment; a new home waits for one expiry time before it grants.
     """
@@ -39,10 +40,10 @@
 
     def home(self, key: str) -> str | None:
         """Return the address of a key's home, or ``None`` if no keeper answers."""
-        by_id = {vm.id: vm.address for vm in self._view.keepers}
-        for id in ranked(key, by_id):
-            if by_id[id] not in self._silent:
-                return by_id[id]
+        for keepers in (self._view.live_keepers, self._view.keepers):
+            by_id = {vm.id: vm.address for vm in keepers if vm.address not in self._silent}
+            if by_id:
+                return by_id[ranked(key, by_id)[0]]
         return None
 
     async def ask(self, key: str, question: msgspec.Struct, *, answer: type[A]) -> A:
@@ -58,8 +59,9 @@
         """Ask one keeper, and note whether it answers."""
         try:
             reply = await self._peers.ask(address, question, answer=answer, timeout=ASK_TIMEOUT)
-        except PeerUnavailable:
+        except (PeerUnavailable, NotFound) as error:
+            # A keeper that has just started answers before all its parts do.
             self._silent.add(address)
-            raise
+            raise PeerUnavailable(error.message) from error
         self._silent.discard(address)
         return reply
--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Final
 from typing import final
 
 import msgspec
 
+from baobabpulley.errors import BaobabError
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
@@ -78,9 +80,24 @@
     async def _ask_memory(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, MemoryAsk)
-        now = self._hear(message.holder)
+        self._hear(message.holder)
+        await self._refresh_load(message.claim.upstream)
         load = self._context.view.loads.get(message.claim.upstream)
-        return self._memory.ask(message, load=load, now=now)
+        return self._memory.ask(message, load=load, now=self._context.timers.now())
+
+    async def _refresh_load(self, id: str) -> None:
+        """Ask an engine that has been quiet for its load."""
+        view = self._context.view
+        now = self._context.timers.now()
+        load = view.loads.get(id)
+        if load is not None and now - load.taken <= self._section.stale_load:
+            return
+        upstream = view.upstreams.get(id)
+        if upstream is None:
+            return
+        with contextlib.suppress(BaobabError):
+            report = await self._context.engine.load(upstream)
+            view.set_load(report, taken=self._context.timers.now() - report.age)
 
     async def _release_memory(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
--- a/src/baobabpulley/policy/gangs.py
+++ b/src/baobabpulley/policy/gangs.py
@@ -22,14 +22,17 @@
 
 @final
 class GangCandidate:
-    """An engine that may become a member. ``room`` is in tokens, as its report says."""
+    """An engine that may become a member.
+
+    ``room`` is in tokens, as its report says, and 0 if the report is not ``fresh``.
+    """
 
     __slots__ = ("memory", "queued", "rate", "room", "upstream")
 
-    def __init__(self, *, upstream: Upstream, load: LoadView) -> None:
+    def __init__(self, *, upstream: Upstream, load: LoadView, fresh: bool = True) -> None:
         self.upstream = upstream
         self.memory = load.report.memory_total
-        self.room = load.report.memory_total - load.report.memory_held
+        self.room = load.report.memory_total - load.report.memory_held if fresh else 0
         self.queued = load.report.queued
         self.rate = load.report.prefill_rate
 
