--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -53,12 +53,6 @@
         peers.answer(TeamAsk, self._ask_team)
         peers.answer(GangTurnAsk, self._ask_turn)
 
-    def may_sweep(self, upstream: str) -> bool:
-        """Whether this keeper is the home of an upstream and knows its holders."""
-        now = self._context.timers.now()
-        is_home = self._handover.is_home(upstream, now=now)
-        return is_home and self._handover.remaining(upstream, now=now) <= 0
-
     def is_live(self, holder: str) -> bool:
         """Whether a holder has been heard within one expiry time."""
         heard = self._holders.get(holder)
--- a/testing/gang_fleet.py
+++ b/testing/gang_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from typing import Any
 from typing import Final
@@ -13,6 +14,7 @@
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
 from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.limits import Limit
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.standins.text import expected_text
@@ -70,10 +72,10 @@
 
 
 async def journals(fleet: Fleet) -> dict[str, dict[str, Any]]:
-    """Return the journals of all engines that answer."""
+    """Return the journals of all engines that listen; one that is starting holds nothing yet."""
     found = {}
     for vm in engines(fleet):
-        if fleet.processes[vm.id].running:
+        with contextlib.suppress(UpstreamUnreached):
             found[vm.id] = await fleet.request(vm.address, "GET", "/journal")
     return found
 
--- /dev/null
+++ b/testing/test_memory_return.py
@@ -0,0 +1,135 @@
+"""Fifty seeded kills and freezes under load: engines get all their memory back in time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from gang_fleet import GANG_TOKENS
+from gang_fleet import LONG_TOKENS
+from gang_fleet import RETURN_SECONDS
+from gang_fleet import SHORT_TOKENS
+from gang_fleet import SPEED
+from gang_fleet import caller
+from gang_fleet import engines
+from gang_fleet import gang_plan
+from gang_fleet import journals
+from gang_fleet import memory_return
+from gang_fleet import warm_up
+
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.standins.text import make_prompt
+
+ROUNDS = 5
+FAULTS_A_ROUND = 10
+LOAD_BEFORE = 6.0
+BETWEEN_FAULTS = 0.4
+# Freezes of entries last past the check, so that nothing they do themselves can help.
+FROZEN_ENTRY = RETURN_SECONDS + 5.0
+FROZEN_OTHERS = 4.0
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
+    directory: Path = tmp_path_factory.mktemp("memory")
+    async with Fleet(plan=gang_plan(base_port), directory=directory) as running:
+        await warm_up(running)
+        yield running
+
+
+async def send_load(fleet: Fleet, seed: int) -> None:
+    """Keep gangs, longs with long answers and shorts in flight until cancelled."""
+
+    async def one(kind: int, lane: int) -> None:
+        sent = 0
+        while True:
+            tokens = (GANG_TOKENS, LONG_TOKENS, SHORT_TOKENS)[kind]
+            address = fleet.entries[f"entry-{lane % 3}"]
+            prompt = make_prompt(tokens=tokens, seed=seed * 1_000 + lane * 100 + sent)
+            await caller().complete(address, prompt=prompt, max_tokens=(8, 1_000, 1_000)[kind])
+            sent += 1
+            await asyncio.sleep(0.05)
+
+    await asyncio.gather(*(one(kind, lane) for kind in range(3) for lane in range(3)))
+
+
+class Injector:
+    """Kill and freeze processes by seed; undo it after the check."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.counts: Counter[str] = Counter()
+        self.killed: list[str] = []
+        self.frozen: list[str] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def inject(self) -> None:
+        """Strike one process that has not been struck this round; a killed one starts anew."""
+        names = [
+            name
+            for name in self.fleet.processes
+            if name.startswith(("entry", "engine", "keeper"))
+            and name not in self.killed
+            and name not in self.frozen
+        ]
+        name = self.random.choice(sorted(names))
+        kind = self.random.choice(("kill", "freeze"))
+        self.counts[f"{kind} {name.partition('-')[0]}"] += 1
+        if kind == "kill":
+            self.fleet.processes[name].kill()
+            self.fleet.processes[name].start()
+            self.killed.append(name)
+            return
+        self.fleet.processes[name].send(signal.SIGSTOP)
+        self.frozen.append(name)
+        seconds = FROZEN_ENTRY if name.startswith("entry") else FROZEN_OTHERS
+        self.tasks.append(asyncio.create_task(self._thaw(name, seconds)))
+
+    async def _thaw(self, name: str, seconds: float) -> None:
+        await asyncio.sleep(seconds / SPEED)
+        self.fleet.processes[name].send(signal.SIGCONT)
+
+    async def undo(self) -> None:
+        """Thaw everything and wait until it is up."""
+        for task in self.tasks:
+            task.cancel()
+        for name in self.frozen:
+            self.fleet.processes[name].send(signal.SIGCONT)
+        for vm in engines(self.fleet):
+            await self.fleet.wait_for(vm.address, "/v1/state")
+        for address in self.fleet.entries.values():
+            await self.fleet.wait_for(address, "/readyz")
+
+
+async def test_memory_returns_after_each_of_fifty_kills_and_freezes(fleet: Fleet) -> None:
+    total: Counter[str] = Counter()
+    held_under_load = 0
+    for seed in range(ROUNDS):
+        injector = Injector(fleet, seed)
+        load = asyncio.create_task(send_load(fleet, seed))
+        await asyncio.sleep(LOAD_BEFORE / SPEED)
+        held_under_load += sum(journal["held"] for journal in (await journals(fleet)).values()) > 0
+        for _ in range(FAULTS_A_ROUND):
+            injector.inject()
+            await asyncio.sleep(BETWEEN_FAULTS / SPEED)
+        load.cancel()
+        await asyncio.gather(load, return_exceptions=True)
+        # Frozen engines and keepers wake before the end of the wait, frozen entries do not.
+        await asyncio.sleep(FROZEN_OTHERS / SPEED)
+        held = await memory_return(fleet, bound=RETURN_SECONDS - FROZEN_OTHERS)
+        assert held == {}, f"round {seed}: {injector.counts}"
+        await injector.undo()
+        assert await memory_return(fleet) == {}
+        total += injector.counts
+    assert held_under_load == ROUNDS
+    assert total.total() == ROUNDS * FAULTS_A_ROUND
+    assert len(total) == 6, total
