--- a/src/baobabpulley/entry/homes.py
+++ b/src/baobabpulley/entry/homes.py
@@ -38,6 +38,11 @@
         """Addresses of all keepers of this failure domain, silent ones too."""
         return tuple(vm.address for vm in self._view.keepers)
 
+    @property
+    def all_silent(self) -> bool:
+        """Whether no keeper of this failure domain answers."""
+        return all(address in self._silent for address in self.addresses)
+
     def home(self, key: str) -> str | None:
         """Return the address of a key's home, or ``None`` if no keeper answers."""
         for keepers in (self._view.live_keepers, self._view.keepers):
--- a/src/baobabpulley/entry/reservations.py
+++ b/src/baobabpulley/entry/reservations.py
@@ -5,16 +5,13 @@
 import asyncio
 import contextlib
 import secrets
-from collections import defaultdict
-from typing import Final
 from typing import final
 
 from baobabpulley.entry.homes import Homes
-from baobabpulley.entry.team_share import TeamShare
+from baobabpulley.entry.team_spending import TeamSpending
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import Overloaded
 from baobabpulley.errors import PeerUnavailable
-from baobabpulley.errors import TeamLimitReached
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import Done
 from baobabpulley.model.reservation_messages import GangTurnAnswer
@@ -25,22 +22,14 @@
 from baobabpulley.model.reservation_messages import MemoryAnswer
 from baobabpulley.model.reservation_messages import MemoryAsk
 from baobabpulley.model.reservation_messages import MemoryRelease
-from baobabpulley.model.reservation_messages import TeamAnswer
-from baobabpulley.model.reservation_messages import TeamAsk
-from baobabpulley.model.reservation_messages import TeamHold
 from baobabpulley.model.reservations import MemoryClaim
 from baobabpulley.model.reservations import Reservation
 from baobabpulley.policy.gang_queue import GANGS_KEY
-from baobabpulley.policy.reservation_book import ASK_AGAIN
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import team_key
 from baobabpulley.ports.reservations import Reservations
 from baobabpulley.timers import TimerService
 
-LEASE_MARGIN: Final = 0.5
-TEAM_RETRY_AFTER: Final = 2.0
-CUSHION_DIVISOR: Final = 8
-
 
 @final
 class EntryReservations(Reservations):
@@ -50,9 +39,8 @@
         "_claims",
         "_holder",
         "_homes",
-        "_locks",
         "_section",
-        "_shares",
+        "_teams",
         "_timers",
         "_view",
     )
@@ -72,8 +60,9 @@
         self._section = section
         self._timers = timers
         self._claims: dict[str, dict[str, MemoryClaim]] = {}
-        self._shares: dict[str, TeamShare] = {}
-        self._locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._teams = TeamSpending(
+            holder=holder, homes=homes, view=view, section=section, timers=timers
+        )
 
     @property
     def holder(self) -> str:
@@ -162,83 +151,10 @@
         self._timers.after(0.0, tell, name="end turn")
 
     async def spend(self, *, team: str, request_id: str, tokens: int) -> None:
-        share = self._shares.setdefault(team, TeamShare())
-        limit = self._view.book.limit(team).max_tokens_in_flight
-        if share.knows(request_id):
-            return
-        if tokens > limit:
-            raise TeamLimitReached(
-                f"the prompt has {tokens} tokens; {team} may have {limit} in flight",
-                remedy="Shorten the prompt, or ask your operator to raise max_tokens_in_flight.",
-            )
-        give_up = self._timers.now() + self._section.expiry + 2 * self._section.renewal
-        while not self._covers(share, tokens):
-            answer = await self._ask_team(team, share, tokens)
-            if answer is None or answer.granted:
-                continue
-            self._check_refused(answer, team, tokens, give_up)
-            await self._timers.sleep(min(answer.retry_after, ASK_AGAIN))
-        share.spend(request_id, tokens)
+        await self._teams.spend(team=team, request_id=request_id, tokens=tokens)
 
     async def refund(self, *, team: str, request_id: str) -> None:
-        share = self._shares.get(team)
-        if share is not None:
-            share.refund(request_id)
-
-    def _covers(self, share: TeamShare, tokens: int) -> bool:
-        alone = self._homes.home(GANGS_KEY) is None
-        return share.covers(tokens, now=self._timers.now(), alone=alone)
-
-    async def _ask_team(self, team: str, share: TeamShare, tokens: int) -> TeamAnswer | None:
-        """Ask for a larger share; return ``None`` if another question has made it unneeded."""
-        async with self._locks[team]:
-            if self._covers(share, tokens):
-                return None
-            if self._homes.home(GANGS_KEY) is not None:
-                share.expire(now=self._timers.now())
-            limit = self._view.book.limit(team).max_tokens_in_flight
-            need = share.in_use + tokens
-            cushion = min(self._section.team_allowance, limit // CUSHION_DIVISOR)
-            question = TeamAsk(
-                holder=self._holder,
-                team=team,
-                held=share.held,
-                need=need,
-                want=need + cushion,
-                version=share.begin_ask(need + cushion),
-            )
-            sent = self._timers.now()
-            held: int | None = None
-            try:
-                answer = await self._homes.ask(team_key(team), question, answer=TeamAnswer)
-                held = answer.held if answer.granted else None
-            except PeerUnavailable as error:
-                if self._covers(share, tokens):
-                    return None
-                raise Overloaded(
-                    f"{team}'s tokens in flight cannot be counted: {error.message}",
-                    retry_after=TEAM_RETRY_AFTER,
-                ) from error
-            finally:
-                share.end_ask(held, until=self._lease_end(sent))
-            return answer
-
-    def _check_refused(self, answer: TeamAnswer, team: str, tokens: int, give_up: float) -> None:
-        """Raise the refusal unless asking again soon may help."""
-        now = self._timers.now()
-        if answer.retry_after and now + min(answer.retry_after, ASK_AGAIN) < give_up:
-            return
-        if answer.warming:
-            raise Overloaded(
-                f"the home of {team}'s limit has just changed", retry_after=answer.retry_after
-            )
-        raise TeamLimitReached(
-            f"{team} may have {answer.limit} tokens in flight; {tokens} more do not fit now",
-            retry_after=TEAM_RETRY_AFTER,
-        )
-
-    def _lease_end(self, sent: float) -> float:
-        return sent + self._section.expiry - LEASE_MARGIN
+        self._teams.refund(team=team, request_id=request_id)
 
     async def _renew(self) -> None:
         """Send each home all that it is the home of; silent keepers get it empty, as a probe."""
@@ -253,33 +169,31 @@
         )
 
     def _keys(self) -> tuple[str, ...]:
-        teams = set(self._view.book.limits) | set(self._shares)
+        teams = self._teams.teams.union(self._view.book.limits)
         return (*self._view.upstreams, *(team_key(team) for team in sorted(teams)), GANGS_KEY)
 
     async def _renew_at(self, address: str, keys: tuple[str, ...]) -> None:
         own = frozenset(keys)
-        teams = [team for team in self._shares if team_key(team) in own]
+        teams = [team for team in self._teams.teams if team_key(team) in own]
         renewal = HolderRenewal(
             holder=self._holder,
             keys=keys,
             claims=self._held_claims(own),
-            teams=self._statements(teams),
+            teams=self._teams.statements(teams),
         )
         sent = self._timers.now()
         try:
             answer = await self._homes.ask_at(address, renewal, answer=HolderRenewed)
         except PeerUnavailable:
             return
-        for team in teams:
-            self._shares[team].renewed(until=self._lease_end(sent))
+        self._teams.renewed(teams, sent=sent)
         if answer.recalled:
             await self._give_back(address, answer.recalled)
 
     async def _give_back(self, address: str, teams: tuple[str, ...]) -> None:
-        for team in teams:
-            self._shares[team].give_back()
+        self._teams.give_back(teams)
         renewal = HolderRenewal(
-            holder=self._holder, keys=(), claims=(), teams=self._statements(teams)
+            holder=self._holder, keys=(), claims=(), teams=self._teams.statements(teams)
         )
         with contextlib.suppress(PeerUnavailable):
             await self._homes.ask_at(address, renewal, answer=HolderRenewed)
@@ -291,7 +205,3 @@
             for claim in claims.values()
             if claim.upstream in upstreams
         )
-
-    def _statements(self, teams: list[str] | tuple[str, ...]) -> tuple[TeamHold, ...]:
-        now = self._timers.now()
-        return tuple(self._shares[team].statement(team, now=now) for team in teams)
--- /dev/null
+++ b/src/baobabpulley/entry/team_spending.py
@@ -0,0 +1,184 @@
+"""Count teams' tokens in flight: from a leased share if it covers them, else asked of the home."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+from typing import final
+
+from baobabpulley.entry.homes import Homes
+from baobabpulley.entry.team_share import TeamShare
+from baobabpulley.errors import Overloaded
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.errors import TeamLimitReached
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.reservation_messages import TeamAnswer
+from baobabpulley.model.reservation_messages import TeamAsk
+from baobabpulley.model.reservation_messages import TeamHold
+from baobabpulley.policy.reservation_book import ASK_AGAIN
+from baobabpulley.policy.reservation_book import ReservationsSection
+from baobabpulley.policy.team_book import team_key
+from baobabpulley.timers import TimerService
+
+LEASE_MARGIN: Final = 0.5
+RETRY_AFTER: Final = 2.0
+# The share of a team's limit that one entry may hold beyond what it has in use.
+CUSHION_DIVISOR: Final = 8
+# Renewals until what other entries do not use has been given back.
+RECALL_RENEWALS: Final = 2.5
+
+
+@final
+class TeamSpending:
+    """The shares of all teams at this entry."""
+
+    __slots__ = (
+        "_holder",
+        "_homes",
+        "_locks",
+        "_recalling",
+        "_section",
+        "_shares",
+        "_timers",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        homes: Homes,
+        view: FleetView,
+        section: ReservationsSection,
+        timers: TimerService,
+    ) -> None:
+        self._holder = holder
+        self._homes = homes
+        self._view = view
+        self._section = section
+        self._timers = timers
+        self._shares: dict[str, TeamShare] = {}
+        self._locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._recalling: dict[str, str] = {}
+
+    @property
+    def teams(self) -> frozenset[str]:
+        """Teams that have spent anything here."""
+        return frozenset(self._shares)
+
+    async def spend(self, *, team: str, request_id: str, tokens: int) -> None:
+        """Count a request in; raise `TeamLimitReached` or `Overloaded` if it cannot be."""
+        share = self._shares.setdefault(team, TeamShare())
+        if share.knows(request_id):
+            return
+        limit = self._view.book.limit(team).max_tokens_in_flight
+        if tokens > limit:
+            raise TeamLimitReached(
+                f"the prompt has {tokens} tokens; {team} may have {limit} in flight",
+                remedy="Shorten the prompt, or ask your operator to raise max_tokens_in_flight.",
+            )
+        if not self._covers(share, tokens):
+            await self._extend(request_id, team, share, tokens)
+        share.spend(request_id, tokens)
+
+    def refund(self, *, team: str, request_id: str) -> None:
+        """Count a request out; idempotent."""
+        share = self._shares.get(team)
+        if share is not None:
+            share.refund(request_id)
+
+    def statements(self, teams: Iterable[str]) -> tuple[TeamHold, ...]:
+        """Return what to state of some teams in a renewal."""
+        now = self._timers.now()
+        return tuple(self._shares[team].statement(team, now=now) for team in teams)
+
+    def renewed(self, teams: Iterable[str], *, sent: float) -> None:
+        """Note that the home of some teams has answered a renewal sent at a model time."""
+        for team in teams:
+            self._shares[team].renewed(until=self._lease_end(sent))
+
+    def give_back(self, teams: Iterable[str]) -> None:
+        """Keep only what is in use of some teams."""
+        for team in teams:
+            self._shares[team].give_back()
+
+    def _covers(self, share: TeamShare, tokens: int) -> bool:
+        return share.covers(tokens, now=self._timers.now(), alone=self._homes.all_silent)
+
+    async def _extend(self, request_id: str, team: str, share: TeamShare, tokens: int) -> None:
+        """Ask until the share covers the tokens, within a bound for each reason to wait."""
+        began = self._timers.now()
+        try:
+            while not self._covers(share, tokens):
+                answer = await self._ask(team, share, tokens)
+                if answer is None or answer.granted:
+                    continue
+                waited = self._timers.now() - began
+                if answer.warming:
+                    self._check_warming(answer, team, waited)
+                else:
+                    self._check_limit(answer, request_id, team, tokens, waited)
+                await self._timers.sleep(ASK_AGAIN)
+        finally:
+            if self._recalling.get(team) == request_id:
+                del self._recalling[team]
+
+    def _check_warming(self, answer: TeamAnswer, team: str, waited: float) -> None:
+        if waited > self._section.expiry + 2 * self._section.renewal:
+            raise Overloaded(
+                f"the home of {team}'s limit has just changed", retry_after=answer.retry_after
+            )
+
+    def _check_limit(
+        self, answer: TeamAnswer, request_id: str, team: str, tokens: int, waited: float
+    ) -> None:
+        # One request waits for what other entries may give back; those behind it fail at once.
+        first = self._recalling.setdefault(team, request_id) == request_id
+        if not first or waited > RECALL_RENEWALS * self._section.renewal:
+            raise TeamLimitReached(
+                f"{team} may have {answer.limit} tokens in flight; {tokens} more do not fit now",
+                retry_after=RETRY_AFTER,
+            )
+
+    async def _ask(self, team: str, share: TeamShare, tokens: int) -> TeamAnswer | None:
+        """Ask for a larger share; return ``None`` if another question has made it unneeded."""
+        async with self._locks[team]:
+            if self._covers(share, tokens):
+                return None
+            if not self._homes.all_silent:
+                share.expire(now=self._timers.now())
+            question = self._question(team, share, tokens)
+            sent = self._timers.now()
+            held: int | None = None
+            try:
+                answer = await self._homes.ask(team_key(team), question, answer=TeamAnswer)
+                held = answer.held if answer.granted else None
+            except PeerUnavailable as error:
+                if self._covers(share, tokens):
+                    return None
+                raise Overloaded(
+                    f"{team}'s tokens in flight cannot be counted: {error.message}",
+                    retry_after=RETRY_AFTER,
+                ) from error
+            finally:
+                share.end_ask(held, until=self._lease_end(sent))
+            return answer
+
+    def _question(self, team: str, share: TeamShare, tokens: int) -> TeamAsk:
+        limit = self._view.book.limit(team).max_tokens_in_flight
+        need = share.in_use + tokens
+        want = need + min(self._section.team_allowance, limit // CUSHION_DIVISOR)
+        held = share.held
+        return TeamAsk(
+            holder=self._holder,
+            team=team,
+            held=held,
+            need=need,
+            want=want,
+            version=share.begin_ask(want),
+        )
+
+    def _lease_end(self, sent: float) -> float:
+        return sent + self._section.expiry - LEASE_MARGIN
--- a/src/baobabpulley/model/reservation_messages.py
+++ b/src/baobabpulley/model/reservation_messages.py
@@ -91,8 +91,7 @@
 class TeamAnswer(msgspec.Struct, frozen=True):
     """What the holder may spend now.
 
-    ``retry_after`` is 0 if only the team's own work in flight is in the way. ``warming`` says
-    that the keeper has just become the team's home.
+    ``warming`` says that the keeper has just become the team's home.
     """
 
     granted: bool
--- a/src/baobabpulley/policy/team_book.py
+++ b/src/baobabpulley/policy/team_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import final
 
 from baobabpulley.model.reservation_messages import TeamAnswer
@@ -11,16 +12,18 @@
 from baobabpulley.policy.reservation_book import ASK_AGAIN
 from baobabpulley.policy.reservation_book import ReservationsSection
 
+# Renewals for which holders are told to give back what they do not use.
+RECALL_RENEWALS: Final = 2
+
 
 @final
 class _Share:
     """What one holder may spend; ``until`` is when it stops counting."""
 
-    __slots__ = ("in_use", "tokens", "until", "version")
+    __slots__ = ("tokens", "until", "version")
 
     def __init__(self) -> None:
         self.tokens = 0
-        self.in_use = 0
         self.version = 0
         self.until = 0.0
 
@@ -65,7 +68,6 @@
         if ask.need > room:
             return self._refuse(ask, share, limit, now)
         share.tokens = max(share.tokens, min(ask.want, room))
-        share.in_use = ask.need
         return TeamAnswer(granted=True, held=share.tokens, limit=limit)
 
     def renew(self, holder: str, hold: TeamHold, *, now: float) -> bool:
@@ -76,19 +78,13 @@
             share = self._touch(holder, hold.team, now)
             if hold.version >= share.version:
                 share.tokens = hold.held
-                share.in_use = hold.in_use
                 share.version = hold.version
         return self._recalled.get(hold.team, 0.0) > now and hold.held > hold.in_use
 
     def _refuse(self, ask: TeamAsk, share: _Share, limit: int, now: float) -> TeamAnswer:
-        others = [item for item in self._shares[ask.team].values() if item is not share]
-        in_use = sum(item.in_use for item in others)
-        retry_after = 0.0
-        if ask.need <= limit - in_use:
-            # Others hold tokens that they do not use: have them given back, then try again.
-            self._recalled[ask.team] = now + 2 * self._section.renewal
-            retry_after = ASK_AGAIN
-        return TeamAnswer(granted=False, held=share.tokens, limit=limit, retry_after=retry_after)
+        # Others may hold tokens that they do not use, or no longer: have them given back.
+        self._recalled[ask.team] = now + RECALL_RENEWALS * self._section.renewal
+        return TeamAnswer(granted=False, held=share.tokens, limit=limit, retry_after=ASK_AGAIN)
 
     def _touch(self, holder: str, team: str, now: float) -> _Share:
         share = self._shares.setdefault(team, {}).setdefault(holder, _Share())
--- a/testing/test_reservation_books.py
+++ b/testing/test_reservation_books.py
@@ -190,6 +190,35 @@
     assert all(pieces)
 
 
+def team_ask(share: TeamShare, name: str, *, need: int, want: int) -> TeamAsk:
+    held = share.held
+    version = share.begin_ask(want)
+    return TeamAsk(holder=name, team="souk", held=held, need=need, want=want, version=version)
+
+
+def test_a_share_is_not_spent_past_its_lease_unless_no_keeper_answers() -> None:
+    share = TeamShare()
+    assert not share.covers(1, now=0.0, alone=True)
+    share.begin_ask(100)
+    share.end_ask(100, until=10.0)
+    assert share.covers(100, now=9.9, alone=False)
+    assert not share.covers(1, now=10.0, alone=False)
+    assert share.covers(100, now=10.0, alone=True)
+    assert not share.covers(101, now=10.0, alone=True)
+
+
+def test_a_statement_older_than_a_question_does_not_shrink_what_was_granted() -> None:
+    teams = Home().teams
+    share = TeamShare()
+    older = share.statement("souk", now=100.0)
+    answer = teams.ask(team_ask(share, "e0", need=900, want=900), limit=1_000, now=100.0)
+    assert answer.granted
+    teams.renew("e0", older, now=100.2)
+    assert teams.held("souk", now=100.3) == 900
+    refused = teams.ask(team_ask(TeamShare(), "e1", need=200, want=200), limit=1_000, now=100.4)
+    assert not refused.granted
+
+
 class Network:
     """Entries and a home whose messages are late, lost and out of order, by seed.
 
--- /dev/null
+++ b/testing/test_team_limits.py
@@ -0,0 +1,152 @@
+"""A team's tokens in flight over all entries of a failure domain, also while keepers are gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from gang_fleet import SHORT_TOKENS
+from gang_fleet import SMALL_LIMIT
+from gang_fleet import SMALL_TEAM
+from gang_fleet import SPEED
+from gang_fleet import caller
+from gang_fleet import gang_plan
+from gang_fleet import is_right
+from gang_fleet import journals
+from gang_fleet import warm_up
+
+from baobabpulley.emulator.caller import Completion
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.policy.team_book import team_key
+from baobabpulley.standins.text import make_prompt
+
+TOKENS = 1_500
+MAX_TOKENS = 100
+DECODE_RATE = 50.0
+REFUSALS = ("team_limit", "overloaded")
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
+    directory: Path = tmp_path_factory.mktemp("teams")
+    plan = gang_plan(base_port, engines=3)
+    async with Fleet(plan=plan, directory=directory) as running:
+        await warm_up(running)
+        yield running
+
+
+async def send(
+    fleet: Fleet, name: str, *, entry: int, tokens: int = TOKENS, team: str = SMALL_TEAM
+) -> Completion:
+    return await caller(team).complete(
+        fleet.entries[f"entry-{entry % 3}"],
+        prompt=make_prompt(tokens=tokens, seed=1),
+        max_tokens=MAX_TOKENS,
+        headers={"X-Request-Id": name},
+    )
+
+
+async def burst(fleet: Fleet, name: str, *, count: int = 12) -> dict[str, Completion]:
+    """Send three times what the limit lets in, over all entries at once."""
+    names = [f"{name}-{index}" for index in range(count)]
+    answers = await asyncio.gather(
+        *(send(fleet, each, entry=index) for index, each in enumerate(names))
+    )
+    return dict(zip(names, answers, strict=True))
+
+
+async def starts(fleet: Fleet, prefix: str) -> dict[str, float]:
+    """Return when the requests of a prefix started at an engine, in model seconds."""
+    return {
+        line["request"]: line["at"]
+        for journal in (await journals(fleet)).values()
+        for line in journal["lines"]
+        if line["kind"] == "completion" and line["request"].startswith(prefix)
+    }
+
+
+async def check_limit(fleet: Fleet, name: str, answers: dict[str, Completion]) -> int:
+    """Check that the limit held and refusals reached no engine; return how many were answered."""
+    started = await starts(fleet, name)
+    prompt = make_prompt(tokens=TOKENS, seed=1)
+    for each, answer in answers.items():
+        if is_right(answer, prompt, max_tokens=MAX_TOKENS):
+            assert each in started
+            continue
+        assert answer.code in REFUSALS
+        assert answer.ran is False
+        assert each not in started
+    # An answer takes at least the time of its decode, so these were surely in flight together.
+    shortest = MAX_TOKENS / DECODE_RATE
+    for at in started.values():
+        together = sum(1 for other in started.values() if at <= other < at + shortest)
+        assert together * TOKENS <= SMALL_LIMIT
+    return len(started)
+
+
+async def test_a_burst_past_the_limit_is_refused_and_harms_no_other_team(fleet: Fleet) -> None:
+    others = [send(fleet, f"other-{i}", entry=i, team="souk") for i in range(6)]
+    answers, *rest = await asyncio.gather(burst(fleet, "burst"), *others)
+    assert await check_limit(fleet, "burst", answers) >= SMALL_LIMIT // TOKENS
+    assert "team_limit" in {answer.code for answer in answers.values()}
+    assert all(answer.ok for answer in rest)
+
+
+async def test_tokens_that_other_entries_hold_unused_are_given_back(fleet: Fleet) -> None:
+    for entry in range(3):
+        assert (await send(fleet, f"scatter-{entry}", entry=entry, tokens=100)).ok
+    whole = [send(fleet, f"whole-{i}", entry=0, tokens=SMALL_LIMIT // 2) for i in range(2)]
+    answers = await asyncio.gather(*whole)
+    assert [answer.code for answer in answers] == ["", ""]
+
+
+async def test_a_single_prompt_past_the_tokens_in_flight_is_refused_at_once(fleet: Fleet) -> None:
+    answer = await send(fleet, "too-long", entry=0, tokens=SMALL_LIMIT + 1)
+    assert answer.ran is False
+    assert await starts(fleet, "too-long") == {}
+
+
+async def test_the_limit_holds_while_the_teams_home_is_killed(fleet: Fleet) -> None:
+    vms = [vm.id for vm in fleet.vms if vm.role == "entry"]
+    home = ranked(team_key(SMALL_TEAM), vms)[0].replace("vm", "keeper")
+    first = asyncio.create_task(burst(fleet, "kill-a"))
+    await asyncio.sleep(0.5 / SPEED)
+    fleet.processes[home].kill()
+    second = await burst(fleet, "kill-b")
+    third = await burst(fleet, "kill-c")
+    answers = {**(await first), **second, **third}
+    fleet.processes[home].start()
+    assert await check_limit(fleet, "kill-", answers) > SMALL_LIMIT // TOKENS
+
+
+async def test_with_all_keepers_gone_entries_spend_what_they_hold_and_no_more(
+    fleet: Fleet,
+) -> None:
+    for entry in range(3):
+        assert (await send(fleet, f"before-{entry}", entry=entry, team="souk")).ok
+    keepers = [fleet.processes[name] for name in fleet.processes if name.startswith("keeper")]
+    for keeper in keepers:
+        keeper.kill()
+    # Well past the lease: what was leased is still this entry's, since nobody can grant it anew.
+    await asyncio.sleep(10.0 / SPEED)
+    held = [
+        await send(fleet, f"held-{i}", entry=i, tokens=SHORT_TOKENS, team="souk") for i in range(3)
+    ]
+    beyond = await burst(fleet, "gone")
+    for keeper in keepers:
+        keeper.start()
+    assert [answer.code for answer in held] == ["", "", ""]
+    await check_limit(fleet, "gone", beyond)
+    assert "overloaded" in {answer.code for answer in beyond.values()}
+    # The new homes wait out one lease, and then all is as before.
+    for _ in range(50):
+        if (await send(fleet, "after", entry=0)).ok:
+            break
+    else:
+        raise AssertionError("the team got nothing through after its home came back")
