--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -13,12 +13,16 @@
 from baobabpulley.timers import TimerService
 
 if TYPE_CHECKING:
+    from baobabpulley.adapters.envelope import Sealer
     from baobabpulley.adapters.metrics import EntryMetrics
+    from baobabpulley.entry.claims import Claims
     from baobabpulley.entry.dispatch import Dispatcher
-    from baobabpulley.entry.hold_renewal import HoldRenewal
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
-    from baobabpulley.entry.reservations import EntryReservations
+    from baobabpulley.entry.memory import EntryMemory
+    from baobabpulley.entry.plain import ServiceCaller
+    from baobabpulley.entry.tickets import Tickets
+    from baobabpulley.policy.burn import BurnCounters
 
 
 @final
@@ -26,16 +30,20 @@
     """One entry process."""
 
     __slots__ = (
+        "burn",
+        "claims",
         "decisions",
         "dispatcher",
-        "holds",
         "keeper",
         "lifecycle",
+        "memory",
         "metrics",
         "node",
         "peers",
-        "reservations",
+        "sealer",
+        "services",
         "settings",
+        "tickets",
         "timers",
         "view",
     )
@@ -50,11 +58,15 @@
         view: FleetView,
         keeper: KeeperLink,
         dispatcher: Dispatcher,
-        reservations: EntryReservations,
-        holds: HoldRenewal,
+        memory: EntryMemory,
         decisions: DecisionLog,
         metrics: EntryMetrics,
         lifecycle: Lifecycle,
+        services: ServiceCaller,
+        tickets: Tickets,
+        claims: Claims,
+        sealer: Sealer,
+        burn: BurnCounters,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -63,8 +75,12 @@
         self.view = view
         self.keeper = keeper
         self.dispatcher = dispatcher
-        self.reservations = reservations
-        self.holds = holds
+        self.memory = memory
         self.decisions = decisions
         self.metrics = metrics
         self.lifecycle = lifecycle
+        self.services = services
+        self.tickets = tickets
+        self.claims = claims
+        self.sealer = sealer
+        self.burn = burn
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -37,6 +37,7 @@
     "settings_watch",
     "fleet_state",
     "membership",
+    "tender",
     "reservations",
     "sweep",
 )
--- a/testing/test_team_limits.py
+++ b/testing/test_team_limits.py
@@ -148,5 +148,6 @@
     for _ in range(50):
         if (await send(fleet, "after", entry=0)).ok:
             break
+        await asyncio.sleep(0.2)
     else:
         raise AssertionError("the team got nothing through after its home came back")
