--- /dev/null
+++ b/src/baobabpulley/cli/bench.py
@@ -0,0 +1,10 @@
+"""``baobabpulley bench``: measurements on a local fleet of separate processes."""
+
+from __future__ import annotations
+
+from baobabpulley.cli.main import cli
+
+
+@cli.group()
+def bench() -> None:
+    """Measure on a local fleet of stand-ins; loopback only."""
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -8,7 +8,15 @@
 import click
 
 # Modules that add commands to `cli` when they are imported.
-_COMMAND_MODULES: Final = ("daemons", "standins", "settings", "report", "explain")
+_COMMAND_MODULES: Final = (
+    "daemons",
+    "standins",
+    "settings",
+    "report",
+    "explain",
+    "bench",
+    "bench_gangs",
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
