--- a/testing/test_gangs.py
+++ b/testing/test_gangs.py
@@ -10,6 +10,7 @@
 import pytest
 import pytest_asyncio
 from gang_fleet import GANG_TOKENS
+from gang_fleet import LONG_TOKENS
 from gang_fleet import SHORT_TOKENS
 from gang_fleet import SPEED
 from gang_fleet import caller
@@ -80,6 +81,29 @@
     assert await memory_return(fleet) == {}
 
 
+async def test_longs_of_all_entries_are_reserved_so_that_no_engine_runs_out_of_memory(
+    fleet: Fleet,
+) -> None:
+    prompts = [make_prompt(tokens=LONG_TOKENS, seed=seed) for seed in range(15)]
+    names = [f"reserved-{index}" for index in range(len(prompts))]
+    answers = await asyncio.gather(
+        *(send(fleet, i % 3, prompt, name=names[i]) for i, prompt in enumerate(prompts))
+    )
+    for answer, prompt in zip(answers, prompts, strict=True):
+        assert is_right(answer, prompt, max_tokens=MAX_TOKENS), answer.code
+    for name in names:
+        assert [outcome for _, _, outcome in await lines_of(fleet, name)] == ["started"]
+
+
+async def test_parts_are_kept_alive_until_the_answer_is_whole(fleet: Fleet) -> None:
+    prompt = make_prompt(tokens=2 * GANG_TOKENS, seed=75)
+    answer = await send(fleet, 0, prompt, name="six-members")
+    assert is_right(answer, prompt, max_tokens=MAX_TOKENS), answer.code
+    # The first part is needed for longer than an engine holds by itself what nobody renews.
+    lines = [line[1:] for line in await lines_of(fleet, "six-members")]
+    assert lines == [("part", "started")] * 5 + [("completion", "started")]
+
+
 @pytest.mark.parametrize("text", ["م", "aകപ്പ"], ids=["two-byte", "three-byte"])
 async def test_a_prompt_beyond_ascii_is_cut_inside_characters_without_harm(
     fleet: Fleet, text: str
@@ -131,9 +155,10 @@
         asyncio.create_task(send(fleet, index % 3, prompt, name=f"six-{index}"))
         for index, prompt in enumerate(prompts)
     ]
-    await asyncio.sleep(3.0 / SPEED)
+    # Before any gang can have ended: the prefill alone takes five seconds.
+    await asyncio.sleep(1.0 / SPEED)
     fleet.processes["keeper-0"].kill()
-    await asyncio.sleep(3.0 / SPEED)
+    await asyncio.sleep(2.0 / SPEED)
     fleet.processes["entry-2"].kill()
     fleet.processes["engine-4"].kill()
     await asyncio.sleep(3.0 / SPEED)
