--- a/testing/gang_fleet.py
+++ b/testing/gang_fleet.py
@@ -20,7 +20,7 @@
 from baobabpulley.standins.text import expected_text
 
 ENGINE_MEMORY: Final = 40_000
-GANG_TOKENS: Final = 100_000
+GANG_TOKENS: Final = 75_000
 LONG_TOKENS: Final = 20_000
 SHORT_TOKENS: Final = 1_000
 TEAM: Final = "souk"
