--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -21,6 +21,7 @@
     from baobabpulley.entry.lifecycle import Lifecycle
     from baobabpulley.entry.memory import EntryMemory
     from baobabpulley.entry.plain import ServiceCaller
+    from baobabpulley.entry.resume_tokens import ResumeTokens
     from baobabpulley.entry.tickets import Tickets
     from baobabpulley.policy.burn import BurnCounters
 
@@ -40,6 +41,7 @@
         "metrics",
         "node",
         "peers",
+        "resume_tokens",
         "sealer",
         "services",
         "settings",
@@ -67,6 +69,7 @@
         claims: Claims,
         sealer: Sealer,
         burn: BurnCounters,
+        resume_tokens: ResumeTokens,
     ) -> None:
         self.settings = settings
         self.node = node
@@ -84,3 +87,4 @@
         self.claims = claims
         self.sealer = sealer
         self.burn = burn
+        self.resume_tokens = resume_tokens
--- a/src/baobabpulley/entry/delivery.py
+++ b/src/baobabpulley/entry/delivery.py
@@ -13,23 +13,27 @@
 
 @final
 class AnswerProgress:
-    """The tokens delivered so far, each once, whatever attempts they come from."""
+    """The tokens delivered so far, each once, whatever attempts they come from.
 
-    __slots__ = ("_max_tokens", "_tokens")
+    A caller that resumes an answer has its first ``offset`` tokens, ``delivered``, already.
+    """
 
-    def __init__(self, *, max_tokens: int) -> None:
+    __slots__ = ("_max_tokens", "_offset", "_pieces")
+
+    def __init__(self, *, max_tokens: int, offset: int = 0, delivered: str = "") -> None:
         self._max_tokens = max_tokens
-        self._tokens: list[str] = []
+        self._offset = offset
+        self._pieces = [delivered]
 
     @property
     def offset(self) -> int:
         """Index of the token that the caller needs next."""
-        return len(self._tokens)
+        return self._offset
 
     @property
     def text(self) -> str:
         """All tokens delivered."""
-        return "".join(self._tokens)
+        return "".join(self._pieces)
 
     def take(self, event: AnswerEvent) -> AnswerEvent | None:
         """Return what of an event is new, or ``None``; raise `UpstreamLost` on a gap."""
@@ -43,7 +47,8 @@
             return None
         if index + len(fresh) > self._max_tokens:
             raise UpstreamLost(f"more than {self._max_tokens} tokens arrived")
-        self._tokens += fresh
+        self._pieces += fresh
+        self._offset += len(fresh)
         return TokenEvent(attempt=event.attempt, index=index, tokens=fresh)
 
     def _take_end(self, event: EndEvent) -> EndEvent:
--- a/src/baobabpulley/entry/gangs.py
+++ b/src/baobabpulley/entry/gangs.py
@@ -76,7 +76,9 @@
     async def run(
         self, request: CompletionRequest, record: DecisionRecord
     ) -> AsyncIterator[AnswerEvent]:
-        progress = AnswerProgress(max_tokens=request.max_tokens)
+        progress = AnswerProgress(
+            max_tokens=request.max_tokens, offset=request.offset, delivered=request.delivered
+        )
         started = False
         try:
             while True:
--- a/testing/test_gangs.py
+++ b/testing/test_gangs.py
@@ -95,6 +95,16 @@
         assert [outcome for _, _, outcome in await lines_of(fleet, name)] == ["started"]
 
 
+async def test_a_caller_resumes_a_gangs_answer_through_another_entry(fleet: Fleet) -> None:
+    prompt = make_prompt(tokens=GANG_TOKENS, seed=76)
+    cut = await send(fleet, 0, prompt)
+    assert is_right(cut, prompt, max_tokens=MAX_TOKENS), cut.code
+    # As if the connection had been lost after three tokens of four bytes.
+    cut.text, cut.offset = cut.text[:12], 3
+    whole = await caller().resume(fleet.entries["entry-1"], cut, prompt=prompt)
+    assert is_right(whole, prompt, max_tokens=MAX_TOKENS), whole.code
+
+
 async def test_parts_are_kept_alive_until_the_answer_is_whole(fleet: Fleet) -> None:
     prompt = make_prompt(tokens=200_000, seed=75)
     answer = await send(fleet, 0, prompt, name="six-members")
