--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -62,6 +62,7 @@
         "_asking",
         "_contexts",
         "_handlers",
+        "_listening",
         "_names",
         "_publisher",
         "_rejected",
@@ -93,6 +94,7 @@
         self._asking: dict[str, pynng.Req0] = {}
         self._contexts: set[pynng.Context] = set()
         self._sockets: list[pynng.Socket] = []
+        self._listening: dict[tuple[str, Listener], pynng.Sub0] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
@@ -152,7 +154,15 @@
             self._publisher.send(sealed.data, block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
-        self._run(self._listen_forever(address, listener))
+        self.unsubscribe(address, listener)
+        socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
+        self._listening[address, listener] = socket
+        self._run(self._listen_forever(socket, listener))
+
+    def unsubscribe(self, address: str, listener: Listener) -> None:
+        socket = self._listening.pop((address, listener), None)
+        if socket is not None:
+            socket.close()
 
     def close(self) -> None:
         for task in tuple(self._tasks):
@@ -160,9 +170,10 @@
         # A context must be closed before its socket: pynng raises afterwards, also on collection.
         for context in tuple(self._contexts):
             self._close_context(context)
-        for socket in [*self._sockets, *self._asking.values()]:
+        for socket in [*self._sockets, *self._asking.values(), *self._listening.values()]:
             socket.close()
         self._asking.clear()
+        self._listening.clear()
 
     def _open_context(self, socket: pynng.Rep0 | pynng.Req0) -> pynng.Context:
         context = socket.new_context()
@@ -228,9 +239,7 @@
                 code="internal", message="the peer failed", remedy=BaobabError.default_remedy
             )
 
-    async def _listen_forever(self, address: str, listener: Listener) -> None:
-        socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
-        self._sockets.append(socket)
+    async def _listen_forever(self, socket: pynng.Sub0, listener: Listener) -> None:
         while True:
             try:
                 data = await socket.arecv()
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -12,10 +12,12 @@
     "daemons",
     "standins",
     "settings",
-    "report",
-    "explain",
+    "limits",
     "bench",
+    "bench_converge",
     "bench_gangs",
+    "report",
+    "explain",
 )
 
 
--- a/src/baobabpulley/model/messages.py
+++ b/src/baobabpulley/model/messages.py
@@ -43,7 +43,10 @@
 
 @peer_message("fleet.answer")
 class FleetAnswer(msgspec.Struct, frozen=True):
-    """What a keeper knows. ``limits`` are the limits in force, which never shrink.
+    """What a keeper knows.
+
+    The settings are complete from ``settings_since`` to ``settings_revision``. ``limits`` are
+    those in force beyond the stored documents; limits never shrink.
 
     Without ``whole`` the lists of upstreams and VMs are those of the last answer, and ``loads``
     are those that changed. ``live_keepers`` are the ids of the live entry VMs of the keeper's
@@ -56,6 +59,7 @@
     upstreams: tuple[Upstream, ...]
     loads: tuple[AgedLoad, ...]
     entry_vms: tuple[Vm, ...]
+    settings_since: int = 0
     origin: str = ""
     vms_version: int = 0
     loads_version: int = 0
