Serve a prompt that needs nearly all of one engine's memory where engines are few

Cause: testing/test_bad_input.py (390,000 tokens and 5,000 of output on a single engine of 400,000) waited 30 s for the engine to hold memory: above 0.9 of an engine the request is of the gang lane, and one engine is too few for a gang at that share. Ruled out: the count of the team's tokens (not asked), the caller's going away (the wait was for the start). Now one engine whose whole memory is enough will do if there are too few for a gang, and its home leaves out the share set aside for shorts when nobody else holds a reservation there.

--- a/src/baobabpulley/policy/gangs.py
+++ b/src/baobabpulley/policy/gangs.py
@@ -55,11 +55,14 @@
 def members_needed(*, tokens: int, share: float, candidates: Sequence[GangCandidate]) -> int:
     """Return how many engines a prompt and its output need, each filled up to ``share``.
 
-    Raises `TooFewEngines` if there are not so many.
+    With too few of them, one engine whose whole memory is enough will do. Raises `TooFewEngines`
+    if there is none.
     """
     memory = min((candidate.memory for candidate in candidates), default=0)
     usable = max(0, int(share * memory) - BLOCK_TOKENS)
     needed = -(-tokens // usable) if usable else 0
+    if needed > len(candidates) and tokens <= max(item.memory for item in candidates):
+        return 1
     if not usable or needed > len(candidates):
         raise TooFewEngines(
             f"the prompt and its output need {tokens} tokens of memory; the {len(candidates)} "
--- a/src/baobabpulley/policy/reservation_book.py
+++ b/src/baobabpulley/policy/reservation_book.py
@@ -92,7 +92,7 @@
         barrier = self._barriers.get(upstream)
         if barrier is not None and barrier.reservation != ask.reservation:
             return _refused("a gang waits for this upstream", ASK_AGAIN)
-        if ask.claim.tokens > self._room(upstream, load, now):
+        if ask.claim.tokens > self._room(ask.claim, load, now):
             if ask.gang:
                 self._bar(upstream, ask.reservation, now)
             return _refused("the upstream has no room now", ASK_AGAIN)
@@ -111,11 +111,14 @@
         if barrier is not None and barrier.reservation == reservation:
             del self._barriers[upstream]
 
-    def _room(self, upstream: str, load: LoadView, now: float) -> int:
+    def _room(self, claim: MemoryClaim, load: LoadView, now: float) -> int:
         # Memory in use by reservations shows in the report as well: count the larger of both.
         total = load.report.memory_total
         left_to_shorts = int(self._section.shorts_share * total)
-        reserved = self.reserved(upstream, now=now)
+        reserved = self.reserved(claim.upstream, now=now)
+        if claim.tokens > total - left_to_shorts and not reserved:
+            # It fits on no engine otherwise; shorts find room on the others meanwhile.
+            left_to_shorts = 0
         return total - max(load.report.memory_held, reserved + left_to_shorts)
 
     def _put(self, holder: str, reservation: str, claim: MemoryClaim, now: float) -> None:
--- a/testing/test_reservation_books.py
+++ b/testing/test_reservation_books.py
@@ -178,6 +178,21 @@
     assert caught.value.ran is False
 
 
+def test_one_engine_will_do_for_a_prompt_that_needs_its_whole_memory() -> None:
+    assert members_needed(tokens=950, share=0.9, candidates=[candidate("e1")]) == 1
+
+
+def test_a_claim_for_nearly_all_memory_is_granted_on_an_idle_engine_alone() -> None:
+    section = ReservationsSection(shorts_share=0.05)
+    home = Home()
+    home.memory = MemoryBook(section=section, handover=home.memory._handover)
+    assert home.ask("small", 10, now=100.0).granted
+    assert not home.ask("whole", 980, now=100.5).granted
+    home.memory.release("small", "engine-1")
+    assert home.ask("whole", 980, now=101.0).granted
+    assert not home.ask("small", 10, now=101.5).granted
+
+
 @pytest.mark.parametrize("text", ["merguez ", "م", "aé", "കപ്പ "], ids=["ascii", "2", "odd", "3"])
 @pytest.mark.parametrize("count", [2, 3, 5])
 def test_parts_begin_at_block_boundaries_and_join_to_the_prompt(text: str, count: int) -> None:
