--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -77,6 +77,7 @@
         "rejected",
         "revision",
         "store_calls",
+        "swept",
     )
 
     def __init__(self) -> None:
@@ -88,6 +89,9 @@
         self.revision = Gauge(
             "baobab_settings_revision", "Settings revision in force", registry=self.registry
         )
+        self.swept = Counter(
+            "baobab_swept_holds", "Holds freed because nobody kept them", registry=self.registry
+        )
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import secrets
 from typing import Annotated
 
 import msgspec
@@ -96,6 +97,8 @@
 
     def prepare(self) -> None:
         self._section = self.context.settings.get(CallersSection)
+        # Callers may use a request id twice at once, so the count has an id of its own.
+        self._spending = secrets.token_hex(8)
         self._work: asyncio.Task[None] | None = None
         self._record: DecisionRecord | None = None
         self.expect_body(max_bytes=self._section.max_body_bytes, timeout=self._section.body_timeout)
@@ -115,6 +118,7 @@
         try:
             self._check_limit(request)
             self._work = asyncio.current_task()
+            await self._spend(request)
             await self._answer(request, record)
             self._count(record, "ok")
         except BaobabError as error:
@@ -127,8 +131,17 @@
             self._count(record, "client_gone")
         finally:
             self._work = None
+            await self._refund(request)
             self.context.lifecycle.end()
 
+    async def _spend(self, request: CompletionRequest) -> None:
+        await self.context.memory.reservations.spend(
+            team=request.team, request_id=self._spending, tokens=request.prompt_tokens
+        )
+
+    async def _refund(self, request: CompletionRequest) -> None:
+        await self.context.memory.reservations.refund(team=request.team, request_id=self._spending)
+
     def on_connection_close(self) -> None:
         super().on_connection_close()
         if self._work is not None:
--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -19,6 +19,7 @@
     from baobabpulley.entry.dispatch import Dispatcher
     from baobabpulley.entry.keeper_link import KeeperLink
     from baobabpulley.entry.lifecycle import Lifecycle
+    from baobabpulley.entry.memory import EntryMemory
     from baobabpulley.entry.plain import ServiceCaller
     from baobabpulley.entry.resume_tokens import ResumeTokens
     from baobabpulley.entry.tickets import Tickets
@@ -36,6 +37,7 @@
         "dispatcher",
         "keeper",
         "lifecycle",
+        "memory",
         "metrics",
         "node",
         "peers",
@@ -58,6 +60,7 @@
         view: FleetView,
         keeper: KeeperLink,
         dispatcher: Dispatcher,
+        memory: EntryMemory,
         decisions: DecisionLog,
         metrics: EntryMetrics,
         lifecycle: Lifecycle,
@@ -75,6 +78,7 @@
         self.view = view
         self.keeper = keeper
         self.dispatcher = dispatcher
+        self.memory = memory
         self.decisions = decisions
         self.metrics = metrics
         self.lifecycle = lifecycle
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -25,6 +25,7 @@
 from baobabpulley.entry.lifecycle import Lifecycle
 from baobabpulley.entry.lifecycle import ShutdownSection
 from baobabpulley.entry.listener import start_listener
+from baobabpulley.entry.memory import EntryMemory
 from baobabpulley.entry.passing import EntryPasser
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.entry.plain import ServiceCaller
@@ -87,9 +88,17 @@
         timers=timers,
     )
     peers.subscribe(settings.get(KeeperLinkSection).address, placer.hear)
-    dispatcher = Dispatcher(
-        holder=node.id,
+    memory = EntryMemory(
+        settings=settings,
         engine=ResumingEngine(engine=HttpEngine(client=client, timers=timers), metrics=metrics),
+        peers=peers,
+        view=view,
+        metrics=metrics,
+        timers=timers,
+    )
+    dispatcher = Dispatcher(
+        holder=memory.holder,
+        engine=memory.engine,
         view=view,
         placer=placer,
         lanes=settings.get(LanesSection),
@@ -97,6 +106,7 @@
         metrics=metrics,
         timers=timers,
         passer=EntryPasser(client=client, view=view, timers=timers),
+        gangs=memory.gangs,
     )
     services = _service_caller(settings, view=view, metrics=metrics, timers=timers)
     return EntryContext(
@@ -109,6 +119,7 @@
             section=settings.get(KeeperLinkSection), peers=peers, view=view, timers=timers
         ),
         dispatcher=dispatcher,
+        memory=memory,
         decisions=DecisionLog(),
         metrics=metrics,
         lifecycle=Lifecycle(section=settings.get(ShutdownSection), timers=timers),
@@ -190,6 +201,7 @@
     context.lifecycle.watch(lambda: context.claims.running)
     await context.keeper.refresh()
     context.keeper.start()
+    context.memory.start()
     await stop.wait()
     await context.lifecycle.drain()
     server.stop()
--- /dev/null
+++ b/src/baobabpulley/entry/reserving_engine.py
@@ -0,0 +1,86 @@
+"""An engine port that reserves memory for each long attempt before it is sent."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import final
+
+from baobabpulley.entry.hold_renewal import HoldRenewal
+from baobabpulley.entry.reservations import EntryReservations
+from baobabpulley.errors import Overloaded
+from baobabpulley.errors import PeerUnavailable
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import estimate_tokens
+from baobabpulley.model.reservations import MemoryClaim
+from baobabpulley.model.reservations import Reservation
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.policy.reservation_book import ASK_AGAIN
+from baobabpulley.ports.engine import Engine
+from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.wrapped_engine import WrappedEngine
+from baobabpulley.timers import TimerService
+
+# Model seconds that a long attempt waits for memory on the upstream chosen for it.
+PATIENCE: Final = 5.0
+
+
+@final
+class ReservingEngine(WrappedEngine):
+    """Pass everything on; an attempt above the short lane first gets its reservation.
+
+    Without one it raises `UpstreamOutOfMemory`, as the engine itself does. While no keeper
+    answers, attempts go unreserved and the engine's own refusal is the bound.
+    """
+
+    __slots__ = ("_holds", "_reservations", "_short_tokens", "_timers")
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        reservations: EntryReservations,
+        holds: HoldRenewal,
+        short_tokens: int,
+        timers: TimerService,
+    ) -> None:
+        super().__init__(engine=engine)
+        self._reservations = reservations
+        self._holds = holds
+        self._short_tokens = short_tokens
+        self._timers = timers
+
+    async def complete(self, upstream: Upstream, call: EngineCall) -> AsyncIterator[AnswerEvent]:
+        tokens = estimate_tokens(call.prompt)
+        reservation = None
+        if tokens > self._short_tokens:
+            reservation = await self._reserve(upstream, call, tokens + call.max_tokens)
+        self._holds.keep(upstream, call.attempt)
+        events = self._engine.complete(upstream, call)
+        try:
+            async with contextlib.aclosing(events):  # type: ignore[type-var]
+                async for event in events:
+                    yield event
+        finally:
+            self._holds.drop(upstream, call.attempt)
+            if reservation is not None:
+                await self._reservations.release(reservation)
+
+    async def _reserve(
+        self, upstream: Upstream, call: EngineCall, tokens: int
+    ) -> Reservation | None:
+        give_up = self._timers.now() + min(PATIENCE, call.deadline)
+        claims = (MemoryClaim(upstream=upstream.id, tokens=tokens),)
+        while True:
+            try:
+                return await self._reservations.reserve(
+                    request_id=call.attempt, claims=claims, waited=0.0, ideal=0.0
+                )
+            except PeerUnavailable:
+                return None
+            except Overloaded as error:
+                if self._timers.now() >= give_up:
+                    raise UpstreamOutOfMemory(error.message) from error
+            await self._timers.sleep(ASK_AGAIN)
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -42,6 +42,8 @@
     "fleet_state",
     "membership",
     "tender",
+    "reservations",
+    "sweep",
 )
 
 # Sections are registered on import, so this must be done before any settings are read.
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -20,6 +20,7 @@
 from baobabpulley.model.blocks import BLOCK_TOKENS
 from baobabpulley.model.blocks import chain_blocks
 from baobabpulley.model.blocks import text_digest
+from baobabpulley.model.requests import BYTES_PER_TOKEN
 from baobabpulley.model.requests import estimate_tokens
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.ports.engine import PRIORITY_SHORT
@@ -76,13 +77,13 @@
     )
 
     def __init__(self, *, call: EngineCall, seed_digest: int, now: float) -> None:
-        data = call.prompt.encode()
+        data = call.prompt.encode(call.encoding)
         self.call = call
         self.blocks = chain_blocks(data, seed=seed_digest)
         self.digest = text_digest(data, self.blocks, seed=seed_digest)
         if self.is_part:
             self.digest = self.blocks[-1] if self.blocks else seed_digest
-        self.prompt_tokens = estimate_tokens(call.prompt) if call.prompt else 0
+        self.prompt_tokens = -(-len(data) // BYTES_PER_TOKEN)
         self.expires = now + call.deadline
         self.lapses = now + HOLD_LIFETIME
         self.cached = self.memory = self.readers = self.remaining = 0
