Pass on what a failure domain began and can no longer finish

Ruled out: suspicion of the other engine, the retry budget. Now a request of which nothing was delivered is passed on after a loss too; what the other entry refuses then is not told as "not run".

--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -160,7 +160,8 @@
         """
         record.lane = self._lane(request)
         delivery = Delivery(request)
-        runner = self._run_here(request, record, delivery)
+        history = _History()
+        runner = self._run_here(request, record, delivery, history)
         if record.lane == GANG and self._gangs is not None:
             runner = self._gangs.run(request, record)
         try:
@@ -170,16 +171,23 @@
             return
         except NoUpstream as error:
             if self._passer is None or request.passed or delivery.started:
-                raise
+                raise history.honest(error) from error
             self._note(request, record, "passed on", why=error.message)
-        async with contextlib.aclosing(self._passer.run(request)) as events:
-            async for event in events:
-                yield event
+        # Nothing was delivered and completions are idempotent, so a lost attempt does not matter.
+        try:
+            async with contextlib.aclosing(self._passer.run(request)) as events:
+                async for event in events:
+                    yield event
+        except BaobabError as error:
+            raise history.honest(error) from error
 
     async def _run_here(
-        self, request: CompletionRequest, record: DecisionRecord, delivery: Delivery
+        self,
+        request: CompletionRequest,
+        record: DecisionRecord,
+        delivery: Delivery,
+        history: _History,
     ) -> AsyncIterator[AnswerEvent]:
-        history = _History()
         budget = self._budget(request)
         budget.earn()
         while True:
@@ -210,7 +218,13 @@
                 lane=SHORT if record.lane == SHORT else LONG,
                 excluded=frozenset(history.excluded),
             )
+        except NoUpstream:
+            # Another failure domain may still do it; `run` knows.
+            raise
         except BaobabError as error:
+            if history.failures and isinstance(error, Overloaded):
+                # What is left of this failure domain is too little for work that it had begun.
+                raise NoUpstream(error.message, retry_after=error.retry_after) from error
             raise history.honest(error) from error
         self._note(
             request,
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from baobabpulley.model.requests import AnswerEvent
+from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.requests import EndEvent
 from baobabpulley.model.requests import TokenEvent
 from baobabpulley.model.requests import Usage
@@ -43,3 +44,17 @@
 
     resume = prefill_part = holds = renew = release = _unused
     load = events = order = state = _unused
+
+
+class ScriptedPasser:
+    """Stand for the entries of other failure domains: a whole answer, or an error."""
+
+    def __init__(self, error: Exception | None = None) -> None:
+        self.error = error
+        self.passed: list[str] = []
+
+    async def run(self, request: CompletionRequest) -> AsyncIterator[AnswerEvent]:
+        self.passed.append(request.request_id)
+        if self.error is not None:
+            raise self.error
+        yield TokenEvent(attempt=request.request_id, index=0, tokens=("elsewhere",))
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -6,6 +6,7 @@
 from testing.builders import make_request
 from testing.builders import make_view
 from testing.fakes import ScriptedEngine
+from testing.fakes import ScriptedPasser
 
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.entry.dispatch import Dispatcher
@@ -35,6 +36,7 @@
     retries: RetriesSection | None = None,
     dialect: str = "chunked",
     segment_tokens: int = 8_192,
+    passer: ScriptedPasser | None = None,
 ) -> Dispatcher:
     lanes = LanesSection(segment_tokens=segment_tokens)
     timers = TimerService(speed=100.0)
@@ -55,6 +57,7 @@
         retries=retries or RetriesSection(),
         metrics=EntryMetrics(),
         timers=timers,
+        passer=passer,  # type: ignore[arg-type]
     )
 
 
@@ -141,6 +144,32 @@
         await run(make_dispatcher(engine, engines=1), fresh_request())
 
 
+async def test_lost_before_its_first_token_goes_on_in_another_failure_domain() -> None:
+    passer = ScriptedPasser()
+    engine = ScriptedEngine([(0, UpstreamLost("died"))])
+    dispatcher = make_dispatcher(engine, engines=1, passer=passer)
+    assert await run(dispatcher, fresh_request()) == "elsewhere"
+
+
+@pytest.mark.parametrize("passed", [True, False], ids=["passed_already", "begun_to_answer"])
+async def test_request_passed_already_or_begun_is_not_passed_on(passed: bool) -> None:
+    passer = ScriptedPasser()
+    engine = ScriptedEngine([(0 if passed else 2, UpstreamLost("died"))])
+    request = fresh_request()
+    request.passed = passed
+    with pytest.raises(UpstreamLost):
+        await run(make_dispatcher(engine, engines=1, passer=passer), request)
+    assert passer.passed == []
+
+
+async def test_refusal_elsewhere_is_not_told_as_not_run_after_a_loss_here() -> None:
+    passer = ScriptedPasser(Overloaded("full"))
+    engine = ScriptedEngine([(0, UpstreamLost("died"))])
+    with pytest.raises(BaobabError) as caught:
+        await run(make_dispatcher(engine, engines=1, passer=passer), fresh_request())
+    assert caught.value.ran is not False
+
+
 async def test_request_past_its_deadline_reaches_no_engine() -> None:
     engine = ScriptedEngine([])
     request = fresh_request()
