--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -19,6 +19,7 @@
 from baobabpulley.adapters.envelope import Opened
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.envelope import kind_of
+from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import MessageRejected
 from baobabpulley.errors import PeerUnavailable
@@ -70,6 +71,7 @@
         "_sockets",
         "_tasks",
         "_timers",
+        "traffic",
     )
 
     def __init__(
@@ -98,6 +100,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
+        self.traffic = Traffic()
 
     @property
     def rejected(self) -> int:
@@ -125,8 +128,10 @@
         try:
             async with self._timers.limit(timeout):
                 sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
+                self.traffic.sent += len(sealed.data)
                 await context.asend(sealed.data)
                 data = await context.arecv()
+                self.traffic.received += len(data)
             message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
             _raise_cancellation()
@@ -198,7 +203,7 @@
             asyncio.get_running_loop().call_later(5.0, socket.close)
 
     async def _answer_forever(self, context: pynng.Context) -> None:
-        while True:
+        while context in self._contexts:
             try:
                 data = await context.arecv()
             except pynng.Closed:
@@ -206,6 +211,7 @@
             except pynng.NNGException:
                 _raise_cancellation()
                 continue
+            self.traffic.received += len(data)
             try:
                 opened = self._sealer.open(data, receiver=self._names)
             except MessageRejected as error:
@@ -213,6 +219,7 @@
                 continue
             reply = await self._reply_to(opened)
             sealed = self._sealer.seal(reply, kind=kind_of(reply), reply_to=opened.nonce)
+            self.traffic.sent += len(sealed.data)
             with contextlib.suppress(pynng.NNGException):
                 await context.asend(sealed.data)
 
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -14,10 +14,12 @@
     "settings",
     "limits",
     "bench",
+    "bench_control",
     "bench_converge",
     "bench_mix",
     "report",
     "explain",
+    "bench_path",
 )
 
 
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -220,20 +220,31 @@
         self._client.close()
 
     async def start(self) -> None:
-        """Start all processes and wait until every entry is ready."""
+        """Start all processes and wait until every upstream answers and every entry is ready."""
+        await self.start_platform()
+        self._start_upstreams()
+        await self.start_daemons(*self._plan.daemons)
+        for vm in self.vms:
+            if vm.role == "upstream":
+                await self.wait_for(vm.address, "/journal")
+        if "entry" in self._plan.daemons:
+            for address in self.entries.values():
+                await self.wait_for(address, "/readyz")
+
+    async def start_platform(self) -> None:
+        """Start the store and the VM list, and write the settings."""
         self._start_platform()
         await self.wait_for(self.store_address, "/counts")
         await self.wait_for(self.vm_list_address, "/vms")
         await self._write_settings()
-        self._start_upstreams()
+
+    async def start_daemons(self, *kinds: str) -> None:
+        """Write all settings files, set the VM list and start the daemons of some kinds."""
         self._write_daemons()
         await self.put_vms(self.vms)
         for name, process in self.processes.items():
-            if name.startswith(self._plan.daemons):
+            if name.startswith(kinds):
                 process.start()
-        if "entry" in self._plan.daemons:
-            for address in self.entries.values():
-                await self.wait_for(address, "/readyz")
 
     async def put_vms(self, vms: list[Vm]) -> None:
         """Set the rows of the VM list; readers see them after the lag."""
--- a/src/baobabpulley/keeper/membership.py
+++ b/src/baobabpulley/keeper/membership.py
@@ -20,10 +20,14 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.load_relay import LoadRelay
 from baobabpulley.model.messages import Heartbeat
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.control_budget import HEARTBEAT_BYTES
+from baobabpulley.policy.control_budget import ControlShare
+from baobabpulley.policy.control_budget import share_budget
 from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.ports.membership import Membership
 from baobabpulley.settings import Count
@@ -33,17 +37,23 @@
 DELEGATES: Final = 2
 # Part of a period within which a heartbeat received makes one's own needless.
 FRESH_SHARE: Final = 0.7
+# Heartbeats that one delegate exchanges with other failure domains in a second, at most.
+BETWEEN_A_SECOND: Final = 4.0
 
 
 @section("membership", "keeper")
 class MembershipSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Times of heartbeats; ``relay_bytes`` bounds what all peers get of loads in a second."""
+    """Times of heartbeats, which many peers and many failure domains stretch.
+
+    ``control_bytes`` is what heartbeats, load reports and relayed loads may take in a second,
+    both ways together.
+    """
 
     period: Seconds = 1.0
     timeout: Seconds = 0.8
     suspect_after: Seconds = 3.0
     between_domains: Seconds = 2.0
-    relay_bytes: Count = 3_000
+    control_bytes: Count = 6_400
 
 
 @final
@@ -65,6 +75,8 @@
     """Exchange heartbeats and tell who is live."""
 
     __slots__ = (
+        "_between",
+        "_between_bytes",
         "_context",
         "_incarnation",
         "_listeners",
@@ -82,17 +94,28 @@
         self._relay = LoadRelay(view=context.view, timers=context.timers, peers=context.peers)
         self._listeners: list[Callable[[], None]] = []
         self._ticked_at = context.timers.now()
+        self._between = self._section.between_domains
+        self._between_bytes = 0
 
     @property
     def relay(self) -> LoadRelay:
         """What this keeper has collected and its peers do not have yet."""
         return self._relay
 
+    @property
+    def share(self) -> ControlShare:
+        """How the bytes for control are shared with the peers that are live now."""
+        return share_budget(
+            budget=self._section.control_bytes - self._between_bytes,
+            peers=max(0, len(self._context.view.live_keepers) - 1),
+            period=self._section.period,
+        )
+
     async def start(self) -> None:
         timers = self._context.timers
         self._context.peers.answer(Heartbeat, self._answer)
         self._context.view.set_live_keepers(self._live_ids())
-        timers.every(self._section.period, self._tick, jitter=0.3, name="heartbeats")
+        timers.every(self._section.period / 2, self._tick, jitter=0.3, name="heartbeats")
         timers.every(self._section.between_domains, self._reach_domains, jitter=0.3, name="domains")
 
     def live_keepers(self, failure_domain: str) -> tuple[Vm, ...]:
@@ -137,19 +160,23 @@
             return True
         peer = self._peers.get(id)
         now = self._context.timers.now()
-        return peer is not None and now - peer.heard_at < self._section.suspect_after
+        return peer is not None and now - peer.heard_at < self._suspect_after
+
+    @property
+    def _suspect_after(self) -> float:
+        return self._section.suspect_after * self.share.period / self._section.period
 
     def _missed(self, id: str) -> bool:
         """Whether the last try to reach a keeper of another failure domain failed lately."""
         peer = self._peers.get(id)
         if peer is None or peer.failed_at < peer.heard_at:
             return False
-        retry = 2 * self._section.between_domains + self._section.suspect_after
+        retry = 2 * self._between + self._section.suspect_after
         return self._context.timers.now() - peer.failed_at < retry
 
     def _told_live(self, failure_domain: str) -> set[str] | None:
         now = self._context.timers.now()
-        lasts = self._section.suspect_after + 2 * self._section.between_domains
+        lasts = self._section.suspect_after + 2 * self._between
         told: set[str] | None = None
         for peer in self._peers.values():
             beat = peer.beat
@@ -162,7 +189,7 @@
     async def _tick(self) -> None:
         self._allow_for_own_pause()
         now = self._context.timers.now()
-        fresh = FRESH_SHARE * self._section.period
+        fresh = FRESH_SHARE * self.share.period
         own = self._context.node.failure_domain
         known = {vm.id for vm in self._listed()}
         self._peers = {id: peer for id, peer in self._peers.items() if id in known}
@@ -185,14 +212,19 @@
 
     async def _reach_domains(self) -> None:
         own = self._context.node
+        domains = {vm.failure_domain for vm in self._listed()} - {own.failure_domain}
+        others = DELEGATES * len(domains)
+        self._between = max(self._section.between_domains, others / BETWEEN_A_SECOND)
+        self._between_bytes = 0
         if own.vm not in {vm.id for vm in self.delegates(own.failure_domain)}:
             return
+        self._between_bytes = int(2 * HEARTBEAT_BYTES * others / self._between)
         now = self._context.timers.now()
-        fresh = FRESH_SHARE * self._section.between_domains
-        for domain in {vm.failure_domain for vm in self._listed()} - {own.failure_domain}:
+        fresh = FRESH_SHARE * self._between
+        for domain in domains:
             for vm in self.delegates(domain):
                 peer = self._peers.setdefault(vm.id, PeerState())
-                if now - peer.heard_at >= fresh:
+                if now - max(peer.heard_at, peer.failed_at) >= fresh:
                     self._ask_soon(vm, peer)
 
     def _ask_soon(self, vm: Vm, peer: PeerState) -> None:
@@ -238,7 +270,7 @@
             return
         for notice in beat.leaving:
             self._context.view.mark_leaving(notice.upstream, incarnation=notice.incarnation)
-        self._relay.take(beat.loads, beat.news)
+        self._relay.take(Batch(loads=beat.loads, changes=beat.changes, news=beat.news))
 
     def _beat_for(self, vm: str, failure_domain: str) -> Heartbeat:
         own = self._context.node
@@ -252,17 +284,19 @@
                 headroom=self._headroom(),
                 live=self._live_ids(),
             )
+        share = self.share
         others = max(1, len(view.live_keepers) - 1)
-        budget = int(self._section.relay_bytes * self._section.period) // others
-        loads, news = self._relay.batch(vm, max_bytes=budget)
+        max_bytes = int(share.relay_bytes * share.period) // others
+        batch = self._relay.batch(vm, max_bytes=max_bytes)
         return Heartbeat(
             vm=own.vm,
             failure_domain=own.failure_domain,
             incarnation=self._incarnation,
             applied_revision=view.book.revision,
             leaving=view.leaving,
-            loads=loads,
-            news=news,
+            loads=batch.loads,
+            changes=batch.changes,
+            news=batch.news,
         )
 
     def _headroom(self) -> int:
