--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -173,11 +173,15 @@
             if self._passer is None or request.passed or delivery.started:
                 raise history.honest(error) from error
             self._note(request, record, "passed on", why=error.message)
+            refusal = error
         # Nothing was delivered and completions are idempotent, so a lost attempt does not matter.
         try:
             async with contextlib.aclosing(self._passer.run(request)) as events:
                 async for event in events:
                     yield event
+        except NoUpstream as error:
+            # This failure domain's own reason says more than that the others had none either.
+            raise history.honest(refusal) from error
         except BaobabError as error:
             raise history.honest(error) from error
 
