--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -25,15 +25,21 @@
 MAX_TOKENS = 16
 ORDER_TIMEOUT = 10.0
 CREATED = 201
-LENGTHS = (1_000, 1_000, 1_000, 8_000, 8_000, 32_000, 100_000)
+LENGTHS = (1_000, 1_000, 1_000, 8_000, 8_000, 32_000, 100_000, 1_000_000)
+# Three engines of 400,000 tokens in each failure domain: the longest prompt takes all of one.
+ENGINES = 9
+MAX_TRIES = 5
+# The keepers of a fleet that has just started grant nothing for one lease time (model seconds).
+START_UP = 5.0
 
 
 async def main() -> int:
     """Return 0 only if every answer is whole and right."""
     with tempfile.TemporaryDirectory() as directory:
-        plan = FleetPlan(base_port=BASE_PORT, speed=SPEED)
+        plan = FleetPlan(base_port=BASE_PORT, speed=SPEED, engines=ENGINES)
         async with Fleet(plan=plan, directory=Path(directory)) as fleet:
             print(f"{len(fleet.processes)} processes are up")
+            await asyncio.sleep(START_UP / SPEED)
             wrong = await send_prompts(fleet)
             return wrong or await place_order(fleet)
 
@@ -45,12 +51,7 @@
     prompts = [make_prompt(tokens=size, seed=index) for index, size in enumerate(LENGTHS)]
     answers = await asyncio.gather(
         *(
-            caller.complete(
-                addresses[index % len(addresses)],
-                prompt=prompt,
-                max_tokens=MAX_TOKENS,
-                seed=index,
-            )
+            send_patiently(caller, addresses[index % len(addresses)], prompt, seed=index)
             for index, prompt in enumerate(prompts)
         )
     )
@@ -64,6 +65,16 @@
     return 1 if wrong else 0
 
 
+async def send_patiently(caller: Caller, address: str, prompt: str, *, seed: int) -> Completion:
+    """Send a prompt, and again after a pause if it was refused as not run."""
+    for _ in range(MAX_TRIES):
+        answer = await caller.complete(address, prompt=prompt, max_tokens=MAX_TOKENS, seed=seed)
+        if answer.ran is not False:
+            break
+        await asyncio.sleep(1.0 / SPEED)
+    return answer
+
+
 async def place_order(fleet: Fleet) -> int:
     """Place one order through an entry; return 0 only if it ran exactly once."""
     address = next(iter(fleet.entries.values()))
