Stop stand-ins in one place, and forget sends that a load report already shows

They share start and stop now, and fixtures stop them. Cause of the entry's cost: each choice of an upstream walked ten model seconds of sends, about 500 looks a request; what ended before the newest report is forgotten now.

--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -123,7 +123,8 @@
             priority=self.priority(lane),
             at=self._timers.now(),
         )
-        self._outstanding.begin(chosen.upstream.id, sent)
+        load = self._view.loads.get(chosen.upstream.id)
+        self._outstanding.begin(chosen.upstream.id, sent, load=load)
         return sent
 
     def suspect(self, upstream: str, *, seconds: float) -> None:
--- a/src/baobabpulley/entry/outstanding.py
+++ b/src/baobabpulley/entry/outstanding.py
@@ -9,7 +9,7 @@
 from baobabpulley.model.fleet_view import LoadView
 from baobabpulley.ports.engine import PRIORITY_SHORT
 
-# Longer than any report's age, so that no report predates what was forgotten.
+# What ended so long ago is forgotten also without a report.
 HISTORY: Final = 10.0
 
 
@@ -38,9 +38,11 @@
         self._corrected = corrected
         self._sent: dict[str, list[Sent]] = defaultdict(list)
 
-    def begin(self, upstream: str, sent: Sent) -> None:
-        """Count an attempt in."""
+    def begin(self, upstream: str, sent: Sent, *, load: LoadView | None = None) -> None:
+        """Count an attempt in, and forget those that ended before the newest report."""
         horizon = sent.at - HISTORY
+        if load is not None:
+            horizon = max(horizon, load.taken)
         kept = [item for item in self._sent[upstream] if item.ended is None or item.ended > horizon]
         kept.append(sent)
         self._sent[upstream] = kept
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -37,9 +37,9 @@
 from baobabpulley.standins.engine_core import Job
 from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.faults import Refusal
+from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import StandinHandler
 from baobabpulley.standins.web import call_route
-from baobabpulley.standins.web import listen
 from baobabpulley.standins.web import wait_for
 from baobabpulley.timers import TimerService
 
@@ -57,7 +57,7 @@
 
 
 @final
-class EngineStandin:
+class EngineStandin(Standin):
     """One engine process."""
 
     __slots__ = (
@@ -72,7 +72,6 @@
         "_loading",
         "_models",
         "_orders",
-        "_server",
         "_timers",
         "core",
         "faults",
@@ -119,7 +118,7 @@
 
     def start(self) -> None:
         """Listen and begin to step; the event loop must run."""
-        self._server = listen(self, self._address, *_ROUTES)
+        self.serve(self._address, *_ROUTES)
         self._timers.every(REPORT_PERIOD, self._report, name="report")
         self._timers.every(SWEEP_PERIOD, self.core.sweep, name="sweep")
         self._report()
@@ -127,8 +126,7 @@
 
     async def stop(self) -> None:
         """Close all connections and stop stepping."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        await super().stop()
         self._timers.cancel_all()
 
     def describe(self) -> dict[str, Any]:
--- a/src/baobabpulley/standins/service.py
+++ b/src/baobabpulley/standins/service.py
@@ -8,14 +8,14 @@
 from baobabpulley.adapters.http_service import ATTEMPT_HEADER
 from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.faults import Refusal
+from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import StandinHandler
 from baobabpulley.standins.web import call_route
-from baobabpulley.standins.web import listen
 from baobabpulley.timers import TimerService
 
 
 @final
-class ServiceStandin:
+class ServiceStandin(Standin):
     """``POST /orders`` runs once for each call; ``GET /catalogue/<item>`` is idempotent."""
 
     __slots__ = ("_address", "_id", "faults", "journal")
@@ -28,8 +28,7 @@
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        listen(
-            self,
+        self.serve(
             self._address,
             (r"/orders", _OrdersHandler, {}),
             call_route(r"/catalogue/(.+)", lambda own, _, item: own.look_up(item)),
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -19,8 +19,8 @@
 
 from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.web import CallHandler
+from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import call_route
-from baobabpulley.standins.web import listen
 from baobabpulley.standins.web import wait_for
 from baobabpulley.timers import TimerService
 
@@ -32,7 +32,7 @@
 
 
 @final
-class StoreStandin:
+class StoreStandin(Standin):
     """Keys, leases and the history that watches read.
 
     The public methods take the documents of the gateway's calls and return their answers.
@@ -67,7 +67,7 @@
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        listen(self, self.address, *_ROUTES)
+        self.serve(self.address, *_ROUTES)
         self.faults.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
 
     def range(self, body: Body) -> Body:
--- a/src/baobabpulley/standins/vm_list.py
+++ b/src/baobabpulley/standins/vm_list.py
@@ -8,13 +8,13 @@
 
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.standins.faults import Faults
+from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import call_route
-from baobabpulley.standins.web import listen
 from baobabpulley.timers import TimerService
 
 
 @final
-class VmListStandin:
+class VmListStandin(Standin):
     """``PUT /vms`` sets the rows, ``GET /vms`` shows them ``lag`` model seconds later."""
 
     __slots__ = ("_address", "_lag", "_shown", "faults")
@@ -27,7 +27,7 @@
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        listen(self, self._address, call_route(r"/vms", VmListStandin.exchange))
+        self.serve(self._address, call_route(r"/vms", VmListStandin.exchange))
 
     def exchange(self, rows: object) -> tuple[Vm, ...]:
         """Set rows if there are any, at once the first time; return what readers see."""
--- a/src/baobabpulley/standins/web.py
+++ b/src/baobabpulley/standins/web.py
@@ -136,8 +136,23 @@
     return pattern, CallHandler, {"run": run, "faulty": faulty}
 
 
+class Standin:
+    """Something that listens until it is stopped."""
+
+    __slots__ = ("_server",)
+
+    def serve(self, address: str, *routes: Route) -> None:
+        """Listen; the event loop must run."""
+        self._server = listen(self, address, *routes)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
 def listen(standin: Any, address: str, *routes: Route) -> HTTPServer:
-    """Serve a stand-in's routes and ``/faults``; the event loop must run."""
+    """Serve a stand-in's routes and ``/faults``."""
     all_routes: Any = [
         (pattern, handler, {"standin": standin, **options})
         for pattern, handler, options in [*routes, call_route(r"/faults", _take_fault, False)]
--- a/testing/entry_builders.py
+++ b/testing/entry_builders.py
@@ -143,6 +143,8 @@
     async def stop(self) -> None:
         for entry in self.entries:
             await entry.kill()
+        for standin in (*self.services, self.store):
+            await standin.stop()
         self.timers.cancel_all()
 
 
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -300,4 +300,5 @@
     with pytest.raises(StoreCompacted):
         async for _ in store.watch("/baobab/fleet/", from_revision=3):
             pass
+    await standin.stop()
     timers.cancel_all()
