Estimate each upstream once per placement, in one pass over the sends

Cause: a placement walked the list of sends to each upstream about nine times (room twice, tokens ahead up to four walks, long prefills, running attempts), sorted upstreams and VMs for each candidate, and summed the window of shorts twice. Figures are now made in one pass and kept for the placement, the deal of engines is remade only when the view replaces its lists, and the window of shorts has running sums.

A profile of the rest shows Tornado's reading and writing and asyncio's tasks, no one spot.

--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.entry.outstanding import Figures
 from baobabpulley.entry.outstanding import Outstanding
 from baobabpulley.entry.outstanding import Sent
 from baobabpulley.entry.prefix_index import PrefixIndex
@@ -32,7 +33,9 @@
     """
 
     __slots__ = (
+        "_dealt_from",
         "_failures",
+        "_foreign",
         "_lanes",
         "_outstanding",
         "_prefixes",
@@ -61,6 +64,8 @@
         self._prefixes = PrefixIndex()
         self._suspects: dict[str, tuple[float, float]] = {}
         self._failures: dict[str, int] = {}
+        self._dealt_from = (view.upstreams, view.entry_vms)
+        self._foreign = self._deal()
 
     @property
     def prefixes(self) -> PrefixIndex:
@@ -90,28 +95,35 @@
         self._check_fit(request, found)
         return found
 
-    def has_room(self, upstream: Upstream, request: CompletionRequest, *, lane: str) -> bool:
+    def figures(self, upstream: str, *, lane: str) -> Figures:
+        """Return what is estimated of an upstream for a new attempt of a lane."""
+        return self._figures(upstream, self.priority(lane))
+
+    def has_room(
+        self, upstream: Upstream, request: CompletionRequest, *, lane: str, figures: Figures
+    ) -> bool:
         """Whether an upstream may get a request of a lane now."""
-        load = self._view.loads.get(upstream.id)
-        if self._outstanding.memory_free(upstream.id, load) < request.total_tokens:
+        if figures.memory_free < request.total_tokens:
             return False
         if lane == SHORT:
-            bound = self.rate(upstream.id) * self._lanes.engine_backlog
-            return self.ahead(upstream.id, self.priority(SHORT)) <= bound
-        return not self._lanes.single_long or self._long_prefills(upstream.id) == 0
+            return figures.ahead <= self.rate(upstream.id) * self._lanes.engine_backlog
+        return not self._lanes.single_long or figures.long_prefills == 0
 
     def candidate(
-        self, upstream: Upstream, request: CompletionRequest, *, lane: str, blocks: tuple[int, ...]
+        self,
+        upstream: Upstream,
+        request: CompletionRequest,
+        *,
+        blocks: tuple[int, ...],
+        figures: Figures,
     ) -> Candidate:
         """Return what the routing policy needs to know of an upstream."""
         cached = self._prefixes.cached_tokens(upstream.id, blocks)
-        in_flight = self._outstanding.in_flight(upstream.id)
-        ahead = self.ahead(upstream.id, self.priority(lane))
         return Candidate(
             upstream=upstream,
             prefill_rate=self.rate(upstream.id),
-            in_flight=in_flight,
-            ahead_tokens=ahead + self._handicap(upstream.id, in_flight),
+            in_flight=figures.in_flight,
+            ahead_tokens=figures.ahead + self._handicap(upstream.id, figures),
             cached_tokens=min(cached, request.prompt_tokens),
         )
 
@@ -151,7 +163,10 @@
 
     def ahead(self, upstream: str, priority: int) -> float:
         """Estimate the prefill tokens that a new attempt of a priority waits for."""
-        return self._outstanding.ahead(
+        return self._figures(upstream, priority).ahead
+
+    def _figures(self, upstream: str, priority: int) -> Figures:
+        return self._outstanding.figures(
             upstream,
             self._view.loads.get(upstream),
             priority=priority,
@@ -190,21 +205,27 @@
             return False
         return True
 
-    def _long_prefills(self, upstream: str) -> int:
-        load = self._view.loads.get(upstream)
-        return self._outstanding.long_prefills(upstream, load, now=self._timers.now())
-
-    def _handicap(self, upstream: str, in_flight: int) -> float:
+    def _handicap(self, upstream: str, figures: Figures) -> float:
         """Return the tokens that stand for a running step and for other entries' unseen sends."""
-        step = self._routing.step_tokens / 2 if in_flight else 0.0
-        if self._long_prefills(upstream):
+        step = self._routing.step_tokens / 2 if figures.in_flight else 0.0
+        if figures.long_prefills:
             step = max(step, float(self._routing.beside_long_tokens))
         return step + (0.0 if self._is_own(upstream) else self._routing.foreign_tokens)
 
     def _is_own(self, upstream: str) -> bool:
         """Whether an engine is dealt to this entry's VM, by the order of ids."""
+        upstreams, entry_vms = self._view.upstreams, self._view.entry_vms
+        if self._dealt_from[0] is not upstreams or self._dealt_from[1] is not entry_vms:
+            # The view replaces both when they change, so the deal holds as long as they stay.
+            self._dealt_from = (upstreams, entry_vms)
+            self._foreign = self._deal()
+        return upstream not in self._foreign
+
+    def _deal(self) -> frozenset[str]:
+        """Return the engines that are dealt to other entry VMs."""
         vms = [vm.id for vm in self._view.keepers]
-        if self._vm not in vms or upstream not in self._view.upstreams:
-            return True
-        rank = sorted(self._view.upstreams).index(upstream)
-        return rank % len(vms) == vms.index(self._vm)
+        if self._vm not in vms:
+            return frozenset()
+        own = vms.index(self._vm)
+        ranked = enumerate(sorted(self._view.upstreams))
+        return frozenset(id for rank, id in ranked if rank % len(vms) != own)
--- a/src/baobabpulley/entry/outstanding.py
+++ b/src/baobabpulley/entry/outstanding.py
@@ -28,6 +28,26 @@
         self.ended: float | None = None
 
 
+@final
+class Figures:
+    """Estimates for one upstream: tokens ahead, running attempts, long prefills, free memory."""
+
+    __slots__ = ("ahead", "in_flight", "long_prefills", "memory_free")
+
+    def __init__(
+        self,
+        *,
+        ahead: float,
+        in_flight: int,
+        long_prefills: int = 0,
+        memory_free: float = float("inf"),
+    ) -> None:
+        self.ahead = ahead
+        self.in_flight = in_flight
+        self.long_prefills = long_prefills
+        self.memory_free = memory_free
+
+
 @final
 class Outstanding:
     """Own attempts by upstream; times are model seconds."""
@@ -47,78 +67,116 @@
         kept.append(sent)
         self._sent[upstream] = kept
 
-    def in_flight(self, upstream: str) -> int:
-        """Return the number of running attempts."""
-        return sum(1 for sent in self._sent[upstream] if sent.ended is None)
-
     def ahead(
         self, upstream: str, load: LoadView | None, *, priority: int, now: float, rate: float
     ) -> float:
         """Estimate the prefill tokens that a new attempt of ``priority`` would wait for."""
-        if load is None:
-            return float(self._waiting(upstream, priority, now)) if self._corrected else 0.0
-        high = priority <= PRIORITY_SHORT
-        reported = load.report.queued_high if high else load.report.queued
-        if not self._corrected:
-            return float(reported)
-        others = reported - self._waiting(upstream, priority, load.taken)
-        drained = rate * max(0.0, now - load.taken)
-        own = self._waiting(upstream, priority, now)
-        if not high:
-            own = self._remaining_longs(upstream, now, rate)
-        return max(0.0, others - drained) + own
+        return self.figures(upstream, load, priority=priority, now=now, rate=rate).ahead
 
     def long_prefills(self, upstream: str, load: LoadView | None, *, now: float) -> int:
         """Estimate the prefills below the priority of shorts."""
-        reported = 0 if load is None else load.report.long_prefills
-        if not self._corrected:
-            return reported
-        own = self._long_count(upstream, now)
-        if load is None:
-            return own
-        return own + max(0, reported - self._long_count(upstream, load.taken))
+        found = self.figures(upstream, load, priority=PRIORITY_SHORT, now=now, rate=0.0)
+        return found.long_prefills
 
     def memory_free(self, upstream: str, load: LoadView | None) -> float:
         """Estimate the free memory in tokens; infinite until the first report."""
-        if load is None:
-            return float("inf")
-        free = load.report.memory_total - load.report.memory_held
+        found = self.figures(upstream, load, priority=PRIORITY_SHORT, now=0.0, rate=0.0)
+        return found.memory_free
+
+    def figures(
+        self, upstream: str, load: LoadView | None, *, priority: int, now: float, rate: float
+    ) -> Figures:
+        """Return all estimates for a new attempt of ``priority``, in one pass over the sends."""
+        taken = float("-inf") if load is None else load.taken
+        tally = _Tally()
+        for sent in self._sent.get(upstream, ()):
+            ended = sent.ended
+            if ended is None:
+                tally.in_flight += 1
+                tally.memory += sent.memory if sent.at > taken else 0
+            elif sent.at <= taken < ended:
+                tally.memory -= sent.memory
+            done = _prefill_end(sent)
+            if sent.at <= now < done:
+                tally.now.add(sent, priority)
+                tally.remaining += _remaining(sent, now, rate)
+            if sent.at <= taken < done:
+                tally.taken.add(sent, priority)
         if not self._corrected:
-            return float(free)
-        for sent in self._sent[upstream]:
-            if sent.at > load.taken and sent.ended is None:
-                free -= sent.memory
-            elif sent.at <= load.taken and sent.ended is not None and sent.ended > load.taken:
-                free += sent.memory
-        return float(free)
-
-    def _waiting(self, upstream: str, priority: int, when: float) -> int:
-        return sum(
-            sent.tokens
-            for sent in self._sent[upstream]
-            if sent.priority <= priority and _prefills(sent, when)
-        )
-
-    def _remaining_longs(self, upstream: str, now: float, rate: float) -> float:
-        total = 0.0
-        for sent in self._sent[upstream]:
-            if not _prefills(sent, now):
-                continue
-            done = rate * (now - sent.at) if sent.priority > PRIORITY_SHORT else 0.0
-            total += max(0.0, sent.tokens - done)
-        return total
-
-    def _long_count(self, upstream: str, when: float) -> int:
-        return sum(
-            1
-            for sent in self._sent[upstream]
-            if sent.priority > PRIORITY_SHORT and _prefills(sent, when)
-        )
-
-
-def _prefills(sent: Sent, when: float) -> bool:
-    if sent.at > when:
-        return False
-    if sent.prefilled is not None and sent.prefilled <= when:
-        return False
-    return sent.ended is None or sent.ended > when
+            return _as_reported(tally, load, priority)
+        return _corrected(tally, load, priority, drained=rate * max(0.0, now - taken))
+
+
+class _Prefills:
+    """The prefills that run or wait at one time."""
+
+    __slots__ = ("longs", "tokens")
+
+    def __init__(self) -> None:
+        self.longs = 0
+        self.tokens = 0
+
+    def add(self, sent: Sent, priority: int) -> None:
+        """Count an attempt in; its tokens if a new one of ``priority`` would wait for them."""
+        self.longs += sent.priority > PRIORITY_SHORT
+        self.tokens += sent.tokens if sent.priority <= priority else 0
+
+
+class _Tally:
+    """Sums over the sends to one upstream, now and when its load report was taken.
+
+    ``memory`` is what the report does not show yet, ``remaining`` the prefill tokens left now.
+    """
+
+    __slots__ = ("in_flight", "memory", "now", "remaining", "taken")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.memory = 0
+        self.remaining = 0.0
+        self.now = _Prefills()
+        self.taken = _Prefills()
+
+
+def _prefill_end(sent: Sent) -> float:
+    """Return when an attempt's prefill was done or given up; infinite if it goes on."""
+    if sent.prefilled is None:
+        return float("inf") if sent.ended is None else sent.ended
+    return sent.prefilled if sent.ended is None else min(sent.prefilled, sent.ended)
+
+
+def _remaining(sent: Sent, now: float, rate: float) -> float:
+    done = rate * (now - sent.at) if sent.priority > PRIORITY_SHORT else 0.0
+    return max(0.0, sent.tokens - done)
+
+
+def _as_reported(tally: _Tally, load: LoadView | None, priority: int) -> Figures:
+    if load is None:
+        return Figures(ahead=0.0, in_flight=tally.in_flight)
+    return Figures(
+        ahead=float(_queued(load, priority)),
+        in_flight=tally.in_flight,
+        long_prefills=load.report.long_prefills,
+        memory_free=float(_reported_free(load)),
+    )
+
+
+def _corrected(tally: _Tally, load: LoadView | None, priority: int, *, drained: float) -> Figures:
+    own = tally.now
+    if load is None:
+        return Figures(ahead=float(own.tokens), in_flight=tally.in_flight, long_prefills=own.longs)
+    others = max(0.0, _queued(load, priority) - tally.taken.tokens - drained)
+    return Figures(
+        ahead=others + (own.tokens if priority <= PRIORITY_SHORT else tally.remaining),
+        in_flight=tally.in_flight,
+        long_prefills=own.longs + max(0, load.report.long_prefills - tally.taken.longs),
+        memory_free=float(_reported_free(load) - tally.memory),
+    )
+
+
+def _queued(load: LoadView, priority: int) -> int:
+    return load.report.queued_high if priority <= PRIORITY_SHORT else load.report.queued
+
+
+def _reported_free(load: LoadView) -> int:
+    return load.report.memory_total - load.report.memory_held
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections import deque
 from typing import Final
 from typing import final
@@ -10,6 +11,7 @@
 import msgspec
 
 from baobabpulley.entry.load_estimates import LoadEstimates
+from baobabpulley.entry.outstanding import Figures
 from baobabpulley.entry.outstanding import Sent
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import NoUpstream
@@ -94,6 +96,8 @@
         "_policy",
         "_routing",
         "_short_sends",
+        "_short_sum",
+        "_short_sums",
         "_shorts",
         "_ticker",
         "_timers",
@@ -119,6 +123,8 @@
         self._admission = admission
         self._timers = timers
         self._short_sends: deque[tuple[float, str, int]] = deque()
+        self._short_sum = 0
+        self._short_sums: Counter[str] = Counter()
         self._ticker: Subscription | None = None
         self._shorts: DeficitQueue[_Waiter] = DeficitQueue(
             quantum=lanes.short_quantum, cost=_cost, weight=self._weight
@@ -143,9 +149,9 @@
         waiter = self._waiter(request, lane, excluded)
         fit = self._fit(waiter)
         queue = self._queue(lane)
-        if len(queue) == 0 and self._room(waiter, fit):
+        if len(queue) == 0 and (room := self._room(waiter, fit)):
             self._check_admission(waiter, fit, waits=False)
-            return self._send(waiter, fit)
+            return self._send(waiter, room)
         self._check_admission(waiter, fit, waits=True)
         return await self._wait(waiter, queue)
 
@@ -252,34 +258,37 @@
             queue.remove(waiter.request.team, waiter)
             waiter.future.set_exception(error)
             return True
-        if not self._room(waiter, fit):
+        room = self._room(waiter, fit)
+        if not room:
             return False
         queue.charge(waiter.request.team, waiter)
-        waiter.future.set_result(self._send(waiter, fit))
+        waiter.future.set_result(self._send(waiter, room))
         return True
 
     def _fit(self, waiter: _Waiter) -> list[Upstream]:
         return self._estimates.fit(waiter.request, lane=waiter.lane, excluded=waiter.excluded)
 
-    def _room(self, waiter: _Waiter, fit: list[Upstream]) -> list[Upstream]:
-        """Return the upstreams that may get the request now."""
+    def _room(self, waiter: _Waiter, fit: list[Upstream]) -> list[tuple[Upstream, Figures]]:
+        """Return the upstreams that may get the request now, and what is estimated of them."""
+        estimates = self._estimates
+        found = [(upstream, estimates.figures(upstream.id, lane=waiter.lane)) for upstream in fit]
         return [
-            upstream
-            for upstream in fit
-            if self._estimates.has_room(upstream, waiter.request, lane=waiter.lane)
+            (upstream, figures)
+            for upstream, figures in found
+            if estimates.has_room(upstream, waiter.request, lane=waiter.lane, figures=figures)
         ]
 
-    def _send(self, waiter: _Waiter, fit: list[Upstream]) -> Placement:
+    def _send(self, waiter: _Waiter, room: list[tuple[Upstream, Figures]]) -> Placement:
         """Choose among the upstreams with room and count the request as sent."""
         request = waiter.request
         candidates = [
-            self._estimates.candidate(upstream, request, lane=waiter.lane, blocks=waiter.blocks)
-            for upstream in self._room(waiter, fit)
+            self._estimates.candidate(upstream, request, blocks=waiter.blocks, figures=figures)
+            for upstream, figures in room
         ]
         chosen = self._policy.choose(candidates, prompt_tokens=request.prompt_tokens)
         sent = self._estimates.begin(chosen, request, lane=waiter.lane)
         if waiter.lane == SHORT:
-            self._short_sends.append((sent.at, request.team, sent.tokens))
+            self._count_short(sent, request.team)
         return Placement(
             upstream=chosen.upstream,
             sent=sent,
@@ -321,12 +330,21 @@
             others_rate=others / SHORTS_WINDOW,
         )
 
+    def _count_short(self, sent: Sent, team: str) -> None:
+        self._short_sends.append((sent.at, team, sent.tokens))
+        self._short_sums[team] += sent.tokens
+        self._short_sum += sent.tokens
+
     def _short_tokens(self, team: str = "") -> int:
         """Return the prefill tokens of shorts sent within the window, of one team or of all."""
         horizon = self._timers.now() - SHORTS_WINDOW
         while self._short_sends and self._short_sends[0][0] < horizon:
-            self._short_sends.popleft()
-        return sum(tokens for _, sender, tokens in self._short_sends if team in ("", sender))
+            _, sender, tokens = self._short_sends.popleft()
+            self._short_sum -= tokens
+            self._short_sums[sender] -= tokens
+            if not self._short_sums[sender]:
+                del self._short_sums[sender]
+        return self._short_sums.get(team, 0) if team else self._short_sum
 
     def _long_share(self, rate: float) -> float:
         """Return the share of this entry's part of the prefill that shorts have left over."""
