--- /dev/null
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -0,0 +1,119 @@
+"""``baobabpulley bench mix`` and ``baobabpulley bench overload``."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+import msgspec
+
+from baobabpulley.cli.bench import bench
+from baobabpulley.emulator.bench_mix import register_profile
+from baobabpulley.emulator.bench_mix import run_variant
+from baobabpulley.emulator.bench_mix import variants
+from baobabpulley.emulator.bench_overload import overload_table
+from baobabpulley.emulator.bench_overload import run_overload
+from baobabpulley.emulator.mix_report import MixResult
+from baobabpulley.emulator.mix_report import bucket_table
+from baobabpulley.emulator.mix_report import plot
+from baobabpulley.emulator.mix_report import table
+from baobabpulley.emulator.trace import Mix
+
+
+@bench.command()
+@click.option("--variant", "names", multiple=True, help="Variant to run; all if none is given.")
+@click.option(
+    "--profile",
+    "profiles",
+    multiple=True,
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="Settings file of an entry to run as a variant.",
+)
+@click.option("--seed", "seeds", multiple=True, type=int, default=(1,), help="May be repeated.")
+@click.option("--speed", default=3.0, help="Model seconds in a real second.")
+@click.option("--seconds", default=90.0, help="Model seconds of load.")
+@click.option("--load", default=0.7, help="Share of the fleet's prefill capacity.")
+@click.option("--longest", default=350_000, help="Longest prompt in tokens.")
+@click.option("--prefix-share", default=0.0, help="Share of prompts with a shared prefix.")
+@click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
+@click.option("--whole-prefills", is_flag=True, help="Engines that cannot interrupt a prefill.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON and plot.")
+def mix(
+    names: tuple[str, ...],
+    profiles: tuple[Path, ...],
+    seeds: tuple[int, ...],
+    speed: float,
+    seconds: float,
+    load: float,
+    longest: int,
+    prefix_share: float,
+    base_port: int,
+    whole_prefills: bool,
+    out: Path | None,
+) -> None:
+    """Measure time to first token by length and the slowdown of shorts."""
+    parts = Mix(longest=longest, prefix_share=prefix_share)
+    results: list[MixResult] = []
+    names = (*names, *(register_profile(path) for path in profiles))
+    for seed in seeds:
+        for name in names or variants.names:
+            result = asyncio.run(
+                run_variant(
+                    name,
+                    seed=seed,
+                    speed=speed,
+                    seconds=seconds,
+                    load=load,
+                    mix=parts,
+                    base_port=base_port,
+                    whole_prefills=whole_prefills,
+                )
+            )
+            results.append(result)
+            click.echo(f"\n{name}, seed {seed}: {result.outcomes}; cpu {result.cpu_shares}")
+            click.echo(bucket_table(result))
+            click.echo(table([result]))
+    click.echo("\n" + table(results))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "mix.json").write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+        plot(results, out / "mix.png")
+
+
+@bench.command()
+@click.option("--load", "loads", multiple=True, type=float, default=(1.0, 1.5, 3.0))
+@click.option("--seed", default=1, help="Seed of the first phase; each further one adds 1.")
+@click.option("--speed", default=3.0, help="Model seconds in a real second.")
+@click.option("--seconds", default=40.0, help="Model seconds of load in each phase.")
+@click.option("--engines", default=16, help="Engines of the fleet.")
+@click.option("--lose", default="", help="Failure domain to kill first.")
+@click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON.")
+def overload(
+    loads: tuple[float, ...],
+    seed: int,
+    speed: float,
+    seconds: float,
+    engines: int,
+    lose: str,
+    base_port: int,
+    out: Path | None,
+) -> None:
+    """Measure goodput, refusals and recovery under more load than the fleet can carry."""
+    results = asyncio.run(
+        run_overload(
+            seed=seed,
+            speed=speed,
+            seconds=seconds,
+            loads=loads,
+            base_port=base_port,
+            engines=engines,
+            lose=lose,
+        )
+    )
+    click.echo(overload_table(results))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        document = msgspec.json.format(msgspec.json.encode(results), indent=1)
+        (out / "overload.json").write_bytes(document)
