Test that engines are dealt anew when the entry VMs change

The deal is now kept between placements, so a change of the VM list must remake it. Seen failing with the check of the view's lists switched off: the choice no longer followed the deal; passing with it.

--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -16,6 +16,7 @@
 from baobabpulley.errors import Overloaded
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.requests import CompletionRequest
+from baobabpulley.model.upstreams import Vm
 from baobabpulley.policy.admission import AdmissionSection
 from baobabpulley.policy.fairness import DeficitQueue
 from baobabpulley.policy.lanes import LONG
@@ -221,3 +222,20 @@
     bench.view.set_load(report, taken=bench.timers.now())  # type: ignore[arg-type]
     with pytest.raises(NoUpstream):
         await bench.place(make_request(tokens=60_000))
+
+
+async def test_engines_are_dealt_anew_when_the_entry_vms_change() -> None:
+    bench = _Bench(engines=2)
+    engines = [
+        Vm(engine.id, "upstream", engine.failure_domain, engine.address, service=engine.service)
+        for engine in bench.view.upstreams.values()
+    ]
+    chosen = []
+    for other in ("vm-1", "vm") * 6:
+        names = ("vm-0", other)
+        entries = [Vm(id, "entry", bench.view.failure_domain, "127.0.0.1:9") for id in names]
+        bench.view.set_vms((*engines, *entries))
+        placement = await bench.place(make_request(tokens=3_000))
+        bench.placer.end(placement)
+        chosen.append(placement.upstream.id)
+    assert chosen == ["engine-0", "engine-1"] * 6
