Use one class for what a caller has of an answer

Cause: `Delivery` with `_check_order` in the dispatcher and `AnswerProgress` for gangs did the same work line for line (a reader had to compare them). `AnswerProgress` stays, with the offset and text that a resumed request starts with; `started` is now `offset > 0`, which is what the flag always held. Behaviour unchanged. Ran: scripts/run_tests.py testing/test_streams.py testing/test_retries.py testing/test_once_under_faults.py: 29 passed.

--- a/src/baobabpulley/entry/delivery.py
+++ b/src/baobabpulley/entry/delivery.py
@@ -30,6 +30,11 @@
         """Index of the token that the caller needs next."""
         return self._offset
 
+    @property
+    def started(self) -> bool:
+        """Whether the caller has any token."""
+        return self._offset > 0
+
     @property
     def text(self) -> str:
         """All tokens delivered."""
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.delivery import AnswerProgress
 from baobabpulley.entry.pacing import Pacer
 from baobabpulley.entry.passing import EntryPasser
 from baobabpulley.entry.placer import Placement
@@ -32,8 +33,6 @@
 from baobabpulley.model.requests import AnswerEvent
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.requests import EndEvent
-from baobabpulley.model.requests import TokenEvent
-from baobabpulley.model.requests import Usage
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.lanes import GANG
 from baobabpulley.policy.lanes import LONG
@@ -51,29 +50,6 @@
 RETRY_AFTER: Final = 1.0
 
 
-@final
-class Delivery:
-    """What the caller has of an answer."""
-
-    __slots__ = ("_before", "_offset", "started", "tokens")
-
-    def __init__(self, request: CompletionRequest) -> None:
-        self._before = request.delivered
-        self._offset = request.offset
-        self.tokens: list[str] = []
-        self.started = request.offset > 0
-
-    @property
-    def offset(self) -> int:
-        """Index of the token that the caller needs next."""
-        return self._offset + len(self.tokens)
-
-    @property
-    def text(self) -> str:
-        """All tokens that the caller has."""
-        return self._before + "".join(self.tokens)
-
-
 class _History:
     """The failed attempts of one request, and whether one of them may have run."""
 
@@ -159,7 +135,9 @@
         an entry of another one, unless it has been passed already.
         """
         record.lane = self._lane(request)
-        delivery = Delivery(request)
+        delivery = AnswerProgress(
+            max_tokens=request.max_tokens, offset=request.offset, delivered=request.delivered
+        )
         history = _History()
         runner = self._run_here(request, record, delivery, history)
         if record.lane == GANG and self._gangs is not None:
@@ -189,7 +167,7 @@
         self,
         request: CompletionRequest,
         record: DecisionRecord,
-        delivery: Delivery,
+        delivery: AnswerProgress,
         history: _History,
     ) -> AsyncIterator[AnswerEvent]:
         budget = self._budget(request)
@@ -272,7 +250,7 @@
         return lane_of(request, section=self._lanes, engine_memory=memory)
 
     async def _attempt(
-        self, request: CompletionRequest, placement: Placement, delivery: Delivery
+        self, request: CompletionRequest, placement: Placement, delivery: AnswerProgress
     ) -> AsyncIterator[AnswerEvent]:
         upstream = placement.upstream
         attempt = f"{request.request_id}.{secrets.token_hex(4)}"
@@ -298,7 +276,7 @@
             ):
                 async for event in events:
                     self._placer.first_token(placement)
-                    checked = _check_order(event, delivery, request)
+                    checked = delivery.take(event)
                     if checked is None:
                         continue
                     if isinstance(checked, EndEvent):
@@ -312,7 +290,7 @@
 
     @contextlib.asynccontextmanager
     async def _deadline(
-        self, request: CompletionRequest, delivery: Delivery
+        self, request: CompletionRequest, delivery: AnswerProgress
     ) -> AsyncIterator[None]:
         try:
             async with self._timers.limit(request.deadline - self._timers.now()):
@@ -344,34 +322,5 @@
         record.steps.append(Step(at=round(at, 4), what=what, detail=detail))
 
 
-def _deadline_error(delivery: Delivery) -> DeadlineExceeded:
+def _deadline_error(delivery: AnswerProgress) -> DeadlineExceeded:
     return DeadlineExceeded(f"the deadline passed after {delivery.offset} tokens")
-
-
-def _check_order(
-    event: AnswerEvent, delivery: Delivery, request: CompletionRequest
-) -> AnswerEvent | None:
-    """Return what of an event is new to the caller; raise `UpstreamLost` on a gap."""
-    if isinstance(event, EndEvent):
-        if delivery.offset != event.usage.completion_tokens:
-            raise UpstreamLost(
-                f"the answer ended at {event.usage.completion_tokens} tokens, "
-                f"but {delivery.offset} arrived"
-            )
-        usage = Usage(
-            prompt_tokens=event.usage.prompt_tokens,
-            completion_tokens=delivery.offset,
-            cached_tokens=event.usage.cached_tokens,
-        )
-        return EndEvent(attempt=event.attempt, reason=event.reason, usage=usage)
-    if event.index > delivery.offset:
-        raise UpstreamLost(f"tokens {delivery.offset} to {event.index - 1} are missing")
-    fresh = event.tokens[delivery.offset - event.index :]
-    if not fresh:
-        return None
-    if delivery.offset + len(fresh) > request.max_tokens:
-        raise UpstreamLost(f"more than {request.max_tokens} tokens arrived")
-    index = delivery.offset
-    delivery.tokens += fresh
-    delivery.started = True
-    return TokenEvent(attempt=event.attempt, index=index, tokens=fresh)
