Delete code that nothing calls

Cause: left over from earlier shapes. `KeeperLink.ask` (questions go through `Homes` now), `Verdict.proved` (the tests look at its three parts) and an unused table head of the control-plane benchmark. Ruled out: `PrefixIndex.is_doubtful` and `section_kinds`, which tests call; `NoDelayStream.set_nodelay` and `headers_received`, which tornado calls; `ServiceDocument.checks_sender`, which no code reads, but stored documents may hold it and unknown fields are refused. Ran: scripts/run_tests.py testing/test_settings.py testing/test_specs.py: 58 passed.

--- a/src/baobabpulley/emulator/bench_control.py
+++ b/src/baobabpulley/emulator/bench_control.py
@@ -112,11 +112,6 @@
 )
 
 
-_SLOPES_HEAD: Final = (
-    "\n| figure | base | per peer keeper | per engine collected |\n|---|---|---|---|"
-)
-
-
 async def measure_control(
     case: ControlCase, *, base_port: int, directory: Path
 ) -> list[KeeperCost]:
--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from typing import Final
-from typing import TypeVar
 from typing import final
 
 import msgspec
@@ -25,8 +24,6 @@
 ASK_TIMEOUT: Final = 0.5
 FAR_KEEPERS: Final = 2
 
-A = TypeVar("A", bound=msgspec.Struct)
-
 
 @section("keeper", "entry")
 class KeeperLinkSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -39,7 +36,7 @@
 
 @final
 class KeeperLink:
-    """Keep the fleet view fresh, and carry questions to a keeper that answers."""
+    """Keep the fleet view fresh from a keeper that answers."""
 
     __slots__ = ("_peers", "_section", "_timers", "_view")
 
@@ -133,12 +130,3 @@
         book = self._view.book
         book.install(news.entries, revision=news.revision, since=news.since)
         book.raise_limits(news.limits)
-
-    async def ask(self, question: msgspec.Struct, *, answer: type[A]) -> A:
-        """Ask keepers in turn until one answers; raise `PeerUnavailable` if none does."""
-        for address in self.addresses:
-            try:
-                return await self._peers.ask(address, question, answer=answer, timeout=ASK_TIMEOUT)
-            except PeerUnavailable:
-                continue
-        raise PeerUnavailable("no keeper of this failure domain answers")
--- a/src/baobabpulley/specs/explore.py
+++ b/src/baobabpulley/specs/explore.py
@@ -62,11 +62,6 @@
         self.violated = violated
         self.goal_reachable = goal_reachable
 
-    @property
-    def proved(self) -> bool:
-        """Whether the search finished, no invariant broke and the goal stays reachable."""
-        return self.finished and not self.violated and self.goal_reachable is True
-
 
 def explore(spec: Spec) -> Verdict:
     """Visit every reachable state of a specification."""
