--- a/src/baobabpulley/emulator/bench_control.py
+++ b/src/baobabpulley/emulator/bench_control.py
@@ -24,7 +24,7 @@
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
-from baobabpulley.emulator.fleet import Process
+from baobabpulley.emulator.processes import Process
 from baobabpulley.model.upstreams import Vm
 
 # Past the ports that a fleet's own processes take.
--- a/src/baobabpulley/emulator/bench_path.py
+++ b/src/baobabpulley/emulator/bench_path.py
@@ -20,8 +20,8 @@
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
-from baobabpulley.emulator.fleet import Process
 from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 
 # Stand-ins run this many times faster, so that their own model time hides nothing.
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import signal
-import subprocess
 import sys
 import time
 from pathlib import Path
@@ -18,6 +17,7 @@
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 from baobabpulley.model.documents import PROMISES_KEY
 from baobabpulley.model.documents import AccessDocument
@@ -39,7 +39,6 @@
 
 HOST: Final = "127.0.0.1"
 START_TIMEOUT: Final = 30.0
-STOP_TIMEOUT: Final = 30.0
 SECRET: Final = "a-secret-for-stand-ins-only"
 MODEL: Final = "recipes"
 ENGINE_SERVICE: Final = "kitchen"
@@ -105,64 +104,6 @@
         return self.domains[index % len(self.domains)]
 
 
-@final
-class Process:
-    """One started process; its standard error goes to a file."""
-
-    __slots__ = ("_command", "_log", "_popen", "name")
-
-    def __init__(self, *, name: str, command: list[str], log: Path) -> None:
-        self.name = name
-        self._command = command
-        self._log = log
-        self._popen: subprocess.Popen[bytes] | None = None
-
-    @property
-    def pid(self) -> int:
-        """Process id."""
-        assert self._popen is not None
-        return self._popen.pid
-
-    @property
-    def running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._popen is not None and self._popen.poll() is None
-
-    @property
-    def returncode(self) -> int | None:
-        """Exit code once it has ended."""
-        return None if self._popen is None else self._popen.returncode
-
-    @property
-    def log(self) -> str:
-        """What the process wrote to standard error."""
-        return self._log.read_text(encoding="utf-8") if self._log.exists() else ""
-
-    def start(self) -> None:
-        """Start the process, also anew after it has ended."""
-        with self._log.open("ab") as log:
-            self._popen = subprocess.Popen(
-                self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal if the process still runs."""
-        if self.running:
-            assert self._popen is not None
-            self._popen.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process at once and wait for it."""
-        self.send(signal.SIGKILL)
-        if self._popen is not None:
-            self._popen.wait()
-
-    def wait(self, timeout: float = STOP_TIMEOUT) -> int:
-        """Wait for the end and return the exit code."""
-        assert self._popen is not None
-        return self._popen.wait(timeout)
-
-
 @final
 class Fleet:
     """A running fleet; use it as an asynchronous context manager."""
--- /dev/null
+++ b/src/baobabpulley/emulator/processes.py
@@ -0,0 +1,69 @@
+"""A process that the emulator starts, signals and waits for."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+from pathlib import Path
+from typing import Final
+from typing import final
+
+STOP_TIMEOUT: Final = 30.0
+
+
+@final
+class Process:
+    """One started process; its standard error goes to a file."""
+
+    __slots__ = ("_command", "_log", "_popen", "name")
+
+    def __init__(self, *, name: str, command: list[str], log: Path) -> None:
+        self.name = name
+        self._command = command
+        self._log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self._popen is not None
+        return self._popen.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def returncode(self) -> int | None:
+        """Exit code once it has ended."""
+        return None if self._popen is None else self._popen.returncode
+
+    @property
+    def log(self) -> str:
+        """What the process wrote to standard error."""
+        return self._log.read_text(encoding="utf-8") if self._log.exists() else ""
+
+    def start(self) -> None:
+        """Start the process, also anew after it has ended."""
+        with self._log.open("ab") as log:
+            self._popen = subprocess.Popen(
+                self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.running:
+            assert self._popen is not None
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.send(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait()
+
+    def wait(self, timeout: float = STOP_TIMEOUT) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._popen is not None
+        return self._popen.wait(timeout)
--- /dev/null
+++ b/testing/fake_store.py
@@ -0,0 +1,158 @@
+"""A configuration store in memory, with the faults that a writer and a watcher can meet."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+
+from baobabpulley.errors import StoreAnswerLost
+from baobabpulley.errors import StoreCompacted
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import StoreSnapshot
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.ports.config_store import SwapOutcome
+from baobabpulley.ports.config_store import WatchBatch
+from baobabpulley.timers import TimerService
+
+STEP = 0.1
+PROGRESS = 1.0
+SILENCE = 2.0
+
+
+class StoreState:
+    """What the store holds, and what is wrong with it."""
+
+    def __init__(self, *, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.items: dict[str, StoredEntry] = {}
+        self.history: list[StoredEntry] = []
+        self.revision = 1
+        self.compacted = 0
+        self.down = False
+        self.cut: set[str] = set()
+        self.silent_before = 0
+        self.opened = 0
+        self.lose_answers = 0.0
+        self.lose_next = 0
+        self.interleave = 0
+        self.calls = 0
+        self.fates = ("now", "never", "late")
+        self.late: list[tuple[Swap, ...]] = []
+        self.late_chance = 0.5
+
+    def put(self, key: str, value: bytes | None) -> int:
+        """Write a key as an operator with the store's own tools would."""
+        held = self.items.get(key)
+        revision = held.mod_revision if held else 0
+        assert self.apply((Swap(key=key, value=value, expected_revision=revision),)).held
+        return self.revision
+
+    def apply(self, swaps: tuple[Swap, ...]) -> SwapOutcome:
+        """Run a transaction."""
+        for swap in swaps:
+            held = self.items.get(swap.key)
+            if (held.mod_revision if held else 0) != swap.expected_revision:
+                return SwapOutcome(held=False, revision=self.revision)
+        self.revision += 1
+        for swap in swaps:
+            entry = StoredEntry(key=swap.key, value=swap.value, mod_revision=self.revision)
+            self.history.append(entry)
+            self.items[swap.key] = entry
+            if swap.value is None:
+                del self.items[swap.key]
+        return SwapOutcome(held=True, revision=self.revision)
+
+
+class FakeStore(ConfigStore):
+    """One process's client of the store."""
+
+    def __init__(self, state: StoreState, *, timers: TimerService, domain: str = "") -> None:
+        self._state = state
+        self._timers = timers
+        self._domain = domain
+
+    async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
+        await self._call()
+        end = (last_prefix or prefix) + "\uffff"
+        found = [item for key, item in sorted(self._state.items.items()) if prefix <= key < end]
+        return StoreSnapshot(revision=self._state.revision, entries=tuple(found))
+
+    async def get(self, key: str) -> StoredEntry | None:
+        await self._call()
+        return self._state.items.get(key)
+
+    async def swap(self, *swaps: Swap) -> SwapOutcome:
+        state = self._state
+        await self._call()
+        if state.random.random() < state.lose_answers or state.lose_next > 0:
+            state.lose_next -= 1
+            # The transaction runs at once, never, or once the writer has looked.
+            fate = state.random.choice(state.fates)
+            if fate == "now":
+                state.apply(swaps)
+            elif fate == "late":
+                state.late.append(swaps)
+            raise StoreAnswerLost("the answer was lost")
+        outcome = state.apply(swaps)
+        await self._yield()
+        return outcome
+
+    async def grant_lease(self, seconds: float) -> int:
+        await self._call()
+        return 7
+
+    async def keep_alive(self, lease: int) -> float:
+        raise NotImplementedError
+
+    async def revoke_lease(self, lease: int) -> None:
+        raise NotImplementedError
+
+    async def watch(
+        self, prefix: str, *, from_revision: int, last_prefix: str | None = None
+    ) -> AsyncIterator[WatchBatch]:
+        state = self._state
+        await self._call()
+        state.opened += 1
+        opened = state.opened
+        end = (last_prefix or prefix) + "\uffff"
+        yield WatchBatch(revision=0, entries=())
+        if from_revision <= state.compacted:
+            raise StoreCompacted("the history is gone")
+        sent, told = from_revision - 1, self._timers.now()
+        while True:
+            await self._timers.sleep(STEP)
+            if opened <= state.silent_before:
+                await self._timers.sleep(SILENCE)
+                raise StoreUnavailable("the watch went silent")
+            self._check()
+            upto = state.revision
+            new = [
+                item
+                for item in state.history
+                if sent < item.mod_revision <= upto and prefix <= item.key < end
+            ]
+            sent = upto
+            if new:
+                yield WatchBatch(revision=new[-1].mod_revision, entries=tuple(new))
+            elif self._timers.now() - told >= PROGRESS:
+                told = self._timers.now()
+                yield WatchBatch(revision=upto, entries=())
+
+    async def _call(self) -> None:
+        self._state.calls += 1
+        await self._yield()
+        late = self._state.late
+        if late and self._state.random.random() < self._state.late_chance:
+            self._state.apply(late.pop(0))
+        self._check()
+
+    def _check(self) -> None:
+        if self._state.down or self._domain in self._state.cut:
+            raise StoreUnavailable("the store is down")
+
+    async def _yield(self) -> None:
+        for _ in range(self._state.random.randint(0, self._state.interleave)):
+            await asyncio.sleep(0)
--- a/testing/test_changes.py
+++ b/testing/test_changes.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable
 
 import pytest
-from settings_cluster import FakeStore
-from settings_cluster import StoreState
+from fake_store import FakeStore
+from fake_store import StoreState
 
 from baobabpulley.errors import ChangeUnknown
 from baobabpulley.errors import Conflict
