Add a step to a decision record in one place

Cause: the dispatcher and the gangs each built and rounded a `Step`; now `DecisionRecord.note` does. Ran: scripts/run_tests.py testing/test_path.py testing/test_streams.py testing/test_gangs.py testing/test_retries.py: 45 passed.

--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -28,7 +28,7 @@
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.decisions import DecisionRecord
-from baobabpulley.model.decisions import Step
+from baobabpulley.model.decisions import Detail
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.requests import AnswerEvent
 from baobabpulley.model.requests import CompletionRequest
@@ -316,10 +316,9 @@
         request: CompletionRequest,
         record: DecisionRecord,
         what: str,
-        **detail: str | int | float | bool | None,
+        **detail: Detail,
     ) -> None:
-        at = self._timers.now() - request.arrived
-        record.steps.append(Step(at=round(at, 4), what=what, detail=detail))
+        record.note(what, at=self._timers.now() - request.arrived, **detail)
 
 
 def _deadline_error(delivery: AnswerProgress) -> DeadlineExceeded:
--- a/src/baobabpulley/entry/gangs.py
+++ b/src/baobabpulley/entry/gangs.py
@@ -22,7 +22,7 @@
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.model.decisions import DecisionRecord
-from baobabpulley.model.decisions import Step
+from baobabpulley.model.decisions import Detail
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.requests import AnswerEvent
 from baobabpulley.model.requests import CompletionRequest
@@ -163,7 +163,6 @@
         request: CompletionRequest,
         record: DecisionRecord,
         what: str,
-        **detail: str | int | float | bool | None,
+        **detail: Detail,
     ) -> None:
-        at = self._timers.now() - request.arrived
-        record.steps.append(Step(at=round(at, 4), what=what, detail=detail))
+        record.note(what, at=self._timers.now() - request.arrived, **detail)
--- a/src/baobabpulley/model/decisions.py
+++ b/src/baobabpulley/model/decisions.py
@@ -10,13 +10,15 @@
 
 DEFAULT_CAPACITY: Final = 20_000
 
+Detail = str | int | float | bool | None
+
 
 class Step(msgspec.Struct, frozen=True):
     """One decision. ``at`` is in model seconds since the request arrived."""
 
     at: float
     what: str
-    detail: dict[str, str | int | float | bool | None] = {}
+    detail: dict[str, Detail] = {}
 
 
 class DecisionRecord(msgspec.Struct):
@@ -28,6 +30,10 @@
     outcome: str = "running"
     steps: list[Step] = []
 
+    def note(self, what: str, *, at: float, **detail: Detail) -> None:
+        """Add a step; ``at`` is in model seconds since the request arrived."""
+        self.steps.append(Step(at=round(at, 4), what=what, detail=detail))
+
 
 @final
 class DecisionLog:
