--- a/src/baobabpulley/adapters/envelope.py
+++ b/src/baobabpulley/adapters/envelope.py
@@ -17,6 +17,7 @@
 
 from baobabpulley.errors import MessageRejected
 from baobabpulley.ports.peers import message_kinds
+from baobabpulley.settings import PeersSection
 
 DIGEST_BYTES: Final = 16
 NONCE_BYTES: Final = 12
@@ -130,6 +131,16 @@
             self._nonces.popitem(last=False)
 
 
+def make_sealer(section: PeersSection, *, sender: str) -> Sealer:
+    """Return the sealer of a process with the fleet's settings."""
+    return Sealer(
+        sender=sender,
+        secret=section.secret,
+        max_bytes=section.max_message_bytes,
+        max_skew=section.max_clock_skew,
+    )
+
+
 def kind_of(message: msgspec.Struct) -> str:
     """Return the registered name of a message's type."""
     wanted = type(message)
--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -17,8 +17,8 @@
 
 from baobabpulley.adapters.envelope import EVERYONE
 from baobabpulley.adapters.envelope import Opened
-from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.envelope import kind_of
+from baobabpulley.adapters.envelope import make_sealer
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import MessageRejected
@@ -86,12 +86,7 @@
         self._address = address
         self._names = frozenset(filter(None, (address, *also_reached_at)))
         self._timers = timers
-        self._sealer = Sealer(
-            sender=node,
-            secret=section.secret,
-            max_bytes=section.max_message_bytes,
-            max_skew=section.max_clock_skew,
-        )
+        self._sealer = make_sealer(section, sender=node)
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._asking: dict[str, pynng.Req0] = {}
         self._contexts: set[pynng.Context] = set()
--- a/src/baobabpulley/cli/fleet_access.py
+++ b/src/baobabpulley/cli/fleet_access.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.envelope import make_sealer
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.entry.credentials import CREDENTIAL_HEADER
@@ -32,12 +32,7 @@
     def __init__(self, settings: Settings) -> None:
         peers = settings.get(PeersSection)
         self._client = HttpClient()
-        self._sealer = Sealer(
-            sender="cli",
-            secret=peers.secret,
-            max_bytes=peers.max_message_bytes,
-            max_skew=peers.max_clock_skew,
-        )
+        self._sealer = make_sealer(peers, sender="cli")
 
     async def get_all(
         self, addresses: tuple[str, ...], path: str, *, kind: type[T]
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -9,6 +9,7 @@
 from tornado.httpserver import HTTPServer
 
 from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.envelope import make_sealer
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_engine import HttpEngine
@@ -133,13 +134,7 @@
 
 
 def _sealer(settings: Settings) -> Sealer:
-    peers = settings.get(PeersSection)
-    return Sealer(
-        sender=settings.get(NodeSection).id,
-        secret=peers.secret,
-        max_bytes=peers.max_message_bytes,
-        max_skew=peers.max_clock_skew,
-    )
+    return make_sealer(settings.get(PeersSection), sender=settings.get(NodeSection).id)
 
 
 def _service_caller(
--- a/src/baobabpulley/entry/passing.py
+++ b/src/baobabpulley/entry/passing.py
@@ -18,6 +18,7 @@
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.errors import error_kinds
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.requests import AnswerEvent
 from baobabpulley.model.requests import CompletionRequest
@@ -144,14 +145,7 @@
 
 def _error_of(document: dict[str, Any]) -> BaobabError:
     error = document["error"]
-    kind = _kinds(BaobabError).get(error["code"])
+    kind = error_kinds().get(error["code"])
     if kind is None or kind.ran != error["ran"]:
         return UpstreamLost(f"another failure domain answered: {error['message']}")
     return kind(error["message"], remedy=error["remedy"])
-
-
-def _kinds(root: type[BaobabError]) -> dict[str, type[BaobabError]]:
-    found = {root.code: root}
-    for kind in root.__subclasses__():
-        found.update(_kinds(kind))
-    return found
--- a/src/baobabpulley/keeper/load_relay.py
+++ b/src/baobabpulley/keeper/load_relay.py
@@ -271,11 +271,4 @@
     if item.upstream not in gaps:
         return item
     gaps.discard(item.upstream)
-    return CacheNews(
-        upstream=item.upstream,
-        incarnation=item.incarnation,
-        sequence=item.sequence,
-        stored=item.stored,
-        evicted=item.evicted,
-        gap=True,
-    )
+    return msgspec.structs.replace(item, gap=True)
