Test that doubt of a prefix index weighs in routing; drop unused arguments

EntryReservations.reserve took waited and ideal and deleted them: the order among waiting longs is made in the entry's lane, and that of gangs by the gang turn, which has its own. is_doubtful was called by a test alone; that test now asserts what doubt does, the halved figure, and a new test takes it through Placer.hear to the choice of an engine.

--- a/src/baobabpulley/entry/prefix_index.py
+++ b/src/baobabpulley/entry/prefix_index.py
@@ -34,10 +34,6 @@
         weight = DOUBT_WEIGHT if upstream in self._doubtful else 1.0
         return weight * self._matched(upstream, blocks) * BLOCK_TOKENS
 
-    def is_doubtful(self, upstream: str) -> bool:
-        """Whether events of an upstream were missed."""
-        return upstream in self._doubtful
-
     def learn(self, news: CacheNews) -> None:
         """Take over what an engine says of its cache, late and perhaps with gaps."""
         known = self._incarnations.get(news.upstream)
--- a/src/baobabpulley/entry/reservations.py
+++ b/src/baobabpulley/entry/reservations.py
@@ -74,10 +74,7 @@
         self._timers.after(0.0, self._renew, name="first renewal")
         self._timers.every(self._section.renewal, self._renew, jitter=0.1, name="renewal")
 
-    async def reserve(
-        self, *, request_id: str, claims: tuple[MemoryClaim, ...], waited: float, ideal: float
-    ) -> Reservation:
-        del waited, ideal
+    async def reserve(self, *, request_id: str, claims: tuple[MemoryClaim, ...]) -> Reservation:
         reservation = Reservation(
             id=f"{request_id}.{secrets.token_hex(4)}",
             holder=self._holder,
--- a/src/baobabpulley/entry/reserving_engine.py
+++ b/src/baobabpulley/entry/reserving_engine.py
@@ -75,9 +75,7 @@
         claims = (MemoryClaim(upstream=upstream.id, tokens=tokens),)
         while True:
             try:
-                return await self._reservations.reserve(
-                    request_id=call.attempt, claims=claims, waited=0.0, ideal=0.0
-                )
+                return await self._reservations.reserve(request_id=call.attempt, claims=claims)
             except PeerUnavailable:
                 return None
             except Overloaded as error:
--- a/src/baobabpulley/ports/reservations.py
+++ b/src/baobabpulley/ports/reservations.py
@@ -13,13 +13,10 @@
     """Reserve engine memory for prompts above the short lane, and a team's tokens in flight."""
 
     @abstractmethod
-    async def reserve(
-        self, *, request_id: str, claims: tuple[MemoryClaim, ...], waited: float, ideal: float
-    ) -> Reservation:
+    async def reserve(self, *, request_id: str, claims: tuple[MemoryClaim, ...]) -> Reservation:
         """Reserve on every upstream named, or on none.
 
-        ``waited`` and ``ideal`` are model seconds, for the order among those that wait. Raises
-        `Overloaded` if there is no room now, `PeerUnavailable` if no home keeper answers.
+        Raises `Overloaded` if there is no room now, `PeerUnavailable` if no home keeper answers.
         """
 
     @abstractmethod
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -15,6 +15,7 @@
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.policy.admission import AdmissionSection
@@ -224,6 +225,26 @@
         await bench.place(make_request(tokens=60_000))
 
 
+async def test_missed_cache_events_halve_what_a_cached_prefix_weighs_in_routing() -> None:
+    bench = _Bench(engines=2)
+    request = make_request(tokens=2_000)
+    warm = await bench.place(request)
+    bench.placer.first_token(warm)
+    bench.placer.end(warm)
+    known = warm.upstream.id
+    # More than half of the cached tokens wait there, and less than all of them.
+    bench.view.set_load(make_report(known, queued_high=1_000), taken=bench.timers.now())
+    placements = [await bench.place(request)]
+    bench.placer.end(placements[0])
+    bench.placer.hear(CacheNews(known, "a", 9, gap=True), "keeper-0")
+    placements.append(await bench.place(request))
+    bench.placer.end(placements[1])
+    bench.placer.usage(placements[0], cached_tokens=1_536)
+    placements.append(await bench.place(request))
+    assert [placement.upstream.id == known for placement in placements] == [True, False, True]
+    assert [placement.cached_tokens for placement in placements] == [1_536, 0, 1_536]
+
+
 async def test_engines_are_dealt_anew_when_the_entry_vms_change() -> None:
     bench = _Bench(engines=2)
     engines = [
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -120,7 +120,7 @@
     index.correct("engine-0", expected=512, cached_tokens=1_024)
     assert index.cached_tokens("engine-0", (1, 2, 9)) == 1_024
     index.correct("engine-0", expected=1_024, cached_tokens=0)
-    assert index.is_doubtful("engine-0")
+    assert index.cached_tokens("engine-0", (1, 2, 9)) == 512
 
 
 def test_cache_news_adds_evicts_doubts_and_starts_anew() -> None:
