Run overload after an outage of the store, and with any variant and mix

The overload test of test_mix now runs after an outage of 12 model seconds that ends in the middle of the load (3 s more); all that it asserted stays. Nothing on a request's way asks the store, so there is no one guard to switch off: with keepers that end when the store is gone the test still passed (entries go on by what they know); with that and the unreserved attempts while no keeper answers switched off as well it failed with peer_unavailable.

--- a/src/baobabpulley/cli/bench_mix.py
+++ b/src/baobabpulley/cli/bench_mix.py
@@ -88,6 +88,13 @@
 @click.option("--seconds", default=40.0, help="Model seconds of load in each phase.")
 @click.option("--engines", default=16, help="Engines of the fleet.")
 @click.option("--lose", default="", help="Failure domain to kill first.")
+@click.option("--variant", default="least_wait", help="Variant of `bench mix` to run.")
+@click.option("--long-share", default=0.02, help="Share of prompts past 100,000 tokens.")
+@click.option(
+    "--outage",
+    default=0.0,
+    help="Model seconds without the store before each phase but the first, and half its load.",
+)
 @click.option("--base-port", default=21_000, help="First of a thousand loopback ports.")
 @click.option("--out", type=click.Path(path_type=Path), help="Folder for JSON.")
 def overload(
@@ -97,6 +104,9 @@
     seconds: float,
     engines: int,
     lose: str,
+    variant: str,
+    long_share: float,
+    outage: float,
     base_port: int,
     out: Path | None,
 ) -> None:
@@ -110,6 +120,9 @@
             base_port=base_port,
             engines=engines,
             lose=lose,
+            outage=outage,
+            mix=Mix(long_share=long_share),
+            sections=variants.lookup(variant),
         )
     )
     click.echo(overload_table(results))
--- a/src/baobabpulley/emulator/bench_overload.py
+++ b/src/baobabpulley/emulator/bench_overload.py
@@ -17,15 +17,19 @@
 from baobabpulley.emulator.bench_mix import mix_plan
 from baobabpulley.emulator.bench_mix import run_trace
 from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.load import LEAD_SECONDS
 from baobabpulley.emulator.load import Sample
 from baobabpulley.emulator.mix_report import Spread
 from baobabpulley.emulator.mix_report import outcome_of
 from baobabpulley.emulator.mix_report import spread
+from baobabpulley.emulator.trace import SHORTEST_LONG
 from baobabpulley.emulator.trace import Mix
 from baobabpulley.emulator.trace import TraceItem
 from baobabpulley.emulator.trace import make_trace
 
 RECOVERY_SECONDS: Final = 5.0
+# The store's fault is bounded too, in case nothing ends it.
+OUTAGE_MARGIN: Final = 60.0
 PROBE_SECONDS: Final = 4.0
 PROBE_LOAD: Final = 0.2
 REFUSALS: Final = ("overloaded", "no_upstream", "team_limit", "not_ready")
@@ -35,6 +39,8 @@
     """One phase at ``load`` of the capacity. Goodput is in prompt tokens a model second.
 
     ``refusal`` is how long refused callers waited; ``attempts`` are per request not refused.
+    ``longs`` is the time to first token of whole prompts past 100,000 tokens over the ideal, and
+    ``longs_whole`` the share of such prompts that were whole.
     ``probe_before`` and ``probe_after`` are first tokens of shorts before the load, and from
     five model seconds after its end.
     """
@@ -46,6 +52,8 @@
     refusal: Spread
     attempts: float
     shorts: Spread
+    longs: Spread
+    longs_whole: float
     probe_before: Spread
     probe_after: Spread
 
@@ -60,9 +68,15 @@
     engines: int,
     entries: int = 4,
     lose: str = "",
+    outage: float = 0.0,
+    mix: Mix | None = None,
     sections: Sections | None = None,
 ) -> list[PhaseResult]:
-    """Run one phase for each load on one fleet, after losing failure domain ``lose`` if named."""
+    """Run one phase for each load on one fleet, after losing failure domain ``lose`` if named.
+
+    Before each phase but the first the store is down for ``outage`` model seconds, and comes
+    back in the middle of the phase's load.
+    """
     plan = mix_plan(
         base_port=base_port, speed=speed, engines=engines, entries=entries, sections=sections
     )
@@ -72,27 +86,43 @@
                 lose_domain(fleet, lose)
             results = []
             for number, load in enumerate(loads):
+                down = outage if number else 0.0
                 result, _ = await run_phase(
-                    fleet, seed=seed + number, seconds=seconds, load=load, mix=Mix()
+                    fleet,
+                    seed=seed + number,
+                    seconds=seconds,
+                    load=load,
+                    mix=mix or Mix(),
+                    outage=down,
                 )
                 results.append(result)
     return results
 
 
 async def run_phase(
-    fleet: Fleet, *, seed: int, seconds: float, load: float, mix: Mix
+    fleet: Fleet, *, seed: int, seconds: float, load: float, mix: Mix, outage: float = 0.0
 ) -> tuple[PhaseResult, list[Sample]]:
-    """Probe, load the fleet, wait five model seconds, probe again."""
+    """Probe, load the fleet, wait five model seconds, probe again.
+
+    The store is down for ``outage`` model seconds after the first probe and for half the load.
+    """
     speed = fleet.plan.speed
     before = await _probe(fleet, seed=seed + 500)
     counted = await attempts(fleet)
     trace = live_trace(fleet, seed=seed, seconds=seconds, load=load, mix=mix)
+    if outage:
+        await fleet.fault(fleet.store_address, "down", seconds=outage + seconds + OUTAGE_MARGIN)
+        await asyncio.sleep(outage / speed)
     running = asyncio.create_task(run_trace(fleet, trace))
     # The clients begin a moment after they are told; their end is the trace's end.
-    await asyncio.sleep((seconds + RECOVERY_SECONDS) / speed + 1.5)
+    await asyncio.sleep(LEAD_SECONDS + seconds / 2 / speed)
+    if outage:
+        await fleet.fault(fleet.store_address, "none")
+    await asyncio.sleep((seconds / 2 + RECOVERY_SECONDS) / speed)
     after = await _probe(fleet, seed=seed + 900)
     samples = await running
     whole = [sample for sample in samples if sample.ok]
+    longs = [sample for sample in samples if sample.tokens >= SHORTEST_LONG]
     refused = [sample for sample in samples if sample.code in REFUSALS]
     made = await attempts(fleet) - counted - after.count
     result = PhaseResult(
@@ -103,6 +133,8 @@
         refusal=spread(sample.total for sample in refused),
         attempts=made / max(1, len(samples) - len(refused)),
         shorts=spread(sample.first_token for sample in whole if sample.tokens <= 8_000),
+        longs=spread(s.first_token * PREFILL_RATE / s.tokens for s in longs if s.ok),
+        longs_whole=sum(sample.ok for sample in longs) / max(1, len(longs)),
         probe_before=before,
         probe_after=after,
     )
@@ -150,15 +182,17 @@
     """Return the phases as Markdown."""
     lines = [
         "| load | goodput tokens/s | share of first | whole | outcomes | refused after p99 s | "
-        "attempts | shorts p95 s | probe p50/p95 before | after |",
-        "|---|---|---|---|---|---|---|---|---|---|",
+        "attempts | shorts p95 s | longs whole | over ideal p50/p95 "
+        "| probe p50/p95 before | after |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|",
     ]
     for result in results:
         lines.append(
             f"| {result.load} | {result.goodput:.0f} "
             f"| {result.goodput / max(1.0, results[0].goodput):.2f} | {result.whole} "
             f"| {_counts(result.outcomes)} | {result.refusal.p99:.3f} | {result.attempts:.3f} "
-            f"| {result.shorts.p95:.2f} "
+            f"| {result.shorts.p95:.2f} | {result.longs_whole:.2f} "
+            f"| {result.longs.p50:.2f}/{result.longs.p95:.2f} "
             f"| {result.probe_before.p50:.3f}/{result.probe_before.p95:.3f} "
             f"| {result.probe_after.p50:.3f}/{result.probe_after.p95:.3f} |"
         )
--- a/testing/test_mix.py
+++ b/testing/test_mix.py
@@ -91,10 +91,12 @@
     assert result.up_to_8k.p95 <= 1.6 * before.p95
 
 
-async def test_overload_keeps_goodput_and_refuses_without_running(fleet: Fleet) -> None:
+async def test_overload_after_an_outage_keeps_goodput_and_refuses_without_running(
+    fleet: Fleet,
+) -> None:
     trace = mix_trace(fleet, seed=1, seconds=5.0, load=1.0, mix=MIX)
     full = goodput([sample for sample in await run_trace(fleet, trace) if sample.ok], seconds=5.0)
-    over, samples = await run_phase(fleet, seed=2, seconds=5.0, load=5.0, mix=MIX)
+    over, samples = await run_phase(fleet, seed=2, seconds=5.0, load=5.0, mix=MIX, outage=12.0)
     assert over.goodput >= 0.9 * full
     assert set(over.outcomes) <= ALLOWED
     assert over.attempts <= 1.1
