Count the wait at the engine in a short's estimated wait

Admitted shorts had a first token of 2.99 s at p95 at three times the capacity, where max_short_wait says 2 s. The bound was held against the wait in the lane alone, while a short also waits behind up to engine_backlog of others at its engine. The estimate now adds the least such wait among the fit engines.

What is left above 2 s is the prompt's own prefill, which the bound never held, and what the other entry of the failure domain sends unseen within the lag of the reports; the setting's doc says so now.

The test of the bound counted only those in the lane; it counts those at the engine too now, which is stricter, and failed before the change (7 x 8,000 tokens admitted, 5 allowed).

--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -31,6 +31,7 @@
 from baobabpulley.policy.routing import RoutingSection
 from baobabpulley.policy.routing import routing_policies
 from baobabpulley.ports.engine import PRIORITY_LONG
+from baobabpulley.ports.engine import PRIORITY_SHORT
 from baobabpulley.timers import Subscription
 from baobabpulley.timers import TimerService
 
@@ -302,7 +303,7 @@
         entries = max(1, len(self._view.keepers))
         rate = sum(self._estimates.rate(upstream.id) for upstream in fit) / entries
         if waiter.lane == SHORT:
-            wait, service = self._short_wait(waiter, rate), waiter.ideal
+            wait, service = self._short_wait(waiter, rate) + self._backlog(fit), waiter.ideal
             bound = self._admission.max_short_wait
         else:
             share = self._long_share(rate)
@@ -330,6 +331,14 @@
             others_rate=others / SHORTS_WINDOW,
         )
 
+    def _backlog(self, fit: list[Upstream]) -> float:
+        """Return the model seconds that a short waits at the best engine itself."""
+        estimates = self._estimates
+        return min(
+            estimates.ahead(upstream.id, PRIORITY_SHORT) / estimates.rate(upstream.id)
+            for upstream in fit
+        )
+
     def _count_short(self, sent: Sent, team: str) -> None:
         self._short_sends.append((sent.at, team, sent.tokens))
         self._short_sums[team] += sent.tokens
--- a/src/baobabpulley/policy/admission.py
+++ b/src/baobabpulley/policy/admission.py
@@ -14,6 +14,9 @@
 class AdmissionSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``max_short_wait`` bounds the estimated wait (model seconds) of an admitted short.
 
+    It counts from arrival until the prefill begins, in the lane and behind other shorts at the
+    engine; the short's own prefill comes on top. It is an estimate at arrival, without what
+    other entries have sent since the last load reports.
     ``least_long_share`` is the share of the engines' prefill that longs are taken to get
     whatever shorts use.
     """
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -153,7 +153,8 @@
     assert refused
     assert all(isinstance(error, Overloaded) and error.retry_after for error in errors)
     assert bench.placer.waiting == len(tasks) - len(refused) - len(bench.order)
-    assert bench.placer.waiting * 8_000 <= 2.0 * 20_000
+    # Those that went to the engine at once are waited for too.
+    assert (len(tasks) - len(refused)) * 8_000 <= 2.0 * 20_000
     for task in tasks:
         task.cancel()
 
