Send a long on when its engine is reserved for others, and refuse it no more for that

The entry cannot see that in the load reports, waited there for 5 s, counted it as an engine's overload, and gave up at the second one.

Now it waits 1 s (a release may be on its way), gives that engine no longs for 1 s, and goes back to its lane in its old place; nothing was sent, so no retry is spent and the second such refusal is not the last. The lane bounds the wait by the deadline.

Seen failing: without the dispatcher's case both of its tests fail (the error goes to the caller); without the pause the placer's test does (the same engine is chosen again).

--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -26,6 +26,7 @@
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamReserved
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.decisions import DecisionRecord
 from baobabpulley.model.decisions import Detail
@@ -53,9 +54,10 @@
 class _History:
     """The failed attempts of one request, and whether one of them may have run."""
 
-    __slots__ = ("excluded", "failures", "may_have_run", "overloads")
+    __slots__ = ("excluded", "failures", "may_have_run", "overloads", "since")
 
-    def __init__(self) -> None:
+    def __init__(self, *, since: float) -> None:
+        self.since = since
         self.excluded: set[str] = set()
         self.failures = 0
         self.overloads = 0
@@ -138,7 +140,7 @@
         delivery = AnswerProgress(
             max_tokens=request.max_tokens, offset=request.offset, delivered=request.delivered
         )
-        history = _History()
+        history = _History(since=self._timers.now())
         runner = self._run_here(request, record, delivery, history)
         if record.lane == GANG and self._gangs is not None:
             runner = self._gangs.run(request, record)
@@ -182,6 +184,11 @@
                     async for event in events:
                         yield event
                 return
+            except UpstreamReserved as error:
+                # Nothing was sent, so this spends no retry: back to the lane, in its old place.
+                self._note(request, record, error.code, upstream=placement.upstream.id)
+                self._placer.reserved(placement.upstream.id)
+                continue
             except (UpstreamRefused, UpstreamUnreached, UpstreamLost) as error:
                 upstream = placement.upstream
                 self._note(request, record, error.code, upstream=upstream.id)
@@ -199,6 +206,7 @@
                 request,
                 lane=SHORT if record.lane == SHORT else LONG,
                 excluded=frozenset(history.excluded),
+                since=history.since,
             )
         except NoUpstream:
             # Another failure domain may still do it; `run` knows.
--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -23,6 +23,8 @@
 from baobabpulley.timers import TimerService
 
 MAX_DOUBLINGS: Final = 4
+# Model seconds without longs for an upstream whose memory was found reserved for others.
+RESERVED_PAUSE: Final = 1.0
 
 
 @final
@@ -39,6 +41,7 @@
         "_lanes",
         "_outstanding",
         "_prefixes",
+        "_reserved",
         "_routing",
         "_suspects",
         "_timers",
@@ -64,6 +67,7 @@
         self._prefixes = PrefixIndex()
         self._suspects: dict[str, tuple[float, float]] = {}
         self._failures: dict[str, int] = {}
+        self._reserved: dict[str, float] = {}
         self._dealt_from = (view.upstreams, view.entry_vms)
         self._foreign = self._deal()
 
@@ -107,6 +111,8 @@
             return False
         if lane == SHORT:
             return figures.ahead <= self.rate(upstream.id) * self._lanes.engine_backlog
+        if self._timers.now() < self._reserved.get(upstream.id, 0.0):
+            return False
         return not self._lanes.single_long or figures.long_prefills == 0
 
     def candidate(
@@ -139,6 +145,10 @@
         self._outstanding.begin(chosen.upstream.id, sent, load=load)
         return sent
 
+    def reserved(self, upstream: str) -> None:
+        """Note that an upstream's memory was found reserved for others."""
+        self._reserved[upstream] = self._timers.now() + RESERVED_PAUSE
+
     def suspect(self, upstream: str, *, seconds: float) -> None:
         """Give an upstream no work until it reports anew.
 
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
-from collections import deque
 from typing import Final
 from typing import final
 
@@ -13,6 +11,7 @@
 from baobabpulley.entry.load_estimates import LoadEstimates
 from baobabpulley.entry.outstanding import Figures
 from baobabpulley.entry.outstanding import Sent
+from baobabpulley.entry.short_sends import ShortSends
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import NoUpstream
 from baobabpulley.model.blocks import chain_blocks
@@ -36,7 +35,6 @@
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD: Final = 0.1
-SHORTS_WINDOW: Final = 5.0
 
 
 @final
@@ -97,8 +95,6 @@
         "_policy",
         "_routing",
         "_short_sends",
-        "_short_sum",
-        "_short_sums",
         "_shorts",
         "_ticker",
         "_timers",
@@ -123,9 +119,7 @@
         self._lanes = lanes
         self._admission = admission
         self._timers = timers
-        self._short_sends: deque[tuple[float, str, int]] = deque()
-        self._short_sum = 0
-        self._short_sums: Counter[str] = Counter()
+        self._short_sends = ShortSends()
         self._ticker: Subscription | None = None
         self._shorts: DeficitQueue[_Waiter] = DeficitQueue(
             quantum=lanes.short_quantum, cost=_cost, weight=self._weight
@@ -140,14 +134,20 @@
         return len(self._shorts) + len(self._longs)
 
     async def place(
-        self, request: CompletionRequest, *, lane: str, excluded: frozenset[str]
+        self,
+        request: CompletionRequest,
+        *,
+        lane: str,
+        excluded: frozenset[str],
+        since: float | None = None,
     ) -> Placement:
         """Return an upstream with room, counted as sent from now on.
 
+        ``since`` is when the request first came to its lane, if it has been there before.
         Raises `NoUpstream` if none is fit, `Overloaded` if the wait cannot end in time, and
         `DeadlineBeforeStart` once the deadline can no longer be met.
         """
-        waiter = self._waiter(request, lane, excluded)
+        waiter = self._waiter(request, lane, excluded, since)
         fit = self._fit(waiter)
         queue = self._queue(lane)
         if len(queue) == 0 and (room := self._room(waiter, fit)):
@@ -184,7 +184,17 @@
         """Give an upstream no work until it reports anew, or for ``seconds`` and longer."""
         self._estimates.suspect(upstream, seconds=seconds)
 
-    def _waiter(self, request: CompletionRequest, lane: str, excluded: frozenset[str]) -> _Waiter:
+    def reserved(self, upstream: str) -> None:
+        """Give an upstream no longs for a moment: its memory is reserved for others."""
+        self._estimates.reserved(upstream)
+
+    def _waiter(
+        self,
+        request: CompletionRequest,
+        lane: str,
+        excluded: frozenset[str],
+        since: float | None,
+    ) -> _Waiter:
         blocks = chain_blocks(request.prompt.encode()) if self._routing.prefix_aware else ()
         return _Waiter(
             request=request,
@@ -192,7 +202,7 @@
             excluded=excluded,
             blocks=blocks,
             ideal=request.prompt_tokens / self._routing.prefill_rate,
-            since=self._timers.now(),
+            since=self._timers.now() if since is None else since,
         )
 
     def _queue(self, lane: str) -> DeficitQueue[_Waiter]:
@@ -289,7 +299,7 @@
         chosen = self._policy.choose(candidates, prompt_tokens=request.prompt_tokens)
         sent = self._estimates.begin(chosen, request, lane=waiter.lane)
         if waiter.lane == SHORT:
-            self._count_short(sent, request.team)
+            self._short_sends.add(request.team, sent.tokens, at=sent.at)
         return Placement(
             upstream=chosen.upstream,
             sent=sent,
@@ -322,13 +332,12 @@
     def _short_wait(self, waiter: _Waiter, rate: float) -> float:
         team = waiter.request.team
         own = self._shorts.of_team(team)
-        others = self._short_tokens() - self._short_tokens(team)
         return short_wait(
             own_tokens=sum(_cost(item) for item in own) + _cost(waiter),
             total_tokens=sum(_cost(item) for item in self._shorts) + _cost(waiter),
             teams=self._shorts.teams + (0 if own else 1),
             rate=rate,
-            others_rate=others / SHORTS_WINDOW,
+            others_rate=self._short_sends.rate_of_others(team, now=self._timers.now()),
         )
 
     def _backlog(self, fit: list[Upstream]) -> float:
@@ -339,25 +348,9 @@
             for upstream in fit
         )
 
-    def _count_short(self, sent: Sent, team: str) -> None:
-        self._short_sends.append((sent.at, team, sent.tokens))
-        self._short_sums[team] += sent.tokens
-        self._short_sum += sent.tokens
-
-    def _short_tokens(self, team: str = "") -> int:
-        """Return the prefill tokens of shorts sent within the window, of one team or of all."""
-        horizon = self._timers.now() - SHORTS_WINDOW
-        while self._short_sends and self._short_sends[0][0] < horizon:
-            _, sender, tokens = self._short_sends.popleft()
-            self._short_sum -= tokens
-            self._short_sums[sender] -= tokens
-            if not self._short_sums[sender]:
-                del self._short_sums[sender]
-        return self._short_sums.get(team, 0) if team else self._short_sum
-
     def _long_share(self, rate: float) -> float:
         """Return the share of this entry's part of the prefill that shorts have left over."""
-        left = 1.0 - self._short_tokens() / (rate * SHORTS_WINDOW)
+        left = 1.0 - self._short_sends.rate(now=self._timers.now()) / rate
         return max(self._admission.least_long_share, left)
 
     def _rank(self, waiter: _Waiter) -> float:
--- a/src/baobabpulley/entry/reserving_engine.py
+++ b/src/baobabpulley/entry/reserving_engine.py
@@ -11,7 +11,7 @@
 from baobabpulley.entry.reservations import EntryReservations
 from baobabpulley.errors import Overloaded
 from baobabpulley.errors import PeerUnavailable
-from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamReserved
 from baobabpulley.model.requests import AnswerEvent
 from baobabpulley.model.requests import estimate_tokens
 from baobabpulley.model.reservations import MemoryClaim
@@ -23,16 +23,17 @@
 from baobabpulley.ports.wrapped_engine import WrappedEngine
 from baobabpulley.timers import TimerService
 
-# Model seconds that a long attempt waits for memory on the upstream chosen for it.
-PATIENCE: Final = 5.0
+# Model seconds that a long attempt waits for memory on the upstream chosen for it: a release may
+# be on its way to the home.
+PATIENCE: Final = 1.0
 
 
 @final
 class ReservingEngine(WrappedEngine):
     """Pass everything on; an attempt above the short lane first gets its reservation.
 
-    Without one it raises `UpstreamOutOfMemory`, as the engine itself does. While no keeper
-    answers, attempts go unreserved and the engine's own refusal is the bound.
+    Without one it raises `UpstreamReserved`. While no keeper answers, attempts go unreserved and
+    the engine's own refusal is the bound.
     """
 
     __slots__ = ("_holds", "_reservations", "_short_tokens", "_timers")
@@ -80,5 +81,5 @@
                 return None
             except Overloaded as error:
                 if self._timers.now() >= give_up:
-                    raise UpstreamOutOfMemory(error.message) from error
+                    raise UpstreamReserved(error.message) from error
             await self._timers.sleep(ASK_AGAIN)
--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -325,6 +325,12 @@
     code = "upstream_out_of_memory"
 
 
+class UpstreamReserved(UpstreamRefused):
+    """The engine's memory is reserved for others; nothing was sent to it."""
+
+    code = "upstream_reserved"
+
+
 class UpstreamLeaving(UpstreamRefused):
     """The upstream takes no new work because it is leaving."""
 
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -202,6 +202,25 @@
     await bench.place(make_request(tokens=1_000))
 
 
+async def test_engine_reserved_for_others_gets_no_long_for_a_moment_and_shorts_all_the_while() -> (
+    None
+):
+    bench = _Bench(engines=2)
+    for id in ("engine-0", "engine-1"):
+        bench.placer.reserved(id)
+        other = bench.start(make_request(tokens=100_000))
+        await settle()
+        # The other engine takes it; once both are reserved it waits.
+        assert other.done() == (id == "engine-0")
+        if other.done():
+            assert other.result().upstream.id == "engine-1"
+            bench.placer.end(other.result())
+    await bench.place(make_request(tokens=3_000))
+    await bench.timers.advance(1.1)
+    await settle()
+    assert other.done()
+
+
 async def test_engine_that_fails_again_without_a_report_is_left_alone_for_longer() -> None:
     bench = _Bench(engines=1)
     for seconds in (3.0, 6.0, 12.0):
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -18,6 +18,7 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamReserved
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.decisions import DecisionRecord
 from baobabpulley.model.requests import CompletionRequest
@@ -113,6 +114,15 @@
     assert caught.value.retry_after
 
 
+@pytest.mark.parametrize("engines", [1, 6])
+async def test_long_goes_on_past_reservations_of_others_and_spends_no_retry(engines: int) -> None:
+    engine = ScriptedEngine([(0, UpstreamReserved("a gang waits"))] * 5)
+    retries = RetriesSection(burst=0, share=0.0)
+    dispatcher = make_dispatcher(engine, engines=engines, retries=retries)
+    assert await run(dispatcher, fresh_request(tokens=20_000)) == WHOLE
+    assert len(engine.calls) == 6
+
+
 async def test_budget_bounds_attempts_when_all_engines_fail() -> None:
     script = [(0, UpstreamRefused("no"))] * 10_000
     engine = ScriptedEngine(script)
