Keep longs to their entry's own engines as long as one has room

For longs it counts 20 times now.

The new test failed before: the second long went to the other entry's engine first.

--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -25,6 +25,8 @@
 MAX_DOUBLINGS: Final = 4
 # Model seconds without longs for an upstream whose memory was found reserved for others.
 RESERVED_PAUSE: Final = 1.0
+# A long that meets another entry's unseen long waits for the whole of that.
+FOREIGN_LONG_FACTOR: Final = 20
 
 
 @final
@@ -129,7 +131,7 @@
             upstream=upstream,
             prefill_rate=self.rate(upstream.id),
             in_flight=figures.in_flight,
-            ahead_tokens=figures.ahead + self._handicap(upstream.id, figures),
+            ahead_tokens=figures.ahead + self._handicap(upstream.id, request, figures),
             cached_tokens=min(cached, request.prompt_tokens),
         )
 
@@ -215,12 +217,15 @@
             return False
         return True
 
-    def _handicap(self, upstream: str, figures: Figures) -> float:
+    def _handicap(self, upstream: str, request: CompletionRequest, figures: Figures) -> float:
         """Return the tokens that stand for a running step and for other entries' unseen sends."""
         step = self._routing.step_tokens / 2 if figures.in_flight else 0.0
         if figures.long_prefills:
             step = max(step, float(self._routing.beside_long_tokens))
-        return step + (0.0 if self._is_own(upstream) else self._routing.foreign_tokens)
+        if self._is_own(upstream):
+            return step
+        is_long = request.prompt_tokens > self._lanes.short_tokens
+        return step + self._routing.foreign_tokens * (FOREIGN_LONG_FACTOR if is_long else 1)
 
     def _is_own(self, upstream: str) -> bool:
         """Whether an engine is dealt to this entry's VM, by the order of ids."""
--- a/src/baobabpulley/policy/routing.py
+++ b/src/baobabpulley/policy/routing.py
@@ -35,7 +35,7 @@
     engines with longs, to the longs' advantage.
     ``foreign_tokens`` count as waiting at engines that belong to another entry of the failure
     domain: the engines are dealt out among the entries, so that entries that cannot know of each
-    other's newest sends seldom meet on one engine.
+    other's newest sends seldom meet on one engine; for longs they count twenty times.
     """
 
     policy: Name = "least_wait"
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -50,6 +50,15 @@
         self.order.append(request.request_id)
         return placement
 
+    def set_entry_vms(self, *names: str) -> None:
+        """Have the VM list name these entry VMs beside the engines."""
+        engines = [
+            Vm(row.id, "upstream", row.failure_domain, row.address, service=row.service)
+            for row in self.view.upstreams.values()
+        ]
+        entries = [Vm(id, "entry", self.view.failure_domain, "127.0.0.1:9") for id in names]
+        self.view.set_vms((*engines, *entries))
+
     def start(self, request: CompletionRequest) -> asyncio.Task[Placement]:
         """Begin to place a request."""
         return asyncio.create_task(self.place(request))
@@ -265,17 +274,23 @@
     assert [placement.cached_tokens for placement in placements] == [1_536, 0, 1_536]
 
 
+async def test_long_keeps_to_its_entrys_own_engines_where_a_short_takes_another_entrys() -> None:
+    bench = _Bench(engines=2)
+    bench.set_entry_vms("vm-0", "vm-1")
+    bench.view.set_load(make_report("engine-0", queued_high=4_000, queued=4_000), taken=1_000.0)
+    short = await bench.place(make_request(tokens=3_000))
+    bench.placer.end(short)
+    long = await bench.place(make_request(tokens=100_000))
+    second = await bench.place(make_request(tokens=100_000))
+    chosen = [placement.upstream.id for placement in (short, long, second)]
+    assert chosen == ["engine-1", "engine-0", "engine-1"]
+
+
 async def test_engines_are_dealt_anew_when_the_entry_vms_change() -> None:
     bench = _Bench(engines=2)
-    engines = [
-        Vm(engine.id, "upstream", engine.failure_domain, engine.address, service=engine.service)
-        for engine in bench.view.upstreams.values()
-    ]
     chosen = []
     for other in ("vm-1", "vm") * 6:
-        names = ("vm-0", other)
-        entries = [Vm(id, "entry", bench.view.failure_domain, "127.0.0.1:9") for id in names]
-        bench.view.set_vms((*engines, *entries))
+        bench.set_entry_vms("vm-0", other)
         placement = await bench.place(make_request(tokens=3_000))
         bench.placer.end(placement)
         chosen.append(placement.upstream.id)
