--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-from typing import Final
 from typing import final
 
 import msgspec
@@ -22,12 +21,11 @@
 from baobabpulley.model.reservation_messages import TeamAsk
 from baobabpulley.policy.gang_queue import GangQueue
 from baobabpulley.policy.handover import Handover
+from baobabpulley.policy.holders import Holders
 from baobabpulley.policy.reservation_book import MemoryBook
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import TeamBook
 
-FORGET_HOLDER: Final = 60.0
-
 
 @keeper_parts.register("reservations")
 @final
@@ -43,7 +41,12 @@
         self._memory = MemoryBook(section=self._section, handover=self._handover)
         self._teams = TeamBook(section=self._section, handover=self._handover)
         self._gangs = GangQueue(section=self._section, handover=self._handover)
-        self._holders: dict[str, float] = {}
+        self._holders = Holders(expiry=self._section.expiry)
+
+    @property
+    def holders(self) -> Holders:
+        """Which holders are live."""
+        return self._holders
 
     async def start(self) -> None:
         peers = self._context.peers
@@ -53,11 +56,6 @@
         peers.answer(TeamAsk, self._ask_team)
         peers.answer(GangTurnAsk, self._ask_turn)
 
-    def is_live(self, holder: str) -> bool:
-        """Whether a holder has been heard within one expiry time."""
-        heard = self._holders.get(holder)
-        return heard is not None and self._context.timers.now() - heard <= self._section.expiry
-
     async def _renew(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, HolderRenewal)
@@ -116,7 +114,5 @@
 
     def _hear(self, holder: str) -> float:
         now = self._context.timers.now()
-        self._holders[holder] = now
-        for name in [name for name, heard in self._holders.items() if now - heard > FORGET_HOLDER]:
-            del self._holders[name]
+        self._holders.hear(holder, now=now)
         return now
--- a/src/baobabpulley/keeper/sweep.py
+++ b/src/baobabpulley/keeper/sweep.py
@@ -12,73 +12,107 @@
 from baobabpulley.keeper.context import keeper_parts
 from baobabpulley.keeper.reservations import ReservationKeeper
 from baobabpulley.model.upstreams import Upstream
-from baobabpulley.policy.rendezvous import home_of
+from baobabpulley.policy.holders import Holders
+from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.ports.engine import Hold
 
 # A hold is freed the second time in a row that nobody is seen to keep it.
 LOOKS: Final = 2
+# Two keepers look after an engine, so that a pause of one delays nothing.
+SWEEPERS: Final = 2
+AUDIT_SECONDS: Final = 300.0
+# Ticks that come later than this many periods after the last show a pause of this process.
+PAUSE_PERIODS: Final = 2.0
 
 
 @keeper_parts.register("sweep")
 @final
 class Sweep(KeeperPart):
-    """Look through the holds of each engine that this keeper is the home of.
+    """Read the holds of engines after a holder was lost, until none of a lost holder is left.
 
-    A hold is kept by its holder's renewals at the engine, or by the holder being heard here.
+    A hold is kept by its holder's renewals at the engine, or by the holder being heard here. With
+    all holders live an engine is read once in `AUDIT_SECONDS`.
     """
 
-    __slots__ = ("_context", "_last", "_looks", "_not_before", "_section")
+    __slots__ = ("_clean", "_context", "_looks", "_reading", "_section", "_started", "_ticked_at")
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
         self._section = context.settings.get(ReservationsSection)
-        self._looks: dict[tuple[str, str], int] = {}
-        self._last = float("-inf")
-        self._not_before = 0.0
+        self._looks: dict[str, dict[str, int]] = {}
+        self._clean: dict[str, float] = {}
+        self._reading: set[str] = set()
+        self._started = self._ticked_at = context.timers.now()
+
+    @property
+    def _holders(self) -> Holders:
+        part = self._context.parts["reservations"]
+        assert isinstance(part, ReservationKeeper)
+        return part.holders
 
     async def start(self) -> None:
+        self._started = self._ticked_at = self._context.timers.now()
         period = self._section.sweep
         self._context.timers.every(period, self._sweep_all, jitter=0.2, name="sweep")
 
     async def _sweep_all(self) -> None:
-        part = self._context.parts["reservations"]
-        assert isinstance(part, ReservationKeeper)
-        if not self._knows_holders():
+        self._allow_for_own_pause()
+        now = self._context.timers.now()
+        if now - self._started < self._section.expiry:
+            # A live holder may not have been heard yet.
             return
-        for upstream in tuple(self._context.view.upstreams.values()):
-            load = self._context.view.loads.get(upstream.id)
-            if load is not None and load.report.memory_held and self._is_home(upstream.id):
-                with contextlib.suppress(BaobabError):
-                    await self._sweep(upstream, part)
-
-    def _knows_holders(self) -> bool:
-        """Whether each live holder has been heard since this process started or was paused."""
+        upstreams = self._context.view.upstreams
+        self._clean = {id: at for id, at in self._clean.items() if id in upstreams}
+        self._looks = {id: looks for id, looks in self._looks.items() if id in upstreams}
+        # What was read before the last holder was lost has to be read again.
+        since = max(self._holders.last_lapse(now=now), now - AUDIT_SECONDS)
+        for upstream in tuple(upstreams.values()):
+            is_due = self._clean.get(upstream.id, float("-inf")) <= since
+            if is_due and self._is_sweeper(upstream.id):
+                self._read_soon(upstream)
+
+    def _allow_for_own_pause(self) -> None:
         now = self._context.timers.now()
-        if now - self._last > self._section.expiry:
-            self._not_before = now + self._section.expiry
-        self._last = now
-        return now >= self._not_before
+        pause = now - self._ticked_at - PAUSE_PERIODS * self._section.sweep
+        self._ticked_at = now
+        if pause > 0:
+            self._holders.allow_for_pause(pause, now=now)
 
-    def _is_home(self, upstream: str) -> bool:
-        # Two keepers that both think so do no harm: a kept hold is kept for both.
+    def _is_sweeper(self, id: str) -> bool:
+        # It does no harm if more believe so: a hold that is kept is kept for all.
         live = [vm.id for vm in self._context.view.live_keepers]
-        return home_of(upstream, live or [self._context.node.vm]) == self._context.node.vm
+        return self._context.node.vm in ranked(id, live or [self._context.node.vm])[:SWEEPERS]
 
-    async def _sweep(self, upstream: Upstream, part: ReservationKeeper) -> None:
+    def _read_soon(self, upstream: Upstream) -> None:
+        """Read in a task of its own, so that an engine that does not answer delays no other."""
+        if upstream.id in self._reading:
+            return
+        self._reading.add(upstream.id)
+
+        async def read() -> None:
+            try:
+                with contextlib.suppress(BaobabError):
+                    await self._sweep(upstream)
+            finally:
+                self._reading.discard(upstream.id)
+
+        self._context.timers.after(0.0, read, name=f"sweep {upstream.id}")
+
+    async def _sweep(self, upstream: Upstream) -> None:
+        began = self._context.timers.now()
         holds = await self._context.engine.holds(upstream)
-        loose = [hold for hold in holds if _is_loose(hold, part)]
-        looks = {
-            (upstream.id, hold.id): self._looks.get((upstream.id, hold.id), 0) + 1 for hold in loose
-        }
-        for key in [key for key in self._looks if key[0] == upstream.id]:
-            del self._looks[key]
-        self._looks.update(looks)
-        ids = tuple(hold.id for hold in loose if looks[upstream.id, hold.id] >= LOOKS)
+        now = self._context.timers.now()
+        lost = [hold for hold in holds if not self._holders.is_live(hold.holder, now=now)]
+        if not lost:
+            self._clean[upstream.id] = began
+        ids = self._seen_often(upstream.id, [hold for hold in lost if hold.lapses_in <= 0])
         if ids:
             await self._context.engine.release(upstream, ids=ids)
             self._context.metrics.swept.inc(len(ids))
 
-
-def _is_loose(hold: Hold, part: ReservationKeeper) -> bool:
-    return hold.lapses_in <= 0 and not part.is_live(hold.holder)
+    def _seen_often(self, id: str, loose: list[Hold]) -> tuple[str, ...]:
+        before = self._looks.get(id, {})
+        looks = {hold.id: before.get(hold.id, 0) + 1 for hold in loose}
+        self._looks[id] = looks
+        return tuple(hold for hold, count in looks.items() if count >= LOOKS)
--- a/src/baobabpulley/timers.py
+++ b/src/baobabpulley/timers.py
@@ -156,6 +156,11 @@
         self._now = end
         await _settle()
 
+    async def pause(self, seconds: float) -> None:
+        """Move the clock as if this process had been paused: all that fell due wakes at the end."""
+        self._now += seconds
+        await self.advance(0.0)
+
 
 async def _settle() -> None:
     for _ in range(20):
