Run entries and client accounts in the bench of control

Its figures left out what entries send keepers. A node is now its keeper and its entry; bytes are counted by kind of message, and what stays on a VM is left out.

--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -12,7 +12,7 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
-from baobabpulley.adapters.traffic import Traffic
+from baobabpulley.adapters.traffic import ControlTraffic
 
 LATENCY_BUCKETS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6, 51.2, 102.4, 204.8)
 
@@ -24,6 +24,7 @@
     __slots__ = (
         "alarms",
         "attempts",
+        "control",
         "first_token",
         "refusals",
         "registry",
@@ -35,6 +36,8 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.control = ControlTraffic()
+        self.registry.register(self.control)
         self.requests = Counter(
             "baobab_requests", "Requests by outcome", ["team", "outcome"], registry=self.registry
         )
@@ -71,7 +74,7 @@
 
     __slots__ = (
         "alarms",
-        "control_bytes",
+        "control",
         "orders",
         "registry",
         "rejected",
@@ -95,12 +98,8 @@
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
-        self.control_bytes = Gauge(
-            "baobab_control_bytes",
-            "Bytes of the control traffic so far",
-            ["link", "direction"],
-            registry=self.registry,
-        )
+        self.control = ControlTraffic()
+        self.registry.register(self.control)
         self.rejected = Gauge(
             "baobab_rejected_document_revision",
             "Revision of a stored document that is kept out",
@@ -108,13 +107,6 @@
             registry=self.registry,
         )
 
-    def follow_traffic(self, link: str, traffic: Traffic) -> None:
-        """Show the bytes of one kind of connection."""
-        sent = self.control_bytes.labels(link=link, direction="out")
-        sent.set_function(lambda: traffic.sent)
-        received = self.control_bytes.labels(link=link, direction="in")
-        received.set_function(lambda: traffic.received)
-
     def tell_rejected(self, revisions: Mapping[str, int]) -> None:
         """Show the documents that are kept out at present, by key."""
         self.rejected.clear()
--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections import defaultdict
 from typing import Final
 from typing import TypeVar
 from typing import final
@@ -95,7 +96,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
-        self.traffic = Traffic()
+        self.traffic: defaultdict[str, Traffic] = defaultdict(Traffic)
 
     @property
     def rejected(self) -> int:
@@ -120,13 +121,15 @@
             socket = _dial(pynng.Req0(), address)
             self._asking[address] = socket
         context = self._open_context(socket)
+        traffic = self.traffic[kind_of(question)]
         try:
             async with self._timers.limit(timeout):
                 sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
-                self.traffic.sent += len(sealed.data)
+                traffic.sent += len(sealed.data)
                 await context.asend(sealed.data)
                 data = await context.arecv()
-                self.traffic.received += len(data)
+                traffic.received += len(data)
+                traffic.messages += 1
             message = self._sealer.open(data, reply_to=sealed.nonce).message
         except (TimeoutError, pynng.NNGException, MessageRejected) as error:
             _raise_cancellation()
@@ -150,7 +153,9 @@
         if self._publisher is None:
             return
         with contextlib.suppress(pynng.NNGException):
-            sealed = self._sealer.seal(message, kind=kind_of(message), receiver=EVERYONE)
+            kind = kind_of(message)
+            sealed = self._sealer.seal(message, kind=kind, receiver=EVERYONE)
+            self.traffic[kind].sent += len(sealed.data) * len(self._publisher.pipes)
             self._publisher.send(sealed.data, block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
@@ -206,15 +211,17 @@
             except pynng.NNGException:
                 _raise_cancellation()
                 continue
-            self.traffic.received += len(data)
             try:
                 opened = self._sealer.open(data, receiver=self._names)
             except MessageRejected as error:
                 self._reject(error)
                 continue
+            traffic = self.traffic[kind_of(opened.message)]
+            traffic.received += len(data)
+            traffic.messages += 1
             reply = await self._reply_to(opened)
             sealed = self._sealer.seal(reply, kind=kind_of(reply), reply_to=opened.nonce)
-            self.traffic.sent += len(sealed.data)
+            traffic.sent += len(sealed.data)
             with contextlib.suppress(pynng.NNGException):
                 await context.asend(sealed.data)
 
@@ -251,6 +258,7 @@
             except MessageRejected as error:
                 self._reject(error)
                 continue
+            self.traffic[kind_of(opened.message)].received += len(data)
             listener(opened.message, opened.sender)
 
 
--- a/src/baobabpulley/cli/bench_control.py
+++ b/src/baobabpulley/cli/bench_control.py
@@ -19,6 +19,8 @@
 @click.option("--keepers", default="4,12,24", help="Numbers of keepers, separated by commas.")
 @click.option("--engines", default="16,100,500", help="Numbers of engines.")
 @click.option("--domains", default=2, help="Failure domains that share them.")
+@click.option("--teams", default=4_700, help="Client accounts with limits.")
+@click.option("--entries/--no-entries", default=True, help="Run an entry beside each keeper.")
 @click.option("--settle", default=8.0, help="Seconds before the measurement begins.")
 @click.option("--window", default=15.0, help="Seconds measured.")
 @click.option("--news-period", default=10.0, help="Seconds between an engine's cache events.")
@@ -28,17 +30,21 @@
     keepers: str,
     engines: str,
     domains: int,
+    teams: int,
+    entries: bool,
     settle: float,
     window: float,
     news_period: float,
     seed: int,
 ) -> None:
-    """Measure what control costs each keeper, and how it grows."""
+    """Measure what control costs each node, and how it grows."""
     cases = [
         ControlCase(
             keepers=int(count),
             engines=int(number),
             domains=domains,
+            teams=teams,
+            entries=entries,
             settle=settle,
             window=window,
             news_period=news_period,
@@ -50,8 +56,9 @@
     report = ControlReport()
     with tempfile.TemporaryDirectory() as directory:
         for case in cases:
-            costs = asyncio.run(
+            nodes = asyncio.run(
                 measure_control(case, base_port=base_port, directory=Path(directory))
             )
-            click.echo(report.add(case, costs))
+            click.echo(report.add(case, nodes))
+    click.echo(report.kinds())
     click.echo(report.slopes())
--- a/src/baobabpulley/emulator/bench_control.py
+++ b/src/baobabpulley/emulator/bench_control.py
@@ -1,8 +1,8 @@
-"""What control costs a keeper: share of a core, memory, bytes, by keepers and engines.
+"""What control costs a node: share of a core, memory, bytes, by keepers and engines.
 
-Keepers, the store and the VM list are real processes on loopback; the engines are stand-ins
-that only publish load, many in a process. Nothing else runs, so all that a keeper does is
-control. Seconds are real ones.
+Keepers, entries, the store and the VM list are real processes on loopback; the engines are
+stand-ins that only publish load, many in a process. No caller asks for anything, so all that a
+keeper or an entry does is control. Seconds are real ones.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import os
 import re
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Final
 from typing import final
@@ -24,30 +25,38 @@
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
-from baobabpulley.emulator.processes import Process
+from baobabpulley.model.limits import Limit
 from baobabpulley.model.upstreams import Vm
 
 # Past the ports that a fleet's own processes take.
 FIRST_ENGINE_PORT: Final = 1_000
 ENGINES_OF_A_PROCESS: Final = 125
+# Questions and news between an entry and the keeper of its own VM, which stay on the VM.
+WITHIN_A_VM: Final = frozenset({"fleet.question", "cache.news"})
+LIMIT: Final = Limit(1_000_000, 4_000_000)
 KIB: Final = 1024
 MIB: Final = 1024 * 1024
 
 
 class ControlCase(msgspec.Struct, frozen=True):
-    """One size to measure; ``settle`` and ``window`` are seconds."""
+    """One size to measure; ``settle`` and ``window`` are seconds.
+
+    Each keeper's VM has an entry beside it, unless ``entries`` is off.
+    """
 
     keepers: int
     engines: int
     domains: int
+    teams: int
+    entries: bool
     settle: float
     window: float
     news_period: float
     seed: int
 
 
-class KeeperCost(msgspec.Struct, frozen=True):
-    """One keeper's cost in the window: a share of a core, MiB, and KiB a second."""
+class DaemonCost(msgspec.Struct, frozen=True):
+    """One process's cost in the window: a share of a core, MiB, and KiB a second between VMs."""
 
     core: float
     memory: float
@@ -55,13 +64,38 @@
     sent: float
 
 
+class NodeCost(msgspec.Struct, frozen=True):
+    """The cost of one VM, and its keeper's traffic: bytes both ways, messages, by kind."""
+
+    keeper: DaemonCost
+    entry: DaemonCost | None
+    sizes: dict[str, float]
+    messages: dict[str, float]
+
+    @property
+    def daemons(self) -> tuple[DaemonCost, ...]:
+        """The costs of the VM's processes."""
+        return (self.keeper,) if self.entry is None else (self.keeper, self.entry)
+
+    @property
+    def core(self) -> float:
+        """The share of a core of all processes."""
+        return sum(daemon.core for daemon in self.daemons)
+
+    @property
+    def traffic(self) -> float:
+        """KiB a second of all processes, both ways, to and from other VMs."""
+        return sum(daemon.received + daemon.sent for daemon in self.daemons)
+
+
 class _Sample(msgspec.Struct, frozen=True):
-    """Time and processor time in seconds, bytes so far."""
+    """Time and processor time in seconds; bytes by link, kind and direction, and messages."""
 
     at: float
     cpu: float
-    received: float
-    sent: float
+    sizes: Counter[tuple[str, str]]
+    messages: Counter[str]
+    memory: float
 
 
 @final
@@ -71,22 +105,38 @@
     __slots__ = ("_rows",)
 
     def __init__(self) -> None:
-        self._rows: list[tuple[ControlCase, list[KeeperCost]]] = []
-
-    def add(self, case: ControlCase, costs: list[KeeperCost]) -> str:
-        """Add a case and return its line."""
-        self._rows.append((case, costs))
-        head = "" if len(self._rows) > 1 else _HEAD
-        mean = _mean(costs)
-        worst = max(cost.core for cost in costs)
-        return (
-            f"{head}| {case.keepers} | {case.engines} | {case.domains} "
-            f"| {100 * mean.core:.2f} | {100 * worst:.2f} | {mean.memory:.1f} "
-            f"| {mean.received:.2f} | {mean.sent:.2f} |"
+        self._rows: list[tuple[ControlCase, list[NodeCost]]] = []
+
+    def add(self, case: ControlCase, nodes: list[NodeCost]) -> str:
+        """Add a case and return its lines, one a role."""
+        self._rows.append((case, nodes))
+        lines = [] if len(self._rows) > 1 else [_HEAD]
+        size = f"| {case.keepers} | {case.engines} | {case.domains} | {case.teams} "
+        lines.append(size + _role("keeper", [node.keeper for node in nodes]))
+        entries = [node.entry for node in nodes if node.entry is not None]
+        if entries:
+            lines.append(size + _role("entry", entries))
+        cores = [node.core for node in nodes]
+        traffic = [node.traffic for node in nodes]
+        lines.append(
+            f"{size}| node | {100 * _average(cores):.2f} | {100 * max(cores):.2f} | | "
+            f"{_average(traffic):.2f} both ways | worst {max(traffic):.2f} |"
         )
+        return "\n".join(lines)
+
+    def kinds(self) -> str:
+        """Return a table of the last case's traffic at a keeper by kind, both ways."""
+        _, nodes = self._rows[-1]
+        lines = ["", "| kind at a keeper | KiB/s, mean | messages/s |", "|---|---|---|"]
+        kinds = sorted({kind for node in nodes for kind in node.sizes})
+        for kind in kinds:
+            size = _average([node.sizes.get(kind, 0.0) for node in nodes])
+            count = _average([node.messages.get(kind, 0.0) for node in nodes])
+            lines.append(f"| {kind} | {size:.2f} | {count:.2f} |")
+        return "\n".join(lines)
 
     def slopes(self) -> str:
-        """Return a least-squares plane through the cases for each figure.
+        """Return a least-squares plane through the cases for each figure of a keeper.
 
         The plane is over the other keepers of a failure domain and the engines that one keeper
         collects from.
@@ -99,44 +149,50 @@
             "| figure | base | per peer keeper | per engine collected |",
             "|---|---|---|---|",
         ]
-        for name in KeeperCost.__struct_fields__:
-            values = [getattr(_mean(costs), name) for _, costs in self._rows]
+        for name in DaemonCost.__struct_fields__:
+            values = [
+                _average([getattr(node.keeper, name) for node in nodes]) for _, nodes in self._rows
+            ]
             plane, *_ = np.linalg.lstsq(np.array(ones), np.array(values), rcond=None)
             lines.append(f"| {name} | {plane[0]:.5f} | {plane[1]:.5f} | {plane[2]:.5f} |")
         return "\n".join(lines)
 
 
 _HEAD: Final = (
-    "| keepers | engines | failure domains | core %, mean | core %, worst | MiB "
-    "| KiB/s in | KiB/s out |\n|---|---|---|---|---|---|---|---|\n"
+    "| keepers | engines | failure domains | teams | role | core %, mean | core %, worst | MiB "
+    "| KiB/s in | KiB/s out |\n|---|---|---|---|---|---|---|---|---|---|"
 )
 
 
-async def measure_control(
-    case: ControlCase, *, base_port: int, directory: Path
-) -> list[KeeperCost]:
-    """Start the processes of a case, measure each keeper over the window, stop them."""
+async def measure_control(case: ControlCase, *, base_port: int, directory: Path) -> list[NodeCost]:
+    """Start the processes of a case, measure each node over the window, stop them."""
     plan = FleetPlan(
         base_port=base_port,
         domains=tuple(f"domain-{index}" for index in range(case.domains)),
         entries=case.keepers,
+        limits={f"team-{index}": LIMIT for index in range(case.teams)},
     )
+    kinds = ("keeper", "entry") if case.entries else ("keeper",)
     fleet = Fleet(plan=plan, directory=directory)
     try:
         await fleet.start_platform()
         _start_engines(fleet, case)
-        await fleet.start_daemons("keeper")
-        keepers = [fleet.processes[f"keeper-{index}"] for index in range(case.keepers)]
-        await asyncio.gather(*(fleet.wait_for(_http(fleet, p), "/readyz") for p in keepers))
+        await fleet.start_daemons(*kinds)
+        await asyncio.gather(
+            *(
+                fleet.wait_for(_http(fleet, kind, index), "/readyz")
+                for kind in kinds
+                for index in range(case.keepers)
+            )
+        )
         await asyncio.sleep(case.settle)
-        before = [await _sample(fleet, process) for process in keepers]
+        before = [await _sample(fleet, kinds, index) for index in range(case.keepers)]
         await asyncio.sleep(case.window)
-        after = [await _sample(fleet, process) for process in keepers]
-        memory = [_resident(process.pid) for process in keepers]
+        after = [await _sample(fleet, kinds, index) for index in range(case.keepers)]
     finally:
         fleet.kill_all()
         fleet.client.close()
-    return [_cost(*pair) for pair in zip(before, after, memory, strict=True)]
+    return [_node_cost(*pair) for pair in zip(before, after, strict=True)]
 
 
 def _start_engines(fleet: Fleet, case: ControlCase) -> None:
@@ -165,23 +221,32 @@
         )
 
 
-def _http(fleet: Fleet, keeper: Process) -> str:
-    index = int(keeper.name.removeprefix("keeper-"))
-    return f"{HOST}:{fleet.plan.base_port + 800 + index}"
+def _http(fleet: Fleet, kind: str, index: int) -> str:
+    offset = 800 if kind == "keeper" else 600
+    return f"{HOST}:{fleet.plan.base_port + offset + index}"
+
 
+async def _sample(fleet: Fleet, kinds: tuple[str, ...], index: int) -> list[_Sample]:
+    return [await _sample_one(fleet, kind, index) for kind in kinds]
 
-async def _sample(fleet: Fleet, keeper: Process) -> _Sample:
-    cpu = _processor_seconds(keeper.pid)
+
+async def _sample_one(fleet: Fleet, kind: str, index: int) -> _Sample:
+    pid = fleet.processes[f"{kind}-{index}"].pid
+    cpu = _processor_seconds(pid)
     at = time.monotonic()
-    _, body = await fetch(
-        fleet.client, address=_http(fleet, keeper), method="GET", path="/metrics", timeout=5.0
-    )
-    return _Sample(at=at, cpu=cpu, received=_bytes(body, "in"), sent=_bytes(body, "out"))
+    address = _http(fleet, kind, index)
+    _, body = await fetch(fleet.client, address=address, method="GET", path="/metrics", timeout=5.0)
+    sizes: Counter[tuple[str, str]] = Counter()
+    for direction, name, link, value in _BYTES.findall(body.decode()):
+        sizes[name or link, direction] += float(value)
+    messages = Counter({name: float(value) for name, value in _MESSAGES.findall(body.decode())})
+    return _Sample(at=at, cpu=cpu, sizes=sizes, messages=messages, memory=_resident(pid))
 
 
-def _bytes(metrics: bytes, direction: str) -> float:
-    pattern = rf'baobab_control_bytes{{direction="{direction}",link="\w+"}} (\S+)'
-    return sum(float(value) for value in re.findall(pattern, metrics.decode()))
+_BYTES: Final = re.compile(
+    r'baobab_control_bytes{direction="(\w+)",kind="([\w.]*)",link="(\w+)"} (\S+)'
+)
+_MESSAGES: Final = re.compile(r'baobab_control_messages{kind="([\w.]+)"} (\S+)')
 
 
 def _processor_seconds(pid: int) -> float:
@@ -194,19 +259,55 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / MIB
 
 
-def _cost(before: _Sample, after: _Sample, memory: float) -> KeeperCost:
+def _node_cost(before: list[_Sample], after: list[_Sample]) -> NodeCost:
+    costs = [_cost(*pair) for pair in zip(before, after, strict=True)]
+    first, last = before[0], after[0]
+    seconds = last.at - first.at
+    sizes: Counter[str] = Counter()
+    for (kind, direction), value in last.sizes.items():
+        sizes[kind] += (value - first.sizes[kind, direction]) / seconds / KIB
+    return NodeCost(
+        keeper=costs[0],
+        entry=costs[1] if len(costs) > 1 else None,
+        sizes=dict(sizes),
+        messages={
+            kind: (value - first.messages[kind]) / seconds for kind, value in last.messages.items()
+        },
+    )
+
+
+def _cost(before: _Sample, after: _Sample) -> DaemonCost:
     seconds = after.at - before.at
-    return KeeperCost(
+
+    def rate(direction: str) -> float:
+        grown = sum(
+            value - before.sizes[kind, way]
+            for (kind, way), value in after.sizes.items()
+            if way == direction and kind not in WITHIN_A_VM
+        )
+        return grown / seconds / KIB
+
+    return DaemonCost(
         core=(after.cpu - before.cpu) / seconds,
-        memory=memory,
-        received=(after.received - before.received) / seconds / KIB,
-        sent=(after.sent - before.sent) / seconds / KIB,
+        memory=after.memory,
+        received=rate("in"),
+        sent=rate("out"),
+    )
+
+
+def _role(name: str, costs: list[DaemonCost]) -> str:
+    mean = [
+        _average([getattr(cost, field) for cost in costs]) for field in DaemonCost.__struct_fields__
+    ]
+    worst = max(cost.core for cost in costs)
+    return (
+        f"| {name} | {100 * mean[0]:.2f} | {100 * worst:.2f} | {mean[1]:.1f} "
+        f"| {mean[2]:.2f} | {mean[3]:.2f} |"
     )
 
 
-def _mean(costs: list[KeeperCost]) -> KeeperCost:
-    columns = zip(*(msgspec.structs.astuple(cost) for cost in costs), strict=True)
-    return KeeperCost(*(sum(column) / len(costs) for column in columns))
+def _average(values: list[float]) -> float:
+    return sum(values) / len(values)
 
 
 def _sizes(case: ControlCase) -> tuple[float, float]:
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -41,6 +41,8 @@
 START_TIMEOUT: Final = 30.0
 SECRET: Final = "a-secret-for-stand-ins-only"
 MODEL: Final = "recipes"
+# What a store takes in one transaction by default.
+SWAPS_AT_ONCE: Final = 128
 ENGINE_SERVICE: Final = "kitchen"
 PLAIN_SERVICE: Final = "ledger"
 
@@ -361,7 +363,8 @@
             Swap(key=key, value=encode_document(document), expected_revision=0)
             for key, document in documents.items()
         ]
-        await self._store.swap(*swaps)
+        for first in range(0, len(swaps), SWAPS_AT_ONCE):
+            await self._store.swap(*swaps[first : first + SWAPS_AT_ONCE])
 
 
 def caller_token(team: str) -> str:
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -84,8 +84,8 @@
         address=own.address,
         also_reached_at=own.also_reached_at,
     )
-    metrics.follow_traffic("http", client.traffic)
-    metrics.follow_traffic("peers", peers.traffic)
+    metrics.control.follow("http", client.traffic)
+    metrics.control.follow_peers(peers.traffic)
     context = KeeperContext(
         settings=settings,
         node=node,
