Index tokens once an installation, and answer a question with nothing new at once

Each access document rebuilt the index of all tokens.

An entry that asked a keeper which had just started ended with NotFound (seen once at its start); it now goes on to the next keeper, as for one that does not answer.

--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -10,6 +10,7 @@
 import msgspec
 from loguru import logger
 
+from baobabpulley.errors import BaobabError
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
@@ -80,7 +81,8 @@
                 answer = await self._peers.ask(
                     address, self._view.question(), answer=FleetAnswer, timeout=ASK_TIMEOUT
                 )
-            except PeerUnavailable:
+            except BaobabError:
+                # Silent, or up but not ready to answer: another one may be.
                 continue
             if answer.vms_version or self._view.lists_vms:
                 return answer
@@ -117,7 +119,7 @@
             return await self._peers.ask(
                 address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
             )
-        except PeerUnavailable:
+        except BaobabError:
             return None
 
     def _on_news(self, message: msgspec.Struct, sender: str) -> None:
--- a/src/baobabpulley/model/settings_book.py
+++ b/src/baobabpulley/model/settings_book.py
@@ -59,12 +59,14 @@
         "_limits",
         "_listeners",
         "_models",
+        "_newest",
         "_operators",
         "_promises",
         "_rejected",
         "_revision",
         "_services",
         "_tokens",
+        "_tokens_changed",
     )
 
     def __init__(self, *, alarm: Alarm | None = None) -> None:
@@ -78,6 +80,8 @@
         self._promises = PromiseDocument()
         self._tokens: dict[str, str] = {}
         self._operators: dict[str, str] = {}
+        self._tokens_changed = False
+        self._newest = 0
         self._documented: dict[str, Limit] = {}
         self._beyond: dict[str, Limit] = {}
         self._rejected: dict[str, int] = {}
@@ -147,6 +151,8 @@
         count = 0
         for entry in sorted(entries, key=_by_revision):
             count += self._install_one(entry)
+        if self._tokens_changed:
+            self._index_tokens()
         if since <= self._revision:
             self._revision = max(self._revision, revision)
         if count or self._revision > before:
@@ -166,6 +172,8 @@
 
     def newer_than(self, revision: int) -> tuple[StoredEntry, ...]:
         """Return all entries, deletions too, past a revision, oldest first."""
+        if revision >= self._newest:
+            return ()
         newer = (entry for entry in self._entries.values() if entry.mod_revision > revision)
         return tuple(sorted(newer, key=_by_revision))
 
@@ -225,6 +233,7 @@
             self._reject(entry, fault)
             return False
         self._entries[entry.key] = entry
+        self._newest = max(self._newest, entry.mod_revision)
         if self._rejected.get(entry.key, 0) < entry.mod_revision:
             self._rejected.pop(entry.key, None)
         return True
@@ -254,7 +263,7 @@
             self._apply_limit(owner, decode_document(entry, LimitDocument), entry)
         elif entry.key.startswith(TEAMS) and leaf == "access":
             self._access[owner] = decode_document(entry, AccessDocument)
-            self._index_tokens()
+            self._tokens_changed = True
         elif entry.key.startswith(FLEET):
             self._apply_fleet(entry)
         else:
@@ -298,7 +307,7 @@
         owner, _, leaf = key.removeprefix(TEAMS).partition("/")
         if key.startswith(TEAMS) and leaf == "access":
             self._access.pop(owner, None)
-            self._index_tokens()
+            self._tokens_changed = True
         elif key.startswith(TEAMS) and leaf == "limit" and owner in self._limits:
             # A limit that was raised stays raised, also when its key is deleted by hand.
             self._alarm(ALARM_LIMIT_LOWERED, f"{key} was deleted; the limit in force stays")
@@ -312,6 +321,7 @@
             documents.get(kind, {}).pop(name, None)
 
     def _index_tokens(self) -> None:
+        self._tokens_changed = False
         self._tokens = {
             digest: team
             for team, document in self._access.items()
