--- a/src/baobabpulley/errors.py
+++ b/src/baobabpulley/errors.py
@@ -370,7 +370,9 @@
     code = "settings_fault"
     status = 500
     ran = False
-    default_remedy = "Mend every line listed and run 'baobabpulley settings check FILE' again."
+    default_remedy = (
+        "Mend every line listed and run 'baobabpulley settings check --daemon DAEMON FILE' again."
+    )
 
 
 class DocumentFault(BaobabError):
