Do not check admission anew when a long comes back to its lane

Its record: gangs held every engine of its failure domain, it came back to its lane 24 times, and at last the admission check, made anew each time, found too little time left. It was admitted at its arrival; from then on its deadline bounds the wait. The new test failed before with Overloaded.

--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -56,8 +56,9 @@
 
     __slots__ = ("excluded", "failures", "may_have_run", "overloads", "since")
 
-    def __init__(self, *, since: float) -> None:
-        self.since = since
+    def __init__(self) -> None:
+        # When the request came to its lane, once it has to go back there.
+        self.since: float | None = None
         self.excluded: set[str] = set()
         self.failures = 0
         self.overloads = 0
@@ -140,7 +141,7 @@
         delivery = AnswerProgress(
             max_tokens=request.max_tokens, offset=request.offset, delivered=request.delivered
         )
-        history = _History(since=self._timers.now())
+        history = _History()
         runner = self._run_here(request, record, delivery, history)
         if record.lane == GANG and self._gangs is not None:
             runner = self._gangs.run(request, record)
@@ -188,6 +189,7 @@
                 # Nothing was sent, so this spends no retry: back to the lane, in its old place.
                 self._note(request, record, error.code, upstream=placement.upstream.id)
                 self._placer.reserved(placement.upstream.id)
+                history.since = placement.since
                 continue
             except (UpstreamRefused, UpstreamUnreached, UpstreamLost) as error:
                 upstream = placement.upstream
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -39,9 +39,12 @@
 
 @final
 class Placement:
-    """An attempt's upstream, what it counts as there, and what its cache was thought to hold."""
+    """An attempt's upstream, what it counts as there, and what its cache was thought to hold.
 
-    __slots__ = ("blocks", "cached_tokens", "sent", "upstream", "waited")
+    ``since`` is when the request came to its lane.
+    """
+
+    __slots__ = ("blocks", "cached_tokens", "sent", "since", "upstream")
 
     def __init__(
         self,
@@ -50,13 +53,18 @@
         sent: Sent,
         blocks: tuple[int, ...],
         cached_tokens: float,
-        waited: float,
+        since: float,
     ) -> None:
         self.upstream = upstream
         self.sent = sent
         self.blocks = blocks
         self.cached_tokens = cached_tokens
-        self.waited = waited
+        self.since = since
+
+    @property
+    def waited(self) -> float:
+        """How long the request was in its lane."""
+        return self.sent.at - self.since
 
 
 class _Waiter:
@@ -143,18 +151,18 @@
     ) -> Placement:
         """Return an upstream with room, counted as sent from now on.
 
-        ``since`` is when the request first came to its lane, if it has been there before.
+        ``since`` is when the request came to its lane, if it has been there before: it was admitted
+        then, and only its deadline bounds its wait.
         Raises `NoUpstream` if none is fit, `Overloaded` if the wait cannot end in time, and
         `DeadlineBeforeStart` once the deadline can no longer be met.
         """
         waiter = self._waiter(request, lane, excluded, since)
         fit = self._fit(waiter)
         queue = self._queue(lane)
-        if len(queue) == 0 and (room := self._room(waiter, fit)):
-            self._check_admission(waiter, fit, waits=False)
-            return self._send(waiter, room)
-        self._check_admission(waiter, fit, waits=True)
-        return await self._wait(waiter, queue)
+        room = [] if len(queue) else self._room(waiter, fit)
+        if since is None:
+            self._check_admission(waiter, fit, waits=not room)
+        return self._send(waiter, room) if room else await self._wait(waiter, queue)
 
     def first_token(self, placement: Placement) -> None:
         """Note that the prefill of an attempt is done."""
@@ -305,7 +313,7 @@
             sent=sent,
             blocks=waiter.blocks,
             cached_tokens=chosen.cached_tokens,
-            waited=sent.at - waiter.since,
+            since=waiter.since,
         )
 
     def _check_admission(self, waiter: _Waiter, fit: list[Upstream], *, waits: bool) -> None:
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -178,6 +178,19 @@
         await bench.place(make_request(tokens=100_000, seconds=50.0))
 
 
+async def test_long_that_comes_back_to_its_lane_is_not_refused_anew() -> None:
+    bench = _Bench(engines=1)
+    for _ in range(24):
+        placement = await bench.place(make_request(tokens=8_000))
+        bench.placer.first_token(placement)
+        bench.placer.end(placement)
+    request = make_request(tokens=100_000, seconds=50.0)
+    back = await bench.placer.place(
+        request, lane=LONG, excluded=frozenset(), since=bench.timers.now()
+    )
+    assert back.upstream.id == "engine-0"
+
+
 async def test_wait_that_outlasts_the_deadline_ends_before_it() -> None:
     bench = _Bench(engines=1)
     await bench.place(make_request(tokens=9_000))
