Strike faults of all kinds at once on a fleet under load, and check all promises

`baobabpulley bench faults` kills, freezes, shuts down and silences processes, takes the store away, slows it and loses its answers, loses service calls and crosses events, by seed and several at a time, while callers complete shorts, longs and gangs, place orders under tickets and keys through several entries at once, look items up, and operators race to raise a limit. It checks: answers token for token and in time; "not run" against the engines' and services' journals; orders at most once with one answer; limits and revisions that never fall; exit codes; at the end memory within 15 s, accepted limits everywhere, and prompts of all lengths answered.

--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -16,6 +16,7 @@
     "bench",
     "bench_control",
     "bench_converge",
+    "bench_faults",
     "bench_gangs",
     "bench_mix",
     "report",
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_faults.py
@@ -0,0 +1,202 @@
+"""Faults of all kinds at once on a whole fleet under load, and the promises that must hold."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from baobabpulley.emulator.fault_load import FaultLoad
+from baobabpulley.emulator.fault_load import Told
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.injection import Injector
+from baobabpulley.emulator.journals import journals
+from baobabpulley.emulator.journals import memory_return
+from baobabpulley.emulator.journals import services
+from baobabpulley.errors import BaobabError
+from baobabpulley.model.limits import Limit
+
+TEAM: Final = "souk"
+RAISING_TEAM: Final = "stall"
+ENGINE_MEMORY: Final = 60_000
+SHORT: Final = (1_000, 20)
+LONG: Final = (20_000, 20)
+GANG: Final = (75_000, 8)
+SHORT_CALLERS: Final = 6
+# Bounds in model seconds: memory, and settings once the last fault has ended.
+MEMORY_BOUND: Final = 15.0
+PROBE_BOUND: Final = 60.0
+PROBE_PERIOD: Final = 0.2
+
+
+class FaultsReport(msgspec.Struct):
+    """One run: the faults struck, how calls ended by kind and code, and what broke a promise."""
+
+    seed: int
+    seconds: float
+    faults: dict[str, int]
+    outcomes: dict[str, dict[str, int]]
+    orders: int
+    violations: list[str]
+
+    @property
+    def whole(self) -> int:
+        """Completions that were whole and right."""
+        return self.outcomes.get("completion", {}).get("ok", 0)
+
+
+def faults_plan(*, base_port: int, speed: float) -> FleetPlan:
+    """Return the plan of a fleet with three failure domains, whose engines need gangs."""
+    return FleetPlan(
+        base_port=base_port,
+        speed=speed,
+        entries=4,
+        engines=9,
+        plain_services=3,
+        engine_options=("--memory", str(ENGINE_MEMORY), "--chunk", "1024"),
+        limits={TEAM: Limit(100_000, 220_000), RAISING_TEAM: Limit(10_000, 20_000)},
+        entry_sections={"lanes": {"short_tokens": "2000"}},
+    )
+
+
+async def run_faults(
+    *, seed: int, seconds: float, every: float, speed: float, base_port: int
+) -> FaultsReport:
+    """Strike faults for model seconds, on average one in ``every``, and check all promises."""
+    plan = faults_plan(base_port=base_port, speed=speed)
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(plan=plan, directory=Path(directory)) as fleet:
+            injector = Injector(fleet, seed=seed)
+            load = FaultLoad(fleet, injector, seed=seed)
+            await _probe(fleet, load)
+            load.outcomes.clear()
+            calls = [asyncio.create_task(call) for call in _calls(load)]
+            await injector.run(seconds=seconds, every=every)
+            load.stop()
+            await asyncio.gather(*calls)
+            await _check_end(fleet, load)
+            load.violations += [f"exit of {item}" for item in injector.bad_exits]
+            load.close()
+            return _report(seed, seconds, injector, load)
+
+
+def render_report(report: FaultsReport) -> str:
+    """Return the report as text."""
+    lines = [f"seed {report.seed}, {report.seconds:.0f} model s, {report.orders} orders"]
+    lines.append(f"faults: {_counts(report.faults)}")
+    lines += [f"{kind}: {_counts(counts)}" for kind, counts in sorted(report.outcomes.items())]
+    lines += [f"VIOLATED: {text}" for text in report.violations]
+    return "\n".join([*lines, f"{len(report.violations)} violations"])
+
+
+def check_order(id: str, told: list[Told], ran: int) -> list[str]:
+    """Return what is wrong with an order that ran a number of times.
+
+    >>> check_order("a", [Told(status=503, ran=False, answer=None)], 1)
+    ['order a was refused as not run, and ran']
+    """
+    answers = [one.answer for one in told if one.status == 201]
+    found = []
+    if ran > 1:
+        found.append(f"order {id} ran {ran} times")
+    if any(answer != answers[0] for answer in answers):
+        found.append(f"order {id} was given different answers")
+    if answers and not ran:
+        found.append(f"order {id} was answered, and never ran")
+    if ran and all(one.ran is False for one in told):
+        found.append(f"order {id} was refused as not run, and ran")
+    return found
+
+
+def _calls(load: FaultLoad) -> list[Any]:
+    shorts = [
+        load.complete(team=TEAM, tokens=SHORT[0], max_tokens=SHORT[1]) for _ in range(SHORT_CALLERS)
+    ]
+    return [
+        *shorts,
+        load.complete(team=TEAM, tokens=LONG[0], max_tokens=LONG[1]),
+        load.complete(team=TEAM, tokens=LONG[0], max_tokens=LONG[1]),
+        load.complete(team=TEAM, tokens=GANG[0], max_tokens=GANG[1]),
+        load.order(),
+        load.order(),
+        load.look_up(),
+        load.raise_limit(team=RAISING_TEAM),
+        load.raise_limit(team=RAISING_TEAM),
+        load.observe(team=RAISING_TEAM),
+    ]
+
+
+async def _check_end(fleet: Fleet, load: FaultLoad) -> None:
+    """Check what must hold once all faults have ended and nothing is in flight."""
+    held = await memory_return(fleet, bound=MEMORY_BOUND)
+    if held:
+        load.violations.append(f"engines still hold {held}")
+    await _check_refused(fleet, load)
+    await _check_orders(fleet, load)
+    await _check_limits(fleet, load)
+    await _probe(fleet, load)
+
+
+async def _check_refused(fleet: Fleet, load: FaultLoad) -> None:
+    for engine, journal in (await journals(fleet)).items():
+        for line in journal["lines"]:
+            if line["outcome"] == "started" and line.get("request") in load.refused:
+                load.violations.append(f"{line['request']} ran on {engine}, refused as not run")
+
+
+async def _check_orders(fleet: Fleet, load: FaultLoad) -> None:
+    found = (await journals(fleet, services(fleet))).values()
+    ran = Counter(line["order"]["id"] for journal in found for line in journal["lines"])
+    for id, told in load.orders.items():
+        load.violations += check_order(id, told, ran[id])
+
+
+async def _check_limits(fleet: Fleet, load: FaultLoad) -> None:
+    """Wait until every entry has the limits that were accepted."""
+    for team, accepted in load.accepted.items():
+        for name, address in fleet.entries.items():
+            left = PROBE_BOUND
+            while (view := await load.limit_at(address, team=team)) is None or not view[0].covers(
+                accepted
+            ):
+                if left <= 0:
+                    load.violations.append(f"{name} has {view} of {team}, accepted {accepted}")
+                    break
+                left -= PROBE_PERIOD
+                await asyncio.sleep(PROBE_PERIOD / fleet.plan.speed)
+
+
+async def _probe(fleet: Fleet, load: FaultLoad) -> None:
+    """Wait until each entry is ready, and have prompts of all lengths answered."""
+    for name, address in fleet.entries.items():
+        try:
+            await fleet.wait_for(address, "/readyz")
+        except BaobabError as error:
+            load.violations.append(f"{name} is not ready: {error.message}")
+    for tokens, max_tokens in (SHORT, LONG, GANG):
+        if not await load.complete_once(team=TEAM, tokens=tokens, max_tokens=max_tokens):
+            load.violations.append(f"no entry answers a prompt of {tokens} tokens")
+
+
+def _report(seed: int, seconds: float, injector: Injector, load: FaultLoad) -> FaultsReport:
+    outcomes: dict[str, dict[str, int]] = {}
+    for (kind, code), count in sorted(load.outcomes.items()):
+        outcomes.setdefault(kind, {})[code] = count
+    return FaultsReport(
+        seed=seed,
+        seconds=seconds,
+        faults=dict(sorted(injector.counts.items())),
+        outcomes=outcomes,
+        orders=len(load.orders),
+        violations=load.violations,
+    )
+
+
+def _counts(counts: dict[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.items())
--- a/src/baobabpulley/emulator/caller.py
+++ b/src/baobabpulley/emulator/caller.py
@@ -54,14 +54,25 @@
 
 @final
 class Caller:
-    """One client account's client, which sends to the entry it is told to."""
+    """One client account's client, which sends to the entry it is told to.
 
-    __slots__ = ("_client", "_model", "_token")
+    It gives up after ``patience`` real seconds without a byte.
+    """
 
-    def __init__(self, *, token: str, model: str, client: HttpClient | None = None) -> None:
+    __slots__ = ("_client", "_model", "_patience", "_token")
+
+    def __init__(
+        self,
+        *,
+        token: str,
+        model: str,
+        client: HttpClient | None = None,
+        patience: float = REAL_TIMEOUT,
+    ) -> None:
         self._token = token
         self._model = model
         self._client = client or HttpClient()
+        self._patience = patience
 
     async def complete(
         self,
@@ -117,15 +128,15 @@
                 path=path,
                 body=msgspec.json.encode(body),
                 headers={"Authorization": f"Bearer {self._token}", **headers},
-                head_timeout=REAL_TIMEOUT,
+                head_timeout=self._patience,
             ) as answer:
                 result.status = answer.status
                 result.request_id = answer.headers.get("X-Request-Id", "")
                 result.resume_token = answer.headers.get("Resume-Token", result.resume_token)
                 if answer.headers.get("Content-Type", "").startswith("text/event-stream"):
-                    await _read_stream(answer.chunks(idle_timeout=REAL_TIMEOUT), result, started)
+                    await _read_stream(answer.chunks(idle_timeout=self._patience), result, started)
                 else:
-                    _take(result, await answer.body(idle_timeout=REAL_TIMEOUT))
+                    _take(result, await answer.body(idle_timeout=self._patience))
         except (UpstreamLost, UpstreamUnreached) as error:
             result.code = "connection"
             result.ran = error.ran
--- /dev/null
+++ b/src/baobabpulley/emulator/fault_load.py
@@ -0,0 +1,292 @@
+"""Callers and operators that go on through faults, and note what must never happen."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections import Counter
+from typing import Any
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.caller import Completion
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import PLAIN_SERVICE
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.emulator.fleet import operator_token
+from baobabpulley.emulator.injection import Injector
+from baobabpulley.errors import BaobabError
+from baobabpulley.model.limits import Limit
+from baobabpulley.standins.text import expected_text
+from baobabpulley.standins.text import make_prompt
+
+TRIES: Final = 6
+# Real seconds that a caller waits beyond what the entry allows.
+GRACE_SECONDS: Final = 5.0
+# What an entry allows for a completion, in model seconds; see `CallersSection`.
+DEADLINE_BASE: Final = 20.0
+DEADLINE_PER_PROMPT_TOKEN: Final = 0.0003
+DEADLINE_PER_OUTPUT_TOKEN: Final = 0.2
+CALL_TIMEOUT: Final = 10.0
+# Pauses in model seconds.
+PAUSE_BETWEEN_TRIES: Final = 1.0
+PAUSE_BETWEEN_CALLS: Final = 0.3
+PAUSE_BETWEEN_RAISES: Final = 2.0
+PAUSE_BETWEEN_LOOKS: Final = 0.5
+RAISE_STEP: Final = 1_000
+LOST: Final = frozenset({"connection", "cut"})
+
+
+@final
+class Told:
+    """What one try of an order was told."""
+
+    __slots__ = ("answer", "ran", "status")
+
+    def __init__(self, *, status: int, ran: bool | None, answer: Any) -> None:
+        self.status = status
+        self.ran = ran
+        self.answer = answer
+
+
+@final
+class FaultLoad:
+    """All callers of one run; ``violations`` names whatever broke a promise, with its call.
+
+    ``outcomes`` counts how calls ended, by kind and code. ``refused`` are ids of completions that
+    were told that they did not run, ``orders`` what each order was told, ``accepted`` the
+    greatest limit that each team was told is accepted.
+    """
+
+    __slots__ = (
+        "_client",
+        "_fleet",
+        "_injector",
+        "_numbers",
+        "_random",
+        "_seed",
+        "_stopping",
+        "accepted",
+        "orders",
+        "outcomes",
+        "refused",
+        "violations",
+    )
+
+    def __init__(self, fleet: Fleet, injector: Injector, *, seed: int) -> None:
+        self._fleet = fleet
+        self._injector = injector
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._client = HttpClient()
+        self._numbers = 0
+        self._stopping = False
+        self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.violations: list[str] = []
+        self.refused: set[str] = set()
+        self.orders: dict[str, list[Told]] = {}
+        self.accepted: dict[str, Limit] = {}
+
+    def stop(self) -> None:
+        """Begin no new calls."""
+        self._stopping = True
+
+    def close(self) -> None:
+        """Close the callers' connections."""
+        self._client.close()
+
+    async def complete(self, *, team: str, tokens: int, max_tokens: int) -> None:
+        """Send completions of one length, one after the other, until stopped."""
+        while not self._stopping:
+            await self.complete_once(team=team, tokens=tokens, max_tokens=max_tokens)
+            await self._pause(PAUSE_BETWEEN_CALLS)
+
+    async def complete_once(self, *, team: str, tokens: int, max_tokens: int) -> bool:
+        """Send one completion, going on elsewhere when it is lost; return whether it is whole."""
+        number = self._number()
+        prompt = make_prompt(tokens=tokens, seed=self._seed * 1_000_000 + number)
+        expected = expected_text(prompt, seed=number, max_tokens=max_tokens)
+        allowed = (
+            DEADLINE_BASE
+            + DEADLINE_PER_PROMPT_TOKEN * tokens
+            + DEADLINE_PER_OUTPUT_TOKEN * max_tokens
+        )
+        patience = allowed / self._fleet.plan.speed + GRACE_SECONDS
+        caller = Caller(
+            token=caller_token(team), model=MODEL, client=self._client, patience=patience
+        )
+        lost: Completion | None = None
+        for _ in range(TRIES):
+            entry, address = self._entry()
+            started = time.monotonic()
+            if lost is not None and lost.resume_token:
+                answer = await caller.resume(address, lost, prompt=prompt)
+            else:
+                answer = await caller.complete(
+                    address, prompt=prompt, max_tokens=max_tokens, seed=number
+                )
+            label = f"completion {number} of {tokens} tokens by {entry} ({answer.request_id})"
+            self._check_completion(answer, expected, label)
+            if answer.total > patience and not self._injector.was_struck(entry, since=started):
+                self.violations.append(f"{label}: {answer.total:.1f} s, {patience:.1f} allowed")
+            if answer.ok:
+                self.outcomes["completion", "ok"] += 1
+                return True
+            self.outcomes["completion", answer.code] += 1
+            lost = answer if answer.code in LOST else None
+            await self._pause(PAUSE_BETWEEN_TRIES)
+        self.outcomes["completion", "given up"] += 1
+        return False
+
+    async def order(self) -> None:
+        """Place orders, each of them again and again through any entry, until stopped."""
+        while not self._stopping:
+            await self._order_once(f"{self._seed}-{self._number()}")
+            await self._pause(PAUSE_BETWEEN_CALLS)
+
+    async def look_up(self) -> None:
+        """Look items up until stopped."""
+        while not self._stopping:
+            item = f"item-{self._number()}"
+            path = f"/services/{PLAIN_SERVICE}/catalogue/{item}"
+            told = await self._call("GET", path)
+            if told.status == 200 and told.answer != {"item": item, "price": len(item)}:
+                self.violations.append(f"lookup of {item} was answered {told.answer}")
+            self.outcomes["lookup", _code(told)] += 1
+            await self._pause(PAUSE_BETWEEN_CALLS)
+
+    async def raise_limit(self, *, team: str) -> None:
+        """Raise a team's limit by a step, through any entry, until stopped."""
+        limit = self._fleet.plan.limits[team]
+        while not self._stopping:
+            limit = Limit(limit.max_prompt_tokens, limit.max_tokens_in_flight + RAISE_STEP)
+            change = secrets.token_hex(8)
+            told = await self._call(
+                "PUT",
+                f"/v1/teams/{team}/limit",
+                limit,
+                token=operator_token(team),
+                headers={"X-Change-Id": change},
+            )
+            while told.status != 200 and told.ran is not False and not self._stopping:
+                await self._pause(PAUSE_BETWEEN_TRIES)
+                told = await self._call("GET", f"/v1/changes/{change}", token=operator_token(team))
+                if told.status == 404:
+                    break
+            self.outcomes["raise", _code(told)] += 1
+            if told.status == 200:
+                self.accepted[team] = limit.merged(self.accepted.get(team, limit))
+            await self._pause(PAUSE_BETWEEN_RAISES)
+
+    async def observe(self, *, team: str) -> None:
+        """Look at a team's limit at all entries until stopped: it and the revision never fall."""
+        limits: dict[str, Limit] = {}
+        revisions: dict[tuple[str, int], int] = {}
+        while not self._stopping:
+            for name, address in self._fleet.entries.items():
+                incarnation = self._injector.incarnations[name]
+                view = await self.limit_at(address, team=team)
+                if view is None or incarnation != self._injector.incarnations[name]:
+                    continue
+                limit, revision = view
+                if revision < revisions.get((name, incarnation), 0):
+                    self.violations.append(f"{name} went back to revision {revision}")
+                if not limit.covers(limits.get(name, limit)):
+                    self.violations.append(f"{name} lowered the limit of {team} to {limit}")
+                revisions[name, incarnation] = revision
+                limits[name] = limit
+            await self._pause(PAUSE_BETWEEN_LOOKS)
+
+    async def limit_at(self, address: str, *, team: str) -> tuple[Limit, int] | None:
+        """Return a team's limit and the settings revision at an entry, if it answers."""
+        told = await self._call(
+            "GET", f"/v1/teams/{team}/limit", token=operator_token(team), address=address
+        )
+        if told.status != 200:
+            return None
+        return msgspec.convert(told.answer["limit"], Limit), told.answer["revision"]
+
+    def _check_completion(self, answer: Completion, expected: str, label: str) -> None:
+        if answer.ok and answer.text != expected:
+            self.violations.append(f"{label}: not the whole and right answer")
+        elif not expected.startswith(answer.text):
+            self.violations.append(f"{label}: tokens that are not its own")
+        if answer.ran is False and answer.request_id:
+            self.refused.add(answer.request_id)
+
+    async def _order_once(self, id: str) -> None:
+        headers = {"Idempotency-Key": id}
+        if self._random.random() < 0.5:
+            issued = await self._call("POST", "/v1/tickets")
+            if issued.status != 200:
+                self.outcomes["ticket", _code(issued)] += 1
+                return
+            headers = {"Call-Ticket": issued.answer["ticket"]}
+        tries = self._random.randint(1, TRIES)
+        tells = self.orders.setdefault(id, [])
+        # The first two at once, as an impatient caller does it.
+        tells += await asyncio.gather(self._place(id, headers), self._place(id, headers))
+        for _ in range(tries):
+            await self._pause(PAUSE_BETWEEN_TRIES)
+            tells.append(await self._place(id, headers))
+
+    async def _place(self, id: str, headers: dict[str, str]) -> Told:
+        path = f"/services/{PLAIN_SERVICE}/orders"
+        told = await self._call("POST", path, {"id": id}, headers=headers)
+        self.outcomes["order", _code(told)] += 1
+        return told
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        token: str = "",
+        address: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Told:
+        team = next(iter(self._fleet.plan.limits))
+        try:
+            status, data = await fetch(
+                self._client,
+                address=address or self._entry()[1],
+                method=method,
+                path=path,
+                body=b"" if body is None else msgspec.json.encode(body),
+                headers={
+                    "Authorization": f"Bearer {token or caller_token(team)}",
+                    **(headers or {}),
+                },
+                timeout=CALL_TIMEOUT,
+            )
+        except BaobabError as error:
+            return Told(status=0, ran=error.ran, answer=error.code)
+        answer = msgspec.json.decode(data)
+        ran = answer["error"]["ran"] if status >= 400 else True
+        return Told(status=status, ran=ran, answer=answer)
+
+    def _entry(self) -> tuple[str, str]:
+        name = self._random.choice(sorted(self._fleet.entries))
+        return name, self._fleet.entries[name]
+
+    def _number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    async def _pause(self, seconds: float) -> None:
+        await self._injector.sleep(seconds * self._random.uniform(0.5, 1.5))
+
+
+def _code(told: Told) -> str:
+    if told.status == 0:
+        return str(told.answer)
+    return str(told.answer["error"]["code"]) if told.status >= 400 else "ok"
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -110,7 +110,16 @@
 class Fleet:
     """A running fleet; use it as an asynchronous context manager."""
 
-    __slots__ = ("_client", "_directory", "_plan", "_store", "entries", "processes", "vms")
+    __slots__ = (
+        "_client",
+        "_directory",
+        "_plan",
+        "_store",
+        "entries",
+        "keepers",
+        "processes",
+        "vms",
+    )
 
     def __init__(self, *, plan: FleetPlan, directory: Path) -> None:
         self._plan = plan
@@ -123,6 +132,7 @@
         )
         self.processes: dict[str, Process] = {}
         self.entries: dict[str, str] = {}
+        self.keepers: dict[str, str] = {}
         self.vms: list[Vm] = []
 
     @property
@@ -303,8 +313,10 @@
             "claims": {"store": self.store_address},
         }
         self._write_daemon("entry", index, entry_sections, plan.entry_sections)
+        keeper_http = f"{HOST}:{plan.base_port + 800 + index}"
+        self.keepers[f"keeper-{index}"] = keeper_http
         keeper_sections = {
-            "node": self._node(f"keeper-{index}", vm, f"{HOST}:{plan.base_port + 800 + index}"),
+            "node": self._node(f"keeper-{index}", vm, keeper_http),
             "keeper": {
                 "address": vm.address,
                 "store": self.store_address,
--- /dev/null
+++ b/src/baobabpulley/emulator/injection.py
@@ -0,0 +1,212 @@
+"""Faults of all kinds on a local fleet, by seed, several at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+from baobabpulley.emulator.fleet import START_TIMEOUT
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.journals import engines
+from baobabpulley.emulator.journals import services
+from baobabpulley.errors import BaobabError
+from baobabpulley.registry import Registry
+
+DAEMONS: Final = ("entry", "keeper")
+PROCESSES: Final = (*DAEMONS, "engine")
+# Bounds in model seconds.
+MAX_DEAD: Final = 4.0
+MAX_FROZEN: Final = 8.0
+MAX_OUTAGE: Final = 12.0
+MAX_SLOW: Final = 5.0
+STORE_DELAY: Final = 0.4
+SERVICE_DELAY: Final = 1.0
+POLL_PERIOD: Final = 0.2
+EXIT_BOUND: Final = 120.0
+
+
+@final
+class Injector:
+    """Strike one fault after the other; each ends by itself.
+
+    ``counts`` are the faults struck by kind, ``incarnations`` the starts of each process, and
+    ``bad_exits`` names processes that did not end with code 0 on ``SIGTERM``.
+    """
+
+    __slots__ = ("_random", "_struck", "_tasks", "bad_exits", "counts", "fleet", "incarnations")
+
+    def __init__(self, fleet: Fleet, *, seed: int) -> None:
+        self.fleet = fleet
+        self.counts: Counter[str] = Counter()
+        self.incarnations: Counter[str] = Counter()
+        self.bad_exits: list[str] = []
+        self._random = random.Random(seed)
+        self._struck: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, *, seconds: float, every: float) -> None:
+        """Strike for model seconds, on average one fault in ``every``, then end all."""
+        end = time.monotonic() + seconds / self.fleet.plan.speed
+        while time.monotonic() < end:
+            await self.sleep(self._random.expovariate(1.0 / every))
+            name = self._random.choice(fault_kinds.names)
+            self.counts[name] += 1
+            self._tasks.add(asyncio.create_task(fault_kinds.lookup(name)(self)))
+        await asyncio.gather(*self._tasks)
+        for vm in (*engines(self.fleet), *services(self.fleet)):
+            await self.fleet.fault(vm.address, "none")
+        await self.fleet.fault(self.fleet.store_address, "none")
+
+    def was_struck(self, name: str, *, since: float) -> bool:
+        """Whether a process was dead or frozen at some time since a real time."""
+        return self._struck.get(name, 0.0) > since
+
+    def pick(self, kinds: tuple[str, ...]) -> str | None:
+        """Return a process that nothing is wrong with, now held as struck; or ``None``."""
+        now = time.monotonic()
+        fit = [
+            name
+            for name in sorted(self.fleet.processes)
+            if name.startswith(kinds) and self._struck.get(name, 0.0) <= now
+        ]
+        if not fit:
+            return None
+        name = self._random.choice(fit)
+        self._struck[name] = float("inf")
+        return name
+
+    def healed(self, name: str) -> None:
+        """Note that a process works again."""
+        self._struck[name] = time.monotonic()
+
+    async def start(self, name: str) -> None:
+        """Start a process anew and wait until it answers."""
+        self.incarnations[name] += 1
+        fleet = self.fleet
+        fleet.processes[name].start()
+        if name.startswith("engine"):
+            address, path = fleet.address_of(name), "/v1/state"
+        else:
+            address, path = {**fleet.entries, **fleet.keepers}[name], "/healthz"
+        await self._until_up(address, path)
+        self.healed(name)
+
+    def draw(self, bound: float) -> float:
+        """Return a number between 0 and ``bound``."""
+        return self._random.uniform(0.0, bound)
+
+    def one_of(self, *addresses: str) -> str:
+        """Return one of some addresses."""
+        return self._random.choice(addresses)
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep for model seconds."""
+        await asyncio.sleep(seconds / self.fleet.plan.speed)
+
+    async def _until_up(self, address: str, path: str) -> None:
+        end = time.monotonic() + START_TIMEOUT
+        while time.monotonic() < end:
+            with contextlib.suppress(BaobabError):
+                await self.fleet.request(address, "GET", path)
+                return
+            await self.sleep(POLL_PERIOD)
+
+
+Fault = Callable[[Injector], Awaitable[None]]
+fault_kinds: Registry[Fault] = Registry("fault")
+
+
+@fault_kinds.register("kill")
+async def kill(injector: Injector) -> None:
+    """Kill an entry, a keeper or an engine, and start it anew."""
+    name = injector.pick(PROCESSES)
+    if name is None:
+        return
+    injector.fleet.processes[name].kill()
+    await injector.sleep(injector.draw(MAX_DEAD))
+    await injector.start(name)
+
+
+@fault_kinds.register("freeze")
+async def freeze(injector: Injector) -> None:
+    """Freeze an entry, a keeper or an engine, and thaw it."""
+    name = injector.pick(PROCESSES)
+    if name is None:
+        return
+    injector.fleet.processes[name].send(signal.SIGSTOP)
+    await injector.sleep(injector.draw(MAX_FROZEN))
+    injector.fleet.processes[name].send(signal.SIGCONT)
+    injector.healed(name)
+
+
+@fault_kinds.register("shutdown")
+async def shutdown(injector: Injector) -> None:
+    """Ask an entry or a keeper to end, and start it anew once it has."""
+    name = injector.pick(DAEMONS)
+    if name is None:
+        return
+    process = injector.fleet.processes[name]
+    process.send(signal.SIGTERM)
+    left = EXIT_BOUND
+    while process.running and left > 0:
+        await injector.sleep(POLL_PERIOD)
+        left -= POLL_PERIOD
+    if process.running or process.returncode != 0:
+        injector.bad_exits.append(f"{name}: {process.returncode}")
+        process.kill()
+    await injector.start(name)
+
+
+@fault_kinds.register("silence")
+async def silence(injector: Injector) -> None:
+    """Let an upstream, or the store, write nothing more on the connections open now."""
+    fleet = injector.fleet
+    addresses = [vm.address for vm in (*engines(fleet), *services(fleet))]
+    await fleet.fault(injector.one_of(*addresses, fleet.store_address), "silent")
+
+
+@fault_kinds.register("store outage")
+async def store_outage(injector: Injector) -> None:
+    """Let the store refuse all calls for a time."""
+    seconds = injector.draw(MAX_OUTAGE)
+    await injector.fleet.fault(injector.fleet.store_address, "down", seconds=seconds)
+    await injector.sleep(seconds)
+
+
+@fault_kinds.register("slow store")
+async def slow_store(injector: Injector) -> None:
+    """Let the store answer late for a time."""
+    await injector.fleet.fault(injector.fleet.store_address, "delay", seconds=STORE_DELAY)
+    await injector.sleep(injector.draw(MAX_SLOW))
+    await injector.fleet.fault(injector.fleet.store_address, "delay", seconds=0.0)
+
+
+@fault_kinds.register("lost store answers")
+async def lost_store_answers(injector: Injector) -> None:
+    """Let the next writes take effect without an answer."""
+    await injector.fleet.fault(injector.fleet.store_address, "lose_answer", count=2)
+
+
+@fault_kinds.register("lost service call")
+async def lost_service_call(injector: Injector) -> None:
+    """Let a service lose a call before or after it ran, or answer late."""
+    address = injector.one_of(*(vm.address for vm in services(injector.fleet)))
+    kind = injector.one_of("lose_answer", "lose_request", "delay_answer")
+    await injector.fleet.fault(address, kind, seconds=SERVICE_DELAY)
+    await injector.sleep(injector.draw(MAX_SLOW))
+    await injector.fleet.fault(address, "none")
+
+
+@fault_kinds.register("wrong events")
+async def wrong_events(injector: Injector) -> None:
+    """Let an engine send another attempt's events, or events twice."""
+    address = injector.one_of(*(vm.address for vm in engines(injector.fleet)))
+    await injector.fleet.fault(address, injector.one_of("cross", "repeat"))
--- /dev/null
+++ b/src/baobabpulley/emulator/journals.py
@@ -0,0 +1,47 @@
+"""What the stand-ins of a local fleet say that reached them, and the memory they hold."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import Any
+
+from baobabpulley.emulator.fleet import ENGINE_SERVICE
+from baobabpulley.emulator.fleet import PLAIN_SERVICE
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.upstreams import Vm
+
+POLL_SECONDS = 0.05
+
+
+def engines(fleet: Fleet) -> list[Vm]:
+    """Return the rows of all engines."""
+    return [vm for vm in fleet.vms if vm.service == ENGINE_SERVICE]
+
+
+def services(fleet: Fleet) -> list[Vm]:
+    """Return the rows of all plain services."""
+    return [vm for vm in fleet.vms if vm.service == PLAIN_SERVICE]
+
+
+async def journals(fleet: Fleet, vms: list[Vm] | None = None) -> dict[str, dict[str, Any]]:
+    """Return the journals of engines, or of ``vms``, that listen."""
+    found = {}
+    for vm in engines(fleet) if vms is None else vms:
+        # One that is starting holds nothing yet.
+        with contextlib.suppress(UpstreamUnreached):
+            found[vm.id] = await fleet.request(vm.address, "GET", "/journal")
+    return found
+
+
+async def memory_return(fleet: Fleet, *, bound: float) -> dict[str, int]:
+    """Wait up to ``bound`` model seconds until no engine holds memory; return what is held."""
+    end = time.monotonic() + bound / fleet.plan.speed
+    while True:
+        held = {name: journal["held"] for name, journal in (await journals(fleet)).items()}
+        held = {name: tokens for name, tokens in held.items() if tokens}
+        if not held or time.monotonic() > end:
+            return held
+        await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/testing/test_faults.py
@@ -0,0 +1,43 @@
+"""All kinds of faults at once on a whole fleet: no promise is broken, and the checks see it."""
+
+from __future__ import annotations
+
+import pytest
+
+from baobabpulley.emulator.bench_faults import check_order
+from baobabpulley.emulator.bench_faults import render_report
+from baobabpulley.emulator.bench_faults import run_faults
+from baobabpulley.emulator.fault_load import Told
+from baobabpulley.emulator.injection import fault_kinds
+
+NOT_RUN = Told(status=503, ran=False, answer=None)
+UNKNOWN = Told(status=0, ran=None, answer=None)
+PLACED = Told(status=201, ran=True, answer={"number": "service-0-1"})
+PLACED_ANEW = Told(status=201, ran=True, answer={"number": "service-0-2"})
+
+
+async def test_no_promise_is_broken_while_faults_come_together(base_port: int) -> None:
+    report = await run_faults(seed=1, seconds=40.0, every=0.5, speed=8.0, base_port=base_port)
+    shown = render_report(report)
+    assert report.violations == [], shown
+    # With hardly any whole answer or fault the run would show nothing.
+    assert report.whole > sum(report.faults.values()) > 30, shown
+    assert len(report.faults) >= len(fault_kinds.names) - 1, shown
+    assert report.outcomes["order"]["ok"] > report.orders / 4, shown
+
+
+@pytest.mark.parametrize(
+    ("told", "ran", "broken"),
+    [
+        ([NOT_RUN, PLACED, PLACED], 1, 0),
+        ([UNKNOWN, NOT_RUN], 1, 0),
+        ([NOT_RUN, NOT_RUN], 0, 0),
+        ([NOT_RUN, NOT_RUN], 1, 1),
+        ([UNKNOWN], 2, 1),
+        ([PLACED], 0, 1),
+        ([PLACED, PLACED_ANEW], 2, 2),
+    ],
+    ids=["answered", "unknown", "not_run", "ran_after_all", "twice", "never_ran", "two_answers"],
+)
+def test_an_orders_fate_is_judged(told: list[Told], ran: int, broken: int) -> None:
+    assert len(check_order("a", told, ran)) == broken
