Run the demo on six engines, with the longest prompt passed to the failure domain that holds it

Cause: the demo had nine engines, three in each failure domain, as engines were dealt in turns and a prompt of a million tokens needs three of 400,000. FleetPlan now takes the failure domain of each engine; the demo has six (3, 2, 1), sends the longest prompt to an entry of the domain with two, and prints through which entry each answer came.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -25,9 +25,11 @@
 MAX_TOKENS = 16
 ORDER_TIMEOUT = 10.0
 CREATED = 201
-LENGTHS = (1_000, 1_000, 1_000, 8_000, 8_000, 32_000, 100_000, 1_000_000)
-# Three engines of 400,000 tokens in each failure domain: the longest prompt takes all of one.
-ENGINES = 9
+# Entries take turns, so that the longest goes to one of the second failure domain.
+LENGTHS = (1_000, 1_000, 1_000, 8_000, 8_000, 1_000_000, 100_000, 32_000)
+# Engines of 400,000 tokens: only the three of the first failure domain together hold the longest
+# prompt, so that its entry passes it there.
+ENGINE_DOMAINS = ("fes", "fes", "fes", "meknes", "meknes", "rabat")
 MAX_TRIES = 5
 # The keepers of a fleet that has just started grant nothing for one lease time (model seconds).
 START_UP = 5.0
@@ -36,7 +38,12 @@
 async def main() -> int:
     """Return 0 only if every answer is whole and right."""
     with tempfile.TemporaryDirectory() as directory:
-        plan = FleetPlan(base_port=BASE_PORT, speed=SPEED, engines=ENGINES)
+        plan = FleetPlan(
+            base_port=BASE_PORT,
+            speed=SPEED,
+            engines=len(ENGINE_DOMAINS),
+            engine_domains=ENGINE_DOMAINS,
+        )
         async with Fleet(plan=plan, directory=Path(directory)) as fleet:
             print(f"{len(fleet.processes)} processes are up")
             await asyncio.sleep(START_UP / SPEED)
@@ -47,22 +54,26 @@
 async def send_prompts(fleet: Fleet) -> int:
     """Send one prompt of each length, all at once, over all entries."""
     caller = Caller(token=caller_token("souk"), model=MODEL)
-    addresses = list(fleet.entries.values())
+    entries = [f"entry-{index % len(fleet.entries)}" for index in range(len(LENGTHS))]
     prompts = [make_prompt(tokens=size, seed=index) for index, size in enumerate(LENGTHS)]
     answers = await asyncio.gather(
         *(
-            send_patiently(caller, addresses[index % len(addresses)], prompt, seed=index)
-            for index, prompt in enumerate(prompts)
+            send_patiently(caller, fleet.entries[entry], prompt, seed=index)
+            for index, (entry, prompt) in enumerate(zip(entries, prompts, strict=True))
         )
     )
-    wrong = 0
-    print(f"{'tokens':>9} {'first token, model s':>21} {'answer':>8}")
-    for index, (size, prompt, answer) in enumerate(zip(LENGTHS, prompts, answers, strict=True)):
-        right = is_right(prompt, answer, seed=index)
-        wrong += not right
+    whole = [
+        is_right(prompt, answer, seed=index)
+        for index, (prompt, answer) in enumerate(zip(prompts, answers, strict=True))
+    ]
+    print(f"{'tokens':>9} {'through':>9} {'first token, model s':>21} {'answer':>8}")
+    for size, entry, answer, right in sorted(
+        zip(LENGTHS, entries, answers, whole, strict=True), key=lambda row: row[:2]
+    ):
         first = (answer.first_token or 0.0) * SPEED
-        print(f"{size:>9} {first:>21.3f} {'whole' if right else answer.code or 'WRONG':>8}")
-    return 1 if wrong else 0
+        outcome = "whole" if right else answer.code or "WRONG"
+        print(f"{size:>9} {entry:>9} {first:>21.3f} {outcome:>8}")
+    return 0 if all(whole) else 1
 
 
 async def send_patiently(caller: Caller, address: str, prompt: str, *, seed: int) -> Completion:
--- a/src/baobabpulley/emulator/bench_mix.py
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -103,7 +103,7 @@
 def balancer_weights(fleet: Fleet) -> dict[str, float]:
     """Return each entry's share: its failure domain's engines over its entries."""
     plan = fleet.plan
-    engines = [plan.domain_of(index) for index in range(plan.engines)]
+    engines = [plan.domain_of_engine(index) for index in range(plan.engines)]
     domains = [plan.domain_of(index) for index in range(plan.entries)]
     return {
         name: engines.count(domain) / domains.count(domain)
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -47,13 +47,17 @@
 
 @final
 class FleetPlan:
-    """What to start. Ports are taken upwards from ``base_port``."""
+    """What to start. Ports are taken upwards from ``base_port``.
+
+    ``engine_domains`` names the failure domain of each engine; without it they are dealt in turns.
+    """
 
     __slots__ = (
         "base_port",
         "daemons",
         "dialect",
         "domains",
+        "engine_domains",
         "engine_options",
         "engines",
         "entries",
@@ -76,6 +80,7 @@
         speed: float = 1.0,
         vm_list_lag: float = 1.0,
         engine_options: tuple[str, ...] = (),
+        engine_domains: tuple[str, ...] = (),
         limits: dict[str, Limit] | None = None,
         entry_sections: dict[str, dict[str, str]] | None = None,
         keeper_sections: dict[str, dict[str, str]] | None = None,
@@ -91,6 +96,7 @@
         self.plain_services = plain_services
         self.speed = speed
         self.vm_list_lag = vm_list_lag
+        self.engine_domains = engine_domains or domains
         self.engine_options = engine_options
         self.limits = limits or {
             "souk": Limit(1_000_000, 4_000_000),
@@ -100,9 +106,13 @@
         self.keeper_sections = keeper_sections or {}
 
     def domain_of(self, index: int) -> str:
-        """Return the failure domain of the entry or upstream with an index."""
+        """Return the failure domain of the entry or plain service with an index."""
         return self.domains[index % len(self.domains)]
 
+    def domain_of_engine(self, index: int) -> str:
+        """Return the failure domain of the engine with an index."""
+        return self.engine_domains[index % len(self.engine_domains)]
+
 
 @final
 class Fleet:
@@ -258,20 +268,26 @@
         plan = self._plan
         speed = ("--speed", str(plan.speed))
         for index in range(plan.engines):
-            vm = self._upstream("engine", index, ENGINE_SERVICE, plan.base_port + 100 + index)
+            domain = plan.domain_of_engine(index)
+            vm = self._upstream(
+                "engine", index, ENGINE_SERVICE, domain, plan.base_port + 100 + index
+            )
             common = ("--id", vm.id, "--address", vm.address, *speed)
             options = ("--models", MODEL, "--seed", str(index), *plan.engine_options)
             self.add(vm.id, "standin", "engine", *common, *options).start()
         for index in range(plan.plain_services):
-            vm = self._upstream("service", index, PLAIN_SERVICE, plan.base_port + 300 + index)
+            domain = plan.domain_of(index)
+            vm = self._upstream(
+                "service", index, PLAIN_SERVICE, domain, plan.base_port + 300 + index
+            )
             common = ("--id", vm.id, "--address", vm.address, *speed)
             self.add(vm.id, "standin", "service", *common).start()
 
-    def _upstream(self, kind: str, index: int, service: str, port: int) -> Vm:
+    def _upstream(self, kind: str, index: int, service: str, domain: str, port: int) -> Vm:
         vm = Vm(
             id=f"{kind}-{index}",
             role="upstream",
-            failure_domain=self._plan.domain_of(index),
+            failure_domain=domain,
             address=f"{HOST}:{port}",
             service=service,
         )
