Say what the stand-ins share once

Tests: test_standins and test_order_wire pass `checks_fencing` in the profile; nothing else changed.

--- a/src/baobabpulley/cli/standins.py
+++ b/src/baobabpulley/cli/standins.py
@@ -8,6 +8,7 @@
 
 import click
 
+from baobabpulley.adapters.addresses import split_address
 from baobabpulley.cli.main import cli
 from baobabpulley.shutdown import stop_event
 from baobabpulley.standins.engine import EngineStandin
@@ -90,6 +91,8 @@
         decode_rate=decode_rate,
         chunk_tokens=chunk,
         load_lag=load_lag,
+        checks_fencing=not ignores_fencing,
+        seed=seed,
     )
     _run(
         lambda: EngineStandin(
@@ -98,8 +101,6 @@
             models=tuple(name for name in models.split(",") if name),
             profile=profile,
             timers=TimerService(speed=speed),
-            checks_fencing=not ignores_fencing,
-            seed=seed,
         )
     )
 
@@ -122,23 +123,28 @@
     seed: int,
 ) -> None:
     """Run many engines that only publish load."""
+    host, first_port = split_address(address)
+    timers = TimerService(speed=speed)
     _run(
-        lambda: PublisherStandin(
-            address=address,
-            count=count,
-            first_index=first_index,
-            model=model,
-            news_period=news_period,
-            seed=seed,
-            timers=TimerService(speed=speed),
+        *(
+            lambda index=index: PublisherStandin(
+                id=f"engine-{first_index + index}",
+                address=f"{host}:{first_port + index}",
+                model=model,
+                news_period=news_period,
+                seed=seed + first_index + index,
+                timers=timers,
+            )
+            for index in range(count)
         )
     )
 
 
-def _run(build: Callable[[], _Standin]) -> None:
+def _run(*builders: Callable[[], _Standin]) -> None:
     async def serve() -> None:
         stop = stop_event()
-        build().start()
+        for build in builders:
+            build().start()
         await stop.wait()
 
     asyncio.run(serve())
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -5,12 +5,13 @@
 import asyncio
 import contextlib
 import secrets
-from collections import deque
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 from typing import Final
-from typing import final
 
 import msgspec
+from msgspec.structs import replace
 from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
@@ -35,7 +36,6 @@
 from baobabpulley.standins.engine_core import EngineCore
 from baobabpulley.standins.engine_core import EngineProfile
 from baobabpulley.standins.engine_core import Job
-from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.faults import Refusal
 from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import StandinHandler
@@ -43,39 +43,19 @@
 from baobabpulley.standins.web import wait_for
 from baobabpulley.timers import TimerService
 
-JOURNAL_CAPACITY: Final = 200_000
 LIFE_PERIOD: Final = 1.0
 SWEEP_PERIOD: Final = 0.1
 BODY_TIMEOUT: Final = 3.0
+COMPLETIONS: Final = "/v1/completions"
+IMPORT_TIMEOUT: Final = 2.0
 
+Begin = Callable[["EngineStandin", bytes], Awaitable[tuple[Job, int]]]
 
-class KvAnswer(msgspec.Struct):
-    """What an engine exports of a part: its size and the digest of the text up to its end."""
 
-    tokens: int
-    digest: int
-
-
-@final
 class EngineStandin(Standin):
     """One engine process."""
 
-    __slots__ = (
-        "_adapters",
-        "_address",
-        "_checks_fencing",
-        "_client",
-        "_fence",
-        "_id",
-        "_incarnation",
-        "_journal",
-        "_loading",
-        "_models",
-        "_orders",
-        "_timers",
-        "core",
-        "faults",
-    )
+    __slots__ = ("_client", "_orders", "_state", "core")
 
     def __init__(
         self,
@@ -85,58 +65,50 @@
         models: tuple[str, ...],
         profile: EngineProfile,
         timers: TimerService,
-        checks_fencing: bool = True,
-        seed: int = 0,
     ) -> None:
-        self._id = id
-        self._address = address
-        self._timers = timers
-        self._checks_fencing = checks_fencing
-        self._incarnation = secrets.token_hex(4)
-        self._models = dict.fromkeys(models, "1")
-        self._loading: set[str] = set()
-        self._adapters: dict[str, tuple[str, ...]] = {}
+        super().__init__(address=address, timers=timers)
+        self._state = EngineState(
+            upstream=id,
+            incarnation=secrets.token_hex(4),
+            state="live",
+            fence=0,
+            models=dict.fromkeys(models, "1"),
+            adapters={},
+        )
         self._orders: set[str] = set()
-        self._fence = 0
-        self.core = EngineCore(profile=profile, timers=timers, seed=seed)
+        self.core = EngineCore(profile=profile, timers=timers)
         self._client = HttpClient()
-        self._journal: deque[dict[str, Any]] = deque(maxlen=JOURNAL_CAPACITY)
-        self.faults = Faults(timers)
 
     @property
     def state(self) -> EngineState:
         """What is loaded."""
-        return EngineState(
-            upstream=self._id,
-            incarnation=self._incarnation,
-            state="leaving" if self.faults.leaving else "live",
-            fence=self._fence,
-            models=dict(self._models),
-            loading=tuple(sorted(self._loading)),
-            adapters=dict(self._adapters),
-        )
+        return replace(self._state, state="leaving" if self.faults.leaving else "live")
 
     def start(self) -> None:
         """Listen and begin to step; the event loop must run."""
-        self.serve(self._address, *_ROUTES)
-        self._timers.every(REPORT_PERIOD, self._report, name="report")
-        self._timers.every(SWEEP_PERIOD, self.core.sweep, name="sweep")
-        self._report()
-        self._timers.after(0.0, self.core.run, name="engine")
+        self.serve(*_ROUTES)
+        self.core.report(self.state)
+        self.timers.every(REPORT_PERIOD, lambda: self.core.report(self.state), name="report")
+        self.timers.every(SWEEP_PERIOD, self.core.sweep, name="sweep")
+        self.timers.after(0.0, self.core.run, name="engine")
 
     async def stop(self) -> None:
         """Close all connections and stop stepping."""
         await super().stop()
-        self._timers.cancel_all()
+        self.timers.cancel_all()
+
+    def lagged_report(self) -> LoadReport:
+        """Return the newest load report that is old enough to be seen."""
+        return self.core.lagged_report()
 
     def describe(self) -> dict[str, Any]:
         """Return the memory held and everything that reached this engine, oldest first."""
-        return {"held": self.core.memory_held, "lines": tuple(self._journal)}
+        return {"held": self.core.memory_held, "lines": tuple(self.journal)}
 
     def note(self, kind: str, id: str, outcome: str, **detail: object) -> None:
         """Write a line of the journal."""
-        line = {"at": self._timers.now(), "kind": kind, "id": id, "outcome": outcome, **detail}
-        self._journal.append(line)
+        line = {"at": self.timers.now(), "kind": kind, "id": id, "outcome": outcome, **detail}
+        self.journal.append(line)
 
     async def admit(self, call: EngineCall) -> Job:
         """Start a completion, or a part if it asks for no tokens; may raise `Refusal`."""
@@ -152,83 +124,103 @@
         self.note(kind, call.attempt, "started", request=call.request_id, cached=job.cached)
         return job
 
-    def export(self, part: str) -> KvAnswer:
-        """Return what other engines import of a part; raise `Refusal` if it is not here."""
+    def export(self, part: str) -> dict[str, int]:
+        """Return the size of a part and the digest of the text up to its end, for other engines."""
         job = self.core.find(part)
         if job is None or not job.is_part or job.remaining > 0 or job.failed:
             raise Refusal("not_found", f"part {part} is not here", status=404)
-        return KvAnswer(tokens=job.prompt_tokens, digest=job.digest)
-
-    def part_of(self, job: Job) -> PartRef:
-        """Return the reference by which other engines import a part."""
-        return PartRef(part=job.call.attempt, address=self._address, tokens=job.prompt_tokens)
+        return {"tokens": job.prompt_tokens, "digest": job.digest}
 
     async def import_parts(self, imports: tuple[PartRef, ...]) -> int:
         """Fetch the parts' exports; return the digest of the text up to their end."""
-        digest = 0
+        digest, timeout = 0, self.timers.real(IMPORT_TIMEOUT)
         for part in imports:
+            call = {"address": part.address, "method": "GET", "path": f"/v1/kv/{part.part}"}
             try:
-                status, body = await fetch(
-                    self._client,
-                    address=part.address,
-                    method="GET",
-                    path=f"/v1/kv/{part.part}",
-                    timeout=self._timers.real(2.0),
-                )
+                status, body = await fetch(self._client, **call, timeout=timeout)
             except BaobabError as error:
                 raise Refusal("import_failed", str(error), status=409) from error
             if status != 200:
                 raise Refusal("import_failed", f"part {part.part} is not there", status=409)
-            digest = msgspec.json.decode(body, type=KvAnswer).digest
+            digest = msgspec.json.decode(body)["digest"]
         return digest
 
-    async def take_order(self, order: Order) -> None:
+    async def complete(self, body: bytes) -> tuple[Job, int]:
+        """Start a completion; return its job and the index of its first token."""
+        call = msgspec.json.decode(body, type=EngineCall)
+        return await self.admit(call), call.offset
+
+    async def resume(self, body: bytes) -> tuple[Job, int]:
+        """Return a job that is here and the index from which its reader goes on."""
+        wanted = msgspec.json.decode(body)
+        job = self.core.find(wanted["attempt"])
+        if job is None or job.failed or wanted["offset"] < job.call.offset:
+            raise Refusal("unknown_attempt", "nothing to resume", status=404)
+        self.note("resume", job.call.attempt, "started")
+        return job, wanted["offset"]
+
+    async def prefill(self, body: bytes) -> tuple[Job, int]:
+        """Start a part; it has no tokens of its own."""
+        part = msgspec.structs.asdict(msgspec.json.decode(body, type=PartCall))
+        own = {"attempt": part.pop("part"), "prompt": part.pop("text"), "max_tokens": 0, "seed": 0}
+        return await self.admit(EngineCall(**own, **part)), 0
+
+    def take_order(self, order: Order) -> None:
         """Carry out an order once; refuse one with an old fencing number if this engine checks."""
-        if self._checks_fencing and order.fence < self._fence:
+        if self.core.profile.checks_fencing and order.fence < self._state.fence:
             self.note("order", order.id, "stale_fence", fence=order.fence, model=order.model)
-            raise Refusal("stale_fence", f"fence {order.fence} is below {self._fence}", status=409)
-        self._fence = max(self._fence, order.fence) if self._checks_fencing else order.fence
+            message = f"fence {order.fence} is below {self._state.fence}"
+            raise Refusal("stale_fence", message, status=409)
+        self._state = replace(self._state, fence=order.fence)
         known = order.id in self._orders
         self.note("order", order.id, "known" if known else "taken", fence=order.fence)
         if known:
             return
         self._orders.add(order.id)
         if order.kind == "unload":
-            self._models.pop(order.model, None)
-            self._adapters.pop(order.model, None)
+            self._state.models.pop(order.model, None)
+            self._state.adapters.pop(order.model, None)
         elif order.kind == "load" and not self._has(order):
-            self._loading.add(order.model)
-            self._timers.after(
+            self._set_loading({*self._state.loading, order.model})
+            self.timers.after(
                 self.core.profile.load_seconds,
                 lambda: self._finish_load(order),
                 name=f"load {order.model}",
             )
 
     def _has(self, order: Order) -> bool:
-        adapters = self._adapters.get(order.model, ())
-        return (self._models.get(order.model), adapters) == (order.version, order.adapters)
+        adapters = self._state.adapters.get(order.model, ())
+        return (self._state.models.get(order.model), adapters) == (order.version, order.adapters)
 
     def _check_fit(self, model: str) -> None:
         if self.faults.leaving:
-            raise Refusal("leaving", f"{self._id} is leaving")
-        if model not in self._models:
-            raise Refusal("unknown_model", f"{self._id} has not loaded {model}", status=404)
+            raise Refusal("leaving", f"{self._state.upstream} is leaving")
+        if model not in self._state.models:
+            message = f"{self._state.upstream} has not loaded {model}"
+            raise Refusal("unknown_model", message, status=404)
+
+    def _set_loading(self, models: set[str]) -> None:
+        self._state = replace(self._state, loading=tuple(sorted(models)))
 
     def _finish_load(self, order: Order) -> None:
-        self._loading.discard(order.model)
-        self._models[order.model] = order.version
-        self._adapters[order.model] = order.adapters
+        self._set_loading({*self._state.loading} - {order.model})
+        self._state.models[order.model] = order.version
+        self._state.adapters[order.model] = order.adapters
         self.note("loaded", order.id, order.model, fence=order.fence)
 
-    def _report(self) -> None:
-        self.core.report(self.state)
-
 
 class _StreamHandler(StandinHandler):
-    _standin: EngineStandin
+    """Send what a job makes; its reader may go at any time. ``begin`` finds or starts the job."""
+
+    def initialize(self, standin: EngineStandin, begin: Begin) -> None:
+        super().initialize(standin)
+        self._begin = begin
 
-    async def follow(self, job: Job, offset: int) -> None:
-        """Send what a job makes from an index on; its reader may go at any time."""
+    async def post(self) -> None:
+        job, offset = await self._begin(self._standin, self.request.body)
+        if self.request.path == COMPLETIONS and self.faults.take("lose_answer"):
+            self.drop()
+            return
         self.set_header("Content-Type", "text/event-stream")
         with contextlib.suppress(StreamClosedError), self._standin.core.reading(job):
             await self.send(SIGN_OF_LIFE)
@@ -246,7 +238,7 @@
                 await self.send(data * (2 if self.faults.take("repeat") else 1))
                 offset += len(ready)
             elif job.ended:
-                await self._send_end(job, attempt)
+                await self.send(self._end_of(job, attempt), last=True)
                 return
             else:
                 job.wake.clear()
@@ -254,70 +246,46 @@
                     await self.send(SIGN_OF_LIFE)
         self.drop()
 
-    async def _send_end(self, job: Job, attempt: str) -> None:
+    def _end_of(self, job: Job, attempt: str) -> bytes:
         if job.is_part:
-            data = frame_event(msgspec.json.encode(self._standin.part_of(job)))
-        else:
-            usage = Usage(
-                prompt_tokens=job.prompt_tokens,
-                completion_tokens=job.next_index,
-                cached_tokens=job.cached,
-            )
-            end = EndEvent(attempt=attempt, reason="length", usage=usage)
-            data = frame_event(msgspec.json.encode(end)) + frame_event(DONE)
-        await self.send(data, last=True)
-
-
-class _CompletionHandler(_StreamHandler):
-    async def post(self) -> None:
-        call = self.json(EngineCall)
-        job = await self._standin.admit(call)
-        if self.faults.take("lose_answer"):
-            self.drop()
-            return
-        await self.follow(job, call.offset)
-
-
-class _ResumeHandler(_StreamHandler):
-    async def post(self) -> None:
-        body = self.json()
-        job = self._standin.core.find(body["attempt"])
-        if job is None or job.failed or body["offset"] < job.call.offset:
-            raise Refusal("unknown_attempt", "nothing to resume", status=404)
-        self._standin.note("resume", job.call.attempt, "started")
-        await self.follow(job, body["offset"])
-
-
-class _PartHandler(_StreamHandler):
-    async def post(self) -> None:
-        part = msgspec.structs.asdict(self.json(PartCall))
-        own = {"attempt": part.pop("part"), "prompt": part.pop("text"), "max_tokens": 0, "seed": 0}
-        call = EngineCall(**own, **part)
-        await self.follow(await self._standin.admit(call), 0)
+            part = PartRef(part=attempt, address=self._standin.address, tokens=job.prompt_tokens)
+            return frame_event(msgspec.json.encode(part))
+        usage = Usage(
+            prompt_tokens=job.prompt_tokens,
+            completion_tokens=job.next_index,
+            cached_tokens=job.cached,
+        )
+        end = EndEvent(attempt=attempt, reason="length", usage=usage)
+        return frame_event(msgspec.json.encode(end)) + frame_event(DONE)
 
 
 class _EventsHandler(StandinHandler):
     async def get(self) -> None:
         self.set_header("Content-Type", "text/event-stream")
         every = float(self.get_query_argument("every", "0"))
-        core, timers = self._standin.core, self.faults.timers
         queue: asyncio.Queue[CacheEvent] = asyncio.Queue()
-        core.subscribers.add(queue)
+        self._standin.core.subscribers.add(queue)
+        with contextlib.suppress(StreamClosedError):
+            await self._follow(queue, every)
+        self._standin.core.subscribers.discard(queue)
+
+    async def _follow(self, queue: asyncio.Queue[CacheEvent], every: float) -> None:
+        timers = self.faults.timers
         sent: LoadReport | None = None
         sent_at = written_at = float("-inf")
-        with contextlib.suppress(StreamClosedError):
-            while not self.stream.closed():
-                report, now = core.lagged_report(), timers.now()
-                if _is_due(report, sent, age=now - sent_at, every=every):
-                    sent, sent_at, written_at = report, now, now
-                    await self.send(frame_event(msgspec.json.encode(LoadEvent(report=report))))
-                elif now - written_at >= LIFE_PERIOD:
-                    written_at = now
-                    await self.send(SIGN_OF_LIFE)
-                await timers.sleep(REPORT_PERIOD)
-                while not queue.empty():
-                    await self.send(frame_event(msgspec.json.encode(queue.get_nowait())))
-        core.subscribers.discard(queue)
+        while not self.stream.closed():
+            now, report = timers.now(), self._standin.lagged_report()
+            data = b""
+            if _is_due(report, sent, age=now - sent_at, every=every):
+                sent, sent_at = report, now
+                data = frame_event(msgspec.json.encode(LoadEvent(report=report)))
+            while not queue.empty():
+                data += frame_event(msgspec.json.encode(queue.get_nowait()))
+            if data or now - written_at >= LIFE_PERIOD:
+                written_at = now
+                await self.send(data or SIGN_OF_LIFE)
+            left = sent_at + every - timers.now()
+            await timers.sleep(left if 0.0 < left < REPORT_PERIOD else REPORT_PERIOD)
 
 
 def _is_due(report: LoadReport, sent: LoadReport | None, *, age: float, every: float) -> bool:
@@ -340,21 +308,25 @@
         self._body += chunk
 
     async def post(self) -> None:
-        await self._standin.take_order(msgspec.json.decode(self._body, type=Order))
+        self._standin.take_order(msgspec.json.decode(self._body, type=Order))
         await self.answer({}, loses=True)
 
 
-_ROUTES: Final = (
-    (r"/v1/completions", _CompletionHandler, {}),
-    (r"/v1/resume", _ResumeHandler, {}),
-    (r"/v1/parts", _PartHandler, {}),
+LOAD_ROUTES: Final = (
     (r"/v1/events", _EventsHandler, {}),
+    call_route(r"/v1/load", lambda own, _: own.lagged_report()),
+    call_route(r"/v1/state", lambda own, _: own.state),
+)
+
+_ROUTES: Final = (
+    *LOAD_ROUTES,
+    (COMPLETIONS, _StreamHandler, {"begin": EngineStandin.complete}),
+    (r"/v1/resume", _StreamHandler, {"begin": EngineStandin.resume}),
+    (r"/v1/parts", _StreamHandler, {"begin": EngineStandin.prefill}),
     (r"/v1/orders", _OrdersHandler, {}),
     call_route(r"/v1/kv/([^/]+)", lambda own, _, part: own.export(part)),
     call_route(r"/v1/holds", lambda own, _: own.core.holds()),
     call_route(r"/v1/holds/renew", lambda own, body: own.core.renew(body["ids"]) or {}),
     call_route(r"/v1/holds/release", lambda own, body: own.core.release(body["ids"]) or {}),
-    call_route(r"/v1/load", lambda own, _: own.core.lagged_report()),
-    call_route(r"/v1/state", lambda own, _: own.state),
     call_route(r"/journal", lambda own, _: own.describe(), False),
 )
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -39,7 +39,11 @@
 
 
 class EngineProfile(msgspec.Struct, frozen=True):
-    """Rates in tokens a model second, memory in tokens, lags in model seconds."""
+    """Rates in tokens a model second, memory in tokens, lags in model seconds.
+
+    ``checks_fencing`` refuses orders with old fencing numbers; ``seed`` is that of the gaps in
+    cache events.
+    """
 
     prefill_rate: float = 20_000.0
     decode_rate: float = 50.0
@@ -50,6 +54,8 @@
     event_gap_share: float = 0.02
     load_seconds: float = 3.0
     max_waiting: int = 2_000
+    checks_fencing: bool = True
+    seed: int = 0
 
 
 @final
@@ -126,12 +132,12 @@
         "subscribers",
     )
 
-    def __init__(self, *, profile: EngineProfile, timers: TimerService, seed: int = 0) -> None:
+    def __init__(self, *, profile: EngineProfile, timers: TimerService) -> None:
         self.profile = profile
         self.memory_held = 0
         self.subscribers: set[asyncio.Queue[CacheEvent]] = set()
         self._timers = timers
-        self._random = random.Random(seed)
+        self._random = random.Random(profile.seed)
         self._jobs: dict[str, Job] = {}
         self._running: dict[str, Job] = {}
         self._cache: OrderedDict[int, None] = OrderedDict()
@@ -168,16 +174,15 @@
 
     def release(self, ids: list[str]) -> None:
         """End jobs and give their memory back; idempotent."""
-        for job in [self._jobs.pop(id) for id in ids if id in self._jobs]:
+        for job in self._known(ids):
+            del self._jobs[job.call.attempt]
             job.failed = job.failed or not job.ended
             self._stop(job)
 
     def renew(self, ids: list[str]) -> None:
         """Keep held jobs from lapsing."""
-        for id in ids:
-            job = self._jobs.get(id)
-            if job is not None:
-                job.lapses = self._timers.now() + HOLD_LIFETIME
+        for job in self._known(ids):
+            job.lapses = self._timers.now() + HOLD_LIFETIME
 
     def holds(self) -> tuple[Hold, ...]:
         """Return everything that holds memory."""
@@ -257,6 +262,9 @@
             job.readers -= 1
             job.lapses = max(job.lapses, self._timers.now() + HOLD_LIFETIME)
 
+    def _known(self, ids: list[str]) -> list[Job]:
+        return [self._jobs[id] for id in dict.fromkeys(ids) if id in self._jobs]
+
     def _step(self) -> float:
         """Spend one step's chunk on waiting prefills; return the step's length."""
         budget = self.profile.chunk_tokens
--- a/src/baobabpulley/standins/faults.py
+++ b/src/baobabpulley/standins/faults.py
@@ -47,33 +47,32 @@
 class Faults:
     """What is wrong with this stand-in at present. Times are model seconds.
 
-    ``delay`` holds each call back before it runs and ``delay_answer`` after; with ``runs_first``
-    both hold the answer back. ``open`` are the connections open now.
+    ``open`` are the connections open now. With ``runs_first`` a ``delay`` holds the answer back.
     """
 
-    __slots__ = (
-        "_counts",
-        "_down_until",
-        "_runs_first",
-        "_silenced",
-        "delay",
-        "delay_answer",
-        "leaving",
-        "open",
-        "timers",
-    )
+    __slots__ = ("_on", "_runs_first", "_silenced", "open", "timers")
 
     def __init__(self, timers: TimerService, *, runs_first: bool = False) -> None:
         self.timers = timers
         self.open: WeakSet[IOStream] = WeakSet()
         self._silenced: WeakSet[IOStream] = WeakSet()
         self._runs_first = runs_first
-        self._clear()
+        # By kind: the seconds of a delay, the end of an outage, or the calls left to strike.
+        self._on: dict[str, float] = {}
 
     @property
     def down(self) -> bool:
         """Whether all calls are refused at present."""
-        return self.timers.now() < self._down_until
+        return self.timers.now() < self._on.get("down", 0.0)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is taken."""
+        return "leaving" in self._on
+
+    async def hold_back(self, kind: str) -> None:
+        """Wait as long as a kind of delay says."""
+        await self.timers.sleep(self._on.get(kind, 0.0))
 
     def silences(self, stream: IOStream) -> bool:
         """Whether a connection has gone silent."""
@@ -81,8 +80,8 @@
 
     def take(self, kind: str) -> bool:
         """Whether the next call has this fault; counts it off."""
-        left = self._counts.get(kind, 0)
-        self._counts[kind] = max(0, left - 1)
+        left = self._on.get(kind, 0)
+        self._on[kind] = max(0, left - 1)
         return left > 0
 
     def apply(self, order: FaultOrder) -> None:
@@ -94,20 +93,11 @@
             time.sleep(self.timers.real(order.seconds))
         elif order.kind == "silent":
             self._silenced |= self.open
-        elif order.kind == "delay" and not self._runs_first:
-            self.delay = order.seconds
-        elif order.kind in {"delay", "delay_answer"}:
-            self.delay_answer = order.seconds
-        elif order.kind == "down":
-            self._down_until = self.timers.now() + order.seconds
-        elif order.kind == "leaving":
-            self.leaving = True
         elif order.kind == "none":
-            self._clear()
+            self._on.clear()
+        elif order.kind == "down":
+            self._on["down"] = self.timers.now() + order.seconds
+        elif order.kind in {"delay", "delay_answer"}:
+            self._on["delay_answer" if self._runs_first else order.kind] = order.seconds
         else:
-            self._counts[order.kind] = order.count
-
-    def _clear(self) -> None:
-        self._counts: dict[str, int] = {}
-        self._down_until = self.delay = self.delay_answer = 0.0
-        self.leaving = False
+            self._on[order.kind] = order.count
--- a/src/baobabpulley/standins/service.py
+++ b/src/baobabpulley/standins/service.py
@@ -6,7 +6,6 @@
 from typing import final
 
 from baobabpulley.adapters.http_service import ATTEMPT_HEADER
-from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.faults import Refusal
 from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import StandinHandler
@@ -18,21 +17,18 @@
 class ServiceStandin(Standin):
     """``POST /orders`` runs once for each call; ``GET /catalogue/<item>`` is idempotent."""
 
-    __slots__ = ("_address", "_id", "faults", "journal")
+    __slots__ = ("_id",)
 
     def __init__(self, *, id: str, address: str, timers: TimerService) -> None:
+        super().__init__(address=address, timers=timers, answers_late=True)
         self._id = id
-        self._address = address
-        self.faults = Faults(timers, runs_first=True)
-        self.journal: list[dict[str, Any]] = []
 
     def start(self) -> None:
         """Listen; the event loop must run."""
         self.serve(
-            self._address,
             (r"/orders", _OrdersHandler, {}),
             call_route(r"/catalogue/(.+)", lambda own, _, item: own.look_up(item)),
-            call_route(r"/journal", lambda own, _: {"lines": own.journal}, False),
+            call_route(r"/journal", lambda own, _: {"lines": tuple(own.journal)}, False),
         )
 
     def look_up(self, item: str) -> dict[str, Any]:
--- a/src/baobabpulley/standins/store.py
+++ b/src/baobabpulley/standins/store.py
@@ -17,7 +17,6 @@
 from sortedcontainers import SortedDict
 from tornado.iostream import StreamClosedError
 
-from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.web import CallHandler
 from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import call_route
@@ -43,32 +42,29 @@
         "_lease_ids",
         "_leases",
         "_wake",
-        "address",
         "calls",
         "compacted",
-        "faults",
         "history",
         "revision",
         "watches",
     )
 
     def __init__(self, *, address: str, timers: TimerService) -> None:
-        self.address = address
+        super().__init__(address=address, timers=timers)
         self._items: SortedDict = SortedDict()
         self._lease_ids = itertools.count(FIRST_LEASE)
         self._leases: dict[str, tuple[float, float]] = {}
         self._wake = asyncio.Event()
         self.calls: dict[str, int] = {}
         self.compacted = 0
-        self.faults = Faults(timers)
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.watches = 0
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        self.serve(self.address, *_ROUTES)
-        self.faults.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
+        self.serve(*_ROUTES)
+        self.timers.every(LEASE_SWEEP_PERIOD, self._lapse, name="leases")
 
     def range(self, body: Body) -> Body:
         """Return one key, or all from ``key`` up to ``range_end`` without it."""
@@ -90,11 +86,6 @@
         self._write(operations)
         return {"succeeded": True}
 
-    def put(self, body: Body) -> Body:
-        """Write a key."""
-        self._write([{"request_put": body}])
-        return {}
-
     def grant(self, body: Body) -> Body:
         """Grant a lease."""
         lease = str(next(self._lease_ids))
@@ -105,7 +96,7 @@
         """Renew a lease; its seconds are 0 if it has lapsed."""
         seconds, _ = self._leases.get(body["ID"], (0.0, 0.0))
         if seconds:
-            self._leases[body["ID"]] = (seconds, self.faults.timers.now() + seconds)
+            self._leases[body["ID"]] = (seconds, self.timers.now() + seconds)
         return {"result": {"ID": body["ID"], "TTL": str(int(seconds))}}
 
     def revoke(self, body: Body) -> Body:
@@ -130,7 +121,7 @@
 
     async def wait(self, seconds: float) -> None:
         """Wait for a change, at most ``seconds``."""
-        await wait_for(self._wake, seconds, timers=self.faults.timers)
+        await wait_for(self._wake, seconds, timers=self.timers)
 
     def _holds(self, compare: Body) -> bool:
         held = self._items.get(_text(compare["key"]), {"mod_revision": "0"})
@@ -165,7 +156,7 @@
             self.history.append({"type": "DELETE", "kv": kv, "name": _text(key)})
 
     def _lapse(self) -> None:
-        now = self.faults.timers.now()
+        now = self.timers.now()
         for lease, (_, ends) in tuple(self._leases.items()):
             if now > ends:
                 self.revoke({"ID": lease})
@@ -223,7 +214,6 @@
 _ROUTES: Final = (
     (r"/v3/kv/range", _Handler, {"run": StoreStandin.range}),
     (r"/v3/kv/txn", _Handler, {"run": StoreStandin.txn, "loses": True}),
-    (r"/v3/kv/put", _Handler, {"run": StoreStandin.put, "loses": True}),
     (r"/v3/kv/compaction", _Handler, {"run": StoreStandin.compact}),
     (r"/v3/lease/grant", _Handler, {"run": StoreStandin.grant, "loses": True}),
     (r"/v3/lease/keepalive", _Handler, {"run": StoreStandin.keep_alive, "loses": True}),
--- a/src/baobabpulley/standins/vm_list.py
+++ b/src/baobabpulley/standins/vm_list.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from baobabpulley.model.upstreams import Vm
-from baobabpulley.standins.faults import Faults
 from baobabpulley.standins.web import Standin
 from baobabpulley.standins.web import call_route
 from baobabpulley.timers import TimerService
@@ -17,24 +16,23 @@
 class VmListStandin(Standin):
     """``PUT /vms`` sets the rows, ``GET /vms`` shows them ``lag`` model seconds later."""
 
-    __slots__ = ("_address", "_lag", "_shown", "faults")
+    __slots__ = ("_lag", "_shown")
 
     def __init__(self, *, address: str, lag: float, timers: TimerService) -> None:
-        self._address = address
+        super().__init__(address=address, timers=timers)
         self._lag = lag
         self._shown: tuple[Vm, ...] = ()
-        self.faults = Faults(timers)
 
     def start(self) -> None:
         """Listen; the event loop must run."""
-        self.serve(self._address, call_route(r"/vms", VmListStandin.exchange))
+        self.serve(call_route(r"/vms", VmListStandin.exchange))
 
     def exchange(self, rows: object) -> tuple[Vm, ...]:
         """Set rows if there are any, at once the first time; return what readers see."""
         if rows:
             vms = msgspec.convert(rows, tuple[Vm, ...])
             lag = self._lag if self._shown else 0.0
-            self.faults.timers.after(lag, lambda: self._show(vms), name="lag")
+            self.timers.after(lag, lambda: self._show(vms), name="lag")
         return self._shown
 
     def _show(self, rows: tuple[Vm, ...]) -> None:
--- a/src/baobabpulley/standins/web.py
+++ b/src/baobabpulley/standins/web.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 from typing import Final
@@ -22,6 +23,7 @@
 
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 FAULT_DELAY: Final = 0.01
+JOURNAL_CAPACITY: Final = 200_000
 
 Run = Callable[..., object]
 Route = tuple[str, type[RequestHandler], dict[str, Any]]
@@ -41,7 +43,7 @@
     async def prepare(self) -> None:
         # Tests set what a stand-in shows by PUT.
         if self.faulty and self.request.method != "PUT":
-            await self.faults.timers.sleep(self.faults.delay)
+            await self.faults.hold_back("delay")
             await self._check_silence()
             if self.faults.down or self.faults.take("lose_request"):
                 self.drop()
@@ -63,7 +65,7 @@
         """Write and flush a piece of a stream, unless this connection has gone silent."""
         if self.faulty:
             if not self._headers_written:
-                await self.faults.timers.sleep(self.faults.delay_answer)
+                await self.faults.hold_back("delay_answer")
             await self._check_silence()
         self.write(data)
         await (self.finish() if last else self.flush())
@@ -110,16 +112,12 @@
         self._run = run
         self._loses = loses
 
-    async def get(self, *groups: str) -> None:
-        await self.post(*groups)
-
-    async def put(self) -> None:
-        await self.post()
-
     async def post(self, *groups: str) -> None:
         body = self.json() if self.request.body else {}
         await self.answer(self._run(self._standin, body, *groups), loses=self._loses)
 
+    get = put = post
+
 
 class StandinServer(HTTPServer):
     """A server that tells the faults of each new connection."""
@@ -137,13 +135,26 @@
 
 
 class Standin:
-    """Something that listens until it is stopped."""
-
-    __slots__ = ("_server",)
-
-    def serve(self, address: str, *routes: Route) -> None:
-        """Listen; the event loop must run."""
-        self._server = listen(self, address, *routes)
+    """Something that listens until it is stopped, keeps a journal and can be struck by faults."""
+
+    __slots__ = ("_server", "address", "faults", "journal", "timers")
+
+    def __init__(self, *, address: str, timers: TimerService, answers_late: bool = False) -> None:
+        self.address = address
+        self.timers = timers
+        self.faults = Faults(timers, runs_first=answers_late)
+        self.journal: deque[dict[str, Any]] = deque(maxlen=JOURNAL_CAPACITY)
+
+    def serve(self, *routes: Route) -> None:
+        """Listen with some routes and ``/faults``; the event loop must run."""
+        all_routes: Any = [
+            (pattern, handler, {"standin": self, **options})
+            for pattern, handler, options in [*routes, call_route(r"/faults", _take_fault, False)]
+        ]
+        self._server = StandinServer(Application(all_routes), max_body_size=MAX_BODY_BYTES)
+        self._server.faults = self.faults
+        host, port = split_address(self.address)
+        self._server.listen(port, host)
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
@@ -151,19 +162,6 @@
         await self._server.close_all_connections()
 
 
-def listen(standin: Any, address: str, *routes: Route) -> HTTPServer:
-    """Serve a stand-in's routes and ``/faults``."""
-    all_routes: Any = [
-        (pattern, handler, {"standin": standin, **options})
-        for pattern, handler, options in [*routes, call_route(r"/faults", _take_fault, False)]
-    ]
-    server = StandinServer(Application(all_routes), max_body_size=MAX_BODY_BYTES)
-    server.faults = standin.faults
-    host, port = split_address(address)
-    server.listen(port, host)
-    return server
-
-
 async def wait_for(event: asyncio.Event, seconds: float, *, timers: TimerService) -> bool:
     """Wait for an event at most ``seconds`` and tell whether it came."""
     try:
@@ -173,7 +171,7 @@
         return False
 
 
-def _take_fault(standin: Any, body: object) -> dict[str, str]:
+def _take_fault(standin: Standin, body: object) -> dict[str, str]:
     order = msgspec.convert(body, FaultOrder)
     # The answer leaves first, so that the test knows that the order was taken.
     asyncio.get_running_loop().call_later(FAULT_DELAY, standin.faults.apply, order)
--- a/testing/test_order_wire.py
+++ b/testing/test_order_wire.py
@@ -34,9 +34,8 @@
         id="engine-0",
         address=f"{HOST}:{base_port}",
         models=(),
-        profile=EngineProfile(),
+        profile=EngineProfile(checks_fencing=False),
         timers=timers,
-        checks_fencing=False,
     )
     running.start()
     yield running
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -51,14 +51,13 @@
 async def start(upstream: Upstream) -> AsyncIterator[Start]:
     started: list[EngineStandin] = []
 
-    def start_engine(*, checks_fencing: bool = True, **profile: float) -> EngineStandin:
+    def start_engine(**profile: float) -> EngineStandin:
         engine = EngineStandin(
             id=upstream.id,
             address=upstream.address,
             models=(MODEL,),
             profile=EngineProfile(**profile),
             timers=TimerService(speed=SPEED),
-            checks_fencing=checks_fencing,
         )
         started.append(engine)
         engine.start()
