Hold the entry's cost against a bare server under the same load at the same time

Cause: the check's base, the engines' processor time, sways with their batching: the ratio read 1.2 to 1.75 on unchanged code against a bound of 1.5. The base now is a bare Tornado server with a Tornado connection behind it (bench hop), a process of its own that shares no code with the entry; both get 125 short completions a second, half of the target, for 4 s at the same time, so that the machine strikes both alike. Ruled out (trials): both at full load (2.1 to 2.5: the faster one gets more load), and the old base at the paced load (1.34 to 1.73). The bound is 2.2. The targets would allow 3.3 (4 ms a completion over the 1.2 ms that the design plans for a Tornado call) and 2.5 (3 ms to first token, all of a completion's time counted).

Stand-ins ran 20 times faster for this bench; so did the keeper's and the entry's timeouts, and under eight busy processes up to 180 requests were refused as no keeper answered in 0.1 s. Time now runs 4 times faster and the engines' rates are 5 times higher instead, and the bounds on waits and deadlines stay real: the test's 'failed == 0' is as it was.

--- a/src/baobabpulley/cli/bench_path.py
+++ b/src/baobabpulley/cli/bench_path.py
@@ -11,6 +11,7 @@
 from baobabpulley.cli.bench import bench
 from baobabpulley.emulator.bench_client import ClientOrder
 from baobabpulley.emulator.bench_client import run_client
+from baobabpulley.emulator.bench_hop import run_hop
 from baobabpulley.emulator.bench_path import PathPlan
 from baobabpulley.emulator.bench_path import measure_path
 from baobabpulley.emulator.bench_path import render_report
@@ -52,3 +53,11 @@
     """Run one client of a bench; ORDER is JSON, the result is JSON."""
     result = asyncio.run(run_client(msgspec.json.decode(order, type=ClientOrder)))
     click.echo(msgspec.json.encode(result).decode())
+
+
+@bench.command(hidden=True)
+@click.option("--address", required=True, help="ip:port to listen on.")
+@click.argument("engines", nargs=-1, required=True)
+def hop(address: str, engines: tuple[str, ...]) -> None:
+    """Run a bare server that forwards streams to ENGINES in turns."""
+    run_hop(address=address, engines=engines)
--- a/src/baobabpulley/emulator/bench_path.py
+++ b/src/baobabpulley/emulator/bench_path.py
@@ -1,4 +1,8 @@
-"""Measure the entry's own cost: short completions a second, and time to first token added."""
+"""Measure the entry's own cost: short completions a second, and time to first token added.
+
+The processor time of a completion is held against that of a bare forwarding server under the same
+load at the same time, so that whatever else the machine does strikes both alike.
+"""
 
 from __future__ import annotations
 
@@ -17,21 +21,33 @@
 from baobabpulley.emulator.bench_client import MAX_MICROSECONDS
 from baobabpulley.emulator.bench_client import ClientOrder
 from baobabpulley.emulator.bench_client import ClientResult
+from baobabpulley.emulator.fleet import HOST
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
 from baobabpulley.emulator.fleet import caller_token
-from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 
-# Stand-ins run this many times faster, so that their own model time hides nothing.
-SPEED: Final = 20.0
-WARM_UP_SECONDS: Final = 1.0
+# Time runs this many times faster, and engines are fast besides, so that their own model time
+# hides nothing; timeouts between processes stay long enough for a busy machine.
+SPEED: Final = 4.0
+ENGINE_OPTIONS: Final = ("--prefill-rate", "100000", "--decode-rate", "250")
+WARM_UP_SECONDS: Final = 1.5
 KEEP_ALIVE_SECONDS: Final = 60.0
+# Bounds that are to be the same in real seconds whatever the stand-ins' speed.
+DEADLINE_SECONDS: Final = 20.0
+SHORT_WAIT_SECONDS: Final = 2.0
 REFRESH_SECONDS: Final = 0.25
 HALF: Final = 0.5
 # Direct calls leave at this share of the rate of those through the entry.
 DIRECT_SHARE: Final = 0.2
+# Half of the 250 short completions a second that one entry has to manage on one core.
+COMPARED_RATE: Final = 125.0
+COMPARED_SECONDS: Final = 4.0
+
+_HOP: Final = "hop"
+_HOP_PORT: Final = 2
+_TARGETS: Final = ("entry-0", _HOP)
 
 
 @final
@@ -72,16 +88,19 @@
     """What the run gave.
 
     ``per_second`` is at full load of one entry, ``entry_cores`` the cores that it used then,
-    ``entry_to_engines`` its processor time over that of all engines, ``client_cores`` those of
-    the busiest client. ``added_*`` are milliseconds at half of that load, over direct calls in
-    the same run.
+    ``client_cores`` those of the busiest client. ``added_*`` are milliseconds at half of that
+    load, over direct calls in the same run. ``entry_cpu`` and ``hop_cpu`` are the milliseconds of
+    processor time of a completion through the entry and through a bare forwarding server, both
+    at `COMPARED_RATE` at the same time.
     """
 
     seed: int
     per_second: float
     per_cpu_second: float
     entry_cores: float
-    entry_to_engines: float
+    entry_cpu: float
+    hop_cpu: float
+    entry_to_hop: float
     client_cores: float
     half_rate: float
     entry: Times
@@ -101,8 +120,13 @@
         engines=plan.engines,
         plain_services=0,
         speed=SPEED,
+        engine_options=ENGINE_OPTIONS,
         entry_sections={
-            "callers": {"header_timeout": str(KEEP_ALIVE_SECONDS * SPEED)},
+            "admission": {"max_short_wait": str(SHORT_WAIT_SECONDS * SPEED)},
+            "callers": {
+                "header_timeout": str(KEEP_ALIVE_SECONDS * SPEED),
+                "deadline_base": str(DEADLINE_SECONDS * SPEED),
+            },
             "keeper": {"refresh": str(REFRESH_SECONDS * SPEED)},
             "logs": {"level": "WARNING"},
         },
@@ -113,26 +137,29 @@
 
 
 async def _measure(fleet: Fleet, plan: PathPlan) -> PathReport:
-    await _run_all([_order(fleet, plan, seconds=WARM_UP_SECONDS)])
-    engines_cpu, cpu = _engines_cpu(fleet), _cpu_seconds(fleet.processes["entry-0"])
+    await _start_hop(fleet, plan)
+    await _run_all([_order(fleet, plan, target, seconds=WARM_UP_SECONDS) for target in _TARGETS])
+    cpu = _cpu_seconds(fleet, "entry-0")
     full = await _run_all([_order(fleet, plan, index=index) for index in range(plan.clients)])
-    cpu = _cpu_seconds(fleet.processes["entry-0"]) - cpu
-    engines_cpu = _engines_cpu(fleet) - engines_cpu
+    cpu = _cpu_seconds(fleet, "entry-0") - cpu
     whole = sum(result.whole for result in full)
     elapsed = max(result.elapsed for result in full)
     half = HALF * whole / elapsed
     through = [
         _order(fleet, plan, index=index, rate=half / plan.clients) for index in range(plan.clients)
     ]
-    beside = _order(fleet, plan, rate=DIRECT_SHARE * half, direct=True)
+    beside = _order(fleet, plan, "engine-0", rate=DIRECT_SHARE * half)
     *via_entry, direct = await _run_all([*through, beside])
     entry_times, direct_times = _times(via_entry), _times([direct])
+    (entry_cpu, hop_cpu), compared = await _compare(fleet, plan)
     return PathReport(
         seed=plan.seed,
         per_second=round(whole / elapsed, 1),
         per_cpu_second=round(whole / cpu, 1),
         entry_cores=round(cpu / elapsed, 3),
-        entry_to_engines=round(cpu / engines_cpu, 3),
+        entry_cpu=round(1e3 * entry_cpu, 3),
+        hop_cpu=round(1e3 * hop_cpu, 3),
+        entry_to_hop=round(entry_cpu / hop_cpu, 3),
         client_cores=round(max(result.cpu / result.elapsed for result in full), 3),
         half_rate=round(half, 1),
         entry=entry_times,
@@ -140,17 +167,39 @@
         added_mean=round(entry_times.mean - direct_times.mean, 3),
         added_p50=round(entry_times.p50 - direct_times.p50, 3),
         added_p95=round(entry_times.p95 - direct_times.p95, 3),
-        failed=sum(result.failed for result in [*full, *via_entry, direct]),
+        failed=sum(result.failed for result in [*full, *via_entry, direct, *compared]),
     )
 
 
+async def _start_hop(fleet: Fleet, plan: PathPlan) -> None:
+    engines = [fleet.address_of(f"engine-{index}") for index in range(plan.engines)]
+    address = _address_of(fleet, plan, _HOP)
+    fleet.add(_HOP, "bench", "hop", "--address", address, *engines).start()
+    await fleet.wait_for(address, "/healthz")
+
+
+async def _compare(fleet: Fleet, plan: PathPlan) -> tuple[list[float], list[ClientResult]]:
+    """Return the processor time of a completion through each of `_TARGETS`, and all results."""
+    orders = [
+        _order(fleet, plan, target, seconds=COMPARED_SECONDS, rate=COMPARED_RATE)
+        for target in _TARGETS
+    ]
+    before = [_cpu_seconds(fleet, target) for target in _TARGETS]
+    results = await _run_all(orders)
+    after = [_cpu_seconds(fleet, target) for target in _TARGETS]
+    spent = zip(before, after, results, strict=True)
+    return [(end - start) / max(1, result.whole) for start, end, result in spent], results
+
+
 def render_report(report: PathReport) -> str:
     """Return the report as a table."""
     rows = [
         ("completions a second at full load", f"{report.per_second:.0f}"),
         ("completions a CPU second of the entry", f"{report.per_cpu_second:.0f}"),
         ("cores used by the entry", f"{report.entry_cores:.2f}"),
-        ("processor time over that of all engines", f"{report.entry_to_engines:.2f}"),
+        ("processor time a completion, ms", f"{report.entry_cpu:.2f}"),
+        ("the same of a bare forwarding server, ms", f"{report.hop_cpu:.2f}"),
+        ("entry over bare server", f"{report.entry_to_hop:.2f}"),
         ("cores used by the busiest client", f"{report.client_cores:.2f}"),
         ("rate at half load, a second", f"{report.half_rate:.0f}"),
         ("first token through the entry p50/p95, ms", _pair(report.entry)),
@@ -164,15 +213,15 @@
 def _order(
     fleet: Fleet,
     plan: PathPlan,
+    target: str = "entry-0",
     *,
     index: int = 0,
     seconds: float | None = None,
     rate: float = 0.0,
-    direct: bool = False,
 ) -> ClientOrder:
-    address = fleet.address_of("engine-0") if direct else fleet.entries["entry-0"]
+    direct = target != "entry-0"
     return ClientOrder(
-        address=address,
+        address=_address_of(fleet, plan, target),
         token=caller_token("souk"),
         model=MODEL,
         connections=plan.connections,
@@ -216,15 +265,15 @@
     )
 
 
-def _engines_cpu(fleet: Fleet) -> float:
-    engines = [item for name, item in fleet.processes.items() if name.startswith("engine")]
-    return sum(_cpu_seconds(engine) for engine in engines)
+def _address_of(fleet: Fleet, plan: PathPlan, target: str) -> str:
+    if target == _HOP:
+        return f"{HOST}:{plan.base_port + _HOP_PORT}"
+    return fleet.entries.get(target) or fleet.address_of(target)
 
 
-def _cpu_seconds(process: Process) -> float:
-    fields = (
-        Path(f"/proc/{process.pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
-    )
+def _cpu_seconds(fleet: Fleet, name: str) -> float:
+    stat = Path(f"/proc/{fleet.processes[name].pid}/stat").read_text(encoding="ascii")
+    fields = stat.rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
--- a/testing/test_bench_path.py
+++ b/testing/test_bench_path.py
@@ -6,16 +6,19 @@
 from baobabpulley.emulator.bench_path import measure_path
 from baobabpulley.emulator.bench_path import render_report
 
-# An entry that costs more processor time than the engines it feeds has regressed.
-MAX_ENTRY_TO_ENGINES = 1.5
+# The design plans 1.2 ms of processor time for a Tornado HTTP call, both ends, which is what the
+# bare server does. The targets are 4 ms a completion (250 a second on one core, 3.3 times that) and
+# 3 ms added to the first token (2.5 times, if all of a completion's time came before it). Readings
+# lie about 1.9 however busy the machine is, so that a bound below both targets holds as well.
+MAX_ENTRY_TO_HOP = 2.2
 MAX_CLIENT_TO_ENTRY = 0.5
 
 
-async def test_entry_costs_no_more_than_the_engines_it_feeds(base_port: int) -> None:
+async def test_entry_costs_little_more_than_a_bare_server_that_forwards(base_port: int) -> None:
     plan = PathPlan(base_port=base_port, seconds=2.0, clients=2, engines=2, connections=8, seed=1)
     report = await measure_path(plan)
     assert report.failed == 0
     assert report.entry.count > 0
     assert report.direct.count > 0
-    assert report.entry_to_engines <= MAX_ENTRY_TO_ENGINES, render_report(report)
+    assert report.entry_to_hop <= MAX_ENTRY_TO_HOP, render_report(report)
     assert report.client_cores <= MAX_CLIENT_TO_ENTRY * report.entry_cores
