Name keepers by a digest in a holder's renewals, in place of all keys

Cause: each entry told each keeper of its failure domain, once a second, every key whose home that keeper is: 500 engines and 4,700 teams over 17 keepers, some 300 keys a message, and hashed all 5,200 keys over 17 keepers to find them. A renewal now names the keepers among which the holder looks for homes, by a digest once the home knows their ids; the home works out its keys once a set and once a change of the keys. Renewals to many keepers come every 1.7 s in place of 1 s, so that a holder takes part in ten exchanges a second and one lost renewal still leaves it live.

The guarantee stays: a key whose home moves here waits one expiry time.

--- a/src/baobabpulley/entry/homes.py
+++ b/src/baobabpulley/entry/homes.py
@@ -11,7 +11,7 @@
 from baobabpulley.errors import NotFound
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
-from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.policy.rendezvous import home_of
 from baobabpulley.ports.peers import Peers
 
 ASK_TIMEOUT: Final = 1.0
@@ -43,13 +43,20 @@
         """Whether no keeper of this failure domain answers."""
         return all(address in self._silent for address in self.addresses)
 
-    def home(self, key: str) -> str | None:
-        """Return the address of a key's home, or ``None`` if no keeper answers."""
+    @property
+    def choice(self) -> dict[str, str]:
+        """The keepers among which homes are looked for: addresses by id, empty if none answers."""
         for keepers in (self._view.live_keepers, self._view.keepers):
             by_id = {vm.id: vm.address for vm in keepers if vm.address not in self._silent}
             if by_id:
-                return by_id[ranked(key, by_id)[0]]
-        return None
+                return by_id
+        return {}
+
+    def home(self, key: str) -> str | None:
+        """Return the address of a key's home, or ``None`` if no keeper answers."""
+        choice = self.choice
+        found = home_of(key, choice)
+        return choice[found] if found is not None else None
 
     async def ask(self, key: str, question: msgspec.Struct, *, answer: type[A]) -> A:
         """Ask the home of a key; raise `PeerUnavailable` if no keeper answers."""
--- a/src/baobabpulley/entry/reservations.py
+++ b/src/baobabpulley/entry/reservations.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
+import random
 import secrets
+from typing import Final
 from typing import final
 
 from baobabpulley.entry.homes import Homes
@@ -25,11 +26,17 @@
 from baobabpulley.model.reservations import MemoryClaim
 from baobabpulley.model.reservations import Reservation
 from baobabpulley.policy.gang_queue import GANGS_KEY
+from baobabpulley.policy.home_keys import keepers_digest
+from baobabpulley.policy.home_keys import renewal_period
+from baobabpulley.policy.rendezvous import home_of
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import team_key
 from baobabpulley.ports.reservations import Reservations
 from baobabpulley.timers import TimerService
 
+# Share of the renewal period by which one comes earlier at most.
+JITTER: Final = 0.1
+
 
 @final
 class EntryReservations(Reservations):
@@ -39,10 +46,11 @@
         "_claims",
         "_holder",
         "_homes",
+        "_renewing",
         "_section",
         "_teams",
         "_timers",
-        "_view",
+        "_told",
     )
 
     def __init__(
@@ -56,10 +64,12 @@
     ) -> None:
         self._holder = holder
         self._homes = homes
-        self._view = view
         self._section = section
         self._timers = timers
         self._claims: dict[str, dict[str, MemoryClaim]] = {}
+        # By address: the digest of the keepers that it was told by name, and whether it is asked.
+        self._told: dict[str, int] = {}
+        self._renewing: set[str] = set()
         self._teams = TeamSpending(
             holder=holder, homes=homes, view=view, section=section, timers=timers
         )
@@ -71,8 +81,7 @@
 
     def start(self) -> None:
         """Begin to renew."""
-        self._timers.after(0.0, self._renew, name="first renewal")
-        self._timers.every(self._section.renewal, self._renew, jitter=0.1, name="renewal")
+        self._timers.after(0.0, self._renew_forever, name="renewals")
 
     async def reserve(
         self, *, request_id: str, claims: tuple[MemoryClaim, ...], waited: float, ideal: float
@@ -156,52 +165,82 @@
     async def refund(self, *, team: str, request_id: str) -> None:
         self._teams.refund(team=team, request_id=request_id)
 
-    async def _renew(self) -> None:
-        """Send each home all that it is the home of; silent keepers get it empty, as a probe."""
-        keys = self._keys()
-        addresses = self._homes.addresses
-        homes = {key: self._homes.home(key) for key in keys}
-        await asyncio.gather(
-            *(
-                self._renew_at(address, tuple(key for key in keys if homes[key] == address))
-                for address in addresses
-            )
-        )
+    async def _renew_forever(self) -> None:
+        while True:
+            addresses = self._homes.addresses
+            for address in addresses:
+                self._renew_soon(address)
+            period = renewal_period(self._section, keepers=len(addresses))
+            await self._timers.sleep(period * random.uniform(1.0 - JITTER, 1.0))
+
+    def _renew_soon(self, address: str) -> None:
+        """Renew at one keeper, also a silent one as a probe, in a task of its own."""
+        if address in self._renewing:
+            return
+        self._renewing.add(address)
 
-    def _keys(self) -> tuple[str, ...]:
-        teams = self._teams.teams.union(self._view.book.limits)
-        return (*self._view.upstreams, *(team_key(team) for team in sorted(teams)), GANGS_KEY)
+        async def renew() -> None:
+            try:
+                with contextlib.suppress(PeerUnavailable):
+                    await self._renew_at(address)
+            finally:
+                self._renewing.discard(address)
 
-    async def _renew_at(self, address: str, keys: tuple[str, ...]) -> None:
-        own = frozenset(keys)
-        teams = [team for team in self._teams.teams if team_key(team) in own]
-        renewal = HolderRenewal(
-            holder=self._holder,
-            keys=keys,
-            claims=self._held_claims(own),
-            teams=self._teams.statements(teams),
-        )
+        self._timers.after(0.0, renew, name=f"renewal at {address}")
+
+    async def _renew_at(self, address: str) -> None:
+        choice = self._homes.choice
+        homed = _Homed(choice=choice, address=address)
+        teams = [team for team in self._teams.teams if team_key(team) in homed]
+        claims = tuple(held for held in self._held_claims() if held.claim.upstream in homed)
         sent = self._timers.now()
-        try:
-            answer = await self._homes.ask_at(address, renewal, answer=HolderRenewed)
-        except PeerUnavailable:
-            return
+        answer = await self._state(address, tuple(choice), claims, teams)
+        if answer.unknown:
+            # The keeper began anew, and no longer knows which keepers the digest stands for.
+            del self._told[address]
+            answer = await self._state(address, tuple(choice), claims, teams)
         self._teams.renewed(teams, sent=sent)
         if answer.recalled:
-            await self._give_back(address, answer.recalled)
+            self._teams.give_back(answer.recalled)
+            await self._state(address, tuple(choice), (), list(answer.recalled))
 
-    async def _give_back(self, address: str, teams: tuple[str, ...]) -> None:
-        self._teams.give_back(teams)
+    async def _state(
+        self,
+        address: str,
+        keepers: tuple[str, ...],
+        claims: tuple[HeldClaim, ...],
+        teams: list[str],
+    ) -> HolderRenewed:
+        digest = keepers_digest(keepers)
         renewal = HolderRenewal(
-            holder=self._holder, keys=(), claims=(), teams=self._teams.statements(teams)
+            holder=self._holder,
+            digest=digest,
+            claims=claims,
+            teams=self._teams.statements(teams),
+            keepers=keepers if self._told.get(address) != digest else (),
         )
-        with contextlib.suppress(PeerUnavailable):
-            await self._homes.ask_at(address, renewal, answer=HolderRenewed)
+        answer = await self._homes.ask_at(address, renewal, answer=HolderRenewed)
+        self._told[address] = digest
+        return answer
 
-    def _held_claims(self, upstreams: frozenset[str]) -> tuple[HeldClaim, ...]:
+    def _held_claims(self) -> tuple[HeldClaim, ...]:
         return tuple(
             HeldClaim(reservation=reservation, claim=claim)
             for reservation, claims in self._claims.items()
             for claim in claims.values()
-            if claim.upstream in upstreams
         )
+
+
+@final
+class _Homed:
+    """The keys whose home is at one address."""
+
+    __slots__ = ("_address", "_choice")
+
+    def __init__(self, *, choice: dict[str, str], address: str) -> None:
+        self._choice = choice
+        self._address = address
+
+    def __contains__(self, key: str) -> bool:
+        home = home_of(key, self._choice)
+        return home is not None and self._choice[home] == self._address
--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -22,6 +22,9 @@
 from baobabpulley.model.reservation_messages import TeamAsk
 from baobabpulley.policy.gang_queue import GangQueue
 from baobabpulley.policy.handover import Handover
+from baobabpulley.policy.home_keys import HomeKeys
+from baobabpulley.policy.home_keys import KnownKeys
+from baobabpulley.policy.home_keys import stated_keys
 from baobabpulley.policy.reservation_book import MemoryBook
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import TeamBook
@@ -34,7 +37,17 @@
 class ReservationKeeper(KeeperPart):
     """Answer questions and renewals for the keys that holders take this keeper for the home of."""
 
-    __slots__ = ("_context", "_gangs", "_handover", "_holders", "_memory", "_section", "_teams")
+    __slots__ = (
+        "_context",
+        "_gangs",
+        "_handover",
+        "_holders",
+        "_home_keys",
+        "_known",
+        "_memory",
+        "_section",
+        "_teams",
+    )
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
@@ -44,6 +57,8 @@
         self._teams = TeamBook(section=self._section, handover=self._handover)
         self._gangs = GangQueue(section=self._section, handover=self._handover)
         self._holders: dict[str, float] = {}
+        self._home_keys = HomeKeys(own=context.node.vm, expiry=self._section.expiry)
+        self._known = KnownKeys(view=context.view)
 
     async def start(self) -> None:
         peers = self._context.peers
@@ -62,7 +77,12 @@
         del sender
         assert isinstance(message, HolderRenewal)
         now = self._hear(message.holder)
-        for key in message.keys:
+        if message.keepers:
+            self._home_keys.learn(message.keepers)
+        if not self._home_keys.knows(message.digest):
+            return HolderRenewed(unknown=True)
+        due = self._home_keys.due(message.digest, known=self._known.keys, now=now)
+        for key in (*due, *stated_keys(message)):
             self._handover.hear(key, now=now)
         for held in message.claims:
             self._memory.renew(message.holder, held, now=now)
--- a/src/baobabpulley/model/reservation_messages.py
+++ b/src/baobabpulley/model/reservation_messages.py
@@ -39,14 +39,14 @@
     upstreams: tuple[str, ...]
 
 
-class HeldClaim(msgspec.Struct, frozen=True):
+class HeldClaim(msgspec.Struct, frozen=True, array_like=True):
     """Memory that a holder was granted."""
 
     reservation: str
     claim: MemoryClaim
 
 
-class TeamHold(msgspec.Struct, frozen=True):
+class TeamHold(msgspec.Struct, frozen=True, array_like=True):
     """What a holder may spend of a team's tokens in flight, and how much of it is in use.
 
     ``version`` grows with each question about the team, so that an older message is known.
@@ -59,20 +59,29 @@
 
 
 @peer_message("holder.renewal")
-class HolderRenewal(msgspec.Struct, frozen=True):
-    """All that a holder has of one home keeper; ``keys`` are all whose home it takes it for."""
+class HolderRenewal(msgspec.Struct, frozen=True, array_like=True):
+    """All that a holder has of one home keeper.
+
+    ``digest`` is that of the keepers among which it looks for homes, and ``keepers`` are their
+    ids, which may be left out once the home knows them.
+    """
 
     holder: str
-    keys: tuple[str, ...]
-    claims: tuple[HeldClaim, ...]
-    teams: tuple[TeamHold, ...]
+    digest: int
+    claims: tuple[HeldClaim, ...] = ()
+    teams: tuple[TeamHold, ...] = ()
+    keepers: tuple[str, ...] = ()
 
 
 @peer_message("holder.renewed")
-class HolderRenewed(msgspec.Struct, frozen=True):
-    """The answer to a renewal: teams of which unused tokens are wanted back."""
+class HolderRenewed(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to a renewal: teams of which unused tokens are wanted back.
+
+    ``unknown`` says that the home cannot tell which keepers the digest stands for.
+    """
 
     recalled: tuple[str, ...] = ()
+    unknown: bool = False
 
 
 @peer_message("team.ask")
--- /dev/null
+++ b/testing/test_home_keys.py
@@ -0,0 +1,164 @@
+"""A home works out its keys from the keepers that a holder names, and the holder's renewals."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from keeper_builders import make_keeper
+from test_reservation_books import load_view
+
+from baobabpulley.entry.homes import Homes
+from baobabpulley.entry.reservations import EntryReservations
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.reservation_messages import HolderRenewal
+from baobabpulley.model.reservation_messages import HolderRenewed
+from baobabpulley.model.reservation_messages import MemoryAnswer
+from baobabpulley.model.reservation_messages import MemoryAsk
+from baobabpulley.model.reservations import MemoryClaim
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.home_keys import keepers_digest
+from baobabpulley.policy.rendezvous import home_of
+from baobabpulley.policy.reservation_book import ReservationsSection
+from baobabpulley.ports.peers import Handler
+from baobabpulley.timers import ManualTimers
+
+pytestmark = pytest.mark.asyncio
+
+SECTION = ReservationsSection()
+ALL = ("vm-0", "vm-1", "vm-2")
+WITHOUT_2 = ("vm-0", "vm-1")
+ENGINES = tuple(f"engine-{index}" for index in range(20))
+OWN = next(name for name in ENGINES if home_of(name, ALL) == "vm-1")
+INHERITED = next(
+    name for name in ENGINES if home_of(name, ALL) == "vm-2" and home_of(name, WITHOUT_2) == "vm-1"
+)
+
+
+def vms(count: int) -> tuple[Vm, ...]:
+    entries = [
+        Vm(id=f"vm-{n}", role="entry", failure_domain="fes", address=f"127.0.0.1:{n + 1}")
+        for n in range(count)
+    ]
+    engines = [
+        Vm(id=id, role="upstream", failure_domain="fes", address="127.0.0.1:9", service="kitchen")
+        for id in ENGINES
+    ]
+    return (*entries, *engines)
+
+
+class Peers:
+    """One keeper, which gets all questions; counts renewals by address and by what they name."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[type[msgspec.Struct], Handler] = {}
+        self.asked: Counter[str] = Counter()
+        self.named = 0
+
+    def answer(self, kind: type[msgspec.Struct], handler: Handler) -> None:
+        self.handlers[kind] = handler
+
+    async def ask(self, address: str, question: msgspec.Struct, **_: object) -> Any:
+        self.asked[address] += 1
+        self.named += isinstance(question, HolderRenewal) and bool(question.keepers)
+        return await self.handlers[type(question)](question, "entry-0")
+
+
+class World:
+    """The keeper of vm-1, just started, on a clock that the test moves."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.timers = ManualTimers()
+        self.peers = Peers()
+
+    async def start_keeper(self) -> KeeperContext:
+        keeper = make_keeper(
+            self.directory, vm="vm-1", domain="fes", address="127.0.0.1:9", speed=1.0
+        )
+        keeper.timers = self.timers
+        keeper.peers = self.peers  # type: ignore[assignment]
+        keeper.view.set_vms(vms(3))
+        await keeper.parts["reservations"].start()
+        return keeper
+
+    async def renew(self, keepers: tuple[str, ...], *, named: bool = False) -> HolderRenewed:
+        names = keepers if named else ()
+        renewal = HolderRenewal("holder", keepers_digest(keepers), keepers=names)
+        return await self.peers.ask("", renewal)
+
+    async def renew_for(self, seconds: float, keepers: tuple[str, ...]) -> None:
+        await self.renew(keepers, named=True)
+        for _ in range(round(seconds)):
+            await self.timers.advance(1.0)
+            await self.renew(keepers)
+
+    async def ask(self, keeper: KeeperContext, upstream: str) -> MemoryAnswer:
+        keeper.view.loads[upstream] = load_view(upstream, taken=self.timers.now())
+        claim = MemoryClaim(upstream=upstream, tokens=1)
+        question = MemoryAsk(holder="holder", reservation=upstream, claim=claim, gang=False)
+        return await self.peers.ask("", question)
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> World:
+    return World(tmp_path)
+
+
+async def test_home_of_a_key_under_the_named_keepers_grants_after_one_expiry(world: World) -> None:
+    keeper = await world.start_keeper()
+    await world.renew_for(SECTION.expiry - 1.0, ALL)
+    assert not (await world.ask(keeper, OWN)).granted
+    await world.renew_for(2.0, ALL)
+    assert (await world.ask(keeper, OWN)).granted
+
+
+async def test_key_that_moves_here_with_a_named_set_waits_one_expiry(world: World) -> None:
+    keeper = await world.start_keeper()
+    await world.renew_for(3 * SECTION.expiry, ALL)
+    await world.renew(WITHOUT_2, named=True)
+    assert not (await world.ask(keeper, INHERITED)).granted
+    assert (await world.ask(keeper, OWN)).granted
+    await world.renew_for(SECTION.expiry - 1.0, WITHOUT_2)
+    assert not (await world.ask(keeper, INHERITED)).granted
+    await world.renew_for(2.0, WITHOUT_2)
+    assert (await world.ask(keeper, INHERITED)).granted
+
+
+async def test_digest_of_unknown_keepers_makes_no_home(world: World) -> None:
+    keeper = await world.start_keeper()
+    for _ in range(8):
+        assert (await world.renew(ALL)).unknown
+        await world.timers.advance(1.0)
+    assert not (await world.ask(keeper, OWN)).granted
+
+
+async def test_holder_names_the_keepers_once_and_again_to_one_that_began_anew(
+    world: World,
+) -> None:
+    reservations = make_reservations(world, keepers=17)
+    await world.start_keeper()
+    reservations.start()
+    await world.timers.advance(10 * SECTION.expiry)
+    assert world.peers.named == 17
+    # One lost renewal must not make a holder look dead, nor a home look new.
+    assert min(world.peers.asked.values()) >= 2 * 10 + 1
+    # It takes part in some ten exchanges a second however many keepers there are.
+    assert world.peers.asked.total() <= 1.2 * 10 * SECTION.expiry * 10
+    await world.start_keeper()
+    await world.timers.advance(SECTION.expiry)
+    assert world.peers.named == 17 + 1
+
+
+def make_reservations(world: World, *, keepers: int) -> EntryReservations:
+    view = FleetView(failure_domain="fes")
+    view.set_vms(vms(keepers))
+    view.set_live_keepers(tuple(vm.id for vm in view.keepers))
+    homes = Homes(peers=world.peers, view=view)  # type: ignore[arg-type]
+    return EntryReservations(
+        holder="holder", homes=homes, view=view, section=SECTION, timers=world.timers
+    )
