Let the watching keepers read the VM list and relay its rows

Cause: each of 340 keepers read the platform's list once a second, and at each change all 10,340 rows. The keepers that hold the watch on the settings now read it; the others, which pull settings from them each second anyway, give the digest of the rows that they hold and get the changed rows of their failure domain with the answer. A keeper that has heard of no list read within 3 s reads it itself, and a list that was read earlier than the one held is not taken.

--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -38,6 +38,7 @@
 _PART_MODULES: Final = (
     "settings_watch",
     "relay",
+    "vm_relay",
     "changes",
     "fleet_state",
     "membership",
--- a/src/baobabpulley/keeper/fleet_state.py
+++ b/src/baobabpulley/keeper/fleet_state.py
@@ -11,6 +11,7 @@
 import contextlib
 import random
 from typing import Final
+from typing import cast
 from typing import final
 
 import msgspec
@@ -21,6 +22,8 @@
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
 from baobabpulley.keeper.membership import HeartbeatMembership
+from baobabpulley.keeper.relay import SettingsRelay
+from baobabpulley.keeper.vm_relay import vm_relay_of
 from baobabpulley.model.messages import FleetQuestion
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.rendezvous import home_of
@@ -123,8 +126,9 @@
 
     async def _read_list(self) -> None:
         # The last list stays in force while the platform does not answer.
+        relay = cast(SettingsRelay, self._context.parts["settings_relay"])
         with contextlib.suppress(StoreUnavailable):
-            self._context.view.set_vms(await self._context.vm_list.read())
+            await vm_relay_of(self._context).follow(watches=relay.watches)
 
     def _share_engines(self) -> None:
         """Follow the engines that are this keeper's to collect from, and no others."""
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -20,9 +20,11 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.vm_relay import vm_relay_of
 from baobabpulley.model.settings_messages import DomainCapacity
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
+from baobabpulley.model.settings_messages import VmChanges
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.policy.relays import relays
@@ -109,6 +111,8 @@
         self._capacity.hear(news.capacities)
         book.install(news.entries, revision=news.revision, since=news.since)
         book.raise_limits(news.limits)
+        if news.vms is not None:
+            vm_relay_of(self._context).hear(news.vms)
 
     async def _join(self) -> None:
         # All reachable peers, not one: a single one may itself have been cut off for long.
@@ -137,7 +141,11 @@
         book = self._context.view.book
         more = True
         while more:
-            question = SettingsQuestion(revision=book.revision, capacity=self._capacity.own)
+            question = SettingsQuestion(
+                revision=book.revision,
+                capacity=self._capacity.own,
+                vms=vm_relay_of(self._context).digest,
+            )
             news = await self._context.peers.ask(
                 address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
             )
@@ -156,10 +164,18 @@
             return self._news(message.revision)
         self._capacity.hear((asker,))
         own_domain = asker.failure_domain == self._context.node.failure_domain
-        known = self._capacity.domains if own_domain else (self._capacity.own,)
-        return self._news(message.revision, capacities=known)
-
-    def _news(self, since: int, *, capacities: tuple[DomainCapacity, ...] = ()) -> SettingsNews:
+        if not own_domain:
+            return self._news(message.revision, capacities=(self._capacity.own,))
+        vms = vm_relay_of(self._context).answer(message.vms)
+        return self._news(message.revision, capacities=self._capacity.domains, vms=vms)
+
+    def _news(
+        self,
+        since: int,
+        *,
+        capacities: tuple[DomainCapacity, ...] = (),
+        vms: VmChanges | None = None,
+    ) -> SettingsNews:
         book = self._context.view.book
         page = book.page(since)
         return SettingsNews(
@@ -169,6 +185,7 @@
             limits=book.limits_beyond_entries,
             more=page.more,
             capacities=capacities,
+            vms=vms,
         )
 
     def _publish(self, before: int) -> None:
--- /dev/null
+++ b/src/baobabpulley/keeper/vm_relay.py
@@ -0,0 +1,122 @@
+"""Who reads the platform's VM list, and how its rows reach the other keepers.
+
+The keepers that hold the watch on the settings read the list. The others pull settings from them
+and get with each answer the rows that changed. A keeper to which nobody relays a list that was
+read of late reads it itself.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+from typing import cast
+from typing import final
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.model.settings_messages import VmChanges
+from baobabpulley.model.upstreams import Vm
+
+# Model seconds since somebody read the list after which a keeper reads it itself.
+RELAYED_WITHIN: Final = 3.0
+MAX_VERSIONS: Final = 16
+
+Rows = dict[str, Vm]
+
+
+@keeper_parts.register("vm_relay")
+@final
+class VmRelay(KeeperPart):
+    """The rows that matter in this failure domain: its upstreams, and the entry VMs of all."""
+
+    __slots__ = ("_context", "_digest", "_last", "_read_at", "_versions")
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._digest = 0
+        self._last: tuple[Vm, ...] | None = None
+        self._read_at = float("-inf")
+        self._versions: OrderedDict[int, Rows] = OrderedDict()
+
+    async def start(self) -> None:
+        return
+
+    @property
+    def digest(self) -> int:
+        """Digest of the rows held, 0 without any."""
+        return self._digest
+
+    @property
+    def age(self) -> float:
+        """Model seconds since the list was read, here or where it was relayed from."""
+        return self._context.timers.now() - self._read_at
+
+    async def follow(self, *, watches: bool) -> None:
+        """Read the list if that is for this keeper to do now; raise `StoreUnavailable`.
+
+        ``watches`` says that this keeper is one of those that read it for all.
+        """
+        if not watches and self.age <= RELAYED_WITHIN:
+            return
+        # Of the time before the answer, as the list may be as old as that.
+        asked = self._context.timers.now()
+        self._install(await self._context.vm_list.read(), read_at=asked)
+
+    def _install(self, rows: tuple[Vm, ...], *, read_at: float) -> None:
+        if read_at <= self._read_at:
+            return
+        self._read_at = read_at
+        if rows is self._last:
+            return
+        domain = self._context.node.failure_domain
+        self._set({vm.id: vm for vm in rows if vm.role == "entry" or vm.failure_domain == domain})
+        self._last = rows
+
+    def answer(self, known: int) -> VmChanges | None:
+        """Return what a keeper of this failure domain lacks that holds the rows ``known``."""
+        if not self._digest:
+            return None
+        if known == self._digest:
+            return VmChanges(digest=known, since=known, age=self.age)
+        rows, before = self._versions[self._digest], self._versions.get(known)
+        if before is None:
+            return VmChanges(digest=self._digest, age=self.age, rows=tuple(rows.values()))
+        return VmChanges(
+            digest=self._digest,
+            since=known,
+            age=self.age,
+            rows=tuple(vm for id, vm in rows.items() if before.get(id) != vm),
+            gone=tuple(id for id in before if id not in rows),
+        )
+
+    def hear(self, changes: VmChanges) -> None:
+        """Take over what a peer relays if it was read later than what is held."""
+        read_at = self._context.timers.now() - changes.age
+        if read_at <= self._read_at or changes.since not in (0, self._digest):
+            return
+        if changes.digest != self._digest:
+            rows = dict(self._versions[self._digest]) if changes.since else {}
+            rows.update((vm.id, vm) for vm in changes.rows)
+            for id in changes.gone:
+                rows.pop(id, None)
+            self._set(rows)
+        self._read_at = read_at
+
+    def _set(self, rows: Rows) -> None:
+        ordered = {id: rows[id] for id in sorted(rows)}
+        self._last = None
+        self._digest = xxh3_64_intdigest(msgspec.msgpack.encode(ordered)) or 1
+        self._versions[self._digest] = ordered
+        self._versions.move_to_end(self._digest)
+        while len(self._versions) > MAX_VERSIONS:
+            self._versions.popitem(last=False)
+        self._context.view.set_vms(tuple(ordered.values()))
+
+
+def vm_relay_of(context: KeeperContext) -> VmRelay:
+    """Return the part of a keeper."""
+    return cast(VmRelay, context.parts["vm_relay"])
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -8,6 +8,7 @@
 
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.limits import Limit
+from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.peers import peer_message
 from baobabpulley.settings import Name
 
@@ -23,12 +24,29 @@
     age: float = 0.0
 
 
+class VmChanges(msgspec.Struct, frozen=True, array_like=True):
+    """How the rows of a VM list became those of ``digest``; ``since`` 0 gives all of them.
+
+    ``age`` is the model seconds since the platform was asked for the list.
+    """
+
+    digest: int
+    since: int = 0
+    age: float = 0.0
+    rows: tuple[Vm, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 @peer_message("settings.question")
 class SettingsQuestion(msgspec.Struct, frozen=True):
-    """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it."""
+    """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it.
+
+    ``vms`` is the digest of the rows of the VM list that it holds.
+    """
 
     revision: int
     capacity: DomainCapacity | None = None
+    vms: int = 0
 
 
 @peer_message("settings.news")
@@ -36,7 +54,8 @@
     """Settings complete from ``since`` to ``revision``; ``more`` if a repeat brings later ones.
 
     ``limits`` are in force beyond what the entries tell. ``capacities`` are those of all failure
-    domains for a keeper of the own one, and else that of the own one.
+    domains for a keeper of the own one, and else that of the own one. ``vms`` are for a keeper of
+    the own one too.
     """
 
     since: int
@@ -45,6 +64,7 @@
     limits: dict[str, Limit] = {}
     more: bool = False
     capacities: tuple[DomainCapacity, ...] = ()
+    vms: VmChanges | None = None
 
 
 @peer_message("settings.raise")
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -34,7 +34,7 @@
 from baobabpulley.settings import Settings
 from baobabpulley.timers import ManualTimers
 
-PARTS = ("settings_relay", "settings_watch", "settings_changes")
+PARTS = ("vm_relay", "settings_relay", "settings_watch", "settings_changes")
 assert changes and settings_watch
 
 
--- /dev/null
+++ b/testing/test_vm_relay.py
@@ -0,0 +1,189 @@
+"""The VM list reaches all keepers of a failure domain, though two of them read it."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import msgspec
+import pytest
+import pytest_asyncio
+from settings_cluster import Cluster
+from settings_cluster import Member
+
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.keeper.relay import SettingsRelay
+from baobabpulley.keeper.vm_relay import vm_relay_of
+from baobabpulley.model.settings_messages import VmChanges
+from baobabpulley.model.upstreams import LEAVING
+from baobabpulley.model.upstreams import Vm
+from baobabpulley.ports.vm_list import VmList
+
+KEEPERS = 6
+READ_PERIOD = 1.0
+# A read and a pull, a second each, with their jitter.
+TOLD_WITHIN = 2.5
+TOLD_WITHIN_ALONE = 5.0
+
+pytestmark = pytest.mark.asyncio
+
+
+class ListedVms(VmList):
+    """The platform's list as one keeper reads it; counts the reads."""
+
+    def __init__(self, rows: dict[str, Vm], reads: Counter[str], name: str) -> None:
+        self.rows = rows
+        self.reads = reads
+        self.name = name
+        self.down = False
+
+    async def read(self) -> tuple[Vm, ...]:
+        self.reads[self.name] += 1
+        if self.down:
+            raise StoreUnavailable("the list does not answer")
+        return tuple(self.rows.values())
+
+
+class Readers:
+    """A failure domain whose keepers follow the list."""
+
+    def __init__(self) -> None:
+        self.cluster = Cluster(keepers={"fes": KEEPERS, "meknes": 1})
+        self.rows: dict[str, Vm] = {vm.id: vm for vm in self.cluster.vms}
+        self.reads: Counter[str] = Counter()
+        self.lists: dict[str, ListedVms] = {}
+
+    @property
+    def keepers(self) -> dict[str, Member]:
+        members = self.cluster.members.items()
+        return {name: member for name, member in members if name.startswith("keeper-fes")}
+
+    @property
+    def watching(self) -> list[str]:
+        return [name for name, member in self.keepers.items() if relay_of(member).watches]
+
+    async def start(self) -> None:
+        for index in range(20):
+            self.put(f"engine-{index}")
+        await self.cluster.start()
+        for name, member in self.keepers.items():
+            assert member.context is not None
+            listed = ListedVms(self.rows, self.reads, name)
+            self.lists[name] = member.context.vm_list = listed
+            self.follow(member)
+        await self.cluster.advance(5.0)
+        assert self.lacking() == []
+
+    def follow(self, member: Member) -> None:
+        context = member.context
+        assert context is not None
+
+        async def follow() -> None:
+            with contextlib.suppress(StoreUnavailable):
+                await vm_relay_of(context).follow(watches=relay_of(member).watches)
+
+        context.timers.every(READ_PERIOD, follow, jitter=0.2)
+
+    def put(self, id: str, *, state: str = "live") -> None:
+        self.rows[id] = Vm(id, "upstream", "fes", "127.0.0.1:9", "kitchen", state)
+
+    def lacking(self, *, frozen: str = "") -> list[str]:
+        """Return the keepers whose upstreams are not those of the list."""
+        listed = {vm.id: vm.state for vm in self.rows.values() if vm.role == "upstream"}
+        return [
+            name
+            for name, member in self.keepers.items()
+            if name != frozen
+            and {id: vm.state for id, vm in member.view.upstreams.items()} != listed
+        ]
+
+    async def change(self) -> None:
+        self.put("engine-3", state=LEAVING)
+        self.put("engine-new")
+        del self.rows["engine-7"]
+
+
+def relay_of(member: Member) -> SettingsRelay:
+    assert member.context is not None
+    part = member.context.parts["settings_relay"]
+    assert isinstance(part, SettingsRelay)
+    return part
+
+
+@pytest_asyncio.fixture
+async def readers() -> AsyncIterator[Readers]:
+    running = Readers()
+    await running.start()
+    yield running
+    for name in tuple(running.cluster.members):
+        running.cluster.kill(name)
+
+
+async def test_two_keepers_read_the_list_for_all(readers: Readers) -> None:
+    readers.reads.clear()
+    await readers.change()
+    await readers.cluster.advance(TOLD_WITHIN)
+    assert readers.lacking() == []
+    await readers.cluster.advance(10.0)
+    assert sorted(readers.reads) == sorted(readers.watching)
+    assert len(readers.reads) == 2
+
+
+async def test_change_passes_killed_readers(readers: Readers) -> None:
+    for name in readers.watching:
+        readers.cluster.kill(name)
+    await readers.change()
+    await readers.cluster.advance(TOLD_WITHIN_ALONE)
+    assert readers.lacking() == []
+
+
+async def test_keepers_read_for_themselves_while_the_readers_are_cut_off(readers: Readers) -> None:
+    for name in readers.watching:
+        readers.lists[name].down = True
+    await readers.change()
+    await readers.cluster.advance(TOLD_WITHIN_ALONE)
+    # The readers themselves get the list back from those that can read it, or not at all.
+    assert set(readers.lacking()) <= set(readers.watching)
+
+
+async def test_list_stays_while_the_platform_is_down_and_follows_after_it(readers: Readers) -> None:
+    for listed in readers.lists.values():
+        listed.down = True
+    before = {name: dict(member.view.upstreams) for name, member in readers.keepers.items()}
+    await readers.change()
+    await readers.cluster.advance(20.0)
+    assert {name: member.view.upstreams for name, member in readers.keepers.items()} == before
+    for listed in readers.lists.values():
+        listed.down = False
+    await readers.cluster.advance(TOLD_WITHIN_ALONE)
+    assert readers.lacking() == []
+
+
+async def test_list_read_earlier_takes_nobody_back(readers: Readers) -> None:
+    name, member = next(iter(readers.keepers.items()))
+    assert member.context is not None
+    relay = vm_relay_of(member.context)
+    old = relay.answer(0)
+    assert old is not None
+    await readers.change()
+    await readers.cluster.advance(TOLD_WITHIN)
+    late = msgspec.structs.replace(old, age=old.age + TOLD_WITHIN)
+    relay.hear(late)
+    assert name not in readers.lacking()
+
+
+async def test_only_changed_rows_are_relayed(readers: Readers) -> None:
+    member = next(iter(readers.keepers.values()))
+    assert member.context is not None
+    relay = vm_relay_of(member.context)
+    known = relay.digest
+    await readers.change()
+    await readers.cluster.advance(TOLD_WITHIN)
+    changes = relay.answer(known)
+    assert changes is not None and changes.since == known
+    assert sorted(vm.id for vm in changes.rows) == ["engine-3", "engine-new"]
+    assert changes.gone == ("engine-7",)
+    assert relay.answer(relay.digest) == VmChanges(
+        digest=relay.digest, since=relay.digest, age=relay.age
+    )
