--- a/src/baobabpulley/entry/reservations.py
+++ b/src/baobabpulley/entry/reservations.py
@@ -83,10 +83,7 @@
         """Begin to renew."""
         self._timers.after(0.0, self._renew_forever, name="renewals")
 
-    async def reserve(
-        self, *, request_id: str, claims: tuple[MemoryClaim, ...], waited: float, ideal: float
-    ) -> Reservation:
-        del waited, ideal
+    async def reserve(self, *, request_id: str, claims: tuple[MemoryClaim, ...]) -> Reservation:
         reservation = Reservation(
             id=f"{request_id}.{secrets.token_hex(4)}",
             holder=self._holder,
--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-from typing import Final
 from typing import final
 
 import msgspec
@@ -22,6 +21,7 @@
 from baobabpulley.model.reservation_messages import TeamAsk
 from baobabpulley.policy.gang_queue import GangQueue
 from baobabpulley.policy.handover import Handover
+from baobabpulley.policy.holders import Holders
 from baobabpulley.policy.home_keys import HomeKeys
 from baobabpulley.policy.home_keys import KnownKeys
 from baobabpulley.policy.home_keys import stated_keys
@@ -29,8 +29,6 @@
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import TeamBook
 
-FORGET_HOLDER: Final = 60.0
-
 
 @keeper_parts.register("reservations")
 @final
@@ -56,10 +54,15 @@
         self._memory = MemoryBook(section=self._section, handover=self._handover)
         self._teams = TeamBook(section=self._section, handover=self._handover)
         self._gangs = GangQueue(section=self._section, handover=self._handover)
-        self._holders: dict[str, float] = {}
+        self._holders = Holders(expiry=self._section.expiry)
         self._home_keys = HomeKeys(own=context.node.vm, expiry=self._section.expiry)
         self._known = KnownKeys(view=context.view)
 
+    @property
+    def holders(self) -> Holders:
+        """Which holders are live."""
+        return self._holders
+
     async def start(self) -> None:
         peers = self._context.peers
         peers.answer(HolderRenewal, self._renew)
@@ -68,11 +71,6 @@
         peers.answer(TeamAsk, self._ask_team)
         peers.answer(GangTurnAsk, self._ask_turn)
 
-    def is_live(self, holder: str) -> bool:
-        """Whether a holder has been heard within one expiry time."""
-        heard = self._holders.get(holder)
-        return heard is not None and self._context.timers.now() - heard <= self._section.expiry
-
     async def _renew(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, HolderRenewal)
@@ -136,7 +134,5 @@
 
     def _hear(self, holder: str) -> float:
         now = self._context.timers.now()
-        self._holders[holder] = now
-        for name in [name for name, heard in self._holders.items() if now - heard > FORGET_HOLDER]:
-            del self._holders[name]
+        self._holders.hear(holder, now=now)
         return now
