Let all listeners of a process share one subscription

Cause: an entry listened twice to its keeper's news, with a socket each, and the second copy of each message was dropped as a replay, so that either the placer or the settings lost it (seen as 'a message was replayed' in an entry's log). test_each_listener_of_a_process_hears_each_message failed before: {'second'} in place of both.

--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -50,6 +50,17 @@
     retry_after: float | None = None
 
 
+@final
+class _Subscription:
+    """What a process that publishes sends here, and who listens."""
+
+    __slots__ = ("listeners", "socket")
+
+    def __init__(self, *, socket: pynng.Sub0, listeners: tuple[Listener, ...]) -> None:
+        self.socket = socket
+        self.listeners = listeners
+
+
 @final
 class PynngPeers(Peers):
     """Sockets of one process.
@@ -92,7 +103,7 @@
         self._asking: dict[str, pynng.Req0] = {}
         self._contexts: set[pynng.Context] = set()
         self._sockets: list[pynng.Socket] = []
-        self._listening: dict[tuple[str, Listener], pynng.Sub0] = {}
+        self._listening: dict[str, _Subscription] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
@@ -159,15 +170,25 @@
             self._publisher.send(sealed.data, block=False)
 
     def subscribe(self, address: str, listener: Listener) -> None:
+        # One socket for all listeners: a message that came over a second one would be a replay.
         self.unsubscribe(address, listener)
+        before = self._listening.get(address)
+        others = before.listeners if before is not None else ()
+        if before is not None:
+            before.socket.close()
         socket = _dial(pynng.Sub0(topics=b""), _publish_address(address))
-        self._listening[address, listener] = socket
-        self._run(self._listen_forever(socket, listener))
+        subscription = _Subscription(socket=socket, listeners=(*others, listener))
+        self._listening[address] = subscription
+        self._run(self._listen_forever(subscription))
 
     def unsubscribe(self, address: str, listener: Listener) -> None:
-        socket = self._listening.pop((address, listener), None)
-        if socket is not None:
-            socket.close()
+        subscription = self._listening.get(address)
+        if subscription is None:
+            return
+        subscription.listeners = tuple(one for one in subscription.listeners if one != listener)
+        if not subscription.listeners:
+            del self._listening[address]
+            subscription.socket.close()
 
     def close(self) -> None:
         for task in tuple(self._tasks):
@@ -175,8 +196,10 @@
         # A context must be closed before its socket: pynng raises afterwards, also on collection.
         for context in tuple(self._contexts):
             self._close_context(context)
-        for socket in [*self._sockets, *self._asking.values(), *self._listening.values()]:
+        for socket in [*self._sockets, *self._asking.values()]:
             socket.close()
+        for subscription in self._listening.values():
+            subscription.socket.close()
         self._asking.clear()
         self._listening.clear()
 
@@ -248,10 +271,10 @@
                 code="internal", message="the peer failed", remedy=BaobabError.default_remedy
             )
 
-    async def _listen_forever(self, socket: pynng.Sub0, listener: Listener) -> None:
+    async def _listen_forever(self, subscription: _Subscription) -> None:
         while True:
             try:
-                data = await socket.arecv()
+                data = await subscription.socket.arecv()
                 opened = self._sealer.open(data, receiver=EVERYONE)
             except pynng.Closed:
                 return
@@ -259,7 +282,8 @@
                 self._reject(error)
                 continue
             self.traffic[kind_of(opened.message)].received += len(data)
-            listener(opened.message, opened.sender)
+            for listener in subscription.listeners:
+                listener(opened.message, opened.sender)
 
 
 def _raise_cancellation() -> None:
--- a/testing/test_envelope.py
+++ b/testing/test_envelope.py
@@ -23,6 +23,7 @@
 from baobabpulley.settings import PeersSection
 from baobabpulley.timers import TimerService
 
+WAIT_SECONDS: Final = 20.0
 SECRET: Final = "a-secret-for-tests-only"
 OTHER_SECRET: Final = "another-secret-of-a-fleet"
 RECEIVER: Final = "127.0.0.1:1"
@@ -137,3 +138,20 @@
         await stranger.ask(f"127.0.0.1:{base_port + 900}", Done(), answer=Done, timeout=0.3)
     assert answering.rejected == 1
     stranger.close()
+
+
+async def test_each_listener_of_a_process_hears_each_message(
+    answering: PynngPeers, base_port: int
+) -> None:
+    address = f"127.0.0.1:{base_port + 900}"
+    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
+    heard: list[str] = []
+    friend.subscribe(address, lambda message, sender: heard.append("first"))
+    friend.subscribe(address, lambda message, sender: heard.append("second"))
+    async with asyncio.timeout(WAIT_SECONDS):
+        while len(heard) < 2:
+            answering.publish(Done())
+            await asyncio.sleep(0.02)
+    assert set(heard) == {"first", "second"}
+    assert friend.rejected == 0
+    friend.close()
