Bound what the relay of settings and the audit of engines send

Cause: control_bytes was shared out as if heartbeats and loads were all. Each keeper now takes off what its other parts send: exchanges of settings, renewals of holders, states read anew. - Keepers asked both watching keepers each second; they ask one in turn, and the other at once if it does not answer. The capacity of all failure domains came with each answer; it comes with one in eight. - The holder of the orders' lease read all engines anew in one burst each 60 s; it reads two a second at most, those read longest ago first, so 500 engines within 310 s. - The view sorted all entry VMs at each question for its keepers; it keeps them sorted.

Seen to fail with the guard off in test_control_cost: no bound on audits, all failure domains asked, both watching keepers asked, nothing taken off.

--- a/src/baobabpulley/emulator/bench_control.py
+++ b/src/baobabpulley/emulator/bench_control.py
@@ -31,6 +31,8 @@
 # Past the ports that a fleet's own processes take.
 FIRST_ENGINE_PORT: Final = 1_000
 ENGINES_OF_A_PROCESS: Final = 125
+# All processes begin at once, and each asks all others for all settings.
+READY_TIMEOUT: Final = 60.0
 # Questions and news between an entry and the keeper of its own VM, which stay on the VM.
 WITHIN_A_VM: Final = frozenset({"fleet.question", "cache.news"})
 LIMIT: Final = Limit(1_000_000, 4_000_000)
@@ -180,7 +182,7 @@
         await fleet.start_daemons(*kinds)
         await asyncio.gather(
             *(
-                fleet.wait_for(_http(fleet, kind, index), "/readyz")
+                fleet.wait_for(_http(fleet, kind, index), "/readyz", timeout=READY_TIMEOUT)
                 for kind in kinds
                 for index in range(case.keepers)
             )
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -212,9 +212,9 @@
             raise BaobabError(f"{address}{path} answered {status}: {answer[:200]!r}")
         return msgspec.json.decode(answer)
 
-    async def wait_for(self, address: str, path: str) -> None:
+    async def wait_for(self, address: str, path: str, *, timeout: float = START_TIMEOUT) -> None:
         """Wait until a process answers with success."""
-        end = time.monotonic() + START_TIMEOUT
+        end = time.monotonic() + timeout
         while True:
             try:
                 await self.request(address, "GET", path)
--- a/src/baobabpulley/keeper/context.py
+++ b/src/baobabpulley/keeper/context.py
@@ -85,6 +85,11 @@
     def __init__(self, context: KeeperContext) -> None:
         """Take what it needs from the context; start nothing yet."""
 
+    @property
+    def bytes_a_second(self) -> float:
+        """What this part takes of the bytes for control, both ways, beyond heartbeats and loads."""
+        return 0.0
+
     @abstractmethod
     async def start(self) -> None:
         """Register message handlers and subscribe to timers."""
--- a/src/baobabpulley/keeper/engine_states.py
+++ b/src/baobabpulley/keeper/engine_states.py
@@ -18,6 +18,9 @@
 from baobabpulley.timers import TimerService
 
 AUDIT_PERIOD: Final = 60.0
+# Many engines are read anew more seldom, so that this costs a bounded share of control.
+AUDITS_A_SECOND: Final = 2.0
+STATE_BYTES: Final = 500
 # A slow answer must not look like a dead engine: its models would be loaded elsewhere.
 KEPT_UNANSWERED: Final = 6.0
 MAX_AT_ONCE: Final = 16
@@ -41,19 +44,26 @@
 class EngineStates:
     """States of the engines of one failure domain."""
 
-    __slots__ = ("_engine", "_held", "_timers", "_view")
+    __slots__ = ("_audited_at", "_engine", "_held", "_timers", "_view")
 
     def __init__(self, *, view: FleetView, engine: Engine, timers: TimerService) -> None:
         self._view = view
         self._engine = engine
         self._timers = timers
         self._held: dict[str, HeldState] = {}
+        self._audited_at = timers.now()
+
+    @property
+    def bytes_a_second(self) -> float:
+        """What reading states anew takes."""
+        return min(AUDITS_A_SECOND, len(self._held) / AUDIT_PERIOD) * STATE_BYTES
 
     async def refresh(self, upstreams: list[Upstream]) -> None:
         """Read what may have changed; an engine that does not answer is dropped after a while."""
         known = {upstream.id: upstream for upstream in upstreams}
         self._held = {id: held for id, held in self._held.items() if known.get(id) == held.upstream}
         doubtful = [upstream for upstream in upstreams if self._is_doubtful(upstream)]
+        doubtful += self._due_for_audit(upstreams)
         for start in range(0, len(doubtful), MAX_AT_ONCE):
             batch = doubtful[start : start + MAX_AT_ONCE]
             await asyncio.gather(*(self._read(upstream) for upstream in batch))
@@ -92,12 +102,24 @@
         """Have all states read anew."""
         self._held.clear()
 
+    def _due_for_audit(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the certain states read longest ago, no more than are due since the last call."""
+        now = self._timers.now()
+        room = AUDITS_A_SECOND * min(AUDIT_PERIOD, now - self._audited_at)
+        certain = [
+            (self._held[upstream.id].read_at, upstream.id, upstream)
+            for upstream in upstreams
+            if upstream.id in self._held and not self._is_doubtful(upstream)
+        ]
+        overdue = sorted(item for item in certain if now - item[0] > AUDIT_PERIOD)
+        if room >= 1.0:
+            self._audited_at = now
+        return [upstream for _, _, upstream in overdue[: int(room)]]
+
     def _is_doubtful(self, upstream: Upstream) -> bool:
         held = self._held.get(upstream.id)
         if held is None or not held.certain:
             return True
-        if self._timers.now() - held.read_at > AUDIT_PERIOD:
-            return True
         load = self._view.loads.get(upstream.id)
         if load is None:
             return False
--- a/src/baobabpulley/keeper/membership.py
+++ b/src/baobabpulley/keeper/membership.py
@@ -80,6 +80,7 @@
         "_context",
         "_incarnation",
         "_listeners",
+        "_other_bytes",
         "_peers",
         "_relay",
         "_section",
@@ -96,6 +97,7 @@
         self._ticked_at = context.timers.now()
         self._between = self._section.between_domains
         self._between_bytes = 0
+        self._other_bytes = 0
 
     @property
     def relay(self) -> LoadRelay:
@@ -106,7 +108,7 @@
     def share(self) -> ControlShare:
         """How the bytes for control are shared with the peers that are live now."""
         return share_budget(
-            budget=self._section.control_bytes - self._between_bytes,
+            budget=self._section.control_bytes - self._between_bytes - self._other_bytes,
             peers=max(0, len(self._context.view.live_keepers) - 1),
             period=self._section.period,
         )
@@ -188,6 +190,7 @@
 
     async def _tick(self) -> None:
         self._allow_for_own_pause()
+        self._other_bytes = int(sum(part.bytes_a_second for part in self._context.parts.values()))
         now = self._context.timers.now()
         fresh = FRESH_SHARE * self.share.period
         own = self._context.node.failure_domain
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -34,6 +34,12 @@
 from baobabpulley.settings import section
 
 PULL_TIMEOUT: Final = 0.5
+# A question about settings and its answer without news, both ways together.
+EXCHANGE_BYTES: Final = 270
+# Other failure domains that a watching keeper pulls from in one round, in turns.
+FAR_DOMAINS: Final = 2
+# Rounds after which a keeper asks for the capacity of all failure domains again.
+CAPACITY_ROUNDS: Final = 8
 
 
 @section("settings_relay", "keeper")
@@ -99,11 +105,15 @@
         """Ask the peers whose turn it is, and those that did not answer last time."""
         self._round += 1
         self._listen()
-        addresses = {vm.address for vm in self.watchers}
+        addresses = self._near_watchers()
         if self.watches:
             addresses |= self._far_watchers()
         self._silent &= {vm.address for vm in self._context.view.entry_vms}
-        await self._pull_from(addresses | self._silent)
+        before = frozenset(self._silent)
+        await self._pull_from(addresses | before)
+        if self._silent - before:
+            # The watching keeper in its place must not wait for the next round.
+            await self._pull_from(self._near_watchers())
 
     def hear(self, news: SettingsNews) -> None:
         """Install what a peer sent."""
@@ -145,6 +155,7 @@
                 revision=book.revision,
                 capacity=self._capacity.own,
                 vms=vm_relay_of(self._context).digest,
+                all_domains=self._round % CAPACITY_ROUNDS == 0,
             )
             news = await self._context.peers.ask(
                 address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
@@ -167,7 +178,8 @@
         if not own_domain:
             return self._news(message.revision, capacities=(self._capacity.own,))
         vms = vm_relay_of(self._context).answer(message.vms)
-        return self._news(message.revision, capacities=self._capacity.domains, vms=vms)
+        capacities = self._capacity.domains if message.all_domains else ()
+        return self._news(message.revision, capacities=capacities, vms=vms)
 
     def _news(
         self,
@@ -206,12 +218,33 @@
         if isinstance(message, SettingsNews):
             self.hear(message)
 
+    @property
+    def bytes_a_second(self) -> float:
+        """Exchanges asked and answered; keepers of this failure domain ask the watching ones."""
+        watchers = len(self.watchers)
+        keepers = len(self._keepers_of(self._context.node.failure_domain))
+        exchanges = 1.0
+        if self.watches and watchers:
+            exchanges += (keepers - watchers) / watchers + 2 * min(FAR_DOMAINS, len(self._others))
+        return exchanges * EXCHANGE_BYTES / self._section.pull_period
+
+    @property
+    def _others(self) -> tuple[str, ...]:
+        domains = {vm.failure_domain for vm in self._context.view.entry_vms}
+        return tuple(sorted(domains - {self._context.node.failure_domain}))
+
+    def _near_watchers(self) -> set[str]:
+        """Return the watching keepers of this failure domain, one in turn of those that relay."""
+        addresses = sorted({vm.address for vm in self.watchers} - {self._context.address})
+        return {addresses[self._round % len(addresses)]} if addresses else set()
+
     def _far_watchers(self) -> set[str]:
-        """Return one watching keeper of each other failure domain, in turns."""
-        vms = self._context.view.entry_vms
-        domains = {vm.failure_domain for vm in vms} - {self._context.node.failure_domain}
+        """Return a watching keeper of some other failure domains, in turns."""
+        others = self._others
+        first = self._round * FAR_DOMAINS
         found: set[str] = set()
-        for domain in domains:
+        for turn in range(first, first + min(FAR_DOMAINS, len(others))):
+            domain = others[turn % len(others)]
             watchers = self._watchers_of(domain)
             if watchers:
                 found.add(watchers[self._round % len(watchers)].address)
--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from typing import Final
 from typing import final
 
 import msgspec
@@ -24,11 +25,15 @@
 from baobabpulley.policy.holders import Holders
 from baobabpulley.policy.home_keys import HomeKeys
 from baobabpulley.policy.home_keys import KnownKeys
+from baobabpulley.policy.home_keys import renewal_period
 from baobabpulley.policy.home_keys import stated_keys
 from baobabpulley.policy.reservation_book import MemoryBook
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import TeamBook
 
+# A renewal of a holder that holds nothing here, and its answer.
+RENEWAL_BYTES: Final = 195
+
 
 @keeper_parts.register("reservations")
 @final
@@ -63,6 +68,14 @@
         """Which holders are live."""
         return self._holders
 
+    @property
+    def bytes_a_second(self) -> float:
+        """What holders' renewals take here."""
+        now = self._context.timers.now()
+        keepers = len(self._context.view.live_keepers)
+        period = renewal_period(self._section, keepers=keepers)
+        return self._holders.live_count(now=now) * RENEWAL_BYTES / period
+
     async def start(self) -> None:
         peers = self._context.peers
         peers.answer(HolderRenewal, self._renew)
--- a/src/baobabpulley/keeper/tender.py
+++ b/src/baobabpulley/keeper/tender.py
@@ -139,6 +139,11 @@
         self._orders = 0
         self._busy = False
 
+    @property
+    def bytes_a_second(self) -> float:
+        """What reading the engines' states anew takes, while this keeper holds the lease."""
+        return self._states.bytes_a_second if self._lease.acquired else 0.0
+
     @property
     def lease(self) -> TenderLease:
         """The right to give orders."""
--- a/src/baobabpulley/model/fleet_view.py
+++ b/src/baobabpulley/model/fleet_view.py
@@ -39,6 +39,7 @@
         "_book",
         "_entry_vms",
         "_failure_domain",
+        "_keepers",
         "_leaving",
         "_lists_vms",
         "_live_keepers",
@@ -57,6 +58,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._loads: dict[str, LoadView] = {}
         self._entry_vms: tuple[Vm, ...] = ()
+        self._keepers: tuple[Vm, ...] = ()
         self._leaving: dict[str, str] = {}
         self._live_keepers: tuple[str, ...] = ()
         self._loads_version = 0
@@ -101,8 +103,7 @@
     @property
     def keepers(self) -> tuple[Vm, ...]:
         """Entry VMs of this failure domain, sorted by id; their address is the keeper's."""
-        own = (vm for vm in self._entry_vms if vm.failure_domain == self._failure_domain)
-        return tuple(sorted(own, key=lambda vm: vm.id))
+        return self._keepers
 
     @property
     def live_keepers(self) -> tuple[Vm, ...]:
@@ -136,7 +137,7 @@
         }
         if (entry_vms, upstreams) == (self._entry_vms, self._upstreams):
             return
-        self._entry_vms = entry_vms
+        self._set_entry_vms(entry_vms)
         self._set_upstreams(upstreams)
         self._vms_version += 1
 
@@ -196,7 +197,7 @@
         # A keeper that has just started has no list yet; the one held stays.
         if answer.whole and answer.vms_version:
             self._lists_vms = True
-            self._entry_vms = answer.entry_vms
+            self._set_entry_vms(answer.entry_vms)
             self._set_upstreams({upstream.id: upstream for upstream in answer.upstreams})
         for load in answer.loads:
             self.set_load(load.report, taken=now - load.held - load.report.age)
@@ -238,6 +239,11 @@
             live_keepers=self._live_keepers,
         )
 
+    def _set_entry_vms(self, vms: tuple[Vm, ...]) -> None:
+        self._entry_vms = vms
+        own = (vm for vm in vms if vm.failure_domain == self._failure_domain)
+        self._keepers = tuple(sorted(own, key=lambda vm: vm.id))
+
     def _set_upstreams(self, upstreams: dict[str, Upstream]) -> None:
         self._upstreams = upstreams
         self._leaving = {id: of for id, of in self._leaving.items() if id in upstreams}
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -15,7 +15,7 @@
 ChangeId = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{8,64}$")]
 
 
-class DomainCapacity(msgspec.Struct, frozen=True):
+class DomainCapacity(msgspec.Struct, frozen=True, array_like=True):
     """Engine memory (tokens) and live entry VMs of a failure domain; ``age`` in model seconds."""
 
     failure_domain: str
@@ -38,24 +38,26 @@
 
 
 @peer_message("settings.question")
-class SettingsQuestion(msgspec.Struct, frozen=True):
+class SettingsQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it.
 
-    ``vms`` is the digest of the rows of the VM list that it holds.
+    ``vms`` is the digest of the rows of the VM list that it holds. With ``all_domains`` it asks
+    for the capacity of every failure domain too.
     """
 
     revision: int
     capacity: DomainCapacity | None = None
     vms: int = 0
+    all_domains: bool = False
 
 
 @peer_message("settings.news")
-class SettingsNews(msgspec.Struct, frozen=True):
+class SettingsNews(msgspec.Struct, frozen=True, array_like=True):
     """Settings complete from ``since`` to ``revision``; ``more`` if a repeat brings later ones.
 
     ``limits`` are in force beyond what the entries tell. ``capacities`` are those of all failure
-    domains for a keeper of the own one, and else that of the own one. ``vms`` are for a keeper of
-    the own one too.
+    domains for a keeper of the own one that asks for them, and that of the own one for a keeper of
+    another. ``vms`` are for a keeper of the own one too.
     """
 
     since: int
--- a/src/baobabpulley/policy/holders.py
+++ b/src/baobabpulley/policy/holders.py
@@ -36,6 +36,10 @@
         heard = self._heard.get(holder)
         return heard is not None and now - heard <= self._expiry
 
+    def live_count(self, *, now: float) -> int:
+        """Return how many holders are live."""
+        return sum(1 for heard in self._heard.values() if now - heard <= self._expiry)
+
     def last_lapse(self, *, now: float) -> float:
         """Return when the last holder lapsed so far, minus infinity if none has."""
         for holder, heard in tuple(self._heard.items()):
--- /dev/null
+++ b/testing/test_control_cost.py
@@ -0,0 +1,100 @@
+"""What control sends does not grow with the fleet beyond its share of the budget."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from keeper_builders import make_keeper
+from settings_cluster import Cluster
+from settings_cluster import FakePeers
+
+from baobabpulley.keeper.engine_states import AUDIT_PERIOD
+from baobabpulley.keeper.engine_states import AUDITS_A_SECOND
+from baobabpulley.keeper.engine_states import EngineStates
+from baobabpulley.keeper.membership import HeartbeatMembership
+from baobabpulley.keeper.relay import FAR_DOMAINS
+from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.settings_messages import SettingsQuestion
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import EngineState
+from baobabpulley.timers import ManualTimers
+
+pytestmark = pytest.mark.asyncio
+
+ENGINES = 500
+SECONDS = 16
+
+
+class CountedStates:
+    """Engines that answer with their state; counts the reads."""
+
+    def __init__(self) -> None:
+        self.reads: Counter[str] = Counter()
+
+    async def state(self, upstream: Upstream) -> EngineState:
+        self.reads[upstream.id] += 1
+        return EngineState(upstream=upstream.id, incarnation="a", state="live", fence=0, models={})
+
+
+async def test_states_are_read_anew_at_a_bounded_rate_and_each_in_its_turn() -> None:
+    timers = ManualTimers()
+    engine: Any = CountedStates()
+    states = EngineStates(view=FleetView(failure_domain="fes"), engine=engine, timers=timers)
+    upstreams = [
+        Upstream(id=f"engine-{n}", service="kitchen", failure_domain="fes", address="")
+        for n in range(ENGINES)
+    ]
+    await states.refresh(upstreams)
+    assert set(engine.reads.values()) == {1}
+    worst = 0
+    for _ in range(int(AUDIT_PERIOD + ENGINES / AUDITS_A_SECOND) + 2):
+        await timers.advance(1.0)
+        before = engine.reads.total()
+        await states.refresh(upstreams)
+        worst = max(worst, engine.reads.total() - before)
+    assert worst <= AUDITS_A_SECOND
+    assert min(engine.reads.values()) == 2
+
+
+async def test_pulls_of_settings_do_not_grow_with_keepers_and_failure_domains() -> None:
+    cluster = Cluster(keepers={"fes": 6, **{f"domain-{n}": 1 for n in range(11)}})
+    await cluster.start()
+    await cluster.advance(3.0)
+    asked: Counter[tuple[str, bool]] = Counter()
+
+    def count(peers: FakePeers) -> None:
+        ask = peers.ask
+
+        async def counted(address: str, question: Any, **options: Any) -> Any:
+            if isinstance(question, SettingsQuestion):
+                asked[peers.address, address.startswith("fes")] += 1
+            return await ask(address, question, **options)
+
+        peers.ask = counted  # type: ignore[method-assign]
+
+    for name, member in cluster.members.items():
+        if name.startswith("keeper-fes"):
+            count(member.peers)
+    await cluster.advance(SECONDS)
+    near = {address: number for (address, own), number in asked.items() if own}
+    far = {address: number for (address, own), number in asked.items() if not own}
+    assert len(far) == 2
+    # The jitter of a period is a tenth of it at most.
+    assert max(near.values()) <= 1.1 * SECONDS + 1
+    assert max(far.values()) <= FAR_DOMAINS * (1.1 * SECONDS + 1)
+    for name in tuple(cluster.members):
+        cluster.kill(name)
+
+
+async def test_what_other_parts_send_is_taken_off_the_bytes_for_loads(tmp_path: Path) -> None:
+    keeper = make_keeper(tmp_path, vm="vm-0", domain="fes", address="127.0.0.1:9", speed=1.0)
+    membership = keeper.membership
+    assert isinstance(membership, HeartbeatMembership)
+    whole = membership.share
+    taken = sum(part.bytes_a_second for part in keeper.parts.values())
+    assert taken > 0
+    await membership._tick()
+    assert membership.share.reports < whole.reports
