Forget a team's share once it has had no request for long

Cause: an entry stated in each renewal every team that had ever spent there: in time all 4,700, some 25 bytes each. A share without requests for 15 s is given back and then forgotten; the version of its questions goes on where it stopped, as the home remembers it for longer. Seen to fail with the guard off: shares kept (teams stay), versions begun anew (the home refuses, the test runs into its bound).

--- a/src/baobabpulley/entry/reservations.py
+++ b/src/baobabpulley/entry/reservations.py
@@ -164,6 +164,7 @@
 
     async def _renew_forever(self) -> None:
         while True:
+            self._teams.rest()
             addresses = self._homes.addresses
             for address in addresses:
                 self._renew_soon(address)
--- a/src/baobabpulley/entry/team_share.py
+++ b/src/baobabpulley/entry/team_share.py
@@ -17,18 +17,23 @@
 
     __slots__ = ("_asked", "_held", "_spent", "_until", "_version")
 
-    def __init__(self) -> None:
+    def __init__(self, *, version: int = 0) -> None:
         self._held = 0
         self._asked = 0
         self._spent: dict[str, int] = {}
         self._until = 0.0
-        self._version = 0
+        self._version = version
 
     @property
     def held(self) -> int:
         """Tokens that may be spent."""
         return self._held
 
+    @property
+    def version(self) -> int:
+        """Version of the last question."""
+        return self._version
+
     @property
     def in_use(self) -> int:
         """Tokens of requests in flight."""
--- a/src/baobabpulley/entry/team_spending.py
+++ b/src/baobabpulley/entry/team_spending.py
@@ -24,6 +24,8 @@
 
 LEASE_MARGIN: Final = 0.5
 RETRY_AFTER: Final = 2.0
+# Model seconds after its last request for which an entry keeps a team's share; no wait is longer.
+IDLE_SECONDS: Final = 15.0
 # The share of a team's limit that one entry may hold beyond what it has in use.
 CUSHION_DIVISOR: Final = 8
 # Renewals until what other entries do not use has been given back.
@@ -35,6 +37,7 @@
     """The shares of all teams at this entry."""
 
     __slots__ = (
+        "_first_version",
         "_holder",
         "_homes",
         "_locks",
@@ -42,6 +45,7 @@
         "_section",
         "_shares",
         "_timers",
+        "_used_at",
         "_view",
     )
 
@@ -62,15 +66,18 @@
         self._shares: dict[str, TeamShare] = {}
         self._locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._recalling: dict[str, str] = {}
+        self._used_at: dict[str, float] = {}
+        self._first_version = 0
 
     @property
     def teams(self) -> frozenset[str]:
-        """Teams that have spent anything here."""
+        """Teams that have spent anything here of late."""
         return frozenset(self._shares)
 
     async def spend(self, *, team: str, request_id: str, tokens: int) -> None:
         """Count a request in; raise `TeamLimitReached` or `Overloaded` if it cannot be."""
-        share = self._shares.setdefault(team, TeamShare())
+        self._used_at[team] = self._timers.now()
+        share = self._shares.setdefault(team, TeamShare(version=self._first_version))
         if share.knows(request_id):
             return
         limit = self._view.book.limit(team).max_tokens_in_flight
@@ -87,22 +94,45 @@
         """Count a request out; idempotent."""
         share = self._shares.get(team)
         if share is not None:
+            self._used_at[team] = self._timers.now()
             share.refund(request_id)
 
     def statements(self, teams: Iterable[str]) -> tuple[TeamHold, ...]:
         """Return what to state of some teams in a renewal."""
         now = self._timers.now()
-        return tuple(self._shares[team].statement(team, now=now) for team in teams)
+        return tuple(
+            self._shares[team].statement(team, now=now) for team in teams if team in self._shares
+        )
 
     def renewed(self, teams: Iterable[str], *, sent: float) -> None:
         """Note that the home of some teams has answered a renewal sent at a model time."""
         for team in teams:
-            self._shares[team].renewed(until=self._lease_end(sent))
+            share = self._shares.get(team)
+            if share is None:
+                continue
+            share.renewed(until=self._lease_end(sent))
+            if self._is_idle(team) and not share.held:
+                self._forget(team)
+
+    def rest(self) -> None:
+        """Keep nothing of the teams that have had no request for long; the next renewal says so."""
+        self.give_back(team for team in self._shares if self._is_idle(team))
+
+    def _is_idle(self, team: str) -> bool:
+        since = self._timers.now() - self._used_at[team]
+        return since > IDLE_SECONDS and not self._shares[team].in_use
+
+    def _forget(self, team: str) -> None:
+        # The home remembers versions for longer than this entry remembers the team.
+        self._first_version = max(self._first_version, self._shares[team].version)
+        del self._shares[team], self._used_at[team]
+        self._locks.pop(team, None)
 
     def give_back(self, teams: Iterable[str]) -> None:
         """Keep only what is in use of some teams."""
         for team in teams:
-            self._shares[team].give_back()
+            if team in self._shares:
+                self._shares[team].give_back()
 
     def _covers(self, share: TeamShare, tokens: int) -> bool:
         return share.covers(tokens, now=self._timers.now(), alone=self._homes.all_silent)
@@ -145,6 +175,7 @@
     async def _ask(self, team: str, share: TeamShare, tokens: int) -> TeamAnswer | None:
         """Ask for a larger share; return ``None`` if another question has made it unneeded."""
         async with self._locks[team]:
+            self._used_at[team] = self._timers.now()
             if self._covers(share, tokens):
                 return None
             if not self._homes.all_silent:
--- a/src/baobabpulley/standins/publisher.py
+++ b/src/baobabpulley/standins/publisher.py
@@ -137,6 +137,11 @@
         self.finish(msgspec.json.encode(self._engine.report()))
 
 
+class _HoldsHandler(_Handler):
+    def get(self) -> None:
+        self.finish(b"[]")
+
+
 class _StateHandler(_Handler):
     def get(self) -> None:
         self.finish(msgspec.json.encode(self._engine.state()))
@@ -172,5 +177,6 @@
     return [
         (r"/v1/load", _LoadHandler, own),
         (r"/v1/state", _StateHandler, own),
+        (r"/v1/holds", _HoldsHandler, own),
         (r"/v1/events", _EventsHandler, own),
     ]
--- a/testing/test_team_spending.py
+++ b/testing/test_team_spending.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from baobabpulley.entry.homes import Homes
+from baobabpulley.entry.team_spending import IDLE_SECONDS
 from baobabpulley.entry.team_spending import TeamSpending
 from baobabpulley.errors import TeamLimitReached
 from baobabpulley.model.documents import LimitDocument
@@ -30,10 +33,10 @@
     """Peers with one keeper, whose book answers at once; counts the questions."""
 
     def __init__(self, timers: ManualTimers) -> None:
-        handover = Handover(expiry=SECTION.expiry)
+        self.handover = Handover(expiry=SECTION.expiry)
         for age in (5.0, 3.0, 1.0):
-            handover.hear(team_key(TEAM), now=timers.now() - age)
-        self.book = TeamBook(section=SECTION, handover=handover)
+            self.handover.hear(team_key(TEAM), now=timers.now() - age)
+        self.book = TeamBook(section=SECTION, handover=self.handover)
         self.timers = timers
         self.asked = 0
 
@@ -93,3 +96,31 @@
     assert peers.asked == 0
     await spending.spend(team=TEAM, request_id="whole", tokens=LIMIT)
     assert peers.book.held(TEAM, now=1_000.0) == LIMIT
+
+
+async def test_team_without_requests_is_given_back_and_forgotten_and_may_return(
+    spending: TeamSpending, peers: HomePeers, timers: ManualTimers
+) -> None:
+    def renew() -> None:
+        spending.rest()
+        peers.handover.hear(team_key(TEAM), now=timers.now())
+        for hold in spending.statements(spending.teams):
+            peers.book.renew("e0", hold, now=timers.now())
+        spending.renewed(spending.teams, sent=timers.now())
+
+    await spending.spend(team=TEAM, request_id="a", tokens=1_000)
+    for _ in range(2 * round(IDLE_SECONDS)):
+        await timers.advance(1.0)
+        renew()
+    assert spending.teams == {TEAM}
+    spending.refund(team=TEAM, request_id="a")
+    for _ in range(round(IDLE_SECONDS) + 2):
+        await timers.advance(1.0)
+        renew()
+    assert spending.teams == frozenset()
+    assert peers.book.held(TEAM, now=timers.now()) == 0
+    # The home still remembers the version of the last question.
+    asked = peers.asked
+    async with asyncio.timeout(5.0):
+        await spending.spend(team=TEAM, request_id="b", tokens=1_000)
+    assert peers.asked == asked + 1
