--- a/src/baobabpulley/keeper/engine_states.py
+++ b/src/baobabpulley/keeper/engine_states.py
@@ -63,7 +63,7 @@
         known = {upstream.id: upstream for upstream in upstreams}
         self._held = {id: held for id, held in self._held.items() if known.get(id) == held.upstream}
         doubtful = [upstream for upstream in upstreams if self._is_doubtful(upstream)]
-        doubtful += self._due_for_audit(upstreams)
+        doubtful += self._due_for_audit(known, {upstream.id for upstream in doubtful})
         for start in range(0, len(doubtful), MAX_AT_ONCE):
             batch = doubtful[start : start + MAX_AT_ONCE]
             await asyncio.gather(*(self._read(upstream) for upstream in batch))
@@ -102,19 +102,19 @@
         """Have all states read anew."""
         self._held.clear()
 
-    def _due_for_audit(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Return the certain states read longest ago, no more than are due since the last call."""
+    def _due_for_audit(self, known: dict[str, Upstream], doubtful: set[str]) -> list[Upstream]:
+        """Return those read longest ago, no more than are due since the last call."""
         now = self._timers.now()
-        room = AUDITS_A_SECOND * min(AUDIT_PERIOD, now - self._audited_at)
-        certain = [
-            (self._held[upstream.id].read_at, upstream.id, upstream)
-            for upstream in upstreams
-            if upstream.id in self._held and not self._is_doubtful(upstream)
-        ]
-        overdue = sorted(item for item in certain if now - item[0] > AUDIT_PERIOD)
-        if room >= 1.0:
-            self._audited_at = now
-        return [upstream for _, _, upstream in overdue[: int(room)]]
+        room = int(AUDITS_A_SECOND * min(AUDIT_PERIOD, now - self._audited_at))
+        if not room:
+            return []
+        self._audited_at = now
+        overdue = sorted(
+            (held.read_at, id)
+            for id, held in self._held.items()
+            if now - held.read_at > AUDIT_PERIOD and id not in doubtful
+        )
+        return [known[id] for _, id in overdue[:room]]
 
     def _is_doubtful(self, upstream: Upstream) -> bool:
         held = self._held.get(upstream.id)
