--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -20,9 +20,11 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.vm_relay import vm_relay_of
 from baobabpulley.model.settings_messages import DomainCapacity
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
+from baobabpulley.model.settings_messages import VmChanges
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.policy.relays import relays
@@ -32,6 +34,12 @@
 from baobabpulley.settings import section
 
 PULL_TIMEOUT: Final = 0.5
+# A question about settings and its answer without news, both ways together.
+EXCHANGE_BYTES: Final = 270
+# Other failure domains that a watching keeper pulls from in one round, in turns.
+FAR_DOMAINS: Final = 2
+# Rounds after which a keeper asks for the capacity of all failure domains again.
+CAPACITY_ROUNDS: Final = 8
 
 
 @section("settings_relay", "keeper")
@@ -97,11 +105,15 @@
         """Ask the peers whose turn it is, and those that did not answer last time."""
         self._round += 1
         self._listen()
-        addresses = {vm.address for vm in self.watchers}
+        addresses = self._near_watchers()
         if self.watches:
             addresses |= self._far_watchers()
         self._silent &= {vm.address for vm in self._context.view.entry_vms}
-        await self._pull_from(addresses | self._silent)
+        before = frozenset(self._silent)
+        await self._pull_from(addresses | before)
+        if self._silent - before:
+            # The watching keeper in its place must not wait for the next round.
+            await self._pull_from(self._near_watchers())
 
     def hear(self, news: SettingsNews) -> None:
         """Install what a peer sent."""
@@ -109,6 +121,8 @@
         self._capacity.hear(news.capacities)
         book.install(news.entries, revision=news.revision, since=news.since)
         book.raise_limits(news.limits)
+        if news.vms is not None:
+            vm_relay_of(self._context).hear(news.vms)
 
     async def _join(self) -> None:
         # All reachable peers, not one: a single one may itself have been cut off for long.
@@ -137,7 +151,12 @@
         book = self._context.view.book
         more = True
         while more:
-            question = SettingsQuestion(revision=book.revision, capacity=self._capacity.own)
+            question = SettingsQuestion(
+                revision=book.revision,
+                capacity=self._capacity.own,
+                vms=vm_relay_of(self._context).digest,
+                all_domains=self._round % CAPACITY_ROUNDS == 0,
+            )
             news = await self._context.peers.ask(
                 address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
             )
@@ -156,10 +175,19 @@
             return self._news(message.revision)
         self._capacity.hear((asker,))
         own_domain = asker.failure_domain == self._context.node.failure_domain
-        known = self._capacity.domains if own_domain else (self._capacity.own,)
-        return self._news(message.revision, capacities=known)
-
-    def _news(self, since: int, *, capacities: tuple[DomainCapacity, ...] = ()) -> SettingsNews:
+        if not own_domain:
+            return self._news(message.revision, capacities=(self._capacity.own,))
+        vms = vm_relay_of(self._context).answer(message.vms)
+        capacities = self._capacity.domains if message.all_domains else ()
+        return self._news(message.revision, capacities=capacities, vms=vms)
+
+    def _news(
+        self,
+        since: int,
+        *,
+        capacities: tuple[DomainCapacity, ...] = (),
+        vms: VmChanges | None = None,
+    ) -> SettingsNews:
         book = self._context.view.book
         page = book.page(since)
         return SettingsNews(
@@ -169,6 +197,7 @@
             limits=book.limits_beyond_entries,
             more=page.more,
             capacities=capacities,
+            vms=vms,
         )
 
     def _publish(self, before: int) -> None:
@@ -189,12 +218,33 @@
         if isinstance(message, SettingsNews):
             self.hear(message)
 
+    @property
+    def bytes_a_second(self) -> float:
+        """Exchanges asked and answered; keepers of this failure domain ask the watching ones."""
+        watchers = len(self.watchers)
+        keepers = len(self._keepers_of(self._context.node.failure_domain))
+        exchanges = 1.0
+        if self.watches and watchers:
+            exchanges += (keepers - watchers) / watchers + 2 * min(FAR_DOMAINS, len(self._others))
+        return exchanges * EXCHANGE_BYTES / self._section.pull_period
+
+    @property
+    def _others(self) -> tuple[str, ...]:
+        domains = {vm.failure_domain for vm in self._context.view.entry_vms}
+        return tuple(sorted(domains - {self._context.node.failure_domain}))
+
+    def _near_watchers(self) -> set[str]:
+        """Return the watching keepers of this failure domain, one in turn of those that relay."""
+        addresses = sorted({vm.address for vm in self.watchers} - {self._context.address})
+        return {addresses[self._round % len(addresses)]} if addresses else set()
+
     def _far_watchers(self) -> set[str]:
-        """Return one watching keeper of each other failure domain, in turns."""
-        vms = self._context.view.entry_vms
-        domains = {vm.failure_domain for vm in vms} - {self._context.node.failure_domain}
+        """Return a watching keeper of some other failure domains, in turns."""
+        others = self._others
+        first = self._round * FAR_DOMAINS
         found: set[str] = set()
-        for domain in domains:
+        for turn in range(first, first + min(FAR_DOMAINS, len(others))):
+            domain = others[turn % len(others)]
             watchers = self._watchers_of(domain)
             if watchers:
                 found.add(watchers[self._round % len(watchers)].address)
--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from typing import Final
 from typing import final
 
 import msgspec
@@ -22,17 +23,34 @@
 from baobabpulley.policy.gang_queue import GangQueue
 from baobabpulley.policy.handover import Handover
 from baobabpulley.policy.holders import Holders
+from baobabpulley.policy.home_keys import HomeKeys
+from baobabpulley.policy.home_keys import KnownKeys
+from baobabpulley.policy.home_keys import renewal_period
+from baobabpulley.policy.home_keys import stated_keys
 from baobabpulley.policy.reservation_book import MemoryBook
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import TeamBook
 
+# A renewal of a holder that holds nothing here, and its answer.
+RENEWAL_BYTES: Final = 195
+
 
 @keeper_parts.register("reservations")
 @final
 class ReservationKeeper(KeeperPart):
     """Answer questions and renewals for the keys that holders take this keeper for the home of."""
 
-    __slots__ = ("_context", "_gangs", "_handover", "_holders", "_memory", "_section", "_teams")
+    __slots__ = (
+        "_context",
+        "_gangs",
+        "_handover",
+        "_holders",
+        "_home_keys",
+        "_known",
+        "_memory",
+        "_section",
+        "_teams",
+    )
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
@@ -42,12 +60,22 @@
         self._teams = TeamBook(section=self._section, handover=self._handover)
         self._gangs = GangQueue(section=self._section, handover=self._handover)
         self._holders = Holders(expiry=self._section.expiry)
+        self._home_keys = HomeKeys(own=context.node.vm, expiry=self._section.expiry)
+        self._known = KnownKeys(view=context.view)
 
     @property
     def holders(self) -> Holders:
         """Which holders are live."""
         return self._holders
 
+    @property
+    def bytes_a_second(self) -> float:
+        """What holders' renewals take here."""
+        now = self._context.timers.now()
+        keepers = len(self._context.view.live_keepers)
+        period = renewal_period(self._section, keepers=keepers)
+        return self._holders.live_count(now=now) * RENEWAL_BYTES / period
+
     async def start(self) -> None:
         peers = self._context.peers
         peers.answer(HolderRenewal, self._renew)
@@ -60,7 +88,12 @@
         del sender
         assert isinstance(message, HolderRenewal)
         now = self._hear(message.holder)
-        for key in message.keys:
+        if message.keepers:
+            self._home_keys.learn(message.keepers)
+        if not self._home_keys.knows(message.digest):
+            return HolderRenewed(unknown=True)
+        due = self._home_keys.due(message.digest, known=self._known.keys, now=now)
+        for key in (*due, *stated_keys(message)):
             self._handover.hear(key, now=now)
         for held in message.claims:
             self._memory.renew(message.holder, held, now=now)
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -8,13 +8,14 @@
 
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.limits import Limit
+from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.peers import peer_message
 from baobabpulley.settings import Name
 
 ChangeId = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{8,64}$")]
 
 
-class DomainCapacity(msgspec.Struct, frozen=True):
+class DomainCapacity(msgspec.Struct, frozen=True, array_like=True):
     """Engine memory (tokens) and live entry VMs of a failure domain; ``age`` in model seconds."""
 
     failure_domain: str
@@ -23,20 +24,40 @@
     age: float = 0.0
 
 
+class VmChanges(msgspec.Struct, frozen=True, array_like=True):
+    """How the rows of a VM list became those of ``digest``; ``since`` 0 gives all of them.
+
+    ``age`` is the model seconds since the platform was asked for the list.
+    """
+
+    digest: int
+    since: int = 0
+    age: float = 0.0
+    rows: tuple[Vm, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 @peer_message("settings.question")
-class SettingsQuestion(msgspec.Struct, frozen=True):
-    """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it."""
+class SettingsQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for settings past ``revision``; a keeper tells its failure domain's capacity with it.
+
+    ``vms`` is the digest of the rows of the VM list that it holds. With ``all_domains`` it asks
+    for the capacity of every failure domain too.
+    """
 
     revision: int
     capacity: DomainCapacity | None = None
+    vms: int = 0
+    all_domains: bool = False
 
 
 @peer_message("settings.news")
-class SettingsNews(msgspec.Struct, frozen=True):
+class SettingsNews(msgspec.Struct, frozen=True, array_like=True):
     """Settings complete from ``since`` to ``revision``; ``more`` if a repeat brings later ones.
 
     ``limits`` are in force beyond what the entries tell. ``capacities`` are those of all failure
-    domains for a keeper of the own one, and else that of the own one.
+    domains for a keeper of the own one that asks for them, and that of the own one for a keeper of
+    another. ``vms`` are for a keeper of the own one too.
     """
 
     since: int
@@ -45,6 +66,7 @@
     limits: dict[str, Limit] = {}
     more: bool = False
     capacities: tuple[DomainCapacity, ...] = ()
+    vms: VmChanges | None = None
 
 
 @peer_message("settings.raise")
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -312,20 +312,21 @@
         await self.answer({}, loses=True)
 
 
-LOAD_ROUTES: Final = (
+# What a keeper asks of an engine that it only follows.
+FOLLOWED_ROUTES: Final = (
     (r"/v1/events", _EventsHandler, {}),
     call_route(r"/v1/load", lambda own, _: own.lagged_report()),
     call_route(r"/v1/state", lambda own, _: own.state),
+    call_route(r"/v1/holds", lambda own, _: own.core.holds()),
 )
 
 _ROUTES: Final = (
-    *LOAD_ROUTES,
+    *FOLLOWED_ROUTES,
     (COMPLETIONS, _StreamHandler, {"begin": EngineStandin.complete}),
     (r"/v1/resume", _StreamHandler, {"begin": EngineStandin.resume}),
     (r"/v1/parts", _StreamHandler, {"begin": EngineStandin.prefill}),
     (r"/v1/orders", _OrdersHandler, {}),
     call_route(r"/v1/kv/([^/]+)", lambda own, _, part: own.export(part)),
-    call_route(r"/v1/holds", lambda own, _: own.core.holds()),
     call_route(r"/v1/holds/renew", lambda own, body: own.core.renew(body["ids"]) or {}),
     call_route(r"/v1/holds/release", lambda own, body: own.core.release(body["ids"]) or {}),
     call_route(r"/journal", lambda own, _: own.describe(), False),
