--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -78,9 +78,7 @@
         """What the engines' caches are thought to hold; fed by cache events too."""
         return self._prefixes
 
-    def fit(
-        self, request: CompletionRequest, *, lane: str, excluded: frozenset[str]
-    ) -> list[Upstream]:
+    def fit(self, request: CompletionRequest, *, excluded: frozenset[str]) -> list[Upstream]:
         """Return the upstreams that could run a request now or later; suspects are left out.
 
         Raises `NoUpstream` if there is none or none is large enough.
@@ -88,12 +86,9 @@
         document = self._view.book.models.get(request.model)
         if document is None:
             raise UnknownModel(f"no model is called {request.model!r}")
-        live = self._view.live(document.service)
-        if lane != SHORT:
-            live = live[int(self._lanes.shorts_only_share * len(live)) :]
         found = [
             upstream
-            for upstream in live
+            for upstream in self._view.live(document.service)
             if upstream.id not in excluded
             and self._has_model(upstream.id, request.model)
             and not self._is_suspect(upstream.id)
--- a/src/baobabpulley/policy/lanes.py
+++ b/src/baobabpulley/policy/lanes.py
@@ -27,7 +27,7 @@
     ``short_priority`` sends shorts at the engines' higher priority. ``single_long`` keeps an
     engine to one long prefill at a time. ``long_order`` is ``response_ratio`` or ``arrival``;
     a long that has waited ``long_wait_bound`` model seconds goes before all others.
-    ``shorts_only_share`` of the engines take no longs. ``engine_backlog`` is the model seconds
+    ``engine_backlog`` is the model seconds
     of prefill at the priority of shorts past which an engine gets no further short. A team's
     turn in its lane is worth ``short_quantum`` or ``long_quantum`` tokens times its weight.
     ``segment_tokens`` is the pace of long prompts at engines that cannot interrupt a prefill.
@@ -41,7 +41,6 @@
         "response_ratio"
     )
     long_wait_bound: Seconds = 60.0
-    shorts_only_share: Share = 0.0
     engine_backlog: Seconds = 0.5
     segment_tokens: Count = 8_192
     short_quantum: Count = 8_000
