--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -50,6 +50,13 @@
         self.order.append(request.request_id)
         return placement
 
+    async def run_shorts(self, count: int) -> None:
+        """Place shorts, each of which ends at once."""
+        for _ in range(count):
+            placement = await self.place(make_request(tokens=8_000))
+            self.placer.first_token(placement)
+            self.placer.end(placement)
+
     def set_entry_vms(self, *names: str) -> None:
         """Have the VM list name these entry VMs beside the engines."""
         engines = [
@@ -161,20 +168,14 @@
 
 async def test_long_that_cannot_end_beside_the_shorts_is_refused_at_once() -> None:
     bench = _Bench(engines=1)
-    for _ in range(24):
-        placement = await bench.place(make_request(tokens=8_000))
-        bench.placer.first_token(placement)
-        bench.placer.end(placement)
+    await bench.run_shorts(24)
     with pytest.raises(Overloaded):
         await bench.place(make_request(tokens=100_000, seconds=50.0))
 
 
 async def test_long_that_comes_back_to_its_lane_is_not_refused_anew() -> None:
     bench = _Bench(engines=1)
-    for _ in range(24):
-        placement = await bench.place(make_request(tokens=8_000))
-        bench.placer.first_token(placement)
-        bench.placer.end(placement)
+    await bench.run_shorts(24)
     request = make_request(tokens=100_000, seconds=50.0)
     back = await bench.placer.place(
         request, lane=LONG, excluded=frozenset(), since=bench.timers.now()
