Ask a few keepers at a time for all settings when joining

Cause: a keeper that starts asked its 16 peers at once, an entry 17 keepers; each answer is 2.08 MB at 4,700 client accounts, and the memory of all of them stayed with the process (92 and 106 MiB, where a book itself takes 5.6). Four are asked at a time, each still for everything, so that what a peer alone knows is still told; an entry merges answers in a book of its own before it uses them. test_settings, test_changes pass.

--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -14,6 +14,7 @@
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import FleetAnswer
+from baobabpulley.model.settings_book import SettingsBook
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
 from baobabpulley.ports.peers import Peers
@@ -24,6 +25,7 @@
 
 ASK_TIMEOUT: Final = 0.5
 FAR_KEEPERS: Final = 2
+JOIN_AT_ONCE: Final = 4
 
 
 @section("keeper", "entry")
@@ -98,10 +100,18 @@
         """
         bare = msgspec.structs.replace(first, settings=(), settings_revision=0, limits={})
         self._view.apply(bare, now=self._timers.now())
-        answers = await asyncio.gather(*(self._settings_of(address) for address in self.addresses))
-        for news in answers:
-            if news is not None:
-                self._install(news)
+        found = SettingsBook()
+        addresses = self.addresses
+        # A few at a time: each answer holds all settings, and so does what is made of it.
+        for start in range(0, len(addresses), JOIN_AT_ONCE):
+            few = addresses[start : start + JOIN_AT_ONCE]
+            for news in await asyncio.gather(*(self._settings_of(address) for address in few)):
+                if news is not None:
+                    found.install(news.entries, revision=news.revision, since=news.since)
+                    found.raise_limits(news.limits)
+        book = self._view.book
+        book.install(found.newer_than(0), revision=found.revision)
+        book.raise_limits(found.limits_beyond_entries)
 
     async def _ask_far_keepers(self) -> None:
         """Get settings, which are the same everywhere, from another failure domain."""
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -40,6 +40,7 @@
 FAR_DOMAINS: Final = 2
 # Rounds after which a keeper asks for the capacity of all failure domains again.
 CAPACITY_ROUNDS: Final = 8
+JOIN_AT_ONCE: Final = 4
 
 
 @section("settings_relay", "keeper")
@@ -130,16 +131,19 @@
         domains = {vm.failure_domain for vm in vms}
         found = {vm.address for domain in domains for vm in self._watchers_of(domain)}
         own = {vm.address for vm in self._keepers_of(self._context.node.failure_domain)}
-        await self._pull_from(found | own | set(self._section.others))
+        addresses = sorted(found | own | set(self._section.others))
+        # A few at a time: each answer holds all settings.
+        for start in range(0, len(addresses), JOIN_AT_ONCE):
+            await self._pull_from(set(addresses[start : start + JOIN_AT_ONCE]), whole=True)
 
-    async def _pull_from(self, addresses: set[str]) -> None:
+    async def _pull_from(self, addresses: set[str], *, whole: bool = False) -> None:
         wanted = addresses - {self._context.address} - self._pulling
-        await asyncio.gather(*(self._pull_one(address) for address in sorted(wanted)))
+        await asyncio.gather(*(self._pull_one(address, whole=whole) for address in sorted(wanted)))
 
-    async def _pull_one(self, address: str) -> None:
+    async def _pull_one(self, address: str, *, whole: bool) -> None:
         self._pulling.add(address)
         try:
-            await self._pull_pages(address)
+            await self._pull_pages(address, since=0 if whole else None)
             self._silent.discard(address)
         except BaobabError as error:
             logger.debug("no settings from {}: {}", address, error.message)
@@ -147,12 +151,12 @@
         finally:
             self._pulling.discard(address)
 
-    async def _pull_pages(self, address: str) -> None:
+    async def _pull_pages(self, address: str, *, since: int | None) -> None:
         book = self._context.view.book
         more = True
         while more:
             question = SettingsQuestion(
-                revision=book.revision,
+                revision=book.revision if since is None else since,
                 capacity=self._capacity.own,
                 vms=vm_relay_of(self._context).digest,
                 all_domains=self._round % CAPACITY_ROUNDS == 0,
@@ -163,7 +167,7 @@
             if news.entries and address in self._listening:
                 # These should have come by the subscription; it may be silent for good.
                 self._context.peers.subscribe(address, self._on_news)
-            before = book.revision
+            before, since = book.revision, None
             self.hear(news)
             more = news.more and book.revision > before
 
