Make the faults of the joint run tell when a guard is off

The first version of bench faults passed with once-only calls sent again after a lost answer and with events of other attempts taken: service calls were lost at one of three services and mostly by lookups' time, and a crossed event carried the attempt's own tokens under another id. Now all services lose their next call, all engines cross or repeat two answers, and a crossed event carries tokens that are not the attempt's own (stricter for every test that crosses events).

--- a/src/baobabpulley/emulator/bench_faults.py
+++ b/src/baobabpulley/emulator/bench_faults.py
@@ -29,6 +29,7 @@
 LONG: Final = (20_000, 20)
 GANG: Final = (75_000, 8)
 SHORT_CALLERS: Final = 6
+ORDER_CALLERS: Final = 4
 # Bounds in model seconds: memory, and settings once the last fault has ended.
 MEMORY_BOUND: Final = 15.0
 PROBE_BOUND: Final = 60.0
@@ -123,8 +124,7 @@
         load.complete(team=TEAM, tokens=LONG[0], max_tokens=LONG[1]),
         load.complete(team=TEAM, tokens=LONG[0], max_tokens=LONG[1]),
         load.complete(team=TEAM, tokens=GANG[0], max_tokens=GANG[1]),
-        load.order(),
-        load.order(),
+        *(load.order() for _ in range(ORDER_CALLERS)),
         load.look_up(),
         load.raise_limit(team=RAISING_TEAM),
         load.raise_limit(team=RAISING_TEAM),
--- a/src/baobabpulley/emulator/injection.py
+++ b/src/baobabpulley/emulator/injection.py
@@ -29,6 +29,7 @@
 MAX_SLOW: Final = 5.0
 STORE_DELAY: Final = 0.4
 SERVICE_DELAY: Final = 1.0
+WRONG_EVENTS: Final = 2
 POLL_PERIOD: Final = 0.2
 EXIT_BOUND: Final = 120.0
 
@@ -197,16 +198,19 @@
 
 @fault_kinds.register("lost service call")
 async def lost_service_call(injector: Injector) -> None:
-    """Let a service lose a call before or after it ran, or answer late."""
-    address = injector.one_of(*(vm.address for vm in services(injector.fleet)))
+    """Let all services lose a call before or after it ran, or answer late for a time."""
     kind = injector.one_of("lose_answer", "lose_request", "delay_answer")
-    await injector.fleet.fault(address, kind, seconds=SERVICE_DELAY)
+    for vm in services(injector.fleet):
+        await injector.fleet.fault(vm.address, kind, seconds=SERVICE_DELAY)
     await injector.sleep(injector.draw(MAX_SLOW))
-    await injector.fleet.fault(address, "none")
+    if kind == "delay_answer":
+        for vm in services(injector.fleet):
+            await injector.fleet.fault(vm.address, kind, seconds=0.0)
 
 
 @fault_kinds.register("wrong events")
 async def wrong_events(injector: Injector) -> None:
-    """Let an engine send another attempt's events, or events twice."""
-    address = injector.one_of(*(vm.address for vm in engines(injector.fleet)))
-    await injector.fleet.fault(address, injector.one_of("cross", "repeat"))
+    """Let all engines send another attempt's events, or events twice, for some answers."""
+    kind = injector.one_of("cross", "repeat")
+    for vm in engines(injector.fleet):
+        await injector.fleet.fault(vm.address, kind, count=WRONG_EVENTS)
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -228,11 +228,14 @@
 
     async def _send_tokens(self, job: Job, offset: int) -> None:
         attempt = job.call.attempt
-        if self.faults.take("cross"):
+        crossed = self.faults.take("cross")
+        if crossed:
             attempt = f"not-{attempt}"
         while not job.failed:
             ready = job.tokens[offset - job.call.offset :]
             if ready:
+                if crossed:
+                    ready = [token[::-1] for token in ready]
                 event = TokenEvent(attempt=attempt, index=offset, tokens=tuple(ready))
                 data = frame_event(msgspec.json.encode(event))
                 await self.send(data * (2 if self.faults.take("repeat") else 1))
