Write back a limit that was lowered by hand in the store

Cause: processes keep the larger limit in memory, but nothing raised the stored copies, so with both lowered by hand a restart of the whole fleet lost it. A deleted promise ledger went unnoticed altogether; it raises an alarm now.

The keeper that gives its failure domain's orders writes both copies back by compare-and-swap with a record under a change id, one failure domain after another, at most four teams a round of 2 s, after failures with a random pause. Nothing is asked of the store while nothing is lowered.

Ruled out: a lease of its own for the fleet. The compared write is harmless if two write, so a lease would only add calls.

Seen failing: without the repair, test_a_limit_lowered_in_both_copies_outlives_a_restart_of_all (real processes) finds both copies still low, and test_without_a_holder... keeps the loss as a test.

Not kept: a restart of all within the seconds before the write. A copy that does not parse is left as it is.

--- a/src/baobabpulley/keeper/change_writer.py
+++ b/src/baobabpulley/keeper/change_writer.py
@@ -96,6 +96,22 @@
             await self._pause()
         raise Conflict("other changes came first again and again")
 
+    async def restore_limit(self, order: RaiseLimit) -> ChangeAccepted | None:
+        """Raise both stored copies of a limit to the one in force, without a promise anew.
+
+        Returns ``None`` if neither was below it. A copy that does not parse is left as it is.
+        Raises as `raise_limit`.
+        """
+        for _ in range(MAX_CONFLICTS):
+            swaps = await self._restoring_swaps(order)
+            if not swaps:
+                return None
+            accepted = await self._commit(swaps, team=order.team, change_id=order.change_id)
+            if accepted is not None:
+                return accepted
+            await self._pause()
+        raise Conflict("other changes came first again and again")
+
     async def write_document(self, order: WriteDocument) -> ChangeAccepted:
         """Write or delete a team's own settings document.
 
@@ -169,6 +185,24 @@
             _swap(limit_key(order.team), encode_document(limit), stored),
         ]
 
+    async def _restoring_swaps(self, order: RaiseLimit) -> list[Swap]:
+        team, limit = order.team, order.limit
+        stored = await self._store.get(limit_key(team))
+        ledger = await self._store.get(PROMISES_KEY)
+        document = LimitDocument(Limit()) if stored is None else _decoded(stored, LimitDocument)
+        promises = PromiseDocument() if ledger is None else _decoded(ledger, PromiseDocument)
+        swaps = []
+        if promises is not None and not promises.teams.get(team, Limit()).covers(limit):
+            merged = promises.teams.get(team, Limit()).merged(limit)
+            restored = PromiseDocument(
+                teams={**promises.teams, team: merged}, change_id=order.change_id
+            )
+            swaps.append(_swap(PROMISES_KEY, encode_document(restored), ledger))
+        if document is not None and not document.limit.covers(limit):
+            written = LimitDocument(limit=document.limit.merged(limit), change_id=order.change_id)
+            swaps.append(_swap(limit_key(team), encode_document(written), stored))
+        return swaps
+
     def _promised(self, ledger: StoredEntry | None) -> dict[str, Limit]:
         """Return what all teams were promised, from the ledger and the limits in force."""
         promised = dict(self._book.limits)
--- a/src/baobabpulley/keeper/changes.py
+++ b/src/baobabpulley/keeper/changes.py
@@ -46,6 +46,11 @@
             seed=context.node.id,
         )
 
+    @property
+    def writer(self) -> ChangeWriter:
+        """Makes this keeper's changes."""
+        return self._writer
+
     async def start(self) -> None:
         self._context.peers.answer(RaiseLimit, self._raise)
         self._context.peers.answer(WriteDocument, self._write)
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -42,6 +42,7 @@
     "fleet_state",
     "membership",
     "tender",
+    "limit_repair",
     "reservations",
     "sweep",
 )
--- /dev/null
+++ b/src/baobabpulley/keeper/limit_repair.py
@@ -0,0 +1,78 @@
+"""Write limits back that were lowered or deleted in the store by hand.
+
+Every process keeps the larger limit in memory, but a restart of the whole fleet would lose it.
+So the keeper that gives its failure domain's orders writes it back. Its lease only spares calls:
+the write compares both copies and never lowers one, so two that believe in their lease do no harm.
+"""
+
+from __future__ import annotations
+
+import random
+import secrets
+from typing import Final
+from typing import cast
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.keeper.changes import SettingsChanges
+from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
+from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.tender import Tender
+from baobabpulley.model.settings_messages import RaiseLimit
+from baobabpulley.policy.rendezvous import ranked
+
+PERIOD: Final = 2.0
+MAX_TEAMS_A_ROUND: Final = 4
+MAX_ROUNDS_BETWEEN_TRIES: Final = 32
+
+
+@keeper_parts.register("limit_repair")
+@final
+class LimitRepair(KeeperPart):
+    """Restore stored limits that are below those in force, one failure domain after another."""
+
+    __slots__ = ("_context", "_failures", "_random", "_rounds")
+
+    def __init__(self, context: KeeperContext) -> None:
+        self._context = context
+        self._random = random.Random(context.node.id)
+        self._rounds = 0
+        self._failures = 0
+
+    async def start(self) -> None:
+        self._context.timers.every(PERIOD, self.restore, jitter=0.2, name="limit repair")
+
+    async def restore(self) -> None:
+        """Write back some limits if it is this keeper's turn."""
+        below = self._context.view.book.limits_below_in_store
+        if not below or not cast(Tender, self._context.parts["tender"]).lease.holds():
+            self._rounds = 0
+            return
+        self._rounds += 1
+        if self._rounds <= self._turn():
+            return
+        try:
+            for team in sorted(below)[:MAX_TEAMS_A_ROUND]:
+                await self._restore(team)
+            self._failures = 0
+        except BaobabError as error:
+            logger.debug("a lowered limit was not written back: {}", error.message)
+            self._failures += 1
+            most = min(MAX_ROUNDS_BETWEEN_TRIES, 2**self._failures)
+            self._rounds = -self._random.randint(0, most)
+
+    async def _restore(self, team: str) -> None:
+        changes = cast(SettingsChanges, self._context.parts["settings_changes"])
+        limit = self._context.view.book.limit(team)
+        change_id = f"restore-{secrets.token_hex(8)}"
+        if await changes.writer.restore_limit(RaiseLimit(team, change_id, limit)):
+            logger.warning("wrote the limit in force of {} back, change {}", team, change_id)
+
+    def _turn(self) -> int:
+        """Return how many rounds this failure domain leaves to others before it writes."""
+        own = self._context.node.failure_domain
+        domains = {vm.failure_domain for vm in self._context.view.entry_vms} | {own}
+        return ranked("limit repair", domains).index(own)
--- a/src/baobabpulley/model/settings_book.py
+++ b/src/baobabpulley/model/settings_book.py
@@ -19,6 +19,7 @@
 from baobabpulley.errors import DocumentFault
 from baobabpulley.errors import Forbidden
 from baobabpulley.model.documents import FLEET
+from baobabpulley.model.documents import PROMISES_KEY
 from baobabpulley.model.documents import TEAMS
 from baobabpulley.model.documents import AccessDocument
 from baobabpulley.model.documents import LimitDocument
@@ -53,6 +54,7 @@
     __slots__ = (
         "_access",
         "_alarm",
+        "_below",
         "_beyond",
         "_documented",
         "_entries",
@@ -80,6 +82,7 @@
         self._operators: dict[str, str] = {}
         self._documented: dict[str, Limit] = {}
         self._beyond: dict[str, Limit] = {}
+        self._below: frozenset[str] = frozenset()
         self._rejected: dict[str, int] = {}
         self._listeners: list[ChangeListener] = []
 
@@ -118,6 +121,11 @@
         """Limits in force that the stored documents no longer tell, by team."""
         return self._beyond
 
+    @property
+    def limits_below_in_store(self) -> frozenset[str]:
+        """Teams of whose limit a stored copy, the team's own or the ledger's, is too low."""
+        return self._below
+
     @property
     def rejected(self) -> dict[str, int]:
         """Revision of each stored document that is kept out, by key."""
@@ -235,13 +243,15 @@
             self._alarm(ALARM_BAD_DOCUMENT, fault.message)
 
     def _tell(self, before: int) -> None:
-        self._beyond = {
-            team: limit
-            for team, limit in self._limits.items()
-            if not self._documented.get(team, Limit())
-            .merged(self._promises.teams.get(team, Limit()))
-            .covers(limit)
-        }
+        below, self._beyond = set(), {}
+        for team, limit in self._limits.items():
+            documented = self._documented.get(team, Limit())
+            promised = self._promises.teams.get(team, Limit())
+            if not (documented.covers(limit) and promised.covers(limit)):
+                below.add(team)
+            if not documented.merged(promised).covers(limit):
+                self._beyond[team] = limit
+        self._below = frozenset(below)
         for listener in self._listeners:
             listener(before)
 
@@ -303,6 +313,9 @@
             # A limit that was raised stays raised, also when its key is deleted by hand.
             self._alarm(ALARM_LIMIT_LOWERED, f"{key} was deleted; the limit in force stays")
             self._documented.pop(owner, None)
+        elif key == PROMISES_KEY:
+            self._alarm(ALARM_LIMIT_LOWERED, f"{key} was deleted; the limits in force stay")
+            self._promises = PromiseDocument()
         elif key.startswith(FLEET):
             kind, _, name = key.removeprefix(FLEET).partition("/")
             documents: dict[str, dict[str, ServiceDocument] | dict[str, ModelDocument]] = {
--- /dev/null
+++ b/src/baobabpulley/specs/limit_repair.py
@@ -0,0 +1,148 @@
+"""A limit that was lowered by hand in the store, in one copy or both, is written back.
+
+Two keepers learn the limit from the store or from each other and restart. Whoever finds a copy
+below the limit in force reads both, and later swaps those that are too low; the swap may arrive
+twice. Operators raise the limit meanwhile. Restarts that leave nobody who knows an accepted
+limit, before it was written back, are the case that is not guaranteed, and are left out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+from typing import NamedTuple
+
+from baobabpulley.specs.explore import Spec
+from baobabpulley.specs.explore import Step
+
+HIGHEST: Final = 2
+MAX_EDITS: Final = 1
+MAX_RESTARTS: Final = 2
+# Beyond what raises, edits and compared repairs can reach; it bounds the search without `compare`.
+MAX_REVISION: Final = 6
+
+COMPARE: Final = "compare"
+WRITE_BACK: Final = "write_back"
+GUARDS: Final = frozenset({COMPARE, WRITE_BACK})
+
+
+class Copy(NamedTuple):
+    """One stored copy: the team's own key, or the ledger's."""
+
+    value: int = 1
+    revision: int = 1
+
+
+class Repair(NamedTuple):
+    """A swap on its way: the copies as read, and the limit to write."""
+
+    seen: tuple[Copy, Copy]
+    limit: int
+
+
+class State(NamedTuple):
+    """Both copies, the limits in force at two keepers, their repairs, and what was accepted."""
+
+    copies: tuple[Copy, Copy] = (Copy(), Copy())
+    keepers: tuple[int, int] = (1, 1)
+    repairs: tuple[Repair | None, Repair | None] = (None, None)
+    accepted: int = 1
+    edits: int = 0
+    restarts: int = 0
+
+
+def limit_repair_spec(guards: frozenset[str] = GUARDS) -> Spec:
+    """Return the specification; leaving a guard out gives a mutant.
+
+    ``compare``: a copy is swapped only at the revision that was read. ``write_back``: keepers
+    write back at all.
+    """
+
+    def steps(state: State) -> Iterator[Step]:
+        yield from _operator_steps(state)
+        for who in (0, 1):
+            yield from _keeper_steps(state, who)
+            if WRITE_BACK in guards:
+                yield from _repair_steps(state, who, guards)
+
+    return Spec(
+        name="limit_repair",
+        initial=State(),
+        steps=steps,
+        invariants={"accepted_is_known": lambda s: _known(s) >= s.accepted},
+        goal=lambda s: all(copy.value >= s.accepted for copy in s.copies),
+    )
+
+
+def _operator_steps(state: State) -> Iterator[Step]:
+    if state.accepted < HIGHEST:
+        raised = tuple(_written(copy, state.accepted + 1) for copy in state.copies)
+        yield "the limit is raised", state._replace(copies=raised, accepted=state.accepted + 1)
+    if state.edits < MAX_EDITS:
+        for label, lowered in (("the key", (0,)), ("the ledger", (1,)), ("both", (0, 1))):
+            copies = tuple(
+                _written(copy, 0) if which in lowered else copy
+                for which, copy in enumerate(state.copies)
+            )
+            edited = state._replace(copies=copies, edits=state.edits + 1)
+            # What nobody has read before it is lowered in both copies is lost.
+            if _known(edited) >= state.accepted:
+                yield f"a hand edit lowers {label}", edited
+
+
+def _keeper_steps(state: State, who: int) -> Iterator[Step]:
+    held = state.keepers[who]
+    stored = max(copy.value for copy in state.copies)
+    yield f"keeper {who} reads", _with_limit(state, who, max(held, stored))
+    yield f"keeper {who} joins", _with_limit(state, who, max(state.keepers))
+    restarted = _with_limit(state, who, 0)._replace(restarts=state.restarts + 1)
+    if state.restarts < MAX_RESTARTS and _known(restarted) >= state.accepted:
+        yield f"keeper {who} restarts", _with_repair(restarted, who, None)
+
+
+def _repair_steps(state: State, who: int, guards: frozenset[str]) -> Iterator[Step]:
+    limit, repair = state.keepers[who], state.repairs[who]
+    if repair is None:
+        if any(copy.value < limit for copy in state.copies):
+            begun = Repair(seen=state.copies, limit=limit)
+            yield f"keeper {who} reads to repair", _with_repair(state, who, begun)
+        return
+    written = state._replace(copies=_swapped(state.copies, repair, guards))
+    yield f"keeper {who} writes back", _with_repair(written, who, None)
+    yield f"keeper {who}'s write arrives, and a copy is on its way", written
+    yield f"keeper {who}'s write is lost", _with_repair(state, who, None)
+
+
+def _swapped(
+    copies: tuple[Copy, Copy], repair: Repair, guards: frozenset[str]
+) -> tuple[Copy, Copy]:
+    low = [seen.value < repair.limit for seen in repair.seen]
+    as_read = all(
+        copy == seen for copy, seen, wanted in zip(copies, repair.seen, low, strict=True) if wanted
+    )
+    spent = max(copy.revision for copy in copies) >= MAX_REVISION
+    if spent or (COMPARE in guards and not as_read):
+        return copies
+    first, second = (
+        _written(copy, repair.limit) if wanted else copy
+        for copy, wanted in zip(copies, low, strict=True)
+    )
+    return first, second
+
+
+def _known(state: State) -> int:
+    return max(*state.keepers, *(copy.value for copy in state.copies))
+
+
+def _written(copy: Copy, value: int) -> Copy:
+    return Copy(value=value, revision=copy.revision + 1)
+
+
+def _with_limit(state: State, who: int, limit: int) -> State:
+    first, second = state.keepers
+    return state._replace(keepers=(limit, second) if who == 0 else (first, limit))
+
+
+def _with_repair(state: State, who: int, repair: Repair | None) -> State:
+    first, second = state.repairs
+    return state._replace(repairs=(repair, second) if who == 0 else (first, repair))
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -16,9 +16,11 @@
 from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.keeper import changes
+from baobabpulley.keeper import limit_repair
 from baobabpulley.keeper import settings_watch
 from baobabpulley.keeper.changes import PromisesSection
 from baobabpulley.keeper.context import KeeperContext
+from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
 from baobabpulley.keeper.relay import RelaySection
 from baobabpulley.model.fleet_view import FleetView
@@ -34,8 +36,8 @@
 from baobabpulley.settings import Settings
 from baobabpulley.timers import ManualTimers
 
-PARTS = ("settings_relay", "settings_watch", "settings_changes")
-assert changes and settings_watch
+PARTS = ("settings_relay", "settings_watch", "settings_changes", "limit_repair")
+assert changes and limit_repair and settings_watch
 
 
 class FakePeers(Peers):
@@ -93,6 +95,20 @@
         self.dead = True
 
 
+class FakeTender(KeeperPart):
+    """A tender, and its lease: all keepers believe that they have it, or none does."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self.lease = self
+
+    async def start(self) -> None:
+        return
+
+    def holds(self) -> bool:
+        return self._cluster.leases_held
+
+
 class Member:
     """A keeper or an entry, and the most that it has ever had in force."""
 
@@ -127,6 +143,7 @@
         self.random = random.Random(seed)
         self.cuts: set[frozenset[str]] = set()
         self.lose_news = 0.0
+        self.leases_held = True
         self.alarms: list[tuple[str, str]] = []
         self.peers: dict[str, FakePeers] = {}
         self.members: dict[str, Member] = {}
@@ -182,6 +199,7 @@
         self.members[member.name] = member
         for name in PARTS:
             context.parts[name] = keeper_parts.lookup(name)(context)
+        context.parts["tender"] = FakeTender(self)
         for part in context.parts.values():
             await part.start()
         return member
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -193,6 +193,74 @@
     assert any(kind == "limit_lowered" and str(revision) in text for kind, text in cluster.alarms)
 
 
+def lower_both_copies(cluster: Cluster) -> None:
+    """Lower the stored limit and the promise as an operator with the store's own tools would."""
+    lowered = {"souk": Limit(1, 1)}
+    cluster.state.put(limit_key("souk"), encode_document(LimitDocument(limit=lowered["souk"])))
+    cluster.state.put(PROMISES_KEY, encode_document(PromiseDocument(teams=lowered)))
+
+
+async def limits_after_a_restart_of_all(cluster: Cluster) -> set[Limit]:
+    for name in tuple(cluster.members):
+        cluster.kill(name)
+    await cluster.start()
+    await cluster.advance(IN_FORCE_WITHIN)
+    return {member.book.limit("souk") for member in cluster.members.values()}
+
+
+@pytest.mark.parametrize("deleted", [False, True], ids=["lowered", "deleted"])
+async def test_a_limit_lowered_in_both_copies_is_written_back(
+    cluster: Cluster, deleted: bool
+) -> None:
+    lower_both_copies(cluster)
+    if deleted:
+        cluster.state.put(limit_key("souk"), None)
+        cluster.state.put(PROMISES_KEY, None)
+    await cluster.advance(10.0)
+    calls, revision = cluster.state.calls, cluster.state.revision
+    await cluster.advance(10.0)
+    # Nothing is left to do, and nobody asks the store any more.
+    assert (cluster.state.calls, cluster.state.revision) == (calls, revision)
+    assert await limits_after_a_restart_of_all(cluster) == {LIMIT}
+
+
+async def test_without_a_holder_a_lowered_limit_is_lost_in_a_restart_of_all(
+    cluster: Cluster,
+) -> None:
+    cluster.leases_held = False
+    lower_both_copies(cluster)
+    await cluster.advance(10.0)
+    assert {member.book.limit("souk") for member in cluster.members.values()} == {LIMIT}
+    assert await limits_after_a_restart_of_all(cluster) == {Limit(1, 1)}
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_lost_answers_and_an_outage_bring_no_storm_of_repairs(seed: int) -> None:
+    cluster = Cluster(keepers={"fes": 1, "meknes": 1, "rabat": 1}, seed=seed)
+    cluster.state.put(limit_key("souk"), encode_document(LimitDocument(limit=LIMIT)))
+    cluster.state.put(PROMISES_KEY, encode_document(PromiseDocument(teams={"souk": LIMIT})))
+    await cluster.start()
+    await cluster.advance(IN_FORCE_WITHIN)
+    cluster.state.fates = ("now", "never", "late")
+    lower_both_copies(cluster)
+    calls, revision = cluster.state.calls, cluster.state.revision
+    await cluster.advance(1.0)
+    cluster.state.down = True
+    await cluster.advance(12.0)
+    cluster.state.down = False
+    cluster.state.lose_answers = 0.7
+    await cluster.advance(12.0)
+    cluster.state.lose_answers = 0.0
+    await cluster.advance(20.0)
+    # Three keepers reopen their watches once a second on average; repairs take a few calls each.
+    assert cluster.state.calls - calls <= 3 * 1.5 * 12 + 30
+    # Each failure domain writes at most once.
+    assert 1 <= cluster.state.revision - revision <= 3
+    assert await limits_after_a_restart_of_all(cluster) == {LIMIT}
+    for name in tuple(cluster.members):
+        cluster.kill(name)
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -26,7 +26,10 @@
 from baobabpulley.emulator.fleet import operator_token
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import StoreCompacted
+from baobabpulley.model.documents import PROMISES_KEY
 from baobabpulley.model.documents import LimitDocument
+from baobabpulley.model.documents import PromiseDocument
+from baobabpulley.model.documents import decode_document
 from baobabpulley.model.documents import encode_document
 from baobabpulley.model.documents import limit_key
 from baobabpulley.model.limits import Limit
@@ -101,7 +104,9 @@
 
 async def serves(fleet: Fleet, entry: str) -> bool:
     caller = Caller(token=caller_token("souk"), model=MODEL)
-    return (await caller.complete(fleet.entries[entry], prompt="saffron and cumin")).ok
+    answer = await caller.complete(fleet.entries[entry], prompt="saffron and cumin")
+    print(entry, answer.status, answer.code)
+    return answer.ok
 
 
 async def counts(fleet: Fleet) -> tuple[int, int]:
@@ -274,6 +279,8 @@
     links = fleet.links
     assert links is not None
     old, times = Limit(16_000, 80_000), []
+    await settled(fleet, "entry-1", old)
+    await in_force(fleet, old)
     watching = asyncio.create_task(never_back(fleet))
     for number in range(3):
         wanted = Limit(16_000, 81_000 + number)
@@ -304,6 +311,41 @@
     assert min(times) < 3.0
 
 
+async def test_a_limit_lowered_in_both_copies_outlives_a_restart_of_all(fleet: Fleet) -> None:
+    key = limit_key("souk")
+    held = Limit(16_000, 85_000)
+    await settled(fleet, "entry-0", held)
+    await lower_by_hand(fleet)
+    ledger = await fleet.store.get(PROMISES_KEY)
+    assert ledger is not None
+    lowered = encode_document(PromiseDocument(teams={"souk": Limit(1, 1)}))
+    swap = Swap(key=PROMISES_KEY, value=lowered, expected_revision=ledger.mod_revision)
+    await fleet.store.swap(swap)
+    end = time.monotonic() + PATIENCE
+    stored: list[Limit] = []
+    # The other team's promise was lowered by being left out.
+    while stored != [held, held, Limit(10_000, 20_000)]:
+        assert time.monotonic() < end, stored
+        document = await fleet.store.get(key)
+        ledger = await fleet.store.get(PROMISES_KEY)
+        assert document is not None and ledger is not None
+        teams = decode_document(ledger, PromiseDocument).teams
+        limit = decode_document(document, LimitDocument).limit
+        stored = [limit, teams["souk"], teams.get("stall", Limit())]
+        await asyncio.sleep(0.05)
+    daemons = [p for name, p in fleet.processes.items() if name.startswith(("keeper", "entry"))]
+    for process in daemons:
+        process.kill()
+    for process in daemons:
+        process.start()
+    for address in fleet.entries.values():
+        await fleet.wait_for(address, "/readyz")
+    await in_force(fleet, held)
+    # New homes of tokens and memory grant nothing for one expiry time.
+    while not all([await serves(fleet, name) for name in fleet.entries]):
+        assert time.monotonic() < end
+
+
 async def never_back(fleet: Fleet) -> None:
     """Fail once a process acts on an older revision or a lower limit than before."""
     seen: dict[str, tuple[int, Limit]] = {}
--- a/testing/test_specs.py
+++ b/testing/test_specs.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from baobabpulley.specs import limit_repair
 from baobabpulley.specs import once
 from baobabpulley.specs import orders
 from baobabpulley.specs import promises
@@ -17,6 +18,7 @@
 SPECS: dict[str, Callable[[], Spec]] = {
     "settings": settings.settings_spec,
     "promises": promises.promises_spec,
+    "limit_repair": limit_repair.limit_repair_spec,
     "orders_checked": lambda: orders.orders_spec(checks_fencing=True),
     "orders_ignored": lambda: orders.orders_spec(checks_fencing=False),
     "tickets": once.ticket_spec,
@@ -37,6 +39,12 @@
         )
         for guard in sorted(promises.GUARDS)
     },
+    **{
+        f"limit_repair without {guard}": lambda guard=guard: limit_repair.limit_repair_spec(
+            limit_repair.GUARDS - {guard}
+        )
+        for guard in sorted(limit_repair.GUARDS)
+    },
     "orders without engine_checks": lambda: orders.orders_spec(
         checks_fencing=True, guards=frozenset()
     ),
