Act on checks_sender: prove the sender of orders, or say what is relied on

Cause: the setting was stored and nothing read it. Engines of services that check their sender now get `[tender] credential` as a bearer token with each order, and no other engine is told it.

Ruled out: a digest derived from the fleet's secret (engines would have to know a secret that opens peers' messages, or a format of our own), and one token for all services (an engine that does not check would learn it).

The stand-in engines of local fleets demand the token, so test_members_fleet.py passes only with it sent.

--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -148,6 +148,7 @@
         *,
         guard: Guard | None = None,
         window: float | None = None,
+        credential: str = "",
     ) -> None:
         timeout = self._timers.real(window or SHORT_CALL_TIMEOUT)
         # A new connection: bytes of an order must not wait behind anything else.
@@ -156,6 +157,7 @@
             method="POST",
             path="/v1/orders",
             body=msgspec.json.encode(order),
+            headers={"Authorization": f"Bearer {credential}"} if credential else None,
             head_timeout=timeout,
             fresh=True,
             before_body=guard,
--- a/src/baobabpulley/cli/standins.py
+++ b/src/baobabpulley/cli/standins.py
@@ -69,6 +69,7 @@
 @click.option("--chunk", default=512, help="Prefill tokens between two looks at priorities.")
 @click.option("--load-lag", default=0.5, help="Model seconds that load reports lag.")
 @click.option("--ignores-fencing", is_flag=True, help="Take orders with old fencing numbers.")
+@click.option("--credential", default="", help="Bearer token that orders must carry.")
 @click.option("--seed", default=0, help="Seed of the gaps in cache events.")
 def engine(
     id_: str,
@@ -81,6 +82,7 @@
     chunk: int,
     load_lag: float,
     ignores_fencing: bool,
+    credential: str,
     seed: int,
 ) -> None:
     """Run a model engine."""
@@ -99,6 +101,7 @@
             profile=profile,
             timers=TimerService(speed=speed),
             checks_fencing=not ignores_fencing,
+            credential=credential,
             seed=seed,
         )
     )
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -42,6 +42,7 @@
 HOST: Final = "127.0.0.1"
 START_TIMEOUT: Final = 30.0
 SECRET: Final = "a-secret-for-stand-ins-only"
+CREDENTIAL: Final = "a-credential-for-stand-ins-only"
 MODEL: Final = "recipes"
 ENGINE_SERVICE: Final = "kitchen"
 PLAIN_SERVICE: Final = "ledger"
@@ -274,7 +275,8 @@
         for index in range(plan.engines):
             vm = self._upstream("engine", index, ENGINE_SERVICE, plan.base_port + 100 + index)
             common = ("--id", vm.id, "--address", vm.address, *speed)
-            options = ("--models", MODEL, "--seed", str(index), *plan.engine_options)
+            options = ("--models", MODEL, "--seed", str(index), "--credential", CREDENTIAL)
+            options += plan.engine_options
             self.add(vm.id, "standin", "engine", *common, *options).start()
         for index in range(plan.plain_services):
             vm = self._upstream("service", index, PLAIN_SERVICE, plan.base_port + 300 + index)
@@ -322,6 +324,7 @@
                 "vm_list": self.vm_list_address,
             },
             "peers": {"secret": SECRET},
+            "tender": {"credential": CREDENTIAL},
         }
         if self.links is not None:
             keepers = [self._keeper_address(other) for other in range(plan.entries)]
--- a/src/baobabpulley/keeper/tender.py
+++ b/src/baobabpulley/keeper/tender.py
@@ -11,7 +11,8 @@
 - Engines that ignore them: the same, if their HTTP server closes a connection whose request body
   does not come within W of its head (the read timeout that servers have). A holder frozen
   between its last check and the body's bytes finds its connection closed. A new holder also
-  waits W before its first order to such engines.
+  waits W before its first order to such engines, and to those that do not check who gives
+  them orders: anybody may have given those a number.
 - Not guaranteed for engines that ignore them and wait for a body without bound, nor if a VM's
   monotonic clock stands still while other VMs' clocks go on. Then an old order can take effect
   late; the holder reads every engine's state back and repairs what it finds wrong.
@@ -35,6 +36,7 @@
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.context import keeper_parts
 from baobabpulley.keeper.engine_states import EngineStates
+from baobabpulley.keeper.order_senders import OrderSenders
 from baobabpulley.keeper.tender_lease import TenderLease
 from baobabpulley.model.documents import tender_key
 from baobabpulley.model.messages import TenderAnswer
@@ -58,7 +60,8 @@
 class TenderSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Times of the lease and of orders; ``loads_per_second`` is the weight store's rate.
 
-    An order not confirmed within ``confirm_within`` is given anew under a new id.
+    An order not confirmed within ``confirm_within`` is given anew under a new id. ``credential``
+    is the bearer token that engines which check their sender demand of orders.
     """
 
     ttl: Seconds = 20.0
@@ -70,6 +73,7 @@
     confirm_within: Seconds = 30.0
     loads_per_second: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     loads_burst: Annotated[float, msgspec.Meta(ge=1)] = 2.0
+    credential: str = ""
 
 
 def checked_times(times: TenderSection) -> TenderSection:
@@ -118,6 +122,7 @@
         "_lease",
         "_orders",
         "_section",
+        "_senders",
         "_states",
     )
 
@@ -136,6 +141,9 @@
         self._bucket = self._new_bucket()
         self._decisions: deque[TenderDecision] = deque(maxlen=MAX_DECISIONS)
         self._given: dict[OrderKey, GivenOrder] = {}
+        self._senders = OrderSenders(
+            credential=self._section.credential, book=context.view.book, metrics=context.metrics
+        )
         self._orders = 0
         self._busy = False
 
@@ -182,6 +190,7 @@
             # The holder before may have spent the weight store's rate until just now.
             self._bucket = self._new_bucket()
             self._given.clear()
+            self._senders.forget()
             self._states.forget()
             self._note("lease_acquired", reason="no keeper held it")
 
@@ -223,7 +232,9 @@
     def _may_go_now(self, upstream: Upstream) -> bool:
         if self._states.age(upstream.id) > self._section.period * 2:
             return False
-        if self._context.view.book.services[upstream.service].checks_fencing:
+        service = self._context.view.book.services[upstream.service]
+        # A fencing number that anybody may give proves nothing of who gave the last one.
+        if service.checks_fencing and service.checks_sender:
             return True
         waited = self._context.timers.now() - self._lease.acquired_at
         return waited >= self._section.order_window
@@ -269,9 +280,16 @@
         self._note(planned.kind, planned=planned, order=order.id, reason=planned.reason)
         self._context.metrics.orders.labels(kind=planned.kind).inc()
         self._states.doubt(upstream.id)
+        notice = self._senders.notice(upstream)
+        if notice:
+            self._note("sender_not_proved", planned=planned, reason=notice)
         try:
             await self._context.engine.order(
-                upstream, order, guard=self._lease.check, window=self._section.order_window
+                upstream,
+                order,
+                guard=self._lease.check,
+                window=self._section.order_window,
+                credential=self._senders.credential(upstream),
             )
         except OrderTooLate:
             self._note("not_sent", planned=planned, order=order.id, reason="the lease has ended")
--- a/src/baobabpulley/ports/engine.py
+++ b/src/baobabpulley/ports/engine.py
@@ -181,9 +181,12 @@
         *,
         guard: Guard | None = None,
         window: float | None = None,
+        credential: str = "",
     ) -> None:
         """Give an order; raise `UpstreamRefused` if the engine does not take it.
 
+        ``credential`` shows an engine that checks it who gives the order.
+
         ``guard`` is called between the request's head and its body, and its error ends the
         order unsent. ``window`` is the model seconds for which bytes may stay on their way.
         """
--- a/src/baobabpulley/ports/wrapped_engine.py
+++ b/src/baobabpulley/ports/wrapped_engine.py
@@ -62,8 +62,9 @@
         *,
         guard: Guard | None = None,
         window: float | None = None,
+        credential: str = "",
     ) -> None:
-        await self._engine.order(upstream, order, guard=guard, window=window)
+        await self._engine.order(upstream, order, guard=guard, window=window, credential=credential)
 
     async def state(self, upstream: Upstream) -> EngineState:
         return await self._engine.state(upstream)
--- a/src/baobabpulley/settings.py
+++ b/src/baobabpulley/settings.py
@@ -28,7 +28,7 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
-SECRET_OPTIONS: Final = frozenset({"secret"})
+SECRET_OPTIONS: Final = frozenset({"credential", "secret"})
 HIDDEN: Final = "(hidden)"
 
 _SECTIONS: dict[str, dict[str, type[msgspec.Struct]]] = {"entry": {}, "keeper": {}}
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -65,6 +65,7 @@
         "_address",
         "_checks_fencing",
         "_client",
+        "_credential",
         "_fence",
         "_id",
         "_incarnation",
@@ -86,12 +87,14 @@
         profile: EngineProfile,
         timers: TimerService,
         checks_fencing: bool = True,
+        credential: str = "",
         seed: int = 0,
     ) -> None:
         self._id = id
         self._address = address
         self._timers = timers
         self._checks_fencing = checks_fencing
+        self._credential = credential
         self._incarnation = secrets.token_hex(4)
         self._models = dict.fromkeys(models, "1")
         self._loading: set[str] = set()
@@ -182,6 +185,11 @@
             digest = msgspec.json.decode(body, type=KvAnswer).digest
         return digest
 
+    def check_sender(self, authorization: str) -> None:
+        """Refuse an order that does not carry the credential, if this engine has one."""
+        if self._credential and authorization != f"Bearer {self._credential}":
+            raise Refusal("unauthorized", "the order does not carry the credential", status=401)
+
     async def take_order(self, order: Order) -> None:
         """Carry out an order once; refuse one with an old fencing number if this engine checks."""
         if self._checks_fencing and order.fence < self._fence:
@@ -340,6 +348,7 @@
         self._body += chunk
 
     async def post(self) -> None:
+        self._standin.check_sender(self.request.headers.get("Authorization", ""))
         await self._standin.take_order(msgspec.json.decode(self._body, type=Order))
         await self.answer({}, loses=True)
 
--- a/testing/order_world.py
+++ b/testing/order_world.py
@@ -94,6 +94,7 @@
         self.closes_late_bodies = closes_late_bodies
         self.engines = {f"engine-{index}": FakeEngine(self) for index in range(engines)}
         self.effects: list[tuple[float, str, int, Order]] = []
+        self.credentials: set[str] = set()
         self.most_loading = 0
 
     def lapse(self) -> None:
@@ -220,9 +221,16 @@
         return found
 
     async def order(
-        self, upstream: Any, order: Order, *, guard: Any = None, window: float | None = None
+        self,
+        upstream: Any,
+        order: Order,
+        *,
+        guard: Any = None,
+        window: float | None = None,
+        credential: str = "",
     ) -> None:
         del window
+        self._world.credentials.add(credential)
         await self._pauses.step()
         head_at = self._world.clock.time
         await self._pauses.step()
--- a/testing/test_order_wire.py
+++ b/testing/test_order_wire.py
@@ -12,6 +12,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_engine import HttpEngine
 from baobabpulley.errors import OrderTooLate
+from baobabpulley.errors import UpstreamRefused
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.ports.engine import Order
 from baobabpulley.standins.engine import BODY_TIMEOUT
@@ -22,6 +23,7 @@
 HOST = "127.0.0.1"
 SPEED = 10.0
 WAIT_SECONDS = 20.0
+CREDENTIAL = "a-credential-of-the-fleet"
 ORDER = Order(id="7.1.engine-0.load", kind="load", model="recipes", version="1", fence=7)
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -37,6 +39,7 @@
         profile=EngineProfile(),
         timers=timers,
         checks_fencing=False,
+        credential=CREDENTIAL,
     )
     running.start()
     yield running
@@ -63,10 +66,26 @@
         await adapter.order(upstream, ORDER, guard=refuse, window=BODY_TIMEOUT)
     # The same way lets an order through whose check passes, so the first one had its chance.
     other = msgspec.structs.replace(ORDER, id="7.2.engine-0.load")
-    await adapter.order(upstream, other, guard=lambda: None, window=BODY_TIMEOUT)
+    await adapter.order(
+        upstream, other, guard=lambda: None, window=BODY_TIMEOUT, credential=CREDENTIAL
+    )
     assert _orders(engine) == [other.id]
 
 
+@pytest.mark.parametrize("credential", ["", "a-wrong-one"], ids=["none", "wrong"])
+async def test_engine_that_checks_its_sender_refuses_an_order_without_the_credential(
+    engine: EngineStandin, base_port: int, credential: str
+) -> None:
+    adapter = HttpEngine(client=HttpClient(), timers=TimerService(speed=SPEED))
+    upstream = Upstream(
+        id="engine-0", service="kitchen", failure_domain="fes", address=f"{HOST}:{base_port}"
+    )
+    forged = msgspec.structs.replace(ORDER, id=f"forged-{credential}", fence=1_000_000)
+    with pytest.raises(UpstreamRefused, match="unauthorized"):
+        await adapter.order(upstream, forged, window=BODY_TIMEOUT, credential=credential)
+    assert forged.id not in _orders(engine)
+
+
 async def test_engine_takes_no_order_whose_body_comes_past_its_read_timeout(
     engine: EngineStandin, base_port: int
 ) -> None:
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -7,12 +7,15 @@
 
 import pytest
 from testing.order_world import MODEL
+from testing.order_world import SERVICE
 from testing.order_world import Keeper
 from testing.order_world import World
 
 from baobabpulley.errors import SettingsFault
 from baobabpulley.keeper.tender import TenderSection
 from baobabpulley.keeper.tender import checked_times
+from baobabpulley.model.documents import ServiceDocument
+from baobabpulley.model.documents import service_key
 
 SEEDS = range(100)
 ENGINES = 4
@@ -90,6 +93,30 @@
     assert late > 0
 
 
+@pytest.mark.parametrize("checks_sender", [True, False], ids=["checks", "does-not-check"])
+async def test_first_order_to_an_engine_that_does_not_check_its_sender_waits_and_is_noticed(
+    checks_sender: bool,
+) -> None:
+    world = World(engines=2, checks_fencing=True, closes_late_bodies=True)
+    section = TenderSection(credential="a-credential-of-the-fleet")
+    keeper = Keeper(world, "vm-0", section=section)
+    service = ServiceDocument(kind="engine", checks_sender=checks_sender)
+    keeper.install(service_key(SERVICE), service)
+    keeper.want(version="1")
+    began = world.clock.time
+    for _ in range(8):
+        await keeper.second()
+    waited = world.effects[0][0] - began
+    noticed = [item.upstream for item in keeper.tender.decisions if "sender" in item.what]
+    if checks_sender:
+        assert waited < section.order_window
+        assert (noticed, world.credentials) == ([], {section.credential})
+    else:
+        # The credential is not told to an engine that has no use for it.
+        assert waited >= section.order_window
+        assert (sorted(noticed), world.credentials) == (["engine-0", "engine-1"], {""})
+
+
 async def test_killed_engine_that_returns_empty_is_given_its_models_back() -> None:
     world = World(engines=3, checks_fencing=True, closes_late_bodies=True)
     keeper = Keeper(world, "vm-0")
