--- a/src/baobabpulley/model/settings_book.py
+++ b/src/baobabpulley/model/settings_book.py
@@ -61,12 +61,14 @@
         "_limits",
         "_listeners",
         "_models",
+        "_newest",
         "_operators",
         "_promises",
         "_rejected",
         "_revision",
         "_services",
         "_tokens",
+        "_tokens_changed",
     )
 
     def __init__(self, *, alarm: Alarm | None = None) -> None:
@@ -80,6 +82,8 @@
         self._promises = PromiseDocument()
         self._tokens: dict[str, str] = {}
         self._operators: dict[str, str] = {}
+        self._tokens_changed = False
+        self._newest = 0
         self._documented: dict[str, Limit] = {}
         self._beyond: dict[str, Limit] = {}
         self._below: frozenset[str] = frozenset()
@@ -155,6 +159,8 @@
         count = 0
         for entry in sorted(entries, key=_by_revision):
             count += self._install_one(entry)
+        if self._tokens_changed:
+            self._index_tokens()
         if since <= self._revision:
             self._revision = max(self._revision, revision)
         if count or self._revision > before:
@@ -174,6 +180,8 @@
 
     def newer_than(self, revision: int) -> tuple[StoredEntry, ...]:
         """Return all entries, deletions too, past a revision, oldest first."""
+        if revision >= self._newest:
+            return ()
         newer = (entry for entry in self._entries.values() if entry.mod_revision > revision)
         return tuple(sorted(newer, key=_by_revision))
 
@@ -233,6 +241,7 @@
             self._reject(entry, fault)
             return False
         self._entries[entry.key] = entry
+        self._newest = max(self._newest, entry.mod_revision)
         if self._rejected.get(entry.key, 0) < entry.mod_revision:
             self._rejected.pop(entry.key, None)
         return True
@@ -264,7 +273,7 @@
             self._apply_limit(owner, decode_document(entry, LimitDocument), entry)
         elif entry.key.startswith(TEAMS) and leaf == "access":
             self._access[owner] = decode_document(entry, AccessDocument)
-            self._index_tokens()
+            self._tokens_changed = True
         elif entry.key.startswith(FLEET):
             self._apply_fleet(entry)
         else:
@@ -308,7 +317,7 @@
         owner, _, leaf = key.removeprefix(TEAMS).partition("/")
         if key.startswith(TEAMS) and leaf == "access":
             self._access.pop(owner, None)
-            self._index_tokens()
+            self._tokens_changed = True
         elif key.startswith(TEAMS) and leaf == "limit" and owner in self._limits:
             # A limit that was raised stays raised, also when its key is deleted by hand.
             self._alarm(ALARM_LIMIT_LOWERED, f"{key} was deleted; the limit in force stays")
@@ -325,6 +334,7 @@
             documents.get(kind, {}).pop(name, None)
 
     def _index_tokens(self) -> None:
+        self._tokens_changed = False
         self._tokens = {
             digest: team
             for team, document in self._access.items()
