Let a holder that thaws past its lease die instead of sending its order

Cause: between the last check of the deadline and the body's bytes a holder can be frozen for as long as it likes, and an engine that ignores fencing numbers and waits for the body without bound takes it then.

Ruled out: one write of head and body (the freeze may come just before it); closing the connection at the deadline (a frozen process closes nothing, and the kernel's TCP timers need unacknowledged bytes).

A timer of the kernel, SIGALRM with its default action, runs from the last check until the body is written, and the check is made once more after it was armed. The kernel counts while the process is stopped and delivers the signal before its next instruction.

Seen failing: without the timer, test_holder_frozen_after_its_last_check_... finds the body sent and exit code 0 instead of -14. With it the engine, which waits without bound, gets the head alone; thawed in time, the order goes out. Left open: a VM whose monotonic clock stands still, an engine frozen with an order received.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -27,6 +27,7 @@
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.adapters.addresses import connect
+from baobabpulley.adapters.kill_timer import killed_after
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamLost
 
@@ -130,15 +131,16 @@
         headers: dict[str, str] | None = None,
         head_timeout: float = 30.0,
         fresh: bool = False,
-        before_body: Callable[[], None] | None = None,
+        before_body: Callable[[], float | None] | None = None,
         unacknowledged: float | None = None,
     ) -> AsyncIterator[HttpAnswer]:
         """Send a request and yield its answer; leaving the block early drops the connection.
 
         ``head_timeout`` is the real seconds to wait for the answer's head. ``fresh`` asks for a
         new connection. ``before_body`` is called once the request's head has left, right before
-        the body does; its error drops the connection. ``unacknowledged`` is the real seconds
-        after which the kernel drops a connection whose bytes are not acknowledged.
+        the body does; its error drops the connection. It returns the real seconds in which the
+        body has to leave, if they are bounded: see `killed_after`. ``unacknowledged`` is the real
+        seconds after which the kernel drops a connection whose bytes are not acknowledged.
 
         Raises `UpstreamUnreached` if no connection could be opened and `UpstreamLost` once
         bytes may have left.
@@ -265,7 +267,7 @@
         body: bytes,
         headers: dict[str, str],
         timeout: float,
-        before_body: Callable[[], None] | None = None,
+        before_body: Callable[[], float | None] | None = None,
     ) -> _Delegate:
         """Write the request and wait for the head of the answer."""
         delegate = _Delegate(self.address, self._traffic)
@@ -278,8 +280,10 @@
             async with asyncio.timeout(timeout):
                 if before_body is not None:
                     await self._http.write_headers(start_line, all_headers)
-                    before_body()
-                    written = self._http.write(body)
+                    with killed_after(before_body()):
+                        # Once more: this process may have been frozen until the timer ran.
+                        before_body()
+                        written = self._http.write(body)
                 else:
                     written = self._http.write_headers(start_line, all_headers, body or None)
                 self._http.finish()
--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -151,6 +151,11 @@
         credential: str = "",
     ) -> None:
         timeout = self._timers.real(window or SHORT_CALL_TIMEOUT)
+
+        def real_guard() -> float | None:
+            left = guard() if guard is not None else None
+            return None if left is None else self._timers.real(left)
+
         # A new connection: bytes of an order must not wait behind anything else.
         async with self._client.call(
             address=upstream.address,
@@ -160,7 +165,7 @@
             headers={"Authorization": f"Bearer {credential}"} if credential else None,
             head_timeout=timeout,
             fresh=True,
-            before_body=guard,
+            before_body=real_guard,
             unacknowledged=timeout,
         ) as answer:
             await self._raise_refusal(answer)
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -346,13 +346,7 @@
             "speed": str(self._plan.speed),
         }
 
-    def _write_daemon(
-        self,
-        daemon: str,
-        index: int,
-        sections: Sections,
-        extra: Sections,
-    ) -> None:
+    def _write_daemon(self, daemon: str, index: int, sections: Sections, extra: Sections) -> None:
         for name, options in extra.items():
             sections.setdefault(name, {}).update(options)
         lines = []
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from importlib import import_module
 from typing import Any
 from typing import Final
@@ -109,6 +110,8 @@
     node = settings.get(NodeSection)
     configure_logs(settings.get(LogsSection), node=node.id)
     stop = stop_event()
+    # An order's last step relies on it, see `killed_after`.
+    signal.signal(signal.SIGALRM, signal.SIG_DFL)
     context = build_keeper(settings)
     assert isinstance(context.peers, PynngPeers)
     for part in context.parts.values():
--- a/src/baobabpulley/keeper/tender.py
+++ b/src/baobabpulley/keeper/tender.py
@@ -8,14 +8,14 @@
   unacknowledged for W.
 - Engines that check fencing numbers: no order takes effect after one of a later holder, however
   long a holder was frozen and wherever.
-- Engines that ignore them: the same, if their HTTP server closes a connection whose request body
-  does not come within W of its head (the read timeout that servers have). A holder frozen
-  between its last check and the body's bytes finds its connection closed. A new holder also
-  waits W before its first order to such engines, and to those that do not check who gives
-  them orders: anybody may have given those a number.
-- Not guaranteed for engines that ignore them and wait for a body without bound, nor if a VM's
-  monotonic clock stands still while other VMs' clocks go on. Then an old order can take effect
-  late; the holder reads every engine's state back and repairs what it finds wrong.
+- Engines that ignore them: the same. A holder that is frozen between its last check and the body
+  for longer than the lease is ended by the kernel before it can send, so its connection closes
+  without the body, however long the engine's HTTP server would wait. A new holder waits W before
+  its first order to such engines, and to those that do not check who gives them orders: anybody
+  may have given those a number.
+- Not guaranteed for engines that ignore them if a VM's monotonic clock stands still while other
+  VMs' clocks go on, or if the engine is itself frozen with an order received. Then an old order
+  can take effect late; the holder reads every engine's state back and repairs what is wrong.
 """
 
 from __future__ import annotations
--- a/src/baobabpulley/keeper/tender_lease.py
+++ b/src/baobabpulley/keeper/tender_lease.py
@@ -89,10 +89,11 @@
         """Whether orders may be given at this moment."""
         return self._lease != 0 and self._timers.now() < self._deadline
 
-    def check(self) -> None:
-        """Raise `OrderTooLate` unless orders may be given at this moment."""
+    def check(self) -> float:
+        """Raise `OrderTooLate` unless orders may be given now; return for how long they may."""
         if not self.holds():
             raise OrderTooLate(f"the right to give orders under fence {self._fence} has ended")
+        return self._deadline - self._timers.now()
 
     async def acquire(self) -> bool:
         """Try to get the lease; return whether this process holds it now."""
--- a/src/baobabpulley/ports/engine.py
+++ b/src/baobabpulley/ports/engine.py
@@ -17,7 +17,8 @@
 PRIORITY_SHORT: Final = 0
 PRIORITY_LONG: Final = 1
 
-Guard = Callable[[], None]
+# Raises if it is too late; returns the model seconds that are left, if they are bounded.
+Guard = Callable[[], float | None]
 
 
 class PartRef(msgspec.Struct, frozen=True):
@@ -188,7 +189,8 @@
         ``credential`` shows an engine that checks it who gives the order.
 
         ``guard`` is called between the request's head and its body, and its error ends the
-        order unsent. ``window`` is the model seconds for which bytes may stay on their way.
+        order unsent. A process that is frozen right then for longer than the guard left dies
+        instead of sending. ``window`` is the model seconds for which bytes may stay on their way.
         """
 
     @abstractmethod
--- /dev/null
+++ b/testing/frozen_sender.py
@@ -0,0 +1,43 @@
+"""A process that gives one order and stops itself between the last check and the body."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_engine import HttpEngine
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import Order
+from baobabpulley.timers import TimerService
+
+LAST_CHECK = 2
+
+
+async def give_order(address: str, left: float) -> None:
+    """Give the order; ``left`` is what each check says, in seconds."""
+    adapter = HttpEngine(client=HttpClient(), timers=TimerService())
+    upstream = Upstream(id="engine-0", service="kitchen", failure_domain="fes", address=address)
+    order = Order(id="7.1", kind="load", model="recipes", version="1", fence=7)
+    checks = 0
+
+    def check() -> float:
+        nonlocal checks
+        checks += 1
+        if checks == LAST_CHECK:
+            os.kill(os.getpid(), signal.SIGSTOP)
+            time.sleep(0.05)
+        return left
+
+    try:
+        await adapter.order(upstream, order, guard=check, window=5.0)
+    except UpstreamLost:
+        return
+
+
+if __name__ == "__main__":
+    asyncio.run(give_order(sys.argv[1], float(sys.argv[2])))
--- a/testing/test_order_wire.py
+++ b/testing/test_order_wire.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
+import sys
 from collections.abc import AsyncIterator
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -11,6 +15,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_engine import HttpEngine
+from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import OrderTooLate
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.model.upstreams import Upstream
@@ -67,7 +72,7 @@
     # The same way lets an order through whose check passes, so the first one had its chance.
     other = msgspec.structs.replace(ORDER, id="7.2.engine-0.load")
     await adapter.order(
-        upstream, other, guard=lambda: None, window=BODY_TIMEOUT, credential=CREDENTIAL
+        upstream, other, guard=lambda: 60.0, window=BODY_TIMEOUT, credential=CREDENTIAL
     )
     assert _orders(engine) == [other.id]
 
@@ -86,6 +91,36 @@
     assert forged.id not in _orders(engine)
 
 
+@pytest.mark.parametrize(
+    ("left", "code"), [(0.3, -signal.SIGALRM), (60.0, 0)], ids=["past_its_lease", "in_time"]
+)
+async def test_holder_frozen_after_its_last_check_sends_nothing_past_its_lease(
+    base_port: int, left: float, code: int, tmp_path: Path
+) -> None:
+    """The engine waits for a body without bound and knows no fencing numbers."""
+    received = bytearray()
+
+    async def take_all(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65_536):
+            received.extend(data)
+            if ORDER.model.encode() in received:
+                break
+        writer.close()
+
+    address = f"{HOST}:{base_port + 30}"
+    async with await asyncio.start_server(take_all, HOST, base_port + 30):
+        script = Path(__file__).with_name("frozen_sender.py")
+        command = [sys.executable, str(script), address, str(left)]
+        sender = Process(name="sender", command=command, log=tmp_path / "sender.log")
+        sender.start()
+        await asyncio.to_thread(os.waitid, os.P_PID, sender.pid, os.WSTOPPED | os.WNOWAIT)
+        await asyncio.sleep(0.5)
+        sender.send(signal.SIGCONT)
+        assert await asyncio.to_thread(sender.wait, WAIT_SECONDS) == code
+    assert b"POST /v1/orders" in received
+    assert (ORDER.model.encode() in received) == (code == 0)
+
+
 async def test_engine_takes_no_order_whose_body_comes_past_its_read_timeout(
     engine: EngineStandin, base_port: int
 ) -> None:
