--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -19,6 +19,7 @@
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.emulator.domain_links import DomainLinks
 from baobabpulley.emulator.domain_links import Sections
+from baobabpulley.emulator.fleet_plan import FleetPlan
 from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 from baobabpulley.model.documents import PROMISES_KEY
@@ -33,7 +34,6 @@
 from baobabpulley.model.documents import limit_key
 from baobabpulley.model.documents import model_key
 from baobabpulley.model.documents import service_key
-from baobabpulley.model.limits import Limit
 from baobabpulley.model.settings_book import token_digest
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.config_store import Swap
@@ -51,76 +51,21 @@
 
 
 @final
-class FleetPlan:
-    """What to start. Ports are taken upwards from ``base_port``.
-
-    With ``links`` the failure domains reach each other and the platform over links to be cut.
-    """
+class Fleet:
+    """A running fleet; use it as an asynchronous context manager."""
 
     __slots__ = (
-        "base_port",
-        "daemons",
-        "dialect",
-        "domains",
-        "engine_options",
-        "engines",
+        "_client",
+        "_directory",
+        "_plan",
+        "_store",
         "entries",
-        "entry_sections",
-        "keeper_sections",
-        "limits",
+        "keepers",
         "links",
-        "plain_services",
-        "speed",
-        "vm_list_lag",
+        "processes",
+        "vms",
     )
 
-    def __init__(
-        self,
-        *,
-        base_port: int,
-        domains: tuple[str, ...] = ("fes", "meknes", "rabat"),
-        entries: int = 4,
-        engines: int = 6,
-        plain_services: int = 1,
-        speed: float = 1.0,
-        vm_list_lag: float = 1.0,
-        engine_options: tuple[str, ...] = (),
-        limits: dict[str, Limit] | None = None,
-        entry_sections: dict[str, dict[str, str]] | None = None,
-        keeper_sections: dict[str, dict[str, str]] | None = None,
-        daemons: tuple[str, ...] = ("keeper", "entry"),
-        dialect: str = "chunked",
-        links: bool = False,
-    ) -> None:
-        self.base_port = base_port
-        self.daemons = daemons
-        self.dialect = dialect
-        self.links = links
-        self.domains = domains
-        self.entries = entries
-        self.engines = engines
-        self.plain_services = plain_services
-        self.speed = speed
-        self.vm_list_lag = vm_list_lag
-        self.engine_options = engine_options
-        self.limits = limits or {
-            "souk": Limit(1_000_000, 4_000_000),
-            "stall": Limit(100_000, 400_000),
-        }
-        self.entry_sections = entry_sections or {}
-        self.keeper_sections = keeper_sections or {}
-
-    def domain_of(self, index: int) -> str:
-        """Return the failure domain of the entry or upstream with an index."""
-        return self.domains[index % len(self.domains)]
-
-
-@final
-class Fleet:
-    """A running fleet; use it as an asynchronous context manager."""
-
-    __slots__ = ("_client", "_directory", "_plan", "_store", "entries", "links", "processes", "vms")
-
     def __init__(self, *, plan: FleetPlan, directory: Path) -> None:
         self._plan = plan
         self._directory = directory
@@ -132,6 +77,7 @@
             self.links = DomainLinks(base_port=plan.base_port, domains=plan.domains, timers=timers)
         self.processes: dict[str, Process] = {}
         self.entries: dict[str, str] = {}
+        self.keepers: dict[str, str] = {}
         self.vms: list[Vm] = []
 
     @property
@@ -227,9 +173,9 @@
             raise BaobabError(f"{address}{path} answered {status}: {answer[:200]!r}")
         return msgspec.json.decode(answer)
 
-    async def wait_for(self, address: str, path: str) -> None:
+    async def wait_for(self, address: str, path: str, *, timeout: float = START_TIMEOUT) -> None:
         """Wait until a process answers with success."""
-        end = time.monotonic() + START_TIMEOUT
+        end = time.monotonic() + timeout
         while True:
             try:
                 await self.request(address, "GET", path)
@@ -275,21 +221,27 @@
         plan = self._plan
         speed = ("--speed", str(plan.speed))
         for index in range(plan.engines):
-            vm = self._upstream("engine", index, ENGINE_SERVICE, plan.base_port + 100 + index)
+            domain = plan.domain_of_engine(index)
+            vm = self._upstream(
+                "engine", index, ENGINE_SERVICE, domain, plan.base_port + 100 + index
+            )
             common = ("--id", vm.id, "--address", vm.address, *speed)
             options = ("--models", MODEL, "--seed", str(index), "--credential", CREDENTIAL)
             options += plan.engine_options
             self.add(vm.id, "standin", "engine", *common, *options).start()
         for index in range(plan.plain_services):
-            vm = self._upstream("service", index, PLAIN_SERVICE, plan.base_port + 300 + index)
+            domain = plan.domain_of(index)
+            vm = self._upstream(
+                "service", index, PLAIN_SERVICE, domain, plan.base_port + 300 + index
+            )
             common = ("--id", vm.id, "--address", vm.address, *speed)
             self.add(vm.id, "standin", "service", *common).start()
 
-    def _upstream(self, kind: str, index: int, service: str, port: int) -> Vm:
+    def _upstream(self, kind: str, index: int, service: str, domain: str, port: int) -> Vm:
         vm = Vm(
             id=f"{kind}-{index}",
             role="upstream",
-            failure_domain=self._plan.domain_of(index),
+            failure_domain=domain,
             address=f"{HOST}:{port}",
             service=service,
         )
@@ -318,8 +270,10 @@
             "peers": {"secret": SECRET},
             "claims": {"store": self.store_address},
         }
+        keeper_http = f"{HOST}:{plan.base_port + 800 + index}"
+        self.keepers[f"keeper-{index}"] = keeper_http
         keeper_sections = {
-            "node": self._node(f"keeper-{index}", vm, f"{HOST}:{plan.base_port + 800 + index}"),
+            "node": self._node(f"keeper-{index}", vm, keeper_http),
             "keeper": {
                 "address": vm.address,
                 "store": self.store_address,
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -39,6 +39,7 @@
 _PART_MODULES: Final = (
     "settings_watch",
     "relay",
+    "vm_relay",
     "changes",
     "fleet_state",
     "membership",
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -36,7 +36,7 @@
 from baobabpulley.settings import Settings
 from baobabpulley.timers import ManualTimers
 
-PARTS = ("settings_relay", "settings_watch", "settings_changes", "limit_repair")
+PARTS = ("vm_relay", "settings_relay", "settings_watch", "settings_changes", "limit_repair")
 assert changes and limit_repair and settings_watch
 
 
--- a/testing/test_order_wire.py
+++ b/testing/test_order_wire.py
@@ -41,10 +41,8 @@
         id="engine-0",
         address=f"{HOST}:{base_port}",
         models=(),
-        profile=EngineProfile(),
+        profile=EngineProfile(checks_fencing=False, credential=CREDENTIAL),
         timers=timers,
-        checks_fencing=False,
-        credential=CREDENTIAL,
     )
     running.start()
     yield running
