--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -148,17 +148,24 @@
         *,
         guard: Guard | None = None,
         window: float | None = None,
+        credential: str = "",
     ) -> None:
         timeout = self._timers.real(window or SHORT_CALL_TIMEOUT)
+
+        def real_guard() -> float | None:
+            left = guard() if guard is not None else None
+            return None if left is None else self._timers.real(left)
+
         # A new connection: bytes of an order must not wait behind anything else.
         async with self._client.call(
             address=upstream.address,
             method="POST",
             path="/v1/orders",
             body=msgspec.json.encode(order),
+            headers={"Authorization": f"Bearer {credential}"} if credential else None,
             head_timeout=timeout,
             fresh=True,
-            before_body=guard,
+            before_body=real_guard,
             unacknowledged=timeout,
         ) as answer:
             await self._raise_refusal(answer)
--- a/src/baobabpulley/emulator/fleet.py
+++ b/src/baobabpulley/emulator/fleet.py
@@ -17,6 +17,9 @@
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.emulator.domain_links import DomainLinks
+from baobabpulley.emulator.domain_links import Sections
+from baobabpulley.emulator.fleet_plan import FleetPlan
 from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 from baobabpulley.model.documents import PROMISES_KEY
@@ -31,7 +34,6 @@
 from baobabpulley.model.documents import limit_key
 from baobabpulley.model.documents import model_key
 from baobabpulley.model.documents import service_key
-from baobabpulley.model.limits import Limit
 from baobabpulley.model.settings_book import token_digest
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.config_store import Swap
@@ -40,6 +42,7 @@
 HOST: Final = "127.0.0.1"
 START_TIMEOUT: Final = 30.0
 SECRET: Final = "a-secret-for-stand-ins-only"
+CREDENTIAL: Final = "a-credential-for-stand-ins-only"
 MODEL: Final = "recipes"
 # What a store takes in one transaction by default.
 SWAPS_AT_ONCE: Final = 128
@@ -47,75 +50,6 @@
 PLAIN_SERVICE: Final = "ledger"
 
 
-@final
-class FleetPlan:
-    """What to start. Ports are taken upwards from ``base_port``.
-
-    ``engine_domains`` names the failure domain of each engine; without it they are dealt in turns.
-    """
-
-    __slots__ = (
-        "base_port",
-        "daemons",
-        "dialect",
-        "domains",
-        "engine_domains",
-        "engine_options",
-        "engines",
-        "entries",
-        "entry_sections",
-        "keeper_sections",
-        "limits",
-        "plain_services",
-        "speed",
-        "vm_list_lag",
-    )
-
-    def __init__(
-        self,
-        *,
-        base_port: int,
-        domains: tuple[str, ...] = ("fes", "meknes", "rabat"),
-        entries: int = 4,
-        engines: int = 6,
-        plain_services: int = 1,
-        speed: float = 1.0,
-        vm_list_lag: float = 1.0,
-        engine_options: tuple[str, ...] = (),
-        engine_domains: tuple[str, ...] = (),
-        limits: dict[str, Limit] | None = None,
-        entry_sections: dict[str, dict[str, str]] | None = None,
-        keeper_sections: dict[str, dict[str, str]] | None = None,
-        daemons: tuple[str, ...] = ("keeper", "entry"),
-        dialect: str = "chunked",
-    ) -> None:
-        self.base_port = base_port
-        self.daemons = daemons
-        self.dialect = dialect
-        self.domains = domains
-        self.entries = entries
-        self.engines = engines
-        self.plain_services = plain_services
-        self.speed = speed
-        self.vm_list_lag = vm_list_lag
-        self.engine_domains = engine_domains or domains
-        self.engine_options = engine_options
-        self.limits = limits or {
-            "souk": Limit(1_000_000, 4_000_000),
-            "stall": Limit(100_000, 400_000),
-        }
-        self.entry_sections = entry_sections or {}
-        self.keeper_sections = keeper_sections or {}
-
-    def domain_of(self, index: int) -> str:
-        """Return the failure domain of the entry or plain service with an index."""
-        return self.domains[index % len(self.domains)]
-
-    def domain_of_engine(self, index: int) -> str:
-        """Return the failure domain of the engine with an index."""
-        return self.engine_domains[index % len(self.engine_domains)]
-
-
 @final
 class Fleet:
     """A running fleet; use it as an asynchronous context manager."""
@@ -127,6 +61,7 @@
         "_store",
         "entries",
         "keepers",
+        "links",
         "processes",
         "vms",
     )
@@ -135,11 +70,11 @@
         self._plan = plan
         self._directory = directory
         self._client = HttpClient()
-        self._store = EtcdStore(
-            client=self._client,
-            address=self.store_address,
-            timers=TimerService(speed=plan.speed),
-        )
+        timers = TimerService(speed=plan.speed)
+        self._store = EtcdStore(client=self._client, address=self.store_address, timers=timers)
+        self.links: DomainLinks | None = None
+        if plan.links:
+            self.links = DomainLinks(base_port=plan.base_port, domains=plan.domains, timers=timers)
         self.processes: dict[str, Process] = {}
         self.entries: dict[str, str] = {}
         self.keepers: dict[str, str] = {}
@@ -180,6 +115,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         self.kill_all()
+        if self.links is not None:
+            await self.links.stop()
         self._client.close()
 
     async def start(self) -> None:
@@ -199,6 +136,8 @@
         self._start_platform()
         await self.wait_for(self.store_address, "/counts")
         await self.wait_for(self.vm_list_address, "/vms")
+        if self.links is not None:
+            await self.links.start(store=self.store_address)
         await self._write_settings()
 
     async def start_daemons(self, *kinds: str) -> None:
@@ -212,6 +151,8 @@
     async def put_vms(self, vms: list[Vm]) -> None:
         """Set the rows of the VM list; readers see them after the lag."""
         await self.request(self.vm_list_address, "PUT", "/vms", vms)
+        if self.links is not None:
+            await self.links.put_vms(vms)
 
     async def fault(self, address: str, kind: str, **options: object) -> None:
         """Switch a fault of a stand-in."""
@@ -285,7 +226,8 @@
                 "engine", index, ENGINE_SERVICE, domain, plan.base_port + 100 + index
             )
             common = ("--id", vm.id, "--address", vm.address, *speed)
-            options = ("--models", MODEL, "--seed", str(index), *plan.engine_options)
+            options = ("--models", MODEL, "--seed", str(index), "--credential", CREDENTIAL)
+            options += plan.engine_options
             self.add(vm.id, "standin", "engine", *common, *options).start()
         for index in range(plan.plain_services):
             domain = plan.domain_of(index)
@@ -317,7 +259,7 @@
             id=f"vm-{index}",
             role="entry",
             failure_domain=plan.domain_of(index),
-            address=f"{HOST}:{plan.base_port + 400 + 4 * index}",
+            address=self._keeper_address(index),
             http=http,
         )
         self.vms.append(vm)
@@ -328,7 +270,6 @@
             "peers": {"secret": SECRET},
             "claims": {"store": self.store_address},
         }
-        self._write_daemon("entry", index, entry_sections, plan.entry_sections)
         keeper_http = f"{HOST}:{plan.base_port + 800 + index}"
         self.keepers[f"keeper-{index}"] = keeper_http
         keeper_sections = {
@@ -339,9 +280,17 @@
                 "vm_list": self.vm_list_address,
             },
             "peers": {"secret": SECRET},
+            "tender": {"credential": CREDENTIAL},
         }
+        if self.links is not None:
+            keepers = [self._keeper_address(other) for other in range(plan.entries)]
+            self.links.lead(index, keepers=keepers, entry=entry_sections, keeper=keeper_sections)
+        self._write_daemon("entry", index, entry_sections, plan.entry_sections)
         self._write_daemon("keeper", index, keeper_sections, plan.keeper_sections)
 
+    def _keeper_address(self, index: int) -> str:
+        return f"{HOST}:{self._plan.base_port + 400 + 4 * index}"
+
     def _node(self, id: str, vm: Vm, http: str) -> dict[str, str]:
         return {
             "id": id,
@@ -351,13 +300,7 @@
             "speed": str(self._plan.speed),
         }
 
-    def _write_daemon(
-        self,
-        daemon: str,
-        index: int,
-        sections: dict[str, dict[str, str]],
-        extra: dict[str, dict[str, str]],
-    ) -> None:
+    def _write_daemon(self, daemon: str, index: int, sections: Sections, extra: Sections) -> None:
         for name, options in extra.items():
             sections.setdefault(name, {}).update(options)
         lines = []
--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -13,6 +13,7 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.model.fleet_view import without_settings
 from baobabpulley.model.messages import FleetAnswer
 from baobabpulley.model.settings_book import SettingsBook
 from baobabpulley.model.settings_messages import SettingsNews
@@ -98,8 +99,7 @@
 
         A single one may have been cut off for long, and hold lower limits than its peers.
         """
-        bare = msgspec.structs.replace(first, settings=(), settings_revision=0, limits={})
-        self._view.apply(bare, now=self._timers.now())
+        self._view.apply(without_settings(first), now=self._timers.now())
         found = SettingsBook()
         addresses = self.addresses
         # A few at a time: each answer holds all settings, and so does what is made of it.
--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -165,6 +165,12 @@
         own = {"attempt": part.pop("part"), "prompt": part.pop("text"), "max_tokens": 0, "seed": 0}
         return await self.admit(EngineCall(**own, **part)), 0
 
+    def check_sender(self, authorization: str) -> None:
+        """Refuse an order that does not carry the credential, if this engine has one."""
+        wanted = self.core.profile.credential
+        if wanted and authorization != f"Bearer {wanted}":
+            raise Refusal("unauthorized", "the order does not carry the credential", status=401)
+
     def take_order(self, order: Order) -> None:
         """Carry out an order once; refuse one with an old fencing number if this engine checks."""
         if self.core.profile.checks_fencing and order.fence < self._state.fence:
@@ -311,6 +317,7 @@
         self._body += chunk
 
     async def post(self) -> None:
+        self._standin.check_sender(self.request.headers.get("Authorization", ""))
         self._standin.take_order(msgspec.json.decode(self._body, type=Order))
         await self.answer({}, loses=True)
 
