--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -165,6 +165,12 @@
         own = {"attempt": part.pop("part"), "prompt": part.pop("text"), "max_tokens": 0, "seed": 0}
         return await self.admit(EngineCall(**own, **part)), 0
 
+    def check_sender(self, authorization: str) -> None:
+        """Refuse an order that does not carry the credential, if this engine has one."""
+        wanted = self.core.profile.credential
+        if wanted and authorization != f"Bearer {wanted}":
+            raise Refusal("unauthorized", "the order does not carry the credential", status=401)
+
     def take_order(self, order: Order) -> None:
         """Carry out an order once; refuse one with an old fencing number if this engine checks."""
         if self.core.profile.checks_fencing and order.fence < self._state.fence:
@@ -228,11 +234,14 @@
 
     async def _send_tokens(self, job: Job, offset: int) -> None:
         attempt = job.call.attempt
-        if self.faults.take("cross"):
+        crossed = self.faults.take("cross")
+        if crossed:
             attempt = f"not-{attempt}"
         while not job.failed:
             ready = job.tokens[offset - job.call.offset :]
             if ready:
+                if crossed:
+                    ready = [token[::-1] for token in ready]
                 event = TokenEvent(attempt=attempt, index=offset, tokens=tuple(ready))
                 data = frame_event(msgspec.json.encode(event))
                 await self.send(data * (2 if self.faults.take("repeat") else 1))
@@ -308,6 +317,7 @@
         self._body += chunk
 
     async def post(self) -> None:
+        self._standin.check_sender(self.request.headers.get("Authorization", ""))
         self._standin.take_order(msgspec.json.decode(self._body, type=Order))
         await self.answer({}, loses=True)
 
