Load a daemon's own commands alone, not those of all benches

Cause: each process of the command line imported every command's module, numpy and the emulator among them: 0.77 s of processor time and 51 MB at the start, against 0.32 s and 37 MB for entry and keeper and 0.20 s and 33 MB for stand-ins with their own module alone (one reading each, load average 40). Fleets of 13 to 17 processes start in nearly every test module, and the memory counts in the keeper's budget. With the modules of the daemons alone the sections known are the same as with all.

Test: no daemon or stand-in loads numpy; it failed for all three before ('sys.modules' by -v).

--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from importlib import import_module
 from typing import Final
 
@@ -23,6 +24,8 @@
     "explain",
     "bench_path",
 )
+# These load their own module alone: the others would cost each process time and memory.
+_OWN_MODULES: Final = {"entry": "daemons", "keeper": "daemons", "standin": "standins"}
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -36,11 +39,12 @@
 
 def main() -> None:
     """Run the command asked for."""
-    load_commands()
+    own = _OWN_MODULES.get(sys.argv[1]) if len(sys.argv) > 1 else None
+    load_commands(*filter(None, [own]))
     cli()
 
 
-def load_commands() -> None:
-    """Add all commands to `cli`."""
-    for name in _COMMAND_MODULES:
+def load_commands(*names: str) -> None:
+    """Add the commands of some modules to `cli`, without names those of all."""
+    for name in names or _COMMAND_MODULES:
         import_module(f"baobabpulley.cli.{name}")
--- a/testing/test_settings_files.py
+++ b/testing/test_settings_files.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -84,6 +86,16 @@
     assert missing == []
 
 
+@pytest.mark.parametrize("command", ["entry", "keeper", "standin"])
+def test_a_daemon_does_not_load_what_benches_need(command: str) -> None:
+    code = "import sys, baobabpulley.cli.main as m; m.main()"
+    done = subprocess.run(
+        [sys.executable, "-v", "-c", code, command, "--help"], capture_output=True, check=True
+    )
+    assert b"baobabpulley.cli" in done.stderr
+    assert b"numpy" not in done.stderr
+
+
 @pytest.mark.parametrize("metrics", [EntryMetrics, KeeperMetrics], ids=["entry", "keeper"])
 def test_operations_page_names_each_metric(metrics: type[EntryMetrics | KeeperMetrics]) -> None:
     families = [family.name for family in metrics().registry.collect()]
