--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from importlib import import_module
 from typing import Any
 from typing import Final
@@ -43,6 +44,7 @@
     "fleet_state",
     "membership",
     "tender",
+    "limit_repair",
     "reservations",
     "sweep",
 )
@@ -109,11 +111,14 @@
     node = settings.get(NodeSection)
     configure_logs(settings.get(LogsSection), node=node.id)
     stop = stop_event()
+    # An order's last step relies on it, see `killed_after`.
+    signal.signal(signal.SIGALRM, signal.SIG_DFL)
     context = build_keeper(settings)
     assert isinstance(context.peers, PynngPeers)
-    context.peers.start()
     for part in context.parts.values():
         await part.start()
+    # Only now every question has a handler; a part's start may wait for the platform.
+    context.peers.start()
     server = _start_server(context)
     await stop.wait()
     for part in context.parts.values():
--- a/src/baobabpulley/ports/engine.py
+++ b/src/baobabpulley/ports/engine.py
@@ -17,7 +17,8 @@
 PRIORITY_SHORT: Final = 0
 PRIORITY_LONG: Final = 1
 
-Guard = Callable[[], None]
+# Raises if it is too late; returns the model seconds that are left, if they are bounded.
+Guard = Callable[[], float | None]
 
 
 class PartRef(msgspec.Struct, frozen=True):
@@ -181,11 +182,15 @@
         *,
         guard: Guard | None = None,
         window: float | None = None,
+        credential: str = "",
     ) -> None:
         """Give an order; raise `UpstreamRefused` if the engine does not take it.
 
+        ``credential`` shows an engine that checks it who gives the order.
+
         ``guard`` is called between the request's head and its body, and its error ends the
-        order unsent. ``window`` is the model seconds for which bytes may stay on their way.
+        order unsent. A process that is frozen right then for longer than the guard left dies
+        instead of sending. ``window`` is the model seconds for which bytes may stay on their way.
         """
 
     @abstractmethod
--- a/src/baobabpulley/standins/engine_core.py
+++ b/src/baobabpulley/standins/engine_core.py
@@ -41,8 +41,8 @@
 class EngineProfile(msgspec.Struct, frozen=True):
     """Rates in tokens a model second, memory in tokens, lags in model seconds.
 
-    ``checks_fencing`` refuses orders with old fencing numbers; ``seed`` is that of the gaps in
-    cache events.
+    ``checks_fencing`` refuses orders with old fencing numbers, and ``credential``, if there is one,
+    those that do not carry it; ``seed`` is that of the gaps in cache events.
     """
 
     prefill_rate: float = 20_000.0
@@ -55,6 +55,7 @@
     load_seconds: float = 3.0
     max_waiting: int = 2_000
     checks_fencing: bool = True
+    credential: str = ""
     seed: int = 0
 
 
