--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -25,10 +25,10 @@
 from baobabpulley.model.reservation_messages import MemoryRelease
 from baobabpulley.model.reservation_messages import TeamAsk
 from baobabpulley.policy.gang_queue import GANGS_KEY
+from baobabpulley.policy.holders import Holders
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import team_key
 
-FORGET_HOLDER: Final = 60.0
 # Renewal periods for which a leaving keeper still answers, so that holders turn away from it.
 TELL_RENEWALS: Final = 1.2
 
@@ -44,7 +44,7 @@
         self._context = context
         self._section = context.settings.get(ReservationsSection)
         self._books = BookKeeper(context=context, section=self._section)
-        self._holders: dict[str, float] = {}
+        self._holders = Holders(expiry=self._section.expiry)
         self._leaving = False
 
     @property
@@ -52,6 +52,11 @@
         """What this keeper has granted, and to whom."""
         return self._books
 
+    @property
+    def holders(self) -> Holders:
+        """Which holders are live."""
+        return self._holders
+
     async def start(self) -> None:
         peers = self._context.peers
         peers.answer(HolderRenewal, self._renew)
@@ -68,11 +73,6 @@
         await self._books.hand_over()
         await self._context.timers.sleep(TELL_RENEWALS * self._section.renewal)
 
-    def is_live(self, holder: str) -> bool:
-        """Whether a holder has been heard within one expiry time."""
-        heard = self._holders.get(holder)
-        return heard is not None and self._context.timers.now() - heard <= self._section.expiry
-
     async def _renew(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, HolderRenewal)
@@ -155,9 +155,8 @@
             raise PeerLeaving(f"the keeper of {self._context.node.vm} is shutting down")
 
     def _hear(self, holder: str) -> float:
-        self._check_stays()
         now = self._context.timers.now()
-        self._holders[holder] = now
-        for name in [name for name, heard in self._holders.items() if now - heard > FORGET_HOLDER]:
-            del self._holders[name]
+        # Also while leaving, so that this keeper takes no holder for lost.
+        self._holders.hear(holder, now=now)
+        self._check_stays()
         return now
