--- a/testing/test_once_under_faults.py
+++ b/testing/test_once_under_faults.py
@@ -83,6 +83,7 @@
             for _ in range(source.randint(2, 4))
         ),
         crash(fleet, source),
+        lose_service(fleet, random.Random(seed)),
     )
     # A repeat long after everything has come back must not run the call a second time either.
     switch_off(fleet)
@@ -126,6 +127,18 @@
     victim.start(vms=fleet.vms)
 
 
+async def lose_service(fleet: LedgerFleet, source: random.Random) -> None:
+    """Have a service VM die for a while: before a call, or after one has run, unanswered."""
+    if source.random() < 0.7:
+        return
+    victim = source.choice(fleet.services)
+    victim.faults.apply(FaultOrder(kind="delay", seconds=0.3))
+    await asyncio.sleep(source.choice((0.0, 0.3, 0.6)))
+    await victim.stop()
+    await asyncio.sleep(source.uniform(0.2, 0.8))
+    victim.start()
+
+
 async def one_try(
     http: HttpClient, address: str, seed: int, mark: dict[str, str], pause: float
 ) -> Told:
