Measure once-only orders, silent connections and lost engines

The tests of silent connections print what they measured; a connection from an entry to its keeper had no test, and has one now.

A process of the emulator now tells its processor time itself.

--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -15,6 +15,7 @@
     "control": ("--settle", "8", "--window", "12"),
     "mix": ("--seconds", "60", "--speed", "1", "--seed", "1"),
     "overload": ("--seconds", "20", "--speed", "1.5", "--seed", "1"),
+    "once": ("--orders", "1000", "--speed", "4", "--seed", "1"),
     "gangs": ("--count", "2", "--engines", "6", "--speed", "8", "--seed", "1"),
 }
 
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -20,6 +20,7 @@
     "bench_mix",
     "report",
     "explain",
+    "bench_once",
     "bench_path",
 )
 
--- /dev/null
+++ b/src/baobabpulley/emulator/bench_once.py
@@ -0,0 +1,268 @@
+"""Measure what once-only orders cost, and how long an answer stops when its engine is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import time
+from pathlib import Path
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.http_engine import IDLE_BOUND
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.caller import Completion
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import PLAIN_SERVICE
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import FleetPlan
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.errors import BaobabError
+from baobabpulley.standins.text import expected_text
+from baobabpulley.standins.text import make_prompt
+
+TEAM: Final = "souk"
+KINDS: Final = ("plain", "ticket", "key")
+CONNECTIONS: Final = 8
+TIMEOUT: Final = 30.0
+STREAM_TOKENS: Final = 400
+PROMPT_TOKENS: Final = 500
+ENGINES: Final = 3
+
+
+class OrderCost(msgspec.Struct, frozen=True):
+    """Orders of one kind; times are real milliseconds, ``*_cpu`` those of an order."""
+
+    kind: str
+    orders: int
+    p50: float
+    p95: float
+    entry_cpu: float
+    store_cpu: float
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """Answers whose engine was killed or whose connections went silent, in model seconds.
+
+    ``longest`` are the longest times between two tokens of the answers that were interrupted,
+    ``calm`` the longest of those that were not.
+    """
+
+    fault: str
+    bound: float
+    streams: int
+    right: int
+    longest: tuple[float, ...]
+    calm: float
+
+
+class OnceReport(msgspec.Struct, frozen=True):
+    """What one run gave."""
+
+    seed: int
+    speed: float
+    orders: tuple[OrderCost, ...]
+    pauses: tuple[Pause, ...]
+
+
+@final
+class OnceBench:
+    """Size of the run."""
+
+    __slots__ = ("_orders", "_random", "_seed", "_speed", "_streams")
+
+    def __init__(self, *, orders: int, streams: int, speed: float, seed: int) -> None:
+        self._orders = orders
+        self._streams = streams
+        self._speed = speed
+        self._seed = seed
+        self._random = random.Random(seed)
+
+    async def run(self, *, base_port: int) -> OnceReport:
+        """Start a fleet, place orders of each kind in turns, then lose engines in mid-answer."""
+        plan = FleetPlan(
+            base_port=base_port, domains=("fes",), entries=2, engines=ENGINES, speed=self._speed
+        )
+        with tempfile.TemporaryDirectory() as directory:
+            async with Fleet(plan=plan, directory=Path(directory)) as fleet:
+                orders = await self._measure_orders(fleet)
+                pauses = [await self._measure_pauses(fleet, fault) for fault in ("silent", "kill")]
+        return OnceReport(
+            seed=self._seed, speed=self._speed, orders=tuple(orders), pauses=tuple(pauses)
+        )
+
+    async def _measure_orders(self, fleet: Fleet) -> list[OrderCost]:
+        rounds = 4
+        times: dict[str, list[float]] = {kind: [] for kind in KINDS}
+        used = {kind: [0.0, 0.0] for kind in KINDS}
+        watched = (fleet.processes["entry-0"], fleet.processes["store"])
+        for turn in range(rounds + 1):
+            for kind in self._random.sample(KINDS, len(KINDS)):
+                before = [process.cpu_seconds for process in watched]
+                taken = await self._place(fleet, kind, self._orders // rounds, turn)
+                if turn:
+                    # The first turn opens connections and warms up.
+                    times[kind] += taken
+                    for index, process in enumerate(watched):
+                        used[kind][index] += process.cpu_seconds - before[index]
+        return [_cost(kind, times[kind], *used[kind]) for kind in KINDS]
+
+    async def _place(self, fleet: Fleet, kind: str, count: int, turn: int) -> list[float]:
+        numbers = iter(range(count))
+
+        async def place_some() -> list[float]:
+            client = HttpClient()
+            taken = []
+            for number in numbers:
+                started = time.monotonic()
+                await _place_one(client, fleet.entries["entry-0"], kind, f"{kind}-{turn}-{number}")
+                taken.append(time.monotonic() - started)
+            client.close()
+            return taken
+
+        lists = await asyncio.gather(*(place_some() for _ in range(CONNECTIONS)))
+        return [each for taken in lists for each in taken]
+
+    async def _measure_pauses(self, fleet: Fleet, fault: str) -> Pause:
+        streams = [
+            _Stream(
+                fleet.entries[f"entry-{index % 2}"],
+                name=f"{fault}-{index}",
+                seed=self._seed * 1_000 + index,
+            )
+            for index in range(self._streams)
+        ]
+        running = [asyncio.create_task(stream.read()) for stream in streams]
+        while not all(stream.started for stream in streams):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        engine = "engine-0"
+        journal = await fleet.request(fleet.address_of(engine), "GET", "/journal")
+        there = {line.get("request") for line in journal["lines"]}
+        began = time.monotonic()
+        if fault == "kill":
+            fleet.processes[engine].kill()
+        else:
+            await fleet.fault(fleet.address_of(engine), fault)
+        answers = await asyncio.gather(*running)
+        pauses = {stream.name: stream.longest_pause(began) * self._speed for stream in streams}
+        return Pause(
+            fault=fault,
+            bound=IDLE_BOUND,
+            streams=len(streams),
+            right=sum(answers),
+            longest=tuple(sorted(round(pauses[name], 3) for name in pauses if name in there)),
+            calm=round(max(pauses[name] for name in pauses if name not in there), 3),
+        )
+
+
+@final
+class _Stream:
+    """One caller's answer, and when each piece of it came."""
+
+    __slots__ = ("_address", "_arrivals", "_seed", "name")
+
+    def __init__(self, address: str, *, name: str, seed: int) -> None:
+        self.name = name
+        self._address = address
+        self._seed = seed
+        self._arrivals: list[float] = []
+
+    @property
+    def started(self) -> bool:
+        """Whether a token has come."""
+        return bool(self._arrivals)
+
+    def longest_pause(self, since: float) -> float:
+        """Return the longest time between two tokens of which the later came after ``since``."""
+        pairs = zip(self._arrivals, self._arrivals[1:], strict=False)
+        return max((late - early for early, late in pairs if late > since), default=0.0)
+
+    async def read(self) -> bool:
+        """Read the answer; return whether it is whole and right."""
+        caller = Caller(token=caller_token(TEAM), model=MODEL)
+        prompt = make_prompt(tokens=PROMPT_TOKENS, seed=self._seed)
+        answer: Completion = await caller.complete(
+            self._address,
+            prompt=prompt,
+            max_tokens=STREAM_TOKENS,
+            seed=self._seed,
+            headers={"X-Request-Id": self.name},
+            on_token=lambda: self._arrivals.append(time.monotonic()),
+        )
+        expected = expected_text(prompt, seed=self._seed, max_tokens=STREAM_TOKENS)
+        return answer.ok and answer.text == expected
+
+
+async def _place_one(client: HttpClient, address: str, kind: str, name: str) -> None:
+    headers = {"Authorization": f"Bearer {caller_token(TEAM)}"}
+    if kind == "ticket":
+        answer = await _post(client, address, "/v1/tickets", headers, b"", expected=200)
+        headers["Call-Ticket"] = msgspec.json.decode(answer)["ticket"]
+    elif kind == "key":
+        headers["Idempotency-Key"] = name
+    body = msgspec.json.encode({"id": name})
+    await _post(client, address, f"/services/{PLAIN_SERVICE}/orders", headers, body, expected=201)
+
+
+async def _post(
+    client: HttpClient,
+    address: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    *,
+    expected: int,
+) -> bytes:
+    status, answer = await fetch(
+        client,
+        address=address,
+        method="POST",
+        path=path,
+        headers=headers,
+        body=body,
+        timeout=TIMEOUT,
+    )
+    if status != expected:
+        raise BaobabError(f"{path} answered {status}: {answer[:200]!r}")
+    return answer
+
+
+def _cost(kind: str, taken: list[float], entry_cpu: float, store_cpu: float) -> OrderCost:
+    count = len(taken)
+    ordered = sorted(taken)
+    return OrderCost(
+        kind=kind,
+        orders=count,
+        p50=round(1e3 * ordered[count // 2], 2),
+        p95=round(1e3 * ordered[int(0.95 * count)], 2),
+        entry_cpu=round(1e3 * entry_cpu / count, 3),
+        store_cpu=round(1e3 * store_cpu / count, 3),
+    )
+
+
+def table(report: OnceReport) -> str:
+    """Return the report as two tables."""
+    lines = [
+        f"{'orders':<10}{'count':>8}{'p50 ms':>9}{'p95 ms':>9}{'entry CPU ms':>14}{'store':>8}"
+    ]
+    lines += [
+        f"{row.kind:<10}{row.orders:>8}{row.p50:>9.2f}{row.p95:>9.2f}"
+        f"{row.entry_cpu:>14.2f}{row.store_cpu:>8.2f}"
+        for row in report.orders
+    ]
+    lines.append(
+        f"{'fault':<10}{'streams':>8}{'right':>7}{'hit':>5}{'pause p50/max s':>18}{'calm s':>9}"
+    )
+    for row in report.pauses:
+        middle = row.longest[len(row.longest) // 2]
+        pause = f"{middle:.2f} / {row.longest[-1]:.2f}"
+        lines.append(
+            f"{row.fault:<10}{row.streams:>8}{row.right:>7}{len(row.longest):>5}"
+            f"{pause:>18}{row.calm:>9.2f}"
+        )
+    return "\n".join(lines)
--- a/src/baobabpulley/emulator/bench_path.py
+++ b/src/baobabpulley/emulator/bench_path.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 import tempfile
 from pathlib import Path
@@ -21,7 +20,6 @@
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
 from baobabpulley.emulator.fleet import caller_token
-from baobabpulley.emulator.processes import Process
 from baobabpulley.errors import BaobabError
 
 # Stand-ins run this many times faster, so that their own model time hides nothing.
@@ -114,9 +112,9 @@
 
 async def _measure(fleet: Fleet, plan: PathPlan) -> PathReport:
     await _run_all([_order(fleet, plan, seconds=WARM_UP_SECONDS)])
-    engines_cpu, cpu = _engines_cpu(fleet), _cpu_seconds(fleet.processes["entry-0"])
+    engines_cpu, cpu = _engines_cpu(fleet), fleet.processes["entry-0"].cpu_seconds
     full = await _run_all([_order(fleet, plan, index=index) for index in range(plan.clients)])
-    cpu = _cpu_seconds(fleet.processes["entry-0"]) - cpu
+    cpu = fleet.processes["entry-0"].cpu_seconds - cpu
     engines_cpu = _engines_cpu(fleet) - engines_cpu
     whole = sum(result.whole for result in full)
     elapsed = max(result.elapsed for result in full)
@@ -218,14 +216,7 @@
 
 def _engines_cpu(fleet: Fleet) -> float:
     engines = [item for name, item in fleet.processes.items() if name.startswith("engine")]
-    return sum(_cpu_seconds(engine) for engine in engines)
-
-
-def _cpu_seconds(process: Process) -> float:
-    fields = (
-        Path(f"/proc/{process.pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
-    )
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    return sum(engine.cpu_seconds for engine in engines)
 
 
 def _pair(times: Times) -> str:
--- a/src/baobabpulley/emulator/caller.py
+++ b/src/baobabpulley/emulator/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Any
 from typing import final
 
@@ -72,8 +73,9 @@
         seed: int = 0,
         stream: bool = True,
         headers: dict[str, str] | None = None,
+        on_token: Callable[[], None] | None = None,
     ) -> Completion:
-        """Send a completion request and read its whole answer."""
+        """Send a completion request and read its whole answer; note each piece as it comes."""
         body = {
             "model": self._model,
             "prompt": prompt,
@@ -82,7 +84,7 @@
             "stream": stream,
         }
         result = Completion()
-        await self._send(address, "/v1/completions", body, headers or {}, result)
+        await self._send(address, "/v1/completions", body, headers or {}, result, on_token)
         return result
 
     async def resume(self, address: str, lost: Completion, *, prompt: str) -> Completion:
@@ -108,6 +110,7 @@
         body: dict[str, object],
         headers: dict[str, str],
         result: Completion,
+        on_token: Callable[[], None] | None = None,
     ) -> None:
         started = time.monotonic()
         try:
@@ -123,7 +126,8 @@
                 result.request_id = answer.headers.get("X-Request-Id", "")
                 result.resume_token = answer.headers.get("Resume-Token", result.resume_token)
                 if answer.headers.get("Content-Type", "").startswith("text/event-stream"):
-                    await _read_stream(answer.chunks(idle_timeout=REAL_TIMEOUT), result, started)
+                    chunks = answer.chunks(idle_timeout=REAL_TIMEOUT)
+                    await _read_stream(chunks, result, started, on_token)
                 else:
                     _take(result, await answer.body(idle_timeout=REAL_TIMEOUT))
         except (UpstreamLost, UpstreamUnreached) as error:
@@ -134,7 +138,9 @@
             result.first_token = result.total
 
 
-async def _read_stream(chunks: Any, result: Completion, started: float) -> None:
+async def _read_stream(
+    chunks: Any, result: Completion, started: float, on_token: Callable[[], None] | None
+) -> None:
     done = False
     async for data in read_events(chunks):
         if data == DONE:
@@ -143,6 +149,8 @@
         if result.first_token is None:
             result.first_token = time.monotonic() - started
         _take(result, data)
+        if on_token is not None:
+            on_token()
     if not done and not result.code:
         result.code = "cut"
 
--- a/src/baobabpulley/emulator/processes.py
+++ b/src/baobabpulley/emulator/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import subprocess
 from pathlib import Path
@@ -29,6 +30,13 @@
         assert self._popen is not None
         return self._popen.pid
 
+    @property
+    def cpu_seconds(self) -> float:
+        """Processor time that the process has used, user and system together."""
+        stat = Path(f"/proc/{self.pid}/stat").read_text(encoding="ascii")
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -13,14 +13,19 @@
 from testing.proxy import SilentProxy
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.entry.keeper_link import KeeperLink
+from baobabpulley.entry.keeper_link import KeeperLinkSection
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.load_relay import Batch
 from baobabpulley.keeper.membership import HeartbeatMembership
+from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.messages import CacheNews
 from baobabpulley.model.upstreams import LEAVING
 from baobabpulley.model.upstreams import LoadReport
 from baobabpulley.model.upstreams import Vm
 from baobabpulley.ports.engine import CacheEvent
+from baobabpulley.settings import PeersSection
+from baobabpulley.timers import TimerService
 
 SPEED = 4.0
 HOST = "127.0.0.1"
@@ -140,11 +145,42 @@
         opened = proxy.opened
         proxy.silence()
         silenced = membership.peer("vm-1").heard_at
+        began = keepers["vm-0"].timers.now()
         await _until(lambda: membership.peer("vm-1").heard_at > silenced)  # noqa: B023
+        found = membership.peer("vm-1").heard_at - began
+        print(f"silent connection between keepers: heard again after {found:.2f} model s")
         assert proxy.opened > opened
         assert membership.is_live("vm-1")
 
 
+async def test_silent_connection_from_an_entry_to_its_keeper_is_replaced(
+    keepers: dict[str, KeeperContext], proxy: SilentProxy, base_port: int
+) -> None:
+    await keepers["vm-1"].parts["fleet_state"].start()
+    timers = TimerService(speed=SPEED)
+    section = PeersSection(secret="a-secret-for-tests-only")
+    peers = PynngPeers(node="entry", section=section, timers=timers)
+    view = FleetView(failure_domain="fes")
+    address = f"{HOST}:{base_port + 90}"
+    link = KeeperLink(
+        section=KeeperLinkSection(address=address), peers=peers, view=view, timers=timers
+    )
+    await link.refresh()
+    assert view.lists_vms
+    # The other keeper of the list is unreachable, so that only a new connection can help.
+    keepers["vm-0"].peers.close()
+    timers.every(0.25, link.refresh)
+    for _ in range(2):
+        opened, began = proxy.opened, timers.now()
+        proxy.silence()
+        await _until(lambda: proxy.opened > opened)  # noqa: B023
+        answer = view._answer
+        await _until(lambda: view._answer is not answer)  # noqa: B023
+        print(f"silent connection to a keeper: an answer after {timers.now() - began:.2f} model s")
+    timers.cancel_all()
+    peers.close()
+
+
 def _report(
     upstream: str, *, queued: int = 0, sequence: int = 1, state: str = "live"
 ) -> LoadReport:
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -186,11 +186,14 @@
 
 async def test_a_silent_watch_is_reopened(fleet: Fleet) -> None:
     wanted = Limit(13_000, 50_000)
+    began = time.monotonic()
     await fleet.fault(fleet.store_address, "silent")
     # This test's own connections went silent with the keepers'; it asks on new ones.
     fleet.client.drop_idle(fleet.store_address)
     await settled(fleet, "entry-0", wanted)
     await in_force(fleet, wanted)
+    found = SPEED * (time.monotonic() - began)
+    print(f"silent watches: a change made since is in force everywhere after {found:.2f} model s")
 
 
 async def test_a_frozen_keeper_is_passed_over_and_takes_nobody_back(fleet: Fleet) -> None:
