Check in the rolling restart that keepers took books over

The rolling restart of all daemons under load now also reads from the keepers that keys were taken over, so that SIGTERM to a real process is covered, not only keepers inside the test. With a keeper that gives no books: 0.0 > 0 fails.

--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -15,6 +15,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.emulator.caller import Caller
 from baobabpulley.emulator.caller import Completion
+from baobabpulley.emulator.fleet import HOST
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
@@ -26,6 +27,7 @@
 SPEED: Final = 10.0
 ENTRIES: Final = 4
 ENGINES: Final = 4
+KEEPERS_OFFSET: Final = 800
 WAIT_SECONDS: Final = 60.0
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -53,10 +55,15 @@
     return [fleet.address_of(f"engine-{index}") for index in range(ENGINES)]
 
 
-async def metric(fleet: Fleet, name: str) -> float:
-    """Return a metric's sum over all entries."""
+def keeper_addresses(fleet: Fleet) -> list[str]:
+    first = fleet.plan.base_port + KEEPERS_OFFSET
+    return [f"{HOST}:{first + index}" for index in range(ENTRIES)]
+
+
+async def metric(fleet: Fleet, name: str, addresses: list[str] | None = None) -> float:
+    """Return a metric's sum over some processes, all entries if none are named."""
     total = 0.0
-    for address in fleet.entries.values():
+    for address in addresses or fleet.entries.values():
         async with fleet.client.call(address=address, method="GET", path="/metrics") as answer:
             text = (await answer.body(idle_timeout=5.0)).decode()
         lines = (line for line in text.splitlines() if line.startswith(name))
@@ -278,3 +285,7 @@
     assert [failure for some in failures for failure in some] == []
     assert served == requests
     assert codes == [0] * (2 * ENTRIES)
+    # Each failure domain has two keepers, and one of them outlives the other's return.
+    keepers = keeper_addresses(fleet)
+    await fleet.wait_for(keepers[-1], "/healthz")
+    assert await metric(fleet, "baobab_keys_taken_over_total", keepers) > 0
