--- a/src/baobabpulley/keeper/reservations.py
+++ b/src/baobabpulley/keeper/reservations.py
@@ -26,25 +26,42 @@
 from baobabpulley.model.reservation_messages import TeamAsk
 from baobabpulley.policy.gang_queue import GANGS_KEY
 from baobabpulley.policy.holders import Holders
+from baobabpulley.policy.home_keys import HomeKeys
+from baobabpulley.policy.home_keys import KnownKeys
+from baobabpulley.policy.home_keys import renewal_period
+from baobabpulley.policy.home_keys import stated_keys
 from baobabpulley.policy.reservation_book import ReservationsSection
 from baobabpulley.policy.team_book import team_key
 
 # Renewal periods for which a leaving keeper still answers, so that holders turn away from it.
 TELL_RENEWALS: Final = 1.2
 
+# A renewal of a holder that holds nothing here, and its answer.
+RENEWAL_BYTES: Final = 195
+
 
 @keeper_parts.register("reservations")
 @final
 class ReservationKeeper(KeeperPart):
     """Answer questions and renewals for the keys that holders take this keeper for the home of."""
 
-    __slots__ = ("_books", "_context", "_holders", "_leaving", "_section")
+    __slots__ = (
+        "_books",
+        "_context",
+        "_holders",
+        "_home_keys",
+        "_known",
+        "_leaving",
+        "_section",
+    )
 
     def __init__(self, context: KeeperContext) -> None:
         self._context = context
         self._section = context.settings.get(ReservationsSection)
         self._books = BookKeeper(context=context, section=self._section)
         self._holders = Holders(expiry=self._section.expiry)
+        self._home_keys = HomeKeys(own=context.node.vm, expiry=self._section.expiry)
+        self._known = KnownKeys(view=context.view)
         self._leaving = False
 
     @property
@@ -57,6 +74,16 @@
         """Which holders are live."""
         return self._holders
 
+    @property
+    def bytes_a_second(self) -> float:
+        """What holders' renewals take here."""
+        now = self._context.timers.now()
+        return self._holders.live_count(now=now) * RENEWAL_BYTES / self._renewal_period
+
+    @property
+    def _renewal_period(self) -> float:
+        return renewal_period(self._section, keepers=len(self._context.view.keepers))
+
     async def start(self) -> None:
         peers = self._context.peers
         peers.answer(HolderRenewal, self._renew)
@@ -71,13 +98,18 @@
         """Grant nothing more, pass the books on, and stay until each holder has been told."""
         self._leaving = True
         await self._books.hand_over()
-        await self._context.timers.sleep(TELL_RENEWALS * self._section.renewal)
+        await self._context.timers.sleep(TELL_RENEWALS * self._renewal_period)
 
     async def _renew(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, HolderRenewal)
         now = self._hear(message.holder)
-        self._books.hear(message.keys)
+        if message.keepers:
+            self._home_keys.learn(message.keepers)
+        if not self._home_keys.knows(message.digest):
+            return HolderRenewed(unknown=True)
+        due = self._home_keys.due(message.digest, known=self._known.keys, now=now)
+        self._books.hear((*due, *stated_keys(message)))
         for held in message.claims:
             self._books.home.memory.renew(message.holder, held, now=now)
         recalled = [
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -50,6 +50,15 @@
         self.order.append(request.request_id)
         return placement
 
+    def set_entry_vms(self, *names: str) -> None:
+        """Have the VM list name these entry VMs beside the engines."""
+        engines = [
+            Vm(row.id, "upstream", row.failure_domain, row.address, service=row.service)
+            for row in self.view.upstreams.values()
+        ]
+        entries = [Vm(id, "entry", self.view.failure_domain, "127.0.0.1:9") for id in names]
+        self.view.set_vms((*engines, *entries))
+
     def start(self, request: CompletionRequest) -> asyncio.Task[Placement]:
         """Begin to place a request."""
         return asyncio.create_task(self.place(request))
@@ -202,6 +211,25 @@
     await bench.place(make_request(tokens=1_000))
 
 
+async def test_engine_reserved_for_others_gets_no_long_for_a_moment_and_shorts_all_the_while() -> (
+    None
+):
+    bench = _Bench(engines=2)
+    for id in ("engine-0", "engine-1"):
+        bench.placer.reserved(id)
+        other = bench.start(make_request(tokens=100_000))
+        await settle()
+        # The other engine takes it; once both are reserved it waits.
+        assert other.done() == (id == "engine-0")
+        if other.done():
+            assert other.result().upstream.id == "engine-1"
+            bench.placer.end(other.result())
+    await bench.place(make_request(tokens=3_000))
+    await bench.timers.advance(1.1)
+    await settle()
+    assert other.done()
+
+
 async def test_engine_that_fails_again_without_a_report_is_left_alone_for_longer() -> None:
     bench = _Bench(engines=1)
     for seconds in (3.0, 6.0, 12.0):
@@ -246,17 +274,23 @@
     assert [placement.cached_tokens for placement in placements] == [1_536, 0, 1_536]
 
 
+async def test_long_keeps_to_its_entrys_own_engines_where_a_short_takes_another_entrys() -> None:
+    bench = _Bench(engines=2)
+    bench.set_entry_vms("vm-0", "vm-1")
+    bench.view.set_load(make_report("engine-0", queued_high=4_000, queued=4_000), taken=1_000.0)
+    short = await bench.place(make_request(tokens=3_000))
+    bench.placer.end(short)
+    long = await bench.place(make_request(tokens=100_000))
+    second = await bench.place(make_request(tokens=100_000))
+    chosen = [placement.upstream.id for placement in (short, long, second)]
+    assert chosen == ["engine-1", "engine-0", "engine-1"]
+
+
 async def test_engines_are_dealt_anew_when_the_entry_vms_change() -> None:
     bench = _Bench(engines=2)
-    engines = [
-        Vm(engine.id, "upstream", engine.failure_domain, engine.address, service=engine.service)
-        for engine in bench.view.upstreams.values()
-    ]
     chosen = []
     for other in ("vm-1", "vm") * 6:
-        names = ("vm-0", other)
-        entries = [Vm(id, "entry", bench.view.failure_domain, "127.0.0.1:9") for id in names]
-        bench.view.set_vms((*engines, *entries))
+        bench.set_entry_vms("vm-0", other)
         placement = await bench.place(make_request(tokens=3_000))
         bench.placer.end(placement)
         chosen.append(placement.upstream.id)
