--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -107,6 +107,9 @@
         self._round += 1
         self._listen()
         addresses = self._near_watchers()
+        if not self._context.view.lists_vms:
+            # The VM list comes with a peer's answer while the platform does not give it.
+            addresses |= set(self._section.others)
         if self.watches:
             addresses |= self._far_watchers()
         self._silent &= {vm.address for vm in self._context.view.entry_vms}
