--- a/src/baobabpulley/entry/team_spending.py
+++ b/src/baobabpulley/entry/team_spending.py
@@ -115,8 +115,12 @@
                 self._forget(team)
 
     def rest(self) -> None:
-        """Keep nothing of the teams that have had no request for long; the next renewal says so."""
-        self.give_back(team for team in self._shares if self._is_idle(team))
+        """Keep nothing of the teams that have had no request for long; the next renewal says so.
+
+        While no keeper answers all is kept, since nobody could grant it anew.
+        """
+        if not self._homes.all_silent:
+            self.give_back(team for team in self._shares if self._is_idle(team))
 
     def _is_idle(self, team: str) -> bool:
         since = self._timers.now() - self._used_at[team]
--- a/testing/test_team_spending.py
+++ b/testing/test_team_spending.py
@@ -9,6 +9,8 @@
 from baobabpulley.entry.homes import Homes
 from baobabpulley.entry.team_spending import IDLE_SECONDS
 from baobabpulley.entry.team_spending import TeamSpending
+from baobabpulley.errors import Overloaded
+from baobabpulley.errors import PeerUnavailable
 from baobabpulley.errors import TeamLimitReached
 from baobabpulley.model.documents import LimitDocument
 from baobabpulley.model.documents import StoredEntry
@@ -39,9 +41,12 @@
         self.book = TeamBook(section=SECTION, handover=self.handover)
         self.timers = timers
         self.asked = 0
+        self.silent = False
 
     async def ask(self, address: str, question: TeamAsk, **_: object) -> object:
         self.asked += 1
+        if self.silent:
+            raise PeerUnavailable("the keeper is gone")
         return self.book.ask(question, limit=LIMIT, now=self.timers.now())
 
 
@@ -124,3 +129,18 @@
     async with asyncio.timeout(5.0):
         await spending.spend(team=TEAM, request_id="b", tokens=1_000)
     assert peers.asked == asked + 1
+
+
+async def test_idle_team_keeps_its_share_while_no_keeper_answers(
+    spending: TeamSpending, peers: HomePeers, timers: ManualTimers
+) -> None:
+    await spending.spend(team=TEAM, request_id="a", tokens=1_000)
+    spending.refund(team=TEAM, request_id="a")
+    peers.silent = True
+    # A prompt past the share shows that the keeper is gone.
+    with pytest.raises(Overloaded):
+        await spending.spend(team=TEAM, request_id="b", tokens=LIMIT)
+    await timers.advance(2 * IDLE_SECONDS)
+    spending.rest()
+    await spending.spend(team=TEAM, request_id="c", tokens=1_000)
+    assert [hold.in_use for hold in spending.statements([TEAM])] == [1_000]
