--- a/src/baobabpulley/emulator/bench_faults.py
+++ b/src/baobabpulley/emulator/bench_faults.py
@@ -30,8 +30,7 @@
 GANG: Final = (75_000, 8)
 SHORT_CALLERS: Final = 6
 ORDER_CALLERS: Final = 4
-# Bounds in model seconds: memory, and settings once the last fault has ended.
-MEMORY_BOUND: Final = 15.0
+# Bound on settings once the last fault has ended, in model seconds.
 PROBE_BOUND: Final = 60.0
 PROBE_PERIOD: Final = 0.2
 
@@ -134,7 +133,7 @@
 
 async def _check_end(fleet: Fleet, load: FaultLoad) -> None:
     """Check what must hold once all faults have ended and nothing is in flight."""
-    held = await memory_return(fleet, bound=MEMORY_BOUND)
+    held = await memory_return(fleet)
     if held:
         load.violations.append(f"engines still hold {held}")
     await _check_refused(fleet, load)
--- a/src/baobabpulley/emulator/bench_mix.py
+++ b/src/baobabpulley/emulator/bench_mix.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import configparser
-import os
 import tempfile
 import time
 from pathlib import Path
@@ -201,12 +200,10 @@
 
 def _cpu_seconds(fleet: Fleet) -> dict[str, float]:
     """Return processor seconds used so far, the largest of each kind of process."""
-    ticks = os.sysconf("SC_CLK_TCK")
     found: dict[str, float] = {}
     for name, process in fleet.processes.items():
         if process.running:
-            fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-            found[name] = (int(fields[11]) + int(fields[12])) / ticks
+            found[name] = process.cpu_seconds
     kinds = ("entry", "keeper", "engine")
     return {
         kind: max((value for name, value in found.items() if name.startswith(kind)), default=0.0)
--- a/src/baobabpulley/emulator/bench_path.py
+++ b/src/baobabpulley/emulator/bench_path.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 import tempfile
 from pathlib import Path
@@ -139,9 +138,9 @@
 async def _measure(fleet: Fleet, plan: PathPlan) -> PathReport:
     await _start_hop(fleet, plan)
     await _run_all([_order(fleet, plan, target, seconds=WARM_UP_SECONDS) for target in _TARGETS])
-    cpu = _cpu_seconds(fleet, "entry-0")
+    cpu = fleet.processes["entry-0"].cpu_seconds
     full = await _run_all([_order(fleet, plan, index=index) for index in range(plan.clients)])
-    cpu = _cpu_seconds(fleet, "entry-0") - cpu
+    cpu = fleet.processes["entry-0"].cpu_seconds - cpu
     whole = sum(result.whole for result in full)
     elapsed = max(result.elapsed for result in full)
     half = HALF * whole / elapsed
@@ -184,9 +183,9 @@
         _order(fleet, plan, target, seconds=COMPARED_SECONDS, rate=COMPARED_RATE)
         for target in _TARGETS
     ]
-    before = [_cpu_seconds(fleet, target) for target in _TARGETS]
+    before = [fleet.processes[target].cpu_seconds for target in _TARGETS]
     results = await _run_all(orders)
-    after = [_cpu_seconds(fleet, target) for target in _TARGETS]
+    after = [fleet.processes[target].cpu_seconds for target in _TARGETS]
     spent = zip(before, after, results, strict=True)
     return [(end - start) / max(1, result.whole) for start, end, result in spent], results
 
@@ -271,12 +270,6 @@
     return fleet.entries.get(target) or fleet.address_of(target)
 
 
-def _cpu_seconds(fleet: Fleet, name: str) -> float:
-    stat = Path(f"/proc/{fleet.processes[name].pid}/stat").read_text(encoding="ascii")
-    fields = stat.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def _pair(times: Times) -> str:
     return f"{times.p50:.2f} / {times.p95:.2f}"
 
--- a/src/baobabpulley/emulator/journals.py
+++ b/src/baobabpulley/emulator/journals.py
@@ -6,6 +6,7 @@
 import contextlib
 import time
 from typing import Any
+from typing import Final
 
 from baobabpulley.emulator.fleet import ENGINE_SERVICE
 from baobabpulley.emulator.fleet import PLAIN_SERVICE
@@ -13,7 +14,9 @@
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.model.upstreams import Vm
 
-POLL_SECONDS = 0.05
+# Model seconds within which an engine has all its memory back after any fault.
+RETURN_SECONDS: Final = 15.0
+POLL_SECONDS: Final = 0.05
 
 
 def engines(fleet: Fleet) -> list[Vm]:
@@ -36,7 +39,7 @@
     return found
 
 
-async def memory_return(fleet: Fleet, *, bound: float) -> dict[str, int]:
+async def memory_return(fleet: Fleet, *, bound: float = RETURN_SECONDS) -> dict[str, int]:
     """Wait up to ``bound`` model seconds until no engine holds memory; return what is held."""
     end = time.monotonic() + bound / fleet.plan.speed
     while True:
--- /dev/null
+++ b/src/baobabpulley/errors/__init__.py
@@ -0,0 +1,114 @@
+"""Typed errors of the system.
+
+Each kind has a stable ``code``, an HTTP ``status`` and says whether the request ``ran``:
+``False`` means that it truly did not run, ``True`` that it did, ``None`` that it is not known.
+The ``remedy`` tells the reader what to do next.
+"""
+
+from __future__ import annotations
+
+from baobabpulley.errors.base import EXIT_BAD_SETTINGS
+from baobabpulley.errors.base import EXIT_FAILED
+from baobabpulley.errors.base import EXIT_OK
+from baobabpulley.errors.base import BaobabError
+from baobabpulley.errors.base import error_kinds
+from baobabpulley.errors.control import ChangeUnknown
+from baobabpulley.errors.control import Conflict
+from baobabpulley.errors.control import DocumentFault
+from baobabpulley.errors.control import LimitLowered
+from baobabpulley.errors.control import MessageRejected
+from baobabpulley.errors.control import PeerLeaving
+from baobabpulley.errors.control import PeerUnavailable
+from baobabpulley.errors.control import PromiseRefused
+from baobabpulley.errors.control import SettingsFault
+from baobabpulley.errors.control import StoreAnswerLost
+from baobabpulley.errors.control import StoreCompacted
+from baobabpulley.errors.control import StoreUnavailable
+from baobabpulley.errors.control import UnknownName
+from baobabpulley.errors.requests import BadRequest
+from baobabpulley.errors.requests import BadToken
+from baobabpulley.errors.requests import BodyTooLarge
+from baobabpulley.errors.requests import BodyTooSlow
+from baobabpulley.errors.requests import CallMismatch
+from baobabpulley.errors.requests import DeadlineBeforeStart
+from baobabpulley.errors.requests import DeadlineExceeded
+from baobabpulley.errors.requests import Forbidden
+from baobabpulley.errors.requests import HeaderTooLarge
+from baobabpulley.errors.requests import IssuerGone
+from baobabpulley.errors.requests import MethodNotAllowed
+from baobabpulley.errors.requests import NotFound
+from baobabpulley.errors.requests import NotReady
+from baobabpulley.errors.requests import NoUpstream
+from baobabpulley.errors.requests import OutcomeForgotten
+from baobabpulley.errors.requests import OutcomeUnknown
+from baobabpulley.errors.requests import Overloaded
+from baobabpulley.errors.requests import PromptTooLong
+from baobabpulley.errors.requests import TeamLimitReached
+from baobabpulley.errors.requests import TicketInvalid
+from baobabpulley.errors.requests import TooFewEngines
+from baobabpulley.errors.requests import UnknownModel
+from baobabpulley.errors.upstreams import CrossedAnswer
+from baobabpulley.errors.upstreams import OrderTooLate
+from baobabpulley.errors.upstreams import UpstreamImportFailed
+from baobabpulley.errors.upstreams import UpstreamLeaving
+from baobabpulley.errors.upstreams import UpstreamLost
+from baobabpulley.errors.upstreams import UpstreamModelMissing
+from baobabpulley.errors.upstreams import UpstreamOutOfMemory
+from baobabpulley.errors.upstreams import UpstreamOverloaded
+from baobabpulley.errors.upstreams import UpstreamRefused
+from baobabpulley.errors.upstreams import UpstreamReserved
+from baobabpulley.errors.upstreams import UpstreamUnreached
+
+__all__ = [
+    "EXIT_BAD_SETTINGS",
+    "EXIT_FAILED",
+    "EXIT_OK",
+    "BadRequest",
+    "BadToken",
+    "BaobabError",
+    "BodyTooLarge",
+    "BodyTooSlow",
+    "CallMismatch",
+    "ChangeUnknown",
+    "Conflict",
+    "CrossedAnswer",
+    "DeadlineBeforeStart",
+    "DeadlineExceeded",
+    "DocumentFault",
+    "Forbidden",
+    "HeaderTooLarge",
+    "IssuerGone",
+    "LimitLowered",
+    "MessageRejected",
+    "MethodNotAllowed",
+    "NoUpstream",
+    "NotFound",
+    "NotReady",
+    "OrderTooLate",
+    "OutcomeForgotten",
+    "OutcomeUnknown",
+    "Overloaded",
+    "PeerLeaving",
+    "PeerUnavailable",
+    "PromiseRefused",
+    "PromptTooLong",
+    "SettingsFault",
+    "StoreAnswerLost",
+    "StoreCompacted",
+    "StoreUnavailable",
+    "TeamLimitReached",
+    "TicketInvalid",
+    "TooFewEngines",
+    "UnknownModel",
+    "UnknownName",
+    "UpstreamImportFailed",
+    "UpstreamLeaving",
+    "UpstreamLost",
+    "UpstreamModelMissing",
+    "UpstreamOutOfMemory",
+    "UpstreamOverloaded",
+    "UpstreamRefused",
+    "UpstreamReserved",
+    "UpstreamUnreached",
+    "error_kinds",
+]
--- a/testing/gang_fleet.py
+++ b/testing/gang_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from typing import Any
 from typing import Final
@@ -14,9 +13,8 @@
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
 from baobabpulley.emulator.fleet import caller_token
-from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.emulator.journals import journals
 from baobabpulley.model.limits import Limit
-from baobabpulley.model.upstreams import Vm
 from baobabpulley.standins.text import expected_text
 
 ENGINE_MEMORY: Final = 40_000
@@ -27,7 +25,6 @@
 SMALL_TEAM: Final = "stall"
 SMALL_LIMIT: Final = 6_000
 SPEED: Final = 8.0
-RETURN_SECONDS: Final = 15.0
 TYPED_REFUSALS: Final = frozenset({"overloaded", "team_limit", "no_upstream", "not_ready"})
 
 
@@ -51,11 +48,6 @@
     return Caller(token=caller_token(team), model=MODEL)
 
 
-def engines(fleet: Fleet) -> list[Vm]:
-    """Return the rows of all engines."""
-    return [vm for vm in fleet.vms if vm.role == "upstream"]
-
-
 def is_right(answer: Completion, prompt: str, *, max_tokens: int) -> bool:
     """Whether the whole answer is the right one."""
     return answer.ok and answer.text == expected_text(prompt, seed=0, max_tokens=max_tokens)
@@ -71,15 +63,6 @@
             await asyncio.sleep(0.2)
 
 
-async def journals(fleet: Fleet) -> dict[str, dict[str, Any]]:
-    """Return the journals of all engines that listen; one that is starting holds nothing yet."""
-    found = {}
-    for vm in engines(fleet):
-        with contextlib.suppress(UpstreamUnreached):
-            found[vm.id] = await fleet.request(vm.address, "GET", "/journal")
-    return found
-
-
 async def lines_of(fleet: Fleet, request_id: str) -> list[tuple[str, str, str]]:
     """Return engine, kind and outcome of all that reached engines for a request, by time."""
     lines = [
@@ -89,14 +72,3 @@
         if line.get("request") == request_id
     ]
     return [line[1:] for line in sorted(lines)]
-
-
-async def memory_return(fleet: Fleet, *, bound: float = RETURN_SECONDS) -> dict[str, int]:
-    """Wait up to ``bound`` model seconds until no engine holds memory; return what is held."""
-    end = time.monotonic() + bound / fleet.plan.speed
-    while True:
-        held = {name: journal["held"] for name, journal in (await journals(fleet)).items()}
-        held = {name: tokens for name, tokens in held.items() if tokens}
-        if not held or time.monotonic() > end:
-            return held
-        await asyncio.sleep(0.05)
--- /dev/null
+++ b/testing/settings_fleet.py
@@ -0,0 +1,78 @@
+"""What an operator does over the entries of a local fleet, for tests of settings."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.emulator.caller import Caller
+from baobabpulley.emulator.fleet import MODEL
+from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.fleet import caller_token
+from baobabpulley.emulator.fleet import operator_token
+from baobabpulley.model.limits import Limit
+
+PATIENCE: Final = 60.0
+OWN: Final = "/v1/teams/souk/limit"
+
+
+async def call(
+    fleet: Fleet, entry: str, method: str, path: str, body: Any = None, *, team: str = "souk"
+) -> tuple[int, dict[str, Any]]:
+    status, answer = await fetch(
+        fleet.client,
+        address=fleet.entries[entry],
+        method=method,
+        path=path,
+        body=b"" if body is None else msgspec.json.encode(body),
+        headers={"Authorization": f"Bearer {operator_token(team)}"},
+        timeout=PATIENCE,
+    )
+    return status, msgspec.json.decode(answer)
+
+
+async def settled(fleet: Fleet, entry: str, limit: Limit) -> dict[str, Any]:
+    """Raise the limit as an operator who asks until the outcome is known."""
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        status, answer = await call(fleet, entry, "PUT", OWN, limit)
+        if status == 200:
+            return answer
+        assert answer["error"]["code"] in {"change_unknown", "store_unavailable", "promise_refused"}
+        await asyncio.sleep(0.2)
+    raise AssertionError(answer)
+
+
+async def in_force(fleet: Fleet, limit: Limit, entries: tuple[str, ...] = ()) -> None:
+    """Wait until entries act on a limit; fail if one goes back meanwhile."""
+    revisions: dict[str, int] = {}
+    waiting = set(entries or fleet.entries)
+    end = time.monotonic() + PATIENCE
+    while waiting:
+        assert time.monotonic() < end, waiting
+        for name in entries or fleet.entries:
+            _, view = await call(fleet, name, "GET", OWN)
+            assert view["revision"] >= revisions.get(name, 0)
+            revisions[name] = view["revision"]
+            if view["limit"] == msgspec.to_builtins(limit):
+                waiting.discard(name)
+        await asyncio.sleep(0.02)
+
+
+async def serves(fleet: Fleet, entry: str) -> bool:
+    caller = Caller(token=caller_token("souk"), model=MODEL)
+    answer = await caller.complete(fleet.entries[entry], prompt="saffron and cumin")
+    print(entry, answer.status, answer.code)
+    return answer.ok
+
+
+async def counts(fleet: Fleet) -> tuple[Counter[str], int]:
+    answer = await fleet.request(fleet.store_address, "GET", "/counts")
+    calls = {path.removeprefix("/v3/"): count for path, count in answer["calls"].items()}
+    return Counter(calls), answer["watches"]
--- a/testing/test_burn.py
+++ b/testing/test_burn.py
@@ -7,10 +7,10 @@
 
 import pytest
 from click.testing import CliRunner
-from testing.entry_builders import LedgerFleet
-from testing.entry_builders import call
-from testing.entry_builders import client
-from testing.entry_builders import order
+from entry_builders import LedgerFleet
+from entry_builders import call
+from entry_builders import client
+from entry_builders import order
 
 from baobabpulley.cli.main import cli
 from baobabpulley.cli.main import load_commands
--- a/testing/test_collection.py
+++ b/testing/test_collection.py
@@ -9,8 +9,8 @@
 
 import pytest
 import pytest_asyncio
-from testing.keeper_builders import HOST
-from testing.keeper_builders import make_keeper
+from keeper_builders import HOST
+from keeper_builders import make_keeper
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.keeper.context import KeeperContext
--- a/testing/test_gangs.py
+++ b/testing/test_gangs.py
@@ -16,13 +16,13 @@
 from gang_fleet import caller
 from gang_fleet import gang_plan
 from gang_fleet import is_right
-from gang_fleet import journals
 from gang_fleet import lines_of
-from gang_fleet import memory_return
 from gang_fleet import warm_up
 
 from baobabpulley.emulator.caller import Completion
 from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.journals import journals
+from baobabpulley.emulator.journals import memory_return
 from baobabpulley.standins.text import make_prompt
 
 MAX_TOKENS = 8
--- a/testing/test_handover.py
+++ b/testing/test_handover.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 import pytest_asyncio
-from testing.builders import eventually
-from testing.builders import make_report
-from testing.keeper_builders import make_keeper
+from builders import eventually
+from builders import make_report
+from keeper_builders import make_keeper
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.entry.homes import Homes
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import pytest_asyncio
-from testing.keeper_builders import make_keeper
+from keeper_builders import make_keeper
 
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.emulator.link import Link
--- a/testing/test_memory_return.py
+++ b/testing/test_memory_return.py
@@ -13,17 +13,17 @@
 import pytest_asyncio
 from gang_fleet import GANG_TOKENS
 from gang_fleet import LONG_TOKENS
-from gang_fleet import RETURN_SECONDS
 from gang_fleet import SHORT_TOKENS
 from gang_fleet import SPEED
 from gang_fleet import caller
-from gang_fleet import engines
 from gang_fleet import gang_plan
-from gang_fleet import journals
-from gang_fleet import memory_return
 from gang_fleet import warm_up
 
 from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.journals import RETURN_SECONDS
+from baobabpulley.emulator.journals import engines
+from baobabpulley.emulator.journals import journals
+from baobabpulley.emulator.journals import memory_return
 from baobabpulley.standins.text import make_prompt
 
 ROUNDS = 5
--- a/testing/test_once_under_faults.py
+++ b/testing/test_once_under_faults.py
@@ -7,10 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-from testing.entry_builders import LedgerFleet
-from testing.entry_builders import call
-from testing.entry_builders import client
-from testing.entry_builders import order
+from entry_builders import LedgerFleet
+from entry_builders import call
+from entry_builders import client
+from entry_builders import order
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.errors import BaobabError
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -6,10 +6,10 @@
 import random
 
 import pytest
-from testing.order_world import MODEL
-from testing.order_world import SERVICE
-from testing.order_world import Keeper
-from testing.order_world import World
+from order_world import MODEL
+from order_world import SERVICE
+from order_world import Keeper
+from order_world import World
 
 from baobabpulley.errors import SettingsFault
 from baobabpulley.keeper.tender import TenderSection
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -5,9 +5,9 @@
 import asyncio
 
 import pytest
-from testing.builders import make_report
-from testing.builders import make_request
-from testing.builders import make_view
+from builders import make_report
+from builders import make_request
+from builders import make_view
 
 from baobabpulley.entry.placer import Placement
 from baobabpulley.entry.placer import make_placer
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import pytest
-from testing.builders import make_request
-from testing.builders import make_view
-from testing.fakes import ScriptedEngine
-from testing.fakes import ScriptedPasser
+from builders import make_request
+from builders import make_view
+from fakes import ScriptedEngine
+from fakes import ScriptedPasser
 
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.entry.dispatch import Dispatcher
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 import pytest
-from testing.builders import make_report
+from builders import make_report
 
 from baobabpulley.entry.outstanding import Outstanding
 from baobabpulley.entry.outstanding import Sent
--- a/testing/test_services.py
+++ b/testing/test_services.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 
 import pytest
-from testing.entry_builders import LedgerFleet
-from testing.entry_builders import call
-from testing.entry_builders import client
-from testing.entry_builders import order
+from entry_builders import LedgerFleet
+from entry_builders import call
+from entry_builders import client
+from entry_builders import order
 
 from baobabpulley.errors import OutcomeForgotten
 from baobabpulley.policy.outcomes import OutcomeMemory
--- a/testing/test_settings_fleet.py
+++ b/testing/test_settings_fleet.py
@@ -6,7 +6,6 @@
 import contextlib
 import signal
 import time
-from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -14,16 +13,20 @@
 import pytest
 import pytest_asyncio
 from click.testing import CliRunner
+from settings_fleet import OWN
+from settings_fleet import PATIENCE
+from settings_fleet import call
+from settings_fleet import counts
+from settings_fleet import in_force
+from settings_fleet import serves
+from settings_fleet import settled
 
 from baobabpulley.adapters.etcd_store import EtcdStore
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.cli.limits import limits
-from baobabpulley.emulator.caller import Caller
-from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
 from baobabpulley.emulator.fleet import FleetPlan
-from baobabpulley.emulator.fleet import caller_token
 from baobabpulley.emulator.fleet import operator_token
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import StoreCompacted
@@ -39,8 +42,6 @@
 from baobabpulley.timers import TimerService
 
 SPEED = 4.0
-PATIENCE = 60.0
-OWN = "/v1/teams/souk/limit"
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -60,62 +61,6 @@
         yield running
 
 
-async def call(
-    fleet: Fleet, entry: str, method: str, path: str, body: Any = None, *, team: str = "souk"
-) -> tuple[int, dict[str, Any]]:
-    status, answer = await fetch(
-        fleet.client,
-        address=fleet.entries[entry],
-        method=method,
-        path=path,
-        body=b"" if body is None else msgspec.json.encode(body),
-        headers={"Authorization": f"Bearer {operator_token(team)}"},
-        timeout=PATIENCE,
-    )
-    return status, msgspec.json.decode(answer)
-
-
-async def settled(fleet: Fleet, entry: str, limit: Limit) -> dict[str, Any]:
-    """Raise the limit as an operator who asks until the outcome is known."""
-    end = time.monotonic() + PATIENCE
-    while time.monotonic() < end:
-        status, answer = await call(fleet, entry, "PUT", OWN, limit)
-        if status == 200:
-            return answer
-        assert answer["error"]["code"] in {"change_unknown", "store_unavailable", "promise_refused"}
-        await asyncio.sleep(0.2)
-    raise AssertionError(answer)
-
-
-async def in_force(fleet: Fleet, limit: Limit, entries: tuple[str, ...] = ()) -> None:
-    """Wait until entries act on a limit; fail if one goes back meanwhile."""
-    revisions: dict[str, int] = {}
-    waiting = set(entries or fleet.entries)
-    end = time.monotonic() + PATIENCE
-    while waiting:
-        assert time.monotonic() < end, waiting
-        for name in entries or fleet.entries:
-            _, view = await call(fleet, name, "GET", OWN)
-            assert view["revision"] >= revisions.get(name, 0)
-            revisions[name] = view["revision"]
-            if view["limit"] == msgspec.to_builtins(limit):
-                waiting.discard(name)
-        await asyncio.sleep(0.02)
-
-
-async def serves(fleet: Fleet, entry: str) -> bool:
-    caller = Caller(token=caller_token("souk"), model=MODEL)
-    answer = await caller.complete(fleet.entries[entry], prompt="saffron and cumin")
-    print(entry, answer.status, answer.code)
-    return answer.ok
-
-
-async def counts(fleet: Fleet) -> tuple[Counter[str], int]:
-    answer = await fleet.request(fleet.store_address, "GET", "/counts")
-    calls = {path.removeprefix("/v3/"): count for path, count in answer["calls"].items()}
-    return Counter(calls), answer["watches"]
-
-
 async def test_a_raise_is_in_force_at_every_entry(fleet: Fleet) -> None:
     wanted = Limit(11_000, 30_000)
     await settled(fleet, "entry-1", wanted)
--- a/testing/test_team_limits.py
+++ b/testing/test_team_limits.py
@@ -15,11 +15,11 @@
 from gang_fleet import caller
 from gang_fleet import gang_plan
 from gang_fleet import is_right
-from gang_fleet import journals
 from gang_fleet import warm_up
 
 from baobabpulley.emulator.caller import Completion
 from baobabpulley.emulator.fleet import Fleet
+from baobabpulley.emulator.journals import journals
 from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.policy.team_book import team_key
 from baobabpulley.standins.text import make_prompt
