Close every socket of a process's peers, and leave none to the garbage collector

The dump of all threads shows the main thread in nng_close, and a thread of the library in its own callback for a lost pipe: there the garbage collector ran, found a socket that nobody had closed, and closed it, which waits for that very callback. The socket was one that an unanswered question had retired: it was to be closed 5 s later by the event loop, and the loop had ended before.

Ruled out: a wait in our own code (no task of it was running), and sockets that were closed before (closing one again returns at once).

Change: retired sockets are kept and closed with all others; no question opens a new socket once the peers are closed. In a daemon the loop goes on and closes a retired socket in time; only one that ended within those 5 s could have met this.

Seen failing before: test_closing_leaves_no_socket_to_the_garbage_collector.

--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -36,6 +36,7 @@
 PUBLISH_PORT_OFFSET: Final = 1
 RECONNECT_MIN_MS: Final = 50
 RECONNECT_MAX_MS: Final = 500
+RETIRE_SECONDS: Final = 5.0
 
 A = TypeVar("A", bound=msgspec.Struct)
 
@@ -73,12 +74,14 @@
     __slots__ = (
         "_address",
         "_asking",
+        "_closed",
         "_contexts",
         "_handlers",
         "_listening",
         "_names",
         "_publisher",
         "_rejected",
+        "_retired",
         "_sealer",
         "_sockets",
         "_tasks",
@@ -107,6 +110,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._publisher: pynng.Pub0 | None = None
         self._rejected = 0
+        self._retired: set[pynng.Req0] = set()
+        self._closed = False
         self.traffic: defaultdict[str, Traffic] = defaultdict(Traffic)
 
     @property
@@ -127,6 +132,8 @@
     async def ask(
         self, address: str, question: msgspec.Struct, *, answer: type[A], timeout: float
     ) -> A:
+        if self._closed:
+            raise PeerUnavailable("this process is closing its connections")
         socket = self._asking.get(address)
         if socket is None:
             socket = _dial(pynng.Req0(), address)
@@ -191,16 +198,20 @@
             subscription.socket.close()
 
     def close(self) -> None:
+        self._closed = True
         for task in tuple(self._tasks):
             task.cancel()
         # A context must be closed before its socket: pynng raises afterwards, also on collection.
         for context in tuple(self._contexts):
             self._close_context(context)
-        for socket in [*self._sockets, *self._asking.values()]:
+        # None may be left to the garbage collector: it may run in a thread of the library, where
+        # closing a socket waits for itself.
+        for socket in [*self._sockets, *self._asking.values(), *self._retired]:
             socket.close()
         for subscription in self._listening.values():
             subscription.socket.close()
         self._asking.clear()
+        self._retired.clear()
         self._listening.clear()
 
     def _open_context(self, socket: pynng.Rep0 | pynng.Req0) -> pynng.Context:
@@ -223,7 +234,13 @@
         if self._asking.get(address) is socket:
             del self._asking[address]
             # Other questions may still wait on this socket; let them end first.
-            asyncio.get_running_loop().call_later(5.0, socket.close)
+            self._retired.add(socket)
+            asyncio.get_running_loop().call_later(RETIRE_SECONDS, self._close_retired, socket)
+
+    def _close_retired(self, socket: pynng.Req0) -> None:
+        if socket in self._retired:
+            self._retired.discard(socket)
+            socket.close()
 
     async def _answer_forever(self, context: pynng.Context) -> None:
         while context in self._contexts:
--- a/testing/test_envelope.py
+++ b/testing/test_envelope.py
@@ -11,9 +11,11 @@
 import pynng
 import pytest
 
+from baobabpulley.adapters import pynng_peers
 from baobabpulley.adapters.envelope import EVERYONE
 from baobabpulley.adapters.envelope import Sealer
 from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.adapters.pynng_peers import _dial
 from baobabpulley.adapters.signing import Signer
 from baobabpulley.errors import Forbidden
 from baobabpulley.errors import MessageRejected
@@ -155,3 +157,28 @@
     assert set(heard) == {"first", "second"}
     assert friend.rejected == 0
     friend.close()
+
+
+async def test_closing_leaves_no_socket_to_the_garbage_collector(
+    base_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    opened: list[pynng.Socket] = []
+
+    def dial(socket: pynng.Socket, address: str) -> pynng.Socket:
+        opened.append(socket)
+        return _dial(socket, address)
+
+    monkeypatch.setattr(pynng_peers, "_dial", dial)
+    asking = PynngPeers(node="vm-3", section=PeersSection(secret=SECRET), timers=TimerService())
+    nobody = f"127.0.0.1:{base_port + 901}"
+    # Each question that gets no answer retires its socket.
+    for _ in range(2):
+        with pytest.raises(PeerUnavailable):
+            await asking.ask(nobody, Done(), answer=Done, timeout=0.05)
+    asking.close()
+    with pytest.raises(PeerUnavailable):
+        await asking.ask(nobody, Done(), answer=Done, timeout=0.05)
+    assert len(opened) == 2
+    for socket in opened:
+        with pytest.raises(pynng.Closed):
+            socket.new_context()
