--- a/src/baobabpulley/errors/base.py
+++ b/src/baobabpulley/errors/base.py
@@ -44,6 +44,7 @@
     def document(self) -> dict[str, dict[str, object]]:
         """Return the JSON document that callers and operators get.
 
+        >>> from baobabpulley.errors import BadRequest
         >>> BadRequest("max_tokens is -1").document()["error"]["ran"]
         False
         """
