--- a/src/baobabpulley/emulator/fault_load.py
+++ b/src/baobabpulley/emulator/fault_load.py
@@ -23,6 +23,10 @@
 from baobabpulley.emulator.fleet import caller_token
 from baobabpulley.emulator.fleet import operator_token
 from baobabpulley.emulator.injection import Injector
+from baobabpulley.entry.callers import CallersSection
+from baobabpulley.entry.claims import IDEMPOTENCY_HEADER
+from baobabpulley.entry.operators import CHANGE_ID_HEADER
+from baobabpulley.entry.tickets import TICKET_HEADER
 from baobabpulley.errors import BaobabError
 from baobabpulley.model.limits import Limit
 from baobabpulley.standins.text import expected_text
@@ -31,10 +35,7 @@
 TRIES: Final = 6
 # Real seconds that a caller waits beyond what the entry allows.
 GRACE_SECONDS: Final = 5.0
-# What an entry allows for a completion, in model seconds; see `CallersSection`.
-DEADLINE_BASE: Final = 20.0
-DEADLINE_PER_PROMPT_TOKEN: Final = 0.0003
-DEADLINE_PER_OUTPUT_TOKEN: Final = 0.2
+ENTRY_DEFAULTS: Final = CallersSection()
 CALL_TIMEOUT: Final = 10.0
 # Pauses in model seconds.
 PAUSE_BETWEEN_TRIES: Final = 1.0
@@ -115,9 +116,9 @@
         prompt = make_prompt(tokens=tokens, seed=self._seed * 1_000_000 + number)
         expected = expected_text(prompt, seed=number, max_tokens=max_tokens)
         allowed = (
-            DEADLINE_BASE
-            + DEADLINE_PER_PROMPT_TOKEN * tokens
-            + DEADLINE_PER_OUTPUT_TOKEN * max_tokens
+            ENTRY_DEFAULTS.deadline_base
+            + ENTRY_DEFAULTS.deadline_per_prompt_token * tokens
+            + ENTRY_DEFAULTS.deadline_per_output_token * max_tokens
         )
         patience = allowed / self._fleet.plan.speed + GRACE_SECONDS
         caller = Caller(
@@ -174,7 +175,7 @@
                 f"/v1/teams/{team}/limit",
                 limit,
                 token=operator_token(team),
-                headers={"X-Change-Id": change},
+                headers={CHANGE_ID_HEADER: change},
             )
             while told.status != 200 and told.ran is not False and not self._stopping:
                 await self._pause(PAUSE_BETWEEN_TRIES)
@@ -223,13 +224,13 @@
             self.refused.add(answer.request_id)
 
     async def _order_once(self, id: str) -> None:
-        headers = {"Idempotency-Key": id}
+        headers = {IDEMPOTENCY_HEADER: id}
         if self._random.random() < 0.5:
             issued = await self._call("POST", "/v1/tickets")
             if issued.status != 200:
                 self.outcomes["ticket", _code(issued)] += 1
                 return
-            headers = {"Call-Ticket": issued.answer["ticket"]}
+            headers = {TICKET_HEADER: issued.answer["ticket"]}
         tries = self._random.randint(1, TRIES)
         tells = self.orders.setdefault(id, [])
         # The first two at once, as an impatient caller does it.
--- a/src/baobabpulley/emulator/injection.py
+++ b/src/baobabpulley/emulator/injection.py
@@ -104,9 +104,9 @@
         """Return a number between 0 and ``bound``."""
         return self._random.uniform(0.0, bound)
 
-    def one_of(self, *addresses: str) -> str:
-        """Return one of some addresses."""
-        return self._random.choice(addresses)
+    def one_of(self, *options: str) -> str:
+        """Return one of some options."""
+        return self._random.choice(options)
 
     async def sleep(self, seconds: float) -> None:
         """Sleep for model seconds."""
