--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,12 @@
+"""Run the program from a checkout whose libraries were built into ``target/deps``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from baobabpulley.cli.main import main  # noqa: E402
+
+main()
--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -35,6 +35,8 @@
 MAX_IDLE_PER_ADDRESS: Final = 64
 MAX_IDLE_SECONDS: Final = 10.0
 CONNECT_TIMEOUT: Final = 1.0
+# Seconds that a connection is given up before the other end would close it.
+IDLE_MARGIN: Final = 1.0
 # What start lines, header separators and the framing of chunks add to the traffic counted.
 HEAD_BYTES: Final = 60
 CHUNK_FRAME_BYTES: Final = 8
@@ -105,7 +107,8 @@
     __slots__ = ("_idle", "_opened", "_reused", "traffic")
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[tuple[float, IOStream]]] = defaultdict(list)
+        # Until when a connection may be used again, since when it has been idle.
+        self._idle: dict[str, list[tuple[float, float, IOStream]]] = defaultdict(list)
         self._opened = 0
         self._reused = 0
         self.traffic = Traffic()
@@ -128,14 +131,18 @@
         method: str,
         path: str,
         body: bytes = b"",
-        headers: dict[str, str] | None = None,
+        headers: dict[str, str] | HTTPHeaders | None = None,
         head_timeout: float = 30.0,
         fresh: bool = False,
         before_body: Callable[[], float | None] | None = None,
         unacknowledged: float | None = None,
+        connect_timeout: float = CONNECT_TIMEOUT,
+        max_idle: float = MAX_IDLE_SECONDS,
     ) -> AsyncIterator[HttpAnswer]:
         """Send a request and yield its answer; leaving the block early drops the connection.
 
+        A ``Host`` among the headers goes before the address. ``max_idle`` is the longest real
+        seconds that a connection may have been idle to be used again.
         ``head_timeout`` is the real seconds to wait for the answer's head. ``fresh`` asks for a
         new connection. ``before_body`` is called once the request's head has left, right before
         the body does; its error drops the connection. It returns the real seconds in which the
@@ -145,7 +152,7 @@
         Raises `UpstreamUnreached` if no connection could be opened and `UpstreamLost` once
         bytes may have left.
         """
-        stream = await self._take(address, fresh=fresh)
+        stream = await self._take(address, fresh=fresh, timeout=connect_timeout, max_idle=max_idle)
         if unacknowledged is not None:
             bound = max(1, round(unacknowledged * 1000))
             stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, bound)
@@ -156,38 +163,41 @@
                 method=method,
                 path=path,
                 body=body,
-                headers=headers or {},
+                headers=headers if headers is not None else {},
                 timeout=head_timeout,
                 before_body=before_body,
             )
             yield HttpAnswer(connection=connection, delegate=delegate)
-            clean = delegate.finished and delegate.queue.empty()
+            clean = delegate.finished and delegate.queue.empty() and delegate.keeps_open
         finally:
             self._give_back(connection, clean=clean)
 
     def close(self) -> None:
         """Close all idle connections."""
         for streams in self._idle.values():
-            for _, stream in streams:
+            for _, _, stream in streams:
                 stream.close()
         self._idle.clear()
 
     def drop_idle(self, address: str) -> None:
         """Forget all idle connections to an address; one was found silent."""
-        for _, stream in self._idle.pop(address, []):
+        for _, _, stream in self._idle.pop(address, []):
             stream.close()
 
-    async def _take(self, address: str, *, fresh: bool) -> IOStream:
+    async def _take(
+        self, address: str, *, fresh: bool, timeout: float, max_idle: float
+    ) -> IOStream:
         streams = self._idle[address]
         while streams and not fresh:
-            since, stream = streams.pop()
-            if _is_quiet(stream) and time.monotonic() - since < MAX_IDLE_SECONDS:
+            usable_until, since, stream = streams.pop()
+            now = time.monotonic()
+            if _is_quiet(stream) and now < min(usable_until, since + max_idle):
                 self._reused += 1
                 stream.set_close_callback(None)
                 return stream
             stream.close()
         self._opened += 1
-        return await connect(address, timeout=CONNECT_TIMEOUT)
+        return await connect(address, timeout=timeout)
 
     def _give_back(self, connection: _Connection, *, clean: bool) -> None:
         stream = connection.detach(clean=clean)
@@ -198,21 +208,28 @@
             stream.close()
             return
         stream.set_close_callback(stream.close)
-        streams.append((time.monotonic(), stream))
+        now = time.monotonic()
+        streams.append((now + connection.idle_seconds, now, stream))
 
 
 class _Delegate(HTTPMessageDelegate):
     """Pass the parts of one answer to the task that reads it."""
 
-    def __init__(self, address: str, traffic: Traffic) -> None:
+    def __init__(self, address: str, traffic: Traffic, *, stream: IOStream) -> None:
         self.address = address
         self._traffic = traffic
+        self._stream = stream
         self.status = 0
         self.headers = HTTPHeaders()
         self.finished = False
         self.queue: asyncio.Queue[object] = asyncio.Queue()
         self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    @property
+    def keeps_open(self) -> bool:
+        """Whether the other end said that it keeps the connection open."""
+        return self.headers.get("Connection", "").lower() != "close"
+
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
@@ -225,11 +242,23 @@
         if not self.head.done():
             self.head.set_result(None)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the body."""
+        return "Content-Length" not in self.headers and "Transfer-Encoding" not in self.headers
+
+    def broken(self) -> bool:
+        """Whether the connection was reset."""
+        return self._stream.error is not None
+
     def data_received(self, chunk: bytes) -> None:
         self._traffic.received += CHUNK_FRAME_BYTES + len(chunk)
         self.queue.put_nowait(chunk)
 
     def finish(self) -> None:
+        if self.ends_with_connection and self.broken():
+            self.fail()
+            return
         self.finished = True
         self.queue.put_nowait(_END)
 
@@ -249,10 +278,11 @@
 class _Connection:
     """One request and its answer on one connection."""
 
-    __slots__ = ("_http", "_reader", "_stream", "_traffic", "address")
+    __slots__ = ("_http", "_reader", "_stream", "_traffic", "address", "idle_seconds")
 
     def __init__(self, *, address: str, stream: IOStream, traffic: Traffic) -> None:
         self.address = address
+        self.idle_seconds = MAX_IDLE_SECONDS
         self._traffic = traffic
         self._stream = stream
         params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES)
@@ -265,14 +295,14 @@
         method: str,
         path: str,
         body: bytes,
-        headers: dict[str, str],
+        headers: dict[str, str] | HTTPHeaders,
         timeout: float,
         before_body: Callable[[], float | None] | None = None,
     ) -> _Delegate:
         """Write the request and wait for the head of the answer."""
-        delegate = _Delegate(self.address, self._traffic)
+        delegate = _Delegate(self.address, self._traffic, stream=self._stream)
         all_headers = HTTPHeaders(headers)
-        all_headers["Host"] = self.address
+        all_headers.setdefault("Host", self.address)
         all_headers["Content-Length"] = str(len(body))
         self._traffic.sent += HEAD_BYTES + len(path) + len(body)
         start_line = RequestStartLine(method, path, "HTTP/1.1")
@@ -290,6 +320,7 @@
                 self._reader = asyncio.get_running_loop().create_task(self._read(delegate))
                 await delegate.head
                 written.cancel()
+                self.idle_seconds = _idle_seconds(delegate.headers)
         except TimeoutError:
             raise UpstreamLost(f"{self.address} sent no answer within {timeout:.2f} s") from None
         except StreamClosedError as error:
@@ -314,6 +345,19 @@
             delegate.fail()
 
 
+def _idle_seconds(headers: HTTPHeaders) -> float:
+    """Return how long a connection may stay idle, from what the other end says of it.
+
+    >>> _idle_seconds(HTTPHeaders({"Keep-Alive": "timeout=5"})), _idle_seconds(HTTPHeaders())
+    (4.0, 10.0)
+    """
+    for option in headers.get("Keep-Alive", "").split(","):
+        name, _, value = option.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return min(MAX_IDLE_SECONDS, int(value) - IDLE_MARGIN)
+    return MAX_IDLE_SECONDS
+
+
 def _is_quiet(stream: IOStream) -> bool:
     """Whether an idle connection is open and holds no byte that nobody asked for."""
     if stream.closed() or stream._read_buffer_size:
--- a/src/baobabpulley/cli/daemons.py
+++ b/src/baobabpulley/cli/daemons.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 
 import click
 
+from baobabpulley.cli.checked_settings import checked_settings
 from baobabpulley.cli.main import cli
 from baobabpulley.entry.daemon import run_entry
-from baobabpulley.errors import EXIT_BAD_SETTINGS
-from baobabpulley.errors import SettingsFault
 from baobabpulley.keeper.daemon import run_keeper
-from baobabpulley.settings import Settings
-from baobabpulley.settings import load_settings
 
 _settings_file = click.option(
     "--settings",
@@ -37,13 +33,3 @@
 def keeper(path: Path) -> None:
     """Keep settings, membership, reservations and orders for the entries of one VM."""
     asyncio.run(run_keeper(checked_settings(path, daemon="keeper")))
-
-
-def checked_settings(path: Path, *, daemon: str) -> Settings:
-    """Return checked settings, or print every fault and exit with code 2."""
-    try:
-        return load_settings(path, daemon=daemon)
-    except SettingsFault as fault:
-        click.echo(fault.message, err=True)
-        click.echo(f"remedy: {fault.remedy}", err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
--- a/src/baobabpulley/cli/explain.py
+++ b/src/baobabpulley/cli/explain.py
@@ -9,7 +9,7 @@
 
 import click
 
-from baobabpulley.cli.daemons import checked_settings
+from baobabpulley.cli.checked_settings import checked_settings
 from baobabpulley.cli.fleet_access import FleetAccess
 from baobabpulley.cli.main import cli
 from baobabpulley.cli.order_decisions import ask_keepers
--- /dev/null
+++ b/src/baobabpulley/cli/gateway.py
@@ -0,0 +1,31 @@
+"""``baobabpulley gateway``."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from baobabpulley.cli.checked_settings import checked_settings
+from baobabpulley.cli.main import cli
+from baobabpulley.gateway.daemon import run_gateway
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.logs import configure_line_logs
+from baobabpulley.settings import LogsSection
+
+
+@cli.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=Path, dir_okay=False),
+    envvar="BAOBABPULLEY_SETTINGS",
+    required=True,
+    help="Settings file (INI); BAOBABPULLEY_SETTINGS if not given.",
+)
+def gateway(path: Path) -> None:
+    """Serve opaque exchanges by the operators' routes."""
+    settings = checked_settings(path, daemon="gateway")
+    configure_line_logs(settings.get(LogsSection), node=settings.get(GatewayNodeSection).id)
+    asyncio.run(run_gateway(settings))
--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -11,6 +11,7 @@
 # Modules that add commands to `cli` when they are imported.
 _COMMAND_MODULES: Final = (
     "daemons",
+    "gateway",
     "standins",
     "settings",
     "limits",
@@ -26,7 +27,12 @@
     "bench_path",
 )
 # These load their own module alone: the others would cost each process time and memory.
-_OWN_MODULES: Final = {"entry": "daemons", "keeper": "daemons", "standin": "standins"}
+_OWN_MODULES: Final = {
+    "entry": "daemons",
+    "gateway": "gateway",
+    "keeper": "daemons",
+    "standin": "standins",
+}
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- a/src/baobabpulley/cli/report.py
+++ b/src/baobabpulley/cli/report.py
@@ -9,7 +9,7 @@
 import click
 import msgspec
 
-from baobabpulley.cli.daemons import checked_settings
+from baobabpulley.cli.checked_settings import checked_settings
 from baobabpulley.cli.fleet_access import FleetAccess
 from baobabpulley.cli.main import cli
 from baobabpulley.errors import EXIT_FAILED
--- a/src/baobabpulley/cli/settings.py
+++ b/src/baobabpulley/cli/settings.py
@@ -6,7 +6,7 @@
 
 import click
 
-from baobabpulley.cli.daemons import checked_settings
+from baobabpulley.cli.checked_settings import checked_settings
 from baobabpulley.cli.main import cli
 
 
--- /dev/null
+++ b/src/baobabpulley/gateway/attempts.py
@@ -0,0 +1,141 @@
+"""One attempt of an exchange at one upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.adapters.http_client import HttpAnswer
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.gateway.event_stream import EventSplitter
+from baobabpulley.model.exchanges import Incoming
+from baobabpulley.model.exchanges import Outgoing
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.ports.exchange_wire import AnswerHead
+from baobabpulley.ports.exchange_wire import ExchangeWire
+from baobabpulley.timers import TimerService
+
+# Seconds to open a connection; upstreams are within milliseconds.
+CONNECT_SECONDS: Final = 0.3
+# Seconds after which the kernel gives up a connection whose bytes nobody acknowledges.
+UNACKNOWLEDGED_SECONDS: Final = 0.5
+# Seconds that a connection may have been idle to carry a call that must not be repeated.
+ONCE_MAX_IDLE: Final = 2.0
+MAX_IDLE: Final = 9.0
+EVENT_STREAM: Final = "text/event-stream"
+
+
+@final
+class Answer:
+    """An upstream's answer whose head has been checked."""
+
+    __slots__ = ("_answer", "_silence", "head")
+
+    def __init__(self, answer: HttpAnswer, head: AnswerHead, *, silence: float) -> None:
+        self._answer = answer
+        self._silence = silence
+        self.head = head
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.head.status
+
+    @property
+    def headers(self):  # type: ignore[no-untyped-def]
+        """Headers as they came."""
+        return self._answer.headers
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the body is a stream of events."""
+        return EVENT_STREAM in self._answer.headers.get("Content-Type", "")
+
+    async def body(self) -> bytes:
+        """Return the whole body."""
+        return await self._answer.body(idle_timeout=self._silence)
+
+    async def events(self) -> AsyncIterator[bytes]:
+        """Yield whole events; raise `UpstreamLost` if the stream ends in the middle of one."""
+        splitter = EventSplitter()
+        async for chunk in self._answer.chunks(idle_timeout=self._silence):
+            for event in splitter.feed(chunk):
+                yield event
+        if splitter.pending:
+            raise UpstreamLost("the stream ended in the middle of an event")
+
+
+@final
+class UpstreamCaller:
+    """Send attempts to upstreams and check who answers."""
+
+    __slots__ = ("_client", "_timers", "_wire")
+
+    def __init__(self, *, client: HttpClient, wire: ExchangeWire, timers: TimerService) -> None:
+        self._client = client
+        self._wire = wire
+        self._timers = timers
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        incoming: Incoming,
+        outgoing: Outgoing,
+        upstream: ListedUpstream,
+        *,
+        repeatable: bool,
+        silence: float,
+    ) -> AsyncIterator[Answer]:
+        """Yield the answer of one upstream; leaving the block early drops the connection.
+
+        ``silence`` is the seconds without a byte after which the upstream counts as lost. Raises
+        `UpstreamUnreached` and `UpstreamRefused` if it surely did not run there, `UpstreamLost` if
+        it may have, `DeadlineExceeded` at the end of the time that the upstream was given.
+        """
+        try:
+            async with (
+                asyncio.timeout(self._timers.real(outgoing.remaining)),
+                self._client.call(
+                    address=upstream.address,
+                    method=incoming.method,
+                    path=incoming.target,
+                    body=incoming.body,
+                    headers=self._wire.request_headers(incoming.headers, outgoing),
+                    head_timeout=self._timers.real(silence),
+                    unacknowledged=self._timers.real(UNACKNOWLEDGED_SECONDS),
+                    connect_timeout=self._timers.real(CONNECT_SECONDS),
+                    max_idle=MAX_IDLE if repeatable else ONCE_MAX_IDLE,
+                ) as answer,
+            ):
+                head = self._wire.answer_head(answer.status, answer.headers)
+                if head.not_run:
+                    await self._skip_body(answer, silence)
+                    raise UpstreamRefused(
+                        f"{upstream.id} answered {head.status} and did not run it"
+                    )
+                if head.attempt != outgoing.attempt or not head.sealed:
+                    raise UpstreamLost(f"{upstream.id} answered another request, or nobody's")
+                yield Answer(answer, head, silence=self._timers.real(silence))
+        except TimeoutError:
+            raise DeadlineExceeded(f"{upstream.id} did not finish in time") from None
+
+    async def _skip_body(self, answer: HttpAnswer, silence: float) -> None:
+        """Read a refusal to its end, so that its connection can be used again."""
+        try:
+            await answer.body(idle_timeout=self._timers.real(silence))
+        except UpstreamLost as error:
+            logger.debug("a refusal broke off: {}", error.message)
+
+
+def surely_not_run(error: Exception) -> bool:
+    """Whether an attempt that failed so did not reach a run."""
+    return isinstance(error, UpstreamUnreached | UpstreamRefused)
--- /dev/null
+++ b/src/baobabpulley/gateway/control.py
@@ -0,0 +1,57 @@
+"""Readiness for the balancer, what is known for peers, and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from prometheus_client import CollectorRegistry
+from prometheus_client import generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.gateway.following import FleetBook
+
+
+class ReadinessHandler(RequestHandler):
+    """200 while new connections are wanted."""
+
+    def initialize(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+
+    def get(self) -> None:
+        self.set_status(200 if self._ready() else 503)
+
+
+class SnapshotHandler(RequestHandler):
+    """All that this gateway knows, as MessagePack."""
+
+    def initialize(self, book: FleetBook) -> None:
+        self._book = book
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/msgpack")
+        self.write(msgspec.msgpack.encode(self._book.snapshot()))
+
+
+class MetricsHandler(RequestHandler):
+    """Prometheus text."""
+
+    def initialize(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(generate_latest(self._registry))
+
+
+def serve_http(address: str, routes: list[tuple[str, type[RequestHandler], Any]]) -> HTTPServer:
+    """Listen on an address with plain handlers that log nothing."""
+    application = Application(routes, log_function=lambda handler: None)  # type: ignore[arg-type]
+    server = HTTPServer(application)
+    host, port = split_address(address)
+    server.listen(port, host)
+    return server
--- /dev/null
+++ b/src/baobabpulley/gateway/daemon.py
@@ -0,0 +1,240 @@
+"""Put a gateway together and run it until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Final
+from typing import final
+
+from loguru import logger
+from prometheus_client import CollectorRegistry
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.control import MetricsHandler
+from baobabpulley.gateway.control import ReadinessHandler
+from baobabpulley.gateway.control import SnapshotHandler
+from baobabpulley.gateway.control import serve_http
+from baobabpulley.gateway.exchange import ExchangeServer
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.news import NewsExchange
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.sections import EnginesSection
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.gateway.sections import GatewayShutdownSection
+from baobabpulley.gateway.sections import RepeatsSection
+from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_link import SNAPSHOT_PATH
+from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.tickets import TicketKeeper
+from baobabpulley.model.routes import RequestBounds
+from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.platform.names import READINESS
+from baobabpulley.platform.orders import PlatformOrders
+from baobabpulley.platform.store import PlatformStore
+from baobabpulley.platform.wire import PlatformWire
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.policy.repeat_share import RepeatShare
+from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.ports.fleet_documents import MemberEntry
+from baobabpulley.settings import Settings
+from baobabpulley.shutdown import end_tasks
+from baobabpulley.shutdown import stop_event
+from baobabpulley.timers import TimerService
+
+# Seconds between looks at the clock that runs on while the process is frozen.
+_PULSE: Final = 0.25
+# Seconds by which a look may be late before all open connections are doubted.
+_FROZEN_AFTER: Final = 1.5
+# Seconds between questions to peers that know more.
+_ASK_PERIOD: Final = 0.3
+# Seconds that a peer's news may be ahead of the store's own before the watch is doubted.
+_BEHIND_FOR: Final = 0.4
+_DRAIN_POLL: Final = 0.05
+# Part of the grace after which connections that still wait are broken off.
+_LAST_MOMENT: Final = 0.95
+
+
+@final
+class Gateway:
+    """The parts of one gateway process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.node = settings.get(GatewayNodeSection)
+        self.timers = timers = TimerService()
+        self.client = HttpClient()
+        self.book = FleetBook(PlatformDocuments())
+        self.store = PlatformStore(
+            client=HttpClient(),
+            address=settings.get(StoreSection).address,
+            watch_wait=settings.get(StoreSection).watch_wait,
+        )
+        self.link = StoreLink(
+            store=self.store,
+            book=self.book,
+            client=self.client,
+            section=settings.get(StoreSection),
+            timers=timers,
+        )
+        self.loads = LoadBook()
+        self.health = UpstreamHealth()
+        self.news = NewsExchange(
+            node=self.node,
+            section=settings.get(GatewayPeersSection),
+            book=self.book,
+            loads=self.loads,
+            timers=timers,
+            behind=self._note_behind,
+        )
+        self.placer = Placer(
+            failure_domain=self.node.failure_domain,
+            book=self.book,
+            loads=self.loads,
+            health=self.health,
+            timers=timers,
+            max_waiting=settings.get(EnginesSection).max_waiting,
+        )
+        self.listener = CallerListener(
+            handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
+        )
+        self._behind_since: float | None = None
+        self._asked_at = 0.0
+        self._asking: asyncio.Task[None] | None = None
+        self._pulse_at = _boot_time()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send new connections here."""
+        return self.book.table is not None and not self.listener.draining
+
+    async def start(self) -> None:
+        """Listen, and follow store and peers."""
+        node = self.node
+        serve_http(node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})])
+        serve_http(node.control, [(SNAPSHOT_PATH, SnapshotHandler, {"book": self.book})])
+        host = split_address(node.control)[0]
+        metrics = {"registry": CollectorRegistry()}
+        serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)])
+        await self.news.start()
+        self.link.start()
+        self.placer.start()
+        self.timers.every(_PULSE, self._pulse, name="pulse")
+        self.timers.every(_ASK_PERIOD, self._ask_peers, name="ask peers")
+        asyncio.get_running_loop().create_task(self._stay_member(), name="membership")
+        address, port = split_address(node.callers)
+        self.listener.listen(port, address, backlog=1024)
+        logger.bind(event="start").info("gateway started")
+
+    async def drain(self) -> None:
+        """Take what still comes, then let requests in flight end, within the grace."""
+        section = self.settings.get(GatewayShutdownSection)
+        begun = self.timers.now()
+        self.listener.draining = True
+        logger.bind(event="stop", busy=self.listener.busy).info("draining")
+        await self.timers.sleep(section.balancer_lag)
+        self.listener.stop()
+        self.listener.close_idle()
+        while self.listener.busy and self.timers.now() - begun < _LAST_MOMENT * section.grace:
+            await self.timers.sleep(_DRAIN_POLL)
+        self.listener.close_all()
+        logger.bind(event="stopped", busy=self.listener.busy).info("gateway stopped")
+
+    def _exchange_server(self) -> ExchangeServer:
+        repeats = self.settings.get(RepeatsSection)
+        wire = PlatformWire()
+        return ExchangeServer(
+            book=self.book,
+            placer=self.placer,
+            caller=UpstreamCaller(client=self.client, wire=wire, timers=self.timers),
+            wire=wire,
+            health=self.health,
+            repeats=RepeatShare(ratio=repeats.ratio, slack=repeats.slack, window=repeats.window),
+            news=self.news,
+            tickets=TicketKeeper(
+                orders=PlatformOrders(client=self.client),
+                section=self.settings.get(EnginesSection),
+                timers=self.timers,
+            ),
+            timers=self.timers,
+        )
+
+    def _bounds(self) -> RequestBounds:
+        table = self.book.table
+        return RequestBounds() if table is None else table.bounds
+
+    def _note_behind(self, control: str) -> None:
+        del control
+        if self._behind_since is None:
+            self._behind_since = self.timers.now()
+
+    def _ask_peers(self) -> None:
+        """Ask peers while they know more than the store tells here."""
+        now = self.timers.now()
+        newest = max((one.revision for one in self.news.heard()), default=0)
+        if newest <= self.book.revision:
+            self._behind_since = None
+        start = self.book.table is None
+        behind = self._behind_since is not None and now - self._behind_since > _BEHIND_FOR
+        if not (start or behind) or (self._asking is not None and not self._asking.done()):
+            return
+        if behind and self.link.connected:
+            # The store serves others: the watch here may be silent.
+            self.link.restart()
+        self._asking = asyncio.get_running_loop().create_task(self._ask_once())
+
+    async def _ask_once(self) -> None:
+        seeds = self.settings.get(GatewayPeersSection).seeds
+        known = [one.control for one in self.news.heard()]
+        others = [one for one in (*known, *seeds) if one != self.node.control]
+        await self.link.ask_any(dict.fromkeys(others))
+
+    def _pulse(self) -> None:
+        """Doubt all connections after this process was frozen."""
+        now = _boot_time()
+        late = now - self._pulse_at - _PULSE
+        self._pulse_at = now
+        if late > _FROZEN_AFTER:
+            logger.bind(event="frozen", seconds=round(late, 1)).warning("woke from a freeze")
+            self.client.close()
+            self.link.restart()
+
+    async def _stay_member(self) -> None:
+        """Keep this gateway's entry in the store under a lease."""
+        host = split_address(self.node.control)[0]
+        entry = MemberEntry(
+            node=self.node.id, control=self.node.control, news=f"{host}:{self.node.news_port}"
+        )
+        key, value = PlatformDocuments().member_item(entry)
+        seconds = self.settings.get(StoreSection).member_lease
+        lease = 0
+        while True:
+            try:
+                if not lease or not await self.store.keep_alive(lease):
+                    lease = await self.store.grant_lease(seconds)
+                    await self.store.put(key, value, lease=lease)
+                await self.timers.sleep(seconds / 3)
+            except StoreUnavailable as error:
+                logger.bind(event="membership").info("not registered: {}", error.message)
+                await self.timers.sleep(1.0)
+
+
+def _boot_time() -> float:
+    """Return seconds of the clock that also counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+async def run_gateway(settings: Settings) -> None:
+    """Run a gateway until SIGTERM or SIGINT, then drain it."""
+    stop = stop_event()
+    gateway = Gateway(settings)
+    await gateway.start()
+    await stop.wait()
+    await gateway.drain()
+    gateway.timers.cancel_all()
+    await end_tasks()
--- /dev/null
+++ b/src/baobabpulley/gateway/exchange.py
@@ -0,0 +1,361 @@
+"""One exchange from the caller's request to its whole answer, over one or more attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Final
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.errors import BadToken
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import NotFound
+from baobabpulley.errors import NotReady
+from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.gateway.attempts import Answer
+from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.attempts import surely_not_run
+from baobabpulley.gateway.event_stream import StreamProgress
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.news import NewsExchange
+from baobabpulley.gateway.placer import Placement
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.replies import Reply
+from baobabpulley.gateway.tickets import TicketKeeper
+from baobabpulley.model.exchanges import Incoming
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.exchanges import Outgoing
+from baobabpulley.model.routes import Account
+from baobabpulley.model.routes import Route
+from baobabpulley.model.routes import RoutingTable
+from baobabpulley.model.routes import Service
+from baobabpulley.policy.repeat_share import RepeatShare
+from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.policy.waiting import Times
+from baobabpulley.policy.waiting import time_to_return
+from baobabpulley.policy.waiting import times_of
+from baobabpulley.ports.exchange_wire import ExchangeWire
+from baobabpulley.timers import TimerService
+
+# Seconds before the last moment at which the answer has to leave here.
+ANSWER_MARGIN: Final = 0.03
+# Seconds below which an attempt is not worth sending.
+LEAST_ATTEMPT: Final = 0.05
+NOT_READY_PAUSE: Final = 0.5
+
+
+@final
+class _Exchange:
+    """What is known of one request while it is served."""
+
+    __slots__ = (
+        "account",
+        "attempts",
+        "excluded",
+        "incoming",
+        "may_have_run",
+        "needs",
+        "progress",
+        "reply",
+        "route",
+        "service",
+        "times",
+        "upstreams",
+    )
+
+    def __init__(
+        self,
+        *,
+        incoming: Incoming,
+        reply: Reply,
+        needs: Needs,
+        route: Route,
+        service: Service,
+        account: Account | None,
+        times: Times,
+    ) -> None:
+        self.incoming = incoming
+        self.reply = reply
+        self.needs = needs
+        self.route = route
+        self.service = service
+        self.account = account
+        self.times = times
+        self.progress = StreamProgress(needs.last_event)
+        self.attempts = 0
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+        self.upstreams: list[str] = []
+
+
+@final
+class ExchangeServer:
+    """Serve callers' exchanges."""
+
+    __slots__ = (
+        "_book",
+        "_caller",
+        "_health",
+        "_news",
+        "_placer",
+        "_random",
+        "_repeats",
+        "_tickets",
+        "_timers",
+        "_wire",
+    )
+
+    def __init__(
+        self,
+        *,
+        book: FleetBook,
+        placer: Placer,
+        caller: UpstreamCaller,
+        wire: ExchangeWire,
+        health: UpstreamHealth,
+        repeats: RepeatShare,
+        news: NewsExchange,
+        tickets: TicketKeeper,
+        timers: TimerService,
+    ) -> None:
+        self._book = book
+        self._placer = placer
+        self._caller = caller
+        self._wire = wire
+        self._health = health
+        self._repeats = repeats
+        self._news = news
+        self._tickets = tickets
+        self._timers = timers
+        self._random = random.Random()
+
+    async def serve(self, incoming: Incoming, reply: Reply) -> None:
+        """Answer one request; each request is answered or broken off by its last moment."""
+        exchange: _Exchange | None = None
+        outcome = "ok"
+        try:
+            exchange = self._open(incoming, reply)
+            self._repeats.request(exchange.service.name, now=self._timers.now())
+            await self._run(exchange)
+        except BaobabError as error:
+            outcome = error.code
+            reply.refuse(error)
+        except asyncio.CancelledError:
+            outcome = "client_gone"
+            raise
+        finally:
+            self._log(incoming, exchange, outcome)
+
+    def _open(self, incoming: Incoming, reply: Reply) -> _Exchange:
+        table = self._book.table
+        if table is None:
+            raise NotReady("no configuration has arrived here yet", retry_after=NOT_READY_PAUSE)
+        needs = self._wire.read_needs(incoming.headers)
+        route = table.find(incoming.host, incoming.target)
+        if route is None:
+            raise NotFound(f"no route of {incoming.host[:64]} matches the path")
+        account = self._account(table, route, needs)
+        service = self._service(table, route)
+        return _Exchange(
+            incoming=incoming,
+            reply=reply,
+            needs=needs,
+            route=route,
+            service=service,
+            account=account,
+            times=times_of(route, arrived=incoming.arrived, remaining=needs.remaining),
+        )
+
+    def _account(self, table: RoutingTable, route: Route, needs: Needs) -> Account | None:
+        account = None if needs.key is None else table.account(needs.key)
+        if account is None and table.needs_keys and not route.anonymous:
+            raise BadToken("the key belongs to no client account")
+        return account
+
+    def _service(self, table: RoutingTable, route: Route) -> Service:
+        shares = [share for share in route.shares if share.weight > 0]
+        if not shares:
+            raise NoUpstream(f"route {route.name} leads to no service", retry_after=1.0)
+        chosen = self._random.choices(shares, weights=[share.weight for share in shares])[0]
+        return table.service(chosen.service) or Service(
+            name=chosen.service, max_connections=0, engine=None
+        )
+
+    async def _run(self, exchange: _Exchange) -> None:
+        """Make attempts until one of them has given the caller a whole answer."""
+        while True:
+            self._check_time(exchange)
+            try:
+                placement = await self._placer.place(
+                    exchange.service,
+                    exchange.needs,
+                    exchange.times,
+                    excluded=frozenset(exchange.excluded),
+                )
+            except BaobabError as error:
+                raise _honest(exchange, error) from error
+            try:
+                await self._attempt(exchange, placement)
+                return
+            except (UpstreamUnreached, UpstreamRefused, UpstreamLost) as error:
+                self._note_failure(exchange, placement, error)
+                self._check_repeat(exchange, error)
+            except DeadlineExceeded as error:
+                exchange.may_have_run = True
+                self._health.left_untold(placement.upstream.id)
+                raise error
+            finally:
+                self._placer.end(placement)
+
+    async def _attempt(self, exchange: _Exchange, placement: Placement) -> None:
+        upstream = placement.upstream
+        exchange.attempts += 1
+        exchange.upstreams.append(upstream.id)
+        remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
+        async with self._tickets.held(placement, exchange.service) as helpers:
+            outgoing = Outgoing(
+                attempt=exchange.needs.attempt,
+                remaining=remaining,
+                instance=upstream.id,
+                account=None if exchange.account is None else exchange.account.name,
+                last_event=exchange.progress.last_event,
+                urgency=_urgency(exchange),
+                helpers=helpers,
+            )
+            async with self._caller.send(
+                exchange.incoming,
+                outgoing,
+                upstream,
+                repeatable=exchange.route.repeatable,
+                silence=exchange.times.silence if exchange.route.repeatable else remaining,
+            ) as answer:
+                await self._deliver(exchange, placement, answer)
+
+    async def _deliver(self, exchange: _Exchange, placement: Placement, answer: Answer) -> None:
+        if answer.is_stream and answer.status == 200:
+            await self._deliver_events(exchange, placement, answer)
+            return
+        body = await answer.body()
+        failed = answer.status >= 500
+        self._health.answered(placement.upstream.id, well=not failed)
+        if failed and self._may_repeat(exchange):
+            exchange.may_have_run = True
+            raise UpstreamLost(f"{placement.upstream.id} answered {answer.status}")
+        if exchange.reply.started:
+            raise UpstreamLost(f"a stream cannot go on with an answer of status {answer.status}")
+        exchange.reply.send(answer.status, self._wire.answer_headers(answer.headers), body)
+
+    async def _deliver_events(
+        self, exchange: _Exchange, placement: Placement, answer: Answer
+    ) -> None:
+        reply = exchange.reply
+        first = True
+        async for event in answer.events():
+            if first:
+                self._placer.read(placement)
+                self._health.answered(placement.upstream.id, well=True)
+                first = False
+            if not exchange.progress.is_new(event):
+                continue
+            if not reply.started:
+                reply.start(answer.status, self._wire.answer_headers(answer.headers))
+            reply.write(event)
+        if not reply.started:
+            reply.start(answer.status, self._wire.answer_headers(answer.headers))
+        reply.finish()
+
+    def _note_failure(self, exchange: _Exchange, placement: Placement, error: BaobabError) -> None:
+        upstream = placement.upstream.id
+        exchange.excluded.add(upstream)
+        if not surely_not_run(error):
+            exchange.may_have_run = True
+        if isinstance(error, UpstreamRefused):
+            self._health.answered(upstream, well=False)
+        else:
+            self._health.lost(upstream, now=self._timers.now())
+        logger.bind(
+            event="attempt_failed",
+            request=exchange.needs.attempt,
+            upstream=upstream,
+            code=error.code,
+            attempt=exchange.attempts,
+        ).info("{}", error.message)
+
+    def _check_repeat(self, exchange: _Exchange, error: BaobabError) -> None:
+        """Raise unless another attempt is allowed."""
+        allowed = surely_not_run(error) or exchange.route.repeatable
+        if allowed and isinstance(error, UpstreamUnreached):
+            # Nothing was sent there, so it is no attempt of the route.
+            exchange.attempts -= 1
+        if not allowed or not self._may_repeat(exchange):
+            raise _honest(exchange, error)
+        if isinstance(error, UpstreamUnreached):
+            return
+        spent = self._repeats.spend(
+            exchange.service.name, nodes=self._news.nodes, now=self._timers.now()
+        )
+        if not spent:
+            raise _honest(exchange, error)
+
+    def _may_repeat(self, exchange: _Exchange) -> bool:
+        left = exchange.times.end - self._timers.now()
+        return (
+            exchange.attempts < exchange.route.max_attempts
+            and left > LEAST_ATTEMPT
+            and (exchange.route.repeatable or not exchange.may_have_run)
+        )
+
+    def _check_time(self, exchange: _Exchange) -> None:
+        left = exchange.times.end - ANSWER_MARGIN - self._timers.now()
+        if left > LEAST_ATTEMPT:
+            return
+        if exchange.may_have_run:
+            raise DeadlineExceeded("no attempt was answered in time")
+        raise DeadlineBeforeStart(
+            "too little time is left for the request",
+            retry_after=time_to_return(self._random, expected=0.0, left=max(0.0, left)),
+        )
+
+    def _log(self, incoming: Incoming, exchange: _Exchange | None, outcome: str) -> None:
+        took = round(self._timers.now() - incoming.arrived, 4)
+        if exchange is None:
+            logger.bind(event="request", outcome=outcome, seconds=took).info("request")
+            return
+        logger.bind(
+            event="request",
+            request=exchange.needs.attempt,
+            route=exchange.route.name,
+            account=None if exchange.account is None else exchange.account.name,
+            service=exchange.service.name,
+            upstreams=exchange.upstreams,
+            prompt_tokens=exchange.needs.prompt_tokens,
+            version=self._book.configuration_revision,
+            outcome=outcome,
+            seconds=took,
+        ).info("request")
+
+
+def _urgency(exchange: _Exchange) -> int:
+    account = exchange.account
+    priority = exchange.route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return max(0, min(9, priority))
+
+
+def _honest(exchange: _Exchange, error: BaobabError) -> BaobabError:
+    """Return an error that says "not run" only if no attempt may have run."""
+    if exchange.may_have_run and error.ran is False:
+        return UpstreamLost(f"an attempt was lost and cannot be repeated: {error.message}")
+    if isinstance(error, UpstreamUnreached):
+        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
+    if error.ran is False and error.retry_after is None:
+        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
+    return error
--- /dev/null
+++ b/src/baobabpulley/gateway/news.py
@@ -0,0 +1,187 @@
+"""What gateways tell each other, in datagrams: their loads and how far they follow the store.
+
+A lost or late datagram costs accuracy and nothing else; nothing waits for one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+from typing import final
+
+import msgspec
+from loguru import logger
+
+from baobabpulley.adapters.addresses import split_address
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.policy.fleet_load import LoadShare
+from baobabpulley.timers import TimerService
+
+# Upstreams in one datagram, which then stays within one packet of the usual size.
+MAX_SHARES: Final = 36
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """One gateway's state; ``life`` is new with each start of its process."""
+
+    node: str
+    life: str
+    number: int
+    control: str
+    revision: int
+    configuration_revision: int
+    shares: tuple[LoadShare, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(News)
+
+
+class Neighbour:
+    """Another gateway as it was last heard; ``heard`` is monotonic seconds."""
+
+    __slots__ = ("control", "heard", "life", "number", "revision")
+
+    def __init__(self, news: News, *, heard: float) -> None:
+        self.control = news.control
+        self.life = news.life
+        self.number = news.number
+        self.revision = news.revision
+        self.heard = heard
+
+
+@final
+class NewsExchange(asyncio.DatagramProtocol):
+    """Send this gateway's news to all others and take in theirs."""
+
+    __slots__ = (
+        "_behind",
+        "_book",
+        "_last",
+        "_life",
+        "_loads",
+        "_neighbours",
+        "_node",
+        "_number",
+        "_section",
+        "_sent_at",
+        "_timers",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        *,
+        node: GatewayNodeSection,
+        section: GatewayPeersSection,
+        book: FleetBook,
+        loads: LoadBook,
+        timers: TimerService,
+        behind: Callable[[str], None],
+    ) -> None:
+        self._node = node
+        self._section = section
+        self._book = book
+        self._loads = loads
+        self._timers = timers
+        self._behind = behind
+        self._life = secrets.token_hex(4)
+        self._number = 0
+        self._sent_at = 0.0
+        self._last: tuple[object, ...] = ()
+        self._neighbours: dict[str, Neighbour] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    @property
+    def neighbours(self) -> dict[str, Neighbour]:
+        """Other gateways by node, those long unheard included."""
+        return self._neighbours
+
+    @property
+    def nodes(self) -> int:
+        """How many gateways there are, this one included."""
+        now = self._timers.now()
+        heard = sum(
+            now - one.heard <= self._section.heard_within for one in self._neighbours.values()
+        )
+        return max(1 + heard, len(self._book.members))
+
+    def heard(self) -> list[Neighbour]:
+        """Return the gateways heard of late, those that know most first."""
+        since = self._timers.now() - self._section.heard_within
+        live = [one for one in self._neighbours.values() if one.heard >= since]
+        return sorted(live, key=lambda one: -one.revision)
+
+    async def start(self) -> None:
+        """Open the socket and begin to tell."""
+        host = split_address(self._node.control)[0]
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(host, self._node.news_port)
+        )
+        self._timers.every(self._section.news_period, self._tell, name="news")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        try:
+            news = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            logger.bind(event="bad_news", sender=str(addr[0])).warning("dropped news: {}", error)
+            return
+        self.hear(news)
+
+    def error_received(self, exc: Exception) -> None:
+        logger.bind(event="news_unsent").debug("a datagram was not sent: {}", exc)
+
+    def hear(self, news: News) -> None:
+        """Take in another gateway's news, unless newer ones were heard."""
+        if news.node == self._node.id:
+            return
+        now = self._timers.now()
+        before = self._neighbours.get(news.node)
+        if before is not None and before.life == news.life and before.number >= news.number:
+            return
+        self._neighbours[news.node] = Neighbour(news, heard=now)
+        self._loads.learn(news.node, news.shares, now=now)
+        if news.revision > self._book.revision:
+            self._behind(news.control)
+
+    def _tell(self) -> None:
+        now = self._timers.now()
+        shares = self._loads.shares(now=now)
+        state = (shares, self._book.revision)
+        quiet = not shares and state == self._last
+        if quiet and now - self._sent_at < self._section.quiet_period:
+            return
+        self._last, self._sent_at = state, now
+        self._number += 1
+        largest = sorted(shares, key=lambda share: -(share.backlog + share.in_flight))
+        news = News(
+            node=self._node.id,
+            life=self._life,
+            number=self._number,
+            control=self._node.control,
+            revision=self._book.revision,
+            configuration_revision=self._book.configuration_revision,
+            shares=tuple(largest[:MAX_SHARES]),
+        )
+        data = _encoder.encode(news)
+        for address in self._addresses():
+            if self._transport is not None:
+                self._transport.sendto(data, split_address(address))
+
+    def _addresses(self) -> set[str]:
+        members = self._book.members.values()
+        found = {member.news for member in members if member.node != self._node.id}
+        controls = {one.control for one in self._neighbours.values()} | set(self._section.seeds)
+        controls.discard(self._node.control)
+        found |= {f"{split_address(one)[0]}:{self._node.news_port}" for one in controls}
+        return found
--- /dev/null
+++ b/src/baobabpulley/gateway/store_link.py
@@ -0,0 +1,176 @@
+"""Keep a `FleetBook` up with the store, and with peers while the store is away."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Iterable
+from typing import Final
+from typing import final
+
+import msgspec
+from loguru import logger
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import StoreCompacted
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.following import FleetSnapshot
+from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.timers import TimerService
+
+SNAPSHOT_PATH: Final = "/snapshot"
+# The watch holds everything that the store has for gateways.
+ALL_KEYS: Final = ""
+_FIRST_PAUSE: Final = 0.05
+_SNAPSHOT_TIMEOUT: Final = 0.5
+# Seconds that the store may have been away before its list of upstreams is doubted.
+_OUTAGE_AFTER: Final = 0.5
+
+_decoder = msgspec.msgpack.Decoder(FleetSnapshot)
+
+
+@final
+class StoreLink:
+    """Read, watch, and read anew; at most one task of this runs."""
+
+    __slots__ = (
+        "_book",
+        "_client",
+        "_doubted_until",
+        "_lost_at",
+        "_random",
+        "_section",
+        "_store",
+        "_task",
+        "_timers",
+        "_watching",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: ConfigStore,
+        book: FleetBook,
+        client: HttpClient,
+        section: StoreSection,
+        timers: TimerService,
+    ) -> None:
+        self._store = store
+        self._book = book
+        self._client = client
+        self._section = section
+        self._timers = timers
+        self._random = random.Random()
+        self._lost_at: float | None = None
+        self._doubted_until = 0.0
+        self._watching = False
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._lost_at is None
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
+        self._timers.every(0.2, self._expire, name="held entries")
+
+    def restart(self) -> None:
+        """Open a new watch at once: the present one may be silent."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
+
+    async def ask(self, address: str) -> bool:
+        """Take over what a peer knows; return whether it was newer."""
+        try:
+            status, body = await fetch(
+                self._client,
+                address=address,
+                method="GET",
+                path=SNAPSHOT_PATH,
+                timeout=_SNAPSHOT_TIMEOUT,
+            )
+            if status != 200:
+                return False
+            snapshot = _decoder.decode(body)
+        except (BaobabError, msgspec.DecodeError) as error:
+            logger.bind(event="peer_unheard", peer=address).info("no snapshot: {}", error)
+            return False
+        newer = snapshot.revision > self._book.revision
+        if newer and self._book.install(snapshot, now=self._timers.now()):
+            logger.bind(event="snapshot", peer=address, revision=snapshot.revision).info(
+                "took over what a peer knows"
+            )
+        return newer
+
+    async def ask_any(self, addresses: Iterable[str]) -> None:
+        """Ask peers in turn until one knows more."""
+        for address in addresses:
+            if await self.ask(address):
+                return
+
+    def _expire(self) -> None:
+        if self._lost_at is None:
+            self._book.expire_held(now=self._timers.now())
+
+    async def _follow(self) -> None:
+        failures = 0
+        while True:
+            try:
+                await self._read_and_watch()
+            except StoreCompacted:
+                logger.bind(event="store_compacted").info("reading all keys anew")
+                self._watching = False
+                continue
+            except StoreUnavailable as error:
+                failures = failures + 1 if self._lost_at is not None else 1
+                self._lose(error)
+            pause = min(self._section.longest_pause, _FIRST_PAUSE * 2**failures)
+            await self._timers.sleep(self._random.uniform(0.5, 1.0) * pause)
+
+    async def _read_and_watch(self) -> None:
+        if not self._watching:
+            snapshot = await self._store.read(ALL_KEYS)
+            self._regain()
+            self._book.install(
+                FleetSnapshot(revision=snapshot.revision, entries=snapshot.entries),
+                now=self._timers.now(),
+                hold=self._hold(),
+            )
+            self._watching = True
+        changes = self._store.watch(ALL_KEYS, from_revision=self._book.revision)
+        async with contextlib.aclosing(changes):
+            async for batch in changes:
+                self._regain()
+                self._book.change(
+                    batch.entries,
+                    revision=batch.revision,
+                    now=self._timers.now(),
+                    hold=self._hold(),
+                )
+
+    def _hold(self) -> float:
+        """Return how long a missing upstream is kept: some lapse while the store is away."""
+        return max(0.0, self._doubted_until - self._timers.now())
+
+    def _lose(self, error: StoreUnavailable) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._timers.now()
+            logger.bind(event="store_lost").warning("store lost: {}", error.message)
+
+    def _regain(self) -> None:
+        if self._lost_at is None:
+            return
+        now = self._timers.now()
+        away = now - self._lost_at
+        if away > _OUTAGE_AFTER:
+            self._doubted_until = now + self._section.returned_within
+        logger.bind(event="store_regained", away=round(away, 2)).info("store regained")
+        self._lost_at = None
--- /dev/null
+++ b/src/baobabpulley/model/routes.py
@@ -0,0 +1,155 @@
+"""What the operators configure: routes, services, client accounts and bounds of requests."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import final
+
+import msgspec
+
+IDEMPOTENT = "idempotent"
+ONCE = "once"
+STREAM = "stream"
+
+
+class ServiceShare(msgspec.Struct, frozen=True):
+    """One service of a route and its weight among the route's services."""
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where requests of a host and path prefix go, and how. Durations are in seconds.
+
+    ``kind`` is `IDEMPOTENT`, `ONCE` or `STREAM`; ``objective`` is the latency (of streams: the
+    time to the first event) that callers want; ``pause_objective`` the longest pause that they
+    want between two events. ``priority`` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout: float
+    objective: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    anonymous: bool
+    resumable: bool
+    pause_objective: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == IDEMPOTENT or (self.kind == STREAM and self.resumable)
+
+
+class EngineFigures(msgspec.Struct, frozen=True):
+    """How fast a service's engines read and write. Durations are in seconds.
+
+    ``stride`` is the token steps of one pass that writes; ``per_writer`` and
+    ``per_thousand_context`` are added to a step for each request that writes and for each
+    thousand tokens of its context; ``per_million_pairs`` to the reading of a prompt for each
+    million pairs of a token and an earlier one.
+    """
+
+    slots: int
+    memory_tokens: int
+    stride: int
+    step: float
+    per_writer: float
+    per_thousand_context: float
+    tokens_per_second: float
+    per_million_pairs: float
+    usual_answer_tokens: float
+
+    def read_seconds(self, tokens: int) -> float:
+        """Return how long one engine reads a prompt that it has to itself."""
+        pairs = tokens * tokens / 2_000_000
+        return tokens / self.tokens_per_second + self.per_million_pairs * pairs
+
+
+class Service(msgspec.Struct, frozen=True):
+    """One service; ``engine`` is ``None`` for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineFigures | None
+
+
+class RequestBounds(msgspec.Struct, frozen=True):
+    """What a caller may send. Sizes are in bytes, durations in seconds."""
+
+    max_header: int = 16_384
+    max_body: int = 4_194_304
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class Account(msgspec.Struct, frozen=True):
+    """A client account; ``priority`` goes before that of its routes."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@final
+class RoutingTable:
+    """One accepted version of the operators' configuration."""
+
+    __slots__ = ("_accounts", "_by_host", "_services", "bounds", "version")
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[Service, ...],
+        bounds: RequestBounds,
+        accounts: tuple[Account, ...],
+    ) -> None:
+        self.version = version
+        self.bounds = bounds
+        self._services = {service.name: service for service in services}
+        self._accounts = {key: account for account in accounts for key in account.keys}
+        self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in routes:
+            self._by_host[route.host.lower()][route.prefix] = route
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests of routes that are not anonymous have to carry a key."""
+        return bool(self._accounts)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or ``None``.
+
+        >>> route = Route("r", "h", "/a/", "once", 1, 1, 0, (), 1, True, False, 0)
+        >>> table = RoutingTable(
+        ...     version=1, routes=(route,), services=(), bounds=RequestBounds(), accounts=()
+        ... )
+        >>> table.find("H:80", "/a/b?c").name, table.find("h", "/a")
+        ('r', None)
+        """
+        prefixes = self._by_host.get(host.lower().partition(":")[0])
+        if prefixes is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            found = prefixes.get(path[: end + 1])
+            if found is not None:
+                return found
+            end = path.rfind("/", 0, end)
+        return None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by name."""
+        return self._services.get(name)
+
+    def account(self, key: str) -> Account | None:
+        """Return the client account that holds a key."""
+        return self._accounts.get(key)
--- /dev/null
+++ b/src/baobabpulley/platform/documents.py
@@ -0,0 +1,242 @@
+"""Decode the operators' configuration and the upstreams' own entries.
+
+The wire's names stand in the ``rename`` of each struct; only our own types leave this module.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import final
+
+import msgspec
+
+from baobabpulley.errors import DocumentFault
+from baobabpulley.model.routes import IDEMPOTENT
+from baobabpulley.model.routes import ONCE
+from baobabpulley.model.routes import STREAM
+from baobabpulley.model.routes import Account
+from baobabpulley.model.routes import EngineFigures
+from baobabpulley.model.routes import RequestBounds
+from baobabpulley.model.routes import Route
+from baobabpulley.model.routes import RoutingTable
+from baobabpulley.model.routes import Service
+from baobabpulley.model.routes import ServiceShare
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.platform import names
+from baobabpulley.platform.names import KIND_IDEMPOTENT
+from baobabpulley.platform.names import KIND_ONCE
+from baobabpulley.platform.names import KIND_STREAM
+from baobabpulley.platform.names import STATE_DRAINING
+from baobabpulley.platform.names import STATE_READY
+from baobabpulley.ports.fleet_documents import FleetDocuments
+from baobabpulley.ports.fleet_documents import MemberEntry
+
+_KINDS = {KIND_IDEMPOTENT: IDEMPOTENT, KIND_ONCE: ONCE, KIND_STREAM: STREAM}
+_MILLISECOND = 0.001
+_ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _Share(msgspec.Struct):
+    service: _Text
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: _Text
+    host: _Text
+    path_prefix: _Text
+    kind: str
+    timeout_ms: _Positive
+    target_latency_ms: _Positive = 1000.0
+    priority: int = 5
+    service: str | None = None
+    traffic_split: tuple[_Share, ...] = ()
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    resumable_streams: bool = False
+    target_gap_ms: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    answer: float = 256.0
+
+
+class _Engine(msgspec.Struct):
+    """How an engine computes; ``pairs_per_m`` is milliseconds per million pairs of tokens."""
+
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    kv_cache_tokens: int = msgspec.field(name="kv-cache-tokens")
+    step_ms: float
+    read_per_s: _Positive
+    stride: int = 1
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    pairs_per_m: float = 0.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: _Text
+    connection_limit: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Account(msgspec.Struct, rename="kebab"):
+    name: _Text
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Account, ...] = ()
+
+
+class _Upstream(msgspec.Struct):
+    """An upstream's entry; ``state`` says whether it is leaving, ``born`` is its start in ms."""
+
+    service: _Text
+    address: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+    zone: _Text
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: str
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_upstream_decoder = msgspec.json.Decoder(_Upstream)
+
+
+def decode_configuration(value: bytes) -> RoutingTable:
+    """Return the routing table of a stored configuration; raise `DocumentFault`."""
+    try:
+        found = _configuration_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise DocumentFault(f"the stored configuration does not check: {error}") from error
+    return RoutingTable(
+        version=found.version,
+        routes=tuple(_route(route) for route in found.routes),
+        services=tuple(_service(service) for service in found.services),
+        bounds=_bounds(found.limits),
+        accounts=tuple(
+            Account(name=one.name, keys=one.api_keys, priority=one.priority)
+            for one in found.tenants
+        ),
+    )
+
+
+def decode_upstream(upstream: str, value: bytes) -> ListedUpstream:
+    """Return the entry that an upstream wrote of itself; raise `DocumentFault`."""
+    try:
+        found = _upstream_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise DocumentFault(f"the entry of upstream {upstream[:64]!r}: {error}") from error
+    if found.state not in (STATE_READY, STATE_DRAINING):
+        raise DocumentFault(f"the entry of upstream {upstream[:64]!r}: unknown state")
+    return ListedUpstream(
+        id=upstream,
+        service=found.service,
+        address=found.address,
+        failure_domain=found.zone,
+        slots=found.slots,
+        leaving=found.state == STATE_DRAINING,
+        born=found.born,
+    )
+
+
+def _route(route: _Route) -> Route:
+    kind = _KINDS.get(route.kind)
+    if kind is None:
+        raise DocumentFault(f"route {route.name!r} has the unknown kind {route.kind!r}")
+    shares = tuple(ServiceShare(share.service, share.weight) for share in route.traffic_split)
+    if not shares and route.service is not None:
+        shares = (ServiceShare(route.service, 1.0),)
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=kind,
+        timeout=route.timeout_ms * _MILLISECOND,
+        objective=route.target_latency_ms * _MILLISECOND,
+        priority=route.priority,
+        shares=shares,
+        max_attempts=route.max_attempts,
+        anonymous=route.allow_anonymous,
+        resumable=route.resumable_streams,
+        pause_objective=route.target_gap_ms * _MILLISECOND,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        max_connections=service.connection_limit,
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(engine: _Engine) -> EngineFigures:
+    return EngineFigures(
+        slots=engine.slots,
+        memory_tokens=engine.kv_cache_tokens,
+        stride=engine.stride,
+        step=engine.step_ms * _MILLISECOND,
+        per_writer=engine.per_seq_ms * _MILLISECOND,
+        per_thousand_context=engine.context_per_k * _MILLISECOND,
+        tokens_per_second=engine.read_per_s,
+        per_million_pairs=engine.pairs_per_m * _MILLISECOND,
+        usual_answer_tokens=engine.usual.answer,
+    )
+
+
+def _bounds(limits: _Limits) -> RequestBounds:
+    return RequestBounds(
+        max_header=limits.max_header_bytes,
+        max_body=limits.max_body_bytes,
+        header_timeout=limits.header_timeout_ms * _MILLISECOND,
+        idle_timeout=limits.idle_timeout_ms * _MILLISECOND,
+    )
+
+
+@final
+class PlatformDocuments(FleetDocuments):
+    """The platform's keys and the formats of their values."""
+
+    __slots__ = ()
+
+    def kind_of(self, key: str) -> tuple[str | None, str]:
+        if key == names.CONFIGURATION_KEY:
+            return "configuration", key
+        for prefix, kind in ((names.UPSTREAM_PREFIX, "upstream"), (names.MEMBER_PREFIX, "member")):
+            if key.startswith(prefix):
+                return kind, key.removeprefix(prefix)
+        return None, key
+
+    def configuration(self, value: bytes) -> RoutingTable:
+        return decode_configuration(value)
+
+    def upstream(self, name: str, value: bytes) -> ListedUpstream:
+        return decode_upstream(name, value)
+
+    def member(self, value: bytes) -> MemberEntry:
+        try:
+            return msgspec.json.decode(value, type=MemberEntry)
+        except msgspec.DecodeError as error:
+            raise DocumentFault(f"a member's entry does not check: {error}") from error
+
+    def member_item(self, member: MemberEntry) -> tuple[str, bytes]:
+        return names.MEMBER_PREFIX + member.node, msgspec.json.encode(member)
--- /dev/null
+++ b/src/baobabpulley/platform/orders.py
@@ -0,0 +1,70 @@
+"""Orders to engines: memory set aside under a ticket, and given back."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+import msgspec
+from loguru import logger
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.platform import names
+from baobabpulley.ports.exchange_wire import MemoryOrders
+
+# Seconds; an order is answered without waiting for a slot.
+_ORDER_TIMEOUT: Final = 0.4
+_MILLISECONDS: Final = 1000
+_JSON: Final = {"Content-Type": "application/json"}
+
+
+class _Reserve(msgspec.Struct, rename="kebab"):
+    identifier: str
+    token_count: int
+    hold_ms: int
+    operation: str = "reserve"
+    wait: bool = False
+
+
+class _Release(msgspec.Struct):
+    identifier: str
+    operation: str = "release"
+
+
+@final
+class PlatformOrders(MemoryOrders):
+    """Orders over HTTP; an order without an answer counts as not given."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, *, client: HttpClient) -> None:
+        self._client = client
+
+    async def reserve(
+        self, upstream: ListedUpstream, *, ticket: str, tokens: int, hold: float
+    ) -> bool:
+        order = _Reserve(identifier=ticket, token_count=tokens, hold_ms=round(hold * _MILLISECONDS))
+        return await self._send(upstream, msgspec.json.encode(order)) == 200
+
+    async def release(self, upstream: ListedUpstream, *, ticket: str) -> None:
+        await self._send(upstream, msgspec.json.encode(_Release(identifier=ticket)))
+
+    async def _send(self, upstream: ListedUpstream, body: bytes) -> int:
+        try:
+            status, _ = await fetch(
+                self._client,
+                address=upstream.address,
+                method="POST",
+                path=names.ORDER,
+                body=body,
+                headers=_JSON | {names.EXPECTED_INSTANCE: upstream.id},
+                timeout=_ORDER_TIMEOUT,
+            )
+        except (UpstreamLost, UpstreamUnreached) as error:
+            logger.bind(upstream=upstream.id).info("order without answer: {}", error.message)
+            return 0
+        return status
--- /dev/null
+++ b/src/baobabpulley/platform/store.py
@@ -0,0 +1,231 @@
+"""The platform's store as a `ConfigStore`: HTTP/1.1 with JSON bodies, values in base64."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+from typing import TypeVar
+from typing import final
+from urllib.parse import urlencode
+
+import msgspec
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import StoreAnswerLost
+from baobabpulley.errors import StoreCompacted
+from baobabpulley.errors import StoreUnavailable
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.platform import names
+from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import StoreSnapshot
+from baobabpulley.ports.config_store import Swap
+from baobabpulley.ports.config_store import SwapOutcome
+from baobabpulley.ports.config_store import WatchBatch
+
+# Seconds that an answer may take beyond the time that the call itself waits.
+_ANSWER_TIMEOUT: Final = 1.0
+_MILLISECONDS: Final = 1000
+
+T = TypeVar("T")
+
+
+class _Item(msgspec.Struct):
+    """A key's state or change: ``tombstone`` marks one that was deleted at ``revision``."""
+
+    key: str
+    revision: int
+    value: bytes = b""
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct, rename="kebab"):
+    """Items of a read; ``at`` is the store's revision, ``has_more`` asks for the next page."""
+
+    at: int
+    items: tuple[_Item, ...] = ()
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct):
+    at: int
+    events: tuple[_Item, ...] = ()
+
+
+class _Expectation(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: bytes
+    lease: int
+
+
+class _Transaction(msgspec.Struct):
+    expected: tuple[_Expectation, ...]
+    puts: tuple[_Put, ...]
+    remove: tuple[str, ...]
+
+
+class _Revision(msgspec.Struct):
+    revision: int = 0
+
+
+class _Lease(msgspec.Struct, rename="kebab"):
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+class _LeaseWish(msgspec.Struct, rename="kebab"):
+    ttl_ms: int
+
+
+@final
+class PlatformStore(ConfigStore):
+    """Calls to the store; ``watch_wait`` is the seconds that one watch call waits at most."""
+
+    __slots__ = ("_address", "_calls", "_client", "_watch_wait")
+
+    def __init__(self, *, client: HttpClient, address: str, watch_wait: float) -> None:
+        self._client = client
+        self._address = address
+        self._watch_wait = watch_wait
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._calls
+
+    async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
+        del last_prefix
+        entries: list[StoredEntry] = []
+        first: int | None = None
+        after = ""
+        while True:
+            query = {"path-prefix": prefix, **({"after": after} if after else {})}
+            page = await self._get(f"{names.STORE_RANGE}?{urlencode(query)}", _Page)
+            # Pages are no snapshot, so a watch has to go on from the first of them.
+            first = page.at if first is None else first
+            entries += [_entry(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return StoreSnapshot(revision=first, entries=tuple(entries))
+            after = page.items[-1].key
+
+    async def get(self, key: str) -> StoredEntry | None:
+        path = f"{names.STORE_KEY}?{urlencode({'key': key})}"
+        status, body = await self._call("GET", path)
+        if status == 404:
+            return None
+        return _entry(_decode(_checked(status, body), _Item))
+
+    async def swap(self, *swaps: Swap) -> SwapOutcome:
+        transaction = _Transaction(
+            expected=tuple(_Expectation(swap.key, swap.expected_revision) for swap in swaps),
+            puts=tuple(
+                _Put(swap.key, swap.value, swap.lease) for swap in swaps if swap.value is not None
+            ),
+            remove=tuple(swap.key for swap in swaps if swap.value is None),
+        )
+        status, body = await self._call("POST", names.STORE_TXN, transaction, writes=True)
+        if status == 412:
+            return SwapOutcome(held=False, revision=0)
+        return SwapOutcome(held=True, revision=_decode(_checked(status, body), _Revision).revision)
+
+    async def put(self, key: str, value: bytes, *, lease: int) -> None:
+        """Write a key whatever it holds; raise `StoreUnavailable` or `StoreAnswerLost`."""
+        transaction = _Transaction(expected=(), puts=(_Put(key, value, lease),), remove=())
+        status, body = await self._call("POST", names.STORE_TXN, transaction, writes=True)
+        _checked(status, body)
+
+    async def grant_lease(self, seconds: float) -> int:
+        wish = _LeaseWish(ttl_ms=round(seconds * _MILLISECONDS))
+        status, body = await self._call("POST", names.STORE_LEASE, wish, writes=True)
+        return _decode(_checked(status, body), _Lease).lease
+
+    async def keep_alive(self, lease: int) -> float:
+        status, body = await self._call("POST", f"{names.STORE_KEEP}{lease}")
+        if status == 404:
+            return 0.0
+        return _decode(_checked(status, body), _Lease).ttl_ms / _MILLISECONDS
+
+    async def revoke_lease(self, lease: int) -> None:
+        status, body = await self._call("DELETE", f"{names.STORE_LEASE_END}{lease}", writes=True)
+        if status != 404:
+            _checked(status, body)
+
+    async def watch(
+        self, prefix: str, *, from_revision: int, last_prefix: str | None = None
+    ) -> AsyncIterator[WatchBatch]:
+        del last_prefix
+        after = from_revision
+        while True:
+            query = {
+                "path-prefix": prefix,
+                "after": after,
+                "wait-ms": round(self._watch_wait * _MILLISECONDS),
+            }
+            path = f"{names.STORE_WATCH}?{urlencode(query)}"
+            changes = await self._get(path, _Changes, waits=self._watch_wait)
+            after = max(after, changes.at)
+            yield WatchBatch(revision=after, entries=tuple(map(_entry, changes.events)))
+
+    async def _get(self, path: str, kind: type[T], *, waits: float = 0.0) -> T:
+        status, body = await self._call("GET", path, waits=waits)
+        if status == 410:
+            raise StoreCompacted("the store no longer holds the history asked for")
+        return _decode(_checked(status, body), kind)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        message: msgspec.Struct | None = None,
+        *,
+        writes: bool = False,
+        waits: float = 0.0,
+    ) -> tuple[int, bytes]:
+        self._calls += 1
+        body = b"" if message is None else msgspec.json.encode(message)
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            return await fetch(
+                self._client,
+                address=self._address,
+                method=method,
+                path=path,
+                body=body,
+                headers=headers,
+                timeout=_ANSWER_TIMEOUT + waits,
+            )
+        except UpstreamUnreached as error:
+            raise StoreUnavailable(f"the store is not reached: {error.message}") from error
+        except UpstreamLost as error:
+            # Another call on a connection that went silent would be lost as well.
+            with contextlib.suppress(OSError):
+                self._client.drop_idle(self._address)
+            kind = StoreAnswerLost if writes else StoreUnavailable
+            raise kind(f"the store did not answer: {error.message}") from error
+
+
+def _checked(status: int, body: bytes) -> bytes:
+    if status != 200:
+        raise StoreUnavailable(f"the store answered {status}: {body[:80]!r}")
+    return body
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(f"the store's answer does not check: {error}") from error
+
+
+def _entry(item: _Item) -> StoredEntry:
+    value = None if item.tombstone else item.value
+    return StoredEntry(key=item.key, value=value, mod_revision=item.revision)
--- /dev/null
+++ b/src/baobabpulley/platform/wire.py
@@ -0,0 +1,143 @@
+"""Headers of callers' requests and upstreams' answers."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from tornado.httputil import HTTPHeaders
+
+from baobabpulley.errors import BadRequest
+from baobabpulley.model.exchanges import Helper
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.exchanges import Outgoing
+from baobabpulley.platform import names
+from baobabpulley.ports.exchange_wire import AnswerHead
+from baobabpulley.ports.exchange_wire import ExchangeWire
+
+_MILLISECONDS: Final = 1000
+_MAX_ID: Final = 256
+
+# Headers that concern one connection only.
+_HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers of requests that are set here whatever the caller sent.
+_OWN: Final = frozenset(
+    name.lower()
+    for name in (
+        names.ACCOUNT,
+        names.AUTHORIZATION,
+        names.EXPECTED_INSTANCE,
+        names.HELPERS,
+        names.LAST_EVENT,
+        names.REMAINING_MS,
+        names.URGENCY,
+    )
+)
+
+
+@final
+class PlatformWire(ExchangeWire):
+    """The platform's headers."""
+
+    __slots__ = ()
+
+    def read_needs(self, headers: HTTPHeaders) -> Needs:
+        attempt = headers.get(names.ATTEMPT, "")
+        if not 0 < len(attempt) <= _MAX_ID or "," in attempt:
+            raise BadRequest(
+                f"{names.ATTEMPT} is missing or not one id", remedy="Send one id for each attempt."
+            )
+        prompt, answer = _token_counts(headers.get(names.TOKEN_COUNTS))
+        return Needs(
+            attempt=attempt,
+            key=_key(headers.get(names.AUTHORIZATION)),
+            remaining=_seconds(headers.get(names.REMAINING_MS)),
+            last_event=headers.get(names.LAST_EVENT),
+            prompt_tokens=prompt,
+            max_output_tokens=answer,
+        )
+
+    def request_headers(self, given: HTTPHeaders, outgoing: Outgoing) -> HTTPHeaders:
+        headers = _end_to_end(given, without=_OWN)
+        headers[names.REMAINING_MS] = str(int(outgoing.remaining * _MILLISECONDS))
+        headers[names.EXPECTED_INSTANCE] = outgoing.instance
+        if outgoing.account is not None:
+            headers[names.ACCOUNT] = outgoing.account
+        if outgoing.last_event is not None:
+            headers[names.LAST_EVENT] = outgoing.last_event
+        if outgoing.urgency is not None:
+            headers[names.URGENCY] = str(outgoing.urgency)
+        if outgoing.helpers:
+            headers[names.HELPERS] = ",".join(map(_helper, outgoing.helpers))
+        return headers
+
+    def answer_headers(self, given: HTTPHeaders) -> HTTPHeaders:
+        return _end_to_end(given, without=frozenset())
+
+    def answer_head(self, status: int, headers: HTTPHeaders) -> AnswerHead:
+        return AnswerHead(
+            status=status,
+            attempt=headers.get(names.ATTEMPT),
+            sealed=names.SEAL in headers,
+            not_run=names.NOT_EXECUTED in headers or status == 421,
+            at_fault=headers.get(names.AT_SERVER),
+        )
+
+
+def _end_to_end(given: HTTPHeaders, *, without: frozenset[str]) -> HTTPHeaders:
+    named = {token.strip().lower() for token in given.get("Connection", "").split(",")}
+    headers = HTTPHeaders()
+    for name, value in given.get_all():
+        lowered = name.lower()
+        if lowered not in _HOP_BY_HOP and lowered not in without and lowered not in named:
+            headers.add(name, value)
+    return headers
+
+
+def _key(authorization: str | None) -> str | None:
+    scheme, _, key = (authorization or "").partition(" ")
+    return key.strip() if scheme.lower() == names.KEY_SCHEME.lower() and key.strip() else None
+
+
+def _seconds(text: str | None) -> float | None:
+    """Return a header's milliseconds as seconds; what is no number says nothing.
+
+    >>> _seconds("1500"), _seconds("soon"), _seconds(None)
+    (1.5, None, None)
+    """
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return max(0.0, value) / _MILLISECONDS if value == value else None
+
+
+def _token_counts(text: str | None) -> tuple[int, int]:
+    """Return the tokens of a prompt and the most of its answer.
+
+    >>> _token_counts("1460,80"), _token_counts("many"), _token_counts(None)
+    ((1460, 80), (0, 0), (0, 0))
+    """
+    prompt, _, answer = (text or "").partition(",")
+    prompt, answer = prompt.strip(), answer.strip()
+    if not (prompt.isdecimal() and answer.isdecimal()):
+        return 0, 0
+    return int(prompt), int(answer)
+
+
+def _helper(helper: Helper) -> str:
+    return helper.address if helper.ticket is None else f"{helper.address}/{helper.ticket}"
--- /dev/null
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -0,0 +1,142 @@
+"""What engines and plain services have to do, from the sends of all gateways.
+
+Load pattern: two gateways send long prompts within the lag of an engine's own report; without a
+book of sends both choose the engine that was idle a moment ago.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Final
+from typing import final
+
+import msgspec
+
+# Seconds; what a peer said longer ago counts no more.
+MAX_NEWS_AGE: Final = 1.5
+
+
+class LoadShare(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway has at one upstream; ``backlog`` is seconds of prompts still to be read."""
+
+    upstream: str
+    backlog: float
+    in_flight: int
+    writing: int
+    helping: int
+    memory_tokens: int
+
+
+class Load(msgspec.Struct, frozen=True):
+    """What all gateways together have at one upstream."""
+
+    backlog: float = 0.0
+    in_flight: int = 0
+    writing: int = 0
+    helping: int = 0
+    memory_tokens: int = 0
+
+
+@final
+class Send:
+    """One request, or one part of a prompt, at one upstream."""
+
+    __slots__ = ("helps", "memory_tokens", "read_seconds", "reading", "upstream")
+
+    def __init__(
+        self, *, upstream: str, read_seconds: float, memory_tokens: int, helps: bool
+    ) -> None:
+        self.upstream = upstream
+        self.read_seconds = read_seconds
+        self.memory_tokens = memory_tokens
+        self.helps = helps
+        self.reading = True
+
+
+class _Own:
+    __slots__ = ("read_until", "sends")
+
+    def __init__(self) -> None:
+        self.read_until = 0.0
+        self.sends: set[Send] = set()
+
+    def share(self, upstream: str, now: float) -> LoadShare:
+        requests = [send for send in self.sends if not send.helps]
+        return LoadShare(
+            upstream=upstream,
+            backlog=round(max(0.0, self.read_until - now), 3),
+            in_flight=len(requests),
+            writing=sum(not send.reading for send in requests),
+            helping=len(self.sends) - len(requests),
+            memory_tokens=sum(send.memory_tokens for send in self.sends),
+        )
+
+
+@final
+class LoadBook:
+    """The sends of this gateway, and the shares of the others; ``now`` is in seconds."""
+
+    __slots__ = ("_others", "_own")
+
+    def __init__(self) -> None:
+        self._own: dict[str, _Own] = defaultdict(_Own)
+        self._others: dict[str, tuple[float, dict[str, LoadShare]]] = {}
+
+    def begin(
+        self,
+        upstream: str,
+        *,
+        read_seconds: float,
+        memory_tokens: int,
+        now: float,
+        helps: bool = False,
+    ) -> Send:
+        """Count a send; an upstream reads what it gets one after the other."""
+        own = self._own[upstream]
+        send = Send(
+            upstream=upstream, read_seconds=read_seconds, memory_tokens=memory_tokens, helps=helps
+        )
+        own.read_until = max(own.read_until, now) + read_seconds
+        own.sends.add(send)
+        return send
+
+    def read(self, send: Send, *, now: float) -> None:
+        """Note that a send's prompt has been read."""
+        own = self._own[send.upstream]
+        send.reading = False
+        if not any(other.reading for other in own.sends):
+            own.read_until = now
+
+    def end(self, send: Send, *, now: float) -> None:
+        """Note that a send is over."""
+        own = self._own[send.upstream]
+        own.sends.discard(send)
+        self.read(send, now=now)
+        if not own.sends:
+            del self._own[send.upstream]
+
+    def shares(self, *, now: float) -> tuple[LoadShare, ...]:
+        """Return what this gateway has at each upstream."""
+        return tuple(own.share(upstream, now) for upstream, own in self._own.items())
+
+    def learn(self, node: str, shares: tuple[LoadShare, ...], *, now: float) -> None:
+        """Take over what another gateway has at each upstream."""
+        self._others[node] = (now, {share.upstream: share for share in shares})
+
+    def load(self, upstream: str, *, now: float) -> Load:
+        """Return what all gateways have at an upstream, those unheard of left out."""
+        own = self._own.get(upstream)
+        shares = [] if own is None else [own.share(upstream, now)]
+        backlog = sum(share.backlog for share in shares)
+        for heard, others in self._others.values():
+            share = others.get(upstream)
+            if share is not None and now - heard <= MAX_NEWS_AGE:
+                shares.append(share)
+                backlog += max(0.0, share.backlog - (now - heard))
+        return Load(
+            backlog=backlog,
+            in_flight=sum(share.in_flight for share in shares),
+            writing=sum(share.writing for share in shares),
+            helping=sum(share.helping for share in shares),
+            memory_tokens=sum(share.memory_tokens for share in shares),
+        )
--- /dev/null
+++ b/src/baobabpulley/policy/upstream_health.py
@@ -0,0 +1,86 @@
+"""Upstreams that fail although they look well, found from the answers that they give.
+
+Load pattern: one upstream of sixteen goes dark or fails half of its requests; work has to leave
+it within a second or two and come back once it is well, a trial at a time.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+# Seconds without work after the first failure to reach an upstream; doubled with each further.
+FIRST_PAUSE: Final = 1.0
+LONGEST_PAUSE: Final = 8.0
+# Weight of the newest answer in an upstream's share of failures.
+NEWEST_WEIGHT: Final = 0.25
+# Seconds that a share of failures of 1 counts among the costs of an upstream.
+FAILURE_SECONDS: Final = 0.5
+
+
+class _Record:
+    __slots__ = ("failures", "paused_until", "pauses", "trial")
+
+    def __init__(self) -> None:
+        self.failures = 0.0
+        self.pauses = 0
+        self.paused_until = 0.0
+        self.trial = False
+
+
+@final
+class UpstreamHealth:
+    """What the answers of upstreams say of them; ``now`` is in seconds."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def usable(self, upstream: str, *, now: float) -> bool:
+        """Whether an upstream may get work; after a pause it gets one request as a trial."""
+        record = self._records.get(upstream)
+        if record is None or not record.pauses:
+            return True
+        return now >= record.paused_until and not record.trial
+
+    def penalty(self, upstream: str) -> float:
+        """Return the seconds that an upstream's failures count in the choice among upstreams."""
+        record = self._records.get(upstream)
+        return 0.0 if record is None else record.failures * FAILURE_SECONDS
+
+    def sent(self, upstream: str) -> None:
+        """Note a request; to an upstream that was paused it is a trial."""
+        record = self._records.get(upstream)
+        if record is not None and record.pauses:
+            record.trial = True
+
+    def answered(self, upstream: str, *, well: bool) -> None:
+        """Note an answer of an upstream, well or failed by itself."""
+        record = self._records.get(upstream)
+        if record is None:
+            if well:
+                return
+            record = self._records[upstream] = _Record()
+        record.failures += NEWEST_WEIGHT * ((0.0 if well else 1.0) - record.failures)
+        record.trial = False
+        if well:
+            record.pauses = 0
+
+    def lost(self, upstream: str, *, now: float) -> None:
+        """Note that an upstream was not reached or went silent."""
+        record = self._records.setdefault(upstream, _Record())
+        record.failures += NEWEST_WEIGHT * (1.0 - record.failures)
+        record.trial = False
+        record.paused_until = now + min(LONGEST_PAUSE, FIRST_PAUSE * 2**record.pauses)
+        record.pauses += 1
+
+    def left_untold(self, upstream: str) -> None:
+        """Note that a request ended without telling anything of its upstream."""
+        record = self._records.get(upstream)
+        if record is not None:
+            record.trial = False
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that is gone."""
+        self._records.pop(upstream, None)
--- /dev/null
+++ b/src/baobabpulley/policy/waiting.py
@@ -0,0 +1,79 @@
+"""How long a request may wait for an upstream, who goes first, and who is turned away at once.
+
+Load pattern: more arrives than the upstreams serve. A request that cannot be served before its
+caller gives up is refused while that still helps the caller, with a time to come back that
+spreads callers over the capacity as it frees.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import msgspec
+
+from baobabpulley.model.routes import STREAM
+from baobabpulley.model.routes import Route
+
+# A caller leaves a stream that stays silent for longer than the longest of these.
+LEAST_PATIENCE: Final = 2.0
+PATIENCE_OBJECTIVES: Final = 4.0
+PATIENCE_PAUSES: Final = 8.0
+# Part of a caller's patience after which silence of an upstream counts as its loss.
+SILENCE_SHARE: Final = 0.5
+# Part of a request's time that is spent waiting before it is turned away.
+WAIT_SHARE: Final = 0.7
+# Bounds of the time to come back, in seconds and as a share of the time left.
+LEAST_PAUSE: Final = 0.1
+PAUSE_SHARE: Final = 0.3
+
+
+class Times(msgspec.Struct, frozen=True):
+    """The moments of one request in monotonic seconds.
+
+    ``objective`` is when the answer (of a stream: its first event) is wanted, ``patience`` how
+    long its caller bears silence, ``end`` the last moment for an answer.
+    """
+
+    arrived: float
+    objective: float
+    patience: float
+    end: float
+
+    @property
+    def wait_until(self) -> float:
+        """When a request that still waits is turned away."""
+        bound = min(self.patience, self.end - self.arrived)
+        return self.arrived + WAIT_SHARE * bound
+
+    @property
+    def silence(self) -> float:
+        """Seconds of silence after which an upstream counts as lost."""
+        return SILENCE_SHARE * self.patience
+
+
+def times_of(route: Route, *, arrived: float, remaining: float | None) -> Times:
+    """Return the moments of a request; ``remaining`` is what its caller says it waits."""
+    allowed = route.timeout if remaining is None else min(route.timeout, remaining)
+    patience = allowed
+    if route.kind == STREAM:
+        patience = max(
+            LEAST_PATIENCE,
+            PATIENCE_OBJECTIVES * route.objective,
+            PATIENCE_PAUSES * route.pause_objective,
+        )
+    return Times(
+        arrived=arrived,
+        objective=arrived + route.objective,
+        patience=patience,
+        end=arrived + allowed,
+    )
+
+
+def time_to_return(source: random.Random, *, expected: float, left: float) -> float:
+    """Return the seconds after which a refused caller should come back.
+
+    ``expected`` is when capacity frees; callers are spread over as much time again.
+    """
+    longest = max(0.0, PAUSE_SHARE * left)
+    return min(longest, max(LEAST_PAUSE, expected) * source.uniform(1.0, 2.0))
--- a/src/baobabpulley/settings.py
+++ b/src/baobabpulley/settings.py
@@ -31,7 +31,11 @@
 SECRET_OPTIONS: Final = frozenset({"credential", "secret"})
 HIDDEN: Final = "(hidden)"
 
-_SECTIONS: dict[str, dict[str, type[msgspec.Struct]]] = {"entry": {}, "keeper": {}}
+_SECTIONS: dict[str, dict[str, type[msgspec.Struct]]] = {
+    "entry": {},
+    "gateway": {},
+    "keeper": {},
+}
 
 
 def section(name: str, *daemons: str) -> Callable[[type[S]], type[S]]:
@@ -56,7 +60,7 @@
     speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
-@section("logs", "entry", "keeper")
+@section("logs", "entry", "gateway", "keeper")
 class LogsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How logs are written: ``format`` is ``text`` or ``json``."""
 
@@ -85,7 +89,7 @@
 
     @property
     def daemon(self) -> str:
-        """``entry`` or ``keeper``."""
+        """``entry``, ``gateway`` or ``keeper``."""
         return self._daemon
 
     def get(self, kind: type[S]) -> S:
