--- a/src/baobabpulley/cli/gateway.py
+++ b/src/baobabpulley/cli/gateway.py
@@ -28,4 +28,4 @@
     """Serve opaque exchanges by the operators' routes."""
     settings = checked_settings(path, daemon="gateway")
     configure_line_logs(settings.get(LogsSection), node=settings.get(GatewayNodeSection).id)
-    asyncio.run(run_gateway(settings))
+    asyncio.run(run_gateway(settings, path=path))
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 from typing import Final
 from typing import final
 
@@ -23,6 +24,7 @@
 from baobabpulley.gateway.listener import CallerListener
 from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.reload import SettingsReload
 from baobabpulley.gateway.sections import EnginesSection
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
@@ -64,7 +66,7 @@
 class Gateway:
     """The parts of one gateway process."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, *, path: Path) -> None:
         self.settings = settings
         self.node = settings.get(GatewayNodeSection)
         self.timers = timers = TimerService()
@@ -100,9 +102,12 @@
             timers=timers,
             max_waiting=settings.get(EnginesSection).max_waiting,
         )
+        repeats = settings.get(RepeatsSection)
+        self.repeats = RepeatShare(ratio=repeats.ratio, slack=repeats.slack, window=repeats.window)
         self.listener = CallerListener(
             handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
         )
+        self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         self._behind_since: float | None = None
         self._asked_at = 0.0
         self._asking: asyncio.Task[None] | None = None
@@ -124,6 +129,7 @@
         await self.news.start()
         self.link.start()
         self.placer.start()
+        self.reload.start()
         self.timers.every(_PULSE, self._pulse, name="pulse")
         self.timers.every(_ASK_PERIOD, self._ask_peers, name="ask peers")
         asyncio.get_running_loop().create_task(self._stay_member(), name="membership")
@@ -146,7 +152,6 @@
         logger.bind(event="stopped", busy=self.listener.busy).info("gateway stopped")
 
     def _exchange_server(self) -> ExchangeServer:
-        repeats = self.settings.get(RepeatsSection)
         wire = PlatformWire()
         return ExchangeServer(
             book=self.book,
@@ -154,7 +159,7 @@
             caller=UpstreamCaller(client=self.client, wire=wire, timers=self.timers),
             wire=wire,
             health=self.health,
-            repeats=RepeatShare(ratio=repeats.ratio, slack=repeats.slack, window=repeats.window),
+            repeats=self.repeats,
             news=self.news,
             tickets=TicketKeeper(
                 orders=PlatformOrders(client=self.client),
@@ -164,6 +169,15 @@
             timers=self.timers,
         )
 
+    def _apply(self, settings: Settings) -> None:
+        """Take over new settings; addresses hold for the life of the process."""
+        if settings.get(GatewayNodeSection) != self.node:
+            logger.bind(event="reload").warning("[node] changed: restart the process to apply it")
+        repeats = settings.get(RepeatsSection)
+        self.repeats.configure(ratio=repeats.ratio, slack=repeats.slack, window=repeats.window)
+        self.news.configure(settings.get(GatewayPeersSection))
+        self.settings = settings
+
     def _bounds(self) -> RequestBounds:
         table = self.book.table
         return RequestBounds() if table is None else table.bounds
@@ -229,10 +243,10 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-async def run_gateway(settings: Settings) -> None:
+async def run_gateway(settings: Settings, *, path: Path) -> None:
     """Run a gateway until SIGTERM or SIGINT, then drain it."""
     stop = stop_event()
-    gateway = Gateway(settings)
+    gateway = Gateway(settings, path=path)
     await gateway.start()
     await stop.wait()
     await gateway.drain()
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -148,6 +148,7 @@
     ) -> None:
         self._listener = listener
         self._server = server
+        self._connection = connection
         self._reply = Reply(connection, closing=lambda: listener.draining)
         self._parts: list[bytes] = []
         self._size = 0
@@ -187,6 +188,7 @@
             arrived=self._arrived,
         )
         self._parts.clear()
+        self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.get_running_loop().create_task(self._serve(incoming))
 
     def on_connection_close(self) -> None:
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -113,6 +113,10 @@
         )
         return max(1 + heard, len(self._book.members))
 
+    def configure(self, section: GatewayPeersSection) -> None:
+        """Take over changed settings."""
+        self._section = section
+
     def heard(self) -> list[Neighbour]:
         """Return the gateways heard of late, those that know most first."""
         since = self._timers.now() - self._section.heard_within
--- a/src/baobabpulley/policy/repeat_share.py
+++ b/src/baobabpulley/policy/repeat_share.py
@@ -22,11 +22,15 @@
     __slots__ = ("_ratio", "_repeats", "_requests", "_slack", "_window")
 
     def __init__(self, *, ratio: float, slack: float, window: float) -> None:
+        self.configure(ratio=ratio, slack=slack, window=window)
+        self._requests: dict[str, deque[float]] = defaultdict(deque)
+        self._repeats: dict[str, deque[float]] = defaultdict(deque)
+
+    def configure(self, *, ratio: float, slack: float, window: float) -> None:
+        """Change the bounds; what was counted stays."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._requests: dict[str, deque[float]] = defaultdict(deque)
-        self._repeats: dict[str, deque[float]] = defaultdict(deque)
 
     def request(self, service: str, *, now: float) -> None:
         """Count a caller's request."""
