--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 from prometheus_client import CollectorRegistry
+from tornado.httpserver import HTTPServer
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.http_client import HttpClient
@@ -108,6 +109,7 @@
             handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
+        self._servers: tuple[HTTPServer, ...] = ()
         self._behind_since: float | None = None
         self._asked_at = 0.0
         self._asking: asyncio.Task[None] | None = None
@@ -121,11 +123,15 @@
     async def start(self) -> None:
         """Listen, and follow store and peers."""
         node = self.node
-        serve_http(node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})])
-        serve_http(node.control, [(SNAPSHOT_PATH, SnapshotHandler, {"book": self.book})])
         host = split_address(node.control)[0]
         metrics = {"registry": CollectorRegistry()}
-        serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)])
+        self._servers = (
+            serve_http(
+                node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})]
+            ),
+            serve_http(node.control, [(SNAPSHOT_PATH, SnapshotHandler, {"book": self.book})]),
+            serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)]),
+        )
         await self.news.start()
         self.link.start()
         self.placer.start()
@@ -151,6 +157,16 @@
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.busy).info("gateway stopped")
 
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        for server in self._servers:
+            server.stop()
+        self.listener.stop()
+        self.listener.close_all()
+        self.news.close()
+        self.client.close()
+        self.timers.cancel_all()
+
     def _exchange_server(self) -> ExchangeServer:
         wire = PlatformWire()
         return ExchangeServer(
@@ -250,5 +266,5 @@
     await gateway.start()
     await stop.wait()
     await gateway.drain()
-    gateway.timers.cancel_all()
+    gateway.close()
     await end_tasks()
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -60,7 +60,7 @@
     @property
     def busy(self) -> int:
         """Requests being served."""
-        return sum(connection.busy for connection in self._connections)
+        return sum(len(connection.requests) for connection in self._connections)
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         # Nothing listens on the given stream yet, so that its socket can change hands.
@@ -84,7 +84,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is being served or read."""
         for connection in tuple(self._connections):
-            if not connection.busy:
+            if not connection.requests:
                 connection.stream.close()
 
     def close_all(self) -> None:
@@ -101,7 +101,8 @@
     ) -> None:
         super().__init__(stream, parameters, None)
         self._listener = listener
-        self.busy = False
+        # A request may be read before the task of the one before it has ended.
+        self.requests: set[_Request] = set()
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
@@ -159,7 +160,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
-        self._server.busy = True
+        self._server.requests.add(self)
         self._arrived = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
@@ -192,7 +193,7 @@
         self._task = asyncio.get_running_loop().create_task(self._serve(incoming))
 
     def on_connection_close(self) -> None:
-        self._server.busy = False
+        self._server.requests.discard(self)
         self._reply.gone = True
         if self._task is not None:
             self._task.cancel()
@@ -201,7 +202,7 @@
         self._refused = True
         self._parts.clear()
         self._reply.refuse(error)
-        self._server.busy = False
+        self._server.requests.discard(self)
 
     async def _serve(self, incoming: Incoming) -> None:
         try:
@@ -212,6 +213,6 @@
             logger.exception("serving a request failed")
             self._reply.refuse(BaobabError("serving the request failed"))
         finally:
-            self._server.busy = False
+            self._server.requests.discard(self)
             if not self._reply.finished and not self._reply.gone:
                 self._reply.break_off()
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -131,6 +131,11 @@
         )
         self._timers.every(self._section.news_period, self._tell, name="news")
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # asyncio's own datagram transport does not derive from the class it documents.
         self._transport = cast(asyncio.DatagramTransport, transport)
--- /dev/null
+++ b/testing/gateway_builders.py
@@ -0,0 +1,243 @@
+"""A gateway before the stand-ins of the platform, and requests for it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from typing import final
+
+from platform_store import StoreStandin
+from platform_upstream import UpstreamStandin
+
+from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.platform import names
+from baobabpulley.settings import load_settings
+from baobabpulley.shutdown import end_tasks
+
+KEY = "key-of-souk"
+HOST = "api.example"
+KITCHEN = "kitchen"
+LEDGER = "ledger"
+DEADLINE_MS = 3000
+
+_numbers = itertools.count(1)
+_ports = itertools.count(25_000, 10)
+
+
+def route(prefix: str, service: str, kind: str, **changes: object) -> dict[str, object]:
+    """Return a route as the operators write it."""
+    return {
+        "name": f"r-{prefix.strip('/')}",
+        "host": HOST,
+        "path-prefix": prefix,
+        "kind": kind,
+        "timeout-ms": DEADLINE_MS,
+        "target-latency-ms": 300,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        "allow-anonymous": False,
+        "resumable-streams": kind == names.KIND_STREAM,
+        "target-gap-ms": 250,
+        **changes,
+    }
+
+
+def engine(**changes: object) -> dict[str, object]:
+    """Return the figures of an engine as the operators write them."""
+    return {
+        "slots": 8,
+        "kv-cache-tokens": 232000,
+        "stride": 43,
+        "step_ms": 1.02,
+        "per_seq_ms": 0.0045,
+        "context_per_k": 0.0043,
+        "read_per_s": 206000.0,
+        "pairs_per_m": 0.138,
+        "usual": {"prompt": 12328, "answer": 1303},
+        **changes,
+    }
+
+
+def configuration(version: int = 1, **changes: object) -> bytes:
+    """Return a configuration with a route of each kind."""
+    document: dict[str, object] = {
+        "version": version,
+        "routes": [
+            route("/draft/", KITCHEN, names.KIND_STREAM),
+            route("/order/", LEDGER, names.KIND_ONCE),
+            route("/lookup/", LEDGER, names.KIND_IDEMPOTENT),
+        ],
+        "services": [
+            {"name": KITCHEN, "connection-limit": 424, "engine": engine()},
+            {"name": LEDGER, "connection-limit": 100},
+        ],
+        "limits": {"max-body-bytes": 100_000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "souk", "api-keys": [KEY], "priority": 1}],
+        **changes,
+    }
+    return json.dumps(document).encode()
+
+
+@final
+class Reply:
+    """What a caller got; ``whole`` says that it ended as it should."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes, *, whole: bool) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+    @property
+    def events(self) -> list[int]:
+        return [int(line[4:]) for line in self.body.split(b"\n") if line.startswith(b"id: ")]
+
+
+@final
+class World:
+    """The stand-ins, and the gateways started before them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StoreStandin()
+        self.upstreams: dict[str, UpstreamStandin] = {}
+        self.gateways: list[Gateway] = []
+
+    async def add_upstream(
+        self, name: str, *, service: str = LEDGER, listed: bool = True, **options: Any
+    ) -> UpstreamStandin:
+        """Start a server and list it in the store."""
+        upstream = UpstreamStandin(name, service=service, **options)
+        await upstream.start()
+        self.upstreams[name] = upstream
+        if listed:
+            self.store.put(names.UPSTREAM_PREFIX + name, upstream.entry())
+        return upstream
+
+    async def add_gateway(self, *, wait: bool = True, **options: str) -> Gateway:
+        """Start a gateway on a loopback address of its own."""
+        number = len(self.gateways) + 1
+        port = next(_ports)
+        path = self.folder / f"gateway-{number}.ini"
+        path.write_text(self._settings(number, port, options))
+        gateway = Gateway(load_settings(path, daemon="gateway"), path=path)
+        self.gateways.append(gateway)
+        await gateway.start()
+        if wait:
+            await until(lambda: gateway.ready and len(gateway.book.upstreams) >= self._listed())
+        return gateway
+
+    def _listed(self) -> int:
+        return sum(key.startswith(names.UPSTREAM_PREFIX) for key in self.store.items)
+
+    def _settings(self, number: int, port: int, options: dict[str, str]) -> str:
+        host = f"127.0.0.{10 + number}"
+        seeds = [gateway.node.control for gateway in self.gateways]
+        news = self.gateways[0].node.news_port if self.gateways else port + 3
+        return (
+            f"[node]\nid = front-{number}\nfailure_domain = fes\n"
+            f"callers = {host}:{port}\nreadiness = {host}:{port + 1}\n"
+            f"control = {host}:{port + 2}\nnews_port = {news}\nmetrics_port = {port + 4}\n"
+            f"[store]\naddress = {options.get('store', self.store.address)}\n"
+            f"watch_wait = {options.get('watch_wait', '1')}\nreturned_within = 0.8\n"
+            f"[peers]\nseeds = {','.join(seeds)}\n"
+            f"[repeats]\nratio = 0.2\nslack = 100\n"
+            f"[shutdown]\nbalancer_lag = 0.3\ngrace = {options.get('grace', '3')}\n"
+        )
+
+    async def stop(self) -> None:
+        """Close all that was started."""
+        for gateway in self.gateways:
+            gateway.close()
+        for upstream in self.upstreams.values():
+            await upstream.stop()
+        await self.store.stop()
+        await end_tasks()
+
+
+@contextlib.asynccontextmanager
+async def open_world(folder: Path) -> AsyncIterator[World]:
+    """Yield stand-ins with a configuration in the store."""
+    world = World(folder)
+    world.store.start()
+    world.store.put(names.CONFIGURATION_KEY, configuration())
+    try:
+        yield world
+    finally:
+        await world.stop()
+
+
+async def until(true: Callable[[], bool], *, seconds: float = 5.0) -> None:
+    """Wait for something to become true; fail if it does not in time."""
+    async with asyncio.timeout(seconds):
+        while not true():
+            await asyncio.sleep(0.005)
+
+
+def request_bytes(
+    path: str, *, method: str = "POST", body: bytes = b"hello", key: str | None = KEY, **extra: str
+) -> bytes:
+    """Return a whole request; ``extra`` adds headers, underscores for dashes."""
+    headers = {
+        "Host": HOST,
+        names.ATTEMPT: f"a-{next(_numbers)}",
+        names.REMAINING_MS: str(DEADLINE_MS),
+        names.TOKEN_COUNTS: "1000,80",
+        **({} if key is None else {names.AUTHORIZATION: f"Bearer {key}"}),
+        "Content-Length": str(len(body)),
+        **{name.replace("_", "-"): value for name, value in extra.items()},
+    }
+    lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {text}" for name, text in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def send(gateway: Gateway, path: str, **options: Any) -> Reply:
+    """Send one request on a connection of its own and return the answer."""
+    return await send_raw(gateway, request_bytes(path, **options))
+
+
+async def send_raw(gateway: Gateway, data: bytes) -> Reply:
+    """Send bytes on a connection of its own and return the answer."""
+    host, port = gateway.node.callers.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        return await asyncio.wait_for(read_reply(reader), 20)
+    finally:
+        writer.close()
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Read one answer; status 0 stands for a connection closed without one."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(0, {}, b"", whole=False)
+    first, *lines = head.decode("latin1").rstrip("\r\n").split("\r\n")
+    headers = {name.lower(): text for name, text in (line.split(": ", 1) for line in lines)}
+    body, whole = await _read_body(reader, headers)
+    return Reply(int(first.split(" ")[1]), headers, body, whole=whole)
+
+
+async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> tuple[bytes, bool]:
+    if "transfer-encoding" not in headers:
+        length = int(headers.get("content-length", "0"))
+        try:
+            return await reader.readexactly(length), "content-length" in headers
+        except asyncio.IncompleteReadError as error:
+            return error.partial, False
+    body = b""
+    try:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+    return body, True
--- /dev/null
+++ b/testing/platform_upstream.py
@@ -0,0 +1,254 @@
+"""A small stand-in of the platform's servers, over raw sockets so that it can misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import socket
+import struct
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import final
+
+from baobabpulley.platform import names
+
+Behaviour = Callable[["UpstreamStandin", "Call"], Awaitable[None]]
+
+
+@final
+class Call:
+    """One request as it arrived, and the connection that it came on."""
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.writer = writer
+
+    @property
+    def attempt(self) -> str:
+        return self.headers.get(names.ATTEMPT.lower(), "")
+
+    def head(self, status: int, *extra: str, length: int | None = None) -> bytes:
+        lines = [f"HTTP/1.1 {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra]
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def sealed(self, body: bytes, status: int = 200) -> bytes:
+        return self.head(status, f"{names.SEAL}: s.{self.attempt}", length=len(body)) + body
+
+    async def write(self, data: bytes) -> None:
+        self.writer.write(data)
+        with contextlib.suppress(ConnectionError):
+            await self.writer.drain()
+
+    async def write_chunk(self, data: bytes) -> None:
+        await self.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def reset(self) -> None:
+        transport = self.writer.transport
+        plain = transport.get_extra_info("socket")
+        if plain is not None and plain.fileno() >= 0:
+            # A connection closed without lingering is reset, not ended.
+            plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.abort()
+
+
+@final
+class UpstreamStandin:
+    """One server; ``behaviour`` answers what it runs, ``journal`` lists the attempts that ran."""
+
+    def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.behaviour: Behaviour = answer_whole
+        self.journal: list[Call] = []
+        self.orders: list[dict[str, object]] = []
+        self.order_status = 200
+        self.connections = 0
+        self.closed_early = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        assert self._server is not None
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def entry(self, *, state: str = names.STATE_READY, **changes: object) -> bytes:
+        """Return what the server writes of itself into the store."""
+        document: dict[str, object] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "sequence": 1,
+        }
+        return json.dumps({**document, **changes}).encode()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            while (call := await _read_call(reader, writer)) is not None:
+                await self._answer(call, reader)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _answer(self, call: Call, reader: asyncio.StreamReader) -> None:
+        if call.target == names.ORDER:
+            self.orders.append(json.loads(call.body))
+            await call.write(call.head(self.order_status, length=0))
+            return
+        expected = call.headers.get(names.EXPECTED_INSTANCE.lower())
+        if expected != self.name:
+            await call.write(call.head(421, length=0))
+            return
+        self.journal.append(call)
+        run = asyncio.ensure_future(self.behaviour(self, call))
+        left = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({run, left}, return_when=asyncio.FIRST_COMPLETED)
+        if not run.done():
+            self.closed_early += 1
+            run.cancel()
+        left.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await left
+        with contextlib.suppress(asyncio.CancelledError):
+            await run
+
+
+async def _read_call(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Call | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode("latin1").rstrip("\r\n").split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Call(method=method, target=target, headers=headers, body=body, writer=writer)
+
+
+async def answer_whole(upstream: UpstreamStandin, call: Call) -> None:
+    """Answer well."""
+    await call.write(call.sealed(f"{upstream.name} ran {call.attempt}".encode()))
+
+
+def at_first(behaviour: Behaviour, *, then: Behaviour) -> Behaviour:
+    """Return a behaviour for all upstreams of a test: the first call gets one, all others another."""
+    calls = itertools.count()
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        chosen = behaviour if next(calls) == 0 else then
+        await chosen(upstream, call)
+
+    return run
+
+
+async def stay_silent(upstream: UpstreamStandin, call: Call) -> None:
+    """Run the request and never answer."""
+    await asyncio.sleep(3600)
+
+
+async def shed(upstream: UpstreamStandin, call: Call) -> None:
+    """Refuse the request, not run."""
+    upstream.journal.pop()
+    await call.write(call.head(503, f"{names.NOT_EXECUTED}: 1", length=0))
+
+
+async def fail(upstream: UpstreamStandin, call: Call) -> None:
+    """Run the request and fail."""
+    await call.write(call.sealed(b"failed", status=500))
+
+
+async def reset_after_run(upstream: UpstreamStandin, call: Call) -> None:
+    """Run the request and reset the connection."""
+    call.reset()
+
+
+async def answer_unsealed(upstream: UpstreamStandin, call: Call) -> None:
+    """Answer with 200 and no seal."""
+    await call.write(call.head(200, length=5) + b"wrong")
+
+
+async def answer_another(upstream: UpstreamStandin, call: Call) -> None:
+    """Answer with the answer of another request."""
+    other = call.sealed(b"not yours").replace(call.attempt.encode(), b"another")
+    await call.write(other)
+
+
+async def answer_short(upstream: UpstreamStandin, call: Call) -> None:
+    """Break the answer off before its length."""
+    await call.write(call.sealed(b"a whole answer")[:-5])
+    call.reset()
+
+
+async def answer_without_length_and_reset(upstream: UpstreamStandin, call: Call) -> None:
+    """Send a body that ends with its connection, and reset that."""
+    await call.write(call.head(200, f"{names.SEAL}: s", "Connection: close") + b"half")
+    await asyncio.sleep(0.05)
+    call.reset()
+
+
+async def answer_twice(upstream: UpstreamStandin, call: Call) -> None:
+    """Send a second answer behind the first."""
+    await call.write(call.sealed(b"first"))
+    await asyncio.sleep(0.02)
+    await call.write(call.sealed(b"second"))
+
+
+def stream(*, events: int, first: int = 0, breaks_after: int | None = None) -> Behaviour:
+    """Return a behaviour that streams events and may break off in the middle of one."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        last = call.headers.get(names.LAST_EVENT.lower())
+        start = first if last is None else int(last) + 1
+        await call.write(
+            call.head(
+                200,
+                f"{names.SEAL}: s.{upstream.name}",
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
+            )
+        )
+        for number in range(start, first + events):
+            if breaks_after is not None and number - first >= breaks_after:
+                await call.write_chunk(b"id: %d\nda" % number)
+                await asyncio.sleep(0.02)
+                call.reset()
+                return
+            await call.write_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(0.002)
+        await call.write(b"0\r\n\r\n")
+
+    return run
--- /dev/null
+++ b/testing/test_gateway_exchanges.py
@@ -0,0 +1,347 @@
+"""What callers get of the gateway when upstreams misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import platform_upstream as upstreams
+import pytest
+from gateway_builders import DEADLINE_MS
+from gateway_builders import HOST
+from gateway_builders import KITCHEN
+from gateway_builders import World
+from gateway_builders import configuration
+from gateway_builders import open_world
+from gateway_builders import request_bytes
+from gateway_builders import route
+from gateway_builders import send
+from gateway_builders import send_raw
+from gateway_builders import until
+from platform_upstream import Behaviour
+
+from baobabpulley.platform import names
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+async def test_an_answer_comes_back_as_the_upstream_gave_it(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/7?x=1", X_Colour="red")
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.body.startswith(b"i-1 ran a-")
+    (call,) = upstream.journal
+    assert (call.method, call.target, call.body) == ("POST", "/order/7?x=1", b"hello")
+    assert call.headers["host"] == HOST
+    assert call.headers["x-colour"] == "red"
+
+
+async def test_the_upstream_learns_account_time_and_instance_but_not_the_key(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    await send(gateway, "/order/7", **{names.ACCOUNT: "somebody-else"})
+    (call,) = upstream.journal
+    assert names.AUTHORIZATION.lower() not in call.headers
+    assert call.headers[names.ACCOUNT.lower()] == "souk"
+    assert call.headers[names.EXPECTED_INSTANCE.lower()] == "i-1"
+    assert 0 < int(call.headers[names.REMAINING_MS.lower()]) <= DEADLINE_MS
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        pytest.param("/order/7", "stolen", 401, id="unknown-key"),
+        pytest.param("/order/7", None, 401, id="no-key"),
+        pytest.param("/nowhere/7", "stolen", 404, id="no-route"),
+    ],
+)
+async def test_what_the_configuration_does_not_allow_reaches_no_upstream(
+    world: World, path: str, key: str | None, status: int
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    assert (await send(gateway, path, key=key)).status == status
+    assert upstream.journal == []
+
+
+async def test_a_body_past_the_bound_is_refused(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/order/7", body=b"x" * 100_001)).status == 413
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        pytest.param(upstreams.reset_after_run, id="reset"),
+        pytest.param(upstreams.answer_unsealed, id="no-seal"),
+        pytest.param(upstreams.answer_another, id="another-request"),
+        pytest.param(upstreams.answer_short, id="cut-short"),
+        pytest.param(upstreams.answer_without_length_and_reset, id="reset-without-length"),
+    ],
+)
+async def test_a_once_only_call_that_may_have_run_is_neither_repeated_nor_called_not_run(
+    world: World, behaviour: Behaviour
+) -> None:
+    first = await world.add_upstream("i-1")
+    second = await world.add_upstream("i-2")
+    first.behaviour = second.behaviour = behaviour
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/7")
+    assert reply.status in (502, 504)
+    assert len(first.journal) + len(second.journal) == 1
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        pytest.param(upstreams.reset_after_run, id="reset"),
+        pytest.param(upstreams.answer_another, id="another-request"),
+        pytest.param(upstreams.answer_short, id="cut-short"),
+        pytest.param(upstreams.fail, id="own-failure"),
+        pytest.param(upstreams.shed, id="shed"),
+        pytest.param(upstreams.stay_silent, id="silent"),
+    ],
+)
+async def test_an_idempotent_call_is_answered_by_another_upstream(
+    world: World, behaviour: Behaviour
+) -> None:
+    failing_first = upstreams.at_first(behaviour, then=upstreams.answer_whole)
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name)
+        upstream.behaviour = failing_first
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/lookup/7")
+    assert (reply.status, reply.whole) == (200, True)
+    assert _connections(world) == 2
+
+
+async def test_attempts_stay_within_those_of_the_route(world: World) -> None:
+    for number in range(4):
+        upstream = await world.add_upstream(f"i-{number}")
+        upstream.behaviour = upstreams.reset_after_run
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/lookup/7")).status == 502
+    assert len(_ran(world)) == 2
+
+
+async def test_an_address_used_by_another_service_runs_nothing(world: World) -> None:
+    moved = await world.add_upstream("i-new", service="other")
+    entry = moved.entry().replace(b'"other"', b'"ledger"')
+    world.store.put(names.UPSTREAM_PREFIX + "i-old", entry)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/7")
+    assert (reply.status, moved.journal) == (503, [])
+    assert float(reply.headers["retry-after"]) > 0
+
+
+async def test_a_second_answer_on_a_kept_connection_reaches_nobody(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    upstream.behaviour = upstreams.answer_twice
+    gateway = await world.add_gateway()
+    bodies = []
+    for _ in range(5):
+        bodies.append((await send(gateway, "/order/7")).body)
+        await asyncio.sleep(0.05)
+    assert bodies == [b"first"] * 5
+    assert upstream.connections == 5
+
+
+async def test_connections_to_upstreams_are_kept(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    for _ in range(10):
+        assert (await send(gateway, "/order/7")).status == 200
+    assert upstream.connections == 1
+
+
+async def test_an_upstream_nobody_reaches_costs_a_once_only_call_nothing(world: World) -> None:
+    gone = await world.add_upstream("i-gone")
+    await gone.stop()
+    await world.add_upstream("i-well")
+    gateway = await world.add_gateway()
+    for _ in range(4):
+        assert (await send(gateway, "/order/7")).status == 200
+
+
+@pytest.mark.parametrize("path", ["/order/7", "/lookup/7", "/draft/7"])
+async def test_a_silent_upstream_is_answered_for_at_the_last_moment(
+    world: World, path: str
+) -> None:
+    for name, service in (("i-1", "ledger"), ("i-2", KITCHEN)):
+        upstream = await world.add_upstream(name, service=service)
+        upstream.behaviour = upstreams.stay_silent
+    routes = [
+        route("/draft/", KITCHEN, names.KIND_STREAM, **{"timeout-ms": 900}),
+        route("/order/", "ledger", names.KIND_ONCE, **{"timeout-ms": 900}),
+        route("/lookup/", "ledger", names.KIND_IDEMPOTENT, **{"timeout-ms": 900}),
+    ]
+    world.store.put(names.CONFIGURATION_KEY, configuration(2, routes=routes))
+    gateway = await world.add_gateway()
+    began = time.monotonic()
+    reply = await send(gateway, path)
+    assert reply.status in (502, 504)
+    assert time.monotonic() - began < 1.1
+
+
+async def test_a_request_that_still_waits_is_refused_as_not_run(world: World) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    first = asyncio.create_task(send(gateway, "/order/7"))
+    await until(lambda: len(upstream.journal) == 1)
+    reply = await send(gateway, "/order/8")
+    assert (reply.status, len(upstream.journal)) == (503, 1)
+    assert 0 < float(reply.headers["retry-after"]) <= DEADLINE_MS / 3000
+    assert (await first).status == 504
+
+
+async def test_a_caller_that_leaves_stops_the_upstreams_work(world: World) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    host, port = gateway.node.callers.split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request_bytes("/draft/7"))
+    await until(lambda: len(upstream.journal) == 1)
+    writer.close()
+    await until(lambda: upstream.closed_early == 1, seconds=0.5)
+    assert gateway.listener.busy == 0
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        pytest.param(
+            request_bytes("/order/7", Transfer_Encoding="chunked"), id="length-and-chunks"
+        ),
+        pytest.param(
+            request_bytes("/order/7").replace(
+                b"Content-Length", b"Content-Length: 2\r\nContent-Length"
+            ),
+            id="two-lengths",
+        ),
+        pytest.param(request_bytes("/order/7").replace(b"\r\n", b"\n"), id="bare-line-feeds"),
+        pytest.param(
+            request_bytes("/order/7").replace(b"Content-Length: 5", b"Content-Length: +5"),
+            id="signed-length",
+        ),
+        pytest.param(
+            request_bytes("/order/7", Transfer_Encoding="gzip, chunked"), id="other-encoding"
+        ),
+        pytest.param(
+            request_bytes("/order/7", key="stolen", Transfer_Encoding="chunked"), id="no-key"
+        ),
+        pytest.param(
+            request_bytes("/order/7").replace(b"Host: ", b"Host: x\r\nHost: "), id="hosts"
+        ),
+    ],
+)
+async def test_what_can_be_framed_in_two_ways_is_refused_before_all_else(
+    world: World, raw: bytes
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    reply = await send_raw(gateway, raw)
+    assert reply.status == 400
+    assert upstream.journal == []
+
+
+async def test_a_broken_request_costs_only_itself(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    assert (await send_raw(gateway, b"\x00\xff rubbish\r\n\r\n")).status in (0, 400)
+    raw = request_bytes("/order/7").replace(names.ATTEMPT.encode(), b"X-Other")
+    assert (await send_raw(gateway, raw)).status == 400
+    assert (await send(gateway, "/order/7")).status == 200
+
+
+async def test_a_stream_that_breaks_goes_on_elsewhere_with_each_event_once(world: World) -> None:
+    breaking_first = upstreams.at_first(
+        upstreams.stream(events=9, breaks_after=4), then=upstreams.stream(events=9)
+    )
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name, service=KITCHEN)
+        upstream.behaviour = breaking_first
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7")
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.events == list(range(9))
+
+
+async def test_a_stream_that_cannot_go_on_does_not_look_whole(world: World) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = upstreams.stream(events=9, breaks_after=4)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7")
+    assert not reply.whole
+    assert reply.events == [0, 1, 2, 3]
+
+
+async def test_a_caller_resumes_behind_the_event_it_has(world: World) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = upstreams.stream(events=9)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.LAST_EVENT: "5"})
+    assert reply.events == [6, 7, 8]
+
+
+async def test_a_long_prompt_is_read_by_several_engines(world: World) -> None:
+    for number in range(4):
+        upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        upstream.behaviour = upstreams.stream(events=3)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "60000,100"})
+    assert reply.events == [0, 1, 2]
+    (call,) = _ran(world)
+    assert len(call.headers[names.HELPERS.lower()].split(",")) == 3
+
+
+async def test_memory_for_a_prompt_past_one_engine_is_taken_and_given_back(world: World) -> None:
+    for number in range(4):
+        upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        upstream.behaviour = upstreams.stream(events=3)
+    gateway = await world.add_gateway()
+    await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "300000,100"})
+    (call,) = _ran(world)
+    tickets = {
+        part.split("/")[1] for part in call.headers[names.HELPERS.lower()].split(",") if "/" in part
+    }
+    await until(lambda: len(_orders(world, "release")) == len(tickets))
+    reserved = _orders(world, "reserve")
+    assert {order["identifier"] for order in reserved} == tickets
+    assert all(order["hold-ms"] <= 4000 for order in reserved)
+    assert {order["identifier"] for order in _orders(world, "release")} == tickets
+
+
+async def test_no_prompt_runs_without_all_of_its_tickets(world: World) -> None:
+    for number in range(4):
+        upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        upstream.order_status = 409
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "300000,100"})
+    assert (reply.status, _ran(world)) == (503, [])
+
+
+def _ran(world: World) -> list[upstreams.Call]:
+    return [call for upstream in world.upstreams.values() for call in upstream.journal]
+
+
+def _connections(world: World) -> int:
+    return sum(upstream.connections for upstream in world.upstreams.values())
+
+
+def _orders(world: World, operation: str) -> list[dict[str, object]]:
+    return [
+        order
+        for upstream in world.upstreams.values()
+        for order in upstream.orders
+        if order["operation"] == operation
+    ]
--- /dev/null
+++ b/testing/test_gateway_following.py
@@ -0,0 +1,262 @@
+"""How a gateway keeps up with configuration and upstreams, whatever the store does."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from gateway_builders import LEDGER
+from gateway_builders import World
+from gateway_builders import configuration
+from gateway_builders import open_world
+from gateway_builders import route
+from gateway_builders import send
+from gateway_builders import until
+
+from baobabpulley.platform import names
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+def _with_route(version: int, prefix: str) -> bytes:
+    return configuration(version, routes=[route(prefix, LEDGER, names.KIND_ONCE)])
+
+
+async def test_without_a_configuration_nothing_is_judged(world: World) -> None:
+    world.store.items.clear()
+    gateway = await world.add_gateway(wait=False)
+    await asyncio.sleep(0.2)
+    reply = await send(gateway, "/order/7", key="stolen")
+    assert (reply.status, gateway.ready) == (503, False)
+    assert float(reply.headers["retry-after"]) > 0
+
+
+async def test_a_change_is_in_force_at_once(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.put(names.CONFIGURATION_KEY, _with_route(2, "/new/"))
+    await asyncio.sleep(0.1)
+    assert (await send(gateway, "/new/7")).status == 200
+    assert (await send(gateway, "/order/7")).status == 404
+
+
+async def test_a_silent_watch_is_replaced_in_time(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.silent_watches = True
+    world.store.put(names.CONFIGURATION_KEY, _with_route(2, "/new/"))
+    await asyncio.sleep(0.05)
+    world.store.silent_watches = False
+    await until(lambda: gateway.book.table is not None and gateway.book.table.version == 2)
+
+
+async def test_a_lost_history_is_read_anew(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.mode = "reset"
+    world.store.put(names.CONFIGURATION_KEY, _with_route(2, "/new/"))
+    await asyncio.sleep(0.2)
+    world.store.kept_from = world.store.revision + 1
+    world.store.put(names.CONFIGURATION_KEY, _with_route(3, "/newer/"))
+    world.store.mode = ""
+    await until(lambda: gateway.book.table is not None and gateway.book.table.version == 3)
+
+
+async def test_a_list_longer_than_one_page_is_read_whole(world: World) -> None:
+    world.store.page = 2
+    for number in range(5):
+        await world.add_upstream(f"i-{number}")
+    gateway = await world.add_gateway()
+    assert sorted(gateway.book.upstreams) == [f"i-{number}" for number in range(5)]
+
+
+async def test_a_draining_upstream_gets_nothing_more(world: World) -> None:
+    leaving = await world.add_upstream("i-1")
+    await world.add_upstream("i-2")
+    gateway = await world.add_gateway()
+    world.store.put(names.UPSTREAM_PREFIX + "i-1", leaving.entry(state=names.STATE_DRAINING))
+    await asyncio.sleep(0.1)
+    before = len(leaving.journal)
+    for _ in range(10):
+        assert (await send(gateway, "/order/7")).status == 200
+    assert len(leaving.journal) == before
+
+
+async def test_serving_goes_on_while_the_store_is_away(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.mode = "silent"
+    await until(lambda: not gateway.link.connected)
+    assert (await send(gateway, "/order/7")).status == 200
+
+
+async def test_what_lapsed_during_an_outage_may_come_back_and_else_is_gone(world: World) -> None:
+    await world.add_upstream("i-back")
+    await world.add_upstream("i-gone")
+    gateway = await world.add_gateway()
+    world.store.mode = "reset"
+    await until(lambda: not gateway.link.connected)
+    await asyncio.sleep(0.6)
+    for name in ("i-back", "i-gone"):
+        world.store.delete(names.UPSTREAM_PREFIX + name)
+    world.store.mode = ""
+    await until(lambda: gateway.link.connected)
+    assert set(gateway.book.upstreams) == {"i-back", "i-gone"}
+    world.store.put(names.UPSTREAM_PREFIX + "i-back", world.upstreams["i-back"].entry())
+    await until(lambda: set(gateway.book.upstreams) == {"i-back"}, seconds=2.0)
+    await asyncio.sleep(0.5)
+    assert set(gateway.book.upstreams) == {"i-back"}
+
+
+async def test_without_an_outage_a_missing_entry_is_gone_at_once(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.delete(names.UPSTREAM_PREFIX + "i-1")
+    await until(lambda: not gateway.book.upstreams, seconds=0.2)
+
+
+async def test_peers_pass_on_what_the_store_withholds(world: World) -> None:
+    await world.add_upstream("i-1")
+    withheld = _Withheld(world)
+    await withheld.start()
+    near = await world.add_gateway()
+    far = await world.add_gateway(store=withheld.address)
+    await withheld.cut()
+    await until(lambda: not far.link.connected)
+    world.store.put(names.CONFIGURATION_KEY, _with_route(2, "/new/"))
+    await until(lambda: near.book.table is not None and near.book.table.version == 2)
+    began = time.monotonic()
+    await until(lambda: far.book.table is not None and far.book.table.version == 2)
+    assert time.monotonic() - began < 2.0
+    assert (await send(far, "/new/7")).status == 200
+
+
+async def test_a_gateway_that_starts_during_an_outage_learns_from_peers(world: World) -> None:
+    await world.add_upstream("i-1")
+    first = await world.add_gateway()
+    world.store.mode = "silent"
+    await until(lambda: not first.link.connected)
+    second = await world.add_gateway(wait=False)
+    await until(lambda: second.ready, seconds=3.0)
+    assert (await send(second, "/order/7")).status == 200
+
+
+async def test_no_older_snapshot_is_taken_over(world: World) -> None:
+    gateway = await world.add_gateway()
+    old = gateway.book.snapshot()
+    world.store.put(names.CONFIGURATION_KEY, configuration(2))
+    await until(lambda: gateway.book.table is not None and gateway.book.table.version == 2)
+    assert not gateway.book.install(old, now=0.0)
+    assert gateway.book.table is not None
+    assert gateway.book.table.version == 2
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"\xff\xfe", id="no-text"),
+        pytest.param(b'{"service": 7}', id="other-type"),
+        pytest.param(b'{"service": "ledger", "zone": "fes", "slots": 8}', id="fields-missing"),
+        pytest.param(
+            b'{"service":"ledger","address":"10.0.0.1:1","zone":"f","slots":1,"state":"asleep"}',
+            id="unknown-state",
+        ),
+    ],
+)
+async def test_an_entry_that_cannot_be_read_names_no_upstream(world: World, value: bytes) -> None:
+    await world.add_upstream("i-1")
+    world.store.put(names.UPSTREAM_PREFIX + "i-odd", value)
+    gateway = await world.add_gateway(wait=False)
+    await until(lambda: set(gateway.book.upstreams) == {"i-1"})
+    assert (await send(gateway, "/order/7")).status == 200
+
+
+async def test_a_broken_configuration_leaves_the_last_one_in_force(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.put(names.CONFIGURATION_KEY, b'{"version": 2, "routes": 3}')
+    await asyncio.sleep(0.2)
+    assert (await send(gateway, "/order/7")).status == 200
+    world.store.put(names.CONFIGURATION_KEY, _with_route(3, "/new/"))
+    await until(lambda: gateway.book.table is not None and gateway.book.table.version == 3)
+
+
+async def test_a_lost_answer_to_a_write_leaves_the_member_registered(world: World) -> None:
+    world.store.lose_answers = 1
+    await world.add_gateway()
+    key = names.MEMBER_PREFIX + "front-1"
+    await until(lambda: key in world.store.items, seconds=4.0)
+    assert world.store.items[key]["lease"] in world.store.leases
+
+
+async def test_an_outage_brings_no_storm_of_calls(world: World) -> None:
+    gateway = await world.add_gateway()
+    world.store.mode = "busy"
+    await until(lambda: not gateway.link.connected)
+    before = world.store.calls
+    await asyncio.sleep(2.0)
+    assert world.store.calls - before <= 14
+
+
+async def test_gateways_hear_each_others_loads(world: World) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    first = await world.add_gateway()
+    second = await world.add_gateway()
+    await until(lambda: first.news.nodes == second.news.nodes == 2)
+    running = asyncio.Event()
+
+    async def hold(*_: object) -> None:
+        running.set()
+        await asyncio.sleep(3600)
+
+    upstream.behaviour = hold
+    task = asyncio.create_task(send(first, "/order/7"))
+    await running.wait()
+    await asyncio.sleep(0.3)
+    assert second.loads.load("i-1", now=second.timers.now()).in_flight == 1
+    task.cancel()
+
+
+class _Withheld:
+    """A second address of the store that can be cut off alone."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+
+    async def cut(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, port = self._world.store.address.split(":")
+        there, back = await asyncio.open_connection(host, int(port))
+        both = (_copy(reader, back), _copy(there, writer))
+        self._tasks |= {asyncio.ensure_future(one) for one in both}
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    except (ConnectionError, asyncio.CancelledError):
+        pass
+    finally:
+        writer.close()
