--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -49,6 +49,7 @@
 from baobabpulley.errors.requests import UnknownModel
 from baobabpulley.errors.upstreams import CrossedAnswer
 from baobabpulley.errors.upstreams import OrderTooLate
+from baobabpulley.errors.upstreams import UpstreamFailed
 from baobabpulley.errors.upstreams import UpstreamImportFailed
 from baobabpulley.errors.upstreams import UpstreamLeaving
 from baobabpulley.errors.upstreams import UpstreamLost
@@ -57,6 +58,7 @@
 from baobabpulley.errors.upstreams import UpstreamOverloaded
 from baobabpulley.errors.upstreams import UpstreamRefused
 from baobabpulley.errors.upstreams import UpstreamReserved
+from baobabpulley.errors.upstreams import UpstreamSilent
 from baobabpulley.errors.upstreams import UpstreamUnreached
 
 __all__ = [
@@ -101,6 +103,7 @@
     "TooFewEngines",
     "UnknownModel",
     "UnknownName",
+    "UpstreamFailed",
     "UpstreamImportFailed",
     "UpstreamLeaving",
     "UpstreamLost",
@@ -109,6 +112,7 @@
     "UpstreamOverloaded",
     "UpstreamRefused",
     "UpstreamReserved",
+    "UpstreamSilent",
     "UpstreamUnreached",
     "error_kinds",
 ]
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -14,6 +14,18 @@
     default_remedy = "Repeat if the call is idempotent; completions are."
 
 
+class UpstreamSilent(UpstreamLost):
+    """An upstream that got the request sent nothing for longer than allowed."""
+
+    code = "upstream_silent"
+
+
+class UpstreamFailed(UpstreamLost):
+    """An upstream ran the request and answered that it failed."""
+
+    code = "upstream_failed"
+
+
 class UpstreamUnreached(BaobabError):
     """No byte of the request reached the upstream."""
 
@@ -31,6 +43,22 @@
     ran = False
     default_remedy = "Repeat; another upstream will be chosen."
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        remedy: str | None = None,
+        retry_after: float | None = None,
+        at_fault: str | None = None,
+    ) -> None:
+        super().__init__(message, remedy=remedy, retry_after=retry_after)
+        self._at_fault = at_fault
+
+    @property
+    def at_fault(self) -> str | None:
+        """Address of the upstream that the refusing one blames, if it is another."""
+        return self._at_fault
+
 
 class UpstreamOutOfMemory(UpstreamRefused):
     """The engine has no room for the request's KV cache."""
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -25,7 +25,7 @@
 from baobabpulley.timers import TimerService
 
 # Seconds to open a connection; upstreams are within milliseconds.
-CONNECT_SECONDS: Final = 0.3
+CONNECT_SECONDS: Final = 0.2
 # Seconds after which the kernel gives up a connection whose bytes nobody acknowledges.
 UNACKNOWLEDGED_SECONDS: Final = 0.5
 # Seconds that a connection may have been idle to carry a call that must not be repeated.
@@ -120,7 +120,7 @@
                 if head.not_run:
                     await self._skip_body(answer, silence)
                     raise UpstreamRefused(
-                        f"{upstream.id} answered {head.status} and did not run it"
+                        f"{upstream.id} answered {head.status}, not run", at_fault=head.at_fault
                     )
                 if head.attempt != outgoing.attempt or not head.sealed:
                     raise UpstreamLost(f"{upstream.id} answered another request, or nobody's")
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -35,6 +35,7 @@
 from baobabpulley.gateway.store_link import SNAPSHOT_PATH
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.tickets import TicketKeeper
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.platform.names import READINESS
@@ -43,7 +44,6 @@
 from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.policy.fleet_load import LoadBook
 from baobabpulley.policy.repeat_share import RepeatShare
-from baobabpulley.policy.upstream_health import UpstreamHealth
 from baobabpulley.ports.fleet_documents import MemberEntry
 from baobabpulley.settings import Settings
 from baobabpulley.shutdown import end_tasks
@@ -86,7 +86,6 @@
             timers=timers,
         )
         self.loads = LoadBook()
-        self.health = UpstreamHealth()
         self.news = NewsExchange(
             node=self.node,
             section=settings.get(GatewayPeersSection),
@@ -95,11 +94,14 @@
             timers=timers,
             behind=self._note_behind,
         )
+        self.record = UpstreamRecord(
+            failure_domain=self.node.failure_domain, book=self.book, news=self.news, timers=timers
+        )
         self.placer = Placer(
             failure_domain=self.node.failure_domain,
             book=self.book,
             loads=self.loads,
-            health=self.health,
+            record=self.record,
             timers=timers,
             max_waiting=settings.get(EnginesSection).max_waiting,
         )
@@ -174,7 +176,7 @@
             placer=self.placer,
             caller=UpstreamCaller(client=self.client, wire=wire, timers=self.timers),
             wire=wire,
-            health=self.health,
+            record=self.record,
             repeats=self.repeats,
             news=self.news,
             tickets=TicketKeeper(
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -16,8 +16,10 @@
 from baobabpulley.errors import NotFound
 from baobabpulley.errors import NotReady
 from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamSilent
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.gateway.attempts import Answer
 from baobabpulley.gateway.attempts import UpstreamCaller
@@ -29,6 +31,7 @@
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.gateway.tickets import TicketKeeper
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import Incoming
 from baobabpulley.model.exchanges import Needs
 from baobabpulley.model.exchanges import Outgoing
@@ -36,8 +39,8 @@
 from baobabpulley.model.routes import Route
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.routes import Service
+from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.repeat_share import RepeatShare
-from baobabpulley.policy.upstream_health import UpstreamHealth
 from baobabpulley.policy.waiting import Times
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.policy.waiting import times_of
@@ -49,6 +52,8 @@
 # Seconds below which an attempt is not worth sending.
 LEAST_ATTEMPT: Final = 0.05
 NOT_READY_PAUSE: Final = 0.5
+# Seconds; a shorter silence says nothing of an upstream, only that its caller is impatient.
+TELLING_SILENCE: Final = 0.8
 
 
 @final
@@ -59,9 +64,13 @@
         "account",
         "attempts",
         "excluded",
+        "first_event_at",
         "incoming",
+        "last_event_at",
+        "longest_pause",
         "may_have_run",
         "needs",
+        "parts",
         "progress",
         "reply",
         "route",
@@ -93,6 +102,33 @@
         self.may_have_run = False
         self.excluded: set[str] = set()
         self.upstreams: list[str] = []
+        self.parts = 0
+        self.first_event_at: float | None = None
+        self.last_event_at = 0.0
+        self.longest_pause = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note when an event left for the caller."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
+    def log_fields(self) -> dict[str, object]:
+        """Return what a line on the whole request says."""
+        first = self.first_event_at
+        return {
+            "request": self.needs.attempt,
+            "route": self.route.name,
+            "account": None if self.account is None else self.account.name,
+            "service": self.service.name,
+            "upstreams": self.upstreams,
+            "parts": self.parts,
+            "prompt_tokens": self.needs.prompt_tokens,
+            "first_event": None if first is None else round(first - self.times.arrived, 3),
+            "longest_pause": round(self.longest_pause, 3),
+        }
 
 
 @final
@@ -102,10 +138,10 @@
     __slots__ = (
         "_book",
         "_caller",
-        "_health",
         "_news",
         "_placer",
         "_random",
+        "_record",
         "_repeats",
         "_tickets",
         "_timers",
@@ -119,7 +155,7 @@
         placer: Placer,
         caller: UpstreamCaller,
         wire: ExchangeWire,
-        health: UpstreamHealth,
+        record: UpstreamRecord,
         repeats: RepeatShare,
         news: NewsExchange,
         tickets: TicketKeeper,
@@ -129,7 +165,7 @@
         self._placer = placer
         self._caller = caller
         self._wire = wire
-        self._health = health
+        self._record = record
         self._repeats = repeats
         self._news = news
         self._tickets = tickets
@@ -209,7 +245,7 @@
                 self._check_repeat(exchange, error)
             except DeadlineExceeded as error:
                 exchange.may_have_run = True
-                self._health.left_untold(placement.upstream.id)
+                self._record.untold(placement.upstream)
                 raise error
             finally:
                 self._placer.end(placement)
@@ -218,6 +254,7 @@
         upstream = placement.upstream
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
+        exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
         remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
         async with self._tickets.held(placement, exchange.service) as helpers:
             outgoing = Outgoing(
@@ -244,10 +281,11 @@
             return
         body = await answer.body()
         failed = answer.status >= 500
-        self._health.answered(placement.upstream.id, well=not failed)
+        if not failed:
+            self._record.answered(placement.upstream, well=True)
         if failed and self._may_repeat(exchange):
             exchange.may_have_run = True
-            raise UpstreamLost(f"{placement.upstream.id} answered {answer.status}")
+            raise UpstreamFailed(f"{placement.upstream.id} answered {answer.status}")
         if exchange.reply.started:
             raise UpstreamLost(f"a stream cannot go on with an answer of status {answer.status}")
         exchange.reply.send(answer.status, self._wire.answer_headers(answer.headers), body)
@@ -260,34 +298,47 @@
         async for event in answer.events():
             if first:
                 self._placer.read(placement)
-                self._health.answered(placement.upstream.id, well=True)
+                self._record.answered(placement.upstream, well=True)
                 first = False
             if not exchange.progress.is_new(event):
                 continue
             if not reply.started:
                 reply.start(answer.status, self._wire.answer_headers(answer.headers))
             reply.write(event)
+            exchange.note_event(self._timers.now())
         if not reply.started:
             reply.start(answer.status, self._wire.answer_headers(answer.headers))
         reply.finish()
 
     def _note_failure(self, exchange: _Exchange, placement: Placement, error: BaobabError) -> None:
-        upstream = placement.upstream.id
-        exchange.excluded.add(upstream)
+        upstream = placement.upstream
+        exchange.excluded.add(upstream.id)
         if not surely_not_run(error):
             exchange.may_have_run = True
-        if isinstance(error, UpstreamRefused):
-            self._health.answered(upstream, well=False)
-        else:
-            self._health.lost(upstream, now=self._timers.now())
+        self._blame(exchange, upstream, error)
         logger.bind(
             event="attempt_failed",
             request=exchange.needs.attempt,
-            upstream=upstream,
+            upstream=upstream.id,
             code=error.code,
             attempt=exchange.attempts,
         ).info("{}", error.message)
 
+    def _blame(self, exchange: _Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
+        """Note whose fault a failed attempt was."""
+        if isinstance(error, UpstreamRefused):
+            self._record.answered(upstream, well=error.at_fault is not None)
+            culprit = None if error.at_fault is None else self._record.at_address(error.at_fault)
+            if culprit is not None and culprit.id != upstream.id:
+                exchange.excluded.add(culprit.id)
+                self._record.lost(culprit)
+        elif isinstance(error, UpstreamSilent) and exchange.times.silence < TELLING_SILENCE:
+            self._record.untold(upstream)
+        elif isinstance(error, UpstreamFailed):
+            self._record.answered(upstream, well=False)
+        else:
+            self._record.lost(upstream)
+
     def _check_repeat(self, exchange: _Exchange, error: BaobabError) -> None:
         """Raise unless another attempt is allowed."""
         allowed = surely_not_run(error) or exchange.route.repeatable
@@ -330,12 +381,7 @@
             return
         logger.bind(
             event="request",
-            request=exchange.needs.attempt,
-            route=exchange.route.name,
-            account=None if exchange.account is None else exchange.account.name,
-            service=exchange.service.name,
-            upstreams=exchange.upstreams,
-            prompt_tokens=exchange.needs.prompt_tokens,
+            **exchange.log_fields(),
             version=self._book.configuration_revision,
             outcome=outcome,
             seconds=took,
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -106,8 +106,9 @@
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
-            while await self._serve_one(delegate) and not self._listener.draining:
-                await asyncio.sleep(0)
+            going_on = True
+            while going_on:
+                going_on = await self._serve_one(delegate) and not self._listener.draining
         except (StreamClosedError, UnsatisfiableReadError, asyncio.CancelledError):
             pass
         except Exception:
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -34,6 +34,7 @@
     node: str
     life: str
     number: int
+    failure_domain: str
     control: str
     revision: int
     configuration_revision: int
@@ -47,10 +48,11 @@
 class Neighbour:
     """Another gateway as it was last heard; ``heard`` is monotonic seconds."""
 
-    __slots__ = ("control", "heard", "life", "number", "revision")
+    __slots__ = ("control", "failure_domain", "heard", "life", "number", "revision")
 
     def __init__(self, news: News, *, heard: float) -> None:
         self.control = news.control
+        self.failure_domain = news.failure_domain
         self.life = news.life
         self.number = news.number
         self.revision = news.revision
@@ -113,6 +115,13 @@
         )
         return max(1 + heard, len(self._book.members))
 
+    def last_heard(self, failure_domain: str) -> float | None:
+        """Return when a gateway of a failure domain was last heard, ``None`` if never."""
+        times = [
+            one.heard for one in self._neighbours.values() if one.failure_domain == failure_domain
+        ]
+        return max(times, default=None)
+
     def configure(self, section: GatewayPeersSection) -> None:
         """Take over changed settings."""
         self._section = section
@@ -177,6 +186,7 @@
         news = News(
             node=self._node.id,
             life=self._life,
+            failure_domain=self._node.failure_domain,
             number=self._number,
             control=self._node.control,
             revision=self._book.revision,
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -13,6 +13,7 @@
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
 from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import Needs
 from baobabpulley.model.routes import EngineFigures
 from baobabpulley.model.routes import Service
@@ -22,7 +23,6 @@
 from baobabpulley.policy.spread import Candidate
 from baobabpulley.policy.spread import Plan
 from baobabpulley.policy.spread import plan_prompt
-from baobabpulley.policy.upstream_health import UpstreamHealth
 from baobabpulley.policy.waiting import Times
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.timers import TimerService
@@ -72,11 +72,11 @@
         "_book",
         "_call_seconds",
         "_domain",
-        "_health",
         "_loads",
         "_max_waiting",
         "_queues",
         "_random",
+        "_record",
         "_timers",
     )
 
@@ -86,14 +86,14 @@
         failure_domain: str,
         book: FleetBook,
         loads: LoadBook,
-        health: UpstreamHealth,
+        record: UpstreamRecord,
         timers: TimerService,
         max_waiting: int,
     ) -> None:
         self._domain = failure_domain
         self._book = book
         self._loads = loads
-        self._health = health
+        self._record = record
         self._timers = timers
         self._max_waiting = max_waiting
         self._random = random.Random()
@@ -205,12 +205,12 @@
             and not one.leaving
             and one.id not in waiter.excluded
         ]
-        well = [one for one in found if self._health.usable(one.id, now=now)]
+        well = [one for one in found if self._record.usable(one)]
         return [
             Candidate(
                 upstream=one,
                 load=self._loads.load(one.id, now=now),
-                penalty=self._health.penalty(one.id)
+                penalty=self._record.penalty(one)
                 + (0.0 if one.failure_domain == self._domain else DISTANCE_SECONDS),
             )
             for one in (well or found)
@@ -273,5 +273,5 @@
                     helper.id, read_seconds=read_seconds, memory_tokens=held, now=now, helps=True
                 )
             )
-        self._health.sent(upstream.id)
+        self._record.sent(upstream)
         return Placement(upstream=upstream, plan=plan, sends=sends, started=now)
--- a/src/baobabpulley/gateway/sections.py
+++ b/src/baobabpulley/gateway/sections.py
@@ -54,7 +54,7 @@
 
     seeds: tuple[Address, ...] = ()
     news_period: Seconds = 0.1
-    quiet_period: Seconds = 1.0
+    quiet_period: Seconds = 0.5
     heard_within: Seconds = 3.0
 
 
--- /dev/null
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -0,0 +1,68 @@
+"""What attempts tell of upstreams and failure domains, in one place."""
+
+from __future__ import annotations
+
+from typing import final
+
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.news import NewsExchange
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.policy.domain_reach import DomainReach
+from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.timers import TimerService
+
+
+@final
+class UpstreamRecord:
+    """Health of upstreams and reach of failure domains, kept from the answers seen here."""
+
+    __slots__ = ("_book", "_health", "_news", "_reach", "_timers")
+
+    def __init__(
+        self, *, failure_domain: str, book: FleetBook, news: NewsExchange, timers: TimerService
+    ) -> None:
+        self._book = book
+        self._news = news
+        self._timers = timers
+        self._health = UpstreamHealth()
+        self._reach = DomainReach(own=failure_domain)
+
+    def usable(self, upstream: ListedUpstream) -> bool:
+        """Whether an upstream may get work now."""
+        now = self._timers.now()
+        domain = upstream.failure_domain
+        return self._health.usable(upstream.id, now=now) and self._reach.open(
+            domain, heard=self._news.last_heard(domain), now=now
+        )
+
+    def penalty(self, upstream: ListedUpstream) -> float:
+        """Return the seconds that an upstream's failures count in the choice."""
+        return self._health.penalty(upstream.id)
+
+    def sent(self, upstream: ListedUpstream) -> None:
+        """Note an attempt."""
+        self._health.sent(upstream.id)
+        self._reach.sent(upstream.failure_domain, now=self._timers.now())
+
+    def answered(self, upstream: ListedUpstream, *, well: bool) -> None:
+        """Note an answer of an upstream, well or failed by itself."""
+        self._health.answered(upstream.id, well=well)
+        self._reach.answered(upstream.failure_domain)
+
+    def lost(self, upstream: ListedUpstream) -> None:
+        """Note that an upstream was not reached or went silent."""
+        now = self._timers.now()
+        domain = upstream.failure_domain
+        self._health.lost(upstream.id, now=now)
+        self._reach.lost(domain, upstream.id, heard=self._news.last_heard(domain), now=now)
+
+    def untold(self, upstream: ListedUpstream) -> None:
+        """Note that an attempt ended without telling anything of its upstream."""
+        self._health.left_untold(upstream.id)
+
+    def at_address(self, address: str) -> ListedUpstream | None:
+        """Return the upstream that an answer blames by its address or id."""
+        found = self._book.upstreams.get(address)
+        if found is not None:
+            return found
+        return next((one for one in self._book.upstreams.values() if one.address == address), None)
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import json
+import time
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from pathlib import Path
@@ -176,9 +177,10 @@
 
 async def until(true: Callable[[], bool], *, seconds: float = 5.0) -> None:
     """Wait for something to become true; fail if it does not in time."""
-    async with asyncio.timeout(seconds):
-        while not true():
-            await asyncio.sleep(0.005)
+    ends = time.monotonic() + seconds
+    while not true():
+        assert time.monotonic() < ends, f"not true within {seconds} s"
+        await asyncio.sleep(0.005)
 
 
 def request_bytes(
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -52,7 +52,7 @@
             (names.STORE_LEASE_END + "([0-9]+)", _LeaseEnd, {"store": self}),
         ]
         sockets = bind_sockets(0, "127.0.0.1")
-        self.address = "127.0.0.1:%d" % sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
         self._server = HTTPServer(Application(handlers, log_function=lambda handler: None))
         self._server.add_sockets(sockets)
 
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -88,7 +88,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
@@ -165,7 +165,7 @@
 
 
 def at_first(behaviour: Behaviour, *, then: Behaviour) -> Behaviour:
-    """Return a behaviour for all upstreams of a test: the first call gets one, all others another."""
+    """Return a behaviour for all upstreams of a test: the first call gets one, the rest another."""
     calls = itertools.count()
 
     async def run(upstream: UpstreamStandin, call: Call) -> None:
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -236,7 +236,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     async def cut(self) -> None:
         assert self._server is not None
--- /dev/null
+++ b/testing/test_gateway_policy.py
@@ -0,0 +1,205 @@
+"""The gateway's decisions, each under the load pattern that it answers; no clock, no sockets."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from policy_builders import FIGURES
+from policy_builders import candidate
+from policy_builders import candidates
+
+from baobabpulley.gateway.event_stream import StreamProgress
+from baobabpulley.model.routes import STREAM
+from baobabpulley.model.routes import Route
+from baobabpulley.policy.domain_reach import REOPENS_AFTER
+from baobabpulley.policy.domain_reach import TRIAL_SECONDS
+from baobabpulley.policy.domain_reach import DomainReach
+from baobabpulley.policy.fleet_load import MAX_NEWS_AGE
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.policy.repeat_share import RepeatShare
+from baobabpulley.policy.spread import LONG_PART_SECONDS
+from baobabpulley.policy.spread import MAX_HELPERS
+from baobabpulley.policy.spread import PART_SECONDS
+from baobabpulley.policy.spread import plan_prompt
+from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.policy.waiting import time_to_return
+from baobabpulley.policy.waiting import times_of
+
+
+def test_a_short_prompt_goes_to_the_engine_with_the_least_to_read() -> None:
+    busy, idle = candidate("i-busy", backlog=0.5), candidate("i-idle")
+    plan = plan_prompt([busy, idle], figures=FIGURES, prompt_tokens=4000, answer_tokens=1000)
+    assert plan is not None
+    assert (plan.first.id, plan.helpers) == ("i-idle", ())
+
+
+def test_a_long_prompt_is_cut_into_parts_that_harm_no_answer() -> None:
+    plan = plan_prompt(candidates(16), figures=FIGURES, prompt_tokens=133_000, answer_tokens=1000)
+    assert plan is not None
+    assert plan.part_seconds <= LONG_PART_SECONDS
+    assert len(plan.helpers) == len({one.id for one in plan.helpers} - {plan.first.id})
+
+
+def test_a_prompt_too_long_for_short_parts_holds_up_few_engines() -> None:
+    plan = plan_prompt(candidates(16), figures=FIGURES, prompt_tokens=500_000, answer_tokens=1000)
+    assert plan is not None
+    assert 1 + len(plan.helpers) < 10
+
+
+def test_memory_past_one_engine_is_reserved_on_others() -> None:
+    plan = plan_prompt(candidates(16), figures=FIGURES, prompt_tokens=500_000, answer_tokens=1000)
+    assert plan is not None
+    assert plan.tickets >= 2
+    held = plan.tickets * plan.ticket_tokens
+    assert held + plan.first_tokens >= 501_000
+    assert max(plan.ticket_tokens, plan.first_tokens) < FIGURES.memory_tokens / 2
+
+
+def test_no_more_helpers_than_the_platform_allows() -> None:
+    plan = plan_prompt(candidates(60), figures=FIGURES, prompt_tokens=180_000, answer_tokens=1000)
+    assert plan is not None
+    assert len(plan.helpers) <= MAX_HELPERS
+
+
+def test_without_a_free_slot_nothing_is_planned() -> None:
+    full = [candidate(f"i-{number}", in_flight=8) for number in range(4)]
+    assert plan_prompt(full, figures=FIGURES, prompt_tokens=4000, answer_tokens=100) is None
+
+
+def test_the_first_engine_has_a_free_slot_and_the_most_memory() -> None:
+    engines = [
+        candidate("i-full", in_flight=8),
+        candidate("i-small", memory_tokens=200_000),
+        candidate("i-roomy", memory_tokens=10_000),
+    ]
+    plan = plan_prompt(engines, figures=FIGURES, prompt_tokens=133_000, answer_tokens=1000)
+    assert plan is not None
+    assert plan.first.id == "i-roomy"
+
+
+def test_a_plan_says_when_two_long_reads_would_meet() -> None:
+    free = plan_prompt(candidates(8), figures=FIGURES, prompt_tokens=133_000, answer_tokens=10)
+    reading = [candidate(f"i-{number}", backlog=PART_SECONDS) for number in range(8)]
+    meeting = plan_prompt(reading, figures=FIGURES, prompt_tokens=133_000, answer_tokens=10)
+    assert free is not None and meeting is not None
+    assert (free.meets, meeting.meets) == (False, True)
+
+
+def test_sends_of_other_gateways_count_until_they_are_old() -> None:
+    here, there = LoadBook(), LoadBook()
+    there.begin("i-1", read_seconds=0.5, memory_tokens=1000, now=10.0)
+    here.learn("front-2", there.shares(now=10.0), now=10.0)
+    assert here.load("i-1", now=10.2).backlog == pytest.approx(0.3)
+    assert here.load("i-1", now=10.2).in_flight == 1
+    assert here.load("i-1", now=10.0 + MAX_NEWS_AGE + 0.1).in_flight == 0
+
+
+def test_a_backlog_ends_with_its_first_event_and_never_before_others_are_read() -> None:
+    book = LoadBook()
+    first = book.begin("i-1", read_seconds=0.5, memory_tokens=10, now=0.0)
+    second = book.begin("i-1", read_seconds=0.5, memory_tokens=10, now=0.0)
+    assert book.load("i-1", now=0.0).backlog == 1.0
+    book.read(first, now=0.4)
+    assert book.load("i-1", now=0.4).backlog == pytest.approx(0.6)
+    book.read(second, now=0.5)
+    assert book.load("i-1", now=0.5).backlog == 0.0
+    for send in (first, second):
+        book.end(send, now=0.6)
+    assert book.shares(now=0.6) == ()
+
+
+def test_a_dark_upstream_is_left_and_tried_again_one_request_at_a_time() -> None:
+    health = UpstreamHealth()
+    health.lost("i-1", now=0.0)
+    assert not health.usable("i-1", now=0.5)
+    assert health.usable("i-1", now=1.1)
+    health.sent("i-1")
+    assert not health.usable("i-1", now=1.2)
+    health.lost("i-1", now=1.3)
+    assert not health.usable("i-1", now=2.5)
+    assert health.usable("i-1", now=3.4)
+    health.answered("i-1", well=True)
+    assert health.usable("i-1", now=3.5)
+
+
+def test_an_upstream_that_fails_half_of_its_requests_costs_more_than_a_well_one() -> None:
+    health = UpstreamHealth()
+    for number in range(10):
+        health.answered("i-grey", well=number % 2 == 0)
+        health.answered("i-well", well=True)
+    assert health.penalty("i-grey") > health.penalty("i-well") == 0.0
+
+
+def test_repeats_of_all_nodes_stay_within_the_bound() -> None:
+    nodes = [RepeatShare(ratio=0.2, slack=100.0, window=10.0) for _ in range(4)]
+    for node in nodes:
+        for _ in range(50):
+            node.request("kitchen", now=1.0)
+    spent = sum(
+        node.spend("kitchen", nodes=4, now=1.0 + tick / 100)
+        for node in nodes
+        for tick in range(500)
+    )
+    assert 0 < spent <= 0.2 * 200 + 100
+
+
+def test_a_cut_failure_domain_is_left_as_a_whole_and_heard_again() -> None:
+    reach = DomainReach(own="fes")
+    reach.lost("meknes", "i-1", heard=9.9, now=10.0)
+    assert reach.open("meknes", heard=9.9, now=10.0)
+    reach.lost("meknes", "i-2", heard=9.9, now=10.1)
+    assert not reach.open("meknes", heard=9.9, now=10.2)
+    assert reach.open("rabat", heard=None, now=10.2)
+    after = 10.1 + REOPENS_AFTER + 0.1
+    assert reach.open("meknes", heard=after, now=after)
+
+
+def test_one_loss_is_enough_when_no_gateway_of_the_domain_is_heard() -> None:
+    reach = DomainReach(own="fes")
+    reach.lost("meknes", "i-1", heard=5.0, now=10.0)
+    assert not reach.open("meknes", heard=5.0, now=10.1)
+
+
+def test_a_closed_domain_gets_a_trial_now_and_then() -> None:
+    reach = DomainReach(own="fes")
+    for upstream in ("i-1", "i-2"):
+        reach.lost("meknes", upstream, heard=None, now=10.0)
+    assert not reach.open("meknes", heard=None, now=10.5)
+    later = 10.0 + TRIAL_SECONDS
+    assert reach.open("meknes", heard=None, now=later)
+    reach.sent("meknes", now=later)
+    assert not reach.open("meknes", heard=None, now=later + 0.1)
+    reach.answered("meknes")
+    assert reach.open("meknes", heard=None, now=later + 0.2)
+
+
+def test_the_own_failure_domain_is_never_closed() -> None:
+    reach = DomainReach(own="fes")
+    for upstream in ("i-1", "i-2", "i-3"):
+        reach.lost("fes", upstream, heard=None, now=10.0)
+    assert reach.open("fes", heard=None, now=10.0)
+
+
+def test_a_caller_is_answered_at_the_earlier_of_its_own_and_the_routes_end() -> None:
+    route = Route("r", "h", "/", STREAM, 10.0, 0.3, 1, (), 2, False, True, 0.25)
+    assert times_of(route, arrived=5.0, remaining=2.0).end == 7.0
+    assert times_of(route, arrived=5.0, remaining=60.0).end == 15.0
+    assert times_of(route, arrived=5.0, remaining=None).end == 15.0
+
+
+def test_refused_callers_come_back_spread_and_within_their_time() -> None:
+    source = random.Random(1)
+    pauses = [time_to_return(source, expected=0.5, left=6.0) for _ in range(200)]
+    assert max(pauses) <= 2.0
+    assert max(pauses) - min(pauses) > 0.3
+    assert time_to_return(source, expected=5.0, left=0.3) <= 0.1
+
+
+def test_each_event_is_passed_on_once_and_none_is_skipped() -> None:
+    progress = StreamProgress("3")
+    assert not progress.is_new(b"id: 3\ndata: x\n\n")
+    assert progress.is_new(b"id: 4\ndata: x\n\n")
+    assert not progress.is_new(b"id: 4\ndata: x\n\n")
+    with pytest.raises(Exception, match="missing"):
+        progress.is_new(b"id: 6\ndata: x\n\n")
