Gather short prompts on few engines and read long ones where nobody writes

Now few engines are cleared for what is too long for short parts, silence behind a long part blames nobody, and a refusal for want of memory excludes the engine that refused. A prompt too large for the engines left is refused at once.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -18,6 +18,7 @@
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamSilent
 from baobabpulley.errors import UpstreamUnreached
@@ -252,9 +253,11 @@
 
     async def _attempt(self, exchange: _Exchange, placement: Placement) -> None:
         upstream = placement.upstream
+        _log_placement(exchange, placement, now=self._timers.now())
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
+        await self._placer.clear(placement, exchange.times)
         remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
         async with self._tickets.held(placement, exchange.service) as helpers:
             outgoing = Outgoing(
@@ -312,7 +315,10 @@
 
     def _note_failure(self, exchange: _Exchange, placement: Placement, error: BaobabError) -> None:
         upstream = placement.upstream
-        exchange.excluded.add(upstream.id)
+        if isinstance(error, UpstreamOutOfMemory) and error.at_fault is not None:
+            exchange.excluded.add(error.at_fault)
+        else:
+            exchange.excluded.add(upstream.id)
         if not surely_not_run(error):
             exchange.may_have_run = True
         self._blame(exchange, upstream, error)
@@ -326,28 +332,35 @@
 
     def _blame(self, exchange: _Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
         """Note whose fault a failed attempt was."""
-        if isinstance(error, UpstreamRefused):
+        if isinstance(error, UpstreamOutOfMemory):
+            self._record.untold(upstream)
+        elif isinstance(error, UpstreamRefused):
             self._record.answered(upstream, well=error.at_fault is not None)
             culprit = None if error.at_fault is None else self._record.at_address(error.at_fault)
             if culprit is not None and culprit.id != upstream.id:
                 exchange.excluded.add(culprit.id)
                 self._record.lost(culprit)
-        elif isinstance(error, UpstreamSilent) and exchange.times.silence < TELLING_SILENCE:
+        elif isinstance(error, UpstreamSilent) and self._was_expected(exchange, upstream):
             self._record.untold(upstream)
         elif isinstance(error, UpstreamFailed):
             self._record.answered(upstream, well=False)
         else:
             self._record.lost(upstream)
 
+    def _was_expected(self, exchange: _Exchange, upstream: ListedUpstream) -> bool:
+        """Whether silence says nothing of an upstream."""
+        return exchange.times.silence < TELLING_SILENCE or self._placer.expects_silence(upstream)
+
     def _check_repeat(self, exchange: _Exchange, error: BaobabError) -> None:
         """Raise unless another attempt is allowed."""
         allowed = surely_not_run(error) or exchange.route.repeatable
-        if allowed and isinstance(error, UpstreamUnreached):
+        unsent = isinstance(error, UpstreamUnreached | UpstreamOutOfMemory)
+        if allowed and unsent:
             # Nothing was sent there, so it is no attempt of the route.
             exchange.attempts -= 1
         if not allowed or not self._may_repeat(exchange):
             raise _honest(exchange, error)
-        if isinstance(error, UpstreamUnreached):
+        if unsent:
             return
         spent = self._repeats.spend(
             exchange.service.name, nodes=self._news.nodes, now=self._timers.now()
@@ -388,6 +401,21 @@
         ).info("request")
 
 
+def _log_placement(exchange: _Exchange, placement: Placement, *, now: float) -> None:
+    plan = placement.plan
+    logger.bind(
+        event="placed",
+        request=exchange.needs.attempt,
+        upstream=placement.upstream.id,
+        prompt_tokens=exchange.needs.prompt_tokens,
+        helpers=[] if plan is None else [helper.id for helper in plan.helpers],
+        part_seconds=0.0 if plan is None else round(plan.part_seconds, 3),
+        tickets=0 if plan is None else plan.tickets,
+        backlog=round(placement.backlog, 3),
+        after=round(now - exchange.times.arrived, 3),
+    ).info("placed")
+
+
 def _urgency(exchange: _Exchange) -> int:
     account = exchange.account
     priority = exchange.route.priority
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
+from baobabpulley.errors import TooFewEngines
 from baobabpulley.gateway.following import FleetBook
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import Needs
@@ -22,6 +23,7 @@
 from baobabpulley.policy.fleet_load import Send
 from baobabpulley.policy.spread import Candidate
 from baobabpulley.policy.spread import Plan
+from baobabpulley.policy.spread import fits
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.waiting import Times
 from baobabpulley.policy.waiting import time_to_return
@@ -32,6 +34,8 @@
 DISTANCE_SECONDS: Final = 0.003
 # Share of the time to the objective that a long prompt may wait for engines that read nothing.
 MEETING_SHARE: Final = 0.4
+# Share of the time to the objective in which engines are cleared for long parts.
+CLEARING_SHARE: Final = 0.35
 # Seconds that one call of a plain service is taken to last before any was seen.
 USUAL_CALL: Final = 0.1
 
@@ -40,15 +44,22 @@
 class Placement:
     """Where one attempt goes; its sends count until `Placer.end`."""
 
-    __slots__ = ("plan", "sends", "started", "upstream")
+    __slots__ = ("backlog", "plan", "sends", "started", "upstream")
 
     def __init__(
-        self, *, upstream: ListedUpstream, plan: Plan | None, sends: list[Send], started: float
+        self,
+        *,
+        upstream: ListedUpstream,
+        plan: Plan | None,
+        sends: list[Send],
+        started: float,
+        backlog: float,
     ) -> None:
         self.upstream = upstream
         self.plan = plan
         self.sends = sends
         self.started = started
+        self.backlog = backlog
 
 
 class _Waiter:
@@ -128,6 +139,26 @@
                 return placement
         return await self._wait(waiter, queue)
 
+    async def clear(self, placement: Placement, times: Times) -> None:
+        """Wait until the engines of a heavy plan write for nobody, as others now avoid them."""
+        plan = placement.plan
+        if plan is None or not plan.heavy:
+            return
+        until = times.arrived + CLEARING_SHARE * (times.objective - times.arrived)
+        while self._timers.now() < until and self._writing(plan):
+            await self._timers.sleep(SERVE_PERIOD)
+        now = self._timers.now()
+        for send in placement.sends:
+            self._loads.restart(send, now=now)
+
+    def expects_silence(self, upstream: ListedUpstream) -> bool:
+        """Whether an engine's answers stand still for a long prompt that it reads."""
+        return self._loads.expects_silence(upstream.id, now=self._timers.now())
+
+    def _writing(self, plan: Plan) -> bool:
+        now = self._timers.now()
+        return any(self._loads.load(engine.id, now=now).writing for engine in plan.engines)
+
     def read(self, placement: Placement) -> None:
         """Note that the prompt of an attempt has been read."""
         now = self._timers.now()
@@ -152,7 +183,12 @@
                 if waiter.future.done():
                     queue.remove(waiter)
                     continue
-                placement = self._try(waiter)
+                try:
+                    placement = self._try(waiter)
+                except NoUpstream as error:
+                    queue.remove(waiter)
+                    waiter.future.set_exception(error)
+                    continue
                 if placement is not None:
                     queue.remove(waiter)
                     waiter.future.set_result(placement)
@@ -173,7 +209,7 @@
             await asyncio.wait({waiter.future}, timeout=self._timers.real(times.wait_until - now))
         except asyncio.CancelledError:
             # The caller left at the moment at which room was found.
-            if waiter.future.done():
+            if waiter.future.done() and waiter.future.exception() is None:
                 self.end(waiter.future.result())
             raise
         finally:
@@ -220,6 +256,7 @@
         candidates = self._candidates(waiter)
         figures = waiter.service.engine
         if figures is not None and waiter.needs.prompt_tokens:
+            self._check_size(waiter, candidates, figures)
             return self._try_engines(waiter, candidates, figures)
         free = [one for one in candidates if one.load.in_flight < one.upstream.slots]
         if not free:
@@ -229,6 +266,16 @@
         )
         return self._begin(chosen.upstream, plan=None, read_seconds=0.0, memory_tokens=0)
 
+    def _check_size(
+        self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
+    ) -> None:
+        needs = waiter.needs
+        if not fits(candidates, figures=figures, tokens=needs.prompt_tokens):
+            raise TooFewEngines(
+                f"{len(candidates)} engines are too few for {needs.prompt_tokens} tokens",
+                retry_after=self._pause(waiter.times),
+            )
+
     def _try_engines(
         self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
     ) -> Placement | None:
@@ -237,12 +284,13 @@
             figures=figures,
             prompt_tokens=waiter.needs.prompt_tokens,
             answer_tokens=min(waiter.needs.max_output_tokens, figures.memory_tokens // 8),
+            objective=waiter.times.objective - waiter.times.arrived,
         )
         if plan is None:
             return None
         times = waiter.times
         patient_until = times.arrived + MEETING_SHARE * (times.objective - times.arrived)
-        if plan.meets and self._timers.now() < patient_until - plan.part_seconds:
+        if plan.meets and not plan.heavy and self._timers.now() < patient_until - plan.part_seconds:
             return None
         return self._begin(
             plan.first,
@@ -260,6 +308,7 @@
         memory_tokens: int,
     ) -> Placement:
         now = self._timers.now()
+        backlog = self._loads.load(upstream.id, now=now).backlog
         sends = [
             self._loads.begin(
                 upstream.id, read_seconds=read_seconds, memory_tokens=memory_tokens, now=now
@@ -274,4 +323,4 @@
                 )
             )
         self._record.sent(upstream)
-        return Placement(upstream=upstream, plan=plan, sends=sends, started=now)
+        return Placement(upstream=upstream, plan=plan, sends=sends, started=now, backlog=backlog)
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -78,8 +78,12 @@
 
     async def _take(self, tickets: list[_Ticket]) -> None:
         held = await asyncio.gather(*(self._reserve(ticket) for ticket in tickets))
-        if not all(held):
-            raise UpstreamOutOfMemory("an engine has no memory for a part of the prompt")
+        for ticket, taken in zip(tickets, held, strict=True):
+            if not taken:
+                raise UpstreamOutOfMemory(
+                    f"{ticket.upstream.id} has no memory for a part of the prompt",
+                    at_fault=ticket.upstream.id,
+                )
 
     async def _reserve(self, ticket: _Ticket) -> bool:
         return await self._orders.reserve(
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -14,6 +14,10 @@
 
 # Seconds; what a peer said longer ago counts no more.
 MAX_NEWS_AGE: Final = 1.5
+# Seconds of reading that silence the answers of an engine for longer than usual, and by which
+# such a reading may last longer than worked out.
+SILENCING_SECONDS: Final = 0.3
+SILENCE_SLACK: Final = 0.7
 
 
 class LoadShare(msgspec.Struct, frozen=True, array_like=True):
@@ -76,9 +80,11 @@
 class LoadBook:
     """The sends of this gateway, and the shares of the others; ``now`` is in seconds."""
 
-    __slots__ = ("_others", "_own")
+    __slots__ = ("_others", "_own", "_silent_until")
 
     def __init__(self) -> None:
+        # Until when an engine is expected to read so much that its answers stand still.
+        self._silent_until: dict[str, float] = {}
         self._own: dict[str, _Own] = defaultdict(_Own)
         self._others: dict[str, tuple[float, dict[str, LoadShare]]] = {}
 
@@ -98,8 +104,24 @@
         )
         own.read_until = max(own.read_until, now) + read_seconds
         own.sends.add(send)
+        self._note_silence(upstream, read_seconds, now)
         return send
 
+    def restart(self, send: Send, *, now: float) -> None:
+        """Note that a send that was only announced begins now."""
+        own = self._own[send.upstream]
+        own.read_until = max(own.read_until, now + send.read_seconds)
+        self._note_silence(send.upstream, send.read_seconds, now)
+
+    def expects_silence(self, upstream: str, *, now: float) -> bool:
+        """Whether an engine reads, or has just read, so much that its answers stand still."""
+        return now < self._silent_until.get(upstream, 0.0)
+
+    def _note_silence(self, upstream: str, backlog: float, now: float) -> None:
+        if backlog > SILENCING_SECONDS:
+            until = now + backlog + SILENCE_SLACK
+            self._silent_until[upstream] = max(until, self._silent_until.get(upstream, 0.0))
+
     def read(self, send: Send, *, now: float) -> None:
         """Note that a send's prompt has been read."""
         own = self._own[send.upstream]
@@ -122,6 +144,8 @@
     def learn(self, node: str, shares: tuple[LoadShare, ...], *, now: float) -> None:
         """Take over what another gateway has at each upstream."""
         self._others[node] = (now, {share.upstream: share for share in shares})
+        for share in shares:
+            self._note_silence(share.upstream, share.backlog, now)
 
     def load(self, upstream: str, *, now: float) -> Load:
         """Return what all gateways have at an upstream, those unheard of left out."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -1,8 +1,10 @@
 """Which engine gets a prompt, and which others read parts of it.
 
 Load pattern: a prompt of 133,000 tokens takes an engine two seconds to read, and every answer that
-it writes meanwhile stands still. Cut by time over many engines, each pass stays short enough for
-the answers in it. Prompts past one engine's memory are kept in tickets on several.
+it writes meanwhile stands still. Short prompts therefore gather on few engines, and long ones are
+read by those that write for nobody. Where these are too few, a long prompt is cut by time over all
+engines, so that each pass stays short enough for the answers in it. Prompts past one engine's
+memory are kept in tickets on several.
 """
 
 from __future__ import annotations
@@ -18,9 +20,17 @@
 
 # Seconds of reading that a pass takes without harm to the answers written in it.
 PART_SECONDS: Final = 0.11
-# Past this no pass is short enough; fewer engines are then held up than all of them.
-LONG_PART_SECONDS: Final = 0.19
-LONG_SHARE: Final = 0.4
+# Past this no pass is short enough: few engines are cleared of other work and read long parts.
+LONG_PART_SECONDS: Final = 0.16
+# Share of the time to the objective that one long part may take, and share of the engines that
+# one such prompt may hold up.
+LONG_PART_SHARE: Final = 0.4
+LONG_ENGINES: Final = 0.6
+# Share of the time to the objective that a part may take at engines that write for nobody.
+QUIET_PART_SHARE: Final = 0.3
+# Requests that gather on one engine before the next is used, and the backlog past which it is not.
+GATHERED_REQUESTS: Final = 5
+GATHERING_BACKLOG: Final = 0.06
 # The platform's bound on helpers of one request.
 MAX_HELPERS: Final = 16
 # Share of an engine's memory that one request may take without tickets.
@@ -28,6 +38,8 @@
 TICKET_SHARE: Final = 0.45
 # Seconds that one more answer adds to what waits at an engine, for the choice among engines.
 WRITER_SECONDS: Final = 0.006
+# Seconds that a token in an engine's memory adds, so that equal engines fill evenly.
+TOKEN_SECONDS: Final = 1e-7
 # Engines whose backlog is below this take a part without two of them meeting in one pass.
 MEETING_SECONDS: Final = 0.04
 
@@ -42,7 +54,13 @@
     @property
     def cost(self) -> float:
         """Seconds by which one engine is worse than another."""
-        return self.load.backlog + WRITER_SECONDS * self.load.writing + self.penalty
+        load = self.load
+        return (
+            load.backlog
+            + WRITER_SECONDS * load.in_flight
+            + TOKEN_SECONDS * load.memory_tokens
+            + self.penalty
+        )
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -50,7 +68,7 @@
 
     ``part_seconds`` is the reading at each engine; ``ticket_tokens`` the memory to reserve at
     each of the first ``tickets`` helpers. ``meets`` says that some engine still reads another
-    prompt.
+    prompt, ``heavy`` that the parts are too long for the answers written beside them.
     """
 
     first: ListedUpstream
@@ -60,6 +78,12 @@
     ticket_tokens: int
     first_tokens: int
     meets: bool
+    heavy: bool
+
+    @property
+    def engines(self) -> tuple[ListedUpstream, ...]:
+        """All engines that read a part."""
+        return (self.first, *self.helpers)
 
 
 def plan_prompt(
@@ -68,44 +92,102 @@
     figures: EngineFigures,
     prompt_tokens: int,
     answer_tokens: int,
+    objective: float,
 ) -> Plan | None:
-    """Return where to read a prompt, or ``None`` while no engine has a free slot."""
-    ranked = sorted(candidates, key=lambda one: one.cost)
+    """Return where to read a prompt, or ``None`` while no engine has a free slot.
+
+    ``objective`` is the seconds in which the first event of its answer is wanted.
+    """
     total = figures.read_seconds(prompt_tokens)
     need = prompt_tokens + answer_tokens
     holders = _holders(need, figures.memory_tokens)
-    parts = max(_parts(total, len(ranked)), min(holders, len(ranked)))
-    chosen = ranked[:parts]
+    if total <= PART_SECONDS and holders == 1:
+        chosen = _gather(candidates)
+    else:
+        chosen = _quiet(candidates, total, holders, objective) or _spread(
+            candidates, total, holders, objective
+        )
     first = _first(chosen, figures, need=need // holders)
     if first is None:
-        first = _first(ranked[parts:], figures, need=need // holders)
+        others = [one for one in candidates if one not in chosen]
+        first = _first(others, figures, need=need // holders)
         if first is None:
             return None
         chosen = [first, *chosen[:-1]]
+    part = total / len(chosen)
     helpers = _with_memory_first([one for one in chosen if one is not first], figures)
     tickets = min(holders - 1, len(helpers))
     ticket_tokens = math.ceil(prompt_tokens / holders) if tickets else 0
     return Plan(
         first=first.upstream,
         helpers=tuple(one.upstream for one in helpers),
-        part_seconds=total / len(chosen),
+        part_seconds=part,
         tickets=tickets,
         ticket_tokens=ticket_tokens,
         first_tokens=need - tickets * ticket_tokens,
+        heavy=part > LONG_PART_SECONDS,
         meets=len(chosen) > 1 and max(one.load.backlog for one in chosen) > MEETING_SECONDS,
     )
 
 
-def _parts(total: float, engines: int) -> int:
+def _gather(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the engine for a short prompt: one that writes for others already, if one has room."""
+    free = [one for one in candidates if one.load.in_flight < one.upstream.slots]
+    shared = [
+        one
+        for one in free
+        if 0 < one.load.in_flight < GATHERED_REQUESTS
+        and one.load.backlog + one.penalty <= GATHERING_BACKLOG
+    ]
+    if shared:
+        return [min(shared, key=lambda one: (-one.load.in_flight, one.cost))]
+    return sorted(free, key=lambda one: one.cost)[:1]
+
+
+def _quiet(
+    candidates: list[Candidate], total: float, holders: int, objective: float
+) -> list[Candidate]:
+    """Return engines that write for nobody, if they are enough for a long prompt."""
+    quiet = sorted((one for one in candidates if not one.load.in_flight), key=lambda one: one.cost)
+    most = min(len(quiet), MAX_HELPERS + 1)
+    parts = math.ceil(total / PART_SECONDS)
+    if parts > most and total > LONG_PART_SECONDS * most:
+        # Some engines stay free for the short prompts that arrive meanwhile.
+        parts = math.ceil(total / (QUIET_PART_SHARE * objective))
+    elif parts > most:
+        parts = most
+    parts = max(parts, holders)
+    return quiet[:parts] if 0 < parts <= most else []
+
+
+def _spread(
+    candidates: list[Candidate], total: float, holders: int, objective: float
+) -> list[Candidate]:
+    """Return the engines for a long prompt among those that write for others."""
+    count = len(candidates)
+    parts = max(_parts(total, count, objective), min(holders, count))
+    if total / max(1, parts) > LONG_PART_SECONDS:
+        # Whoever writes at an engine that reads a long part is late.
+        return sorted(candidates, key=lambda one: (one.load.writing, one.cost))[:parts]
+    return sorted(candidates, key=lambda one: one.cost)[:parts]
+
+
+def fits(candidates: list[Candidate], *, figures: EngineFigures, tokens: int) -> bool:
+    """Whether the engines have memory enough for a request, were they all empty."""
+    return _holders(tokens, figures.memory_tokens) <= len(candidates)
+
+
+def _parts(total: float, engines: int, objective: float) -> int:
     """Return over how many engines ``total`` seconds of reading are cut.
 
-    >>> _parts(0.05, 16), _parts(2.0, 16), _parts(20.0, 16)
-    (1, 16, 6)
+    >>> _parts(0.05, 16, 3.0), _parts(2.0, 16, 3.0), _parts(4.0, 16, 3.0), _parts(20.0, 16, 3.0)
+    (1, 16, 4, 10)
     """
     most = min(engines, MAX_HELPERS + 1)
     parts = min(most, max(1, math.ceil(total / PART_SECONDS)))
     if total / parts > LONG_PART_SECONDS:
-        return max(1, min(most, round(LONG_SHARE * engines)))
+        parts = math.ceil(total / (LONG_PART_SHARE * objective))
+        return max(1, min(most, parts, round(LONG_ENGINES * engines)))
     return parts
 
 
