Read long prompts on all quiet engines again

A try: past parts of 0.16 s only as many quiet engines as the objective needs, so that others stay free for shorts. Long parts of 0.9 s on few engines leave the next long prompt no quiet ones.

--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -150,14 +150,10 @@
     """Return engines that write for nobody, if they are enough for a long prompt."""
     quiet = sorted((one for one in candidates if not one.load.in_flight), key=lambda one: one.cost)
     most = min(len(quiet), MAX_HELPERS + 1)
-    parts = math.ceil(total / PART_SECONDS)
-    if parts > most and total > LONG_PART_SECONDS * most:
-        # Some engines stay free for the short prompts that arrive meanwhile.
-        parts = math.ceil(total / (QUIET_PART_SHARE * objective))
-    elif parts > most:
-        parts = most
-    parts = max(parts, holders)
-    return quiet[:parts] if 0 < parts <= most else []
+    parts = min(most, max(holders, math.ceil(total / PART_SECONDS)))
+    if parts < holders or not parts or total / parts > QUIET_PART_SHARE * objective:
+        return []
+    return quiet[:parts]
 
 
 def _spread(
