--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -149,7 +149,7 @@
             await self._timers.sleep(SERVE_PERIOD)
         now = self._timers.now()
         for send in placement.sends:
-            self._loads.restart(send, now=now)
+            self._loads.start(send, now=now)
 
     def expects_silence(self, upstream: ListedUpstream) -> bool:
         """Whether an engine's answers stand still for a long prompt that it reads."""
@@ -311,7 +311,11 @@
         backlog = self._loads.load(upstream.id, now=now).backlog
         sends = [
             self._loads.begin(
-                upstream.id, read_seconds=read_seconds, memory_tokens=memory_tokens, now=now
+                upstream.id,
+                read_seconds=read_seconds,
+                memory_tokens=memory_tokens,
+                now=now,
+                announced=plan is not None and plan.heavy,
             )
         ]
         for index, helper in enumerate(plan.helpers if plan is not None else ()):
@@ -319,7 +323,12 @@
             held = plan.ticket_tokens if index < plan.tickets else 0
             sends.append(
                 self._loads.begin(
-                    helper.id, read_seconds=read_seconds, memory_tokens=held, now=now, helps=True
+                    helper.id,
+                    read_seconds=read_seconds,
+                    memory_tokens=held,
+                    now=now,
+                    helps=True,
+                    announced=plan.heavy,
                 )
             )
         self._record.sent(upstream)
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -45,11 +45,18 @@
 class Send:
     """One request, or one part of a prompt, at one upstream."""
 
-    __slots__ = ("helps", "memory_tokens", "read_seconds", "reading", "upstream")
+    __slots__ = ("announced", "helps", "memory_tokens", "read_seconds", "reading", "upstream")
 
     def __init__(
-        self, *, upstream: str, read_seconds: float, memory_tokens: int, helps: bool
+        self,
+        *,
+        upstream: str,
+        read_seconds: float,
+        memory_tokens: int,
+        helps: bool,
+        announced: bool,
     ) -> None:
+        self.announced = announced
         self.upstream = upstream
         self.read_seconds = read_seconds
         self.memory_tokens = memory_tokens
@@ -66,9 +73,10 @@
 
     def share(self, upstream: str, now: float) -> LoadShare:
         requests = [send for send in self.sends if not send.helps]
+        announced = sum(send.read_seconds for send in self.sends if send.announced)
         return LoadShare(
             upstream=upstream,
-            backlog=round(max(0.0, self.read_until - now), 3),
+            backlog=round(max(0.0, self.read_until - now) + announced, 3),
             in_flight=len(requests),
             writing=sum(not send.reading for send in requests),
             helping=len(self.sends) - len(requests),
@@ -96,21 +104,31 @@
         memory_tokens: int,
         now: float,
         helps: bool = False,
+        announced: bool = False,
     ) -> Send:
-        """Count a send; an upstream reads what it gets one after the other."""
+        """Count a send; an upstream reads what it gets one after the other.
+
+        An announced one keeps others away and is read only from its `start` on.
+        """
         own = self._own[upstream]
         send = Send(
-            upstream=upstream, read_seconds=read_seconds, memory_tokens=memory_tokens, helps=helps
+            upstream=upstream,
+            read_seconds=read_seconds,
+            memory_tokens=memory_tokens,
+            helps=helps,
+            announced=announced,
         )
-        own.read_until = max(own.read_until, now) + read_seconds
+        if not announced:
+            own.read_until = max(own.read_until, now) + read_seconds
         own.sends.add(send)
         self._note_silence(upstream, read_seconds, now)
         return send
 
-    def restart(self, send: Send, *, now: float) -> None:
-        """Note that a send that was only announced begins now."""
+    def start(self, send: Send, *, now: float) -> None:
+        """Note that an announced send begins now."""
         own = self._own[send.upstream]
-        own.read_until = max(own.read_until, now + send.read_seconds)
+        send.announced = False
+        own.read_until = max(own.read_until, now) + send.read_seconds
         self._note_silence(send.upstream, send.read_seconds, now)
 
     def expects_silence(self, upstream: str, *, now: float) -> bool:
@@ -125,7 +143,7 @@
     def read(self, send: Send, *, now: float) -> None:
         """Note that a send's prompt has been read."""
         own = self._own[send.upstream]
-        send.reading = False
+        send.reading = send.announced = False
         if not any(other.reading for other in own.sends):
             own.read_until = now
 
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -148,12 +148,28 @@
     candidates: list[Candidate], total: float, holders: int, objective: float
 ) -> list[Candidate]:
     """Return engines that write for nobody, if they are enough for a long prompt."""
-    quiet = sorted((one for one in candidates if not one.load.in_flight), key=lambda one: one.cost)
-    most = min(len(quiet), MAX_HELPERS + 1)
-    parts = min(most, max(holders, math.ceil(total / PART_SECONDS)))
-    if parts < holders or not parts or total / parts > QUIET_PART_SHARE * objective:
+    quiet = [one for one in candidates if not one.load.in_flight]
+    chosen = _earliest(quiet, total, holders)
+    if len(chosen) < holders or not chosen:
         return []
-    return quiet[:parts]
+    return chosen if total / len(chosen) <= QUIET_PART_SHARE * objective else []
+
+
+def _earliest(engines: list[Candidate], total: float, holders: int) -> list[Candidate]:
+    """Return the engines that are done first with a prompt, and no more than it needs.
+
+    An engine that still reads helps only if it ends before the others would without it: parts
+    that an engine has at the same time slow each other down.
+    """
+    ranked = sorted(engines, key=lambda one: one.cost)[: MAX_HELPERS + 1]
+    best, best_end = ranked, math.inf
+    for count in range(max(1, holders), len(ranked) + 1):
+        end = ranked[count - 1].load.backlog + total / count
+        if end < best_end:
+            best, best_end = ranked[:count], end
+        if total / count <= PART_SECONDS:
+            break
+    return best
 
 
 def _spread(
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -60,6 +60,26 @@
     assert {one.id for one in plan.engines} == {one.upstream.id for one in quiet}
 
 
+def test_a_long_prompt_avoids_engines_that_still_read_another() -> None:
+    free = [candidate(f"i-free-{number}") for number in range(6)]
+    reading = [candidate(f"i-reading-{number}", backlog=1.2) for number in range(10)]
+    plan = plan_prompt(
+        reading + free, figures=FIGURES, prompt_tokens=180_000, answer_tokens=10, objective=3.0
+    )
+    assert plan is not None
+    assert {one.id for one in plan.engines} == {one.upstream.id for one in free}
+
+
+def test_announced_reads_add_up_until_each_begins() -> None:
+    book = LoadBook()
+    first = book.begin("i-1", read_seconds=1.2, memory_tokens=1, now=0.0, announced=True)
+    second = book.begin("i-1", read_seconds=0.6, memory_tokens=1, now=0.0, announced=True)
+    assert book.load("i-1", now=1.0).backlog == pytest.approx(1.8)
+    book.start(first, now=1.0)
+    book.start(second, now=1.0)
+    assert book.load("i-1", now=1.5).backlog == pytest.approx(1.3)
+
+
 def test_too_few_engines_that_write_for_nobody_are_not_enough() -> None:
     quiet = [candidate("i-quiet")]
     writing = [candidate(f"i-writing-{number}", in_flight=2) for number in range(15)]
