--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -9,7 +9,6 @@
 from typing import final
 
 from loguru import logger
-from prometheus_client import CollectorRegistry
 from tornado.httpserver import HTTPServer
 
 from baobabpulley.adapters.addresses import split_address
@@ -23,6 +22,7 @@
 from baobabpulley.gateway.exchange import ExchangeServer
 from baobabpulley.gateway.following import FleetBook
 from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.reload import SettingsReload
@@ -36,6 +36,7 @@
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.tickets import TicketKeeper
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.logs import lines_left_out
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.platform.names import READINESS
@@ -86,6 +87,7 @@
             timers=timers,
         )
         self.loads = LoadBook()
+        self.metrics = GatewayMetrics()
         self.news = NewsExchange(
             node=self.node,
             section=settings.get(GatewayPeersSection),
@@ -111,6 +113,7 @@
             handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
+        self._watch_beliefs()
         self._servers: tuple[HTTPServer, ...] = ()
         self._behind_since: float | None = None
         self._asked_at = 0.0
@@ -126,7 +129,7 @@
         """Listen, and follow store and peers."""
         node = self.node
         host = split_address(node.control)[0]
-        metrics = {"registry": CollectorRegistry()}
+        metrics = {"registry": self.metrics.registry}
         self._servers = (
             serve_http(
                 node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})]
@@ -159,6 +162,30 @@
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.busy).info("gateway stopped")
 
+    def _watch_beliefs(self) -> None:
+        """Show what this gateway believes among its metrics."""
+        watch = self.metrics.watch
+        watch("configuration_version", "Version of the configuration in force", self._version)
+        watch("store_revision", "Revision of the store followed", lambda: self.book.revision)
+        watch("store_connected", "1 while the store answers", lambda: float(self.link.connected))
+        watch("store_calls", "Calls made to the store", lambda: self.store.calls)
+        watch("gateways", "Gateways known, this one included", lambda: self.news.nodes)
+        watch("waiting", "Requests that wait for an upstream", lambda: self.placer.waiting)
+        watch("in_flight", "Requests being served", lambda: self.listener.busy)
+        watch("upstreams", "Upstreams listed", lambda: len(self.book.upstreams))
+        watch("upstreams_leaving", "Upstreams listed as leaving", self._leaving)
+        watch("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
+        watch("log_lines_left_out", "Log lines that no reader took", lines_left_out)
+
+    def _version(self) -> float:
+        return 0 if self.book.table is None else self.book.table.version
+
+    def _leaving(self) -> float:
+        return sum(one.leaving for one in self.book.upstreams.values())
+
+    def _unusable(self) -> float:
+        return sum(not self.record.usable(one) for one in self.book.upstreams.values())
+
     def close(self) -> None:
         """Stop listening and close every connection."""
         for server in self._servers:
@@ -178,6 +205,7 @@
             wire=wire,
             record=self.record,
             repeats=self.repeats,
+            metrics=self.metrics,
             news=self.news,
             tickets=TicketKeeper(
                 orders=PlatformOrders(client=self.client),
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -27,6 +27,7 @@
 from baobabpulley.gateway.attempts import surely_not_run
 from baobabpulley.gateway.event_stream import StreamProgress
 from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.placer import Placer
@@ -139,6 +140,7 @@
     __slots__ = (
         "_book",
         "_caller",
+        "_metrics",
         "_news",
         "_placer",
         "_random",
@@ -158,6 +160,7 @@
         wire: ExchangeWire,
         record: UpstreamRecord,
         repeats: RepeatShare,
+        metrics: GatewayMetrics,
         news: NewsExchange,
         tickets: TicketKeeper,
         timers: TimerService,
@@ -168,6 +171,7 @@
         self._wire = wire
         self._record = record
         self._repeats = repeats
+        self._metrics = metrics
         self._news = news
         self._tickets = tickets
         self._timers = timers
@@ -188,7 +192,7 @@
             outcome = "client_gone"
             raise
         finally:
-            self._log(incoming, exchange, outcome)
+            self._note_end(incoming, exchange, outcome)
 
     def _open(self, incoming: Incoming, reply: Reply) -> _Exchange:
         table = self._book.table
@@ -240,6 +244,7 @@
                 raise _honest(exchange, error) from error
             try:
                 await self._attempt(exchange, placement)
+                self._metrics.attempts.labels(service=exchange.service.name, outcome="ok").inc()
                 return
             except (UpstreamUnreached, UpstreamRefused, UpstreamLost) as error:
                 self._note_failure(exchange, placement, error)
@@ -322,6 +327,7 @@
         if not surely_not_run(error):
             exchange.may_have_run = True
         self._blame(exchange, upstream, error)
+        self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
         logger.bind(
             event="attempt_failed",
             request=exchange.needs.attempt,
@@ -387,11 +393,13 @@
             retry_after=time_to_return(self._random, expected=0.0, left=max(0.0, left)),
         )
 
-    def _log(self, incoming: Incoming, exchange: _Exchange | None, outcome: str) -> None:
+    def _note_end(self, incoming: Incoming, exchange: _Exchange | None, outcome: str) -> None:
         took = round(self._timers.now() - incoming.arrived, 4)
         if exchange is None:
+            self._metrics.requests.labels(service="", kind="", outcome=outcome).inc()
             logger.bind(event="request", outcome=outcome, seconds=took).info("request")
             return
+        self._count(exchange, outcome, took)
         logger.bind(
             event="request",
             **exchange.log_fields(),
@@ -400,6 +408,17 @@
             seconds=took,
         ).info("request")
 
+    def _count(self, exchange: _Exchange, outcome: str, took: float) -> None:
+        metrics = self._metrics
+        service, kind = exchange.service.name, exchange.route.kind
+        metrics.requests.labels(service=service, kind=kind, outcome=outcome).inc()
+        metrics.request_seconds.labels(service=service, kind=kind).observe(took)
+        if exchange.first_event_at is not None:
+            first = exchange.first_event_at - exchange.times.arrived
+            metrics.first_event_seconds.labels(service=service, kind=kind).observe(first)
+            pause = exchange.longest_pause
+            metrics.pause_seconds.labels(service=service, kind=kind).observe(pause)
+
 
 def _log_placement(exchange: _Exchange, placement: Placement, *, now: float) -> None:
     plan = placement.plan
--- /dev/null
+++ b/src/baobabpulley/gateway/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of a gateway; labels are services, kinds of route and error codes, so bounded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+# Seconds; from a lookup's answer to the first event of the longest prompts.
+_BUCKETS: Final = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 15.0)
+
+
+@final
+class GatewayMetrics:
+    """Counters that the parts raise, and gauges read from them when somebody asks."""
+
+    __slots__ = (
+        "attempts",
+        "first_event_seconds",
+        "pause_seconds",
+        "registry",
+        "request_seconds",
+        "requests",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "baobab_gateway_requests",
+            "Requests answered, by outcome",
+            ["service", "kind", "outcome"],
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "baobab_gateway_attempts",
+            "Attempts at upstreams, by outcome",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.request_seconds = self._histogram(
+            "baobab_gateway_request_seconds", "Time from a request's arrival to its end"
+        )
+        self.first_event_seconds = self._histogram(
+            "baobab_gateway_first_event_seconds", "Time from arrival to a stream's first event"
+        )
+        self.pause_seconds = self._histogram(
+            "baobab_gateway_longest_pause_seconds", "Longest pause between a stream's events"
+        )
+
+    def watch(self, name: str, text: str, value: Callable[[], float]) -> None:
+        """Show a value as it is whenever the metrics are read."""
+        Gauge(f"baobab_gateway_{name}", text, registry=self.registry).set_function(value)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(name, text, ["service", "kind"], buckets=_BUCKETS, registry=self.registry)
--- a/src/baobabpulley/logs.py
+++ b/src/baobabpulley/logs.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from typing import Any
+from typing import ClassVar
 from typing import Final
 from typing import final
 
@@ -39,12 +40,19 @@
     logger.configure(extra=context)
 
 
+def lines_left_out() -> int:
+    """Return how many lines of this process no reader took."""
+    return LineSink.total_left_out
+
+
 @final
 class LineSink:
     """Write lines to a descriptor that may not block; count those that had to be left out."""
 
     __slots__ = ("_descriptor", "_left_out", "_waiting")
 
+    total_left_out: ClassVar[int] = 0
+
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._waiting = b""
@@ -66,6 +74,8 @@
         data = msgspec.json.encode(line) + b"\n"
         if len(self._waiting) + len(data) > _MAX_WAITING:
             self._left_out += 1
+            LineSink.total_left_out += 1
+            self._write()
             return
         self._left_out = 0
         self._waiting += data
--- /dev/null
+++ b/testing/test_platform_names.py
@@ -0,0 +1,64 @@
+"""The platform's names stand in its folder alone, and nothing in there decides."""
+
+from __future__ import annotations
+
+import ast
+import re
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+SOURCE: Final = Path(__file__).resolve().parent.parent / "src" / "baobabpulley"
+FOLDER: Final = SOURCE / "platform"
+
+# Names that the platform alone uses; words that are usual elsewhere are left out.
+WIRE_NAMES: Final = (
+    r"X-Attempt-Identifier|X-Remaining-Milliseconds|X-Response-Seal|X-Tenant\b|X-Expected-Instance"
+    r"|X-Not-Executed|At-Server|X-Token-Counts|X-Request-Urgency|X-Helpers|X-Prompt-Prefix"
+    r"|kv-(key|range|watch|txn|lease|keep)|/baobabpulley/(readiness|order|report)"
+    r"|non_idempotent|path-prefix|traffic-split|api-keys|allow-anonymous|max-attempts"
+    r"|target-latency|target-gap|resumable-streams|kv-cache-tokens|hold-ms|token-count"
+    r"|stale-ok|tombstone|op/config|servers/|health-check-path|connection-limit"
+)
+
+
+def _outside() -> list[Path]:
+    return [path for path in sorted(SOURCE.rglob("*.py")) if FOLDER not in path.parents]
+
+
+@pytest.mark.parametrize("path", _outside(), ids=lambda path: str(path.relative_to(SOURCE)))
+def test_no_wire_name_stands_outside_the_folder(path: Path) -> None:
+    assert re.findall(WIRE_NAMES, path.read_text(encoding="utf-8")) == []
+
+
+def test_the_wire_names_are_those_of_the_folder() -> None:
+    text = "".join(path.read_text(encoding="utf-8") for path in FOLDER.glob("*.py"))
+    assert len(re.findall(WIRE_NAMES, text)) > 20
+
+
+@pytest.mark.parametrize("package", ["policy", "model", "ports", "entry", "keeper"])
+def test_only_the_gateway_s_assembly_imports_the_folder(package: str) -> None:
+    for path in (SOURCE / package).rglob("*.py"):
+        assert "baobabpulley.platform" not in path.read_text(encoding="utf-8")
+
+
+def test_in_the_gateway_only_the_daemon_imports_the_folder() -> None:
+    importing = [
+        path.name
+        for path in (SOURCE / "gateway").glob("*.py")
+        if "baobabpulley.platform" in path.read_text(encoding="utf-8")
+    ]
+    assert importing == ["daemon.py"]
+
+
+def test_nothing_in_the_folder_decides() -> None:
+    for path in FOLDER.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.ImportFrom) and node.module is not None:
+                assert not node.module.startswith(("baobabpulley.policy", "baobabpulley.gateway"))
+
+
+def test_the_folder_stays_small() -> None:
+    lines = sum(len(path.read_text(encoding="utf-8").splitlines()) for path in FOLDER.glob("*.py"))
+    assert lines < 1500
