Give an upstream's own failure of a once-only call back as it is; explain requests from log lines

Cause: with attempts left, a once-only call that an upstream answered with 500 was first marked for another attempt, which it must not have, and its caller got our 502 in place of the upstream's answer.

--- a/src/baobabpulley/cli/explain.py
+++ b/src/baobabpulley/cli/explain.py
@@ -5,9 +5,11 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import TextIO
 from urllib.parse import quote
 
 import click
+import msgspec
 
 from baobabpulley.cli.checked_settings import checked_settings
 from baobabpulley.cli.fleet_access import FleetAccess
@@ -16,6 +18,11 @@
 from baobabpulley.cli.order_decisions import describe_orders
 from baobabpulley.errors import EXIT_FAILED
 from baobabpulley.model.decisions import DecisionRecord
+from baobabpulley.model.log_lines import LogLine
+from baobabpulley.model.log_lines import read_log_lines
+from baobabpulley.policy.request_story import cause_of
+from baobabpulley.policy.request_story import nearby
+from baobabpulley.policy.request_story import story_of
 
 
 @cli.command()
@@ -24,19 +31,29 @@
     "--settings",
     "path",
     type=click.Path(path_type=Path, dir_okay=False),
-    required=True,
     help="An entry's settings file, for the fleet's secret.",
 )
+@click.option("--log", "logs", type=click.File(), multiple=True, help="Log file; - for input.")
 @click.option("--entry", "addresses", multiple=True, help="ip:port of an entry.")
 @click.option("--keeper", "keepers", multiple=True, help="ip:port of a keeper, for its peers.")
 def explain(
-    request_id: str, path: Path, addresses: tuple[str, ...], keepers: tuple[str, ...]
+    request_id: str,
+    path: Path | None,
+    logs: tuple[TextIO, ...],
+    addresses: tuple[str, ...],
+    keepers: tuple[str, ...],
 ) -> None:
     """Show what was decided for a request, and why, at every entry that saw it.
 
-    With --keeper, REQUEST_ID is the id of an upstream, and the orders to it are shown. Exits
+    With --log, the life of a request is told from gateways' log lines, and its cause last. With
+    --keeper, REQUEST_ID is the id of an upstream, and the orders to it are shown. Exits
     with code 1 if nothing asked keeps a record of it.
     """
+    if logs:
+        _explain_from_logs(request_id, logs)
+        return
+    if path is None:
+        raise click.UsageError("give a settings file with --settings, or log files with --log")
     if keepers:
         _explain_orders(request_id, path, keepers)
         return
@@ -57,6 +74,28 @@
         sys.exit(EXIT_FAILED)
 
 
+def _explain_from_logs(request_id: str, logs: tuple[TextIO, ...]) -> None:
+    lines = [line for log in logs for line in read_log_lines(log)]
+    story = story_of(request_id, lines)
+    for line in sorted([*story, *nearby(story, lines)], key=lambda line: line.time):
+        click.echo(_describe_line(line))
+    click.echo(cause_of(story))
+    if not story:
+        sys.exit(EXIT_FAILED)
+
+
+def _describe_line(line: LogLine) -> str:
+    skipped = {"time", "node", "event", "request", "level"}
+    given = msgspec.structs.asdict(line)
+    defaults = msgspec.structs.asdict(LogLine(time=0.0))
+    shown = [
+        f"{name}={value}"
+        for name, value in given.items()
+        if name not in skipped and value != defaults[name]
+    ]
+    return f"{line.time:.3f}  {line.node:<16} {line.event:<16} {'  '.join(shown)}"
+
+
 def _explain_orders(upstream: str, path: Path, keepers: tuple[str, ...]) -> None:
     settings = checked_settings(path, daemon="entry")
     answers = asyncio.run(ask_keepers(settings, keepers, upstream))
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -180,25 +180,28 @@
     async def serve(self, incoming: Incoming, reply: Reply) -> None:
         """Answer one request; each request is answered or broken off by its last moment."""
         exchange: _Exchange | None = None
-        outcome = "ok"
+        needs: Needs | None = None
+        outcome, reason = "ok", None
         try:
-            exchange = self._open(incoming, reply)
+            needs = self._wire.read_needs(incoming.headers)
+            exchange = self._open(incoming, reply, needs)
             self._repeats.request(exchange.service.name, now=self._timers.now())
             await self._run(exchange)
         except BaobabError as error:
-            outcome = error.code
+            outcome, reason = error.code, error.message
             reply.refuse(error)
         except asyncio.CancelledError:
             outcome = "client_gone"
             raise
         finally:
-            self._note_end(incoming, exchange, outcome)
+            self._note_end(
+                incoming, needs, exchange, status=reply.status, outcome=outcome, reason=reason
+            )
 
-    def _open(self, incoming: Incoming, reply: Reply) -> _Exchange:
+    def _open(self, incoming: Incoming, reply: Reply, needs: Needs) -> _Exchange:
         table = self._book.table
         if table is None:
             raise NotReady("no configuration has arrived here yet", retry_after=NOT_READY_PAUSE)
-        needs = self._wire.read_needs(incoming.headers)
         route = table.find(incoming.host, incoming.target)
         if route is None:
             raise NotFound(f"no route of {incoming.host[:64]} matches the path")
@@ -291,7 +294,7 @@
         failed = answer.status >= 500
         if not failed:
             self._record.answered(placement.upstream, well=True)
-        if failed and self._may_repeat(exchange):
+        if failed and self._takes_repeat(exchange):
             exchange.may_have_run = True
             raise UpstreamFailed(f"{placement.upstream.id} answered {answer.status}")
         if exchange.reply.started:
@@ -366,13 +369,20 @@
             exchange.attempts -= 1
         if not allowed or not self._may_repeat(exchange):
             raise _honest(exchange, error)
-        if unsent:
+        if unsent or isinstance(error, UpstreamFailed):
             return
-        spent = self._repeats.spend(
+        if not self._spend_repeat(exchange):
+            raise _honest(exchange, error)
+
+    def _takes_repeat(self, exchange: _Exchange) -> bool:
+        """Whether an upstream's own failure is kept from the caller, for another attempt."""
+        repeatable = exchange.route.repeatable and self._may_repeat(exchange)
+        return repeatable and self._spend_repeat(exchange)
+
+    def _spend_repeat(self, exchange: _Exchange) -> bool:
+        return self._repeats.spend(
             exchange.service.name, nodes=self._news.nodes, now=self._timers.now()
         )
-        if not spent:
-            raise _honest(exchange, error)
 
     def _may_repeat(self, exchange: _Exchange) -> bool:
         left = exchange.times.end - self._timers.now()
@@ -393,18 +403,32 @@
             retry_after=time_to_return(self._random, expected=0.0, left=max(0.0, left)),
         )
 
-    def _note_end(self, incoming: Incoming, exchange: _Exchange | None, outcome: str) -> None:
+    def _note_end(
+        self,
+        incoming: Incoming,
+        needs: Needs | None,
+        exchange: _Exchange | None,
+        *,
+        status: int,
+        outcome: str,
+        reason: str | None,
+    ) -> None:
+        """Count a request that is over, and tell of it in one line."""
         took = round(self._timers.now() - incoming.arrived, 4)
         if exchange is None:
             self._metrics.requests.labels(service="", kind="", outcome=outcome).inc()
-            logger.bind(event="request", outcome=outcome, seconds=took).info("request")
-            return
-        self._count(exchange, outcome, took)
+            fields: dict[str, object] = {"request": None if needs is None else needs.attempt}
+        else:
+            self._count(exchange, outcome, took)
+            fields = exchange.log_fields()
+        table = self._book.table
         logger.bind(
             event="request",
-            **exchange.log_fields(),
-            version=self._book.configuration_revision,
+            **fields,
+            version=None if table is None else table.version,
             outcome=outcome,
+            status=status,
+            **({} if reason is None else {"reason": reason}),
             seconds=took,
         ).info("request")
 
--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -20,7 +20,7 @@
 class Reply:
     """Write one answer to a caller's connection; nothing is written once the caller has left."""
 
-    __slots__ = ("_closing", "_connection", "_finished", "_started", "gone")
+    __slots__ = ("_closing", "_connection", "_finished", "_started", "gone", "status")
 
     def __init__(self, connection: HTTP1Connection, *, closing: Callable[[], bool]) -> None:
         self._connection = connection
@@ -28,6 +28,8 @@
         self._started = False
         self._finished = False
         self.gone = False
+        # Status sent, 0 before the head of an answer has gone out.
+        self.status = 0
 
     @property
     def started(self) -> bool:
@@ -77,6 +79,7 @@
 
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None) -> None:
         self._started = True
+        self.status = status
         if self.gone:
             return
         if self._closing():
--- /dev/null
+++ b/src/baobabpulley/model/log_lines.py
@@ -0,0 +1,56 @@
+"""Log lines of gateways as they are read back: JSON objects, maybe behind a prefix."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line; fields that an event lacks keep their defaults. ``time`` is Unix seconds."""
+
+    time: float
+    node: str = ""
+    event: str = ""
+    message: str = ""
+    level: str = "INFO"
+    request: str | None = None
+    route: str | None = None
+    service: str | None = None
+    upstream: str | None = None
+    outcome: str | None = None
+    status: int = 0
+    reason: str | None = None
+    code: str | None = None
+    attempt: int | None = None
+    version: int | None = None
+    prompt_tokens: int = 0
+    parts: int = 0
+    part_seconds: float = 0.0
+    backlog: float = 0.0
+    after: float | None = None
+    first_event: float | None = None
+    longest_pause: float = 0.0
+    seconds: float = 0.0
+    helpers: tuple[str, ...] = ()
+
+
+_decoder = msgspec.json.Decoder(LogLine)
+
+
+def read_log_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the lines that are a gateway's; others, cut ones among them, are passed over.
+
+    >>> [line.event for line in read_log_lines(['12.5 front-1 {"time":1.0,"event":"start"}', "x"])]
+    ['start']
+    """
+    for text in texts:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            yield _decoder.decode(text[begin:])
+        except msgspec.DecodeError:
+            continue
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -123,6 +123,19 @@
     assert _connections(world) == 2
 
 
+async def test_an_upstreams_own_failure_of_a_once_only_call_comes_back_as_it_is(
+    world: World,
+) -> None:
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name)
+        upstream.behaviour = upstreams.fail
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/7")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert names.SEAL.lower() in reply.headers
+    assert len(_ran(world)) == 1
+
+
 async def test_attempts_stay_within_those_of_the_route(world: World) -> None:
     for number in range(4):
         upstream = await world.add_upstream(f"i-{number}")
--- /dev/null
+++ b/testing/test_platform_fuzz.py
@@ -0,0 +1,116 @@
+"""Whatever the store, upstreams, operators or callers send: a typed error, or something usable."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from platform_upstream import UpstreamStandin
+from tornado.httputil import HTTPHeaders
+
+from baobabpulley.errors import BadRequest
+from baobabpulley.errors import DocumentFault
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.gateway.event_stream import EventSplitter
+from baobabpulley.gateway.event_stream import StreamProgress
+from baobabpulley.gateway.event_stream import event_id
+from baobabpulley.model.log_lines import read_log_lines
+from baobabpulley.model.routes import RoutingTable
+from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.platform.documents import decode_configuration
+from baobabpulley.platform.documents import decode_upstream
+from baobabpulley.platform.wire import PlatformWire
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=12), inner),
+    max_leaves=12,
+)
+HEADER_TEXT = st.text(
+    st.characters(min_codepoint=0x20, max_codepoint=0x7E), min_size=0, max_size=60
+)
+
+
+def _valid_upstream() -> dict[str, object]:
+    return json.loads(UpstreamStandin("i-1", service="s").entry(address="10.0.0.1:80"))
+
+
+@given(st.binary(max_size=200) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_as_an_upstreams_entry(value: bytes) -> None:
+    with contextlib.suppress(DocumentFault):
+        assert decode_upstream("i-1", value).id == "i-1"
+
+
+@given(st.sampled_from(sorted(_valid_upstream())), JSON)
+def test_an_upstreams_entry_with_one_field_of_another_type(field: str, value: object) -> None:
+    document = {**_valid_upstream(), field: value}
+    with contextlib.suppress(DocumentFault):
+        assert decode_upstream("i-1", json.dumps(document).encode()).slots >= 1
+
+
+@given(st.binary(max_size=200) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_as_a_configuration(value: bytes) -> None:
+    with contextlib.suppress(DocumentFault):
+        assert isinstance(decode_configuration(value), RoutingTable)
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_as_a_members_entry(value: bytes) -> None:
+    with contextlib.suppress(DocumentFault):
+        assert PlatformDocuments().member(value).node is not None
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["X-Attempt-Identifier", "X-Remaining-Milliseconds"]), HEADER_TEXT
+    ),
+    HEADER_TEXT,
+    HEADER_TEXT,
+)
+def test_any_headers_of_a_caller(given: dict[str, str], counts: str, key: str) -> None:
+    headers = HTTPHeaders(given)
+    headers["X-Token-Counts"] = counts
+    headers["Authorization"] = key
+    with contextlib.suppress(BadRequest):
+        needs = PlatformWire().read_needs(headers)
+        assert needs.attempt
+        assert needs.prompt_tokens >= 0
+        assert needs.remaining is None or needs.remaining >= 0
+
+
+@given(st.lists(st.binary(max_size=30), max_size=8))
+def test_events_are_cut_alike_however_their_bytes_arrive(chunks: list[bytes]) -> None:
+    whole = EventSplitter()
+    pieces = EventSplitter()
+    at_once = whole.feed(b"".join(chunks))
+    in_pieces = [event for chunk in chunks for event in pieces.feed(chunk)]
+    assert at_once == in_pieces
+    assert whole.pending == pieces.pending
+
+
+@given(st.lists(st.integers(min_value=0, max_value=12), max_size=30))
+def test_a_caller_never_gets_an_event_twice_or_past_a_gap(numbers: list[int]) -> None:
+    progress = StreamProgress(None)
+    got: list[int] = []
+    for number in numbers:
+        try:
+            if progress.is_new(b"id: %d\n\n" % number):
+                got.append(number)
+        except UpstreamLost:
+            break
+    assert got == list(range(got[0], got[0] + len(got))) if got else not got
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_as_an_event(event: bytes) -> None:
+    number = event_id(event)
+    assert number is None or number >= 0
+
+
+@settings(max_examples=200)
+@given(st.lists(st.text(max_size=60), max_size=10))
+def test_any_text_as_log_lines(texts: list[str]) -> None:
+    assert len(list(read_log_lines(texts))) <= len(texts)
--- /dev/null
+++ b/testing/test_request_story.py
@@ -0,0 +1,104 @@
+"""From a request's id to its cause, by log lines alone."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import platform_upstream as upstreams
+import pytest
+from click.testing import CliRunner
+from gateway_builders import World
+from gateway_builders import open_world
+from gateway_builders import send
+from gateway_builders import until
+from loguru import logger
+
+from baobabpulley.cli.main import cli
+from baobabpulley.cli.main import load_commands
+from baobabpulley.model.log_lines import LogLine
+from baobabpulley.policy.request_story import cause_of
+
+load_commands("explain", "report")
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+@pytest.fixture
+def log(tmp_path: Path) -> Path:
+    """Return a file that gets this process's lines as a gateway would write them."""
+    path = tmp_path / "day.log"
+
+    def write(message: object) -> None:
+        record = message.record  # type: ignore[attr-defined]
+        line = {"time": record["time"].timestamp(), "message": record["message"]}
+        with path.open("a", encoding="utf-8") as lines:
+            lines.write("  12.3456 front-1 " + json.dumps({**line, **record["extra"]}) + "\n")
+
+    logger.add(write)
+    return path
+
+
+def _explain(request: str, log: Path) -> str:
+    return CliRunner().invoke(cli, ["explain", request, "--log", str(log)]).output
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "path", "cause"),
+    [
+        pytest.param(upstreams.answer_whole, "/order/1", "It was answered within", id="well"),
+        pytest.param(upstreams.fail, "/order/1", "answered with 500 by its upstream", id="failed"),
+        pytest.param(upstreams.reset_after_run, "/order/1", "ended as upstream_lost", id="lost"),
+        pytest.param(upstreams.shed, "/order/1", "answered 503, not run", id="shed"),
+        pytest.param(upstreams.answer_whole, "/none/1", "ended as not_found", id="no-route"),
+    ],
+)
+async def test_the_cause_is_told_from_the_id(
+    world: World, log: Path, behaviour: upstreams.Behaviour, path: str, cause: str
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    upstream.behaviour = behaviour
+    gateway = await world.add_gateway()
+    await send(gateway, path, **{"X-Attempt-Identifier": "a-told"})
+    assert cause in _explain("a-told", log)
+
+
+async def test_a_request_whose_caller_left_names_the_upstream(world: World, log: Path) -> None:
+    upstream = await world.add_upstream("i-1")
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    task = asyncio.create_task(send(gateway, "/order/1", **{"X-Attempt-Identifier": "a-left"}))
+    await until(lambda: bool(upstream.journal))
+    task.cancel()
+    await asyncio.sleep(0.1)
+    assert "Its caller left" in _explain("a-left", log)
+    assert "while i-1 worked on it" in _explain("a-left", log)
+
+
+def test_a_request_without_lines_is_said_to_have_none(tmp_path: Path) -> None:
+    empty = tmp_path / "empty.log"
+    empty.write_text("not a line\n")
+    result = CliRunner().invoke(cli, ["explain", "a-1", "--log", str(empty)])
+    assert (result.exit_code, "No line tells of it" in result.output) == (1, True)
+
+
+def test_a_process_that_ended_is_named() -> None:
+    placed = LogLine(time=1.0, node="front-1", event="placed", upstream="i-1", request="a")
+    assert cause_of([placed]) == "front-1 ended, or was cut off, while i-1 worked on it."
+
+
+async def test_a_day_is_reported_from_its_lines(world: World, log: Path) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    for _ in range(3):
+        await send(gateway, "/order/1")
+    await send(gateway, "/none/1")
+    output = CliRunner().invoke(cli, ["report", "day", str(log)]).output
+    assert "ledger           ok                             3" in output
+    assert "not_found" in output
