Forget upstreams that are gone, and split what is known of an exchange from serving it

Each start of an upstream has an id of its own; health, expected silence and idle connections of those gone were kept for good.

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -50,3 +50,16 @@
         stream.close()
         raise
     return stream
+
+
+def is_quiet(stream: IOStream) -> bool:
+    """Return whether an idle connection is open and holds no byte that nobody asked for."""
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -27,6 +27,7 @@
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.adapters.addresses import connect
+from baobabpulley.adapters.addresses import is_quiet
 from baobabpulley.adapters.kill_timer import killed_after
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamLost
@@ -124,6 +125,10 @@
         """Calls that went over a connection used before."""
         return self._reused
 
+    def idle(self, address: str) -> int:
+        """Return the idle connections to an address."""
+        return len(self._idle.get(address, ()))
+
     @contextlib.asynccontextmanager
     async def call(
         self,
@@ -192,7 +197,7 @@
         while streams and not fresh:
             usable_until, since, stream = streams.pop()
             now = time.monotonic()
-            if _is_quiet(stream) and now < min(usable_until, since + max_idle):
+            if is_quiet(stream) and now < min(usable_until, since + max_idle):
                 self._reused += 1
                 stream.set_close_callback(None)
                 return stream
@@ -359,19 +364,6 @@
     return MAX_IDLE_SECONDS
 
 
-def _is_quiet(stream: IOStream) -> bool:
-    """Whether an idle connection is open and holds no byte that nobody asked for."""
-    if stream.closed() or stream._read_buffer_size:
-        return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 async def fetch(
     client: HttpClient,
     *,
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -38,6 +38,7 @@
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.logs import lines_left_out
 from baobabpulley.model.routes import RequestBounds
+from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.platform.names import READINESS
 from baobabpulley.platform.orders import PlatformOrders
@@ -114,6 +115,8 @@
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         self._watch_beliefs()
+        self._listed: dict[str, ListedUpstream] = {}
+        self.book.listen(self._forget_gone)
         self._servers: tuple[HTTPServer, ...] = ()
         self._behind_since: float | None = None
         self._asked_at = 0.0
@@ -177,6 +180,18 @@
         watch("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
         watch("log_lines_left_out", "Log lines that no reader took", lines_left_out)
 
+    def _forget_gone(self) -> None:
+        """Keep nothing of upstreams that are gone: each start of one has an id of its own."""
+        listed = dict(self.book.upstreams)
+        addresses = {one.address for one in listed.values()}
+        for name, upstream in self._listed.items():
+            if name not in listed:
+                self.record.forget(upstream)
+                self.loads.forget(name)
+                if upstream.address not in addresses:
+                    self.client.drop_idle(upstream.address)
+        self._listed = listed
+
     def _version(self) -> float:
         return 0 if self.book.table is None else self.book.table.version
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -25,7 +25,11 @@
 from baobabpulley.gateway.attempts import Answer
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import surely_not_run
-from baobabpulley.gateway.event_stream import StreamProgress
+from baobabpulley.gateway.exchange_state import NOT_READY_PAUSE
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import honest
+from baobabpulley.gateway.exchange_state import log_placement
+from baobabpulley.gateway.exchange_state import urgency_of
 from baobabpulley.gateway.following import FleetBook
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.news import NewsExchange
@@ -43,7 +47,6 @@
 from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.repeat_share import RepeatShare
-from baobabpulley.policy.waiting import Times
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.policy.waiting import times_of
 from baobabpulley.ports.exchange_wire import ExchangeWire
@@ -53,86 +56,10 @@
 ANSWER_MARGIN: Final = 0.03
 # Seconds below which an attempt is not worth sending.
 LEAST_ATTEMPT: Final = 0.05
-NOT_READY_PAUSE: Final = 0.5
 # Seconds; a shorter silence says nothing of an upstream, only that its caller is impatient.
 TELLING_SILENCE: Final = 0.8
 
 
-@final
-class _Exchange:
-    """What is known of one request while it is served."""
-
-    __slots__ = (
-        "account",
-        "attempts",
-        "excluded",
-        "first_event_at",
-        "incoming",
-        "last_event_at",
-        "longest_pause",
-        "may_have_run",
-        "needs",
-        "parts",
-        "progress",
-        "reply",
-        "route",
-        "service",
-        "times",
-        "upstreams",
-    )
-
-    def __init__(
-        self,
-        *,
-        incoming: Incoming,
-        reply: Reply,
-        needs: Needs,
-        route: Route,
-        service: Service,
-        account: Account | None,
-        times: Times,
-    ) -> None:
-        self.incoming = incoming
-        self.reply = reply
-        self.needs = needs
-        self.route = route
-        self.service = service
-        self.account = account
-        self.times = times
-        self.progress = StreamProgress(needs.last_event)
-        self.attempts = 0
-        self.may_have_run = False
-        self.excluded: set[str] = set()
-        self.upstreams: list[str] = []
-        self.parts = 0
-        self.first_event_at: float | None = None
-        self.last_event_at = 0.0
-        self.longest_pause = 0.0
-
-    def note_event(self, now: float) -> None:
-        """Note when an event left for the caller."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
-        self.last_event_at = now
-
-    def log_fields(self) -> dict[str, object]:
-        """Return what a line on the whole request says."""
-        first = self.first_event_at
-        return {
-            "request": self.needs.attempt,
-            "route": self.route.name,
-            "account": None if self.account is None else self.account.name,
-            "service": self.service.name,
-            "upstreams": self.upstreams,
-            "parts": self.parts,
-            "prompt_tokens": self.needs.prompt_tokens,
-            "first_event": None if first is None else round(first - self.times.arrived, 3),
-            "longest_pause": round(self.longest_pause, 3),
-        }
-
-
 @final
 class ExchangeServer:
     """Serve callers' exchanges."""
@@ -179,7 +106,7 @@
 
     async def serve(self, incoming: Incoming, reply: Reply) -> None:
         """Answer one request; each request is answered or broken off by its last moment."""
-        exchange: _Exchange | None = None
+        exchange: Exchange | None = None
         needs: Needs | None = None
         outcome, reason = "ok", None
         try:
@@ -198,7 +125,7 @@
                 incoming, needs, exchange, status=reply.status, outcome=outcome, reason=reason
             )
 
-    def _open(self, incoming: Incoming, reply: Reply, needs: Needs) -> _Exchange:
+    def _open(self, incoming: Incoming, reply: Reply, needs: Needs) -> Exchange:
         table = self._book.table
         if table is None:
             raise NotReady("no configuration has arrived here yet", retry_after=NOT_READY_PAUSE)
@@ -207,7 +134,7 @@
             raise NotFound(f"no route of {incoming.host[:64]} matches the path")
         account = self._account(table, route, needs)
         service = self._service(table, route)
-        return _Exchange(
+        return Exchange(
             incoming=incoming,
             reply=reply,
             needs=needs,
@@ -232,7 +159,7 @@
             name=chosen.service, max_connections=0, engine=None
         )
 
-    async def _run(self, exchange: _Exchange) -> None:
+    async def _run(self, exchange: Exchange) -> None:
         """Make attempts until one of them has given the caller a whole answer."""
         while True:
             self._check_time(exchange)
@@ -244,7 +171,7 @@
                     excluded=frozenset(exchange.excluded),
                 )
             except BaobabError as error:
-                raise _honest(exchange, error) from error
+                raise honest(exchange, error) from error
             try:
                 await self._attempt(exchange, placement)
                 self._metrics.attempts.labels(service=exchange.service.name, outcome="ok").inc()
@@ -259,9 +186,9 @@
             finally:
                 self._placer.end(placement)
 
-    async def _attempt(self, exchange: _Exchange, placement: Placement) -> None:
+    async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
         upstream = placement.upstream
-        _log_placement(exchange, placement, now=self._timers.now())
+        log_placement(exchange, placement, now=self._timers.now())
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
@@ -274,7 +201,7 @@
                 instance=upstream.id,
                 account=None if exchange.account is None else exchange.account.name,
                 last_event=exchange.progress.last_event,
-                urgency=_urgency(exchange),
+                urgency=urgency_of(exchange),
                 helpers=helpers,
             )
             async with self._caller.send(
@@ -286,7 +213,7 @@
             ) as answer:
                 await self._deliver(exchange, placement, answer)
 
-    async def _deliver(self, exchange: _Exchange, placement: Placement, answer: Answer) -> None:
+    async def _deliver(self, exchange: Exchange, placement: Placement, answer: Answer) -> None:
         if answer.is_stream and answer.status == 200:
             await self._deliver_events(exchange, placement, answer)
             return
@@ -302,7 +229,7 @@
         exchange.reply.send(answer.status, self._wire.answer_headers(answer.headers), body)
 
     async def _deliver_events(
-        self, exchange: _Exchange, placement: Placement, answer: Answer
+        self, exchange: Exchange, placement: Placement, answer: Answer
     ) -> None:
         reply = exchange.reply
         first = True
@@ -321,7 +248,7 @@
             reply.start(answer.status, self._wire.answer_headers(answer.headers))
         reply.finish()
 
-    def _note_failure(self, exchange: _Exchange, placement: Placement, error: BaobabError) -> None:
+    def _note_failure(self, exchange: Exchange, placement: Placement, error: BaobabError) -> None:
         upstream = placement.upstream
         if isinstance(error, UpstreamOutOfMemory) and error.at_fault is not None:
             exchange.excluded.add(error.at_fault)
@@ -339,7 +266,7 @@
             attempt=exchange.attempts,
         ).info("{}", error.message)
 
-    def _blame(self, exchange: _Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
+    def _blame(self, exchange: Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
         """Note whose fault a failed attempt was."""
         if isinstance(error, UpstreamOutOfMemory):
             self._record.untold(upstream)
@@ -356,11 +283,11 @@
         else:
             self._record.lost(upstream)
 
-    def _was_expected(self, exchange: _Exchange, upstream: ListedUpstream) -> bool:
+    def _was_expected(self, exchange: Exchange, upstream: ListedUpstream) -> bool:
         """Whether silence says nothing of an upstream."""
         return exchange.times.silence < TELLING_SILENCE or self._placer.expects_silence(upstream)
 
-    def _check_repeat(self, exchange: _Exchange, error: BaobabError) -> None:
+    def _check_repeat(self, exchange: Exchange, error: BaobabError) -> None:
         """Raise unless another attempt is allowed."""
         allowed = surely_not_run(error) or exchange.route.repeatable
         unsent = isinstance(error, UpstreamUnreached | UpstreamOutOfMemory)
@@ -368,23 +295,23 @@
             # Nothing was sent there, so it is no attempt of the route.
             exchange.attempts -= 1
         if not allowed or not self._may_repeat(exchange):
-            raise _honest(exchange, error)
+            raise honest(exchange, error)
         if unsent or isinstance(error, UpstreamFailed):
             return
         if not self._spend_repeat(exchange):
-            raise _honest(exchange, error)
+            raise honest(exchange, error)
 
-    def _takes_repeat(self, exchange: _Exchange) -> bool:
+    def _takes_repeat(self, exchange: Exchange) -> bool:
         """Whether an upstream's own failure is kept from the caller, for another attempt."""
         repeatable = exchange.route.repeatable and self._may_repeat(exchange)
         return repeatable and self._spend_repeat(exchange)
 
-    def _spend_repeat(self, exchange: _Exchange) -> bool:
+    def _spend_repeat(self, exchange: Exchange) -> bool:
         return self._repeats.spend(
             exchange.service.name, nodes=self._news.nodes, now=self._timers.now()
         )
 
-    def _may_repeat(self, exchange: _Exchange) -> bool:
+    def _may_repeat(self, exchange: Exchange) -> bool:
         left = exchange.times.end - self._timers.now()
         return (
             exchange.attempts < exchange.route.max_attempts
@@ -392,7 +319,7 @@
             and (exchange.route.repeatable or not exchange.may_have_run)
         )
 
-    def _check_time(self, exchange: _Exchange) -> None:
+    def _check_time(self, exchange: Exchange) -> None:
         left = exchange.times.end - ANSWER_MARGIN - self._timers.now()
         if left > LEAST_ATTEMPT:
             return
@@ -407,7 +334,7 @@
         self,
         incoming: Incoming,
         needs: Needs | None,
-        exchange: _Exchange | None,
+        exchange: Exchange | None,
         *,
         status: int,
         outcome: str,
@@ -432,7 +359,7 @@
             seconds=took,
         ).info("request")
 
-    def _count(self, exchange: _Exchange, outcome: str, took: float) -> None:
+    def _count(self, exchange: Exchange, outcome: str, took: float) -> None:
         metrics = self._metrics
         service, kind = exchange.service.name, exchange.route.kind
         metrics.requests.labels(service=service, kind=kind, outcome=outcome).inc()
@@ -442,37 +369,3 @@
             metrics.first_event_seconds.labels(service=service, kind=kind).observe(first)
             pause = exchange.longest_pause
             metrics.pause_seconds.labels(service=service, kind=kind).observe(pause)
-
-
-def _log_placement(exchange: _Exchange, placement: Placement, *, now: float) -> None:
-    plan = placement.plan
-    logger.bind(
-        event="placed",
-        request=exchange.needs.attempt,
-        upstream=placement.upstream.id,
-        prompt_tokens=exchange.needs.prompt_tokens,
-        helpers=[] if plan is None else [helper.id for helper in plan.helpers],
-        part_seconds=0.0 if plan is None else round(plan.part_seconds, 3),
-        tickets=0 if plan is None else plan.tickets,
-        backlog=round(placement.backlog, 3),
-        after=round(now - exchange.times.arrived, 3),
-    ).info("placed")
-
-
-def _urgency(exchange: _Exchange) -> int:
-    account = exchange.account
-    priority = exchange.route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    return max(0, min(9, priority))
-
-
-def _honest(exchange: _Exchange, error: BaobabError) -> BaobabError:
-    """Return an error that says "not run" only if no attempt may have run."""
-    if exchange.may_have_run and error.ran is False:
-        return UpstreamLost(f"an attempt was lost and cannot be repeated: {error.message}")
-    if isinstance(error, UpstreamUnreached):
-        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
-    if error.ran is False and error.retry_after is None:
-        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
-    return error
--- /dev/null
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -0,0 +1,139 @@
+"""What is known of one exchange while it is served, and what follows from that."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import NoUpstream
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamUnreached
+from baobabpulley.gateway.event_stream import StreamProgress
+from baobabpulley.gateway.placer import Placement
+from baobabpulley.gateway.replies import Reply
+from baobabpulley.model.exchanges import Incoming
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.routes import Account
+from baobabpulley.model.routes import Route
+from baobabpulley.model.routes import Service
+from baobabpulley.policy.waiting import Times
+
+# Seconds after which a caller may come back when nothing else is known.
+NOT_READY_PAUSE: Final = 0.5
+# The least and the most urgent that upstreams know.
+_LEAST_URGENT: Final = 9
+_MOST_URGENT: Final = 0
+
+
+@final
+class Exchange:
+    """What is known of one request while it is served."""
+
+    __slots__ = (
+        "account",
+        "attempts",
+        "excluded",
+        "first_event_at",
+        "incoming",
+        "last_event_at",
+        "longest_pause",
+        "may_have_run",
+        "needs",
+        "parts",
+        "progress",
+        "reply",
+        "route",
+        "service",
+        "times",
+        "upstreams",
+    )
+
+    def __init__(
+        self,
+        *,
+        incoming: Incoming,
+        reply: Reply,
+        needs: Needs,
+        route: Route,
+        service: Service,
+        account: Account | None,
+        times: Times,
+    ) -> None:
+        self.incoming = incoming
+        self.reply = reply
+        self.needs = needs
+        self.route = route
+        self.service = service
+        self.account = account
+        self.times = times
+        self.progress = StreamProgress(needs.last_event)
+        self.attempts = 0
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+        self.upstreams: list[str] = []
+        self.parts = 0
+        self.first_event_at: float | None = None
+        self.last_event_at = 0.0
+        self.longest_pause = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note when an event left for the caller."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
+    def log_fields(self) -> dict[str, object]:
+        """Return what a line on the whole request says."""
+        first = self.first_event_at
+        return {
+            "request": self.needs.attempt,
+            "route": self.route.name,
+            "account": None if self.account is None else self.account.name,
+            "service": self.service.name,
+            "upstreams": self.upstreams,
+            "parts": self.parts,
+            "prompt_tokens": self.needs.prompt_tokens,
+            "first_event": None if first is None else round(first - self.times.arrived, 3),
+            "longest_pause": round(self.longest_pause, 3),
+        }
+
+
+def log_placement(exchange: Exchange, placement: Placement, *, now: float) -> None:
+    """Tell in one line where an attempt goes, and by which estimates."""
+    plan = placement.plan
+    logger.bind(
+        event="placed",
+        request=exchange.needs.attempt,
+        upstream=placement.upstream.id,
+        prompt_tokens=exchange.needs.prompt_tokens,
+        helpers=[] if plan is None else [helper.id for helper in plan.helpers],
+        part_seconds=0.0 if plan is None else round(plan.part_seconds, 3),
+        tickets=0 if plan is None else plan.tickets,
+        backlog=round(placement.backlog, 3),
+        after=round(now - exchange.times.arrived, 3),
+    ).info("placed")
+
+
+def urgency_of(exchange: Exchange) -> int:
+    """Return how urgent upstreams should take an attempt; the account's priority goes first."""
+    account = exchange.account
+    priority = exchange.route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return max(_MOST_URGENT, min(_LEAST_URGENT, priority))
+
+
+def honest(exchange: Exchange, error: BaobabError) -> BaobabError:
+    """Return an error that says "not run" only if no attempt may have run."""
+    if exchange.may_have_run and error.ran is False:
+        return UpstreamLost(f"an attempt was lost and cannot be repeated: {error.message}")
+    if isinstance(error, UpstreamUnreached):
+        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
+    if error.ran is False and error.retry_after is None:
+        return NoUpstream(error.message, retry_after=NOT_READY_PAUSE)
+    return error
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -60,6 +60,14 @@
         """Note that an attempt ended without telling anything of its upstream."""
         self._health.left_untold(upstream.id)
 
+    def forget(self, upstream: ListedUpstream) -> None:
+        """Forget an upstream that is gone."""
+        self._health.forget(upstream.id)
+
+    def knows_nothing_of(self, upstream: str) -> bool:
+        """Whether no failure of an upstream is kept."""
+        return not self._health.knows(upstream)
+
     def at_address(self, address: str) -> ListedUpstream | None:
         """Return the upstream that an answer blames by its address or id."""
         found = self._book.upstreams.get(address)
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import AsyncIterator
 from typing import Final
 from typing import TypeVar
@@ -207,8 +206,7 @@
             raise StoreUnavailable(f"the store is not reached: {error.message}") from error
         except UpstreamLost as error:
             # Another call on a connection that went silent would be lost as well.
-            with contextlib.suppress(OSError):
-                self._client.drop_idle(self._address)
+            self._client.drop_idle(self._address)
             kind = StoreAnswerLost if writes else StoreUnavailable
             raise kind(f"the store did not answer: {error.message}") from error
 
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -155,12 +155,19 @@
         if not own.sends:
             del self._own[send.upstream]
 
+    def forget(self, upstream: str) -> None:
+        """Forget what was expected of an upstream that is gone; its sends count to their end."""
+        self._silent_until.pop(upstream, None)
+
     def shares(self, *, now: float) -> tuple[LoadShare, ...]:
         """Return what this gateway has at each upstream."""
         return tuple(own.share(upstream, now) for upstream, own in self._own.items())
 
     def learn(self, node: str, shares: tuple[LoadShare, ...], *, now: float) -> None:
         """Take over what another gateway has at each upstream."""
+        for other, (heard, _) in tuple(self._others.items()):
+            if now - heard > MAX_NEWS_AGE:
+                del self._others[other]
         self._others[node] = (now, {share.upstream: share for share in shares})
         for share in shares:
             self._note_silence(share.upstream, share.backlog, now)
--- a/src/baobabpulley/policy/upstream_health.py
+++ b/src/baobabpulley/policy/upstream_health.py
@@ -81,6 +81,10 @@
         if record is not None:
             record.trial = False
 
+    def knows(self, upstream: str) -> bool:
+        """Whether a failure of an upstream is kept."""
+        return upstream in self._records
+
     def forget(self, upstream: str) -> None:
         """Forget an upstream that is gone."""
         self._records.pop(upstream, None)
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -115,6 +115,19 @@
     assert set(gateway.book.upstreams) == {"i-back"}
 
 
+async def test_nothing_is_kept_of_upstreams_that_are_gone(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/order/7")).status == 200
+    gateway.record.lost(gateway.book.upstreams["i-1"])
+    gateway.loads.begin("i-1", read_seconds=2.0, memory_tokens=1, now=gateway.timers.now())
+    world.store.delete(names.UPSTREAM_PREFIX + "i-1")
+    await until(lambda: not gateway.book.upstreams)
+    assert gateway.record.knows_nothing_of("i-1")
+    assert not gateway.loads.expects_silence("i-1", now=gateway.timers.now())
+    assert gateway.client.idle(upstream.address) == 0
+
+
 async def test_without_an_outage_a_missing_entry_is_gone_at_once(world: World) -> None:
     await world.add_upstream("i-1")
     gateway = await world.add_gateway()
