--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -141,7 +141,12 @@
             route=route,
             service=service,
             account=account,
-            times=times_of(route, arrived=incoming.arrived, remaining=needs.remaining),
+            times=times_of(
+                route,
+                arrived=incoming.arrived,
+                remaining=needs.remaining,
+                priority=None if account is None else account.priority,
+            ),
         )
 
     def _account(self, table: RoutingTable, route: Route, needs: Needs) -> Account | None:
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -121,11 +121,7 @@
 
 def urgency_of(exchange: Exchange) -> int:
     """Return how urgent upstreams should take an attempt; the account's priority goes first."""
-    account = exchange.account
-    priority = exchange.route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    return max(_MOST_URGENT, min(_LEAST_URGENT, priority))
+    return max(_MOST_URGENT, min(_LEAST_URGENT, exchange.times.priority))
 
 
 def honest(exchange: Exchange, error: BaobabError) -> BaobabError:
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -77,7 +77,7 @@
 
 @final
 class Placer:
-    """Place requests on the upstreams of their service, the earliest objective first."""
+    """Place requests on the upstreams of their service, in their turn."""
 
     __slots__ = (
         "_book",
@@ -110,7 +110,7 @@
         self._random = random.Random()
         self._call_seconds: dict[str, float] = defaultdict(lambda: USUAL_CALL)
         self._queues: dict[str, SortedKeyList] = defaultdict(
-            lambda: SortedKeyList(key=lambda waiter: waiter.times.objective)
+            lambda: SortedKeyList(key=lambda waiter: waiter.times.turn)
         )
         book.listen(self.serve)
 
@@ -225,7 +225,7 @@
 
     def _expected_wait(self, waiter: _Waiter, queue: SortedKeyList) -> float:
         slots = sum(one.upstream.slots for one in self._candidates(waiter))
-        ahead = queue.bisect_key_right(waiter.times.objective)
+        ahead = queue.bisect_key_right(waiter.times.turn)
         return (ahead + 1) * self._call_seconds[waiter.service.name] / max(1, slots)
 
     def _pause(self, times: Times) -> float:
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import Final
 from typing import final
@@ -84,17 +85,40 @@
         )
 
 
+class _Total:
+    """What the other gateways together have at one upstream; ``reading`` until when each reads."""
+
+    __slots__ = ("helping", "in_flight", "memory_tokens", "reading", "writing")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.writing = 0
+        self.helping = 0
+        self.memory_tokens = 0
+        self.reading: dict[str, float] = {}
+
+    def add(self, share: LoadShare, *, sign: int) -> None:
+        """Count a gateway's share in, or out by a negative sign."""
+        self.in_flight += sign * share.in_flight
+        self.writing += sign * share.writing
+        self.helping += sign * share.helping
+        self.memory_tokens += sign * share.memory_tokens
+
+
 @final
 class LoadBook:
     """The sends of this gateway, and the shares of the others; ``now`` is in seconds."""
 
-    __slots__ = ("_others", "_own", "_silent_until")
+    __slots__ = ("_oldest", "_others", "_own", "_silent_until", "_totals")
 
     def __init__(self) -> None:
         # Until when an engine is expected to read so much that its answers stand still.
         self._silent_until: dict[str, float] = {}
         self._own: dict[str, _Own] = defaultdict(_Own)
-        self._others: dict[str, tuple[float, dict[str, LoadShare]]] = {}
+        self._others: dict[str, tuple[float, tuple[LoadShare, ...]]] = {}
+        self._totals: dict[str, _Total] = defaultdict(_Total)
+        # When the gateway that was silent for longest was heard.
+        self._oldest = math.inf
 
     def begin(
         self,
@@ -165,27 +189,48 @@
 
     def learn(self, node: str, shares: tuple[LoadShare, ...], *, now: float) -> None:
         """Take over what another gateway has at each upstream."""
-        for other, (heard, _) in tuple(self._others.items()):
-            if now - heard > MAX_NEWS_AGE:
-                del self._others[other]
-        self._others[node] = (now, {share.upstream: share for share in shares})
+        self._drop(node)
+        self._others[node] = (now, shares)
+        self._oldest = min(self._oldest, now)
         for share in shares:
+            total = self._totals[share.upstream]
+            total.add(share, sign=1)
+            if share.backlog:
+                total.reading[node] = now + share.backlog
             self._note_silence(share.upstream, share.backlog, now)
 
     def load(self, upstream: str, *, now: float) -> Load:
         """Return what all gateways have at an upstream, those unheard of left out."""
+        if now - self._oldest > MAX_NEWS_AGE:
+            self._drop_silent(now)
+        total = self._totals.get(upstream, _NOTHING)
         own = self._own.get(upstream)
-        shares = [] if own is None else [own.share(upstream, now)]
-        backlog = sum(share.backlog for share in shares)
-        for heard, others in self._others.values():
-            share = others.get(upstream)
-            if share is not None and now - heard <= MAX_NEWS_AGE:
-                shares.append(share)
-                backlog += max(0.0, share.backlog - (now - heard))
+        share = _IDLE if own is None else own.share(upstream, now)
+        reading = sum(max(0.0, until - now) for until in total.reading.values())
         return Load(
-            backlog=backlog,
-            in_flight=sum(share.in_flight for share in shares),
-            writing=sum(share.writing for share in shares),
-            helping=sum(share.helping for share in shares),
-            memory_tokens=sum(share.memory_tokens for share in shares),
+            backlog=share.backlog + reading,
+            in_flight=share.in_flight + total.in_flight,
+            writing=share.writing + total.writing,
+            helping=share.helping + total.helping,
+            memory_tokens=share.memory_tokens + total.memory_tokens,
         )
+
+    def _drop_silent(self, now: float) -> None:
+        """Count out the gateways that were not heard of late."""
+        for node, (heard, _) in tuple(self._others.items()):
+            if now - heard > MAX_NEWS_AGE:
+                self._drop(node)
+        self._oldest = min((heard for heard, _ in self._others.values()), default=math.inf)
+
+    def _drop(self, node: str) -> None:
+        _, shares = self._others.pop(node, (0.0, ()))
+        for share in shares:
+            total = self._totals[share.upstream]
+            total.add(share, sign=-1)
+            total.reading.pop(node, None)
+            if not (total.in_flight or total.helping or total.reading):
+                del self._totals[share.upstream]
+
+
+_NOTHING: Final = _Total()
+_IDLE: Final = LoadShare("", 0.0, 0, 0, 0, 0)
--- a/src/baobabpulley/policy/waiting.py
+++ b/src/baobabpulley/policy/waiting.py
@@ -23,6 +23,8 @@
 SILENCE_SHARE: Final = 0.5
 # Part of a request's time that is spent waiting before it is turned away.
 WAIT_SHARE: Final = 0.7
+# Seconds by which a request goes before another that is one priority less urgent.
+PRIORITY_SECONDS: Final = 0.2
 # Bounds of the time to come back, in seconds and as a share of the time left.
 LEAST_PAUSE: Final = 0.1
 PAUSE_SHARE: Final = 0.3
@@ -32,13 +34,20 @@
     """The moments of one request in monotonic seconds.
 
     ``objective`` is when the answer (of a stream: its first event) is wanted, ``patience`` how
-    long its caller bears silence, ``end`` the last moment for an answer.
+    long its caller bears silence, ``end`` the last moment for an answer. ``priority`` 0 is the
+    most urgent.
     """
 
     arrived: float
     objective: float
     patience: float
     end: float
+    priority: int = 0
+
+    @property
+    def turn(self) -> float:
+        """By what waiting requests are served: urgent ones first, but none waits for good."""
+        return self.objective + PRIORITY_SECONDS * self.priority
 
     @property
     def wait_until(self) -> float:
@@ -52,8 +61,14 @@
         return SILENCE_SHARE * self.patience
 
 
-def times_of(route: Route, *, arrived: float, remaining: float | None) -> Times:
-    """Return the moments of a request; ``remaining`` is what its caller says it waits."""
+def times_of(
+    route: Route, *, arrived: float, remaining: float | None, priority: int | None = None
+) -> Times:
+    """Return the moments of a request.
+
+    ``remaining`` is what its caller says it waits; the account's ``priority`` goes before the
+    route's.
+    """
     allowed = route.timeout if remaining is None else min(route.timeout, remaining)
     patience = allowed
     if route.kind == STREAM:
@@ -67,6 +82,7 @@
         objective=arrived + route.objective,
         patience=patience,
         end=arrived + allowed,
+        priority=route.priority if priority is None else priority,
     )
 
 
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -182,6 +182,34 @@
     assert here.load("i-1", now=10.0 + MAX_NEWS_AGE + 0.1).in_flight == 0
 
 
+def test_news_replace_older_ones_of_the_same_gateway_and_leave_nothing() -> None:
+    here, there = LoadBook(), LoadBook()
+    send = there.begin("i-1", read_seconds=0.5, memory_tokens=1000, now=0.0)
+    for number in range(3):
+        here.learn("front-2", there.shares(now=0.1 * number), now=0.1 * number)
+    load = here.load("i-1", now=0.2)
+    assert (load.in_flight, load.memory_tokens) == (1, 1000)
+    there.end(send, now=0.3)
+    here.learn("front-2", there.shares(now=0.3), now=0.3)
+    assert here.load("i-1", now=0.3) == LoadBook().load("i-1", now=0.3)
+
+
+def test_loads_add_up_over_gateways_and_the_silent_are_left_out() -> None:
+    here = LoadBook()
+    for number in range(5):
+        there = LoadBook()
+        there.begin("i-1", read_seconds=0.1, memory_tokens=10, now=0.0)
+        here.learn(f"front-{number}", there.shares(now=0.0), now=0.0)
+    here.begin("i-1", read_seconds=0.1, memory_tokens=10, now=0.0)
+    load = here.load("i-1", now=0.05)
+    assert (load.in_flight, load.memory_tokens) == (6, 60)
+    assert load.backlog == pytest.approx(0.3)
+    there = LoadBook()
+    there.begin("i-1", read_seconds=0.1, memory_tokens=10, now=1.0)
+    here.learn("front-0", there.shares(now=1.0), now=1.0)
+    assert here.load("i-1", now=MAX_NEWS_AGE + 0.1).in_flight == 2
+
+
 def test_a_backlog_ends_with_its_first_event_and_never_before_others_are_read() -> None:
     book = LoadBook()
     first = book.begin("i-1", read_seconds=0.5, memory_tokens=10, now=0.0)
@@ -275,6 +303,14 @@
     assert times_of(route, arrived=5.0, remaining=None).end == 15.0
 
 
+def test_urgent_requests_go_first_and_old_ones_before_new_urgent_ones() -> None:
+    route = Route("r", "h", "/", STREAM, 10.0, 0.3, 5, (), 2, False, True, 0.25)
+    usual = times_of(route, arrived=5.0, remaining=None)
+    urgent = times_of(route, arrived=5.5, remaining=None, priority=0)
+    late_urgent = times_of(route, arrived=6.5, remaining=None, priority=0)
+    assert urgent.turn < usual.turn < late_urgent.turn
+
+
 def test_refused_callers_come_back_spread_and_within_their_time() -> None:
     source = random.Random(1)
     pauses = [time_to_return(source, expected=0.5, left=6.0) for _ in range(200)]
