--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -174,6 +174,7 @@
                     exchange.needs,
                     exchange.times,
                     excluded=frozenset(exchange.excluded),
+                    first=exchange.first,
                 )
             except BaobabError as error:
                 raise honest(exchange, error) from error
@@ -255,13 +256,15 @@
 
     def _note_failure(self, exchange: Exchange, placement: Placement, error: BaobabError) -> None:
         upstream = placement.upstream
-        if isinstance(error, UpstreamOutOfMemory) and error.at_fault is not None:
-            exchange.excluded.add(error.at_fault)
-        else:
-            exchange.excluded.add(upstream.id)
+        culprit = self._culprit(upstream, error)
+        exchange.excluded.add(culprit.id)
+        exchange.first = None if culprit is upstream else upstream.id
+        if culprit is not upstream:
+            # The same engine is tried again without its helper, so this was no other upstream.
+            exchange.attempts -= 1
         if not surely_not_run(error):
             exchange.may_have_run = True
-        self._blame(exchange, upstream, error)
+        self._blame(exchange, upstream, error, culprit)
         self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
         logger.bind(
             event="attempt_failed",
@@ -271,15 +274,25 @@
             attempt=exchange.attempts,
         ).info("{}", error.message)
 
-    def _blame(self, exchange: Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
-        """Note whose fault a failed attempt was."""
+    def _culprit(self, upstream: ListedUpstream, error: BaobabError) -> ListedUpstream:
+        """Return the upstream whose fault a failed attempt was: a helper, if a refusal names it."""
+        if not isinstance(error, UpstreamRefused) or error.at_fault is None:
+            return upstream
+        return self._record.at_address(error.at_fault) or upstream
+
+    def _blame(
+        self,
+        exchange: Exchange,
+        upstream: ListedUpstream,
+        error: BaobabError,
+        culprit: ListedUpstream,
+    ) -> None:
+        """Note what a failed attempt tells of upstreams."""
         if isinstance(error, UpstreamOutOfMemory):
             self._record.untold(upstream)
         elif isinstance(error, UpstreamRefused):
-            self._record.answered(upstream, well=error.at_fault is not None)
-            culprit = None if error.at_fault is None else self._record.at_address(error.at_fault)
-            if culprit is not None and culprit.id != upstream.id:
-                exchange.excluded.add(culprit.id)
+            self._record.answered(upstream, well=culprit is not upstream)
+            if culprit is not upstream:
                 self._record.lost(culprit)
         elif isinstance(error, UpstreamSilent) and self._was_expected(exchange, upstream):
             self._record.untold(upstream)
@@ -296,7 +309,7 @@
         """Raise unless another attempt is allowed."""
         allowed = surely_not_run(error) or exchange.route.repeatable
         unsent = isinstance(error, UpstreamUnreached | UpstreamOutOfMemory)
-        if allowed and unsent:
+        if allowed and isinstance(error, UpstreamUnreached):
             # Nothing was sent there, so it is no attempt of the route.
             exchange.attempts -= 1
         if not allowed or not self._may_repeat(exchange):
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -36,6 +36,7 @@
         "account",
         "attempts",
         "excluded",
+        "first",
         "first_event_at",
         "incoming",
         "last_event_at",
@@ -72,6 +73,8 @@
         self.progress = StreamProgress(needs.last_event)
         self.attempts = 0
         self.may_have_run = False
+        # The engine that a refusal left to be tried again, without the helper it blamed.
+        self.first: str | None = None
         self.excluded: set[str] = set()
         self.upstreams: list[str] = []
         self.parts = 0
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -63,11 +63,18 @@
 
 
 class _Waiter:
-    __slots__ = ("excluded", "future", "needs", "service", "times")
+    __slots__ = ("excluded", "first", "future", "needs", "service", "times")
 
     def __init__(
-        self, *, service: Service, needs: Needs, times: Times, excluded: frozenset[str]
+        self,
+        *,
+        service: Service,
+        needs: Needs,
+        times: Times,
+        excluded: frozenset[str],
+        first: str | None,
     ) -> None:
+        self.first = first
         self.service = service
         self.needs = needs
         self.times = times
@@ -124,10 +131,19 @@
         self._timers.every(SERVE_PERIOD, self.serve, name="waiting requests")
 
     async def place(
-        self, service: Service, needs: Needs, times: Times, *, excluded: frozenset[str]
+        self,
+        service: Service,
+        needs: Needs,
+        times: Times,
+        *,
+        excluded: frozenset[str],
+        first: str | None = None,
     ) -> Placement:
-        """Return where an attempt goes; raise `NoUpstream` or `Overloaded`."""
-        waiter = _Waiter(service=service, needs=needs, times=times, excluded=excluded)
+        """Return where an attempt goes; raise `NoUpstream` or `Overloaded`.
+
+        ``first`` names the engine that has to write the answer, if one was tried before.
+        """
+        waiter = _Waiter(service=service, needs=needs, times=times, excluded=excluded, first=first)
         if not self._candidates(waiter):
             raise NoUpstream(
                 f"no upstream of {service.name} takes the request", retry_after=self._pause(times)
@@ -285,6 +301,7 @@
             prompt_tokens=waiter.needs.prompt_tokens,
             answer_tokens=min(waiter.needs.max_output_tokens, figures.memory_tokens // 8),
             objective=waiter.times.objective - waiter.times.arrived,
+            first_id=waiter.first,
         )
         if plan is None:
             return None
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -93,10 +93,12 @@
     prompt_tokens: int,
     answer_tokens: int,
     objective: float,
+    first_id: str | None = None,
 ) -> Plan | None:
     """Return where to read a prompt, or ``None`` while no engine has a free slot.
 
-    ``objective`` is the seconds in which the first event of its answer is wanted.
+    ``objective`` is the seconds in which the first event of its answer is wanted. ``first_id``
+    names the engine that has to write it, if one was tried before.
     """
     total = figures.read_seconds(prompt_tokens)
     need = prompt_tokens + answer_tokens
@@ -107,7 +109,9 @@
         chosen = _quiet(candidates, total, holders, objective) or _spread(
             candidates, total, holders, objective
         )
-    first = _first(chosen, figures, need=need // holders)
+    first = _named(candidates, first_id) or _first(chosen, figures, need=need // holders)
+    if first is not None and first not in chosen:
+        chosen = [first, *chosen[:-1]]
     if first is None:
         others = [one for one in candidates if one not in chosen]
         first = _first(others, figures, need=need // holders)
@@ -130,6 +134,10 @@
     )
 
 
+def _named(candidates: list[Candidate], name: str | None) -> Candidate | None:
+    return next((one for one in candidates if one.upstream.id == name), None)
+
+
 def _gather(candidates: list[Candidate]) -> list[Candidate]:
     """Return the engine for a short prompt: one that writes for others already, if one has room."""
     free = [one for one in candidates if one.load.in_flight < one.upstream.slots]
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -186,6 +186,18 @@
     await call.write(call.head(503, f"{names.NOT_EXECUTED}: 1", length=0))
 
 
+async def blame_helpers(upstream: UpstreamStandin, call: Call) -> None:
+    """Refuse for the first helper, as if it were leaving; stream once there is none."""
+    helpers = call.headers.get(names.HELPERS.lower(), "")
+    if not helpers:
+        await stream(events=3)(upstream, call)
+        return
+    upstream.journal.pop()
+    blamed = helpers.split(",")[0]
+    refusal = call.head(503, f"{names.NOT_EXECUTED}: 1", f"{names.AT_SERVER}: {blamed}", length=0)
+    await call.write(refusal)
+
+
 async def fail(upstream: UpstreamStandin, call: Call) -> None:
     """Run the request and fail."""
     await call.write(call.sealed(b"failed", status=500))
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -317,6 +317,19 @@
     assert len(call.headers[names.HELPERS.lower()].split(",")) == 3
 
 
+async def test_a_prompt_goes_to_the_same_engine_without_the_helpers_that_it_blames(
+    world: World,
+) -> None:
+    for number in range(4):
+        upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        upstream.behaviour = upstreams.blame_helpers
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "60000,100"})
+    assert (reply.status, reply.events) == (200, [0, 1, 2])
+    writing = [upstream for upstream in world.upstreams.values() if upstream.connections]
+    assert len(writing) == 1
+
+
 async def test_memory_for_a_prompt_past_one_engine_is_taken_and_given_back(world: World) -> None:
     for number in range(4):
         upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
