Wait out the silence of the last upstream, as nothing else is left to try

Silence now ends an attempt only while another is left; test_silence_of_the_last_upstream_is_waited_out fails before.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -165,7 +165,10 @@
         )
 
     async def _run(self, exchange: Exchange) -> None:
-        """Make attempts until one of them has given the caller a whole answer."""
+        """Make attempts until one of them has given the caller a whole answer.
+
+        An upstream's silence ends an attempt only while another one is left.
+        """
         while True:
             self._check_time(exchange)
             try:
@@ -215,7 +218,7 @@
                 outgoing,
                 upstream,
                 repeatable=exchange.route.repeatable,
-                silence=exchange.times.silence if exchange.route.repeatable else remaining,
+                silence=exchange.times.silence if self._has_another(exchange) else remaining,
             ) as answer:
                 await self._deliver(exchange, placement, answer)
 
@@ -321,8 +324,11 @@
 
     def _takes_repeat(self, exchange: Exchange) -> bool:
         """Whether an upstream's own failure is kept from the caller, for another attempt."""
-        repeatable = exchange.route.repeatable and self._may_repeat(exchange)
-        return repeatable and self._spend_repeat(exchange)
+        return self._has_another(exchange) and self._spend_repeat(exchange)
+
+    def _has_another(self, exchange: Exchange) -> bool:
+        """Whether another attempt is left even if the present one has run."""
+        return exchange.route.repeatable and self._may_repeat(exchange)
 
     def _spend_repeat(self, exchange: Exchange) -> bool:
         return self._repeats.spend(
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -239,8 +239,15 @@
     await call.write(call.sealed(b"second"))
 
 
-def stream(*, events: int, first: int = 0, breaks_after: int | None = None) -> Behaviour:
-    """Return a behaviour that streams events and may break off in the middle of one."""
+def stream(
+    *,
+    events: int,
+    first: int = 0,
+    breaks_after: int | None = None,
+    pause_after: int | None = None,
+    pause: float = 0.0,
+) -> Behaviour:
+    """Return a behaviour that streams events; it may break off in one, or pause after some."""
 
     async def run(upstream: UpstreamStandin, call: Call) -> None:
         last = call.headers.get(names.LAST_EVENT.lower())
@@ -254,6 +261,8 @@
             )
         )
         for number in range(start, first + events):
+            if pause_after is not None and number == first + pause_after:
+                await asyncio.sleep(pause)
             if breaks_after is not None and number - first >= breaks_after:
                 await call.write_chunk(b"id: %d\nda" % number)
                 await asyncio.sleep(0.02)
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -298,6 +298,17 @@
     assert reply.events == [0, 1, 2, 3]
 
 
+async def test_silence_of_the_last_upstream_is_waited_out(world: World) -> None:
+    pauses = upstreams.stream(events=4, pause_after=2, pause=1.4)
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name, service=KITCHEN)
+        upstream.behaviour = pauses
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7")
+    assert (reply.whole, reply.events) == (True, [0, 1, 2, 3])
+    assert len(_ran(world)) == 2
+
+
 async def test_a_caller_resumes_behind_the_event_it_has(world: World) -> None:
     upstream = await world.add_upstream("i-1", service=KITCHEN)
     upstream.behaviour = upstreams.stream(events=9)
