--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -243,8 +243,8 @@
         table = self.book.table
         return RequestBounds() if table is None else table.bounds
 
-    def _note_behind(self, control: str) -> None:
-        del control
+    def _note_behind(self) -> None:
+        """Note since when a peer has known more than this gateway."""
         if self._behind_since is None:
             self._behind_since = self.timers.now()
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -203,7 +203,7 @@
         exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
         await self._placer.clear(placement, exchange.times)
         remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
-        async with self._tickets.held(placement, exchange.service) as helpers:
+        async with self._tickets.held(placement) as helpers:
             outgoing = Outgoing(
                 attempt=exchange.needs.attempt,
                 remaining=remaining,
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -86,7 +86,7 @@
         book: FleetBook,
         loads: LoadBook,
         timers: TimerService,
-        behind: Callable[[str], None],
+        behind: Callable[[], None],
     ) -> None:
         self._node = node
         self._section = section
@@ -171,7 +171,7 @@
         self._neighbours[news.node] = Neighbour(news, heard=now)
         self._loads.learn(news.node, news.shares, now=now)
         if news.revision > self._book.revision:
-            self._behind(news.control)
+            self._behind()
 
     def _tell(self) -> None:
         now = self._timers.now()
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -14,7 +14,6 @@
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.sections import EnginesSection
 from baobabpulley.model.exchanges import Helper
-from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.ports.exchange_wire import MemoryOrders
 from baobabpulley.timers import TimerService
@@ -44,14 +43,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
-    async def held(
-        self, placement: Placement, service: Service
-    ) -> AsyncIterator[tuple[Helper, ...]]:
+    async def held(self, placement: Placement) -> AsyncIterator[tuple[Helper, ...]]:
         """Yield the helpers of a placement, with their tickets held until the block ends.
 
         Raises `UpstreamOutOfMemory` if an engine has not got the memory any more.
         """
-        del service
         plan = placement.plan
         if plan is None:
             yield ()
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -119,7 +119,7 @@
             return None
         chosen = [first, *chosen[:-1]]
     part = total / len(chosen)
-    helpers = _with_memory_first([one for one in chosen if one is not first], figures)
+    helpers = _with_memory_first([one for one in chosen if one is not first])
     tickets = min(holders - 1, len(helpers))
     ticket_tokens = math.ceil(prompt_tokens / holders) if tickets else 0
     return Plan(
@@ -234,5 +234,5 @@
     )
 
 
-def _with_memory_first(helpers: list[Candidate], figures: EngineFigures) -> list[Candidate]:
+def _with_memory_first(helpers: list[Candidate]) -> list[Candidate]:
     return sorted(helpers, key=lambda one: one.load.memory_tokens)
