Ask again when a renewal overtook a question about a team's tokens

A renewal states the version of the question that is on its way; if it reaches the home first, the home takes the question for an old one and answers not granted. The entry read that as a limit reached: at once for every request behind the first, for the first after 2.5 renewals.

Ruled out: the limit itself (63,000 tokens were asked for), a home without settings (an entry is ready only with them).

Now the answer says that it was overtaken, and the entry asks again; the wait is bounded as for a home that has just changed.

--- a/src/baobabpulley/entry/team_spending.py
+++ b/src/baobabpulley/entry/team_spending.py
@@ -150,19 +150,23 @@
                 if answer is None or answer.granted:
                     continue
                 waited = self._timers.now() - began
-                if answer.warming:
-                    self._check_warming(answer, team, waited)
+                if answer.warming or answer.overtaken:
+                    self._check_unsettled(answer, team, waited)
                 else:
                     self._check_limit(answer, request_id, team, tokens, waited)
+                if answer.overtaken:
+                    # The next question states the share that the renewal stated.
+                    continue
                 await self._timers.sleep(ASK_AGAIN)
         finally:
             if self._recalling.get(team) == request_id:
                 del self._recalling[team]
 
-    def _check_warming(self, answer: TeamAnswer, team: str, waited: float) -> None:
+    def _check_unsettled(self, answer: TeamAnswer, team: str, waited: float) -> None:
         if waited > self._section.expiry + 2 * self._section.renewal:
             raise Overloaded(
-                f"the home of {team}'s limit has just changed", retry_after=answer.retry_after
+                f"the home of {team}'s limit has not decided for {waited:.1f} s",
+                retry_after=max(answer.retry_after, ASK_AGAIN),
             )
 
     def _check_limit(
--- a/src/baobabpulley/model/reservation_messages.py
+++ b/src/baobabpulley/model/reservation_messages.py
@@ -100,7 +100,8 @@
 class TeamAnswer(msgspec.Struct, frozen=True):
     """What the holder may spend now.
 
-    ``warming`` says that the keeper has just become the team's home.
+    ``warming`` says that the keeper has just become the team's home, ``overtaken`` that a later
+    message of the holder came first, so that the question was not looked at.
     """
 
     granted: bool
@@ -108,6 +109,7 @@
     limit: int
     warming: bool = False
     retry_after: float = 0.0
+    overtaken: bool = False
 
 
 @peer_message("gang.ask")
--- a/src/baobabpulley/policy/team_book.py
+++ b/src/baobabpulley/policy/team_book.py
@@ -57,7 +57,7 @@
         self._lapse(ask.team, now)
         share = self._touch(ask.holder, ask.team, now)
         if ask.version <= share.version:
-            return TeamAnswer(granted=False, held=share.tokens, limit=limit, retry_after=ASK_AGAIN)
+            return TeamAnswer(granted=False, held=share.tokens, limit=limit, overtaken=True)
         share.version = ask.version
         share.tokens = ask.held
         warming = self._handover.remaining(key, now=now)
--- a/testing/test_team_spending.py
+++ b/testing/test_team_spending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -42,9 +43,11 @@
         self.timers = timers
         self.asked = 0
         self.silent = False
+        self.before_answer: Callable[[], None] = lambda: None
 
     async def ask(self, address: str, question: TeamAsk, **_: object) -> object:
         self.asked += 1
+        self.before_answer()
         if self.silent:
             raise PeerUnavailable("the keeper is gone")
         return self.book.ask(question, limit=LIMIT, now=self.timers.now())
@@ -103,6 +106,25 @@
     assert peers.book.held(TEAM, now=1_000.0) == LIMIT
 
 
+async def test_requests_whose_question_a_renewal_overtook_are_counted_and_not_refused(
+    spending: TeamSpending, peers: HomePeers, timers: ManualTimers
+) -> None:
+    def renew() -> None:
+        if peers.asked <= 2:
+            for hold in spending.statements([TEAM]):
+                peers.book.renew("e0", hold, now=timers.now())
+
+    peers.before_answer = renew
+    asked = [
+        asyncio.create_task(spending.spend(team=TEAM, request_id=f"r{index}", tokens=100_000))
+        for index in range(3)
+    ]
+    await timers.advance(10.0)
+    async with asyncio.timeout(5.0):
+        await asyncio.gather(*asked)
+    assert [hold.in_use for hold in spending.statements([TEAM])] == [300_000]
+
+
 async def test_team_without_requests_is_given_back_and_forgotten_and_may_return(
     spending: TeamSpending, peers: HomePeers, timers: ManualTimers
 ) -> None:
