Give each run of the tests port ranges that no other run holds

Cause: two runs of the tests on one machine took the same ports (21000 and 22000), and each fleet's callers reached the other's daemons.

A guard socket holds the range for the module's time; ten ranges in all.

--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -4,6 +4,8 @@
 
 import itertools
 import os
+import socket
+from collections.abc import Iterator
 from typing import Final
 
 import pytest
@@ -11,13 +13,22 @@
 # Below the range from which the kernel takes the ports of outgoing connections.
 DEFAULT_FIRST_PORT: Final = 21_000
 PORTS_OF_A_FLEET: Final = 1_000
-FLEET_RANGES: Final = 2
+FLEET_RANGES: Final = 10
 
 _ranges = itertools.cycle(range(FLEET_RANGES))
 
 
 @pytest.fixture(scope="module")
-def base_port() -> int:
-    """Return the first of a thousand loopback ports for the fleet of one test module."""
-    first = int(os.environ.get("BAOBAB_TEST_PORTS", str(DEFAULT_FIRST_PORT)))
-    return first + next(_ranges) * PORTS_OF_A_FLEET
+def base_port() -> Iterator[int]:
+    """Yield the first of a thousand loopback ports that no other run of the tests uses."""
+    start = int(os.environ.get("BAOBAB_TEST_PORTS", str(DEFAULT_FIRST_PORT)))
+    for _ in range(FLEET_RANGES):
+        first = start + next(_ranges) * PORTS_OF_A_FLEET
+        with socket.socket() as guard:
+            try:
+                guard.bind(("127.0.0.1", first + PORTS_OF_A_FLEET - 1))
+            except OSError:
+                continue
+            yield first
+            return
+    raise RuntimeError("other runs hold all port ranges; end one, or set BAOBAB_TEST_PORTS")
