Read a heavy prompt once those before it have been read, while its objective allows

Ruled out: unknown backlog (the same gateway had placed both), the order of urgency.

policy/clearing.py now says when reading begins: engines clear of writers and of the reads before it, at the latest when waiting longer would make it late; 2 s for one that is late already.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -201,7 +201,7 @@
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
-        await self._placer.clear(placement, exchange.times)
+        await self._placer.clear(placement)
         remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
         async with self._tickets.held(placement) as helpers:
             outgoing = Outgoing(
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -19,6 +19,8 @@
 from baobabpulley.model.routes import EngineFigures
 from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.policy.clearing import Clearing
+from baobabpulley.policy.clearing import clearing_of
 from baobabpulley.policy.fleet_load import LoadBook
 from baobabpulley.policy.fleet_load import Send
 from baobabpulley.policy.spread import Candidate
@@ -34,8 +36,6 @@
 DISTANCE_SECONDS: Final = 0.003
 # Share of the time to the objective that a long prompt may wait for engines that read nothing.
 MEETING_SHARE: Final = 0.4
-# Share of the time to the objective in which engines are cleared for long parts.
-CLEARING_SHARE: Final = 0.35
 # Seconds that one call of a plain service is taken to last before any was seen.
 USUAL_CALL: Final = 0.1
 
@@ -44,7 +44,7 @@
 class Placement:
     """Where one attempt goes; its sends count until `Placer.end`."""
 
-    __slots__ = ("backlog", "plan", "sends", "started", "upstream")
+    __slots__ = ("clearing", "plan", "sends", "started", "upstream")
 
     def __init__(
         self,
@@ -53,13 +53,13 @@
         plan: Plan | None,
         sends: list[Send],
         started: float,
-        backlog: float,
+        clearing: Clearing | None,
     ) -> None:
         self.upstream = upstream
         self.plan = plan
         self.sends = sends
         self.started = started
-        self.backlog = backlog
+        self.clearing = clearing
 
 
 class _Waiter:
@@ -155,13 +155,14 @@
                 return placement
         return await self._wait(waiter, queue)
 
-    async def clear(self, placement: Placement, times: Times) -> None:
-        """Wait until the engines of a heavy plan write for nobody, as others now avoid them."""
-        plan = placement.plan
-        if plan is None or not plan.heavy:
+    async def clear(self, placement: Placement) -> None:
+        """Wait until the engines of a heavy plan are clear, as others now avoid them."""
+        plan, clearing = placement.plan, placement.clearing
+        if plan is None or clearing is None:
             return
-        until = times.arrived + CLEARING_SHARE * (times.objective - times.arrived)
-        while self._timers.now() < until and self._writing(plan):
+        while not clearing.is_over(
+            now=self._timers.now(), writing=self._writing(plan), reading=self._reading(plan)
+        ):
             await self._timers.sleep(SERVE_PERIOD)
         now = self._timers.now()
         for send in placement.sends:
@@ -175,6 +176,12 @@
         now = self._timers.now()
         return any(self._loads.load(engine.id, now=now).writing for engine in plan.engines)
 
+    def _reading(self, plan: Plan) -> float:
+        """Return the seconds of other prompts at a plan's engines."""
+        now = self._timers.now()
+        longest = max(self._loads.load(engine.id, now=now).backlog for engine in plan.engines)
+        return longest - plan.part_seconds
+
     def read(self, placement: Placement) -> None:
         """Note that the prompt of an attempt has been read."""
         now = self._timers.now()
@@ -280,7 +287,7 @@
         chosen = min(
             free, key=lambda one: (one.load.in_flight + one.penalty, self._random.random())
         )
-        return self._begin(chosen.upstream, plan=None, read_seconds=0.0, memory_tokens=0)
+        return self._begin(chosen.upstream)
 
     def _check_size(
         self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
@@ -312,6 +319,7 @@
         return self._begin(
             plan.first,
             plan=plan,
+            clearing=clearing_of(plan, times, now=self._timers.now()),
             read_seconds=plan.part_seconds,
             memory_tokens=plan.first_tokens,
         )
@@ -320,19 +328,19 @@
         self,
         upstream: ListedUpstream,
         *,
-        plan: Plan | None,
-        read_seconds: float,
-        memory_tokens: int,
+        plan: Plan | None = None,
+        clearing: Clearing | None = None,
+        read_seconds: float = 0.0,
+        memory_tokens: int = 0,
     ) -> Placement:
         now = self._timers.now()
-        backlog = self._loads.load(upstream.id, now=now).backlog
         sends = [
             self._loads.begin(
                 upstream.id,
                 read_seconds=read_seconds,
                 memory_tokens=memory_tokens,
                 now=now,
-                announced=plan is not None and plan.heavy,
+                announced=clearing is not None,
             )
         ]
         for index, helper in enumerate(plan.helpers if plan is not None else ()):
@@ -345,8 +353,8 @@
                     memory_tokens=held,
                     now=now,
                     helps=True,
-                    announced=plan.heavy,
+                    announced=clearing is not None,
                 )
             )
         self._record.sent(upstream)
-        return Placement(upstream=upstream, plan=plan, sends=sends, started=now, backlog=backlog)
+        return Placement(upstream=upstream, plan=plan, sends=sends, started=now, clearing=clearing)
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -67,8 +67,8 @@
     """Where a prompt goes.
 
     ``part_seconds`` is the reading at each engine; ``ticket_tokens`` the memory to reserve at
-    each of the first ``tickets`` helpers. ``meets`` says that some engine still reads another
-    prompt, ``heavy`` that the parts are too long for the answers written beside them.
+    each of the first ``tickets`` helpers, ``backlog`` the seconds that some engine still reads
+    other prompts. ``heavy`` says that the parts are too long for the answers written beside them.
     """
 
     first: ListedUpstream
@@ -77,9 +77,19 @@
     tickets: int
     ticket_tokens: int
     first_tokens: int
-    meets: bool
+    backlog: float
     heavy: bool
 
+    @property
+    def meets(self) -> bool:
+        """Whether a part would be read in one pass with another prompt."""
+        return bool(self.helpers) and self.backlog > MEETING_SECONDS
+
+    @property
+    def read_seconds(self) -> float:
+        """Seconds until the prompt is expected to have been read."""
+        return self.backlog + self.part_seconds
+
     @property
     def engines(self) -> tuple[ListedUpstream, ...]:
         """All engines that read a part."""
@@ -130,7 +140,7 @@
         ticket_tokens=ticket_tokens,
         first_tokens=need - tickets * ticket_tokens,
         heavy=part > LONG_PART_SECONDS,
-        meets=len(chosen) > 1 and max(one.load.backlog for one in chosen) > MEETING_SECONDS,
+        backlog=max(one.load.backlog for one in chosen),
     )
 
 
