Let requests that arrive during the start wait for the first configuration

A request now waits 0.25 s for the configuration, then it is refused as before. The new test failed with 503 before.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -9,13 +9,9 @@
 
 from loguru import logger
 
-from baobabpulley.errors import BadToken
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import DeadlineExceeded
-from baobabpulley.errors import NotFound
-from baobabpulley.errors import NotReady
-from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOutOfMemory
@@ -25,7 +21,6 @@
 from baobabpulley.gateway.attempts import Answer
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import surely_not_run
-from baobabpulley.gateway.exchange_state import NOT_READY_PAUSE
 from baobabpulley.gateway.exchange_state import Exchange
 from baobabpulley.gateway.exchange_state import honest
 from baobabpulley.gateway.exchange_state import log_placement
@@ -33,6 +28,7 @@
 from baobabpulley.gateway.following import FleetBook
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.news import NewsExchange
+from baobabpulley.gateway.opening import ExchangeOpener
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.replies import Reply
@@ -41,14 +37,9 @@
 from baobabpulley.model.exchanges import Incoming
 from baobabpulley.model.exchanges import Needs
 from baobabpulley.model.exchanges import Outgoing
-from baobabpulley.model.routes import Account
-from baobabpulley.model.routes import Route
-from baobabpulley.model.routes import RoutingTable
-from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.repeat_share import RepeatShare
 from baobabpulley.policy.waiting import time_to_return
-from baobabpulley.policy.waiting import times_of
 from baobabpulley.ports.exchange_wire import ExchangeWire
 from baobabpulley.timers import TimerService
 
@@ -69,6 +60,7 @@
         "_caller",
         "_metrics",
         "_news",
+        "_opener",
         "_placer",
         "_random",
         "_record",
@@ -93,6 +85,7 @@
         timers: TimerService,
     ) -> None:
         self._book = book
+        self._opener = ExchangeOpener(book=book, timers=timers)
         self._placer = placer
         self._caller = caller
         self._wire = wire
@@ -111,7 +104,7 @@
         outcome, reason = "ok", None
         try:
             needs = self._wire.read_needs(incoming.headers)
-            exchange = self._open(incoming, reply, needs)
+            exchange = await self._opener.open(incoming, reply, needs)
             self._repeats.request(exchange.service.name, now=self._timers.now())
             await self._run(exchange)
         except BaobabError as error:
@@ -125,45 +118,6 @@
                 incoming, needs, exchange, status=reply.status, outcome=outcome, reason=reason
             )
 
-    def _open(self, incoming: Incoming, reply: Reply, needs: Needs) -> Exchange:
-        table = self._book.table
-        if table is None:
-            raise NotReady("no configuration has arrived here yet", retry_after=NOT_READY_PAUSE)
-        route = table.find(incoming.host, incoming.target)
-        if route is None:
-            raise NotFound(f"no route of {incoming.host[:64]} matches the path")
-        account = self._account(table, route, needs)
-        service = self._service(table, route)
-        return Exchange(
-            incoming=incoming,
-            reply=reply,
-            needs=needs,
-            route=route,
-            service=service,
-            account=account,
-            times=times_of(
-                route,
-                arrived=incoming.arrived,
-                remaining=needs.remaining,
-                priority=None if account is None else account.priority,
-            ),
-        )
-
-    def _account(self, table: RoutingTable, route: Route, needs: Needs) -> Account | None:
-        account = None if needs.key is None else table.account(needs.key)
-        if account is None and table.needs_keys and not route.anonymous:
-            raise BadToken("the key belongs to no client account")
-        return account
-
-    def _service(self, table: RoutingTable, route: Route) -> Service:
-        shares = [share for share in route.shares if share.weight > 0]
-        if not shares:
-            raise NoUpstream(f"route {route.name} leads to no service", retry_after=1.0)
-        chosen = self._random.choices(shares, weights=[share.weight for share in shares])[0]
-        return table.service(chosen.service) or Service(
-            name=chosen.service, max_connections=0, engine=None
-        )
-
     async def _run(self, exchange: Exchange) -> None:
         """Make attempts until one of them has given the caller a whole answer.
 
--- a/src/baobabpulley/gateway/following.py
+++ b/src/baobabpulley/gateway/following.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final
 from typing import final
@@ -40,6 +42,7 @@
 
     __slots__ = (
         "_configuration_revision",
+        "_configured",
         "_documents",
         "_entries",
         "_held",
@@ -59,6 +62,7 @@
         self._members: dict[str, MemberEntry] = {}
         self._table: RoutingTable | None = None
         self._configuration_revision = 0
+        self._configured = asyncio.Event()
         self._revision = 0
         self._listeners: list[Listener] = []
 
@@ -87,6 +91,12 @@
         """Gateways that registered, by node."""
         return self._members
 
+    async def wait_for_table(self, *, seconds: float) -> RoutingTable | None:
+        """Return the configuration, or ``None`` if there is none within some seconds."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._configured.wait(), seconds)
+        return self._table
+
     def listen(self, listener: Listener) -> None:
         """Call a part after each change of upstreams or configuration."""
         self._listeners.append(listener)
@@ -159,6 +169,7 @@
         if kind == CONFIGURATION:
             table = self._documents.configuration(value)
             self._table, self._configuration_revision = table, entry.mod_revision
+            self._configured.set()
             logger.bind(
                 event="configuration", version=table.version, revision=entry.mod_revision
             ).info("configuration in force")
--- /dev/null
+++ b/src/baobabpulley/gateway/opening.py
@@ -0,0 +1,86 @@
+"""From a caller's request to what it asks for: route, client account, service and last moment."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+from typing import final
+
+from baobabpulley.errors import BadToken
+from baobabpulley.errors import NotFound
+from baobabpulley.errors import NotReady
+from baobabpulley.errors import NoUpstream
+from baobabpulley.gateway.exchange_state import NOT_READY_PAUSE
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.replies import Reply
+from baobabpulley.model.exchanges import Incoming
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.routes import Account
+from baobabpulley.model.routes import Route
+from baobabpulley.model.routes import RoutingTable
+from baobabpulley.model.routes import Service
+from baobabpulley.policy.waiting import times_of
+from baobabpulley.timers import TimerService
+
+# Seconds for which a request that arrives during the start waits for the first configuration.
+FIRST_CONFIGURATION_SECONDS: Final = 0.25
+
+
+@final
+class ExchangeOpener:
+    """Look a request up in the configuration in force."""
+
+    __slots__ = ("_book", "_random", "_timers")
+
+    def __init__(self, *, book: FleetBook, timers: TimerService) -> None:
+        self._book = book
+        self._timers = timers
+        self._random = random.Random()
+
+    async def open(self, incoming: Incoming, reply: Reply, needs: Needs) -> Exchange:
+        """Return the exchange; raise `NotReady`, `NotFound`, `BadToken` or `NoUpstream`."""
+        table = await self._table()
+        route = table.find(incoming.host, incoming.target)
+        if route is None:
+            raise NotFound(f"no route of {incoming.host[:64]} matches the path")
+        account = self._account(table, route, needs)
+        service = self._service(table, route)
+        return Exchange(
+            incoming=incoming,
+            reply=reply,
+            needs=needs,
+            route=route,
+            service=service,
+            account=account,
+            times=times_of(
+                route,
+                arrived=incoming.arrived,
+                remaining=needs.remaining,
+                priority=None if account is None else account.priority,
+            ),
+        )
+
+    async def _table(self) -> RoutingTable:
+        table = self._book.table
+        if table is None:
+            seconds = self._timers.real(FIRST_CONFIGURATION_SECONDS)
+            table = await self._book.wait_for_table(seconds=seconds)
+        if table is None:
+            raise NotReady("no configuration has arrived here yet", retry_after=NOT_READY_PAUSE)
+        return table
+
+    def _account(self, table: RoutingTable, route: Route, needs: Needs) -> Account | None:
+        account = None if needs.key is None else table.account(needs.key)
+        if account is None and table.needs_keys and not route.anonymous:
+            raise BadToken("the key belongs to no client account")
+        return account
+
+    def _service(self, table: RoutingTable, route: Route) -> Service:
+        shares = [share for share in route.shares if share.weight > 0]
+        if not shares:
+            raise NoUpstream(f"route {route.name} leads to no service", retry_after=1.0)
+        chosen = self._random.choices(shares, weights=[share.weight for share in shares])[0]
+        return table.service(chosen.service) or Service(
+            name=chosen.service, max_connections=0, engine=None
+        )
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -38,6 +38,16 @@
     assert float(reply.headers["retry-after"]) > 0
 
 
+async def test_a_request_during_the_start_waits_for_the_first_configuration(world: World) -> None:
+    await world.add_upstream("i-1")
+    world.store.items.pop(names.CONFIGURATION_KEY)
+    gateway = await world.add_gateway(wait=False)
+    early = asyncio.create_task(send(gateway, "/order/7"))
+    await asyncio.sleep(0.05)
+    world.store.put(names.CONFIGURATION_KEY, configuration())
+    assert (await early).status == 200
+
+
 async def test_a_change_is_in_force_at_once(world: World) -> None:
     await world.add_upstream("i-1")
     gateway = await world.add_gateway()
