Refuse a prompt at once if no plan reads it in its time

The plan that is soonest is tried first (all engines that help); if its reading and half of a usual answer do not fit before the last moment, the answer is 503 with a time to come back. The new exchange test waited out its time before.

--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -28,6 +28,7 @@
 from baobabpulley.policy.spread import fits
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.waiting import Times
+from baobabpulley.policy.waiting import can_be_answered
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.timers import TimerService
 
@@ -208,7 +209,7 @@
                     continue
                 try:
                     placement = self._try(waiter)
-                except NoUpstream as error:
+                except (NoUpstream, Overloaded) as error:
                     queue.remove(waiter)
                     waiter.future.set_exception(error)
                     continue
@@ -302,14 +303,10 @@
     def _try_engines(
         self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
     ) -> Placement | None:
-        plan = plan_prompt(
-            candidates,
-            figures=figures,
-            prompt_tokens=waiter.needs.prompt_tokens,
-            answer_tokens=min(waiter.needs.max_output_tokens, figures.memory_tokens // 8),
-            objective=waiter.times.objective - waiter.times.arrived,
-            first_id=waiter.first,
-        )
+        plan = self._plan(waiter, candidates, figures)
+        if plan is not None and not self._in_time(waiter, plan, figures):
+            plan = self._plan(waiter, candidates, figures, hurried=True)
+            self._check_time(waiter, plan, figures)
         if plan is None:
             return None
         times = waiter.times
@@ -324,6 +321,43 @@
             memory_tokens=plan.first_tokens,
         )
 
+    def _plan(
+        self,
+        waiter: _Waiter,
+        candidates: list[Candidate],
+        figures: EngineFigures,
+        *,
+        hurried: bool = False,
+    ) -> Plan | None:
+        needs, times = waiter.needs, waiter.times
+        return plan_prompt(
+            candidates,
+            figures=figures,
+            prompt_tokens=needs.prompt_tokens,
+            answer_tokens=min(needs.max_output_tokens, figures.memory_tokens // 8),
+            objective=times.objective - times.arrived,
+            first_id=waiter.first,
+            hurried=hurried,
+        )
+
+    def _in_time(self, waiter: _Waiter, plan: Plan, figures: EngineFigures) -> bool:
+        return can_be_answered(
+            waiter.times,
+            now=self._timers.now(),
+            read=plan.read_seconds,
+            answer=figures.answer_seconds,
+        )
+
+    def _check_time(self, waiter: _Waiter, plan: Plan | None, figures: EngineFigures) -> None:
+        """Raise `Overloaded` if the soonest plan leaves no time for an answer."""
+        if plan is None or self._in_time(waiter, plan, figures):
+            return
+        left = max(0.0, waiter.times.end - self._timers.now())
+        raise Overloaded(
+            f"reading takes about {plan.read_seconds:.2f} s of the {left:.2f} s left",
+            retry_after=time_to_return(self._random, expected=plan.backlog, left=left),
+        )
+
     def _begin(
         self,
         upstream: ListedUpstream,
--- a/src/baobabpulley/model/routes.py
+++ b/src/baobabpulley/model/routes.py
@@ -70,6 +70,11 @@
         pairs = tokens * tokens / 2_000_000
         return tokens / self.tokens_per_second + self.per_million_pairs * pairs
 
+    @property
+    def answer_seconds(self) -> float:
+        """How long one engine writes a usual answer that it has to itself."""
+        return self.usual_answer_tokens * self.step
+
 
 class Service(msgspec.Struct, frozen=True):
     """One service; ``engine`` is ``None`` for a plain one."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -104,17 +104,21 @@
     answer_tokens: int,
     objective: float,
     first_id: str | None = None,
+    hurried: bool = False,
 ) -> Plan | None:
-    """Return where to read a prompt, or ``None`` while no engine has a free slot.
+    """Return where to read a prompt, or ``None`` while slots or memory for it are taken.
 
     ``objective`` is the seconds in which the first event of its answer is wanted. ``first_id``
-    names the engine that has to write it, if one was tried before.
+    names the engine that has to write it, if one was tried before. A ``hurried`` prompt is read
+    by as many engines as make it soonest, whatever that costs the answers written there.
     """
     total = figures.read_seconds(prompt_tokens)
     need = prompt_tokens + answer_tokens
     holders = _holders(need, figures.memory_tokens)
     if total <= PART_SECONDS and holders == 1:
         chosen = _gather(candidates)
+    elif hurried:
+        chosen = _earliest(candidates, total, holders)
     else:
         chosen = _quiet(candidates, total, holders, objective) or _spread(
             candidates, total, holders, objective
--- a/src/baobabpulley/policy/waiting.py
+++ b/src/baobabpulley/policy/waiting.py
@@ -25,6 +25,8 @@
 WAIT_SHARE: Final = 0.7
 # Seconds by which a request goes before another that is one priority less urgent.
 PRIORITY_SECONDS: Final = 0.2
+# Part of a usual answer's time without which a prompt is not worth reading.
+LEAST_ANSWER_SHARE: Final = 0.5
 # Bounds of the time to come back, in seconds and as a share of the time left.
 LEAST_PAUSE: Final = 0.1
 PAUSE_SHARE: Final = 0.3
@@ -86,6 +88,11 @@
     )
 
 
+def can_be_answered(times: Times, *, now: float, read: float, answer: float) -> bool:
+    """Whether a prompt that takes ``read`` seconds leaves time for a usual ``answer``."""
+    return now + read + LEAST_ANSWER_SHARE * answer <= times.end
+
+
 def time_to_return(source: random.Random, *, expected: float, left: float) -> float:
     """Return the seconds after which a refused caller should come back.
 
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -358,6 +358,16 @@
     assert {order["identifier"] for order in _orders(world, "release")} == tickets
 
 
+async def test_a_prompt_that_no_plan_reads_in_time_is_refused_at_once(world: World) -> None:
+    await world.add_upstream("i-0", service=KITCHEN)
+    gateway = await world.add_gateway()
+    begun = time.monotonic()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "180000,1500"})
+    assert (reply.status, _ran(world)) == (503, [])
+    assert time.monotonic() - begun < 0.3
+    assert float(reply.headers["retry-after"]) > 0
+
+
 async def test_no_prompt_runs_without_all_of_its_tickets(world: World) -> None:
     for number in range(4):
         upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -24,6 +24,7 @@
 from baobabpulley.policy.spread import PART_SECONDS
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.policy.waiting import can_be_answered
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.policy.waiting import times_of
 
@@ -303,6 +304,32 @@
     assert times_of(route, arrived=5.0, remaining=None).end == 15.0
 
 
+def test_a_prompt_in_a_hurry_is_read_by_the_engines_that_are_done_soonest() -> None:
+    engines = [candidate(f"i-{number}", in_flight=2) for number in range(10)]
+    usual, hurried = (
+        plan_prompt(
+            engines,
+            figures=FIGURES,
+            prompt_tokens=300_000,
+            answer_tokens=1000,
+            objective=3.0,
+            hurried=hurried,
+        )
+        for hurried in (False, True)
+    )
+    assert usual is not None
+    assert hurried is not None
+    assert len(hurried.engines) == 10
+    assert hurried.read_seconds < usual.read_seconds
+
+
+def test_a_prompt_needs_time_to_be_read_and_for_half_of_an_answer() -> None:
+    route = Route("r", "h", "/", STREAM, 10.0, 3.0, 1, (), 2, False, True, 0.25)
+    times = times_of(route, arrived=0.0, remaining=4.0)
+    assert can_be_answered(times, now=1.0, read=2.0, answer=2.0)
+    assert not can_be_answered(times, now=1.1, read=2.0, answer=2.0)
+
+
 def test_urgent_requests_go_first_and_old_ones_before_new_urgent_ones() -> None:
     route = Route("r", "h", "/", STREAM, 10.0, 0.3, 5, (), 2, False, True, 0.25)
     usual = times_of(route, arrived=5.0, remaining=None)
