--- a/testing/test_specs.py
+++ b/testing/test_specs.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from baobabpulley.specs import engine_tickets
 from baobabpulley.specs import limit_repair
 from baobabpulley.specs import once
 from baobabpulley.specs import orders
@@ -31,6 +32,7 @@
     "orders_ignored": lambda: orders.orders_spec(checks_fencing=False),
     "tickets": once.ticket_spec,
     "claims": once.claim_spec,
+    "engine_tickets": engine_tickets.engine_tickets_spec,
     "reservations": reservations.reservations_spec,
     "reservations_leaving": lambda: reservations.reservations_spec(leaving=True),
 }
@@ -73,6 +75,12 @@
         f"claims without {guard}": lambda guard=guard: once.claim_spec(once.CLAIM_GUARDS - {guard})
         for guard in sorted(once.CLAIM_GUARDS)
     },
+    **{
+        f"engine_tickets without {guard}": lambda guard=guard: engine_tickets.engine_tickets_spec(
+            engine_tickets.GUARDS - {guard}
+        )
+        for guard in sorted(engine_tickets.GUARDS)
+    },
     **{
         f"reservations without {guard}": lambda guard=guard: reservations.reservations_spec(
             reservations.GUARDS - {guard}
