Place requests on an even subset of a large service, and part candidates, plans and queue

Each gateway now looks at 96 upstreams of a service by rendezvous hashing, and at all once those have no room; a queue is looked at only while a slot is free. gateway/candidates.py holds the first, gateway/planning.py whether and where a prompt is read; gateway/placer.py keeps the queue.

--- /dev/null
+++ b/src/baobabpulley/gateway/candidates.py
@@ -0,0 +1,97 @@
+"""The upstreams of a service that may get a request now, with their loads."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Sequence
+from typing import Final
+from typing import final
+
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.policy.spread import Candidate
+from baobabpulley.policy.subset import subset_of
+from baobabpulley.timers import TimerService
+
+# Seconds that count against an upstream of another failure domain.
+DISTANCE_SECONDS: Final = 0.003
+
+
+@final
+class CandidateList:
+    """Candidates of each service; upstreams that are leaving never are."""
+
+    __slots__ = (
+        "_book",
+        "_by_service",
+        "_domain",
+        "_loads",
+        "_node",
+        "_record",
+        "_subsets",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        failure_domain: str,
+        book: FleetBook,
+        loads: LoadBook,
+        record: UpstreamRecord,
+        timers: TimerService,
+    ) -> None:
+        self._node = node
+        self._domain = failure_domain
+        self._book = book
+        self._loads = loads
+        self._record = record
+        self._timers = timers
+        self._by_service: dict[str, list[ListedUpstream]] | None = None
+        self._subsets: dict[str, Sequence[ListedUpstream]] = {}
+        book.listen(self._forget)
+
+    def near(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
+        """Return those of this gateway's subset of a service."""
+        if service not in self._subsets:
+            self._subsets[service] = subset_of(self._node, self._all(service))
+        return self._candidates(self._subsets[service], excluded)
+
+    def all(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
+        """Return those of the whole service."""
+        return self._candidates(self._all(service), excluded)
+
+    def has_more(self, service: str) -> bool:
+        """Whether a service has upstreams beyond this gateway's subset."""
+        return len(self._all(service)) > len(self._subsets.get(service, ()))
+
+    def _all(self, service: str) -> list[ListedUpstream]:
+        if self._by_service is None:
+            self._by_service = defaultdict(list)
+            for upstream in self._book.upstreams.values():
+                if not upstream.leaving:
+                    self._by_service[upstream.service].append(upstream)
+        return self._by_service.get(service, [])
+
+    def _forget(self) -> None:
+        self._by_service = None
+        self._subsets.clear()
+
+    def _candidates(
+        self, upstreams: Sequence[ListedUpstream], excluded: frozenset[str]
+    ) -> list[Candidate]:
+        now = self._timers.now()
+        found = [one for one in upstreams if one.id not in excluded]
+        well = [one for one in found if self._record.usable(one)]
+        return [
+            Candidate(
+                upstream=one,
+                load=self._loads.load(one.id, now=now),
+                penalty=self._record.penalty(one)
+                + (0.0 if one.failure_domain == self._domain else DISTANCE_SECONDS),
+            )
+            for one in (well or found)
+        ]
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -15,6 +15,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.candidates import CandidateList
 from baobabpulley.gateway.control import MetricsHandler
 from baobabpulley.gateway.control import ReadinessHandler
 from baobabpulley.gateway.control import SnapshotHandler
@@ -100,12 +101,20 @@
         self.record = UpstreamRecord(
             failure_domain=self.node.failure_domain, book=self.book, news=self.news, timers=timers
         )
-        self.placer = Placer(
+        candidates = CandidateList(
+            node=self.node.id,
             failure_domain=self.node.failure_domain,
             book=self.book,
             loads=self.loads,
             record=self.record,
             timers=timers,
+        )
+        self.placer = Placer(
+            candidates=candidates,
+            book=self.book,
+            loads=self.loads,
+            record=self.record,
+            timers=timers,
             max_waiting=settings.get(EnginesSection).max_waiting,
         )
         repeats = settings.get(RepeatsSection)
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -126,13 +126,7 @@
         while True:
             self._check_time(exchange)
             try:
-                placement = await self._placer.place(
-                    exchange.service,
-                    exchange.needs,
-                    exchange.times,
-                    excluded=frozenset(exchange.excluded),
-                    first=exchange.first,
-                )
+                placement = await self._placer.place(exchange.placement_request())
             except BaobabError as error:
                 raise honest(exchange, error) from error
             try:
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -13,6 +13,7 @@
 from baobabpulley.errors import UpstreamUnreached
 from baobabpulley.gateway.event_stream import StreamProgress
 from baobabpulley.gateway.placer import Placement
+from baobabpulley.gateway.planning import PlacementRequest
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.model.exchanges import Incoming
 from baobabpulley.model.exchanges import Needs
@@ -90,6 +91,16 @@
             self.longest_pause = max(self.longest_pause, now - self.last_event_at)
         self.last_event_at = now
 
+    def placement_request(self) -> PlacementRequest:
+        """Return what the next attempt needs."""
+        return PlacementRequest(
+            service=self.service,
+            needs=self.needs,
+            times=self.times,
+            excluded=frozenset(self.excluded),
+            first=self.first,
+        )
+
     def log_fields(self) -> dict[str, object]:
         """Return what a line on the whole request says."""
         first = self.first_event_at
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -10,14 +10,14 @@
 
 from sortedcontainers import SortedKeyList
 
+from baobabpulley.errors import BaobabError
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
-from baobabpulley.errors import TooFewEngines
+from baobabpulley.gateway.candidates import CandidateList
 from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.planning import PlacementRequest
+from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.gateway.upstream_record import UpstreamRecord
-from baobabpulley.model.exchanges import Needs
-from baobabpulley.model.routes import EngineFigures
-from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.clearing import Clearing
 from baobabpulley.policy.clearing import clearing_of
@@ -25,20 +25,14 @@
 from baobabpulley.policy.fleet_load import Send
 from baobabpulley.policy.spread import Candidate
 from baobabpulley.policy.spread import Plan
-from baobabpulley.policy.spread import fits
-from baobabpulley.policy.spread import plan_prompt
-from baobabpulley.policy.waiting import Times
-from baobabpulley.policy.waiting import can_be_answered
-from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD: Final = 0.025
-# Seconds that count against an upstream of another failure domain.
-DISTANCE_SECONDS: Final = 0.003
-# Share of the time to the objective that a long prompt may wait for engines that read nothing.
-MEETING_SHARE: Final = 0.4
 # Seconds that one call of a plain service is taken to last before any was seen.
 USUAL_CALL: Final = 0.1
+# Weight of the newest call in the usual seconds of a service's calls.
+NEWEST_CALL: Final = 0.1
+NO_EXCLUSIONS: Final[frozenset[str]] = frozenset()
 
 
 @final
@@ -63,23 +57,12 @@
         self.clearing = clearing
 
 
+@final
 class _Waiter:
-    __slots__ = ("excluded", "first", "future", "needs", "service", "times")
+    __slots__ = ("future", "request")
 
-    def __init__(
-        self,
-        *,
-        service: Service,
-        needs: Needs,
-        times: Times,
-        excluded: frozenset[str],
-        first: str | None,
-    ) -> None:
-        self.first = first
-        self.service = service
-        self.needs = needs
-        self.times = times
-        self.excluded = excluded
+    def __init__(self, request: PlacementRequest) -> None:
+        self.request = request
         self.future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
 
 
@@ -88,11 +71,11 @@
     """Place requests on the upstreams of their service, in their turn."""
 
     __slots__ = (
-        "_book",
         "_call_seconds",
-        "_domain",
+        "_candidates",
         "_loads",
         "_max_waiting",
+        "_planner",
         "_queues",
         "_random",
         "_record",
@@ -102,23 +85,23 @@
     def __init__(
         self,
         *,
-        failure_domain: str,
+        candidates: CandidateList,
         book: FleetBook,
         loads: LoadBook,
         record: UpstreamRecord,
         timers: TimerService,
         max_waiting: int,
     ) -> None:
-        self._domain = failure_domain
-        self._book = book
+        self._candidates = candidates
         self._loads = loads
         self._record = record
         self._timers = timers
         self._max_waiting = max_waiting
         self._random = random.Random()
+        self._planner = PromptPlanner(source=self._random)
         self._call_seconds: dict[str, float] = defaultdict(lambda: USUAL_CALL)
         self._queues: dict[str, SortedKeyList] = defaultdict(
-            lambda: SortedKeyList(key=lambda waiter: waiter.times.turn)
+            lambda: SortedKeyList(key=lambda waiter: waiter.request.times.turn)
         )
         book.listen(self.serve)
 
@@ -131,30 +114,23 @@
         """Look at what waits again and again, as loads of other gateways change unseen."""
         self._timers.every(SERVE_PERIOD, self.serve, name="waiting requests")
 
-    async def place(
-        self,
-        service: Service,
-        needs: Needs,
-        times: Times,
-        *,
-        excluded: frozenset[str],
-        first: str | None = None,
-    ) -> Placement:
-        """Return where an attempt goes; raise `NoUpstream` or `Overloaded`.
-
-        ``first`` names the engine that has to write the answer, if one was tried before.
-        """
-        waiter = _Waiter(service=service, needs=needs, times=times, excluded=excluded, first=first)
-        if not self._candidates(waiter):
+    async def place(self, request: PlacementRequest) -> Placement:
+        """Return where an attempt goes; raise `NoUpstream` or `Overloaded`."""
+        service = request.service.name
+        excluded = request.excluded
+        if not (
+            self._candidates.near(service, excluded=excluded)
+            or self._candidates.all(service, excluded=excluded)
+        ):
             raise NoUpstream(
-                f"no upstream of {service.name} takes the request", retry_after=self._pause(times)
+                f"no upstream of {service} takes the request", retry_after=self._pause(request)
             )
-        queue = self._queues[service.name]
-        if not queue or needs.prompt_tokens:
-            placement = self._try(waiter)
+        queue = self._queues[service]
+        if not queue or request.needs.prompt_tokens:
+            placement = self._try(request)
             if placement is not None:
                 return placement
-        return await self._wait(waiter, queue)
+        return await self._wait(_Waiter(request), queue)
 
     async def clear(self, placement: Placement) -> None:
         """Wait until the engines of a heavy plan are clear, as others now avoid them."""
@@ -173,16 +149,6 @@
         """Whether an engine's answers stand still for a long prompt that it reads."""
         return self._loads.expects_silence(upstream.id, now=self._timers.now())
 
-    def _writing(self, plan: Plan) -> bool:
-        now = self._timers.now()
-        return any(self._loads.load(engine.id, now=now).writing for engine in plan.engines)
-
-    def _reading(self, plan: Plan) -> float:
-        """Return the seconds of other prompts at a plan's engines."""
-        now = self._timers.now()
-        longest = max(self._loads.load(engine.id, now=now).backlog for engine in plan.engines)
-        return longest - plan.part_seconds
-
     def read(self, placement: Placement) -> None:
         """Note that the prompt of an attempt has been read."""
         now = self._timers.now()
@@ -197,36 +163,46 @@
         placement.sends.clear()
         service = placement.upstream.service
         took = now - placement.started
-        self._call_seconds[service] += 0.1 * (took - self._call_seconds[service])
+        self._call_seconds[service] += NEWEST_CALL * (took - self._call_seconds[service])
         self.serve()
 
     def serve(self) -> None:
         """Place whatever of the waiting requests has room now."""
-        for queue in self._queues.values():
-            for waiter in tuple(queue):
-                if waiter.future.done():
-                    queue.remove(waiter)
-                    continue
-                try:
-                    placement = self._try(waiter)
-                except (NoUpstream, Overloaded) as error:
-                    queue.remove(waiter)
-                    waiter.future.set_exception(error)
-                    continue
-                if placement is not None:
-                    queue.remove(waiter)
-                    waiter.future.set_result(placement)
-                elif not waiter.needs.prompt_tokens:
-                    break
+        for service, queue in self._queues.items():
+            if queue and self._may_have_room(service):
+                self._serve_queue(queue)
+
+    def _serve_queue(self, queue: SortedKeyList) -> None:
+        for waiter in tuple(queue):
+            if waiter.future.done():
+                queue.remove(waiter)
+                continue
+            try:
+                placement = self._try(waiter.request)
+            except (NoUpstream, Overloaded) as error:
+                queue.remove(waiter)
+                waiter.future.set_exception(error)
+                continue
+            if placement is not None:
+                queue.remove(waiter)
+                waiter.future.set_result(placement)
+            elif not waiter.request.needs.prompt_tokens:
+                break
+
+    def _may_have_room(self, service: str) -> bool:
+        """Whether looking at each waiting request is worth while: not with every slot taken."""
+        near = self._candidates.near(service, excluded=NO_EXCLUSIONS)
+        return self._candidates.has_more(service) or not near or any(map(_has_slot, near))
 
     async def _wait(self, waiter: _Waiter, queue: SortedKeyList) -> Placement:
-        times = waiter.times
-        expected = self._expected_wait(waiter, queue)
+        request, times = waiter.request, waiter.request.times
+        service = request.service.name
+        expected = self._expected_wait(request, queue)
         now = self._timers.now()
         if len(queue) >= self._max_waiting or now + expected > times.wait_until:
             raise Overloaded(
-                f"about {expected:.2f} s until an upstream of {waiter.service.name} has room",
-                retry_after=time_to_return(self._random, expected=expected, left=times.end - now),
+                f"about {expected:.2f} s until an upstream of {service} has room",
+                retry_after=self._planner.pause(times, now=now, expected=expected),
             )
         queue.add(waiter)
         try:
@@ -243,120 +219,69 @@
             return waiter.future.result()
         waiter.future.cancel()
         raise Overloaded(
-            f"no upstream of {waiter.service.name} had room in time",
-            retry_after=self._pause(times),
+            f"no upstream of {service} had room in time", retry_after=self._pause(request)
         )
 
-    def _expected_wait(self, waiter: _Waiter, queue: SortedKeyList) -> float:
-        slots = sum(one.upstream.slots for one in self._candidates(waiter))
-        ahead = queue.bisect_key_right(waiter.times.turn)
-        return (ahead + 1) * self._call_seconds[waiter.service.name] / max(1, slots)
-
-    def _pause(self, times: Times) -> float:
-        left = times.end - self._timers.now()
-        return time_to_return(self._random, expected=0.5, left=left)
-
-    def _candidates(self, waiter: _Waiter) -> list[Candidate]:
-        now = self._timers.now()
-        found = [
-            one
-            for one in self._book.upstreams.values()
-            if one.service == waiter.service.name
-            and not one.leaving
-            and one.id not in waiter.excluded
-        ]
-        well = [one for one in found if self._record.usable(one)]
-        return [
-            Candidate(
-                upstream=one,
-                load=self._loads.load(one.id, now=now),
-                penalty=self._record.penalty(one)
-                + (0.0 if one.failure_domain == self._domain else DISTANCE_SECONDS),
-            )
-            for one in (well or found)
-        ]
-
-    def _try(self, waiter: _Waiter) -> Placement | None:
-        candidates = self._candidates(waiter)
-        figures = waiter.service.engine
-        if figures is not None and waiter.needs.prompt_tokens:
-            self._check_size(waiter, candidates, figures)
-            return self._try_engines(waiter, candidates, figures)
-        free = [one for one in candidates if one.load.in_flight < one.upstream.slots]
-        if not free:
-            return None
-        chosen = min(
-            free, key=lambda one: (one.load.in_flight + one.penalty, self._random.random())
-        )
-        return self._begin(chosen.upstream)
-
-    def _check_size(
-        self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
-    ) -> None:
-        needs = waiter.needs
-        if not fits(candidates, figures=figures, tokens=needs.prompt_tokens):
-            raise TooFewEngines(
-                f"{len(candidates)} engines are too few for {needs.prompt_tokens} tokens",
-                retry_after=self._pause(waiter.times),
-            )
-
-    def _try_engines(
-        self, waiter: _Waiter, candidates: list[Candidate], figures: EngineFigures
+    def _expected_wait(self, request: PlacementRequest, queue: SortedKeyList) -> float:
+        service = request.service.name
+        candidates = self._candidates.all(service, excluded=request.excluded)
+        slots = sum(one.upstream.slots for one in candidates)
+        ahead = queue.bisect_key_right(request.times.turn)
+        return (ahead + 1) * self._call_seconds[service] / max(1, slots)
+
+    def _pause(self, request: PlacementRequest) -> float:
+        return self._planner.pause(request.times, now=self._timers.now())
+
+    def _try(self, request: PlacementRequest) -> Placement | None:
+        """Place a request on this gateway's subset, or on any upstream if that has no room."""
+        service, excluded = request.service.name, request.excluded
+        near = self._candidates.near(service, excluded=excluded)
+        if not self._candidates.has_more(service):
+            return self._try_among(near, request)
+        try:
+            placement = self._try_among(near, request)
+        except BaobabError:
+            placement = None
+        if placement is not None:
+            return placement
+        return self._try_among(self._candidates.all(service, excluded=excluded), request)
+
+    def _try_among(
+        self, candidates: list[Candidate], request: PlacementRequest
     ) -> Placement | None:
-        plan = self._plan(waiter, candidates, figures)
-        if plan is not None and not self._in_time(waiter, plan, figures):
-            plan = self._plan(waiter, candidates, figures, hurried=True)
-            self._check_time(waiter, plan, figures)
+        figures = request.engine
+        if figures is None:
+            return self._try_call(candidates)
+        now = self._timers.now()
+        plan = self._planner.plan(request, candidates, figures, now=now)
         if plan is None:
             return None
-        times = waiter.times
-        patient_until = times.arrived + MEETING_SHARE * (times.objective - times.arrived)
-        if plan.meets and not plan.heavy and self._timers.now() < patient_until - plan.part_seconds:
-            return None
         return self._begin(
             plan.first,
             plan=plan,
-            clearing=clearing_of(plan, times, now=self._timers.now()),
+            clearing=clearing_of(plan, request.times, now=now),
             read_seconds=plan.part_seconds,
             memory_tokens=plan.first_tokens,
         )
 
-    def _plan(
-        self,
-        waiter: _Waiter,
-        candidates: list[Candidate],
-        figures: EngineFigures,
-        *,
-        hurried: bool = False,
-    ) -> Plan | None:
-        needs, times = waiter.needs, waiter.times
-        return plan_prompt(
-            candidates,
-            figures=figures,
-            prompt_tokens=needs.prompt_tokens,
-            answer_tokens=min(needs.max_output_tokens, figures.memory_tokens // 8),
-            objective=times.objective - times.arrived,
-            first_id=waiter.first,
-            hurried=hurried,
+    def _try_call(self, candidates: list[Candidate]) -> Placement | None:
+        free = [one for one in candidates if _has_slot(one)]
+        if not free:
+            return None
+        chosen = min(
+            free, key=lambda one: (one.load.in_flight + one.penalty, self._random.random())
         )
+        return self._begin(chosen.upstream)
 
-    def _in_time(self, waiter: _Waiter, plan: Plan, figures: EngineFigures) -> bool:
-        return can_be_answered(
-            waiter.times,
-            now=self._timers.now(),
-            read=plan.read_seconds,
-            answer=figures.answer_seconds,
-        )
+    def _writing(self, plan: Plan) -> bool:
+        now = self._timers.now()
+        return any(self._loads.load(engine.id, now=now).writing for engine in plan.engines)
 
-    def _check_time(self, waiter: _Waiter, plan: Plan | None, figures: EngineFigures) -> None:
-        """Raise `Overloaded` if the soonest plan leaves no time for an answer."""
-        if plan is None or self._in_time(waiter, plan, figures):
-            return
-        left = max(0.0, waiter.times.end - self._timers.now())
-        raise Overloaded(
-            f"reading takes about {plan.read_seconds:.2f} s of the {left:.2f} s left",
-            retry_after=time_to_return(self._random, expected=plan.backlog, left=left),
-        )
+    def _reading(self, plan: Plan) -> float:
+        """Return the seconds of other prompts at a plan's engines."""
+        now = self._timers.now()
+        longest = max(self._loads.load(engine.id, now=now).backlog for engine in plan.engines)
+        return longest - plan.part_seconds
 
     def _begin(
         self,
@@ -392,3 +317,7 @@
             )
         self._record.sent(upstream)
         return Placement(upstream=upstream, plan=plan, sends=sends, started=now, clearing=clearing)
+
+
+def _has_slot(candidate: Candidate) -> bool:
+    return candidate.load.in_flight < candidate.upstream.slots
--- /dev/null
+++ b/src/baobabpulley/gateway/planning.py
@@ -0,0 +1,140 @@
+"""Whether, when and where one prompt is read, put together from the policies."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+from typing import final
+
+import msgspec
+
+from baobabpulley.errors import Overloaded
+from baobabpulley.errors import TooFewEngines
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.routes import EngineFigures
+from baobabpulley.model.routes import Service
+from baobabpulley.policy.spread import Candidate
+from baobabpulley.policy.spread import Plan
+from baobabpulley.policy.spread import fits
+from baobabpulley.policy.spread import plan_prompt
+from baobabpulley.policy.waiting import Times
+from baobabpulley.policy.waiting import can_be_answered
+from baobabpulley.policy.waiting import time_to_return
+
+# Share of the time to the objective that a long prompt may wait for engines that read nothing.
+MEETING_SHARE: Final = 0.4
+# Part of an engine's memory that the answer to one prompt is taken to need at most.
+ANSWER_MEMORY_DIVISOR: Final = 8
+# Seconds after which a caller comes back if nothing says when there is room.
+USUAL_PAUSE: Final = 0.5
+
+
+class PlacementRequest(msgspec.Struct, frozen=True):
+    """What one attempt needs.
+
+    ``excluded`` are ids of upstreams that failed it; ``first`` is the engine that has to write the
+    answer, if one was tried before.
+    """
+
+    service: Service
+    needs: Needs
+    times: Times
+    excluded: frozenset[str]
+    first: str | None = None
+
+    @property
+    def engine(self) -> EngineFigures | None:
+        """Figures of the engines that read the prompt, ``None`` if there is nothing to read."""
+        return self.service.engine if self.needs.prompt_tokens else None
+
+
+@final
+class PromptPlanner:
+    """Plan prompts; every refusal here is final for the attempt and says "not run"."""
+
+    __slots__ = ("_random",)
+
+    def __init__(self, *, source: random.Random) -> None:
+        self._random = source
+
+    def plan(
+        self,
+        request: PlacementRequest,
+        candidates: list[Candidate],
+        figures: EngineFigures,
+        *,
+        now: float,
+    ) -> Plan | None:
+        """Return where a prompt is read, or ``None`` if it has to wait.
+
+        Raises `TooFewEngines` or `Overloaded` if it cannot be answered in its time.
+        """
+        self._check_size(request, candidates, figures, now)
+        plan = self._usual(request, candidates, figures)
+        if plan is not None and not self._in_time(request, plan, figures, now):
+            plan = self._usual(request, candidates, figures, hurried=True)
+            self._check_time(request, plan, figures, now)
+        return None if plan is None or self._waits(request, plan, now) else plan
+
+    def pause(self, times: Times, *, now: float, expected: float = USUAL_PAUSE) -> float:
+        """Return the seconds after which a refused caller should come back."""
+        return time_to_return(self._random, expected=expected, left=max(0.0, times.end - now))
+
+    def _waits(self, request: PlacementRequest, plan: Plan, now: float) -> bool:
+        """Whether a prompt waits for engines that read nothing; heavy ones do so once placed."""
+        times = request.times
+        patient_until = times.arrived + MEETING_SHARE * (times.objective - times.arrived)
+        return plan.meets and not plan.heavy and now < patient_until - plan.part_seconds
+
+    def _usual(
+        self,
+        request: PlacementRequest,
+        candidates: list[Candidate],
+        figures: EngineFigures,
+        *,
+        hurried: bool = False,
+    ) -> Plan | None:
+        needs, times = request.needs, request.times
+        most = figures.memory_tokens // ANSWER_MEMORY_DIVISOR
+        return plan_prompt(
+            candidates,
+            figures=figures,
+            prompt_tokens=needs.prompt_tokens,
+            answer_tokens=min(needs.max_output_tokens, most),
+            objective=times.objective - times.arrived,
+            first_id=request.first,
+            hurried=hurried,
+        )
+
+    def _in_time(
+        self, request: PlacementRequest, plan: Plan, figures: EngineFigures, now: float
+    ) -> bool:
+        return can_be_answered(
+            request.times, now=now, read=plan.read_seconds, answer=figures.answer_seconds
+        )
+
+    def _check_time(
+        self, request: PlacementRequest, plan: Plan | None, figures: EngineFigures, now: float
+    ) -> None:
+        """Raise `Overloaded` if the soonest plan leaves no time for an answer."""
+        if plan is None or self._in_time(request, plan, figures, now):
+            return
+        left = max(0.0, request.times.end - now)
+        raise Overloaded(
+            f"reading takes about {plan.read_seconds:.2f} s of the {left:.2f} s left",
+            retry_after=self.pause(request.times, now=now, expected=plan.backlog),
+        )
+
+    def _check_size(
+        self,
+        request: PlacementRequest,
+        candidates: list[Candidate],
+        figures: EngineFigures,
+        now: float,
+    ) -> None:
+        tokens = request.needs.prompt_tokens
+        if not fits(candidates, figures=figures, tokens=tokens):
+            raise TooFewEngines(
+                f"{len(candidates)} engines are too few for {tokens} tokens",
+                retry_after=self.pause(request.times, now=now),
+            )
--- a/testing/policy_builders.py
+++ b/testing/policy_builders.py
@@ -2,22 +2,12 @@
 
 from __future__ import annotations
 
-from baobabpulley.model.routes import EngineFigures
+from baobabpulley.emulator.usual_engine import USUAL_ENGINE
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.fleet_load import Load
 from baobabpulley.policy.spread import Candidate
 
-FIGURES = EngineFigures(
-    slots=8,
-    memory_tokens=232_000,
-    stride=43,
-    step=0.00102,
-    per_writer=0.0000045,
-    per_thousand_context=0.0000043,
-    tokens_per_second=206_000.0,
-    per_million_pairs=0.000138,
-    usual_answer_tokens=1303.0,
-)
+FIGURES = USUAL_ENGINE
 
 
 def candidate(
