Say when the first event is expected, a pass of writing included

Cause: the log of a placement left out the pass in which the first event is written, so that expected first events of shorts were 0.085 s too early at the median.

--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -128,7 +128,7 @@
         helpers=[] if plan is None else [helper.id for helper in plan.helpers],
         part_seconds=0.0 if plan is None else round(plan.part_seconds, 3),
         tickets=0 if plan is None else plan.tickets,
-        expected=0.0 if plan is None else round(plan.read_seconds, 3),
+        expected=0.0 if plan is None else round(plan.first_event_seconds, 3),
         after=round(now - exchange.times.arrived, 3),
     ).info("placed")
 
--- a/src/baobabpulley/model/log_lines.py
+++ b/src/baobabpulley/model/log_lines.py
@@ -9,7 +9,11 @@
 
 
 class LogLine(msgspec.Struct, frozen=True):
-    """One line; fields that an event lacks keep their defaults. ``time`` is Unix seconds."""
+    """One line; fields that an event lacks keep their defaults.
+
+    ``time`` is Unix seconds. Of a placement ``expected`` is the seconds from then on until the
+    first event was expected, ``after`` those since the request arrived.
+    """
 
     time: float
     node: str = ""
@@ -29,7 +33,7 @@
     prompt_tokens: int = 0
     parts: int = 0
     part_seconds: float = 0.0
-    backlog: float = 0.0
+    expected: float = 0.0
     after: float | None = None
     first_event: float | None = None
     longest_pause: float = 0.0
--- a/src/baobabpulley/model/routes.py
+++ b/src/baobabpulley/model/routes.py
@@ -70,6 +70,11 @@
         pairs = tokens * tokens / 2_000_000
         return tokens / self.tokens_per_second + self.per_million_pairs * pairs
 
+    def pass_seconds(self, *, writers: int, context_tokens: int) -> float:
+        """Return how long one pass that writes takes, which sends an event of each answer."""
+        context = self.per_thousand_context * context_tokens / 1000
+        return self.stride * (self.step + self.per_writer * writers + context)
+
     @property
     def answer_seconds(self) -> float:
         """How long one engine writes a usual answer that it has to itself."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -40,6 +40,8 @@
 WRITER_SECONDS: Final = 0.006
 # Seconds that a token in an engine's memory adds, so that equal engines fill evenly.
 TOKEN_SECONDS: Final = 1e-7
+# Part of a pass that an engine that writes still has before it when a prompt arrives.
+PASS_UNDER_WAY: Final = 0.5
 # Engines whose backlog is below this take a part without two of them meeting in one pass.
 MEETING_SECONDS: Final = 0.04
 
@@ -68,7 +70,8 @@
 
     ``part_seconds`` is the reading at each engine; ``ticket_tokens`` the memory to reserve at
     each of the first ``tickets`` helpers, ``backlog`` the seconds that some engine still reads
-    other prompts. ``heavy`` says that the parts are too long for the answers written beside them.
+    other prompts, ``pass_seconds`` what the first engine takes to write an event. ``heavy`` says
+    that the parts are too long for the answers written beside them.
     """
 
     first: ListedUpstream
@@ -78,6 +81,7 @@
     ticket_tokens: int
     first_tokens: int
     backlog: float
+    pass_seconds: float
     heavy: bool
 
     @property
@@ -90,6 +94,11 @@
         """Seconds until the prompt is expected to have been read."""
         return self.backlog + self.part_seconds
 
+    @property
+    def first_event_seconds(self) -> float:
+        """Seconds until the first event of the answer is expected."""
+        return self.read_seconds + self.pass_seconds
+
     @property
     def engines(self) -> tuple[ListedUpstream, ...]:
         """All engines that read a part."""
@@ -145,7 +154,16 @@
         first_tokens=need - tickets * ticket_tokens,
         heavy=part > LONG_PART_SECONDS,
         backlog=max(one.load.backlog for one in chosen),
+        pass_seconds=_pass_seconds(first.load, figures, prompt_tokens),
+    )
+
+
+def _pass_seconds(load: Load, figures: EngineFigures, prompt_tokens: int) -> float:
+    """Return the seconds of an answer's first pass, and of what is left of the one under way."""
+    whole = figures.pass_seconds(
+        writers=load.writing + 1, context_tokens=load.memory_tokens + prompt_tokens
     )
+    return whole * (1.0 + PASS_UNDER_WAY) if load.writing else whole
 
 
 def _named(candidates: list[Candidate], name: str | None) -> Candidate | None:
