--- a/src/baobabpulley/cli/explain.py
+++ b/src/baobabpulley/cli/explain.py
@@ -77,9 +77,10 @@
 def _explain_from_logs(request_id: str, logs: tuple[TextIO, ...]) -> None:
     lines = [line for log in logs for line in read_log_lines(log)]
     story = story_of(request_id, lines)
-    for line in sorted([*story, *nearby(story, lines)], key=lambda line: line.time):
+    around = nearby(story, lines)
+    for line in sorted([*story, *around], key=lambda line: line.time):
         click.echo(_describe_line(line))
-    click.echo(cause_of(story))
+    click.echo(cause_of(story, around))
     if not story:
         sys.exit(EXIT_FAILED)
 
--- a/src/baobabpulley/policy/request_story.py
+++ b/src/baobabpulley/policy/request_story.py
@@ -34,9 +34,11 @@
     return sorted(found, key=lambda line: line.time)
 
 
-def cause_of(story: Sequence[LogLine]) -> str:
+def cause_of(story: Sequence[LogLine], around: Sequence[LogLine] = ()) -> str:
     """Return in one sentence why a request ended as it did.
 
+    ``around`` is what `nearby` returns.
+
     >>> cause_of([LogLine(time=1.0, event="request", outcome="ok", seconds=0.2)])
     'It was answered within 0.20 s.'
     >>> cause_of([])
@@ -47,15 +49,25 @@
         return _unfinished(story)
     end = ends[-1]
     failures = [line for line in story if line.event == "attempt_failed"]
+    if end.outcome == "ok" and end.status >= 400:
+        before = f", after {_told(failures[-1])}" if failures else ""
+        return f"Its last upstream answered {end.status} by itself{before}."
     if end.outcome == "ok":
-        status = f" with {end.status} by its upstream" if end.status >= 400 else ""
-        return f"It was answered{status} within {end.seconds:.2f} s{_slowness(end, failures)}."
+        return f"It was answered within {end.seconds:.2f} s{_slowness(end, failures)}."
+    frozen = _freeze(end, around)
+    if end.outcome == "client_gone" and frozen is not None:
+        return f"Its caller left while {frozen.node} stood still for {frozen.seconds:.1f} s."
     if end.outcome == "client_gone":
         return f"Its caller left after {end.seconds:.2f} s{_waiting_for(story, failures)}."
     tried = f" after {len(failures)} failed attempts: {_told(failures[-1])}" if failures else ""
     return f"It ended as {end.outcome}: {end.reason or end.message}{tried}."
 
 
+def _freeze(end: LogLine, around: Sequence[LogLine]) -> LogLine | None:
+    """Return the line of the freeze from which the process of a request had just woken."""
+    return next((line for line in around if line.event == "frozen" and line.node == end.node), None)
+
+
 def _unfinished(story: Sequence[LogLine]) -> str:
     if not story:
         return "No line tells of it: the process that served it ended, or its lines were left out."
--- a/testing/test_request_story.py
+++ b/testing/test_request_story.py
@@ -53,7 +53,9 @@
     ("behaviour", "path", "cause"),
     [
         pytest.param(upstreams.answer_whole, "/order/1", "It was answered within", id="well"),
-        pytest.param(upstreams.fail, "/order/1", "answered with 500 by its upstream", id="failed"),
+        pytest.param(
+            upstreams.fail, "/order/1", "Its last upstream answered 500 by itself", id="failed"
+        ),
         pytest.param(upstreams.reset_after_run, "/order/1", "ended as upstream_lost", id="lost"),
         pytest.param(upstreams.shed, "/order/1", "answered 503, not run", id="shed"),
         pytest.param(upstreams.answer_whole, "/none/1", "ended as not_found", id="no-route"),
@@ -93,6 +95,27 @@
     assert cause_of([placed]) == "front-1 ended, or was cut off, while i-1 worked on it."
 
 
+def test_a_caller_that_left_during_a_freeze_is_told_so() -> None:
+    end = LogLine(time=9.0, node="front-1", event="request", outcome="client_gone", seconds=0.01)
+    frozen = LogLine(time=8.99, node="front-1", event="frozen", seconds=3.8)
+    other = LogLine(time=8.99, node="front-2", event="frozen", seconds=3.8)
+    assert cause_of([end], [frozen]) == "Its caller left while front-1 stood still for 3.8 s."
+    assert "stood still" not in cause_of([end], [other])
+
+
+def test_a_second_failure_of_an_upstream_itself_is_told_with_the_first() -> None:
+    failed = LogLine(
+        time=1.0,
+        event="attempt_failed",
+        upstream="i-1",
+        code="upstream_failed",
+        message="i-1 answered 500",
+    )
+    end = LogLine(time=2.0, event="request", outcome="ok", status=500, seconds=0.3)
+    told = "i-1 failed (upstream_failed): i-1 answered 500"
+    assert cause_of([failed, end]) == f"Its last upstream answered 500 by itself, after {told}."
+
+
 async def test_a_day_is_reported_from_its_lines(world: World, log: Path) -> None:
     await world.add_upstream("i-1")
     gateway = await world.add_gateway()
