Leave out lines of answered requests past 150 KB a second, and count them

The log was bounded only by a reader that stands still. Past the rate, lines of placements and of requests that ended well are counted in the next line's lines_left_out; failures, warnings and beliefs are always written.

--- a/src/baobabpulley/logs.py
+++ b/src/baobabpulley/logs.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import sys
+import time
 from typing import Any
 from typing import ClassVar
 from typing import Final
@@ -19,6 +20,10 @@
 # Bytes of lines that wait for a reader of standard output before further ones are left out.
 _MAX_WAITING: Final = 262_144
 
+FAILED_STATUS: Final = 400
+# Bytes of lines a second past which those of requests that ended well are counted and left out.
+MAX_BYTES_A_SECOND: Final = 150_000
+
 _TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level} {extra} {message}"
 
 
@@ -49,7 +54,7 @@
 class LineSink:
     """Write lines to a descriptor that may not block; count those that had to be left out."""
 
-    __slots__ = ("_descriptor", "_left_out", "_waiting")
+    __slots__ = ("_descriptor", "_left_out", "_second", "_second_bytes", "_waiting")
 
     total_left_out: ClassVar[int] = 0
 
@@ -57,6 +62,8 @@
         self._descriptor = descriptor
         self._waiting = b""
         self._left_out = 0
+        self._second = 0
+        self._second_bytes = 0
 
     def __call__(self, message: Any) -> None:
         """Take one message of loguru's."""
@@ -72,17 +79,35 @@
         if self._left_out:
             line["lines_left_out"] = self._left_out
         data = msgspec.json.encode(line) + b"\n"
-        if len(self._waiting) + len(data) > _MAX_WAITING:
+        if self._has_no_room(data) or (_ended_well(record) and self._is_past_rate(data)):
             self._left_out += 1
             LineSink.total_left_out += 1
             self._write()
             return
         self._left_out = 0
         self._waiting += data
+        self._second_bytes += len(data)
         self._write()
 
+    def _has_no_room(self, data: bytes) -> bool:
+        return len(self._waiting) + len(data) > _MAX_WAITING
+
+    def _is_past_rate(self, data: bytes) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._second_bytes = second, 0
+        return self._second_bytes + len(data) > MAX_BYTES_A_SECOND
+
     def _write(self) -> None:
         # A reader that stands still costs lines, never the process.
         with contextlib.suppress(BlockingIOError, BrokenPipeError):
             written = os.write(self._descriptor, self._waiting)
             self._waiting = self._waiting[written:]
+
+
+def _ended_well(record: Any) -> bool:
+    """Whether a line tells of a request that was placed or answered, and of no failure."""
+    extra = record["extra"]
+    event = extra.get("event")
+    answered = extra.get("outcome") == "ok" and extra.get("status", 0) < FAILED_STATUS
+    return event == "placed" or (event == "request" and answered)
--- a/testing/test_line_logs.py
+++ b/testing/test_line_logs.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import time
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 from pathlib import Path
@@ -17,6 +18,7 @@
 from loguru import logger
 from platform_upstream import stream
 
+from baobabpulley.logs import MAX_BYTES_A_SECOND
 from baobabpulley.logs import LineSink
 from baobabpulley.platform import names
 
@@ -65,6 +67,30 @@
     assert len(lines) + left_out == 20_100
 
 
+def test_past_a_rate_lines_of_answered_requests_are_counted_and_all_others_kept(
+    pipe: tuple[int, int],
+) -> None:
+    reading, _ = pipe
+    read = b""
+    begun = time.monotonic()
+    for number in range(4_000):
+        ended = logger.bind(event="request", request=f"r-{number}", padding="x" * 200)
+        ended.bind(outcome="ok", status=200).info("request")
+        if number % 100 == 0:
+            ended.bind(outcome="overloaded", status=503).info("request")
+            ended.bind(event="attempt_failed").info("lost")
+            logger.bind(event="configuration").info("in force")
+        read += _read_all(reading)
+    lines = [json.loads(line) for line in read.splitlines()]
+    kept = [line for line in lines if line.get("outcome") == "ok"]
+    assert len(kept) < 4_000
+    seconds = int(time.monotonic() - begun) + 2
+    assert sum(len(json.dumps(line)) for line in kept) < seconds * MAX_BYTES_A_SECOND
+    assert sum(line.get("outcome") == "overloaded" for line in lines) == 40
+    assert sum(line["event"] in {"attempt_failed", "configuration"} for line in lines) == 80
+    assert len(lines) + sum(line.get("lines_left_out", 0) for line in lines) >= 4_100
+
+
 async def test_the_life_of_a_request_is_told_without_its_key_or_prompt(
     world: World, pipe: tuple[int, int]
 ) -> None:
