Replay the worst moments on engines that keep time, and turn waiting requests away in one place

For that the placer's waits follow the timer service: Placer.serve refuses those that have waited long enough, in place of a wall-clock timeout of each.

--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -169,9 +169,27 @@
     def serve(self) -> None:
         """Place whatever of the waiting requests has room now."""
         for service, queue in self._queues.items():
-            if queue and self._may_have_room(service):
+            if not queue:
+                continue
+            self._turn_away(queue)
+            if self._may_have_room(service):
                 self._serve_queue(queue)
 
+    def _turn_away(self, queue: SortedKeyList) -> None:
+        """Refuse the requests that have waited for as long as helps their callers."""
+        now = self._timers.now()
+        for waiter in tuple(queue):
+            request = waiter.request
+            if now < request.times.wait_until:
+                continue
+            queue.remove(waiter)
+            if not waiter.future.done():
+                error = Overloaded(
+                    f"no upstream of {request.service.name} had room in time",
+                    retry_after=self._pause(request),
+                )
+                waiter.future.set_exception(error)
+
     def _serve_queue(self, queue: SortedKeyList) -> None:
         for waiter in tuple(queue):
             if waiter.future.done():
@@ -206,21 +224,18 @@
             )
         queue.add(waiter)
         try:
-            await asyncio.wait({waiter.future}, timeout=self._timers.real(times.wait_until - now))
+            return await waiter.future
         except asyncio.CancelledError:
             # The caller left at the moment at which room was found.
-            if waiter.future.done() and waiter.future.exception() is None:
-                self.end(waiter.future.result())
+            if waiter.future.done() and not waiter.future.cancelled():
+                self._end_unused(waiter.future)
             raise
         finally:
-            if waiter in queue:
-                queue.remove(waiter)
-        if waiter.future.done():
-            return waiter.future.result()
-        waiter.future.cancel()
-        raise Overloaded(
-            f"no upstream of {service} had room in time", retry_after=self._pause(request)
-        )
+            queue.discard(waiter)
+
+    def _end_unused(self, found: asyncio.Future[Placement]) -> None:
+        if found.exception() is None:
+            self.end(found.result())
 
     def _expected_wait(self, request: PlacementRequest, queue: SortedKeyList) -> float:
         service = request.service.name
--- /dev/null
+++ b/testing/test_worst_moments.py
@@ -0,0 +1,136 @@
+"""How requests wait, are placed and turned away in the load patterns that the policies answer."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from engine_world import LONG_ROUTE
+from engine_world import SHORT_ROUTE
+from engine_world import Arrival
+from engine_world import EngineWorld
+from engine_world import Served
+
+from baobabpulley.model.routes import Route
+
+ENGINES = 16
+SLOTS = 8 * ENGINES
+
+
+def shorts(rate: float, *, begin: float, end: float, account: str = "") -> list[Arrival]:
+    source = random.Random(f"{account}{begin}")
+    count = round(rate * (end - begin))
+    return [
+        Arrival(source.uniform(begin, end), source.randint(800, 9_000), account=account)
+        for _ in range(count)
+    ]
+
+
+def longs(rate: float, *, begin: float, end: float) -> list[Arrival]:
+    source = random.Random(f"long{begin}")
+    count = round(rate * (end - begin))
+    return [
+        Arrival(begin + (end - begin) * number / count, source.randint(60_000, 380_000))
+        for number in range(count)
+    ]
+
+
+def share_within(served: list[Served], seconds: float) -> float:
+    return sum(not one.code and one.seconds <= seconds for one in served) / len(served)
+
+
+def share_on_time(served: list[Served], route: Route) -> float:
+    """Return the share with its first event and all pauses within a route's objectives."""
+    on_time = [
+        not one.code and one.seconds <= route.objective and one.pause <= route.pause_objective
+        for one in served
+    ]
+    return sum(on_time) / len(on_time)
+
+
+def of_account(served: list[Served], account: str) -> list[Served]:
+    return [one for one in served if one.arrival.account == account]
+
+
+async def test_longs_and_shorts_in_opposite_phase_both_meet_their_objectives() -> None:
+    world = EngineWorld(ENGINES)
+    arrivals = [
+        *shorts(8.0, begin=0.0, end=10.0, account="short"),
+        *longs(1.2, begin=0.0, end=10.0),
+        *shorts(28.0, begin=10.0, end=20.0, account="short"),
+        *longs(0.2, begin=10.0, end=20.0),
+    ]
+    served = await world.replay(arrivals, seconds=30.0)
+    assert len(served) == len(arrivals)
+    assert share_on_time(of_account(served, "short"), SHORT_ROUTE) >= 0.99
+    assert share_on_time(of_account(served, ""), LONG_ROUTE) >= 0.97
+
+
+async def test_under_three_times_the_load_refusals_are_early_and_no_slot_stays_free() -> None:
+    world = EngineWorld(ENGINES)
+    free: list[int] = []
+
+    async def watch() -> None:
+        while True:
+            await world.timers.sleep(0.1)
+            taken = sum(
+                world.loads.load(f"i-{number}", now=world.timers.now()).in_flight
+                for number in range(ENGINES)
+            )
+            if world.placer.waiting:
+                free.append(SLOTS - taken)
+
+    world.timers.after(0.0, watch, name="watch")
+    served = await world.replay(shorts(270.0, begin=0.0, end=8.0), seconds=14.0)
+    refused = [one for one in served if one.code]
+    assert refused
+    assert max(one.seconds for one in refused) <= 0.7 * 2.0 + 0.1
+    assert all(one.retry_after > 0 for one in refused)
+    assert sorted(free)[len(free) // 2] == 0
+    world.timers.cancel_all()
+
+
+@pytest.mark.parametrize("flood", [5.0, 20.0], ids=["five-times", "twenty-times"])
+async def test_no_size_and_no_small_account_starves_beside_a_flood(flood: float) -> None:
+    world = EngineWorld(ENGINES)
+    small = shorts(4.0, begin=0.0, end=10.0, account="small")
+    large = shorts(4.0 * flood, begin=0.0, end=10.0, account="large")
+    served = await world.replay([*small, *large, *longs(0.5, begin=0.0, end=10.0)], seconds=26.0)
+    all_served = share_within(served, 60.0)
+    for account in ("small", "large", ""):
+        assert share_within(of_account(served, account), 60.0) >= 0.5 * all_served, account
+
+
+async def test_callers_that_ignore_refusals_do_not_push_others_out() -> None:
+    patient = shorts(60.0, begin=0.0, end=8.0, account="patient")
+    storm = [
+        Arrival(one.at, one.tokens, account="storm", again=True)
+        for one in shorts(60.0, begin=0.0, end=8.0, account="storm")
+    ]
+    world = EngineWorld(ENGINES)
+    served = await world.replay([*patient, *storm], seconds=14.0)
+    first = {id(one.arrival): one for one in reversed(served)}
+    shares = {
+        account: share_within(
+            [one for one in first.values() if one.arrival.account == account], 60.0
+        )
+        for account in ("patient", "storm")
+    }
+    assert shares["patient"] >= 0.8 * shares["storm"]
+
+
+async def test_an_urgent_account_waits_less_and_the_others_are_served_all_the_same() -> None:
+    world = EngineWorld(ENGINES)
+    usual = shorts(110.0, begin=0.0, end=6.0, account="usual")
+    urgent = [
+        Arrival(one.at, one.tokens, account="urgent", priority=0)
+        for one in shorts(10.0, begin=0.0, end=6.0, account="urgent")
+    ]
+    served = await world.replay([*usual, *urgent], seconds=12.0)
+    waits = {
+        account: sorted(one.seconds for one in of_account(served, account))
+        for account in ("usual", "urgent")
+    }
+    medians = {account: found[len(found) // 2] for account, found in waits.items()}
+    assert medians["urgent"] <= medians["usual"]
+    assert share_within(of_account(served, "usual"), 60.0) > 0.5
