--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -18,7 +18,7 @@
 from baobabpulley.policy.spread import fits
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.waiting import Times
-from baobabpulley.policy.waiting import can_be_answered
+from baobabpulley.policy.waiting import last_first_event
 from baobabpulley.policy.waiting import time_to_return
 
 # Share of the time to the objective that a long prompt may wait for engines that read nothing.
@@ -109,9 +109,8 @@
     def _in_time(
         self, request: PlacementRequest, plan: Plan, figures: EngineFigures, now: float
     ) -> bool:
-        return can_be_answered(
-            request.times, now=now, read=plan.read_seconds, answer=figures.answer_seconds
-        )
+        last = last_first_event(request.times, answer=figures.answer_seconds)
+        return now + plan.read_seconds <= last
 
     def _check_time(
         self, request: PlacementRequest, plan: Plan | None, figures: EngineFigures, now: float
--- a/src/baobabpulley/policy/clearing.py
+++ b/src/baobabpulley/policy/clearing.py
@@ -16,6 +16,7 @@
 from baobabpulley.policy.spread import MEETING_SECONDS
 from baobabpulley.policy.spread import Plan
 from baobabpulley.policy.waiting import Times
+from baobabpulley.policy.waiting import last_first_event
 
 # Share of the time to the objective in which engines are cleared whatever the parts take.
 CLEARING_SHARE: Final = 0.35
@@ -44,16 +45,22 @@
         return not writing and not waits_for_others
 
 
-def clearing_of(plan: Plan, times: Times, *, now: float) -> Clearing | None:
-    """Return what a plan waits for, or ``None`` if its parts harm nobody."""
+def clearing_of(plan: Plan, times: Times, *, answer: float, now: float) -> Clearing | None:
+    """Return what a plan waits for, or ``None`` if its parts harm nobody.
+
+    ``answer`` is the seconds that a usual answer takes.
+    """
     if not plan.heavy:
         return None
-    return Clearing(reads_until=now + plan.backlog, begins_by=_begins_by(plan, times, now))
+    begins_by = _begins_by(plan, times, answer, now)
+    return Clearing(reads_until=now + plan.backlog, begins_by=begins_by)
 
 
-def _begins_by(plan: Plan, times: Times, now: float) -> float:
+def _begins_by(plan: Plan, times: Times, answer: float, now: float) -> float:
     if now >= times.objective:
         return min(now + LATE_SECONDS, max(now, times.wait_until))
-    due = min(times.objective, times.end)
+    due = min(times.objective, last_first_event(times, answer=answer))
     latest = due - READ_MARGIN * plan.part_seconds - ANSWER_SECONDS
+    if due < times.objective:
+        return latest
     return max(latest, times.arrived + CLEARING_SHARE * (due - times.arrived))
--- a/src/baobabpulley/policy/waiting.py
+++ b/src/baobabpulley/policy/waiting.py
@@ -88,9 +88,9 @@
     )
 
 
-def can_be_answered(times: Times, *, now: float, read: float, answer: float) -> bool:
-    """Whether a prompt that takes ``read`` seconds leaves time for a usual ``answer``."""
-    return now + read + LEAST_ANSWER_SHARE * answer <= times.end
+def last_first_event(times: Times, *, answer: float) -> float:
+    """Return when an answer that usually takes ``answer`` seconds has to begin to end in time."""
+    return times.end - LEAST_ANSWER_SHARE * answer
 
 
 def time_to_return(source: random.Random, *, expected: float, left: float) -> float:
--- a/testing/test_clearing.py
+++ b/testing/test_clearing.py
@@ -20,6 +20,7 @@
 
 ENGINES = 9
 OBJECTIVE = 3.0
+ANSWER = FIGURES.answer_seconds
 ROUTE = Route("r", "h", "/", STREAM, 15.0, OBJECTIVE, 1, (), 2, False, True, 1.0)
 
 
@@ -54,7 +55,7 @@
         book.begin(engine.id, read_seconds=first.part_seconds, memory_tokens=1, now=0.0)
     second = plan(book, tokens=200_000, now=0.2)
     assert {one.id for one in second.engines} & {one.id for one in first.engines}
-    clearing = clearing_of(second, times(0.2), now=0.2)
+    clearing = clearing_of(second, times(0.2), answer=ANSWER, now=0.2)
     assert clearing is not None
     begins = begins_at(clearing, book, second, now=0.2)
     assert begins == pytest.approx(first.part_seconds, abs=0.1)
@@ -66,7 +67,7 @@
     for number in range(ENGINES):
         book.begin(f"i-{number}", read_seconds=30.0, memory_tokens=1, now=0.0)
     late = plan(book, tokens=200_000, now=0.0)
-    clearing = clearing_of(late, times(0.0), now=0.0)
+    clearing = clearing_of(late, times(0.0), answer=ANSWER, now=0.0)
     assert clearing is not None
     begins = begins_at(clearing, book, late, now=0.0)
     assert begins + late.part_seconds <= OBJECTIVE
@@ -75,7 +76,7 @@
 def test_a_long_prompt_past_its_objective_still_lets_answers_end_first() -> None:
     book = LoadBook()
     retried = plan(book, tokens=280_000, now=6.0)
-    clearing = clearing_of(retried, times(0.0), now=6.0)
+    clearing = clearing_of(retried, times(0.0), answer=ANSWER, now=6.0)
     assert clearing is not None
     assert not clearing.is_over(now=6.0, writing=True, reading=0.0)
     assert clearing.is_over(now=6.3, writing=False, reading=0.0)
@@ -83,4 +84,13 @@
 
 
 def test_a_prompt_whose_parts_are_short_waits_for_nothing() -> None:
-    assert clearing_of(plan(LoadBook(), tokens=40_000, now=0.0), times(0.0), now=0.0) is None
+    short = plan(LoadBook(), tokens=40_000, now=0.0)
+    assert clearing_of(short, times(0.0), answer=ANSWER, now=0.0) is None
+
+
+def test_a_prompt_whose_answer_has_to_end_before_its_objective_waits_for_nothing() -> None:
+    hurried = plan(LoadBook(), tokens=280_000, now=0.0)
+    ends_soon = times_of(ROUTE, arrived=0.0, remaining=hurried.part_seconds + 0.8)
+    clearing = clearing_of(hurried, ends_soon, answer=ANSWER, now=0.0)
+    assert clearing is not None
+    assert clearing.is_over(now=0.0, writing=True, reading=9.0)
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -24,7 +24,7 @@
 from baobabpulley.policy.spread import PART_SECONDS
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.upstream_health import UpstreamHealth
-from baobabpulley.policy.waiting import can_be_answered
+from baobabpulley.policy.waiting import last_first_event
 from baobabpulley.policy.waiting import time_to_return
 from baobabpulley.policy.waiting import times_of
 
@@ -323,11 +323,10 @@
     assert hurried.read_seconds < usual.read_seconds
 
 
-def test_a_prompt_needs_time_to_be_read_and_for_half_of_an_answer() -> None:
+def test_half_of_a_usual_answer_has_to_fit_before_the_last_moment() -> None:
     route = Route("r", "h", "/", STREAM, 10.0, 3.0, 1, (), 2, False, True, 0.25)
     times = times_of(route, arrived=0.0, remaining=4.0)
-    assert can_be_answered(times, now=1.0, read=2.0, answer=2.0)
-    assert not can_be_answered(times, now=1.1, read=2.0, answer=2.0)
+    assert last_first_event(times, answer=2.0) == 3.0
 
 
 def test_urgent_requests_go_first_and_old_ones_before_new_urgent_ones() -> None:
