--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -274,7 +274,7 @@
         return self._begin(
             plan.first,
             plan=plan,
-            clearing=clearing_of(plan, request.times, answer=figures.answer_seconds, now=now),
+            clearing=clearing_of(plan, request.times, answer=request.answer_seconds, now=now),
             read_seconds=plan.part_seconds,
             memory_tokens=plan.first_tokens,
         )
--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -47,6 +47,16 @@
         """Figures of the engines that read the prompt, ``None`` if there is nothing to read."""
         return self.service.engine if self.needs.prompt_tokens else None
 
+    @property
+    def answer_seconds(self) -> float:
+        """How long a usual answer to the prompt takes, 0 if nothing is known of it."""
+        if self.engine is None:
+            return 0.0
+        needs = self.needs
+        return self.engine.answer_seconds(
+            prompt_tokens=needs.prompt_tokens, most_tokens=needs.max_output_tokens
+        )
+
 
 @final
 class PromptPlanner:
@@ -71,9 +81,9 @@
         """
         self._check_size(request, candidates, figures, now)
         plan = self._usual(request, candidates, figures)
-        if plan is not None and not self._in_time(request, plan, figures, now):
+        if plan is not None and not self._in_time(request, plan, now):
             plan = self._usual(request, candidates, figures, hurried=True)
-            self._check_time(request, plan, figures, now)
+            self._check_time(request, plan, now)
         return None if plan is None or self._waits(request, plan, now) else plan
 
     def pause(self, times: Times, *, now: float, expected: float = USUAL_PAUSE) -> float:
@@ -106,17 +116,13 @@
             hurried=hurried,
         )
 
-    def _in_time(
-        self, request: PlacementRequest, plan: Plan, figures: EngineFigures, now: float
-    ) -> bool:
-        last = last_first_event(request.times, answer=figures.answer_seconds)
+    def _in_time(self, request: PlacementRequest, plan: Plan, now: float) -> bool:
+        last = last_first_event(request.times, answer=request.answer_seconds)
         return now + plan.read_seconds <= last
 
-    def _check_time(
-        self, request: PlacementRequest, plan: Plan | None, figures: EngineFigures, now: float
-    ) -> None:
+    def _check_time(self, request: PlacementRequest, plan: Plan | None, now: float) -> None:
         """Raise `Overloaded` if the soonest plan leaves no time for an answer."""
-        if plan is None or self._in_time(request, plan, figures, now):
+        if plan is None or self._in_time(request, plan, now):
             return
         left = max(0.0, request.times.end - now)
         raise Overloaded(
--- a/src/baobabpulley/model/routes.py
+++ b/src/baobabpulley/model/routes.py
@@ -75,10 +75,11 @@
         context = self.per_thousand_context * context_tokens / 1000
         return self.stride * (self.step + self.per_writer * writers + context)
 
-    @property
-    def answer_seconds(self) -> float:
-        """How long one engine writes a usual answer that it has to itself."""
-        return self.usual_answer_tokens * self.step
+    def answer_seconds(self, *, prompt_tokens: int, most_tokens: int) -> float:
+        """Return how long one engine that does nothing else writes a usual answer to a prompt."""
+        context = self.per_thousand_context * prompt_tokens / 1000
+        tokens = min(self.usual_answer_tokens, most_tokens)
+        return tokens * (self.step + self.per_writer + context)
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/src/baobabpulley/policy/waiting.py
+++ b/src/baobabpulley/policy/waiting.py
@@ -26,7 +26,7 @@
 # Seconds by which a request goes before another that is one priority less urgent.
 PRIORITY_SECONDS: Final = 0.2
 # Part of a usual answer's time without which a prompt is not worth reading.
-LEAST_ANSWER_SHARE: Final = 0.5
+LEAST_ANSWER_SHARE: Final = 0.75
 # Bounds of the time to come back, in seconds and as a share of the time left.
 LEAST_PAUSE: Final = 0.1
 PAUSE_SHARE: Final = 0.3
--- a/testing/engine_world.py
+++ b/testing/engine_world.py
@@ -29,6 +29,8 @@
 STEP: Final = 0.025
 # Reads closer than this are one pause for the answers written beside them.
 MERGED_SECONDS: Final = 0.02
+# Seconds that an engine takes for an answer when it reads nothing meanwhile.
+ANSWER_SECONDS: Final = 1.33
 SHORT_ROUTE: Final = Route("draft", "h", "/", STREAM, 10.0, 0.3, 1, (), 2, False, True, 0.25)
 LONG_ROUTE: Final = Route("archive", "h", "/", STREAM, 15.0, 3.0, 1, (), 2, False, True, 1.0)
 SERVICE: Final = Service(name="kitchen", max_connections=424, engine=USUAL_ENGINE)
@@ -184,11 +186,11 @@
     async def _write(self, engine: str) -> float:
         """Write an answer between the engine's reads; return the longest time it stood still."""
         begin, stood_still = self.timers.now(), [0.0]
-        end = begin + USUAL_ENGINE.answer_seconds
+        end = begin + ANSWER_SECONDS
         while self.timers.now() < end:
             await self.timers.sleep(end - self.timers.now())
             stood_still = self._overlaps(engine, begin, self.timers.now())
-            end = begin + USUAL_ENGINE.answer_seconds + sum(stood_still)
+            end = begin + ANSWER_SECONDS + sum(stood_still)
         return max(stood_still)
 
     def _overlaps(self, engine: str, begin: float, end: float) -> list[float]:
--- a/testing/test_clearing.py
+++ b/testing/test_clearing.py
@@ -20,7 +20,7 @@
 
 ENGINES = 9
 OBJECTIVE = 3.0
-ANSWER = FIGURES.answer_seconds
+ANSWER = FIGURES.answer_seconds(prompt_tokens=200_000, most_tokens=1000)
 ROUTE = Route("r", "h", "/", STREAM, 15.0, OBJECTIVE, 1, (), 2, False, True, 1.0)
 
 
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -323,10 +323,17 @@
     assert hurried.read_seconds < usual.read_seconds
 
 
-def test_half_of_a_usual_answer_has_to_fit_before_the_last_moment() -> None:
+def test_most_of_a_usual_answer_has_to_fit_before_the_last_moment() -> None:
     route = Route("r", "h", "/", STREAM, 10.0, 3.0, 1, (), 2, False, True, 0.25)
     times = times_of(route, arrived=0.0, remaining=4.0)
-    assert last_first_event(times, answer=2.0) == 3.0
+    assert last_first_event(times, answer=2.0) == 2.5
+
+
+def test_an_answer_to_a_long_prompt_takes_longer_and_no_more_tokens_than_asked_for() -> None:
+    short = FIGURES.answer_seconds(prompt_tokens=1000, most_tokens=5000)
+    long = FIGURES.answer_seconds(prompt_tokens=136_000, most_tokens=5000)
+    assert 1.4 * short < long
+    assert FIGURES.answer_seconds(prompt_tokens=1000, most_tokens=100) < 0.1 * short
 
 
 def test_urgent_requests_go_first_and_old_ones_before_new_urgent_ones() -> None:
