--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -80,9 +80,9 @@
         Raises `TooFewEngines` or `Overloaded` if it cannot be answered in its time.
         """
         self._check_size(request, candidates, figures, now)
-        plan = self._usual(request, candidates, figures)
+        plan = self._plan(request, candidates, figures)
         if plan is not None and not self._in_time(request, plan, now):
-            plan = self._usual(request, candidates, figures, hurried=True)
+            plan = self._plan(request, candidates, figures, hurried=True)
             self._check_time(request, plan, now)
         return None if plan is None or self._waits(request, plan, now) else plan
 
@@ -96,7 +96,7 @@
         patient_until = times.arrived + MEETING_SHARE * (times.objective - times.arrived)
         return plan.meets and not plan.heavy and now < patient_until - plan.part_seconds
 
-    def _usual(
+    def _plan(
         self,
         request: PlacementRequest,
         candidates: list[Candidate],
