Part the entry's HTTP handlers from the parts they call, and hold modules free of circles

entry/context, plain, tickets and web imported each other in a circle, hidden by TYPE_CHECKING. The handlers stand in plain_handlers and ticket_handlers now; testing/test_imports.py sorts all modules topologically and found that circle before.

--- a/src/baobabpulley/entry/context.py
+++ b/src/baobabpulley/entry/context.py
@@ -2,29 +2,26 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from typing import final
 
+from baobabpulley.adapters.envelope import Sealer
+from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.claims import Claims
+from baobabpulley.entry.dispatch import Dispatcher
+from baobabpulley.entry.keeper_link import KeeperLink
+from baobabpulley.entry.lifecycle import Lifecycle
+from baobabpulley.entry.memory import EntryMemory
+from baobabpulley.entry.plain import ServiceCaller
+from baobabpulley.entry.resume_tokens import ResumeTokens
+from baobabpulley.entry.tickets import Tickets
 from baobabpulley.model.decisions import DecisionLog
 from baobabpulley.model.fleet_view import FleetView
+from baobabpulley.policy.burn import BurnCounters
 from baobabpulley.ports.peers import Peers
 from baobabpulley.settings import NodeSection
 from baobabpulley.settings import Settings
 from baobabpulley.timers import TimerService
 
-if TYPE_CHECKING:
-    from baobabpulley.adapters.envelope import Sealer
-    from baobabpulley.adapters.metrics import EntryMetrics
-    from baobabpulley.entry.claims import Claims
-    from baobabpulley.entry.dispatch import Dispatcher
-    from baobabpulley.entry.keeper_link import KeeperLink
-    from baobabpulley.entry.lifecycle import Lifecycle
-    from baobabpulley.entry.memory import EntryMemory
-    from baobabpulley.entry.plain import ServiceCaller
-    from baobabpulley.entry.resume_tokens import ResumeTokens
-    from baobabpulley.entry.tickets import Tickets
-    from baobabpulley.policy.burn import BurnCounters
-
 
 @final
 class EntryContext:
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -61,9 +61,9 @@
     "health",
     "models",
     "operators",
-    "plain",
+    "plain_handlers",
     "resume",
-    "tickets",
+    "ticket_handlers",
 )
 
 
--- a/src/baobabpulley/entry/tickets.py
+++ b/src/baobabpulley/entry/tickets.py
@@ -22,9 +22,6 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.adapters.signing import Signer
-from baobabpulley.entry.web import REQUEST_ID_HEADER
-from baobabpulley.entry.web import EntryHandler
-from baobabpulley.entry.web import route
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import Forbidden
 from baobabpulley.errors import IssuerGone
@@ -279,49 +276,3 @@
         return outcome.answer
     kind = error_kinds().get(outcome.code, OutcomeUnknown)
     raise kind(outcome.message, remedy=outcome.remedy)
-
-
-@route("/v1/tickets")
-@final
-class TicketsHandler(EntryHandler):
-    """``POST /v1/tickets``: a ticket for one once-only call."""
-
-    def post(self) -> None:
-        team = self.authenticate()
-        if self.context.lifecycle.draining:
-            raise NotReady("this entry is shutting down and issues no tickets")
-        self.set_header(REQUEST_ID_HEADER, self.request_id)
-        self.finish({"ticket": self.context.tickets.issue(team=team), "header": TICKET_HEADER})
-
-
-@route(FORWARD_PATH)
-@final
-class ForwardedHandler(EntryHandler):
-    """Calls that other entries forward, sealed with the fleet's secret."""
-
-    async def post(self) -> None:
-        self.context.lifecycle.begin()
-        try:
-            answer = await self.context.tickets.answer_forwarded(self.request.body)
-        except MessageRejected:
-            self.context.metrics.rejected.inc()
-            raise
-        finally:
-            self.context.lifecycle.end()
-        self.set_header("Content-Type", "application/octet-stream")
-        await self.finish(answer)
-
-
-@route(LEGACY_PATH)
-@final
-class LegacyHandler(EntryHandler):
-    """Tickets that another entry hands over at its shutdown, sealed with the fleet's secret."""
-
-    async def post(self) -> None:
-        try:
-            answer = self.context.tickets.adopt(self.request.body)
-        except MessageRejected:
-            self.context.metrics.rejected.inc()
-            raise
-        self.set_header("Content-Type", "application/octet-stream")
-        await self.finish(answer)
--- /dev/null
+++ b/testing/test_imports.py
@@ -0,0 +1,28 @@
+"""How the modules depend on each other."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import TopologicalSorter
+from pathlib import Path
+
+SOURCES = Path(__file__).resolve().parent.parent / "src"
+
+
+def test_no_modules_import_each_other_in_a_circle() -> None:
+    paths = {_module(path): path for path in SOURCES.rglob("*.py")}
+    graph = {name: _imports(path) & paths.keys() for name, path in paths.items()}
+    order = list(TopologicalSorter(graph).static_order())
+    assert len(order) == len(paths) > 200
+
+
+def _module(path: Path) -> str:
+    return ".".join(path.relative_to(SOURCES).with_suffix("").parts).removesuffix(".__init__")
+
+
+def _imports(path: Path) -> set[str]:
+    """Return the modules that a file imports from, those for type checking alone included."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    return {
+        node.module for node in ast.walk(tree) if isinstance(node, ast.ImportFrom) and node.module
+    }
