Close only connections on which no byte waits, and serve no request of a closed one

A request that had arrived 22 ms before was in the socket, or read and not yet looked at, so that nothing counted for it; its connection was closed, and the request was then looked at, passed on to an engine and run.

A connection is idle only if its stream waits for bytes and none are in the socket; a request whose connection is closed when it has been read whole is dropped. Three tests failed before: unread, read and not looked at, and a request of a closed connection that ran.

--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -82,9 +83,9 @@
         self._connections.discard(server_conn)  # type: ignore[arg-type]
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is being served or read."""
+        """Close the connections on which no request is being served, read or waiting unread."""
         for connection in tuple(self._connections):
-            if not connection.requests:
+            if connection.idle:
                 connection.stream.close()
 
     def close_all(self) -> None:
@@ -104,6 +105,13 @@
         # A request may be read before the task of the one before it has ended.
         self.requests: set[_Request] = set()
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is being served and no byte of a further request has come."""
+        # A stream that waits for nothing has handed bytes over that no one has looked at yet.
+        waits = self.stream.reading() and not _has_unread(self.stream.socket)
+        return waits and not self.requests
+
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
             going_on = True
@@ -181,6 +189,10 @@
     def finish(self) -> None:
         if self._refused:
             return
+        if self._connection.stream.closed():
+            # Nobody gets its answer any more, so it must not run.
+            self.on_connection_close()
+            return
         incoming = Incoming(
             method=self._start_line.method,
             target=self._start_line.path,
@@ -217,3 +229,12 @@
             self._server.requests.discard(self)
             if not self._reply.finished and not self._reply.gone:
                 self._reply.break_off()
+
+
+def _has_unread(sock: socket.socket) -> bool:
+    """Whether bytes of a caller wait in a socket."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        # Nothing to read, or the caller has gone.
+        return False
--- a/testing/test_gateway_listener.py
+++ b/testing/test_gateway_listener.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
+from collections.abc import AsyncIterator
 
+import pytest
 from gateway_builders import read_reply
 from gateway_builders import request_bytes
 from tornado.httputil import HTTPHeaders
+from tornado.ioloop import IOLoop
 from tornado.testing import bind_unused_port
 
 from baobabpulley.gateway.listener import CallerListener
@@ -45,3 +49,77 @@
     assert (await read_reply(reader)).body == b"two"
     listener.close_all()
     listener.stop()
+
+
+@pytest.fixture
+async def served() -> AsyncIterator[tuple[CallerListener, list[str], int]]:
+    """Yield a listener that answers, the targets that it was asked for, and its port."""
+    asked: list[str] = []
+
+    async def handler(incoming: Incoming, reply: Reply) -> None:
+        asked.append(incoming.target)
+        reply.send(200, HTTPHeaders(), b"answer")
+
+    listener = CallerListener(handler=handler, bounds=RequestBounds, timers=TimerService())
+    sock, port = bind_unused_port()
+    listener.add_socket(sock)
+    yield listener, asked, port
+    listener.stop()
+    listener.close_all()
+
+
+async def connect(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Return a connection on which one request was answered and the next is waited for.
+
+    Its writer has to be kept: the connection ends with it.
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request_bytes("/1"))
+    assert (await read_reply(reader)).status == 200
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+def take_in(listener: CallerListener) -> None:
+    """Have a connection's bytes read, before the task that waits for them runs."""
+    (connection,) = listener._connections
+    connection.stream._handle_events(connection.stream.fileno(), IOLoop.READ)
+
+
+@pytest.mark.parametrize("taken_in", [False, True], ids=["unread", "read-and-not-looked-at"])
+async def test_a_connection_whose_next_request_is_there_is_not_idle(
+    served: tuple[CallerListener, list[str], int], taken_in: bool
+) -> None:
+    listener, asked, port = served
+    reader, writer = await connect(port)
+    listener.draining = True
+    os.write(writer.get_extra_info("socket").fileno(), request_bytes("/2"))
+    if taken_in:
+        take_in(listener)
+    listener.close_idle()
+    reply = await read_reply(reader)
+    assert (reply.status, asked) == (200, ["/1", "/2"])
+    assert reply.headers["connection"] == "close"
+
+
+async def test_an_idle_connection_is_closed(
+    served: tuple[CallerListener, list[str], int],
+) -> None:
+    listener, _, port = served
+    reader, _writer = await connect(port)
+    listener.draining = True
+    listener.close_idle()
+    assert await asyncio.wait_for(reader.read(), 2.0) == b""
+
+
+async def test_a_request_read_from_a_connection_that_was_closed_is_not_served(
+    served: tuple[CallerListener, list[str], int],
+) -> None:
+    listener, asked, port = served
+    reader, writer = await connect(port)
+    os.write(writer.get_extra_info("socket").fileno(), request_bytes("/2"))
+    take_in(listener)
+    listener.close_all()
+    assert await asyncio.wait_for(reader.read(), 2.0) == b""
+    await asyncio.sleep(0.1)
+    assert asked == ["/1"]
