Ask once whether an upstream has a slot, and not by its load whether a service has any

Read again: whether an upstream has a free slot stood four times in the policy and the placer, and each placement built the candidates with their loads twice, the first time only to see that there are any. Candidate.has_slot and CandidateList.has_any serve all of them; decisions stay as they were.

--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -64,6 +64,10 @@
         """Return those of the whole service."""
         return self._candidates(self._all(service), excluded)
 
+    def has_any(self, service: str, *, excluded: frozenset[str]) -> bool:
+        """Whether a service has an upstream that is not excluded."""
+        return any(one.id not in excluded for one in self._all(service))
+
     def has_more(self, service: str) -> bool:
         """Whether a service has upstreams beyond this gateway's subset."""
         return len(self._all(service)) > len(self._subsets.get(service, ()))
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -117,11 +117,7 @@
     async def place(self, request: PlacementRequest) -> Placement:
         """Return where an attempt goes; raise `NoUpstream` or `Overloaded`."""
         service = request.service.name
-        excluded = request.excluded
-        if not (
-            self._candidates.near(service, excluded=excluded)
-            or self._candidates.all(service, excluded=excluded)
-        ):
+        if not self._candidates.has_any(service, excluded=request.excluded):
             raise NoUpstream(
                 f"no upstream of {service} takes the request", retry_after=self._pause(request)
             )
@@ -210,7 +206,7 @@
     def _may_have_room(self, service: str) -> bool:
         """Whether looking at each waiting request is worth while: not with every slot taken."""
         near = self._candidates.near(service, excluded=NO_EXCLUSIONS)
-        return self._candidates.has_more(service) or not near or any(map(_has_slot, near))
+        return self._candidates.has_more(service) or not near or any(one.has_slot for one in near)
 
     async def _wait(self, waiter: _Waiter, queue: SortedKeyList) -> Placement:
         request, times = waiter.request, waiter.request.times
@@ -280,7 +276,7 @@
         )
 
     def _try_call(self, candidates: list[Candidate]) -> Placement | None:
-        free = [one for one in candidates if _has_slot(one)]
+        free = [one for one in candidates if one.has_slot]
         if not free:
             return None
         chosen = min(
@@ -332,7 +328,3 @@
             )
         self._record.sent(upstream)
         return Placement(upstream=upstream, plan=plan, sends=sends, started=now, clearing=clearing)
-
-
-def _has_slot(candidate: Candidate) -> bool:
-    return candidate.load.in_flight < candidate.upstream.slots
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -53,6 +53,11 @@
     load: Load
     penalty: float = 0.0
 
+    @property
+    def has_slot(self) -> bool:
+        """Whether it serves one more request at once."""
+        return self.load.in_flight < self.upstream.slots
+
     @property
     def cost(self) -> float:
         """Seconds by which one engine is worse than another."""
@@ -172,7 +177,7 @@
 
 def _gather(candidates: list[Candidate]) -> list[Candidate]:
     """Return the engine for a short prompt: one that writes for others already, if one has room."""
-    free = [one for one in candidates if one.load.in_flight < one.upstream.slots]
+    free = [one for one in candidates if one.has_slot]
     shared = [
         one
         for one in free
@@ -255,7 +260,7 @@
 
 
 def _first(chosen: list[Candidate], figures: EngineFigures, *, need: int) -> Candidate | None:
-    free = [one for one in chosen if one.load.in_flight < one.upstream.slots]
+    free = [one for one in chosen if one.has_slot]
     if len(chosen) == 1:
         return free[0] if free else None
     roomy = [one for one in free if figures.memory_tokens - one.load.memory_tokens >= need]
