Ask a keeper for its delegates once it has heard all of its failure domain

The test waited for vm-4 to hear all three keepers of rabat, and then asked vm-2 for the delegates. A keeper ranks those that it has heard: without vm-4 vm-2 names vm-2 and vm-3 in place of vm-2 and vm-4, and vm-0 never hears vm-3, which is no delegate.

The test now waits for vm-2 as well; what it asserts stays. That the failed run met just this is inferred from the ranks (policy.rendezvous), its view was not kept.

--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -107,6 +107,8 @@
 ) -> None:
     await _until(lambda: _live(keepers["vm-0"], "fes") == ["vm-0", "vm-1"])
     await _until(lambda: len(_live(keepers["vm-4"], "rabat")) == 3)
+    # Its answer names other delegates while it has not heard all three.
+    await _until(lambda: len(_live(keepers["vm-2"], "rabat")) == 3)
     delegates = {vm.id for vm in keepers["vm-2"].membership.delegates("rabat")}
     assert len(delegates) == 2
     await _until(lambda: all(_heard(keepers["vm-0"], vm) for vm in delegates))
