--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -64,19 +64,13 @@
         failure_domain="fes",
         book=book,
         loads=loads,
-        record=UpstreamRecord(failure_domain="fes", book=book, news=_NoNews(), timers=timers),
+        record=UpstreamRecord(
+            failure_domain="fes", book=book, last_heard=lambda domain: None, timers=timers
+        ),
         timers=timers,
     )
 
 
-class _NoNews:
-    """In place of the news exchange: nobody was heard."""
-
-    def last_heard(self, failure_domain: str) -> float | None:
-        del failure_domain
-        return None
-
-
 def _milliseconds(found: CandidateList, tokens: int) -> float:
     planner = PromptPlanner(source=random.Random(0))
     route = Route("r", "h", "/", STREAM, 15.0, 3.0, 1, (), 2, False, True, 1.0)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -99,7 +99,10 @@
             behind=self._note_behind,
         )
         self.record = UpstreamRecord(
-            failure_domain=self.node.failure_domain, book=self.book, news=self.news, timers=timers
+            failure_domain=self.node.failure_domain,
+            book=self.book,
+            last_heard=self.news.last_heard,
+            timers=timers,
         )
         candidates = CandidateList(
             node=self.node.id,
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -27,6 +26,7 @@
 from tornado.tcpserver import TCPServer
 
 from baobabpulley.adapters.addresses import NoDelayStream
+from baobabpulley.adapters.addresses import is_quiet
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
@@ -109,8 +109,7 @@
     def idle(self) -> bool:
         """Whether nothing is being served and no byte of a further request has come."""
         # A stream that waits for nothing has handed bytes over that no one has looked at yet.
-        waits = self.stream.reading() and not _has_unread(self.stream.socket)
-        return waits and not self.requests
+        return not self.requests and self.stream.reading() and is_quiet(self.stream)
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
@@ -229,12 +228,3 @@
             self._server.requests.discard(self)
             if not self._reply.finished and not self._reply.gone:
                 self._reply.break_off()
-
-
-def _has_unread(sock: socket.socket) -> bool:
-    """Whether bytes of a caller wait in a socket."""
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        # Nothing to read, or the caller has gone.
-        return False
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -267,12 +267,8 @@
         plan = self._planner.plan(request, candidates, figures, now=now)
         if plan is None:
             return None
-        return self._begin(
-            plan.first,
-            plan=plan,
-            clearing=clearing_of(plan, request.times, answer=request.answer_seconds, now=now),
-            read_seconds=plan.part_seconds,
-            memory_tokens=plan.first_tokens,
+        return self._begin_plan(
+            plan, clearing_of(plan, request.times, answer=request.answer_seconds, now=now)
         )
 
     def _try_call(self, candidates: list[Candidate]) -> Placement | None:
@@ -282,7 +278,10 @@
         chosen = min(
             free, key=lambda one: (one.load.in_flight + one.penalty, self._random.random())
         )
-        return self._begin(chosen.upstream)
+        send = self._loads.begin(
+            chosen.upstream.id, read_seconds=0.0, memory_tokens=0, now=self._timers.now()
+        )
+        return self._begin(chosen.upstream, [send])
 
     def _writing(self, plan: Plan) -> bool:
         now = self._timers.now()
@@ -294,37 +293,31 @@
         longest = max(self._loads.load(engine.id, now=now).backlog for engine in plan.engines)
         return longest - plan.part_seconds
 
-    def _begin(
-        self,
-        upstream: ListedUpstream,
-        *,
-        plan: Plan | None = None,
-        clearing: Clearing | None = None,
-        read_seconds: float = 0.0,
-        memory_tokens: int = 0,
-    ) -> Placement:
+    def _begin_plan(self, plan: Plan, clearing: Clearing | None) -> Placement:
         now = self._timers.now()
         sends = [
             self._loads.begin(
-                upstream.id,
-                read_seconds=read_seconds,
-                memory_tokens=memory_tokens,
+                engine.id,
+                read_seconds=plan.part_seconds,
+                memory_tokens=tokens,
                 now=now,
+                helps=engine is not plan.first,
                 announced=clearing is not None,
             )
+            for engine, tokens in zip(plan.engines, plan.memory_tokens, strict=True)
         ]
-        for index, helper in enumerate(plan.helpers if plan is not None else ()):
-            assert plan is not None
-            held = plan.ticket_tokens if index < plan.tickets else 0
-            sends.append(
-                self._loads.begin(
-                    helper.id,
-                    read_seconds=read_seconds,
-                    memory_tokens=held,
-                    now=now,
-                    helps=True,
-                    announced=clearing is not None,
-                )
-            )
+        return self._begin(plan.first, sends, plan=plan, clearing=clearing)
+
+    def _begin(
+        self,
+        upstream: ListedUpstream,
+        sends: list[Send],
+        *,
+        plan: Plan | None = None,
+        clearing: Clearing | None = None,
+    ) -> Placement:
         self._record.sent(upstream)
-        return Placement(upstream=upstream, plan=plan, sends=sends, started=now, clearing=clearing)
+        started = self._timers.now()
+        return Placement(
+            upstream=upstream, plan=plan, sends=sends, started=started, clearing=clearing
+        )
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -2,27 +2,30 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 from baobabpulley.gateway.following import FleetBook
-from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.domain_reach import DomainReach
 from baobabpulley.policy.upstream_health import UpstreamHealth
 from baobabpulley.timers import TimerService
 
+# When a gateway of a failure domain was last heard (monotonic seconds), ``None`` if never.
+LastHeard = Callable[[str], float | None]
+
 
 @final
 class UpstreamRecord:
     """Health of upstreams and reach of failure domains, kept from the answers seen here."""
 
-    __slots__ = ("_book", "_health", "_news", "_reach", "_timers")
+    __slots__ = ("_book", "_health", "_last_heard", "_reach", "_timers")
 
     def __init__(
-        self, *, failure_domain: str, book: FleetBook, news: NewsExchange, timers: TimerService
+        self, *, failure_domain: str, book: FleetBook, last_heard: LastHeard, timers: TimerService
     ) -> None:
         self._book = book
-        self._news = news
+        self._last_heard = last_heard
         self._timers = timers
         self._health = UpstreamHealth()
         self._reach = DomainReach(own=failure_domain)
@@ -32,7 +35,7 @@
         now = self._timers.now()
         domain = upstream.failure_domain
         return self._health.usable(upstream.id, now=now) and self._reach.open(
-            domain, heard=self._news.last_heard(domain), now=now
+            domain, heard=self._last_heard(domain), now=now
         )
 
     def penalty(self, upstream: ListedUpstream) -> float:
@@ -54,7 +57,7 @@
         now = self._timers.now()
         domain = upstream.failure_domain
         self._health.lost(upstream.id, now=now)
-        self._reach.lost(domain, upstream.id, heard=self._news.last_heard(domain), now=now)
+        self._reach.lost(domain, upstream.id, heard=self._last_heard(domain), now=now)
 
     def untold(self, upstream: ListedUpstream) -> None:
         """Note that an attempt ended without telling anything of its upstream."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -109,6 +109,12 @@
         """All engines that read a part."""
         return (self.first, *self.helpers)
 
+    @property
+    def memory_tokens(self) -> tuple[int, ...]:
+        """What the prompt and its answer take at each of the engines."""
+        others = len(self.helpers) - self.tickets
+        return (self.first_tokens, *(self.ticket_tokens,) * self.tickets, *(0,) * others)
+
 
 def plan_prompt(
     candidates: list[Candidate],
--- a/testing/engine_world.py
+++ b/testing/engine_world.py
@@ -36,13 +36,6 @@
 SERVICE: Final = Service(name="kitchen", max_connections=424, engine=USUAL_ENGINE)
 
 
-class NoNews:
-    """In place of the news exchange: no other gateway was heard."""
-
-    def last_heard(self, failure_domain: str) -> float | None:
-        return None
-
-
 @final
 class Arrival:
     """A request to come: ``account`` only labels it, ``again`` says that it ignores refusals."""
@@ -100,7 +93,7 @@
         record = UpstreamRecord(
             failure_domain="fes",
             book=self.book,
-            news=NoNews(),  # type: ignore[arg-type]
+            last_heard=lambda domain: None,
             timers=self.timers,
         )
         self.candidates = CandidateList(
