Keep the message of a failed answer, and say when its entry was chosen

The rolling restart under load failed twice with nothing but a status to go by. A caller now keeps the message of what failed, and the test tells how long after which signal the entry was chosen.

--- a/src/baobabpulley/emulator/caller.py
+++ b/src/baobabpulley/emulator/caller.py
@@ -20,11 +20,14 @@
 
 @final
 class Completion:
-    """What came back. Times are real seconds since sending; ``code`` is empty on success."""
+    """What came back. Times are real seconds since sending; ``code`` is empty on success, and
+    ``message`` says why it is not.
+    """
 
     __slots__ = (
         "code",
         "first_token",
+        "message",
         "offset",
         "ran",
         "request_id",
@@ -40,6 +43,7 @@
         self.resume_token = ""
         self.status = 0
         self.code = ""
+        self.message = ""
         self.ran: bool | None = None
         self.text = ""
         self.request_id = ""
@@ -143,6 +147,7 @@
                     _take(result, await answer.body(idle_timeout=self._patience))
         except (UpstreamLost, UpstreamUnreached) as error:
             result.code = "connection"
+            result.message = error.message
             result.ran = error.ran
         result.total = time.monotonic() - started
         if result.first_token is None:
@@ -171,6 +176,7 @@
     error = document.get("error")
     if error is not None:
         result.code = error["code"]
+        result.message = error["message"]
         result.ran = error["ran"]
         return
     result.text += document["choices"][0]["text"]
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import signal
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Final
@@ -233,6 +234,16 @@
     assert all(answer.text == part.text for answer in (other_team, other_prompt, forged))
 
 
+def describe(answer: Completion, chosen: float, signals: dict[str, float]) -> str:
+    """Return what came back, and how long before its entry was chosen each process was stopped."""
+    since = {name: round(chosen - at, 3) for name, at in signals.items()}
+    what = answer.code or f"{answer.offset} tokens of another text"
+    return (
+        f"{answer.status} {what} after {answer.total:.3f} s, {answer.message!r}; "
+        f"chosen this long after the signals: {since}"
+    )
+
+
 async def test_rolling_restart_under_load_fails_no_request(fleet: Fleet) -> None:
     requests, callers, tokens = 2_000, 12, 6
     numbers = iter(range(requests))
@@ -255,11 +266,12 @@
         for number in numbers:
             targets = sorted(ready)
             address = targets[(number + index) % len(targets)]
+            chosen = time.monotonic()
             prompt = make_prompt(tokens=200 + number % 50, seed=number)
             answer = await caller.complete(address, prompt=prompt, max_tokens=tokens, seed=number)
             expected = expected_text(prompt, seed=number, max_tokens=tokens)
             if not answer.ok or answer.text != expected:
-                failures.append(f"{number} at {address}: {answer.status} {answer.code}")
+                failures.append(f"{number} at {address}: {describe(answer, chosen, signals)}")
             done.append(number)
         return failures
 
@@ -267,6 +279,7 @@
         for index in range(ENTRIES):
             for name in (f"entry-{index}", f"keeper-{index}"):
                 process = fleet.processes[name]
+                signals[name] = time.monotonic()
                 process.send(signal.SIGTERM)
                 await asyncio.sleep(0.05)
                 # A second signal must not cut anything either.
@@ -277,6 +290,7 @@
 
     done: list[int] = []
     codes: list[int] = []
+    signals: dict[str, float] = {}
     balancing = asyncio.create_task(balance())
     restarting = asyncio.create_task(restart_all())
     failures = await asyncio.gather(*(one_caller(index) for index in range(callers)))
