--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -74,6 +74,7 @@
         "_number",
         "_section",
         "_sent_at",
+        "_tells_soon",
         "_timers",
         "_transport",
     )
@@ -100,6 +101,7 @@
         self._last: tuple[object, ...] = ()
         self._neighbours: dict[str, Neighbour] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._tells_soon = False
 
     @property
     def neighbours(self) -> dict[str, Neighbour]:
@@ -139,6 +141,7 @@
             lambda: self, local_addr=(host, self._node.news_port)
         )
         self._timers.every(self._section.news_period, self._tell, name="news")
+        self._loads.listen(self._tell_soon)
 
     def close(self) -> None:
         """Close the socket."""
@@ -173,7 +176,14 @@
         if news.revision > self._book.revision:
             self._behind()
 
+    def _tell_soon(self) -> None:
+        """Tell of a long prompt before another gateway gives its engines to the next one."""
+        if not self._tells_soon:
+            self._tells_soon = True
+            asyncio.get_running_loop().call_soon(self._tell)
+
     def _tell(self) -> None:
+        self._tells_soon = False
         now = self._timers.now()
         shares = self._loads.shares(now=now)
         state = (shares, self._book.revision)
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
@@ -109,9 +110,10 @@
 class LoadBook:
     """The sends of this gateway, and the shares of the others; ``now`` is in seconds."""
 
-    __slots__ = ("_oldest", "_others", "_own", "_silent_until", "_totals")
+    __slots__ = ("_listeners", "_oldest", "_others", "_own", "_silent_until", "_totals")
 
     def __init__(self) -> None:
+        self._listeners: list[Callable[[], None]] = []
         # Until when an engine is expected to read so much that its answers stand still.
         self._silent_until: dict[str, float] = {}
         self._own: dict[str, _Own] = defaultdict(_Own)
@@ -120,6 +122,10 @@
         # When the gateway that was silent for longest was heard.
         self._oldest = math.inf
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a listener for each part of a prompt that this gateway sends."""
+        self._listeners.append(listener)
+
     def begin(
         self,
         upstream: str,
@@ -146,6 +152,9 @@
             own.read_until = max(own.read_until, now) + read_seconds
         own.sends.add(send)
         self._note_silence(upstream, read_seconds, now)
+        if helps:
+            for listener in self._listeners:
+                listener()
         return send
 
     def start(self, send: Send, *, now: float) -> None:
--- /dev/null
+++ b/testing/test_news.py
@@ -0,0 +1,81 @@
+"""What gateways tell each other, over loopback datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+from gateway_builders import until
+
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.news import NewsExchange
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.timers import ManualTimers
+
+HOSTS = ("127.0.0.1", "127.0.0.2")
+
+
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((HOSTS[0], 0))
+        return probe.getsockname()[1]
+
+
+class Teller:
+    """A gateway's news and loads; its periods never come round."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.loads = LoadBook()
+        self.timers = ManualTimers()
+        others = [f"{other}:1" for other in HOSTS if other != host]
+        self.news = NewsExchange(
+            node=GatewayNodeSection(
+                id=f"front-{host}",
+                failure_domain="fes",
+                callers=f"{host}:2",
+                readiness=f"{host}:3",
+                control=f"{host}:1",
+                news_port=port,
+            ),
+            section=GatewayPeersSection(seeds=tuple(others)),
+            book=FleetBook(PlatformDocuments()),
+            loads=self.loads,
+            timers=self.timers,
+            behind=lambda: None,
+        )
+
+
+@pytest.fixture
+async def tellers() -> AsyncIterator[list[Teller]]:
+    port = free_port()
+    found = [Teller(host, port) for host in HOSTS]
+    for one in found:
+        await one.news.start()
+    yield found
+    for one in found:
+        one.news.close()
+        one.timers.cancel_all()
+
+
+async def test_a_part_of_a_long_prompt_is_told_of_at_once(tellers: list[Teller]) -> None:
+    here, there = tellers
+    now = here.timers.now()
+    for engine in ("i-1", "i-2"):
+        here.loads.begin(
+            engine, read_seconds=0.3, memory_tokens=170_000, now=now, helps=engine != "i-1"
+        )
+    await until(lambda: there.loads.load("i-2", now=now).backlog > 0.0)
+    assert there.loads.load("i-1", now=now).memory_tokens == 170_000
+
+
+async def test_a_short_prompt_waits_for_the_next_period(tellers: list[Teller]) -> None:
+    here, there = tellers
+    now = here.timers.now()
+    here.loads.begin("i-1", read_seconds=0.02, memory_tokens=5_000, now=now)
+    await asyncio.sleep(0.1)
+    assert there.loads.load("i-1", now=now).in_flight == 0
