Write an answer where memory is free, replay engines as they read, and offer a slot to few

A call or short prompt that finds no room now ends the attempt.

test_an_urgent_account_waits_less compared waits with refusals at once counted as waits of 0 s, which the old engines never brought about; it now compares those served, and the share of them as well. Four tests of test_gateway_policy and one of test_worst_moments fail on the code before.

--- /dev/null
+++ b/src/baobabpulley/emulator/engine_world.py
@@ -0,0 +1,321 @@
+"""Gateways' placers before model engines: arrivals are replayed without sockets or a clock."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterable
+from typing import Final
+from typing import final
+
+from baobabpulley.emulator.pass_engine import PassEngine
+from baobabpulley.emulator.pass_engine import Read
+from baobabpulley.emulator.pass_engine import Write
+from baobabpulley.emulator.usual_engine import USUAL_ENGINE
+from baobabpulley.errors import BaobabError
+from baobabpulley.gateway.candidates import CandidateList
+from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.placer import Placement
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.planning import PlacementRequest
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.exchanges import Needs
+from baobabpulley.model.routes import STREAM
+from baobabpulley.model.routes import Route
+from baobabpulley.model.routes import Service
+from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.policy.fleet_load import LoadBook
+from baobabpulley.policy.waiting import times_of
+from baobabpulley.timers import ManualTimers
+
+STEP: Final = 0.0125
+# Steps between two tellings of a gateway's loads, as the gateway's own period has it.
+NEWS_STEPS: Final = 8
+# Steps between two looks at what waits, likewise.
+SERVE_STEPS: Final = 2
+# Tokens of an answer when an arrival does not say.
+ANSWER_TOKENS: Final = 1300
+SHORT_ROUTE: Final = Route("draft", "h", "/", STREAM, 10.0, 0.3, 1, (), 2, False, True, 0.25)
+MIDDLE_ROUTE: Final = Route("review", "h", "/", STREAM, 10.0, 1.5, 1, (), 2, False, True, 0.6)
+LONG_ROUTE: Final = Route("archive", "h", "/", STREAM, 15.0, 3.0, 1, (), 2, False, True, 1.0)
+SERVICE: Final = Service(name="kitchen", max_connections=424, engine=USUAL_ENGINE)
+SHORT_TOKENS, MIDDLE_TOKENS = 20_000, 60_000
+
+
+@final
+class Arrival:
+    """A request to come: ``account`` only labels it, ``again`` says that it ignores refusals."""
+
+    __slots__ = ("account", "again", "answer_tokens", "at", "priority", "route", "tokens")
+
+    def __init__(
+        self,
+        at: float,
+        tokens: int,
+        *,
+        account: str = "",
+        again: bool = False,
+        priority: int | None = None,
+        route: Route | None = None,
+        answer_tokens: int = ANSWER_TOKENS,
+    ) -> None:
+        self.at = at
+        self.tokens = tokens
+        self.account = account
+        self.again = again
+        self.priority = priority
+        self.route = route or route_for(tokens)
+        self.answer_tokens = answer_tokens
+
+
+@final
+class Served:
+    """How an arrival fared: seconds to its first event or, if it was refused, to the refusal.
+
+    ``pause`` is for how long at most its answer stood still, ``expected`` the seconds to the first
+    event by which it was placed.
+    """
+
+    __slots__ = ("arrival", "code", "expected", "pause", "retry_after", "seconds")
+
+    def __init__(
+        self,
+        arrival: Arrival,
+        *,
+        code: str,
+        seconds: float,
+        retry_after: float = 0.0,
+        expected: float = 0.0,
+    ) -> None:
+        self.arrival = arrival
+        self.code = code
+        self.seconds = seconds
+        self.retry_after = retry_after
+        self.expected = expected
+        self.pause = 0.0
+
+    @property
+    def on_time(self) -> bool:
+        """Whether the first event and all pauses met the objectives of the route."""
+        route = self.arrival.route
+        within = self.seconds <= route.objective and self.pause <= route.pause_objective
+        return not self.code and within
+
+
+def route_for(tokens: int) -> Route:
+    """Return the route that prompts of a length come by."""
+    if tokens <= SHORT_TOKENS:
+        return SHORT_ROUTE
+    return MIDDLE_ROUTE if tokens <= MIDDLE_TOKENS else LONG_ROUTE
+
+
+@final
+class _Gateway:
+    """One gateway's placer with what it knows."""
+
+    __slots__ = ("candidates", "loads", "name", "placer", "tells")
+
+    def __init__(self, name: str, *, book: FleetBook, timers: ManualTimers) -> None:
+        self.name = name
+        self.loads = LoadBook()
+        self.tells = False
+        self.loads.listen(self._tell_soon)
+        record = UpstreamRecord(
+            failure_domain="fes", book=book, last_heard=lambda domain: None, timers=timers
+        )
+        self.candidates = CandidateList(
+            node=name,
+            failure_domain="fes",
+            book=book,
+            loads=self.loads,
+            record=record,
+            timers=timers,
+        )
+        self.placer = Placer(
+            candidates=self.candidates,
+            book=book,
+            loads=self.loads,
+            record=record,
+            timers=timers,
+            max_waiting=2000,
+        )
+
+    def _tell_soon(self) -> None:
+        self.tells = True
+
+
+@final
+class EngineWorld:
+    """Engines before which gateways place what arrives; arrivals go to the gateways in turn."""
+
+    __slots__ = ("_engines", "_gateways", "_turn", "book", "served", "timers")
+
+    def __init__(self, engines: int, *, gateways: int = 1) -> None:
+        self.timers = ManualTimers(start=100.0)
+        self.book = FleetBook(PlatformDocuments())
+        for number in range(engines):
+            name = f"i-{number}"
+            address = f"10.0.{number // 250}.{number % 250}:80"
+            slots = USUAL_ENGINE.slots
+            self.book.upstreams[name] = ListedUpstream(
+                name, SERVICE.name, address, "fes", slots, False
+            )
+        self._engines = {name: PassEngine(USUAL_ENGINE) for name in self.book.upstreams}
+        self._gateways = [
+            _Gateway(f"front-{number}", book=self.book, timers=self.timers)
+            for number in range(gateways)
+        ]
+        self._turn = itertools.cycle(self._gateways)
+        self.served: list[Served] = []
+
+    @property
+    def loads(self) -> LoadBook:
+        """What the first gateway knows of loads."""
+        return self._gateways[0].loads
+
+    @property
+    def placer(self) -> Placer:
+        """The first gateway's placer."""
+        return self._gateways[0].placer
+
+    @property
+    def candidates(self) -> CandidateList:
+        """The first gateway's candidates."""
+        return self._gateways[0].candidates
+
+    def request(
+        self,
+        tokens: int,
+        *,
+        route: Route | None = None,
+        remaining: float | None = None,
+        priority: int | None = None,
+    ) -> PlacementRequest:
+        """Return a request for a prompt that arrives now; ``remaining`` is in seconds."""
+        times = times_of(
+            route or route_for(tokens),
+            arrived=self.timers.now(),
+            remaining=remaining,
+            priority=priority,
+        )
+        return PlacementRequest(
+            service=SERVICE,
+            needs=Needs(attempt="a", prompt_tokens=tokens, max_output_tokens=ANSWER_TOKENS),
+            times=times,
+            excluded=frozenset(),
+        )
+
+    async def replay(self, arrivals: Iterable[Arrival], *, seconds: float) -> list[Served]:
+        """Play arrivals for some seconds and return how those fared that ended by then."""
+        running = [asyncio.create_task(self._play(arrival)) for arrival in arrivals]
+        for number in range(round(seconds / STEP)):
+            await self.timers.advance(STEP)
+            for engine in self._engines.values():
+                engine.advance(self.timers.now())
+            self._tell(all_gateways=number % NEWS_STEPS == 0)
+            if number % SERVE_STEPS == 0:
+                for gateway in self._gateways:
+                    gateway.placer.serve()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        return self.served
+
+    def _tell(self, *, all_gateways: bool) -> None:
+        now = self.timers.now()
+        for teller in self._gateways:
+            if not (teller.tells or all_gateways):
+                continue
+            teller.tells = False
+            shares = teller.loads.shares(now=now)
+            for other in self._gateways:
+                if other is not teller:
+                    other.loads.learn(teller.name, shares, now=now)
+
+    async def _play(self, arrival: Arrival) -> None:
+        await self.timers.sleep(arrival.at)
+        gateway = next(self._turn)
+        while True:
+            refused = await self._serve(arrival, gateway.placer)
+            if refused is None or not arrival.again:
+                return
+            await self.timers.sleep(2 * STEP)
+
+    async def _serve(self, arrival: Arrival, placer: Placer) -> BaobabError | None:
+        began = self.timers.now()
+        try:
+            request = self.request(arrival.tokens, route=arrival.route, priority=arrival.priority)
+            placement = await placer.place(request)
+        except BaobabError as error:
+            self.served.append(
+                Served(
+                    arrival,
+                    code=error.code,
+                    seconds=self.timers.now() - began,
+                    retry_after=error.retry_after or 0.0,
+                )
+            )
+            return error
+        await self._run(arrival, placement, placer, began)
+        placer.end(placement)
+        return None
+
+    async def _run(
+        self, arrival: Arrival, placement: Placement, placer: Placer, began: float
+    ) -> None:
+        plan = placement.plan
+        assert plan is not None
+        expected = self.timers.now() - began + plan.first_event_seconds
+        await placer.clear(placement)
+        first = self._engines[plan.first.id]
+        holders = [self._engines[engine.id] for engine in plan.helpers[: plan.tickets]]
+        for holder in holders:
+            holder.hold(plan.ticket_tokens)
+        await self._read(arrival, placement)
+        while not first.has_memory(plan.first_tokens):
+            # It was read in vain, and is read again once there is room.
+            await self.timers.sleep(STEP)
+            if first.has_memory(plan.first_tokens):
+                await self._read(arrival, placement)
+        first.hold(plan.first_tokens)
+        placer.read(placement)
+        seconds = self.timers.now() - began
+        served = Served(arrival, code="", seconds=seconds, expected=expected)
+        self.served.append(served)
+        served.pause = await self._write(arrival, first, plan.first_tokens)
+        first.hold(-plan.first_tokens)
+        for holder in holders:
+            holder.hold(-plan.ticket_tokens)
+
+    async def _read(self, arrival: Arrival, placement: Placement) -> None:
+        plan = placement.plan
+        assert plan is not None
+        now = self.timers.now()
+        priority = arrival.route.priority if arrival.priority is None else arrival.priority
+        parts = []
+        for engine in plan.engines:
+            part: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+            parts.append(part)
+            read = Read(
+                tokens=arrival.tokens / len(plan.engines),
+                seconds=plan.part_seconds,
+                part=bool(plan.helpers),
+                priority=priority,
+                done=part.set_result,
+            )
+            self._engines[engine.id].read(read, now=now)
+        await asyncio.gather(*parts)
+
+    async def _write(self, arrival: Arrival, engine: PassEngine, memory_tokens: int) -> float:
+        """Write an answer and return for how long it stood still at most."""
+        ended: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+        write = Write(
+            tokens=arrival.answer_tokens,
+            memory_tokens=memory_tokens,
+            began=self.timers.now(),
+            ended=ended.set_result,
+        )
+        engine.write(write, now=self.timers.now())
+        await ended
+        return write.longest_pause
--- /dev/null
+++ b/src/baobabpulley/emulator/pass_engine.py
@@ -0,0 +1,148 @@
+"""A model engine that keeps time without a clock: it reads and writes in passes.
+
+A pass reads up to ``chunk`` tokens a step, and writes ``stride`` tokens of each answer if there are
+answers to write. A part of a cut prompt is read before everything that came earlier, whole prompts
+by their priority and then in the order of their arrival. What does not fit into memory beside
+earlier requests is read again once it does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+from baobabpulley.model.routes import EngineFigures
+
+CHUNK_TOKENS: Final = 2048
+
+
+@final
+class Read:
+    """A prompt, or a part of one, still to be read."""
+
+    __slots__ = ("done", "part", "priority", "seconds", "tokens")
+
+    def __init__(
+        self,
+        *,
+        tokens: float,
+        seconds: float,
+        part: bool,
+        priority: int,
+        done: Callable[[float], None],
+    ) -> None:
+        self.priority = priority
+        self.tokens = tokens
+        self.seconds = seconds
+        self.part = part
+        self.done = done
+
+    def take(self, tokens: float) -> float:
+        """Read some tokens and return the seconds that it takes."""
+        share = 1.0 if tokens >= self.tokens else tokens / self.tokens
+        taken = self.seconds * share
+        self.seconds -= taken
+        self.tokens -= tokens
+        return taken
+
+
+@final
+class Write:
+    """An answer being written; ``memory_tokens`` is what its prompt takes at this engine."""
+
+    __slots__ = ("ended", "last_event", "left", "longest_pause", "memory_tokens")
+
+    def __init__(
+        self, *, tokens: float, memory_tokens: int, began: float, ended: Callable[[float], None]
+    ) -> None:
+        self.left = tokens
+        self.memory_tokens = memory_tokens
+        self.last_event = began
+        self.longest_pause = 0.0
+        self.ended = ended
+
+    def event(self, at: float, tokens: int) -> None:
+        """Note an event of ``tokens`` tokens."""
+        self.longest_pause = max(self.longest_pause, at - self.last_event)
+        self.last_event = at
+        self.left -= tokens
+
+
+@final
+class PassEngine:
+    """One engine; times are in seconds and only grow."""
+
+    __slots__ = ("_ends", "_figures", "_finished", "_memory", "_reads", "_writes")
+
+    def __init__(self, figures: EngineFigures) -> None:
+        self._figures = figures
+        self._reads: list[Read] = []
+        self._writes: list[Write] = []
+        self._finished: list[Read] = []
+        self._ends: float | None = None
+        self._memory = 0
+
+    def has_memory(self, tokens: int) -> bool:
+        """Whether so many tokens are free."""
+        return self._memory + tokens <= self._figures.memory_tokens
+
+    def hold(self, tokens: int) -> None:
+        """Take memory; a negative figure gives it back."""
+        self._memory += tokens
+
+    def read(self, read: Read, *, now: float) -> None:
+        """Take a prompt, or a part of one, which is read before all that is there."""
+        if read.part:
+            self._reads.insert(0, read)
+        else:
+            self._reads.append(read)
+            self._reads.sort(key=lambda one: (not one.part, one.priority))
+        if self._ends is None:
+            self._begin(now)
+
+    def write(self, write: Write, *, now: float) -> None:
+        """Begin to write an answer."""
+        self._writes.append(write)
+        if self._ends is None:
+            self._begin(now)
+
+    def advance(self, now: float) -> None:
+        """End all passes that end by ``now``."""
+        while self._ends is not None and self._ends <= now:
+            at = self._ends
+            self._end_pass(at)
+            self._begin(at)
+
+    def _begin(self, at: float) -> None:
+        if not self._reads and not self._writes:
+            self._ends = None
+            return
+        figures, writers = self._figures, len(self._writes)
+        steps = figures.stride if writers else 1
+        context = sum(write.memory_tokens for write in self._writes) / 1000
+        step = figures.step + figures.per_writer * writers + figures.per_thousand_context * context
+        self._ends = at + steps * step + self._take_reads(steps * CHUNK_TOKENS)
+
+    def _take_reads(self, tokens: float) -> float:
+        """Read up to so many tokens in this pass and return the seconds that it takes."""
+        seconds = 0.0
+        while tokens > 0 and self._reads:
+            read = self._reads[0]
+            taken = min(tokens, read.tokens)
+            seconds += read.take(taken)
+            tokens -= taken
+            if read.tokens > 0:
+                break
+            self._finished.append(self._reads.pop(0))
+        return seconds
+
+    def _end_pass(self, at: float) -> None:
+        finished, self._finished = self._finished, []
+        for write in tuple(self._writes):
+            write.event(at, self._figures.stride)
+            if write.left <= 0:
+                self._writes.remove(write)
+                write.ended(at)
+        for read in finished:
+            read.done(at)
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -23,7 +23,7 @@
 from baobabpulley.policy.clearing import clearing_of
 from baobabpulley.policy.fleet_load import LoadBook
 from baobabpulley.policy.fleet_load import Send
-from baobabpulley.policy.spread import Candidate
+from baobabpulley.policy.memory_seats import Candidate
 from baobabpulley.policy.spread import Plan
 from baobabpulley.timers import TimerService
 
@@ -200,7 +200,8 @@
             if placement is not None:
                 queue.remove(waiter)
                 waiter.future.set_result(placement)
-            elif not waiter.request.needs.prompt_tokens:
+            elif waiter.request.takes_any_room:
+                # What asks for more, or is less urgent, finds no room either.
                 break
 
     def _may_have_room(self, service: str) -> bool:
--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -13,9 +13,10 @@
 from baobabpulley.model.exchanges import Needs
 from baobabpulley.model.routes import EngineFigures
 from baobabpulley.model.routes import Service
-from baobabpulley.policy.spread import Candidate
+from baobabpulley.policy.memory_seats import Candidate
+from baobabpulley.policy.memory_seats import fits
 from baobabpulley.policy.spread import Plan
-from baobabpulley.policy.spread import fits
+from baobabpulley.policy.spread import is_short
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.waiting import Times
 from baobabpulley.policy.waiting import last_first_event
@@ -47,6 +48,13 @@
         """Figures of the engines that read the prompt, ``None`` if there is nothing to read."""
         return self.service.engine if self.needs.prompt_tokens else None
 
+    @property
+    def takes_any_room(self) -> bool:
+        """Whether any upstream with a free slot would do: calls and short prompts."""
+        if self.excluded:
+            return False
+        return self.engine is None or is_short(self.needs.prompt_tokens, self.engine)
+
     @property
     def answer_seconds(self) -> float:
         """How long a usual answer to the prompt takes, 0 if nothing is known of it."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -17,6 +17,9 @@
 from baobabpulley.model.routes import EngineFigures
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.fleet_load import Load
+from baobabpulley.policy.memory_seats import Candidate
+from baobabpulley.policy.memory_seats import memory_need
+from baobabpulley.policy.memory_seats import seats_among
 
 # Seconds of reading that a pass takes without harm to the answers written in it.
 PART_SECONDS: Final = 0.11
@@ -33,43 +36,12 @@
 GATHERING_BACKLOG: Final = 0.06
 # The platform's bound on helpers of one request.
 MAX_HELPERS: Final = 16
-# Share of an engine's memory that one request may take without tickets.
-UNTICKETED_SHARE: Final = 0.8
-TICKET_SHARE: Final = 0.45
-# Seconds that one more answer adds to what waits at an engine, for the choice among engines.
-WRITER_SECONDS: Final = 0.006
-# Seconds that a token in an engine's memory adds, so that equal engines fill evenly.
-TOKEN_SECONDS: Final = 1e-7
 # Part of a pass that an engine that writes still has before it when a prompt arrives.
 PASS_UNDER_WAY: Final = 0.5
 # Engines whose backlog is below this take a part without two of them meeting in one pass.
 MEETING_SECONDS: Final = 0.04
 
 
-class Candidate(msgspec.Struct, frozen=True):
-    """An engine that may be used; ``penalty`` is seconds for its failures and its distance."""
-
-    upstream: ListedUpstream
-    load: Load
-    penalty: float = 0.0
-
-    @property
-    def has_slot(self) -> bool:
-        """Whether it serves one more request at once."""
-        return self.load.in_flight < self.upstream.slots
-
-    @property
-    def cost(self) -> float:
-        """Seconds by which one engine is worse than another."""
-        load = self.load
-        return (
-            load.backlog
-            + WRITER_SECONDS * load.in_flight
-            + TOKEN_SECONDS * load.memory_tokens
-            + self.penalty
-        )
-
-
 class Plan(msgspec.Struct, frozen=True):
     """Where a prompt goes.
 
@@ -133,42 +105,40 @@
     by as many engines as make it soonest, whatever that costs the answers written there.
     """
     total = figures.read_seconds(prompt_tokens)
-    need = prompt_tokens + answer_tokens
-    holders = _holders(need, figures.memory_tokens)
-    if total <= PART_SECONDS and holders == 1:
-        chosen = _gather(candidates)
+    need = memory_need(
+        prompt_tokens=prompt_tokens, answer_tokens=answer_tokens, memory=figures.memory_tokens
+    )
+    if is_short(prompt_tokens, figures):
+        chosen = _gather([one for one in candidates if one.has_memory(need.first_tokens, figures)])
     elif hurried:
-        chosen = _earliest(candidates, total, holders)
+        chosen = _earliest(candidates, total, need.holders)
     else:
-        chosen = _quiet(candidates, total, holders, objective) or _spread(
-            candidates, total, holders, objective
+        chosen = _quiet(candidates, total, need.holders, objective) or _spread(
+            candidates, total, need.holders, objective
         )
-    first = _named(candidates, first_id) or _first(chosen, figures, need=need // holders)
-    if first is not None and first not in chosen:
-        chosen = [first, *chosen[:-1]]
-    if first is None:
-        others = [one for one in candidates if one not in chosen]
-        first = _first(others, figures, need=need // holders)
-        if first is None:
-            return None
-        chosen = [first, *chosen[:-1]]
-    part = total / len(chosen)
-    helpers = _with_memory_first([one for one in chosen if one is not first])
-    tickets = min(holders - 1, len(helpers))
-    ticket_tokens = math.ceil(prompt_tokens / holders) if tickets else 0
+    seats = seats_among(chosen, candidates, figures=figures, need=need, first_id=first_id)
+    if seats is None:
+        return None
+    engines = (seats.first, *seats.helpers)
+    part = total / len(engines)
     return Plan(
-        first=first.upstream,
-        helpers=tuple(one.upstream for one in helpers),
+        first=seats.first.upstream,
+        helpers=tuple(one.upstream for one in seats.helpers),
         part_seconds=part,
-        tickets=tickets,
-        ticket_tokens=ticket_tokens,
-        first_tokens=need - tickets * ticket_tokens,
+        tickets=need.tickets,
+        ticket_tokens=need.ticket_tokens,
+        first_tokens=need.first_tokens,
         heavy=part > LONG_PART_SECONDS,
-        backlog=max(one.load.backlog for one in chosen),
-        pass_seconds=_pass_seconds(first.load, figures, prompt_tokens),
+        backlog=max(one.load.backlog for one in engines),
+        pass_seconds=_pass_seconds(seats.first.load, figures, prompt_tokens),
     )
 
 
+def is_short(prompt_tokens: int, figures: EngineFigures) -> bool:
+    """Whether one engine reads a prompt without harm to the answers that it writes."""
+    return figures.read_seconds(prompt_tokens) <= PART_SECONDS
+
+
 def _pass_seconds(load: Load, figures: EngineFigures, prompt_tokens: int) -> float:
     """Return the seconds of an answer's first pass, and of what is left of the one under way."""
     whole = figures.pass_seconds(
@@ -177,10 +147,6 @@
     return whole * (1.0 + PASS_UNDER_WAY) if load.writing else whole
 
 
-def _named(candidates: list[Candidate], name: str | None) -> Candidate | None:
-    return next((one for one in candidates if one.upstream.id == name), None)
-
-
 def _gather(candidates: list[Candidate]) -> list[Candidate]:
     """Return the engine for a short prompt: one that writes for others already, if one has room."""
     free = [one for one in candidates if one.has_slot]
@@ -235,11 +201,6 @@
     return sorted(candidates, key=lambda one: one.cost)[:parts]
 
 
-def fits(candidates: list[Candidate], *, figures: EngineFigures, tokens: int) -> bool:
-    """Whether the engines have memory enough for a request, were they all empty."""
-    return _holders(tokens, figures.memory_tokens) <= len(candidates)
-
-
 def _parts(total: float, engines: int, objective: float) -> int:
     """Return over how many engines ``total`` seconds of reading are cut.
 
@@ -252,30 +213,3 @@
         parts = math.ceil(total / (LONG_PART_SHARE * objective))
         return max(1, min(most, parts, round(LONG_ENGINES * engines)))
     return parts
-
-
-def _holders(need: int, memory: int) -> int:
-    """Return over how many engines a request's memory is spread.
-
-    >>> _holders(100, 1000), _holders(900, 1000)
-    (1, 2)
-    """
-    if need <= UNTICKETED_SHARE * memory:
-        return 1
-    return math.ceil(need / (TICKET_SHARE * memory))
-
-
-def _first(chosen: list[Candidate], figures: EngineFigures, *, need: int) -> Candidate | None:
-    free = [one for one in chosen if one.has_slot]
-    if len(chosen) == 1:
-        return free[0] if free else None
-    roomy = [one for one in free if figures.memory_tokens - one.load.memory_tokens >= need]
-    return min(
-        roomy or free,
-        key=lambda one: (one.load.memory_tokens, one.load.in_flight),
-        default=None,
-    )
-
-
-def _with_memory_first(helpers: list[Candidate]) -> list[Candidate]:
-    return sorted(helpers, key=lambda one: one.load.memory_tokens)
--- a/testing/test_candidates.py
+++ b/testing/test_candidates.py
@@ -5,9 +5,9 @@
 from collections import Counter
 
 import pytest
-from engine_world import EngineWorld
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.emulator.engine_world import EngineWorld
 from baobabpulley.errors import Overloaded
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.servers import ListedUpstream
--- a/testing/test_clearing.py
+++ b/testing/test_clearing.py
@@ -12,7 +12,7 @@
 from baobabpulley.policy.clearing import Clearing
 from baobabpulley.policy.clearing import clearing_of
 from baobabpulley.policy.fleet_load import LoadBook
-from baobabpulley.policy.spread import Candidate
+from baobabpulley.policy.memory_seats import Candidate
 from baobabpulley.policy.spread import Plan
 from baobabpulley.policy.spread import plan_prompt
 from baobabpulley.policy.waiting import Times
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -162,6 +162,51 @@
     assert plan.first.id == "i-roomy"
 
 
+def test_an_answer_is_written_where_memory_is_free_even_if_others_read_sooner() -> None:
+    taken = [candidate(f"i-taken-{number}", memory_tokens=120_000) for number in range(3)]
+    writing = [candidate(f"i-writing-{number}", in_flight=2) for number in range(13)]
+    plan = plan_prompt(
+        [*taken, *writing],
+        figures=FIGURES,
+        prompt_tokens=168_000,
+        answer_tokens=1000,
+        objective=3.0,
+    )
+    assert plan is not None
+    assert plan.first.id.startswith("i-writing")
+
+
+def test_a_short_prompt_leaves_an_engine_whose_memory_is_taken() -> None:
+    engines = [candidate("i-taken", in_flight=1, memory_tokens=231_000), candidate("i-free")]
+    plan = plan_prompt(
+        engines, figures=FIGURES, prompt_tokens=4000, answer_tokens=1000, objective=0.3
+    )
+    assert plan is not None
+    assert plan.first.id == "i-free"
+
+
+def test_tickets_are_taken_where_memory_is_free() -> None:
+    taken = [candidate(f"i-taken-{number}", memory_tokens=150_000) for number in range(8)]
+    free = [candidate(f"i-free-{number}", in_flight=1) for number in range(4)]
+    plan = plan_prompt(
+        [*taken, *free], figures=FIGURES, prompt_tokens=300_000, answer_tokens=1000, objective=3.0
+    )
+    assert plan is not None
+    holders = {plan.first.id, *(one.id for one in plan.helpers[: plan.tickets])}
+    assert len(holders) == 1 + plan.tickets == 3
+    assert all(name.startswith("i-free") for name in holders)
+
+
+def test_a_prompt_waits_while_no_engine_has_memory_for_it() -> None:
+    taken = [candidate(f"i-{number}", memory_tokens=100_000) for number in range(8)]
+    assert (
+        plan_prompt(
+            taken, figures=FIGURES, prompt_tokens=150_000, answer_tokens=1000, objective=3.0
+        )
+        is None
+    )
+
+
 def test_a_plan_says_when_two_long_reads_would_meet() -> None:
     free = plan_prompt(
         candidates(8), figures=FIGURES, prompt_tokens=133_000, answer_tokens=10, objective=3.0
--- a/testing/test_worst_moments.py
+++ b/testing/test_worst_moments.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import pytest
-from engine_world import LONG_ROUTE
-from engine_world import SHORT_ROUTE
-from engine_world import Arrival
-from engine_world import EngineWorld
-from engine_world import Served
 
+from baobabpulley.emulator.engine_world import LONG_ROUTE
+from baobabpulley.emulator.engine_world import SHORT_ROUTE
+from baobabpulley.emulator.engine_world import Arrival
+from baobabpulley.emulator.engine_world import EngineWorld
+from baobabpulley.emulator.engine_world import Served
+from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.model.routes import Route
 
 ENGINES = 16
@@ -101,6 +103,31 @@
         assert share_within(of_account(served, account), 60.0) >= 0.5 * all_served, account
 
 
+async def test_a_slot_that_frees_is_offered_to_few_of_those_that_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = EngineWorld(2)
+    plan, planned = PromptPlanner.plan, []
+
+    def count(self: PromptPlanner, *args: object, **named: object) -> object:
+        planned.append(args[0])
+        return plan(self, *args, **named)  # type: ignore[arg-type]
+
+    held = [await world.placer.place(world.request(4000)) for _ in range(2 * 8)]
+    waiting = [
+        asyncio.create_task(world.placer.place(world.request(tokens, remaining=9.0)))
+        for tokens in (4000, 3000) * 50
+    ]
+    await world.timers.advance(0.0)
+    assert world.placer.waiting == 100
+    monkeypatch.setattr(PromptPlanner, "plan", count)
+    world.placer.end(held[0])
+    assert world.placer.waiting == 99
+    assert len(planned) <= 3
+    for task in waiting:
+        task.cancel()
+
+
 async def test_callers_that_ignore_refusals_do_not_push_others_out() -> None:
     patient = shorts(60.0, begin=0.0, end=8.0, account="patient")
     storm = [
@@ -128,9 +155,10 @@
     ]
     served = await world.replay([*usual, *urgent], seconds=12.0)
     waits = {
-        account: sorted(one.seconds for one in of_account(served, account))
+        account: sorted(one.seconds for one in of_account(served, account) if not one.code)
         for account in ("usual", "urgent")
     }
     medians = {account: found[len(found) // 2] for account, found in waits.items()}
     assert medians["urgent"] <= medians["usual"]
+    assert len(waits["urgent"]) / len(urgent) >= len(waits["usual"]) / len(usual)
     assert share_within(of_account(served, "usual"), 60.0) > 0.5
