Say how long a caller's connection may be idle, and ask a busy keeper once more

Two causes: - 'the connection broke before the answer was whole', at an entry that was not restarting: entries close connections after 10 s without a request (2.5 s at speed 4) and did not say so; a caller's request crossed the close. Answers carry Keep-Alive now, which our client obeys already. - '503 overloaded: no keeper of this failure domain answers': while one keeper restarts, the other answered later than 1 s once, and nobody was left to ask. Keepers that fall silent within a question are asked once more; where all were silent before, the refusal is as immediate as it was. Ruled out: the balancer's lag (the entries were chosen long after their signals, or had none). Both tests fail without the mend.

--- a/src/baobabpulley/entry/homes.py
+++ b/src/baobabpulley/entry/homes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Final
 from typing import TypeVar
 from typing import final
@@ -59,12 +60,21 @@
         return choice[found] if found is not None else None
 
     async def ask(self, key: str, question: msgspec.Struct, *, answer: type[A]) -> A:
-        """Ask the home of a key; raise `PeerUnavailable` if no keeper answers."""
+        """Ask the home of a key; raise `PeerUnavailable` if no keeper answers.
+
+        Keepers that have fallen silent only now are asked once more, as one that is merely busy
+        answers late; where all were silent before, nothing is asked.
+        """
+        asked: list[str] = []
         while (address := self.home(key)) is not None:
+            asked.append(address)
             try:
                 return await self.ask_at(address, question, answer=answer)
             except PeerUnavailable:
                 continue
+        for address in asked:
+            with contextlib.suppress(PeerUnavailable):
+                return await self.ask_at(address, question, answer=answer)
         raise PeerUnavailable(f"no keeper of this failure domain answers for {key}")
 
     async def ask_at(self, address: str, question: msgspec.Struct, *, answer: type[A]) -> A:
--- a/src/baobabpulley/entry/listener.py
+++ b/src/baobabpulley/entry/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from asyncio import Future
 from typing import Any
 from typing import Final
@@ -20,6 +21,7 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.context import EntryContext
+from baobabpulley.entry.web import IDLE_SECONDS
 from baobabpulley.entry.web import EntryHandler
 from baobabpulley.entry.web import routes
 from baobabpulley.errors import BadRequest
@@ -76,18 +78,20 @@
 def start_listener(context: EntryContext) -> HTTPServer:
     """Listen for callers with all registered routes; the event loop must run."""
     callers = context.settings.get(CallersSection)
+    idle = context.timers.real(callers.header_timeout)
     application = Application(
         routes(context),
         default_handler_class=UnknownPathHandler,
         default_handler_args={"context": context},
         log_function=log_request,
+        **{IDLE_SECONDS: math.floor(idle)},
     )
     server = CallerServer(
         application,
         max_body_size=MAX_DROPPED_BODY,
         max_header_size=callers.max_header_bytes,
         body_timeout=context.timers.real(callers.body_timeout * BODY_TIMEOUT_FACTOR),
-        idle_connection_timeout=context.timers.real(callers.header_timeout),
+        idle_connection_timeout=idle,
     )
     host, port = split_address(context.node.http)
     server.listen(port, host)
--- a/testing/test_path.py
+++ b/testing/test_path.py
@@ -9,6 +9,7 @@
 import pytest
 import pytest_asyncio
 
+from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.emulator.caller import Caller
 from baobabpulley.emulator.fleet import MODEL
 from baobabpulley.emulator.fleet import Fleet
@@ -17,11 +18,13 @@
 from baobabpulley.standins.text import expected_text
 from baobabpulley.standins.text import make_prompt
 
+SPEED = 4.0
+
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def fleet(base_port: int, tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Fleet]:
     directory: Path = tmp_path_factory.mktemp("fleet")
-    plan = FleetPlan(base_port=base_port, speed=4.0, entries=3, engines=6)
+    plan = FleetPlan(base_port=base_port, speed=SPEED, entries=3, engines=6)
     async with Fleet(plan=plan, directory=directory) as running:
         yield running
 
@@ -46,6 +49,20 @@
         assert answer.usage["completion_tokens"] == 8
 
 
+async def test_a_connection_is_not_used_again_once_its_entry_may_close_it(fleet: Fleet) -> None:
+    client = HttpClient()
+    caller = Caller(token=caller_token("souk"), model=MODEL, client=client)
+    address = next(iter(fleet.entries.values()))
+    # The entry closes connections after 10 model seconds without a request.
+    for pause in (0.0, 10.0 / SPEED - 0.2):
+        await asyncio.sleep(pause)
+        assert (await caller.complete(address, prompt="merguez")).ok
+    assert (client.opened, client.reused) == (2, 0)
+    assert (await caller.complete(address, prompt="merguez")).ok
+    assert client.reused == 1
+    client.close()
+
+
 async def test_unknown_token_is_refused_as_not_run(fleet: Fleet) -> None:
     caller = Caller(token="nobody", model=MODEL)
     answer = await caller.complete(next(iter(fleet.entries.values())), prompt="saffron")
--- a/testing/test_team_spending.py
+++ b/testing/test_team_spending.py
@@ -43,12 +43,15 @@
         self.timers = timers
         self.asked = 0
         self.silent = False
+        # Questions that a busy keeper answers too late.
+        self.late = 0
         self.before_answer: Callable[[], None] = lambda: None
 
     async def ask(self, address: str, question: TeamAsk, **_: object) -> object:
         self.asked += 1
         self.before_answer()
-        if self.silent:
+        if self.silent or self.late:
+            self.late = max(0, self.late - 1)
             raise PeerUnavailable("the keeper is gone")
         return self.book.ask(question, limit=LIMIT, now=self.timers.now())
 
@@ -84,6 +87,24 @@
     assert peers.asked == 1
 
 
+async def test_a_keeper_that_answers_late_once_is_asked_again(
+    spending: TeamSpending, peers: HomePeers
+) -> None:
+    peers.late = 1
+    await spending.spend(team=TEAM, request_id="a", tokens=1_000)
+    assert peers.asked == 2
+
+
+async def test_while_all_keepers_are_known_to_be_silent_a_request_is_refused_at_once(
+    spending: TeamSpending, peers: HomePeers
+) -> None:
+    peers.silent = True
+    for expected in (2, 2):
+        with pytest.raises(Overloaded):
+            await spending.spend(team=TEAM, request_id="a", tokens=1_000)
+        assert peers.asked == expected
+
+
 async def test_a_request_is_counted_once_however_often_it_is_spent_or_refunded(
     spending: TeamSpending,
 ) -> None:
