Read long prompts in short parts over all engines, and take four decisions out

Parts are of 0.08 s over all engines; a prompt whose parts would exceed 0.16 s takes the engines that write least, as many as pay for the answers held up.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -199,7 +199,6 @@
         for name, upstream in self._listed.items():
             if name not in listed:
                 self.record.forget(upstream)
-                self.loads.forget(name)
                 if upstream.address not in addresses:
                     self.client.drop_idle(upstream.address)
         self._listed = listed
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -149,7 +149,6 @@
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.parts = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
-        await self._placer.clear(placement)
         remaining = exchange.times.end - ANSWER_MARGIN - self._timers.now()
         async with self._tickets.held(placement) as helpers:
             outgoing = Outgoing(
@@ -245,17 +244,13 @@
             self._record.answered(upstream, well=culprit is not upstream)
             if culprit is not upstream:
                 self._record.lost(culprit)
-        elif isinstance(error, UpstreamSilent) and self._was_expected(exchange, upstream):
+        elif isinstance(error, UpstreamSilent) and exchange.times.silence < TELLING_SILENCE:
             self._record.untold(upstream)
         elif isinstance(error, UpstreamFailed):
             self._record.answered(upstream, well=False)
         else:
             self._record.lost(upstream)
 
-    def _was_expected(self, exchange: Exchange, upstream: ListedUpstream) -> bool:
-        """Whether silence says nothing of an upstream."""
-        return exchange.times.silence < TELLING_SILENCE or self._placer.expects_silence(upstream)
-
     def _check_repeat(self, exchange: Exchange, error: BaobabError) -> None:
         """Raise unless another attempt is allowed."""
         allowed = surely_not_run(error) or exchange.route.repeatable
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -19,8 +19,6 @@
 from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.servers import ListedUpstream
-from baobabpulley.policy.clearing import Clearing
-from baobabpulley.policy.clearing import clearing_of
 from baobabpulley.policy.fleet_load import LoadBook
 from baobabpulley.policy.fleet_load import Send
 from baobabpulley.policy.memory_seats import Candidate
@@ -39,7 +37,7 @@
 class Placement:
     """Where one attempt goes; its sends count until `Placer.end`."""
 
-    __slots__ = ("clearing", "plan", "sends", "started", "upstream")
+    __slots__ = ("plan", "sends", "started", "upstream")
 
     def __init__(
         self,
@@ -48,13 +46,11 @@
         plan: Plan | None,
         sends: list[Send],
         started: float,
-        clearing: Clearing | None,
     ) -> None:
         self.upstream = upstream
         self.plan = plan
         self.sends = sends
         self.started = started
-        self.clearing = clearing
 
 
 @final
@@ -128,23 +124,6 @@
                 return placement
         return await self._wait(_Waiter(request), queue)
 
-    async def clear(self, placement: Placement) -> None:
-        """Wait until the engines of a heavy plan are clear, as others now avoid them."""
-        plan, clearing = placement.plan, placement.clearing
-        if plan is None or clearing is None:
-            return
-        while not clearing.is_over(
-            now=self._timers.now(), writing=self._writing(plan), reading=self._reading(plan)
-        ):
-            await self._timers.sleep(SERVE_PERIOD)
-        now = self._timers.now()
-        for send in placement.sends:
-            self._loads.start(send, now=now)
-
-    def expects_silence(self, upstream: ListedUpstream) -> bool:
-        """Whether an engine's answers stand still for a long prompt that it reads."""
-        return self._loads.expects_silence(upstream.id, now=self._timers.now())
-
     def read(self, placement: Placement) -> None:
         """Note that the prompt of an attempt has been read."""
         now = self._timers.now()
@@ -266,11 +245,7 @@
             return self._try_call(candidates)
         now = self._timers.now()
         plan = self._planner.plan(request, candidates, figures, now=now)
-        if plan is None:
-            return None
-        return self._begin_plan(
-            plan, clearing_of(plan, request.times, answer=request.answer_seconds, now=now)
-        )
+        return None if plan is None else self._begin_plan(plan)
 
     def _try_call(self, candidates: list[Candidate]) -> Placement | None:
         free = [one for one in candidates if one.has_slot]
@@ -284,17 +259,7 @@
         )
         return self._begin(chosen.upstream, [send])
 
-    def _writing(self, plan: Plan) -> bool:
-        now = self._timers.now()
-        return any(self._loads.load(engine.id, now=now).writing for engine in plan.engines)
-
-    def _reading(self, plan: Plan) -> float:
-        """Return the seconds of other prompts at a plan's engines."""
-        now = self._timers.now()
-        longest = max(self._loads.load(engine.id, now=now).backlog for engine in plan.engines)
-        return longest - plan.part_seconds
-
-    def _begin_plan(self, plan: Plan, clearing: Clearing | None) -> Placement:
+    def _begin_plan(self, plan: Plan) -> Placement:
         now = self._timers.now()
         sends = [
             self._loads.begin(
@@ -303,11 +268,10 @@
                 memory_tokens=tokens,
                 now=now,
                 helps=engine is not plan.first,
-                announced=clearing is not None,
             )
             for engine, tokens in zip(plan.engines, plan.memory_tokens, strict=True)
         ]
-        return self._begin(plan.first, sends, plan=plan, clearing=clearing)
+        return self._begin(plan.first, sends, plan=plan)
 
     def _begin(
         self,
@@ -315,10 +279,7 @@
         sends: list[Send],
         *,
         plan: Plan | None = None,
-        clearing: Clearing | None = None,
     ) -> Placement:
         self._record.sent(upstream)
         started = self._timers.now()
-        return Placement(
-            upstream=upstream, plan=plan, sends=sends, started=started, clearing=clearing
-        )
+        return Placement(upstream=upstream, plan=plan, sends=sends, started=started)
--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -22,8 +22,6 @@
 from baobabpulley.policy.waiting import last_first_event
 from baobabpulley.policy.waiting import time_to_return
 
-# Share of the time to the objective that a long prompt may wait for engines that read nothing.
-MEETING_SHARE: Final = 0.4
 # Part of an engine's memory that the answer to one prompt is taken to need at most.
 ANSWER_MEMORY_DIVISOR: Final = 8
 # Seconds after which a caller comes back if nothing says when there is room.
@@ -92,18 +90,12 @@
         if plan is not None and not self._in_time(request, plan, now):
             plan = self._plan(request, candidates, figures, hurried=True)
             self._check_time(request, plan, now)
-        return None if plan is None or self._waits(request, plan, now) else plan
+        return plan
 
     def pause(self, times: Times, *, now: float, expected: float = USUAL_PAUSE) -> float:
         """Return the seconds after which a refused caller should come back."""
         return time_to_return(self._random, expected=expected, left=max(0.0, times.end - now))
 
-    def _waits(self, request: PlacementRequest, plan: Plan, now: float) -> bool:
-        """Whether a prompt waits for engines that read nothing; heavy ones do so once placed."""
-        times = request.times
-        patient_until = times.arrived + MEETING_SHARE * (times.objective - times.arrived)
-        return plan.meets and not plan.heavy and now < patient_until - plan.part_seconds
-
     def _plan(
         self,
         request: PlacementRequest,
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -16,10 +16,6 @@
 
 # Seconds; what a peer said longer ago counts no more.
 MAX_NEWS_AGE: Final = 1.5
-# Seconds of reading that silence the answers of an engine for longer than usual, and by which
-# such a reading may last longer than worked out.
-SILENCING_SECONDS: Final = 0.3
-SILENCE_SLACK: Final = 0.7
 
 
 class LoadShare(msgspec.Struct, frozen=True, array_like=True):
@@ -47,20 +43,16 @@
 class Send:
     """One request, or one part of a prompt, at one upstream."""
 
-    __slots__ = ("announced", "helps", "memory_tokens", "read_seconds", "reading", "upstream")
+    __slots__ = ("helps", "memory_tokens", "reading", "upstream")
 
     def __init__(
         self,
         *,
         upstream: str,
-        read_seconds: float,
         memory_tokens: int,
         helps: bool,
-        announced: bool,
     ) -> None:
-        self.announced = announced
         self.upstream = upstream
-        self.read_seconds = read_seconds
         self.memory_tokens = memory_tokens
         self.helps = helps
         self.reading = True
@@ -75,10 +67,9 @@
 
     def share(self, upstream: str, now: float) -> LoadShare:
         requests = [send for send in self.sends if not send.helps]
-        announced = sum(send.read_seconds for send in self.sends if send.announced)
         return LoadShare(
             upstream=upstream,
-            backlog=round(max(0.0, self.read_until - now) + announced, 3),
+            backlog=round(max(0.0, self.read_until - now), 3),
             in_flight=len(requests),
             writing=sum(not send.reading for send in requests),
             helping=len(self.sends) - len(requests),
@@ -110,12 +101,10 @@
 class LoadBook:
     """The sends of this gateway, and the shares of the others; ``now`` is in seconds."""
 
-    __slots__ = ("_listeners", "_oldest", "_others", "_own", "_silent_until", "_totals")
+    __slots__ = ("_listeners", "_oldest", "_others", "_own", "_totals")
 
     def __init__(self) -> None:
         self._listeners: list[Callable[[], None]] = []
-        # Until when an engine is expected to read so much that its answers stand still.
-        self._silent_until: dict[str, float] = {}
         self._own: dict[str, _Own] = defaultdict(_Own)
         self._others: dict[str, tuple[float, tuple[LoadShare, ...]]] = {}
         self._totals: dict[str, _Total] = defaultdict(_Total)
@@ -134,49 +123,25 @@
         memory_tokens: int,
         now: float,
         helps: bool = False,
-        announced: bool = False,
     ) -> Send:
-        """Count a send; an upstream reads what it gets one after the other.
-
-        An announced one keeps others away and is read only from its `start` on.
-        """
+        """Count a send; ``read_seconds`` add up to what an upstream still has to read."""
         own = self._own[upstream]
         send = Send(
             upstream=upstream,
-            read_seconds=read_seconds,
             memory_tokens=memory_tokens,
             helps=helps,
-            announced=announced,
         )
-        if not announced:
-            own.read_until = max(own.read_until, now) + read_seconds
+        own.read_until = max(own.read_until, now) + read_seconds
         own.sends.add(send)
-        self._note_silence(upstream, read_seconds, now)
         if helps:
             for listener in self._listeners:
                 listener()
         return send
 
-    def start(self, send: Send, *, now: float) -> None:
-        """Note that an announced send begins now."""
-        own = self._own[send.upstream]
-        send.announced = False
-        own.read_until = max(own.read_until, now) + send.read_seconds
-        self._note_silence(send.upstream, send.read_seconds, now)
-
-    def expects_silence(self, upstream: str, *, now: float) -> bool:
-        """Whether an engine reads, or has just read, so much that its answers stand still."""
-        return now < self._silent_until.get(upstream, 0.0)
-
-    def _note_silence(self, upstream: str, backlog: float, now: float) -> None:
-        if backlog > SILENCING_SECONDS:
-            until = now + backlog + SILENCE_SLACK
-            self._silent_until[upstream] = max(until, self._silent_until.get(upstream, 0.0))
-
     def read(self, send: Send, *, now: float) -> None:
         """Note that a send's prompt has been read."""
         own = self._own[send.upstream]
-        send.reading = send.announced = False
+        send.reading = False
         if not any(other.reading for other in own.sends):
             own.read_until = now
 
@@ -188,10 +153,6 @@
         if not own.sends:
             del self._own[send.upstream]
 
-    def forget(self, upstream: str) -> None:
-        """Forget what was expected of an upstream that is gone; its sends count to their end."""
-        self._silent_until.pop(upstream, None)
-
     def shares(self, *, now: float) -> tuple[LoadShare, ...]:
         """Return what this gateway has at each upstream."""
         return tuple(own.share(upstream, now) for upstream, own in self._own.items())
@@ -206,7 +167,6 @@
             total.add(share, sign=1)
             if share.backlog:
                 total.reading[node] = now + share.backlog
-            self._note_silence(share.upstream, share.backlog, now)
 
     def load(self, upstream: str, *, now: float) -> Load:
         """Return what all gateways have at an upstream, those unheard of left out."""
--- a/src/baobabpulley/policy/spread.py
+++ b/src/baobabpulley/policy/spread.py
@@ -1,10 +1,11 @@
 """Which engine gets a prompt, and which others read parts of it.
 
 Load pattern: a prompt of 133,000 tokens takes an engine two seconds to read, and every answer that
-it writes meanwhile stands still. Short prompts therefore gather on few engines, and long ones are
-read by those that write for nobody. Where these are too few, a long prompt is cut by time over all
-engines, so that each pass stays short enough for the answers in it. Prompts past one engine's
-memory are kept in tickets on several.
+it writes meanwhile stands still. Short prompts gather on few engines. A long one is cut by time
+over all engines, so that each part is over before a pause is felt; as an engine reads a part before
+what it had before, two long prompts delay each other least where the parts are short. One too long
+for that takes engines that write few answers: the more of them, the sooner it is read, but the
+more answers stand still.
 """
 
 from __future__ import annotations
@@ -22,15 +23,11 @@
 from baobabpulley.policy.memory_seats import seats_among
 
 # Seconds of reading that a pass takes without harm to the answers written in it.
-PART_SECONDS: Final = 0.11
-# Past this no pass is short enough: few engines are cleared of other work and read long parts.
+PART_SECONDS: Final = 0.08
+# Past this the answers written at an engine pause for longer than their callers bear.
 LONG_PART_SECONDS: Final = 0.16
-# Share of the time to the objective that one long part may take, and share of the engines that
-# one such prompt may hold up.
-LONG_PART_SHARE: Final = 0.4
-LONG_ENGINES: Final = 0.6
-# Share of the time to the objective that a part may take at engines that write for nobody.
-QUIET_PART_SHARE: Final = 0.3
+# How many answers may stand still to spare a long prompt a part as long as its objective.
+ANSWERS_FOR_ONE_PROMPT: Final = 10.0
 # Requests that gather on one engine before the next is used, and the backlog past which it is not.
 GATHERED_REQUESTS: Final = 5
 GATHERING_BACKLOG: Final = 0.06
@@ -38,8 +35,6 @@
 MAX_HELPERS: Final = 16
 # Part of a pass that an engine that writes still has before it when a prompt arrives.
 PASS_UNDER_WAY: Final = 0.5
-# Engines whose backlog is below this take a part without two of them meeting in one pass.
-MEETING_SECONDS: Final = 0.04
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -47,8 +42,7 @@
 
     ``part_seconds`` is the reading at each engine; ``ticket_tokens`` the memory to reserve at
     each of the first ``tickets`` helpers, ``backlog`` the seconds that some engine still reads
-    other prompts, ``pass_seconds`` what the first engine takes to write an event. ``heavy`` says
-    that the parts are too long for the answers written beside them.
+    other prompts, ``pass_seconds`` what the first engine takes to write an event.
     """
 
     first: ListedUpstream
@@ -59,17 +53,12 @@
     first_tokens: int
     backlog: float
     pass_seconds: float
-    heavy: bool
-
-    @property
-    def meets(self) -> bool:
-        """Whether a part would be read in one pass with another prompt."""
-        return bool(self.helpers) and self.backlog > MEETING_SECONDS
 
     @property
     def read_seconds(self) -> float:
         """Seconds until the prompt is expected to have been read."""
-        return self.backlog + self.part_seconds
+        # Engines read parts before what came earlier, whole prompts after it.
+        return self.part_seconds if self.helpers else self.backlog + self.part_seconds
 
     @property
     def first_event_seconds(self) -> float:
@@ -102,7 +91,7 @@
 
     ``objective`` is the seconds in which the first event of its answer is wanted. ``first_id``
     names the engine that has to write it, if one was tried before. A ``hurried`` prompt is read
-    by as many engines as make it soonest, whatever that costs the answers written there.
+    by all engines, whatever that costs the answers written there.
     """
     total = figures.read_seconds(prompt_tokens)
     need = memory_need(
@@ -110,12 +99,9 @@
     )
     if is_short(prompt_tokens, figures):
         chosen = _gather([one for one in candidates if one.has_memory(need.first_tokens, figures)])
-    elif hurried:
-        chosen = _earliest(candidates, total, need.holders)
     else:
-        chosen = _quiet(candidates, total, need.holders, objective) or _spread(
-            candidates, total, need.holders, objective
-        )
+        patience = 0.0 if hurried else objective
+        chosen = _spread(candidates, total, need.holders, patience)
     seats = seats_among(chosen, candidates, figures=figures, need=need, first_id=first_id)
     if seats is None:
         return None
@@ -128,7 +114,6 @@
         tickets=need.tickets,
         ticket_tokens=need.ticket_tokens,
         first_tokens=need.first_tokens,
-        heavy=part > LONG_PART_SECONDS,
         backlog=max(one.load.backlog for one in engines),
         pass_seconds=_pass_seconds(seats.first.load, figures, prompt_tokens),
     )
@@ -161,55 +146,29 @@
     return sorted(free, key=lambda one: one.cost)[:1]
 
 
-def _quiet(
+def _spread(
     candidates: list[Candidate], total: float, holders: int, objective: float
 ) -> list[Candidate]:
-    """Return engines that write for nobody, if they are enough for a long prompt."""
-    quiet = [one for one in candidates if not one.load.in_flight]
-    chosen = _earliest(quiet, total, holders)
-    if len(chosen) < holders or not chosen:
-        return []
-    return chosen if total / len(chosen) <= QUIET_PART_SHARE * objective else []
-
-
-def _earliest(engines: list[Candidate], total: float, holders: int) -> list[Candidate]:
-    """Return the engines that are done first with a prompt, and no more than it needs.
+    """Return the engines for ``total`` seconds of reading, ``holders`` at least.
 
-    An engine that still reads helps only if it ends before the others would without it: parts
-    that an engine has at the same time slow each other down.
+    With an objective of 0 the prompt is read as soon as may be.
     """
-    ranked = sorted(engines, key=lambda one: one.cost)[: MAX_HELPERS + 1]
-    best, best_end = ranked, math.inf
-    for count in range(max(1, holders), len(ranked) + 1):
-        end = ranked[count - 1].load.backlog + total / count
-        if end < best_end:
-            best, best_end = ranked[:count], end
-        if total / count <= PART_SECONDS:
-            break
-    return best
+    most = min(len(candidates), MAX_HELPERS + 1)
+    if objective and total / max(1, most) > LONG_PART_SECONDS:
+        return _sparing(candidates, total, holders, objective)
+    parts = max(holders, math.ceil(total / PART_SECONDS))
+    return sorted(candidates, key=lambda one: one.cost)[: min(parts, MAX_HELPERS + 1)]
 
 
-def _spread(
+def _sparing(
     candidates: list[Candidate], total: float, holders: int, objective: float
 ) -> list[Candidate]:
-    """Return the engines for a long prompt among those that write for others."""
-    count = len(candidates)
-    parts = max(_parts(total, count, objective), min(holders, count))
-    if total / max(1, parts) > LONG_PART_SECONDS:
-        # Whoever writes at an engine that reads a long part is late.
-        return sorted(candidates, key=lambda one: (one.load.writing, one.cost))[:parts]
-    return sorted(candidates, key=lambda one: one.cost)[:parts]
-
-
-def _parts(total: float, engines: int, objective: float) -> int:
-    """Return over how many engines ``total`` seconds of reading are cut.
-
-    >>> _parts(0.05, 16, 3.0), _parts(2.0, 16, 3.0), _parts(4.0, 16, 3.0), _parts(20.0, 16, 3.0)
-    (1, 16, 4, 10)
-    """
-    most = min(engines, MAX_HELPERS + 1)
-    parts = min(most, max(1, math.ceil(total / PART_SECONDS)))
-    if total / parts > LONG_PART_SECONDS:
-        parts = math.ceil(total / (LONG_PART_SHARE * objective))
-        return max(1, min(most, parts, round(LONG_ENGINES * engines)))
-    return parts
+    """Return engines for long parts, so many that it pays for the answers they hold up."""
+    ranked = sorted(candidates, key=lambda one: (one.load.writing, one.cost))[: MAX_HELPERS + 1]
+    best, least, held_up = len(ranked), math.inf, 0
+    for count, engine in enumerate(ranked, start=1):
+        held_up += engine.load.writing
+        cost = held_up + ANSWERS_FOR_ONE_PROMPT * (total / count / objective) ** 2
+        if count >= holders and cost < least:
+            best, least = count, cost
+    return ranked[:best]
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -7,6 +7,8 @@
 import itertools
 import json
 import os
+import subprocess
+import sys
 import time
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -18,6 +20,7 @@
 from platform_upstream import UpstreamStandin
 
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.platform import names
 from baobabpulley.settings import load_settings
 from baobabpulley.shutdown import end_tasks
@@ -105,6 +108,32 @@
         return [int(line[4:]) for line in self.body.split(b"\n") if line.startswith(b"id: ")]
 
 
+@final
+class GatewayProcess:
+    """A gateway in a process of its own; its log goes to a file."""
+
+    def __init__(self, path: Path) -> None:
+        self.node = load_settings(path, daemon="gateway").get(GatewayNodeSection)
+        self._log = path.with_suffix(".log")
+        command = [sys.executable, "-m", "baobabpulley", "gateway", "--settings", str(path)]
+        with self._log.open("wb") as log:
+            self._popen = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._popen.send_signal(number)
+
+    def events(self) -> set[str]:
+        """Return the events that its log tells of."""
+        lines = self._log.read_text().splitlines()
+        return {str(json.loads(line).get("event")) for line in lines if line.startswith("{")}
+
+    def end(self) -> None:
+        """Kill the process."""
+        self._popen.kill()
+        self._popen.wait()
+
+
 @final
 class World:
     """The stand-ins, and the gateways started before them."""
@@ -114,6 +143,7 @@
         self.store = StoreStandin()
         self.upstreams: dict[str, UpstreamStandin] = {}
         self.gateways: list[Gateway] = []
+        self.processes: list[GatewayProcess] = []
 
     async def add_upstream(
         self, name: str, *, service: str = LEDGER, listed: bool = True, **options: Any
@@ -139,6 +169,15 @@
             await until(lambda: gateway.ready and len(gateway.book.upstreams) >= self._listed())
         return gateway
 
+    async def add_gateway_process(self) -> GatewayProcess:
+        """Start a gateway in a process of its own, and wait until it has its first entry."""
+        path = self.folder / "gateway-process.ini"
+        path.write_text(self._settings(100, next(_ports), {}))
+        process = GatewayProcess(path)
+        self.processes.append(process)
+        await until(lambda: "configuration" in process.events(), seconds=20.0)
+        return process
+
     def _listed(self) -> int:
         return sum(key.startswith(names.UPSTREAM_PREFIX) for key in self.store.items)
 
@@ -159,6 +198,8 @@
 
     async def stop(self) -> None:
         """Close all that was started."""
+        for process in self.processes:
+            process.end()
         for gateway in self.gateways:
             gateway.close()
         for upstream in self.upstreams.values():
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 from typing import Any
 from typing import final
@@ -35,6 +36,7 @@
         self.lose_answers = 0
         self.calls = 0
         self.leases: dict[int, set[str]] = {}
+        self.lease_numbers = itertools.count(1000)
         self.page = 500
         self._changed = asyncio.Event()
         self._server: HTTPServer | None = None
@@ -83,6 +85,11 @@
             self.revision += 1
             self._note({"key": key, "revision": self.revision, "tombstone": True})
 
+    def end_lease(self, lease: int) -> None:
+        """End a lease, by its holder or by its time, and remove its keys."""
+        for key in self.leases.pop(lease, set()):
+            self.delete(key)
+
     def _note(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._changed.set()
@@ -195,7 +202,7 @@
 
 class _Lease(_Handler):
     def post(self) -> None:
-        lease = 1000 + len(self.store.leases)
+        lease = next(self.store.lease_numbers)
         self.store.leases[lease] = set()
         self.answer({"lease": lease, "ttl-ms": json.loads(self.request.body)["ttl-ms"]})
 
@@ -208,6 +215,5 @@
 
 class _LeaseEnd(_Handler):
     def delete(self, lease: str) -> None:
-        for key in self.store.leases.pop(int(lease), set()):
-            self.store.delete(key)
+        self.store.end_lease(int(lease))
         self.answer({})
--- a/testing/policy_builders.py
+++ b/testing/policy_builders.py
@@ -11,7 +11,12 @@
 
 
 def candidate(
-    name: str, *, backlog: float = 0.0, in_flight: int = 0, memory_tokens: int = 0
+    name: str,
+    *,
+    backlog: float = 0.0,
+    in_flight: int = 0,
+    writing: int = 0,
+    memory_tokens: int = 0,
 ) -> Candidate:
     """Return an engine with a load."""
     upstream = ListedUpstream(
@@ -22,7 +27,12 @@
         slots=8,
         leaving=False,
     )
-    load = Load(backlog=backlog, in_flight=in_flight, memory_tokens=memory_tokens)
+    load = Load(
+        backlog=backlog,
+        in_flight=max(in_flight, writing),
+        writing=writing,
+        memory_tokens=memory_tokens,
+    )
     return Candidate(upstream=upstream, load=load)
 
 
