--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -246,7 +246,7 @@
 
 async def test_rolling_restart_under_load_fails_no_request(fleet: Fleet) -> None:
     requests, callers, tokens = 2_000, 12, 6
-    numbers = iter(range(requests))
+    numbers = itertools.count()
     ready: set[str] = set(fleet.entries.values())
 
     async def balance() -> None:
@@ -263,7 +263,8 @@
     async def one_caller(index: int) -> list[str]:
         caller = souk()
         failures = []
-        for number in numbers:
+        while len(done) < requests or not restarting.done():
+            number = next(numbers)
             targets = sorted(ready)
             address = targets[(number + index) % len(targets)]
             chosen = time.monotonic()
@@ -298,7 +299,7 @@
     await asyncio.wait_for(restarting, WAIT_SECONDS)
     balancing.cancel()
     assert [failure for some in failures for failure in some] == []
-    assert served == requests
+    assert served >= requests
     assert codes == [0] * (2 * ENTRIES)
     # Each failure domain has two keepers, and one of them outlives the other's return.
     keepers = keeper_addresses(fleet)
