--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import signal
 import time
@@ -157,13 +158,27 @@
     before = await metric(fleet, "baobab_resumes_total")
     prompts = [make_prompt(tokens=500, seed=900 + index) for index in range(8)]
     addresses = list(fleet.entries.values())
+    begun: set[int] = set()
+    all_begun = asyncio.Event()
+
+    def note_token(index: int) -> None:
+        begun.add(index)
+        if len(begun) == len(prompts):
+            all_begun.set()
+
     running = [
         asyncio.create_task(
-            souk().complete(addresses[index % ENTRIES], prompt=prompt, max_tokens=tokens)
+            souk().complete(
+                addresses[index % ENTRIES],
+                prompt=prompt,
+                max_tokens=tokens,
+                on_token=functools.partial(note_token, index),
+            )
         )
         for index, prompt in enumerate(prompts)
     ]
-    await asyncio.sleep(0.2)
+    # A connection that opens later than the fault does not fall silent.
+    await asyncio.wait_for(all_begun.wait(), WAIT_SECONDS)
     for engine in engine_addresses(fleet):
         await fleet.fault(engine, "silent")
     answers = await asyncio.wait_for(asyncio.gather(*running), WAIT_SECONDS)
