Answer with an upstream's own failure if no other attempt is answered

The upstream's answer is kept and passed on if nothing better comes. Both cases of the new test fail without it. No effect on worth is expected.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -22,6 +22,7 @@
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import surely_not_run
 from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import UpstreamFailure
 from baobabpulley.gateway.exchange_state import honest
 from baobabpulley.gateway.exchange_state import log_placement
 from baobabpulley.gateway.exchange_state import urgency_of
@@ -109,7 +110,7 @@
             await self._run(exchange)
         except BaobabError as error:
             outcome, reason = error.code, error.message
-            reply.refuse(error)
+            self._answer_failure(exchange, reply, error)
         except asyncio.CancelledError:
             outcome = "client_gone"
             raise
@@ -118,6 +119,14 @@
                 incoming, needs, exchange, status=reply.status, outcome=outcome, reason=reason
             )
 
+    def _answer_failure(self, exchange: Exchange | None, reply: Reply, error: BaobabError) -> None:
+        """Pass on what an upstream itself said of its failure, or else say what went wrong here."""
+        failure = None if exchange is None else exchange.upstream_failure
+        if failure is None or reply.started:
+            reply.refuse(error)
+        else:
+            reply.send(failure.status, self._wire.answer_headers(failure.headers), failure.body)
+
     async def _run(self, exchange: Exchange) -> None:
         """Make attempts until one of them has given the caller a whole answer.
 
@@ -179,6 +188,7 @@
             self._record.answered(placement.upstream, well=True)
         if failed and self._takes_repeat(exchange):
             exchange.may_have_run = True
+            exchange.upstream_failure = UpstreamFailure(answer.status, answer.headers, body)
             raise UpstreamFailed(f"{placement.upstream.id} answered {answer.status}")
         if exchange.reply.started:
             raise UpstreamLost(f"a stream cannot go on with an answer of status {answer.status}")
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from loguru import logger
+from tornado.httputil import HTTPHeaders
 
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import NoUpstream
@@ -29,6 +30,18 @@
 _MOST_URGENT: Final = 0
 
 
+@final
+class UpstreamFailure:
+    """An upstream's own answer that it failed, kept in case no other attempt is answered."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
 @final
 class Exchange:
     """What is known of one request while it is served."""
@@ -50,6 +63,7 @@
         "route",
         "service",
         "times",
+        "upstream_failure",
         "upstreams",
     )
 
@@ -78,6 +92,7 @@
         self.first: str | None = None
         self.excluded: set[str] = set()
         self.upstreams: list[str] = []
+        self.upstream_failure: UpstreamFailure | None = None
         self.parts = 0
         self.first_event_at: float | None = None
         self.last_event_at = 0.0
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -136,6 +136,20 @@
     assert len(_ran(world)) == 1
 
 
+@pytest.mark.parametrize("second", [None, upstreams.reset_after_run], ids=["none", "lost"])
+async def test_an_upstreams_own_failure_comes_back_if_no_other_attempt_is_answered(
+    world: World, second: Behaviour | None
+) -> None:
+    behaviour = upstreams.at_first(upstreams.fail, then=second or upstreams.fail)
+    for name in ("i-1",) if second is None else ("i-1", "i-2"):
+        upstream = await world.add_upstream(name)
+        upstream.behaviour = behaviour
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/lookup/7")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert names.SEAL.lower() in reply.headers
+
+
 async def test_attempts_stay_within_those_of_the_route(world: World) -> None:
     for number in range(4):
         upstream = await world.add_upstream(f"i-{number}")
