--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -31,6 +31,8 @@
 ENGINES: Final = 4
 KEEPERS_OFFSET: Final = 800
 WAIT_SECONDS: Final = 60.0
+# Real seconds within which the balancer of the rolling restart has to see that an entry is leaving.
+BALANCER_LAG: Final = 1.0
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -43,6 +45,7 @@
         speed=SPEED,
         entries=ENTRIES,
         engines=ENGINES,
+        entry_sections={"shutdown": {"balancer_lag": str(BALANCER_LAG * SPEED)}},
     )
     directory: Path = tmp_path_factory.mktemp("fleet")
     async with Fleet(plan=plan, directory=directory) as running:
