--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -356,11 +356,14 @@
 
     >>> _idle_seconds(HTTPHeaders({"Keep-Alive": "timeout=5"})), _idle_seconds(HTTPHeaders())
     (4.0, 10.0)
+    >>> _idle_seconds(HTTPHeaders({"Keep-Alive": "timeout=1"}))
+    0.5
     """
     for option in headers.get("Keep-Alive", "").split(","):
         name, _, value = option.strip().partition("=")
         if name.lower() == "timeout" and value.isdecimal():
-            return min(MAX_IDLE_SECONDS, int(value) - IDLE_MARGIN)
+            allowed = int(value)
+            return min(MAX_IDLE_SECONDS, allowed - min(IDLE_MARGIN, allowed / 2))
     return MAX_IDLE_SECONDS
 
 
