--- a/bench/replay_mix.py
+++ b/bench/replay_mix.py
@@ -20,6 +20,7 @@
 from baobabpulley.emulator.engine_world import Arrival
 from baobabpulley.emulator.engine_world import EngineWorld
 from baobabpulley.emulator.engine_world import Served
+from baobabpulley.emulator.mix_report import spread
 from baobabpulley.model.routes import Route
 
 ENGINES: Final = 16
@@ -60,8 +61,8 @@
         own = [one for one in served if one.arrival.route is kind.route]
         on_time = sum(one.on_time for one in own) / len(own)
         print(f"{kind.route.name:>8} {len(own):>6} requests, {on_time:.4f} on time")
-    errors = sorted(abs(one.seconds - one.expected) for one in served if not one.code)
-    print(f"first events off by {_at(errors, 0.5):.3f} s at p50, {_at(errors, 0.95):.3f} s at p95")
+    errors = spread(abs(one.seconds - one.expected) for one in served if not one.code)
+    print(f"first events off by {errors.p50:.3f} s at p50, {errors.p95:.3f} s at p95")
 
 
 async def _day(seed: int) -> list[Served]:
@@ -99,9 +100,5 @@
     return min(most, max(1.0, source.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)))
 
 
-def _at(ordered: list[float], share: float) -> float:
-    return ordered[int(share * (len(ordered) - 1))]
-
-
 if __name__ == "__main__":
     main()
