--- a/src/baobabpulley/adapters/pynng_peers.py
+++ b/src/baobabpulley/adapters/pynng_peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 from collections import defaultdict
+from collections.abc import Awaitable
 from typing import Final
 from typing import TypeVar
 from typing import final
@@ -144,8 +145,8 @@
             async with self._timers.limit(timeout):
                 sealed = self._sealer.seal(question, kind=kind_of(question), receiver=address)
                 traffic.sent += len(sealed.data)
-                await context.asend(sealed.data)
-                data = await context.arecv()
+                await _uncancelled(context.asend(sealed.data))
+                data = await _uncancelled(context.arecv())
                 traffic.received += len(data)
                 traffic.messages += 1
             message = self._sealer.open(data, reply_to=sealed.nonce).message
@@ -245,7 +246,7 @@
     async def _answer_forever(self, context: pynng.Context) -> None:
         while context in self._contexts:
             try:
-                data = await context.arecv()
+                data = await _uncancelled(context.arecv())
             except pynng.Closed:
                 return
             except pynng.NNGException:
@@ -263,7 +264,7 @@
             sealed = self._sealer.seal(reply, kind=kind_of(reply), reply_to=opened.nonce)
             traffic.sent += len(sealed.data)
             with contextlib.suppress(pynng.NNGException):
-                await context.asend(sealed.data)
+                await _uncancelled(context.asend(sealed.data))
 
     def _reject(self, error: MessageRejected) -> None:
         self._rejected += 1
@@ -291,7 +292,7 @@
     async def _listen_forever(self, subscription: _Subscription) -> None:
         while True:
             try:
-                data = await subscription.socket.arecv()
+                data = await _uncancelled(subscription.socket.arecv())
                 opened = self._sealer.open(data, receiver=EVERYONE)
             except pynng.Closed:
                 return
@@ -303,6 +304,13 @@
                 listener(opened.message, opened.sender)
 
 
+async def _uncancelled(operation: Awaitable[R]) -> R:
+    """Await an operation of the library and raise the cancellation that it may have swallowed."""
+    result = await operation
+    _raise_cancellation()
+    return result
+
+
 def _raise_cancellation() -> None:
     # pynng reports an operation that ends while its task is cancelled as that end alone.
     task = asyncio.current_task()
@@ -311,6 +319,7 @@
 
 
 S = TypeVar("S", bound=pynng.Socket)
+R = TypeVar("R")
 
 
 def _dial(socket: S, address: str) -> S:
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -49,24 +49,33 @@
 from baobabpulley.timers import TimerService
 
 RETRY_AFTER: Final = 1.0
+# How many times `suspect` a request waits for an upstream that lost it, and how often it looks.
+SUSPECTS_WAITED_FOR: Final = 2.0
+SUSPECTS_PERIOD: Final = 0.1
 
 
 class _History:
     """The failed attempts of one request, and whether one of them may have run."""
 
-    __slots__ = ("excluded", "failures", "may_have_run", "overloads", "since")
+    __slots__ = ("failures", "lost", "may_have_run", "overloads", "refused", "since")
 
     def __init__(self) -> None:
         # When the request came to its lane, once it has to go back there.
         self.since: float | None = None
-        self.excluded: set[str] = set()
+        self.refused: set[str] = set()
+        self.lost: set[str] = set()
         self.failures = 0
         self.overloads = 0
         self.may_have_run = False
 
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Upstreams that have failed the request."""
+        return frozenset(self.refused | self.lost)
+
     def add(self, upstream: str, error: BaobabError, *, started: bool) -> None:
         """Count a failed attempt."""
-        self.excluded.add(upstream)
+        (self.refused if isinstance(error, UpstreamRefused) else self.lost).add(upstream)
         self.failures += 1
         self.overloads += isinstance(error, UpstreamOverloaded | UpstreamOutOfMemory)
         self.may_have_run = self.may_have_run or started or error.ran is not False
@@ -151,7 +160,7 @@
                     yield event
             return
         except NoUpstream as error:
-            if self._passer is None or request.passed or delivery.started:
+            if self._passer is None or not self._may_pass(request, delivery):
                 raise history.honest(error) from error
             self._note(request, record, "passed on", why=error.message)
             refusal = error
@@ -177,7 +186,7 @@
         budget.earn()
         while True:
             self._check_deadline(request, history)
-            placement = await self._place(request, record, history)
+            placement = await self._place(request, record, delivery, history)
             try:
                 async with contextlib.aclosing(
                     self._attempt(request, placement, delivery)
@@ -195,21 +204,26 @@
                 upstream = placement.upstream
                 self._note(request, record, error.code, upstream=upstream.id)
                 history.add(upstream.id, error, started=delivery.started)
+                if delivery.started:
+                    # Admitted once and half answered, so only its deadline bounds its wait.
+                    history.since = placement.since
                 self._judge(upstream, error)
                 self._check_retry(history, budget, error)
             pause = full_jitter(self._random, pause=self._retries.pause, retry=history.failures - 1)
             await self._timers.sleep(pause)
 
     async def _place(
-        self, request: CompletionRequest, record: DecisionRecord, history: _History
+        self,
+        request: CompletionRequest,
+        record: DecisionRecord,
+        delivery: AnswerProgress,
+        history: _History,
     ) -> Placement:
         try:
-            placement = await self._placer.place(
-                request,
-                lane=SHORT if record.lane == SHORT else LONG,
-                excluded=frozenset(history.excluded),
-                since=history.since,
-            )
+            if history.lost and not self._may_pass(request, delivery):
+                placement = await self._place_even_where_lost(request, record, history)
+            else:
+                placement = await self._place_once(request, record, history)
         except NoUpstream:
             # Another failure domain may still do it; `run` knows.
             raise
@@ -228,6 +242,38 @@
         )
         return placement
 
+    async def _place_once(
+        self, request: CompletionRequest, record: DecisionRecord, history: _History
+    ) -> Placement:
+        return await self._placer.place(
+            request,
+            lane=SHORT if record.lane == SHORT else LONG,
+            excluded=history.excluded,
+            since=history.since,
+        )
+
+    async def _place_even_where_lost(
+        self, request: CompletionRequest, record: DecisionRecord, history: _History
+    ) -> Placement:
+        """Place a request that can go nowhere else; wait for an upstream that lost it if need be.
+
+        A connection that broke or fell silent does not tell that the upstream is gone, and one
+        that is well again says so by its next report.
+        """
+        ends = self._timers.now() + SUSPECTS_WAITED_FOR * self._retries.suspect
+        while True:
+            try:
+                return await self._place_once(request, record, history)
+            except NoUpstream:
+                if self._timers.now() >= min(ends, request.deadline):
+                    raise
+            history.lost.clear()
+            await self._timers.sleep(SUSPECTS_PERIOD)
+
+    def _may_pass(self, request: CompletionRequest, delivery: AnswerProgress) -> bool:
+        """Whether an entry of another failure domain may take the request over."""
+        return self._passer is not None and not request.passed and not delivery.started
+
     def _budget(self, request: CompletionRequest) -> RetryBudget:
         document = self._view.book.models.get(request.model)
         if document is None:
--- a/testing/test_envelope.py
+++ b/testing/test_envelope.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 from typing import Final
@@ -182,3 +183,50 @@
     for socket in opened:
         with pytest.raises(pynng.Closed):
             socket.new_context()
+
+
+async def test_task_cancelled_as_its_answer_comes_is_cancelled(
+    answering: PynngPeers, base_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    receive = pynng.Context.arecv
+    came = asyncio.Event()
+
+    async def receive_and_swallow(context: pynng.Context) -> bytes:
+        # The library returns what came although its task was cancelled at the same moment.
+        data: bytes = await receive(context)
+        if asyncio.current_task() is asking:
+            came.set()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+        return data
+
+    monkeypatch.setattr(pynng.Context, "arecv", receive_and_swallow)
+    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
+    address = f"127.0.0.1:{base_port + 900}"
+    asking = asyncio.create_task(friend.ask(address, Done(), answer=Done, timeout=WAIT_SECONDS))
+    await came.wait()
+    asking.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await asking
+    friend.close()
+
+
+async def test_late_answer_is_a_timeout_and_no_cancellation(
+    answering: PynngPeers, base_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    receive = pynng.Context.arecv
+
+    async def receive_past_the_timeout(context: pynng.Context) -> bytes:
+        data: bytes = await receive(context)
+        if asyncio.current_task() is asking:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+        return data
+
+    monkeypatch.setattr(pynng.Context, "arecv", receive_past_the_timeout)
+    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
+    address = f"127.0.0.1:{base_port + 900}"
+    asking = asyncio.create_task(friend.ask(address, Done(), answer=Done, timeout=0.2))
+    with pytest.raises(PeerUnavailable):
+        await asking
+    friend.close()
