Let a process that joins wait longer for the answers it has nothing without

Cause of test_settings_fleet (cut failure domain), from keepers' DEBUG logs of six runs beside 14 busy processes and each other: the fresh keeper's questions to the one peer it can reach end at 0.5 model seconds (0.125 s real), up to 3 in a row at the keeper and 5 at the entry, and each next question pays for a new connection. Ruled out: far keepers (their timeouts are the cut's). Now 2.0 model seconds as long as there are no settings here; test with peers that answer after 0.9 s seen failing.

--- a/src/baobabpulley/entry/keeper_link.py
+++ b/src/baobabpulley/entry/keeper_link.py
@@ -18,15 +18,15 @@
 from baobabpulley.model.settings_book import SettingsBook
 from baobabpulley.model.settings_messages import SettingsNews
 from baobabpulley.model.settings_messages import SettingsQuestion
+from baobabpulley.policy.joining import JOIN_AT_ONCE
+from baobabpulley.policy.joining import answer_timeout
 from baobabpulley.ports.peers import Peers
 from baobabpulley.settings import Address
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import section
 from baobabpulley.timers import TimerService
 
-ASK_TIMEOUT: Final = 0.5
 FAR_KEEPERS: Final = 2
-JOIN_AT_ONCE: Final = 4
 
 
 @section("keeper", "entry")
@@ -82,7 +82,10 @@
         for address in self.addresses:
             try:
                 answer = await self._peers.ask(
-                    address, self._view.question(), answer=FleetAnswer, timeout=ASK_TIMEOUT
+                    address,
+                    self._view.question(),
+                    answer=FleetAnswer,
+                    timeout=answer_timeout(ready=self._view.ready),
                 )
             except BaobabError:
                 # Silent, or up but not ready to answer: another one may be.
@@ -127,7 +130,10 @@
         question = SettingsQuestion(revision=self._view.book.revision)
         try:
             return await self._peers.ask(
-                address, question, answer=SettingsNews, timeout=ASK_TIMEOUT
+                address,
+                question,
+                answer=SettingsNews,
+                timeout=answer_timeout(ready=self._view.ready),
             )
         except BaobabError:
             return None
--- a/src/baobabpulley/keeper/relay.py
+++ b/src/baobabpulley/keeper/relay.py
@@ -27,20 +27,20 @@
 from baobabpulley.model.settings_messages import VmChanges
 from baobabpulley.model.upstreams import LIVE
 from baobabpulley.model.upstreams import Vm
+from baobabpulley.policy.joining import JOIN_AT_ONCE
+from baobabpulley.policy.joining import answer_timeout
 from baobabpulley.policy.relays import relays
 from baobabpulley.settings import Address
 from baobabpulley.settings import Count
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import section
 
-PULL_TIMEOUT: Final = 0.5
 # A question about settings and its answer without news, both ways together.
 EXCHANGE_BYTES: Final = 270
 # Other failure domains that a watching keeper pulls from in one round, in turns.
 FAR_DOMAINS: Final = 2
 # Rounds after which a keeper asks for the capacity of all failure domains again.
 CAPACITY_ROUNDS: Final = 8
-JOIN_AT_ONCE: Final = 4
 
 
 @section("settings_relay", "keeper")
@@ -165,7 +165,10 @@
                 all_domains=self._round % CAPACITY_ROUNDS == 0,
             )
             news = await self._context.peers.ask(
-                address, question, answer=SettingsNews, timeout=PULL_TIMEOUT
+                address,
+                question,
+                answer=SettingsNews,
+                timeout=answer_timeout(ready=self._context.view.ready),
             )
             if news.entries and address in self._listening:
                 # These should have come by the subscription; it may be silent for good.
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -50,6 +50,8 @@
         self.timers = timers
         self.frozen = False
         self.dead = False
+        # Model seconds after which this process answers a question.
+        self.late = 0.0
         self.handlers: dict[type[msgspec.Struct], Handler] = {}
         self.listeners: dict[tuple[str, Listener], None] = {}
         self.waiting: list[tuple[Listener, msgspec.Struct]] = []
@@ -62,9 +64,11 @@
 
     async def ask(self, address: str, question: Any, *, answer: Any, timeout: float) -> Any:
         target = self._cluster.peers.get(address)
-        if not self.reaches(target) or target.frozen:
+        if not self.reaches(target) or target.frozen or target.late > timeout:
             await self.timers.sleep(timeout)
             raise PeerUnavailable(f"{address} does not answer")
+        if target.late:
+            await self.timers.sleep(target.late)
         reply = await target.handlers[type(question)](_copied(question), self.address)
         if not self.reaches(target):
             raise PeerUnavailable(f"{address} does not answer")
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -159,6 +159,20 @@
     assert (keeper.book.limit("souk"), entry.book.limit("souk")) == (held, held)
 
 
+async def test_a_vm_joins_from_peers_that_are_slow_to_answer(cluster: Cluster) -> None:
+    cluster.kill("keeper-fes-0")
+    cluster.kill("entry-fes-0")
+    cluster.state.down = True
+    for peers in cluster.all_peers:
+        peers.late = 0.9
+    keeper = await cluster.start_keeper(cluster.vms[0])
+    keeper.peers.late = 0.9
+    entry = cluster.start_entry(cluster.vms[0])
+    await cluster.advance(10.0)
+    assert (keeper.view.ready, entry.view.ready) == (True, True)
+    assert (keeper.book.limit("souk"), entry.book.limit("souk")) == (LIMIT, LIMIT)
+
+
 async def test_a_vm_with_neither_store_nor_peer_is_not_ready(cluster: Cluster) -> None:
     for name in tuple(cluster.members):
         cluster.kill(name)
