Look up when a failure domain was heard instead of searching all gateways for each upstream

Cause: the bench of placements had a stand-in for the time a failure domain was last heard. The gateway itself searched all neighbours for it, once for each upstream of a placement: 96 x 339.

Times by failure domain are kept as news arrives; reach is judged once a failure domain, health by the few upstreams that have failed; loads nobody has are one constant. Decisions are the same.

--- a/src/baobabpulley/emulator/engine_world.py
+++ b/src/baobabpulley/emulator/engine_world.py
@@ -15,9 +15,12 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.gateway.candidates import CandidateList
 from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.planning import PlacementRequest
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import Needs
 from baobabpulley.model.routes import STREAM
@@ -41,6 +44,9 @@
 LONG_ROUTE: Final = Route("archive", "h", "/", STREAM, 15.0, 3.0, 1, (), 2, False, True, 1.0)
 SERVICE: Final = Service(name="kitchen", max_connections=424, engine=USUAL_ENGINE)
 SHORT_TOKENS, MIDDLE_TOKENS = 20_000, 60_000
+DOMAIN: Final = "fes"
+# No socket of a gateway is opened here, so its addresses lead nowhere.
+NOWHERE: Final = "127.0.0.1:9"
 
 
 @final
@@ -114,19 +120,27 @@
 class _Gateway:
     """One gateway's placer with what it knows."""
 
-    __slots__ = ("candidates", "loads", "name", "placer", "tells")
+    __slots__ = ("candidates", "loads", "name", "news", "placer", "tells")
 
     def __init__(self, name: str, *, book: FleetBook, timers: ManualTimers) -> None:
         self.name = name
         self.loads = LoadBook()
         self.tells = False
         self.loads.listen(self._tell_soon)
+        self.news = NewsExchange(
+            node=_node_section(name),
+            section=GatewayPeersSection(),
+            book=book,
+            loads=self.loads,
+            timers=timers,
+            behind=lambda: None,
+        )
         record = UpstreamRecord(
-            failure_domain="fes", book=book, last_heard=lambda domain: None, timers=timers
+            failure_domain=DOMAIN, book=book, last_heard=self.news.last_heard, timers=timers
         )
         self.candidates = CandidateList(
             node=name,
-            failure_domain="fes",
+            failure_domain=DOMAIN,
             book=book,
             loads=self.loads,
             record=record,
@@ -145,6 +159,17 @@
         self.tells = True
 
 
+def _node_section(name: str) -> GatewayNodeSection:
+    return GatewayNodeSection(
+        id=name,
+        failure_domain=DOMAIN,
+        callers=NOWHERE,
+        readiness=NOWHERE,
+        control=NOWHERE,
+        news_port=9,
+    )
+
+
 @final
 class EngineWorld:
     """Engines before which gateways place what arrives; arrivals go to the gateways in turn."""
@@ -159,7 +184,7 @@
             address = f"10.0.{number // 250}.{number % 250}:80"
             slots = USUAL_ENGINE.slots
             self.book.upstreams[name] = ListedUpstream(
-                name, SERVICE.name, address, "fes", slots, False
+                name, SERVICE.name, address, DOMAIN, slots, False
             )
         self._engines = {name: PassEngine(USUAL_ENGINE) for name in self.book.upstreams}
         self._gateways = [
@@ -174,6 +199,11 @@
         """What the first gateway knows of loads."""
         return self._gateways[0].loads
 
+    @property
+    def news(self) -> NewsExchange:
+        """What the first gateway hears of others."""
+        return self._gateways[0].news
+
     @property
     def placer(self) -> Placer:
         """The first gateway's placer."""
--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -88,13 +88,14 @@
         self, upstreams: Sequence[ListedUpstream], excluded: frozenset[str]
     ) -> list[Candidate]:
         now = self._timers.now()
-        found = [one for one in upstreams if one.id not in excluded]
-        well = [one for one in found if self._record.usable(one)]
+        found = [one for one in upstreams if one.id not in excluded] if excluded else upstreams
+        well = self._record.usable(found)
+        penalties = self._record.penalties
         return [
             Candidate(
                 upstream=one,
                 load=self._loads.load(one.id, now=now),
-                penalty=self._record.penalty(one)
+                penalty=penalties.get(one.id, 0.0)
                 + (0.0 if one.failure_domain == self._domain else DISTANCE_SECONDS),
             )
             for one in (well or found)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -210,7 +210,8 @@
         return sum(one.leaving for one in self.book.upstreams.values())
 
     def _unusable(self) -> float:
-        return sum(not self.record.usable(one) for one in self.book.upstreams.values())
+        listed = tuple(self.book.upstreams.values())
+        return len(listed) - len(self.record.usable(listed))
 
     def close(self) -> None:
         """Stop listening and close every connection."""
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "_behind",
         "_book",
+        "_heard_in",
         "_last",
         "_life",
         "_loads",
@@ -100,6 +101,7 @@
         self._sent_at = 0.0
         self._last: tuple[object, ...] = ()
         self._neighbours: dict[str, Neighbour] = {}
+        self._heard_in: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._tells_soon = False
 
@@ -119,10 +121,7 @@
 
     def last_heard(self, failure_domain: str) -> float | None:
         """Return when a gateway of a failure domain was last heard, ``None`` if never."""
-        times = [
-            one.heard for one in self._neighbours.values() if one.failure_domain == failure_domain
-        ]
-        return max(times, default=None)
+        return self._heard_in.get(failure_domain)
 
     def configure(self, section: GatewayPeersSection) -> None:
         """Take over changed settings."""
@@ -172,6 +171,7 @@
         if before is not None and before.life == news.life and before.number >= news.number:
             return
         self._neighbours[news.node] = Neighbour(news, heard=now)
+        self._heard_in[news.failure_domain] = now
         self._loads.learn(news.node, news.shares, now=now)
         if news.revision > self._book.revision:
             self._behind()
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import final
 
 from baobabpulley.gateway.following import FleetBook
@@ -30,17 +31,22 @@
         self._health = UpstreamHealth()
         self._reach = DomainReach(own=failure_domain)
 
-    def usable(self, upstream: ListedUpstream) -> bool:
-        """Whether an upstream may get work now."""
-        now = self._timers.now()
-        domain = upstream.failure_domain
-        return self._health.usable(upstream.id, now=now) and self._reach.open(
-            domain, heard=self._last_heard(domain), now=now
-        )
+    @property
+    def penalties(self) -> dict[str, float]:
+        """The seconds that upstreams' failures count in the choice; others count nothing."""
+        return self._health.penalties
 
-    def penalty(self, upstream: ListedUpstream) -> float:
-        """Return the seconds that an upstream's failures count in the choice."""
-        return self._health.penalty(upstream.id)
+    def usable(self, upstreams: Sequence[ListedUpstream]) -> list[ListedUpstream]:
+        """Return those of the upstreams that may get work now."""
+        now = self._timers.now()
+        domains = {one.failure_domain for one in upstreams}
+        reached = {
+            domain
+            for domain in domains
+            if self._reach.open(domain, heard=self._last_heard(domain), now=now)
+        }
+        paused = self._health.paused(now=now)
+        return [one for one in upstreams if one.failure_domain in reached and one.id not in paused]
 
     def sent(self, upstream: ListedUpstream) -> None:
         """Note an attempt."""
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -39,6 +39,9 @@
     memory_tokens: int = 0
 
 
+NO_LOAD: Final = Load()
+
+
 @final
 class Send:
     """One request, or one part of a prompt, at one upstream."""
@@ -96,6 +99,20 @@
         self.helping += sign * share.helping
         self.memory_tokens += sign * share.memory_tokens
 
+    def backlog(self, now: float) -> float:
+        """Return the seconds of prompts that the gateways still have to be read."""
+        seconds = 0.0
+        for until in self.reading.values():
+            if until > now:
+                seconds += until - now
+        return seconds
+
+    def load(self, now: float) -> Load:
+        """Return the shares of all gateways as one load."""
+        return Load(
+            self.backlog(now), self.in_flight, self.writing, self.helping, self.memory_tokens
+        )
+
 
 @final
 class LoadBook:
@@ -172,12 +189,14 @@
         """Return what all gateways have at an upstream, those unheard of left out."""
         if now - self._oldest > MAX_NEWS_AGE:
             self._drop_silent(now)
-        total = self._totals.get(upstream, _NOTHING)
+        total = self._totals.get(upstream)
         own = self._own.get(upstream)
-        share = _IDLE if own is None else own.share(upstream, now)
-        reading = sum(max(0.0, until - now) for until in total.reading.values())
+        if own is None:
+            return NO_LOAD if total is None else total.load(now)
+        share = own.share(upstream, now)
+        total = total or _NOTHING
         return Load(
-            backlog=share.backlog + reading,
+            backlog=share.backlog + total.backlog(now),
             in_flight=share.in_flight + total.in_flight,
             writing=share.writing + total.writing,
             helping=share.helping + total.helping,
@@ -202,4 +221,3 @@
 
 
 _NOTHING: Final = _Total()
-_IDLE: Final = LoadShare("", 0.0, 0, 0, 0, 0)
--- a/src/baobabpulley/policy/upstream_health.py
+++ b/src/baobabpulley/policy/upstream_health.py
@@ -27,6 +27,10 @@
         self.paused_until = 0.0
         self.trial = False
 
+    def is_paused(self, now: float) -> bool:
+        """Whether the upstream gets no work."""
+        return self.pauses > 0 and (self.trial or now < self.paused_until)
+
 
 @final
 class UpstreamHealth:
@@ -37,17 +41,14 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def usable(self, upstream: str, *, now: float) -> bool:
-        """Whether an upstream may get work; after a pause it gets one request as a trial."""
-        record = self._records.get(upstream)
-        if record is None or not record.pauses:
-            return True
-        return now >= record.paused_until and not record.trial
+    @property
+    def penalties(self) -> dict[str, float]:
+        """The seconds that upstreams' failures count in the choice; others count nothing."""
+        return {id: record.failures * FAILURE_SECONDS for id, record in self._records.items()}
 
-    def penalty(self, upstream: str) -> float:
-        """Return the seconds that an upstream's failures count in the choice among upstreams."""
-        record = self._records.get(upstream)
-        return 0.0 if record is None else record.failures * FAILURE_SECONDS
+    def paused(self, *, now: float) -> set[str]:
+        """Return the upstreams that get no work; after a pause one gets one request as a trial."""
+        return {id for id, record in self._records.items() if record.is_paused(now)}
 
     def sent(self, upstream: str) -> None:
         """Note a request; to an upstream that was paused it is a trial."""
--- a/testing/test_candidates.py
+++ b/testing/test_candidates.py
@@ -7,8 +7,11 @@
 import pytest
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.emulator.engine_world import DOMAIN
 from baobabpulley.emulator.engine_world import EngineWorld
 from baobabpulley.errors import Overloaded
+from baobabpulley.gateway.news import News
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
@@ -30,6 +33,10 @@
     assert subset_of("front-0", listed(MAX_CONSIDERED)) == listed(MAX_CONSIDERED)
 
 
+def make_news(node: str, *, failure_domain: str) -> News:
+    return News(node, "a", 1, failure_domain, "127.0.0.1:9", 0, 0)
+
+
 def test_gateways_spread_over_a_large_service_evenly() -> None:
     counts: Counter[str] = Counter()
     for gateway in range(340):
@@ -73,3 +80,48 @@
     with pytest.raises(Overloaded):
         await fleet.placer.place(late)
     assert fleet.placer.waiting == 0
+
+
+def test_a_placement_asks_once_for_each_failure_domain_when_it_was_heard() -> None:
+    fleet = EngineWorld(engines=300)
+    asked: list[str] = []
+
+    def last_heard(domain: str) -> float | None:
+        asked.append(domain)
+        return None
+
+    record = UpstreamRecord(
+        failure_domain="meknes", book=fleet.book, last_heard=last_heard, timers=fleet.timers
+    )
+    listed_now = tuple(fleet.book.upstreams.values())
+    assert record.usable(listed_now) == list(listed_now)
+    assert asked == [DOMAIN]
+
+
+def test_a_failure_domain_was_heard_when_any_of_its_gateways_was() -> None:
+    fleet = EngineWorld(engines=1)
+    for node, domain in (("front-1", "fes"), ("front-2", "fes"), ("front-3", "rabat")):
+        fleet.news.hear(make_news(node, failure_domain=domain))
+    now = fleet.timers.now()
+    assert [fleet.news.last_heard(domain) for domain in ("fes", "rabat", "safi")] == [
+        now,
+        now,
+        None,
+    ]
+
+
+def test_a_cut_failure_domain_gives_no_candidates_but_the_rest_do() -> None:
+    fleet = EngineWorld(engines=4)
+    record = UpstreamRecord(
+        failure_domain="meknes",
+        book=fleet.book,
+        last_heard=lambda domain: None,
+        timers=fleet.timers,
+    )
+    far = list(fleet.book.upstreams.values())
+    own = ListedUpstream("i-own", "kitchen", "10.1.0.1:80", "meknes", SLOTS, False)
+    for one in far[:2]:
+        record.lost(one)
+    assert record.usable([*far, own]) == [own]
+    record.answered(far[3], well=True)
+    assert record.usable([*far, own]) == [*far[2:], own]
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -266,15 +266,15 @@
 def test_a_dark_upstream_is_left_and_tried_again_one_request_at_a_time() -> None:
     health = UpstreamHealth()
     health.lost("i-1", now=0.0)
-    assert not health.usable("i-1", now=0.5)
-    assert health.usable("i-1", now=1.1)
+    assert health.paused(now=0.5) == {"i-1"}
+    assert health.paused(now=1.1) == set()
     health.sent("i-1")
-    assert not health.usable("i-1", now=1.2)
+    assert health.paused(now=1.2) == {"i-1"}
     health.lost("i-1", now=1.3)
-    assert not health.usable("i-1", now=2.5)
-    assert health.usable("i-1", now=3.4)
+    assert health.paused(now=2.5) == {"i-1"}
+    assert health.paused(now=3.4) == set()
     health.answered("i-1", well=True)
-    assert health.usable("i-1", now=3.5)
+    assert health.paused(now=3.5) == set()
 
 
 def test_an_upstream_that_fails_half_of_its_requests_costs_more_than_a_well_one() -> None:
@@ -282,7 +282,8 @@
     for number in range(10):
         health.answered("i-grey", well=number % 2 == 0)
         health.answered("i-well", well=True)
-    assert health.penalty("i-grey") > health.penalty("i-well") == 0.0
+    assert set(health.penalties) == {"i-grey"}
+    assert health.penalties["i-grey"] > 0.0
 
 
 def test_repeats_of_all_nodes_stay_within_the_bound() -> None:
