Begin a gateway's subset of a large service with its own failure domain

Load pattern: 20 failure domains before 1,000 engines of a service. The subset of 96 was drawn from all of them, so 19 of 20 requests would have crossed between failure domains, and the gateways of one failure domain had to know the loads of all. Services of up to 96 upstreams, all of today's sites, are placed as before; the test at the target's size failed before.

--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -57,7 +57,9 @@
     def near(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
         """Return those of this gateway's subset of a service."""
         if service not in self._subsets:
-            self._subsets[service] = subset_of(self._node, self._all(service))
+            self._subsets[service] = subset_of(
+                self._node, self._all(service), failure_domain=self._domain
+            )
         return self._candidates(self._subsets[service], excluded)
 
     def all(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
--- a/src/baobabpulley/policy/subset.py
+++ b/src/baobabpulley/policy/subset.py
@@ -1,8 +1,9 @@
 """Which upstreams of a large service one gateway places its requests on.
 
-Load pattern: 340 gateways stand before 500 engines of a service; each would spend its processor
-on looking at all of them for every request. Each gateway looks at its own, even subset instead,
-and at all only if that has no room.
+Load pattern: 340 gateways of 20 failure domains stand before 1,000 engines of a service; each would
+spend its processor on looking at all of them for every request, and most requests would cross
+between failure domains. Each gateway looks at its own, even subset instead, that of its failure
+domain first, and at all only if that has no room.
 """
 
 from __future__ import annotations
@@ -17,9 +18,19 @@
 MAX_CONSIDERED: Final = 96
 
 
-def subset_of(node: str, upstreams: Sequence[ListedUpstream]) -> Sequence[ListedUpstream]:
-    """Return the upstreams that a gateway looks at first; most stay when others come or go."""
+def subset_of(
+    node: str, upstreams: Sequence[ListedUpstream], *, failure_domain: str
+) -> Sequence[ListedUpstream]:
+    """Return the upstreams that a gateway of a failure domain looks at first.
+
+    Those of its own failure domain come before others; most stay when some come or go.
+    """
     if len(upstreams) <= MAX_CONSIDERED:
         return upstreams
     by_id = {one.id: one for one in upstreams}
-    return [by_id[id] for id in ranked(node, by_id)[:MAX_CONSIDERED]]
+    near = [id for id, one in by_id.items() if one.failure_domain == failure_domain]
+    chosen = ranked(node, near)[:MAX_CONSIDERED]
+    if len(chosen) < MAX_CONSIDERED:
+        far = ranked(node, by_id.keys() - set(near))
+        chosen += far[: MAX_CONSIDERED - len(chosen)]
+    return [by_id[id] for id in chosen]
--- a/testing/test_candidates.py
+++ b/testing/test_candidates.py
@@ -22,15 +22,24 @@
 SLOTS = 8
 
 
-def listed(count: int) -> list[ListedUpstream]:
+def listed(count: int, domains: tuple[str, ...] = (DOMAIN,)) -> list[ListedUpstream]:
     return [
-        ListedUpstream(f"i-{number}", "kitchen", f"10.0.0.{number}:80", "fes", SLOTS, False)
+        ListedUpstream(
+            f"i-{number}",
+            "kitchen",
+            f"10.0.0.{number}:80",
+            domains[number % len(domains)],
+            SLOTS,
+            False,
+        )
         for number in range(count)
     ]
 
 
 def test_a_small_service_is_looked_at_whole() -> None:
-    assert subset_of("front-0", listed(MAX_CONSIDERED)) == listed(MAX_CONSIDERED)
+    assert subset_of("front-0", listed(MAX_CONSIDERED), failure_domain=DOMAIN) == listed(
+        MAX_CONSIDERED
+    )
 
 
 def make_news(node: str, *, failure_domain: str) -> News:
@@ -40,16 +49,32 @@
 def test_gateways_spread_over_a_large_service_evenly() -> None:
     counts: Counter[str] = Counter()
     for gateway in range(340):
-        counts.update(one.id for one in subset_of(f"front-{gateway}", listed(500)))
+        counts.update(
+            one.id for one in subset_of(f"front-{gateway}", listed(500), failure_domain=DOMAIN)
+        )
     assert len(counts) == 500
     mean = 340 * MAX_CONSIDERED / 500
     assert min(counts.values()) > 0.5 * mean
     assert max(counts.values()) < 1.6 * mean
 
 
+def test_a_subset_begins_with_its_own_failure_domain_and_covers_it_evenly() -> None:
+    domains = tuple(f"domain-{number}" for number in range(20))
+    upstreams = listed(1_000, domains)
+    counts: Counter[str] = Counter()
+    for gateway in range(340):
+        own = domains[gateway % 20]
+        subset = subset_of(f"front-{gateway}", upstreams, failure_domain=own)
+        assert len(subset) == MAX_CONSIDERED
+        assert [one.failure_domain for one in subset[:50]] == [own] * 50
+        counts.update(one.id for one in subset[50:])
+    mean = 340 * (MAX_CONSIDERED - 50) / 1_000
+    assert max(counts.values()) < 2.2 * mean
+
+
 def test_most_of_a_subset_stays_when_engines_are_replaced() -> None:
-    before = {one.id for one in subset_of("front-0", listed(500))}
-    after = {one.id for one in subset_of("front-0", listed(520)[20:])}
+    before = {one.id for one in subset_of("front-0", listed(500), failure_domain=DOMAIN)}
+    after = {one.id for one in subset_of("front-0", listed(520)[20:], failure_domain=DOMAIN)}
     assert len(before & after) > 0.85 * MAX_CONSIDERED
 
 
