Tell other gateways what changed instead of all loads each time

Each load is told twice when it changes and every 0.6 s otherwise, so that one lost refresh is borne within the 1.5 s after which it counts no more; what a peer makes of a backlog that only shrinks is no change. Loads expire one by one now; a gateway's new life is counted out first.

--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -9,7 +9,6 @@
 import secrets
 from collections.abc import Callable
 from typing import Any
-from typing import Final
 from typing import cast
 from typing import final
 
@@ -22,14 +21,15 @@
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.policy.fleet_load import LoadBook
 from baobabpulley.policy.fleet_load import LoadShare
+from baobabpulley.policy.news_delta import NewsDelta
 from baobabpulley.timers import TimerService
 
-# Upstreams in one datagram, which then stays within one packet of the usual size.
-MAX_SHARES: Final = 36
-
 
 class News(msgspec.Struct, frozen=True, array_like=True):
-    """One gateway's state; ``life`` is new with each start of its process."""
+    """One gateway's state, and its loads as far as they have to be told now.
+
+    ``life`` is new with each start of its process.
+    """
 
     node: str
     life: str
@@ -66,8 +66,8 @@
     __slots__ = (
         "_behind",
         "_book",
+        "_delta",
         "_heard_in",
-        "_last",
         "_life",
         "_loads",
         "_neighbours",
@@ -77,7 +77,9 @@
         "_sent_at",
         "_tells_soon",
         "_timers",
+        "_told_revision",
         "_transport",
+        "bytes_sent",
     )
 
     def __init__(
@@ -99,11 +101,13 @@
         self._life = secrets.token_hex(4)
         self._number = 0
         self._sent_at = 0.0
-        self._last: tuple[object, ...] = ()
+        self._delta = NewsDelta()
+        self._told_revision = -1
         self._neighbours: dict[str, Neighbour] = {}
         self._heard_in: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._tells_soon = False
+        self.bytes_sent = 0
 
     @property
     def neighbours(self) -> dict[str, Neighbour]:
@@ -170,6 +174,8 @@
         before = self._neighbours.get(news.node)
         if before is not None and before.life == news.life and before.number >= news.number:
             return
+        if before is not None and before.life != news.life:
+            self._loads.forget(news.node)
         self._neighbours[news.node] = Neighbour(news, heard=now)
         self._heard_in[news.failure_domain] = now
         self._loads.learn(news.node, news.shares, now=now)
@@ -185,28 +191,29 @@
     def _tell(self) -> None:
         self._tells_soon = False
         now = self._timers.now()
-        shares = self._loads.shares(now=now)
-        state = (shares, self._book.revision)
-        quiet = not shares and state == self._last
+        shares = self._delta.next(self._loads.shares(now=now), now=now)
+        revision = self._book.revision
+        quiet = not shares and revision == self._told_revision
         if quiet and now - self._sent_at < self._section.quiet_period:
             return
-        self._last, self._sent_at = state, now
+        self._told_revision, self._sent_at = revision, now
         self._number += 1
-        largest = sorted(shares, key=lambda share: -(share.backlog + share.in_flight))
         news = News(
             node=self._node.id,
             life=self._life,
             failure_domain=self._node.failure_domain,
             number=self._number,
             control=self._node.control,
-            revision=self._book.revision,
+            revision=revision,
             configuration_revision=self._book.configuration_revision,
-            shares=tuple(largest[:MAX_SHARES]),
+            shares=shares,
         )
         data = _encoder.encode(news)
+        if self._transport is None:
+            return
         for address in self._addresses():
-            if self._transport is not None:
-                self._transport.sendto(data, split_address(address))
+            self._transport.sendto(data, split_address(address))
+            self.bytes_sent += len(data)
 
     def _addresses(self) -> set[str]:
         members = self._book.members.values()
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -9,6 +9,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Final
 from typing import final
 
@@ -28,6 +29,28 @@
     helping: int
     memory_tokens: int
 
+    @classmethod
+    def nothing(cls, upstream: str) -> LoadShare:
+        """Return the share of a gateway that has nothing at an upstream."""
+        return cls(upstream, 0.0, 0, 0, 0, 0)
+
+    @property
+    def is_nothing(self) -> bool:
+        """Whether the gateway has nothing there."""
+        return not (self.in_flight or self.helping)
+
+    @property
+    def weight(self) -> float:
+        """By what one share matters more than another."""
+        return self.backlog + self.in_flight
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    """What another gateway said of one upstream, and when it was heard."""
+
+    share: LoadShare
+    at: float
+
 
 class Load(msgspec.Struct, frozen=True):
     """What all gateways together have at one upstream."""
@@ -123,9 +146,9 @@
     def __init__(self) -> None:
         self._listeners: list[Callable[[], None]] = []
         self._own: dict[str, _Own] = defaultdict(_Own)
-        self._others: dict[str, tuple[float, tuple[LoadShare, ...]]] = {}
+        self._others: dict[str, dict[str, _Heard]] = defaultdict(dict)
         self._totals: dict[str, _Total] = defaultdict(_Total)
-        # When the gateway that was silent for longest was heard.
+        # No share that counts was heard before this.
         self._oldest = math.inf
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -174,21 +197,29 @@
         """Return what this gateway has at each upstream."""
         return tuple(own.share(upstream, now) for upstream, own in self._own.items())
 
-    def learn(self, node: str, shares: tuple[LoadShare, ...], *, now: float) -> None:
-        """Take over what another gateway has at each upstream."""
-        self._drop(node)
-        self._others[node] = (now, shares)
-        self._oldest = min(self._oldest, now)
+    def learn(self, node: str, shares: Iterable[LoadShare], *, now: float) -> None:
+        """Take over what another gateway says of some upstreams; others stay as they are."""
+        heard = self._others[node]
         for share in shares:
+            self._drop(node, share.upstream)
+            if share.is_nothing:
+                continue
+            heard[share.upstream] = _Heard(share, now)
+            self._oldest = min(self._oldest, now)
             total = self._totals[share.upstream]
             total.add(share, sign=1)
             if share.backlog:
                 total.reading[node] = now + share.backlog
 
+    def forget(self, node: str) -> None:
+        """Count another gateway out, as it has started anew."""
+        for upstream in tuple(self._others[node]):
+            self._drop(node, upstream)
+
     def load(self, upstream: str, *, now: float) -> Load:
-        """Return what all gateways have at an upstream, those unheard of left out."""
+        """Return what all gateways have at an upstream, what was not heard of late left out."""
         if now - self._oldest > MAX_NEWS_AGE:
-            self._drop_silent(now)
+            self._drop_old(now)
         total = self._totals.get(upstream)
         own = self._own.get(upstream)
         if own is None:
@@ -203,21 +234,24 @@
             memory_tokens=share.memory_tokens + total.memory_tokens,
         )
 
-    def _drop_silent(self, now: float) -> None:
-        """Count out the gateways that were not heard of late."""
-        for node, (heard, _) in tuple(self._others.items()):
-            if now - heard > MAX_NEWS_AGE:
-                self._drop(node)
-        self._oldest = min((heard for heard, _ in self._others.values()), default=math.inf)
-
-    def _drop(self, node: str) -> None:
-        _, shares = self._others.pop(node, (0.0, ()))
-        for share in shares:
-            total = self._totals[share.upstream]
-            total.add(share, sign=-1)
-            total.reading.pop(node, None)
-            if not (total.in_flight or total.helping or total.reading):
-                del self._totals[share.upstream]
+    def _drop_old(self, now: float) -> None:
+        """Count out what was not heard again of late."""
+        for node, shares in self._others.items():
+            old = [id for id, heard in shares.items() if now - heard.at > MAX_NEWS_AGE]
+            for upstream in old:
+                self._drop(node, upstream)
+        times = (heard.at for shares in self._others.values() for heard in shares.values())
+        self._oldest = min(times, default=math.inf)
+
+    def _drop(self, node: str, upstream: str) -> None:
+        heard = self._others[node].pop(upstream, None)
+        if heard is None:
+            return
+        total = self._totals[upstream]
+        total.add(heard.share, sign=-1)
+        total.reading.pop(node, None)
+        if not (total.in_flight or total.helping or total.reading):
+            del self._totals[upstream]
 
 
 _NOTHING: Final = _Total()
--- a/testing/test_news.py
+++ b/testing/test_news.py
@@ -10,6 +10,7 @@
 from gateway_builders import until
 
 from baobabpulley.gateway.following import FleetBook
+from baobabpulley.gateway.news import News
 from baobabpulley.gateway.news import NewsExchange
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
@@ -79,3 +80,25 @@
     here.loads.begin("i-1", read_seconds=0.02, memory_tokens=5_000, now=now)
     await asyncio.sleep(0.1)
     assert there.loads.load("i-1", now=now).in_flight == 0
+
+
+async def test_what_was_told_is_counted_in_bytes_and_not_told_again(tellers: list[Teller]) -> None:
+    here, there = tellers
+    now = here.timers.now()
+    here.loads.begin("i-1", read_seconds=0.0, memory_tokens=170_000, now=now, helps=True)
+    await until(lambda: there.loads.load("i-1", now=now).helping == 1)
+    counted = here.news.bytes_sent
+    assert counted > 0
+    await here.timers.advance(0.35)
+    repeated = here.news.bytes_sent - counted
+    assert 0 < repeated <= counted
+
+
+async def test_a_gateway_that_starts_anew_tells_of_nothing_it_had(tellers: list[Teller]) -> None:
+    here, there = tellers
+    now = here.timers.now()
+    here.loads.begin("i-1", read_seconds=0.0, memory_tokens=170_000, now=now, helps=True)
+    await until(lambda: there.loads.load("i-1", now=now).helping == 1)
+    anew = News("front-127.0.0.1", "another life", 1, "fes", "127.0.0.1:1", 0, 0)
+    there.news.hear(anew)
+    assert there.loads.load("i-1", now=now).helping == 0
