--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -240,6 +240,8 @@
             old = [id for id, heard in shares.items() if now - heard.at > MAX_NEWS_AGE]
             for upstream in old:
                 self._drop(node, upstream)
+        for node in [node for node, shares in self._others.items() if not shares]:
+            del self._others[node]
         times = (heard.at for shares in self._others.values() for heard in shares.values())
         self._oldest = min(times, default=math.inf)
 
