--- a/src/baobabpulley/emulator/engine_world.py
+++ b/src/baobabpulley/emulator/engine_world.py
@@ -29,7 +29,6 @@
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.policy.fleet_load import LoadBook
-from baobabpulley.policy.news_delta import NewsDelta
 from baobabpulley.policy.waiting import times_of
 from baobabpulley.timers import ManualTimers
 
@@ -121,13 +120,11 @@
 class _Gateway:
     """One gateway's placer with what it knows."""
 
-    __slots__ = ("candidates", "delta", "loads", "name", "news", "placer", "tells")
+    __slots__ = ("candidates", "loads", "news", "placer", "tells")
 
     def __init__(self, name: str, *, book: FleetBook, timers: ManualTimers) -> None:
-        self.name = name
         self.loads = LoadBook()
         self.tells = False
-        self.delta = NewsDelta()
         self.loads.listen(self._tell_soon)
         self.news = NewsExchange(
             node=_node_section(name),
@@ -255,15 +252,15 @@
         return self.served
 
     def _tell(self, *, all_gateways: bool) -> None:
-        now = self.timers.now()
         for teller in self._gateways:
             if not (teller.tells or all_gateways):
                 continue
             teller.tells = False
-            shares = teller.delta.next(teller.loads.shares(now=now), now=now)
+            news = teller.news.next_news()
+            if news is None:
+                continue
             for other in self._gateways:
-                if other is not teller:
-                    other.loads.learn(teller.name, shares, now=now)
+                other.news.hear(news)
 
     async def _play(self, arrival: Arrival) -> None:
         await self.timers.sleep(arrival.at)
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -160,13 +160,14 @@
                     yield event
             return
         except NoUpstream as error:
-            if self._passer is None or not self._may_pass(request, delivery):
+            passer = self._passer_for(request, delivery)
+            if passer is None:
                 raise history.honest(error) from error
             self._note(request, record, "passed on", why=error.message)
             refusal = error
         # Nothing was delivered and completions are idempotent, so a lost attempt does not matter.
         try:
-            async with contextlib.aclosing(self._passer.run(request)) as events:
+            async with contextlib.aclosing(passer.run(request)) as events:
                 async for event in events:
                     yield event
         except NoUpstream as error:
@@ -220,7 +221,7 @@
         history: _History,
     ) -> Placement:
         try:
-            if history.lost and not self._may_pass(request, delivery):
+            if history.lost and self._passer_for(request, delivery) is None:
                 placement = await self._place_even_where_lost(request, record, history)
             else:
                 placement = await self._place_once(request, record, history)
@@ -270,9 +271,11 @@
             history.lost.clear()
             await self._timers.sleep(SUSPECTS_PERIOD)
 
-    def _may_pass(self, request: CompletionRequest, delivery: AnswerProgress) -> bool:
-        """Whether an entry of another failure domain may take the request over."""
-        return self._passer is not None and not request.passed and not delivery.started
+    def _passer_for(
+        self, request: CompletionRequest, delivery: AnswerProgress
+    ) -> EntryPasser | None:
+        """Return what passes the request to another failure domain, ``None`` if it has to stay."""
+        return None if request.passed or delivery.started else self._passer
 
     def _budget(self, request: CompletionRequest) -> RetryBudget:
         document = self._view.book.models.get(request.model)
--- a/src/baobabpulley/gateway/news.py
+++ b/src/baobabpulley/gateway/news.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from baobabpulley.adapters.addresses import split_address
+from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.gateway.following import FleetBook
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
@@ -79,7 +80,7 @@
         "_timers",
         "_told_revision",
         "_transport",
-        "bytes_sent",
+        "traffic",
     )
 
     def __init__(
@@ -107,7 +108,7 @@
         self._heard_in: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._tells_soon = False
-        self.bytes_sent = 0
+        self.traffic = Traffic()
 
     @property
     def neighbours(self) -> dict[str, Neighbour]:
@@ -182,23 +183,17 @@
         if news.revision > self._book.revision:
             self._behind()
 
-    def _tell_soon(self) -> None:
-        """Tell of a long prompt before another gateway gives its engines to the next one."""
-        if not self._tells_soon:
-            self._tells_soon = True
-            asyncio.get_running_loop().call_soon(self._tell)
-
-    def _tell(self) -> None:
-        self._tells_soon = False
+    def next_news(self) -> News | None:
+        """Return what to tell now, ``None`` if that is nothing and no sign of life is due."""
         now = self._timers.now()
         shares = self._delta.next(self._loads.shares(now=now), now=now)
         revision = self._book.revision
         quiet = not shares and revision == self._told_revision
         if quiet and now - self._sent_at < self._section.quiet_period:
-            return
+            return None
         self._told_revision, self._sent_at = revision, now
         self._number += 1
-        news = News(
+        return News(
             node=self._node.id,
             life=self._life,
             failure_domain=self._node.failure_domain,
@@ -208,12 +203,22 @@
             configuration_revision=self._book.configuration_revision,
             shares=shares,
         )
-        data = _encoder.encode(news)
-        if self._transport is None:
+
+    def _tell_soon(self) -> None:
+        """Tell of a long prompt before another gateway gives its engines to the next one."""
+        if not self._tells_soon:
+            self._tells_soon = True
+            asyncio.get_running_loop().call_soon(self._tell)
+
+    def _tell(self) -> None:
+        self._tells_soon = False
+        news = self.next_news()
+        if news is None or self._transport is None:
             return
+        data = _encoder.encode(news)
         for address in self._addresses():
             self._transport.sendto(data, split_address(address))
-            self.bytes_sent += len(data)
+            self.traffic.sent += len(data)
 
     def _addresses(self) -> set[str]:
         members = self._book.members.values()
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -62,9 +62,6 @@
     memory_tokens: int = 0
 
 
-NO_LOAD: Final = Load()
-
-
 @final
 class Send:
     """One request, or one part of a prompt, at one upstream."""
@@ -220,12 +217,11 @@
         """Return what all gateways have at an upstream, what was not heard of late left out."""
         if now - self._oldest > MAX_NEWS_AGE:
             self._drop_old(now)
-        total = self._totals.get(upstream)
+        total = self._totals.get(upstream, _NOTHING)
         own = self._own.get(upstream)
         if own is None:
-            return NO_LOAD if total is None else total.load(now)
+            return total.load(now)
         share = own.share(upstream, now)
-        total = total or _NOTHING
         return Load(
             backlog=share.backlog + total.backlog(now),
             in_flight=share.in_flight + total.in_flight,
--- a/testing/test_envelope.py
+++ b/testing/test_envelope.py
@@ -185,48 +185,44 @@
             socket.new_context()
 
 
-async def test_task_cancelled_as_its_answer_comes_is_cancelled(
-    answering: PynngPeers, base_port: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    receive = pynng.Context.arecv
-    came = asyncio.Event()
-
-    async def receive_and_swallow(context: pynng.Context) -> bytes:
-        # The library returns what came although its task was cancelled at the same moment.
-        data: bytes = await receive(context)
-        if asyncio.current_task() is asking:
-            came.set()
+class SwallowedCancellation:
+    """One question whose answer the library returns although its task was cancelled then."""
+
+    def __init__(self, base_port: int, monkeypatch: pytest.MonkeyPatch, *, timeout: float) -> None:
+        self._receive = pynng.Context.arecv
+        self.came = asyncio.Event()
+        self.friend = PynngPeers(
+            node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService()
+        )
+        address = f"127.0.0.1:{base_port + 900}"
+        monkeypatch.setattr(pynng.Context, "arecv", lambda context: self._swallow(context))
+        asking = self.friend.ask(address, Done(), answer=Done, timeout=timeout)
+        self.task = asyncio.create_task(asking)
+
+    async def _swallow(self, context: pynng.Context) -> bytes:
+        data: bytes = await self._receive(context)
+        if asyncio.current_task() is self.task:
+            self.came.set()
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.Event().wait()
         return data
 
-    monkeypatch.setattr(pynng.Context, "arecv", receive_and_swallow)
-    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
-    address = f"127.0.0.1:{base_port + 900}"
-    asking = asyncio.create_task(friend.ask(address, Done(), answer=Done, timeout=WAIT_SECONDS))
-    await came.wait()
-    asking.cancel()
+
+async def test_task_cancelled_as_its_answer_comes_is_cancelled(
+    answering: PynngPeers, base_port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asking = SwallowedCancellation(base_port, monkeypatch, timeout=WAIT_SECONDS)
+    await asking.came.wait()
+    asking.task.cancel()
     with pytest.raises(asyncio.CancelledError):
-        await asking
-    friend.close()
+        await asking.task
+    asking.friend.close()
 
 
 async def test_late_answer_is_a_timeout_and_no_cancellation(
     answering: PynngPeers, base_port: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    receive = pynng.Context.arecv
-
-    async def receive_past_the_timeout(context: pynng.Context) -> bytes:
-        data: bytes = await receive(context)
-        if asyncio.current_task() is asking:
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.Event().wait()
-        return data
-
-    monkeypatch.setattr(pynng.Context, "arecv", receive_past_the_timeout)
-    friend = PynngPeers(node="vm-2", section=PeersSection(secret=SECRET), timers=TimerService())
-    address = f"127.0.0.1:{base_port + 900}"
-    asking = asyncio.create_task(friend.ask(address, Done(), answer=Done, timeout=0.2))
+    asking = SwallowedCancellation(base_port, monkeypatch, timeout=0.2)
     with pytest.raises(PeerUnavailable):
-        await asking
-    friend.close()
+        await asking.task
+    asking.friend.close()
--- a/testing/test_news.py
+++ b/testing/test_news.py
@@ -87,10 +87,10 @@
     now = here.timers.now()
     here.loads.begin("i-1", read_seconds=0.0, memory_tokens=170_000, now=now, helps=True)
     await until(lambda: there.loads.load("i-1", now=now).helping == 1)
-    counted = here.news.bytes_sent
+    counted = here.news.traffic.sent
     assert counted > 0
     await here.timers.advance(0.35)
-    repeated = here.news.bytes_sent - counted
+    repeated = here.news.traffic.sent - counted
     assert 0 < repeated <= counted
 
 
