Spread short prompts over as many engines as other gateways may be choosing

Cause: gateways that place a short prompt within one gossip period know the same loads and all choose the fullest engine with room.

Change: a gateway counts the requests that others start (from their shares), expects rate x lag of them unheard, and draws among that many engines plus one, the fullest packable first. The idle engines, once none is packable, are drawn in the same way. Gateways in the emulator publish at different times of the period, as real ones do.

--- a/bench/replay_mix.py
+++ b/bench/replay_mix.py
@@ -1,7 +1,9 @@
 """Replay long and short prompts that peak in turn, as in the users' traffic, on emulated engines.
 
-Usage: python bench/replay_mix.py [--days 8]. Prints the ratio of requests on time for each kind of
-request, and the error of the expected time to the first event.
+Usage: python bench/replay_mix.py [--days 8] [--gateways 4] [--engines 16] [--slots 8]. The traffic
+grows with the number of engines. Prints the ratio of requests on time for each kind of request, the
+share of requests placed on an engine beyond its slots, and the error of the expected time to the
+first event.
 """
 
 from __future__ import annotations
@@ -23,8 +25,8 @@
 from baobabpulley.emulator.placement_simulation import RequestOutcome
 from baobabpulley.model.routes import Route
 
+# The rates of the request kinds are those of this number of engines.
 ENGINES: Final = 16
-GATEWAYS: Final = 4
 DAY_SECONDS: Final = 34.0
 # Time after the last arrival in which responses complete.
 DRAIN_SECONDS: Final = 16.0
@@ -57,32 +59,42 @@
 
 @click.command()
 @click.option("--days", default=8, show_default=True, help="Days to replay, one seed each.")
-def main(days: int) -> None:
+@click.option("--gateways", default=4, show_default=True, help="Gateways that place requests.")
+@click.option("--engines", default=ENGINES, show_default=True, help="Engines that serve them.")
+@click.option("--slots", default=8, show_default=True, help="Requests that an engine runs at once.")
+def main(days: int, gateways: int, engines: int, slots: int) -> None:
     """Print how many requests of each kind were on time, and the error of the estimate."""
-    served = [request for seed in range(days) for request in asyncio.run(_day(seed))]
+    served = [
+        request
+        for seed in range(days)
+        for request in asyncio.run(_day(seed, gateways=gateways, engines=engines, slots=slots))
+    ]
     for kind in REQUEST_KINDS:
         of_kind = [request for request in served if request.arrival.route is kind.route]
         on_time = sum(request.on_time for request in of_kind) / len(of_kind)
         print(f"{kind.route.name:>8} {len(of_kind):>6} requests, {on_time:.4f} on time")
+    beyond = sum(request.beyond_slots for request in served) / len(served)
+    print(f"{beyond:.4f} placed on an engine beyond its slots")
     errors = percentiles(
         abs(request.seconds - request.expected) for request in served if not request.code
     )
     print(f"first events off by {errors.p50:.3f} s at p50, {errors.p95:.3f} s at p95")
 
 
-async def _day(seed: int) -> list[RequestOutcome]:
-    simulation = PlacementSimulation(ENGINES, gateways=GATEWAYS)
-    return await simulation.replay(_arrivals(seed), seconds=DAY_SECONDS + DRAIN_SECONDS)
+async def _day(seed: int, *, gateways: int, engines: int, slots: int) -> list[RequestOutcome]:
+    simulation = PlacementSimulation(engines, gateways=gateways, slots=slots)
+    arrivals = _arrivals(seed, scale=engines / ENGINES)
+    return await simulation.replay(arrivals, seconds=DAY_SECONDS + DRAIN_SECONDS)
 
 
-def _arrivals(seed: int) -> list[Arrival]:
+def _arrivals(seed: int, *, scale: float) -> list[Arrival]:
     source = random.Random(seed)
     arrivals: list[Arrival] = []
     begin, phase = 0.0, source.randrange(2)
     while begin < DAY_SECONDS:
         end = min(DAY_SECONDS, begin + source.uniform(*PHASE_SECONDS))
         for kind in REQUEST_KINDS:
-            arrivals += _arrivals_of(kind, source, begin, end, kind.phases[phase])
+            arrivals += _arrivals_of(kind, source, begin, end, scale * kind.phases[phase])
         begin, phase = end, 1 - phase
     return arrivals
 
--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final
 from typing import final
@@ -87,10 +88,19 @@
 
     ``seconds`` is the time to the first event or, if ``code`` is set, to the refusal;
     ``expected`` is the time to the first event that the placer predicted, and ``longest_pause``
-    the longest time between two events of the response.
+    the longest time between two events of the response. ``beyond_slots`` is whether all slots of
+    the engine were taken when the request was placed there.
     """
 
-    __slots__ = ("arrival", "code", "expected", "longest_pause", "retry_after", "seconds")
+    __slots__ = (
+        "arrival",
+        "beyond_slots",
+        "code",
+        "expected",
+        "longest_pause",
+        "retry_after",
+        "seconds",
+    )
 
     def __init__(
         self,
@@ -100,8 +110,10 @@
         seconds: float,
         retry_after: float = 0.0,
         expected: float = 0.0,
+        beyond_slots: bool = False,
     ) -> None:
         self.arrival = arrival
+        self.beyond_slots = beyond_slots
         self.code = code
         self.seconds = seconds
         self.retry_after = retry_after
@@ -125,13 +137,19 @@
 
 @final
 class _Gateway:
-    """One gateway's placer, with its own load figures and gossip state."""
+    """One gateway's placer, with its own load figures and gossip state.
+
+    It publishes when ``publish_due``, and in each period at the step ``publish_step``.
+    """
 
-    __slots__ = ("candidates", "gossip", "loads", "placer", "publish_due")
+    __slots__ = ("candidates", "gossip", "loads", "placer", "publish_due", "publish_step")
 
-    def __init__(self, name: str, *, fleet_state: FleetState, timers: ManualTimers) -> None:
+    def __init__(
+        self, name: str, *, fleet_state: FleetState, timers: ManualTimers, publish_step: int
+    ) -> None:
         self.loads = LoadTracker()
         self.publish_due = False
+        self.publish_step = publish_step
         self.loads.listen(self._mark_publish_due)
         self.gossip = GossipProtocol(
             node=_node_section(name),
@@ -181,17 +199,33 @@
 
 @final
 class PlacementSimulation:
-    """Gateways that place requests on simulated engines; each arrival goes to the next gateway."""
+    """Gateways that place requests on simulated engines; each arrival goes to the next gateway.
+
+    ``slots`` is the number of requests that an engine serves at once.
+    """
 
-    __slots__ = ("_engines", "_gateway_cycle", "_gateways", "fleet_state", "outcomes", "timers")
+    __slots__ = (
+        "_engines",
+        "_gateway_cycle",
+        "_gateways",
+        "_running",
+        "_slots",
+        "fleet_state",
+        "outcomes",
+        "timers",
+    )
 
-    def __init__(self, engines: int, *, gateways: int = 1) -> None:
+    def __init__(
+        self, engines: int, *, gateways: int = 1, slots: int = TYPICAL_ENGINE.slots
+    ) -> None:
+        self._slots = slots
+        # Requests of all gateways at each engine, as they are now.
+        self._running: Counter[str] = Counter()
         self.timers = ManualTimers(start=100.0)
         self.fleet_state = FleetState(PlatformDocuments())
         for number in range(engines):
             name = f"i-{number}"
             address = f"10.0.{number // 250}.{number % 250}:80"
-            slots = TYPICAL_ENGINE.slots
             self.fleet_state.upstreams[name] = ListedUpstream(
                 name, SERVICE.name, address, DOMAIN, slots, False
             )
@@ -199,7 +233,12 @@
             name: SimulatedEngine(TYPICAL_ENGINE) for name in self.fleet_state.upstreams
         }
         self._gateways = [
-            _Gateway(f"front-{number}", fleet_state=self.fleet_state, timers=self.timers)
+            _Gateway(
+                f"front-{number}",
+                fleet_state=self.fleet_state,
+                timers=self.timers,
+                publish_step=number % PUBLISH_PERIOD_STEPS,
+            )
             for number in range(gateways)
         ]
         self._gateway_cycle = itertools.cycle(self._gateways)
@@ -256,7 +295,7 @@
             await self.timers.advance(STEP_SECONDS)
             for engine in self._engines.values():
                 engine.advance(self.timers.now())
-            self._exchange_gossip(all_gateways=number % PUBLISH_PERIOD_STEPS == 0)
+            self._exchange_gossip(number % PUBLISH_PERIOD_STEPS)
             if number % QUEUE_CHECK_PERIOD_STEPS == 0:
                 for gateway in self._gateways:
                     gateway.placer.serve_queues()
@@ -265,9 +304,10 @@
         await asyncio.gather(*running, return_exceptions=True)
         return self.outcomes
 
-    def _exchange_gossip(self, *, all_gateways: bool) -> None:
+    def _exchange_gossip(self, step: int) -> None:
+        """Deliver the messages due at a step of the period; the gateways don't publish in step."""
         for sender in self._gateways:
-            if not (sender.publish_due or all_gateways):
+            if not (sender.publish_due or sender.publish_step == step):
                 continue
             sender.publish_due = False
             delta = sender.gossip.next_message()
@@ -300,7 +340,10 @@
                 )
             )
             return error
+        first = placement.upstream.id
+        self._running[first] += 1
         await self._execute(arrival, placement, placer, started_at)
+        self._running[first] -= 1
         placer.end(placement)
         return None
 
@@ -310,6 +353,7 @@
         plan = placement.plan
         assert plan is not None
         expected = self.timers.now() - started_at + plan.first_event_seconds
+        beyond_slots = self._running[plan.first.id] > self._slots
         first = self._engines[plan.first.id]
         holders = [self._engines[engine.id] for engine in plan.helpers[: plan.tickets]]
         for holder in holders:
@@ -323,7 +367,9 @@
         first.hold(plan.first_tokens)
         placer.end_prefill(placement)
         seconds = self.timers.now() - started_at
-        outcome = RequestOutcome(arrival, code="", seconds=seconds, expected=expected)
+        outcome = RequestOutcome(
+            arrival, code="", seconds=seconds, expected=expected, beyond_slots=beyond_slots
+        )
         self.outcomes.append(outcome)
         outcome.longest_pause = await self._decode(arrival, first, plan.first_tokens)
         first.hold(-plan.first_tokens)
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -253,7 +253,8 @@
         if performance is None:
             return self._try_call(candidates)
         now = self._timers.now()
-        plan = self._planner.plan(request, candidates, performance, now=now)
+        unheard = self._loads.expected_unheard(now=now)
+        plan = self._planner.plan(request, candidates, performance, now=now, unheard=unheard)
         return None if plan is None else self._begin_plan(plan)
 
     def _try_call(self, candidates: list[Candidate]) -> Placement | None:
--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -84,16 +84,18 @@
         performance: EnginePerformance,
         *,
         now: float,
+        unheard: float = 0.0,
     ) -> Plan | None:
         """Return the engines for a prompt, or ``None`` if it has to wait.
 
-        Raise `TooFewEngines` if all engines together cannot hold it, `Overloaded` if even the
+        ``unheard`` is the expected number of requests of other gateways that aren't in the loads of
+        the candidates yet. Raise `TooFewEngines` if all engines together cannot hold it, `Overloaded` if even the
         fastest plan leaves too little time for the answer.
         """
         self._check_size(request, candidates, performance, now)
-        plan = self._plan(request, candidates, performance)
+        plan = self._plan(request, candidates, performance, unheard=unheard)
         if plan is not None and not self._in_time(request, plan, now):
-            plan = self._plan(request, candidates, performance, fastest=True)
+            plan = self._plan(request, candidates, performance, fastest=True, unheard=unheard)
             self._check_time(request, plan, now)
         return plan
 
@@ -110,6 +112,7 @@
         performance: EnginePerformance,
         *,
         fastest: bool = False,
+        unheard: float = 0.0,
     ) -> Plan | None:
         parameters, times = request.needs, request.times
         max_answer_tokens = performance.memory_tokens // ANSWER_MEMORY_DIVISOR
@@ -121,6 +124,8 @@
             objective=times.objective - times.arrived,
             first_id=request.first,
             fastest=fastest,
+            unheard=unheard,
+            source=self._random,
         )
 
     def _in_time(self, request: PlacementRequest, plan: Plan, now: float) -> bool:
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -18,6 +18,10 @@
 
 # Peer loads received longer ago than this are ignored.
 MAX_GOSSIP_AGE_SECONDS: Final = 1.5
+# Time constant of the moving average of the rate at which peers start requests.
+PEER_RATE_SECONDS: Final = 1.0
+# Usual time from a peer's placement of a request until this gateway knows of it.
+GOSSIP_LAG_SECONDS: Final = 0.15
 
 
 class LoadShare(msgspec.Struct, frozen=True, array_like=True):
@@ -145,17 +149,37 @@
         )
 
 
+class _EventRate:
+    """Moving average of a rate of events, in events a second."""
+
+    __slots__ = ("_at", "_rate")
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, count: int, *, now: float) -> None:
+        """Count events."""
+        self._rate = self.value(now) + count / PEER_RATE_SECONDS
+        self._at = now
+
+    def value(self, now: float) -> float:
+        """Return the rate; events count less the longer ago they were."""
+        return self._rate * math.exp(-max(0.0, now - self._at) / PEER_RATE_SECONDS)
+
+
 @final
 class LoadTracker:
     """Track this gateway's dispatches and the shares of the others; ``now`` is in seconds."""
 
-    __slots__ = ("_listeners", "_oldest_received_at", "_own", "_peers", "_totals")
+    __slots__ = ("_listeners", "_oldest_received_at", "_own", "_peer_starts", "_peers", "_totals")
 
     def __init__(self) -> None:
         self._listeners: list[Callable[[], None]] = []
         self._own: dict[str, _OwnLoad] = defaultdict(_OwnLoad)
         self._peers: dict[str, dict[str, _ReceivedShare]] = defaultdict(dict)
         self._totals: dict[str, _PeerTotal] = defaultdict(_PeerTotal)
+        self._peer_starts = _EventRate()
         # Lower bound on the receive times in `_peers`; avoids scans while none can have expired.
         self._oldest_received_at = math.inf
 
@@ -211,8 +235,10 @@
     def receive(self, node: str, shares: Iterable[LoadShare], *, now: float) -> None:
         """Apply another gateway's shares at some upstreams; its other shares are kept."""
         peer_shares = self._peers[node]
+        started = 0
         for share in shares:
-            self._drop(node, share.upstream)
+            before = self._drop(node, share.upstream)
+            started += max(0, share.in_flight - (0 if before is None else before.in_flight))
             if share.is_empty:
                 continue
             peer_shares[share.upstream] = _ReceivedShare(share, now)
@@ -221,6 +247,16 @@
             total.add(share, sign=1)
             if share.backlog:
                 total.prefill_ends[node] = now + share.backlog
+        if started:
+            self._peer_starts.add(started, now=now)
+
+    def expected_unheard(self, *, now: float) -> float:
+        """Return how many requests other gateways are expected to have placed unheard.
+
+        With many gateways, those that place a request within one gossip period know the same loads,
+        and would all choose the same engine.
+        """
+        return GOSSIP_LAG_SECONDS * self._peer_starts.value(now)
 
     def forget(self, node: str) -> None:
         """Remove all shares of another gateway, which has restarted."""
@@ -259,15 +295,17 @@
         )
         self._oldest_received_at = min(receive_times, default=math.inf)
 
-    def _drop(self, node: str, upstream: str) -> None:
+    def _drop(self, node: str, upstream: str) -> LoadShare | None:
+        """Remove a peer's share at an upstream, and return it if there was one."""
         received = self._peers[node].pop(upstream, None)
         if received is None:
-            return
+            return None
         total = self._totals[upstream]
         total.add(received.share, sign=-1)
         total.prefill_ends.pop(node, None)
         if not (total.in_flight or total.helping or total.prefill_ends):
             del self._totals[upstream]
+        return received.share
 
 
 _NO_LOAD: Final = _PeerTotal()
--- a/src/baobabpulley/policy/prompt_placement.py
+++ b/src/baobabpulley/policy/prompt_placement.py
@@ -1,7 +1,9 @@
 """Choose the engine that serves a prompt, and the helper engines that prefill chunks of it.
 
 Prefilling a prompt of 133,000 tokens takes one engine two seconds, and every answer that the engine
-is generating stalls meanwhile. Short prompts are packed on few engines. A long prompt is split over
+is generating stalls meanwhile. Short prompts are packed on few engines: on a random one of as many
+engines as other gateways may be choosing now, so that gateways that know the same loads don't all
+choose the same engine. A long prompt is split over
 as many engines as are needed to keep each chunk too short for a noticeable stall. Engines prefill
 chunks before their earlier work, so long prompts delay each other least if the chunks are short. A
 prompt that is too long even for that goes to the engines that generate the fewest answers: more
@@ -11,6 +13,7 @@
 from __future__ import annotations
 
 import math
+import random
 from typing import Final
 
 import msgspec
@@ -28,9 +31,12 @@
 LONG_CHUNK_SECONDS: Final = 0.16
 # Number of stalled answers that cost as much as a chunk that takes the prompt's whole objective.
 PREFILL_COST_WEIGHT: Final = 10.0
-# Short prompts go to an engine already in use until it has this many requests or this backlog.
-MAX_PACKED_REQUESTS: Final = 5
+# Short prompts go to an engine already in use until it has this ratio of its slots taken, rounded
+# down, or this backlog. The other slots are for requests that this gateway hasn't heard of.
+MAX_PACKED_RATIO: Final = 0.65
 MAX_PACKING_BACKLOG_SECONDS: Final = 0.06
+# Number of engines to choose from for each request that other gateways may have placed unheard.
+ENGINES_PER_UNHEARD_REQUEST: Final = 1.0
 # The platform's limit on helper engines of one request.
 MAX_HELPERS: Final = 16
 # Expected remainder of the current forward pass when a prompt reaches an engine that generates
@@ -89,12 +95,16 @@
     objective: float,
     first_id: str | None = None,
     fastest: bool = False,
+    unheard: float = 0.0,
+    source: random.Random | None = None,
 ) -> Plan | None:
     """Return the engines for a prompt, or ``None`` while too few have free slots and memory.
 
     ``objective`` is the target for the first event of the answer, in seconds. ``first_id`` is the
     engine that has to generate the answer; it is set if an earlier attempt used it. ``fastest``
-    plans the fastest prefill, however many answers it stalls.
+    plans the fastest prefill, however many answers it stalls. ``unheard`` is the number of requests
+    that other gateways are expected to have placed without their loads being known here yet;
+    ``source`` draws the engine of a short prompt if there are any.
     """
     total = performance.prefill_seconds(prompt_tokens)
     need = memory_need(
@@ -102,7 +112,9 @@
     )
     if is_short(prompt_tokens, performance):
         chosen = _pack(
-            [engine for engine in candidates if engine.has_memory(need.first_tokens, performance)]
+            [engine for engine in candidates if engine.has_memory(need.first_tokens, performance)],
+            unheard=unheard,
+            source=source or random.Random(),
         )
     else:
         target = 0.0 if fastest else objective
@@ -139,21 +151,41 @@
     return full_pass * (1.0 + REMAINING_PASS_RATIO) if load.decoding else full_pass
 
 
-def _pack(candidates: list[Candidate]) -> list[Candidate]:
+def _pack(
+    candidates: list[Candidate], *, unheard: float, source: random.Random
+) -> list[Candidate]:
     """Return the engine for a short prompt: preferably one in use that has capacity left.
 
     The result is empty if no engine has a free slot.
     """
     with_slot = [engine for engine in candidates if engine.has_slot]
-    in_use = [
-        engine
-        for engine in with_slot
-        if 0 < engine.load.in_flight < MAX_PACKED_REQUESTS
-        and engine.load.backlog + engine.penalty <= MAX_PACKING_BACKLOG_SECONDS
-    ]
-    if in_use:
-        return [min(in_use, key=lambda engine: (-engine.load.in_flight, engine.cost))]
-    return sorted(with_slot, key=lambda engine: engine.cost)[:1]
+    if not with_slot:
+        return []
+    ranked = sorted(with_slot, key=_packing_order)
+    choices = 1 + math.floor(ENGINES_PER_UNHEARD_REQUEST * unheard)
+    return [source.choice(ranked[:choices])]
+
+
+def _packing_order(engine: Candidate) -> tuple[int, float]:
+    """Return the sort key of an engine for a short prompt.
+
+    Engines in use come first, the fullest of them before the others, until they are packed.
+    """
+    load = engine.load
+    packable = (
+        0 < load.in_flight < max_packed_requests(engine.upstream.slots)
+        and load.backlog + engine.penalty <= MAX_PACKING_BACKLOG_SECONDS
+    )
+    return (-load.in_flight if packable else 0, engine.cost)
+
+
+def max_packed_requests(slots: int) -> int:
+    """Return up to how many requests short prompts are packed on an engine.
+
+    >>> [max_packed_requests(slots) for slots in (1, 5, 6, 8)]
+    [1, 3, 3, 5]
+    """
+    return max(1, math.floor(MAX_PACKED_RATIO * slots))
 
 
 def _split(
--- a/testing/test_gateway_policy.py
+++ b/testing/test_gateway_policy.py
@@ -27,7 +27,7 @@
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
 from baobabpulley.policy.prompt_placement import LONG_CHUNK_SECONDS
 from baobabpulley.policy.prompt_placement import MAX_HELPERS
-from baobabpulley.policy.prompt_placement import MAX_PACKED_REQUESTS
+from baobabpulley.policy.prompt_placement import max_packed_requests
 from baobabpulley.policy.prompt_placement import plan_prompt
 from baobabpulley.policy.upstream_health import UpstreamHealth
 
@@ -56,7 +56,7 @@
     )
     assert plan is not None
     assert plan.first.id == "i-shared"
-    full = [candidate("i-shared", in_flight=MAX_PACKED_REQUESTS), candidate("i-idle")]
+    full = [candidate("i-shared", in_flight=max_packed_requests(8)), candidate("i-idle")]
     plan = plan_prompt(
         full, performance=ENGINE_PERFORMANCE, prompt_tokens=4000, answer_tokens=1000, objective=0.3
     )
--- a/testing/test_placement_under_load.py
+++ b/testing/test_placement_under_load.py
@@ -167,3 +167,36 @@
     assert medians["urgent"] <= medians["usual"]
     assert len(waits["urgent"]) / len(urgent) >= len(waits["usual"]) / len(usual)
     assert share_within(of_account(served, "usual"), 60.0) > 0.5
+
+
+@pytest.mark.parametrize(
+    ("gateways", "engines", "slots"), [(4, 16, 8), (36, 54, 6)], ids=["few", "many"]
+)
+async def test_gateways_do_not_meet_on_one_engine_in_a_burst_of_short_prompts(
+    gateways: int, engines: int, slots: int
+) -> None:
+    world = PlacementSimulation(engines, gateways=gateways, slots=slots)
+    burst = short_arrivals(2.0 * engines, begin=1.0, end=4.0)
+    usual = short_arrivals(0.5 * engines, begin=0.0, end=5.0)
+    served = await world.replay([*usual, *burst], seconds=8.0)
+    assert len(served) == len(usual) + len(burst)
+    assert sum(result.beyond_slots for result in served) <= 0.01 * len(served)
+    assert share_on_time(served, SHORT_ROUTE) >= 0.97
+
+
+async def test_few_gateways_leave_engines_without_answers_for_long_prompts() -> None:
+    world = PlacementSimulation(ENGINES, gateways=4)
+    in_use: list[int] = []
+
+    async def watch() -> None:
+        while True:
+            await world.timers.sleep(0.1)
+            now = world.timers.now()
+            loads = [world.loads.load(f"i-{number}", now=now) for number in range(ENGINES)]
+            in_use.append(sum(load.in_flight > 0 for load in loads))
+
+    world.timers.after(1.0, watch, name="watch")
+    served = await world.replay(short_arrivals(20.0, begin=0.0, end=8.0), seconds=8.0)
+    assert share_on_time(served, SHORT_ROUTE) >= 0.95
+    assert sorted(in_use)[len(in_use) // 2] <= ENGINES // 2
+    world.timers.cancel_all()
