--- a/src/baobabpulley/gateway/planning.py
+++ b/src/baobabpulley/gateway/planning.py
@@ -89,8 +89,8 @@
         """Return the engines for a prompt, or ``None`` if it has to wait.
 
         ``unheard`` is the expected number of requests of other gateways that aren't in the loads of
-        the candidates yet. Raise `TooFewEngines` if all engines together cannot hold it, `Overloaded` if even the
-        fastest plan leaves too little time for the answer.
+        the candidates yet. Raise `TooFewEngines` if all engines together cannot hold it,
+        `Overloaded` if even the fastest plan leaves too little time for the answer.
         """
         self._check_size(request, candidates, performance, now)
         plan = self._plan(request, candidates, performance, unheard=unheard)
--- a/src/baobabpulley/policy/prompt_placement.py
+++ b/src/baobabpulley/policy/prompt_placement.py
@@ -151,9 +151,7 @@
     return full_pass * (1.0 + REMAINING_PASS_RATIO) if load.decoding else full_pass
 
 
-def _pack(
-    candidates: list[Candidate], *, unheard: float, source: random.Random
-) -> list[Candidate]:
+def _pack(candidates: list[Candidate], *, unheard: float, source: random.Random) -> list[Candidate]:
     """Return the engine for a short prompt: preferably one in use that has capacity left.
 
     The result is empty if no engine has a free slot.
