Let two gateways of a failure domain watch the store and relay its changes

Change: policy/relays.py chooses two gateways of each failure domain (at most half) by rendezvous hashing, for keepers and gateways alike; those that the store failed come last. A watch is repeated at once after a few changes and five times a second in a storm.

--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -157,7 +157,7 @@
             fleet_state=fleet_state,
             loads=self.loads,
             timers=timers,
-            on_newer_revision=lambda: None,
+            on_newer_revision=lambda revision: None,
         )
         record = UpstreamRecord(
             failure_domain=DOMAIN,
--- a/src/baobabpulley/gateway/control.py
+++ b/src/baobabpulley/gateway/control.py
@@ -1,4 +1,4 @@
-"""HTTP handlers for readiness probes, snapshots for other gateways, and metrics."""
+"""HTTP handlers for readiness probes, snapshots and changes for other gateways, and metrics."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.store_relay import ChangePublisher
 
 
 class ReadinessHandler(RequestHandler):
@@ -37,6 +39,27 @@
         self.write(msgspec.msgpack.encode(self._fleet_state.snapshot()))
 
 
+class ChangesHandler(RequestHandler):
+    """Return the gateway's changes after the revision ``after`` as a `FleetUpdate`."""
+
+    def initialize(self, publisher: ChangePublisher, link: StoreLink) -> None:
+        self._publisher = publisher
+        self._link = link
+
+    async def get(self) -> None:
+        after = self.get_query_argument("after")
+        if not after.isdecimal():
+            self.send_error(400)
+            return
+        update = await self._publisher.update_since(
+            int(after),
+            removal_delay=self._link.removal_delay,
+            connected=lambda: self._link.connected,
+        )
+        self.set_header("Content-Type", "application/msgpack")
+        self.write(msgspec.msgpack.encode(update))
+
+
 class MetricsHandler(RequestHandler):
     """Return the metrics in the Prometheus text format."""
 
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -16,6 +16,7 @@
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.candidates import CandidateList
+from baobabpulley.gateway.control import ChangesHandler
 from baobabpulley.gateway.control import MetricsHandler
 from baobabpulley.gateway.control import ReadinessHandler
 from baobabpulley.gateway.control import SnapshotHandler
@@ -35,6 +36,9 @@
 from baobabpulley.gateway.sections import StoreSection
 from baobabpulley.gateway.store_link import SNAPSHOT_PATH
 from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.store_relay import CHANGES_PATH
+from baobabpulley.gateway.store_relay import ChangePublisher
+from baobabpulley.gateway.store_relay import StoreWatchers
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.logs import dropped_line_count
@@ -80,13 +84,6 @@
             address=settings.get(StoreSection).address,
             watch_wait=settings.get(StoreSection).watch_wait,
         )
-        self.link = StoreLink(
-            store=self.store,
-            fleet_state=self.fleet_state,
-            client=self.client,
-            section=settings.get(StoreSection),
-            timers=timers,
-        )
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
         self.gossip = GossipProtocol(
@@ -96,7 +93,23 @@
             loads=self.loads,
             timers=timers,
             on_newer_revision=self._record_behind,
+            store_reachable=lambda: self.link.store_reachable,
+        )
+        watchers = StoreWatchers(
+            node=self.node.id,
+            failure_domain=self.node.failure_domain,
+            gossip=self.gossip,
+            timers=timers,
+        )
+        self.link = StoreLink(
+            store=self.store,
+            fleet_state=self.fleet_state,
+            client=self.client,
+            section=settings.get(StoreSection),
+            timers=timers,
+            watchers=watchers,
         )
+        self.changes = ChangePublisher(fleet_state=self.fleet_state, timers=timers)
         self.record = UpstreamRecord(
             failure_domain=self.node.failure_domain,
             fleet_state=self.fleet_state,
@@ -131,8 +144,8 @@
         self._listed: dict[str, ListedUpstream] = {}
         self.fleet_state.listen(self._forget_removed)
         self._servers: tuple[HTTPServer, ...] = ()
-        self._behind_since: float | None = None
-        self._requested_at = 0.0
+        # A store revision that a peer reached before this gateway, and when that was heard.
+        self._behind: tuple[int, float] | None = None
         self._snapshot_task: asyncio.Task[None] | None = None
         self._freeze_checked_at = _boot_time()
 
@@ -146,12 +159,17 @@
         node = self.node
         host = split_address(node.control)[0]
         metrics = {"registry": self.metrics.registry}
+        changes = {"publisher": self.changes, "link": self.link}
         self._servers = (
             serve_http(
                 node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})]
             ),
             serve_http(
-                node.control, [(SNAPSHOT_PATH, SnapshotHandler, {"fleet_state": self.fleet_state})]
+                node.control,
+                [
+                    (SNAPSHOT_PATH, SnapshotHandler, {"fleet_state": self.fleet_state}),
+                    (CHANGES_PATH, ChangesHandler, changes),
+                ],
             ),
             serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)]),
         )
@@ -275,19 +293,25 @@
         table = self.fleet_state.table
         return RequestBounds() if table is None else table.bounds
 
-    def _record_behind(self) -> None:
+    def _record_behind(self, revision: int) -> None:
         """Record since when a peer has been on a newer revision of the store."""
-        if self._behind_since is None:
-            self._behind_since = self.timers.now()
+        if self._behind is None:
+            self._behind = (revision, self.timers.now())
+
+    def _is_behind(self) -> bool:
+        """Whether a peer reached a revision a while ago that this gateway still has not."""
+        if self._behind is None:
+            return False
+        revision, since = self._behind
+        if self.fleet_state.revision >= revision:
+            self._behind = None
+            return False
+        return self.timers.now() - since > _MAX_BEHIND_SECONDS
 
     def _request_peer_snapshot(self) -> None:
         """Fetch a peer's snapshot before the first configuration, or if peers stay ahead."""
-        now = self.timers.now()
-        newest = max((peer.revision for peer in self.gossip.live_peers()), default=0)
-        if newest <= self.fleet_state.revision:
-            self._behind_since = None
         starting = self.fleet_state.table is None
-        behind = self._behind_since is not None and now - self._behind_since > _MAX_BEHIND_SECONDS
+        behind = self._is_behind()
         if not (starting or behind) or (
             self._snapshot_task is not None and not self._snapshot_task.done()
         ):
--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from baobabpulley.errors import InvalidDocument
+from baobabpulley.gateway.change_log import ChangeLog
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
@@ -42,6 +43,7 @@
     """The newest known entry of each store key, and the decoded values."""
 
     __slots__ = (
+        "_change_log",
         "_configuration_revision",
         "_configured",
         "_documents",
@@ -57,6 +59,7 @@
     def __init__(self, documents: FleetDocuments) -> None:
         self._documents = documents
         self._entries: dict[str, StoredEntry] = {}
+        self._change_log = ChangeLog()
         # Keys that were missing after a store outage, and when they are to be removed
         # (monotonic seconds) unless they are registered again.
         self._pending_removals: dict[str, float] = {}
@@ -107,6 +110,17 @@
         """Return all entries."""
         return FleetSnapshot(revision=self._revision, entries=tuple(self._entries.values()))
 
+    def changes_since(self, revision: int) -> tuple[StoredEntry, ...] | None:
+        """Return the changes after a revision, or ``None`` if they are no longer known."""
+        return self._change_log.since(revision)
+
+    def registered_snapshot(self) -> FleetSnapshot:
+        """Return all entries but those of upstreams whose removal is only delayed."""
+        entries = (
+            entry for key, entry in self._entries.items() if key not in self._pending_removals
+        )
+        return FleetSnapshot(revision=self._revision, entries=tuple(entries))
+
     def install(self, snapshot: FleetSnapshot, *, now: float, removal_delay: float = 0.0) -> bool:
         """Apply a snapshot unless it is older than the state; return whether it was applied.
 
@@ -122,6 +136,7 @@
             if key not in present and entry.mod_revision <= snapshot.revision:
                 self._remove(key, now=now, removal_delay=removal_delay)
         self._revision = snapshot.revision
+        self._change_log.restart(snapshot.revision)
         self._notify()
         return True
 
@@ -134,6 +149,7 @@
         removal_delay: float = 0.0,
     ) -> None:
         """Apply all changes up to a revision; delay removals of upstreams as `install` does."""
+        self._change_log.append(entries, above=self._revision)
         for entry in entries:
             if entry.value is not None:
                 self._install(entry)
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -33,7 +33,8 @@
     ``incarnation`` is a random id of the process: it changes at each start. ``sequence`` numbers
     its messages. ``control`` is the address of the gateway's control port.
     ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
-    of its configuration. ``shares`` are its loads, one for each upstream.
+    of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
+    false if the store failed the gateway recently.
     """
 
     node: str
@@ -44,6 +45,7 @@
     revision: int
     configuration_revision: int
     shares: tuple[LoadShare, ...] = ()
+    store_reachable: bool = True
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -56,7 +58,15 @@
     ``received_at`` is the time at which the message was received, in monotonic seconds.
     """
 
-    __slots__ = ("control", "failure_domain", "incarnation", "received_at", "revision", "sequence")
+    __slots__ = (
+        "control",
+        "failure_domain",
+        "incarnation",
+        "received_at",
+        "revision",
+        "sequence",
+        "store_reachable",
+    )
 
     def __init__(self, message: GossipMessage, *, received_at: float) -> None:
         self.control = message.control
@@ -64,6 +74,7 @@
         self.incarnation = message.incarnation
         self.sequence = message.sequence
         self.revision = message.revision
+        self.store_reachable = message.store_reachable
         self.received_at = received_at
 
 
@@ -71,7 +82,8 @@
 class GossipProtocol(asyncio.DatagramProtocol):
     """Send gossip to all other gateways and receive theirs.
 
-    ``on_newer_revision`` is called for each message of a gateway at a newer store revision.
+    ``on_newer_revision`` is called with each newer store revision that another gateway has reached.
+    ``store_reachable`` returns what this gateway tells the others of the store.
     """
 
     __slots__ = (
@@ -88,6 +100,7 @@
         "_section",
         "_sent_at",
         "_sequence",
+        "_store_reachable",
         "_timers",
         "_transport",
         "traffic",
@@ -101,7 +114,8 @@
         fleet_state: FleetState,
         loads: LoadTracker,
         timers: TimerService,
-        on_newer_revision: Callable[[], None],
+        on_newer_revision: Callable[[int], None],
+        store_reachable: Callable[[], bool] = lambda: True,
     ) -> None:
         self._node = node
         self._section = section
@@ -109,6 +123,7 @@
         self._loads = loads
         self._timers = timers
         self._on_newer_revision = on_newer_revision
+        self._store_reachable = store_reachable
         self._incarnation = secrets.token_hex(4)
         self._sequence = 0
         self._sent_at = 0.0
@@ -200,7 +215,7 @@
         self._last_seen[message.failure_domain] = now
         self._loads.receive(message.node, message.shares, now=now)
         if message.revision > self._fleet_state.revision:
-            self._on_newer_revision()
+            self._on_newer_revision(message.revision)
 
     def next_message(self) -> GossipMessage | None:
         """Return the next message, or ``None`` if nothing changed and no keepalive is due."""
@@ -221,6 +236,7 @@
             revision=revision,
             configuration_revision=self._fleet_state.configuration_revision,
             shares=shares,
+            store_reachable=self._store_reachable(),
         )
 
     def _publish_soon(self) -> None:
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -1,4 +1,8 @@
-"""Keep a `FleetState` up to date from the store, or from peers while it is unavailable."""
+"""Keep a `FleetState` up to date from the store.
+
+Two gateways of each failure domain watch the store, the others follow one of them. While the store
+is unavailable, changes come from any peer that has them.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +24,10 @@
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_relay import FleetUpdate
+from baobabpulley.gateway.store_relay import StoreWatchers
+from baobabpulley.gateway.store_relay import fetch_update
+from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.timers import TimerService
 
@@ -30,25 +38,38 @@
 _SNAPSHOT_TIMEOUT_SECONDS: Final = 0.5
 # After a longer outage, leases of live upstreams may have expired, so removals are delayed.
 _OUTAGE_SECONDS: Final = 0.5
+# A watch is repeated at once after a few changes, and at this rate in a storm of changes.
+_WATCHES_PER_SECOND: Final = 5.0
+_WATCH_BURST: Final = 3.0
+# A gateway that the store failed is a watcher again after this time, unless the others do better.
+_UNREACHABLE_SECONDS: Final = 5.0
 
 _decoder = msgspec.msgpack.Decoder(FleetSnapshot)
 
 
 @final
 class StoreLink:
-    """Read all keys and watch them in one task; read them again when the watch can't continue."""
+    """Follow the store in one task.
+
+    Read all keys once. Then watch them, or follow a gateway that does. Read them again when the
+    watch can't continue.
+    """
 
     __slots__ = (
         "_client",
         "_disconnected_at",
         "_fleet_state",
+        "_followed",
         "_has_snapshot",
         "_random",
         "_removal_delay_until",
         "_section",
         "_store",
+        "_store_failed_at",
         "_task",
         "_timers",
+        "_watch_bucket",
+        "_watchers",
     )
 
     def __init__(
@@ -59,7 +80,16 @@
         client: HttpClient,
         section: StoreSection,
         timers: TimerService,
+        watchers: StoreWatchers,
     ) -> None:
+        self._watchers = watchers
+        full_since = timers.now() - _WATCH_BURST / _WATCHES_PER_SECOND
+        self._watch_bucket = TokenBucket(
+            rate=_WATCHES_PER_SECOND, burst=_WATCH_BURST, now=full_since
+        )
+        # Control address of the gateway that is followed; ``None`` while the store is watched.
+        self._followed: str | None = None
+        self._store_failed_at: float | None = None
         self._store = store
         self._fleet_state = fleet_state
         self._client = client
@@ -73,18 +103,36 @@
 
     @property
     def connected(self) -> bool:
-        """Whether the last call to the store succeeded."""
+        """Whether the store answers this gateway, or the one that it follows."""
         return self._disconnected_at is None
 
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store hasn't failed this gateway recently."""
+        failed_at = self._store_failed_at
+        return failed_at is None or self._timers.now() - failed_at > _UNREACHABLE_SECONDS
+
+    @property
+    def followed(self) -> str | None:
+        """Control address of the gateway that is followed; ``None`` while the store is watched."""
+        return self._followed
+
     def start(self) -> None:
         """Start to follow the store."""
         self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
         self._timers.every(0.2, self._remove_expired, name="delayed removals")
+        self._timers.every(0.2, self._check_relay, name="store watchers")
 
     def restart(self) -> None:
         """Restart the watch at once, as its connection may have stalled."""
+        if self._followed is not None:
+            self._watchers.exclude(self._followed)
+        self._restart()
+
+    def _restart(self) -> None:
         if self._task is not None:
             self._task.cancel()
+            self._followed = None
             self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
 
     async def fetch_snapshot(self, address: str) -> bool:
@@ -122,11 +170,19 @@
         if self._disconnected_at is None:
             self._fleet_state.remove_expired(now=self._timers.now())
 
+    def _relay(self) -> str | None:
+        return self._watchers.relay(store_reachable=self.store_reachable, current=self._followed)
+
+    def _check_relay(self) -> None:
+        """Change between the store and the gateways that watch it when the watchers change."""
+        if self._fleet_state.table is not None and self._relay() != self._followed:
+            self._restart()
+
     async def _follow(self) -> None:
         failures = 0
         while True:
             try:
-                await self._read_and_watch()
+                await self._follow_once()
             except StoreCompacted:
                 logger.bind(event="store_compacted").info(
                     "the store compacted the history of the watch; reading all keys again"
@@ -135,32 +191,84 @@
                 continue
             except StoreUnavailable as error:
                 failures = failures + 1 if self._disconnected_at is not None else 1
+                self._store_failed_at = self._timers.now()
                 self._mark_disconnected(error)
             backoff = min(self._section.longest_pause, _INITIAL_BACKOFF_SECONDS * 2**failures)
             await self._timers.sleep(self._random.uniform(0.5, 1.0) * backoff)
 
+    async def _follow_once(self) -> None:
+        """Follow a gateway or the store until the one has to be exchanged for the other."""
+        self._followed = self._relay()
+        if self._followed is None:
+            await self._read_and_watch()
+        else:
+            await self._follow_peer(self._followed)
+
+    async def _follow_peer(self, address: str) -> None:
+        """Apply the changes that a gateway relays, until it fails or is no longer a watcher."""
+        logger.bind(event="store_relay", peer=address).info("following a gateway's watch")
+        while self._relay() == address:
+            try:
+                update = await fetch_update(
+                    self._client,
+                    address,
+                    after=self._fleet_state.revision,
+                    timers=self._timers,
+                )
+            except BaobabError as error:
+                logger.bind(event="store_relay_lost", peer=address).info(
+                    "the gateway doesn't relay changes: {}", error.message
+                )
+                self._watchers.exclude(address)
+                return
+            self._apply_update(update)
+
+    def _apply_update(self, update: FleetUpdate) -> None:
+        if update.connected:
+            self._mark_connected()
+        else:
+            self._mark_disconnected(StoreUnavailable("the gateway that is followed lost the store"))
+        now = self._timers.now()
+        removal_delay = max(update.removal_delay, self.removal_delay())
+        if update.is_full:
+            snapshot = FleetSnapshot(revision=update.revision, entries=update.entries)
+            self._fleet_state.install(snapshot, now=now, removal_delay=removal_delay)
+        else:
+            self._fleet_state.apply_changes(
+                update.entries, revision=update.revision, now=now, removal_delay=removal_delay
+            )
+
     async def _read_and_watch(self) -> None:
         if not self._has_snapshot:
             snapshot = await self._store.read(ALL_KEYS)
-            self._mark_connected()
+            self._mark_store_reached()
             self._fleet_state.install(
                 FleetSnapshot(revision=snapshot.revision, entries=snapshot.entries),
                 now=self._timers.now(),
-                removal_delay=self._removal_delay(),
+                removal_delay=self.removal_delay(),
             )
             self._has_snapshot = True
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         async with contextlib.aclosing(changes):
             async for batch in changes:
-                self._mark_connected()
+                self._mark_store_reached()
                 self._fleet_state.apply_changes(
                     batch.entries,
                     revision=batch.revision,
                     now=self._timers.now(),
-                    removal_delay=self._removal_delay(),
+                    removal_delay=self.removal_delay(),
                 )
+                if self._relay() is not None:
+                    return
+                if batch.entries:
+                    await self._limit_watches()
 
-    def _removal_delay(self) -> float:
+    async def _limit_watches(self) -> None:
+        """Wait until the watch may be repeated, so that a storm of changes comes in few batches."""
+        while not self._watch_bucket.take(now=self._timers.now()):
+            await self._timers.sleep(1.0 / _WATCHES_PER_SECOND)
+
+    def removal_delay(self) -> float:
         """Return the seconds by which removals are delayed.
 
         Registrations may expire while the store is unavailable; their upstreams register again.
@@ -174,6 +282,10 @@
                 "lost connection to the store: {}", error.message
             )
 
+    def _mark_store_reached(self) -> None:
+        self._store_failed_at = None
+        self._mark_connected()
+
     def _mark_connected(self) -> None:
         if self._disconnected_at is None:
             return
--- a/src/baobabpulley/keeper/settings_relay.py
+++ b/src/baobabpulley/keeper/settings_relay.py
@@ -279,7 +279,8 @@
         return addresses
 
     def _watchers_of(self, failure_domain: str) -> tuple[Vm, ...]:
-        return choose_relays(self._keepers_of(failure_domain), count=self._section.watchers)
+        keepers = {vm.id: vm for vm in self._keepers_of(failure_domain)}
+        return tuple(keepers[id] for id in choose_relays(keepers, count=self._section.watchers))
 
     def _keepers_of(self, failure_domain: str) -> list[Vm]:
         """Return the keepers that are live in the VM list and replied to the last request."""
--- a/src/baobabpulley/policy/relays.py
+++ b/src/baobabpulley/policy/relays.py
@@ -1,31 +1,41 @@
-"""The keepers of a failure domain that watch the settings and relay changes to the others."""
+"""The processes of a failure domain that watch the store and relay changes to the others.
+
+A watch is answered once for each change and each process that holds one. With hundreds of
+processes, the start of a hundred upstreams would cost the store tens of thousands of calls.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from typing import Final
 
-from baobabpulley.model.upstreams import Vm
 from baobabpulley.policy.rendezvous import ranked
 
-RELAY_KEY = "settings"
-
+RELAY_KEY: Final = "settings"
 
-def choose_relays(keepers: Iterable[Vm], *, count: int) -> tuple[Vm, ...]:
-    """Return the first ``count`` keepers by rendezvous hashing, at most half of them (rounded up).
 
-    Every open watch counts as a call of the store, so only some keepers watch. Because of the
-    limit, there are keepers without a watch even in a small failure domain. They pull the settings
-    at intervals, detect in this way a watcher that has stopped relaying, and replace it.
+def choose_relays(
+    ids: Iterable[str], *, count: int, unreachable: Collection[str] = frozenset()
+) -> tuple[str, ...]:
+    """Return the first ``count`` processes by rendezvous hashing, at most half (rounded up).
 
-    >>> len(choose_relays([], count=2))
-    0
+    Because of the limit, there are processes without a watch even in a small failure domain. They
+    compare revisions with other peers, detect in this way a watcher that has stopped relaying, and
+    replace it. Processes for which the store is ``unreachable`` come after all others.
 
-    >>> vms = [Vm(id=f"vm-{n}", role="entry", failure_domain="fes", address="") for n in range(5)]
-    >>> choose_relays(vms, count=2) == choose_relays(vms[::-1], count=2)
+    >>> choose_relays([], count=2)
+    ()
+    >>> ids = [f"vm-{n}" for n in range(5)]
+    >>> choose_relays(ids, count=2) == choose_relays(ids[::-1], count=2)
     True
-    >>> [len(choose_relays(vms[:n], count=2)) for n in range(1, 5)]
+    >>> [len(choose_relays(ids[:n], count=2)) for n in range(1, 5)]
     [1, 1, 2, 2]
+    >>> first, second = choose_relays(ids, count=2)
+    >>> first in choose_relays(ids, count=2, unreachable={first})
+    False
     """
-    by_id = {vm.id: vm for vm in keepers}
-    half = (len(by_id) + 1) // 2
-    return tuple(by_id[id] for id in ranked(RELAY_KEY, by_id)[: min(count, half)])
+    order = ranked(RELAY_KEY, ids)
+    half = (len(order) + 1) // 2
+    # Sorting is stable, so the order by hash is kept within both groups.
+    return tuple(sorted(order, key=lambda id: id in unreachable)[: min(count, half)])
--- a/testing/test_gossip.py
+++ b/testing/test_gossip.py
@@ -47,7 +47,7 @@
             fleet_state=FleetState(PlatformDocuments()),
             loads=self.loads,
             timers=self.timers,
-            on_newer_revision=lambda: None,
+            on_newer_revision=lambda revision: None,
         )
 
 
