Relay gossip between failure domains instead of sending it to every gateway

For each ordered pair of domains a gateway drawn by rendezvous collects its domain's messages for 0.2 s (the latest loads of each), sends them to one gateway of the other domain, and that one passes them on. A chunk of a long prompt passes at once. A relay silent for 1.2 s is replaced; gateways that aren't heard get keepalives directly, so a healed partition needs no help. Late messages of an ended process are ignored; peers that left are forgotten after 30 s.

Found by a test while writing it: between 1.2 and 3 s of silence a peer got neither direct nor relayed messages.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -15,7 +15,7 @@
 from baobabpulley.emulator.placement_simulation import SERVICE
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
 from baobabpulley.emulator.typical_engine import TYPICAL_ENGINE
-from baobabpulley.gateway.gossip import GossipMessage
+from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.policy.fleet_load import LoadShare
 
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -223,6 +223,11 @@
         add_gauge(
             "news_bytes", "Bytes of news sent to other gateways", lambda: self.gossip.traffic.sent
         )
+        add_gauge(
+            "news_bytes_remote",
+            "Bytes of news sent to gateways of other failure domains through relays",
+            lambda: self.gossip.remote_traffic.sent,
+        )
         add_gauge("waiting", "Requests that wait for an upstream", lambda: self.placer.waiting)
         add_gauge("in_flight", "Requests being served", lambda: self.listener.active_requests)
         add_gauge("upstreams", "Upstreams listed", lambda: len(self.fleet_state.upstreams))
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -1,5 +1,7 @@
 """Gossip between gateways over UDP: their loads, and the store revisions that they have reached.
 
+Messages go directly to the gateways of the own failure domain, and through relays to the others.
+
 Gossip is best effort: a lost or late datagram makes load figures less accurate, and nothing waits
 for one.
 """
@@ -10,6 +12,7 @@
 import secrets
 from collections.abc import Callable
 from typing import Any
+from typing import Final
 from typing import cast
 from typing import final
 
@@ -19,68 +22,33 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gossip_messages import GossipBundle
+from baobabpulley.gateway.gossip_messages import GossipMessage
+from baobabpulley.gateway.gossip_messages import decode
+from baobabpulley.gateway.gossip_messages import encode
+from baobabpulley.gateway.gossip_messages import unpack
+from baobabpulley.gateway.gossip_peers import GossipPeer
+from baobabpulley.gateway.gossip_relay import GossipRelay
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
-from baobabpulley.policy.fleet_load import LoadShare
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
 from baobabpulley.timers import TimerService
 
-
-class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
-    """State of one gateway, and those of its loads that are due for publication.
-
-    ``incarnation`` is a random id of the process: it changes at each start. ``sequence`` numbers
-    its messages. ``control`` is the address of the gateway's control port.
-    ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
-    of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
-    false if the store failed the gateway recently.
-    """
-
-    node: str
-    incarnation: str = msgspec.field(name="life")
-    sequence: int = msgspec.field(name="number")
-    failure_domain: str
-    control: str
-    revision: int
-    configuration_revision: int
-    shares: tuple[LoadShare, ...] = ()
-    store_reachable: bool = True
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(GossipMessage)
-
-
-class GossipPeer:
-    """State of another gateway as of its last message.
-
-    ``received_at`` is the time at which the message was received, in monotonic seconds.
-    """
-
-    __slots__ = (
-        "control",
-        "failure_domain",
-        "incarnation",
-        "received_at",
-        "revision",
-        "sequence",
-        "store_reachable",
-    )
-
-    def __init__(self, message: GossipMessage, *, received_at: float) -> None:
-        self.control = message.control
-        self.failure_domain = message.failure_domain
-        self.incarnation = message.incarnation
-        self.sequence = message.sequence
-        self.revision = message.revision
-        self.store_reachable = message.store_reachable
-        self.received_at = received_at
+# A relay collects messages for this long, so that few datagrams leave its failure domain.
+RELAY_PERIOD_SECONDS: Final = 0.2
+# A gateway that wasn't heard for this long relays nothing; keepalives come every 0.5 s.
+RELAY_HEARD_SECONDS: Final = 1.2
+# A peer that is neither a member nor heard for this long is forgotten.
+FORGET_SECONDS: Final = 30.0
 
 
 @final
 class GossipProtocol(asyncio.DatagramProtocol):
-    """Send gossip to all other gateways and receive theirs.
+    """Send gossip to the other gateways and receive theirs.
+
+    Those of the own failure domain, and those that haven't been heard, get it directly.
+    ``traffic`` counts all bytes sent, ``remote_traffic`` those sent to other failure domains.
 
     ``on_newer_revision`` is called with each newer store revision that another gateway has reached.
     ``store_reachable`` returns what this gateway tells the others of the store.
@@ -97,12 +65,15 @@
         "_peers",
         "_publish_scheduled",
         "_published_revision",
+        "_relay",
         "_section",
         "_sent_at",
         "_sequence",
         "_store_reachable",
         "_timers",
         "_transport",
+        "_unheard_sent_at",
+        "remote_traffic",
         "traffic",
     )
 
@@ -133,7 +104,10 @@
         self._last_seen: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._publish_scheduled = False
+        self._unheard_sent_at = 0.0
+        self._relay = GossipRelay(node=node.id, failure_domain=node.failure_domain)
         self.traffic = Traffic()
+        self.remote_traffic = Traffic()
 
     @property
     def peers(self) -> dict[str, GossipPeer]:
@@ -172,7 +146,12 @@
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=(host, self._node.news_port)
         )
+        self.start_publishing()
+
+    def start_publishing(self) -> None:
+        """Start to publish on the open socket."""
         self._timers.every(self._section.news_period, self._publish, name="news")
+        self._timers.every(RELAY_PERIOD_SECONDS, self._relay_news, name="news relay")
         self._loads.listen(self._publish_soon)
 
     def close(self) -> None:
@@ -186,13 +165,19 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
-            message = _decoder.decode(data)
+            message = decode(data)
+            messages = unpack(message) if isinstance(message, GossipBundle) else [message]
         except msgspec.DecodeError as error:
             logger.bind(event="bad_news", sender=str(addr[0])).warning(
                 "dropped a malformed gossip message: {}", error
             )
             return
-        self.receive(message)
+        for received in messages:
+            self.receive(received)
+        if isinstance(message, GossipBundle):
+            self._pass_on(message)
+        elif self._relay.add(message):
+            self._send_bundles()
 
     def error_received(self, exc: Exception) -> None:
         logger.bind(event="news_unsent").debug("a gossip datagram could not be sent: {}", exc)
@@ -203,21 +188,17 @@
             return
         now = self._timers.now()
         known = self._peers.get(message.node)
-        if (
-            known is not None
-            and known.incarnation == message.incarnation
-            and known.sequence >= message.sequence
-        ):
+        if known is not None and known.supersedes(message):
             return
         if known is not None and known.incarnation != message.incarnation:
             self._loads.forget(message.node)
-        self._peers[message.node] = GossipPeer(message, received_at=now)
+        self._peers[message.node] = GossipPeer(message, received_at=now, known=known)
         self._last_seen[message.failure_domain] = now
         self._loads.receive(message.node, message.shares, now=now)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
 
-    def next_message(self) -> GossipMessage | None:
+    def next_message(self, *, is_urgent: bool = False) -> GossipMessage | None:
         """Return the next message, or ``None`` if nothing changed and no keepalive is due."""
         now = self._timers.now()
         shares = self._delta.take_due(self._loads.shares(now=now), now=now)
@@ -237,28 +218,96 @@
             configuration_revision=self._fleet_state.configuration_revision,
             shares=shares,
             store_reachable=self._store_reachable(),
+            is_urgent=is_urgent,
         )
 
     def _publish_soon(self) -> None:
         """Publish a long prompt's load before another gateway chooses the same engines."""
         if not self._publish_scheduled:
             self._publish_scheduled = True
-            asyncio.get_running_loop().call_soon(self._publish)
+            asyncio.get_running_loop().call_soon(self._publish_urgently)
 
-    def _publish(self) -> None:
+    def _publish_urgently(self) -> None:
         self._publish_scheduled = False
-        message = self.next_message()
+        self._publish(is_urgent=True)
+
+    def _publish(self, *, is_urgent: bool = False) -> None:
+        message = self.next_message(is_urgent=is_urgent)
         if message is None or self._transport is None:
             return
-        data = _encoder.encode(message)
-        for address in self._addresses():
+        data = encode(message)
+        for address in self._direct_addresses():
+            self._send(data, address)
+        if self._relay.add(message):
+            self._send_bundles()
+
+    def _relay_news(self) -> None:
+        self._update_routes()
+        self._send_bundles()
+
+    def _send_bundles(self) -> None:
+        """Send what was collected for other failure domains to the relays there."""
+        for bundle in self._relay.take_bundles():
+            for control in self._relay.targets:
+                self._send(bundle, self._news_address(control))
+                self.remote_traffic.sent += len(bundle)
+
+    def _pass_on(self, bundle: GossipBundle) -> None:
+        """Pass another failure domain's messages on to the gateways of this one."""
+        if not bundle.pass_on:
+            return
+        data = encode(GossipBundle(bundle.messages, pass_on=False))
+        for peer in self._recent_peers():
+            if peer.failure_domain == self._node.failure_domain:
+                self._send(data, self._news_address(peer.control))
+
+    def _send(self, data: bytes, address: str) -> None:
+        if self._transport is not None:
             self._transport.sendto(data, split_address(address))
             self.traffic.sent += len(data)
 
+    def _update_routes(self) -> None:
+        """Forget peers that left long ago, and find out for which failure domains to relay."""
+        now = self._timers.now()
+        members = self._fleet_state.members
+        self._peers = {
+            node: peer
+            for node, peer in self._peers.items()
+            if node in members or now - peer.received_at <= FORGET_SECONDS
+        }
+        self._relay.update_routes(self._recent_peers(), gateways=self.gateway_count)
+
+    def _recent_peers(self) -> list[GossipPeer]:
+        since = self._timers.now() - RELAY_HEARD_SECONDS
+        return [peer for peer in self._peers.values() if peer.received_at >= since]
+
+    def _direct_addresses(self) -> set[str]:
+        """Return the addresses that get the next message without a relay."""
+        now = self._timers.now()
+        addresses = self._addresses()
+        if self._relay.is_direct:
+            return addresses
+        remote = {
+            self._news_address(peer.control)
+            for peer in self._recent_peers()
+            if peer.failure_domain != self._node.failure_domain
+        }
+        near = {
+            self._news_address(peer.control)
+            for peer in self._peers.values()
+            if peer.failure_domain == self._node.failure_domain
+        }
+        if now - self._unheard_sent_at < self._section.quiet_period:
+            return near & addresses
+        self._unheard_sent_at = now
+        return addresses - remote
+
     def _addresses(self) -> set[str]:
         members = self._fleet_state.members.values()
         addresses = {member.news for member in members if member.node != self._node.id}
         controls = {peer.control for peer in self._peers.values()} | set(self._section.seeds)
         controls.discard(self._node.control)
-        addresses |= {f"{split_address(control)[0]}:{self._node.news_port}" for control in controls}
-        return addresses
+        return addresses | {self._news_address(control) for control in controls}
+
+    def _news_address(self, control: str) -> str:
+        return f"{split_address(control)[0]}:{self._node.news_port}"
--- /dev/null
+++ b/src/baobabpulley/gateway/gossip_messages.py
@@ -0,0 +1,92 @@
+"""Messages that gateways send to each other in datagrams."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from baobabpulley.policy.fleet_load import LoadShare
+
+# Keeps a bundle within one packet of the usual size, unless a single message is larger.
+MAX_BUNDLE_BYTES: Final = 1300
+# MessagePack encodes a bundle, which has few fields, with a first byte below this, and a single
+# message, which is an array, with a byte from this on.
+_FIRST_ARRAY_BYTE: Final = 0x90
+
+
+class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
+    """State of one gateway, and those of its loads that are due for publication.
+
+    ``incarnation`` is a random id of the process: it changes at each start. ``sequence`` numbers
+    its messages. ``control`` is the address of the gateway's control port.
+    ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
+    of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
+    false if the store failed the gateway recently. ``is_urgent`` messages are relayed at once.
+    """
+
+    node: str
+    incarnation: str = msgspec.field(name="life")
+    sequence: int = msgspec.field(name="number")
+    failure_domain: str
+    control: str
+    revision: int
+    configuration_revision: int
+    shares: tuple[LoadShare, ...] = ()
+    store_reachable: bool = True
+    is_urgent: bool = False
+
+    def updated_by(self, newer: GossipMessage) -> GossipMessage:
+        """Return a later message of the same process, with the loads of this one that it lacks."""
+        shares = {share.upstream: share for share in (*self.shares, *newer.shares)}
+        return msgspec.structs.replace(
+            newer,
+            shares=tuple(shares.values()),
+            is_urgent=self.is_urgent or newer.is_urgent,
+        )
+
+
+class GossipBundle(msgspec.Struct, frozen=True):
+    """Messages of the gateways of one failure domain, relayed to another.
+
+    The first gateway that receives it passes it on to its failure domain if ``pass_on``.
+    """
+
+    messages: tuple[msgspec.Raw, ...]
+    pass_on: bool = True
+
+
+_encoder = msgspec.msgpack.Encoder()
+_message_decoder = msgspec.msgpack.Decoder(GossipMessage)
+_bundle_decoder = msgspec.msgpack.Decoder(GossipBundle)
+
+
+def encode(message: GossipMessage | GossipBundle) -> bytes:
+    """Encode a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> GossipMessage | GossipBundle:
+    """Decode a datagram; raise `msgspec.DecodeError` if it is malformed."""
+    if data and data[0] < _FIRST_ARRAY_BYTE:
+        return _bundle_decoder.decode(data)
+    return _message_decoder.decode(data)
+
+
+def unpack(bundle: GossipBundle) -> list[GossipMessage]:
+    """Return the messages of a bundle; raise `msgspec.DecodeError` if one is malformed."""
+    return [_message_decoder.decode(message) for message in bundle.messages]
+
+
+def bundle_messages(messages: list[GossipMessage]) -> list[bytes]:
+    """Return encoded bundles with all messages, each within `MAX_BUNDLE_BYTES` where possible."""
+    bundles: list[list[msgspec.Raw]] = [[]]
+    size = 0
+    for message in messages:
+        data = msgspec.Raw(_encoder.encode(message))
+        if bundles[-1] and size + len(data) > MAX_BUNDLE_BYTES:
+            bundles.append([])
+            size = 0
+        bundles[-1].append(data)
+        size += len(data)
+    return [_encoder.encode(GossipBundle(tuple(bundle))) for bundle in bundles if bundle]
--- /dev/null
+++ b/testing/gossip_fleet.py
@@ -0,0 +1,124 @@
+"""Gateways that exchange gossip over a simulated network, without sockets or the real clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import cast
+from typing import final
+
+from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.policy.fleet_load import LoadTracker
+from baobabpulley.ports.fleet_documents import GatewayMember
+from baobabpulley.timers import ManualTimers
+
+PORT = 9
+
+
+@final
+class _Transport:
+    """The part of a datagram transport that gossip uses."""
+
+    def __init__(self, fleet: GossipFleet, sender: str) -> None:
+        self._fleet = fleet
+        self._sender = sender
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self._fleet.deliver(self._sender, address[0], data)
+
+    def close(self) -> None:
+        pass
+
+
+@final
+class FleetGateway:
+    """Gossip and loads of one gateway at the address ``host``."""
+
+    def __init__(self, host: str, domain: str, *, timers: ManualTimers, state: FleetState) -> None:
+        self.host = host
+        self.domain = domain
+        self.loads = LoadTracker()
+        self.gossip = GossipProtocol(
+            node=GatewayNodeSection(
+                id=f"front-{host}",
+                failure_domain=domain,
+                callers=f"{host}:2",
+                readiness=f"{host}:3",
+                control=f"{host}:1",
+                news_port=PORT,
+            ),
+            section=GatewayPeersSection(),
+            fleet_state=state,
+            loads=self.loads,
+            timers=timers,
+            on_newer_revision=lambda revision: None,
+        )
+
+
+@final
+class GossipFleet:
+    """Gateways in several failure domains; all know each other as members.
+
+    ``stopped`` are hosts that neither send nor receive. Datagrams between failure domains in
+    ``cut`` are lost. ``received`` counts datagrams by host.
+    """
+
+    def __init__(self, *, domains: int, per_domain: int) -> None:
+        self.timers = ManualTimers()
+        self.stopped: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.received: Counter[str] = Counter()
+        state = FleetState(PlatformDocuments())
+        self.gateways: dict[str, FleetGateway] = {}
+        for domain in range(domains):
+            for number in range(per_domain):
+                host = f"10.{domain}.0.{number}"
+                gateway = FleetGateway(host, f"domain-{domain}", timers=self.timers, state=state)
+                self.gateways[host] = gateway
+                node = f"front-{host}"
+                state.members[node] = GatewayMember(node, f"{host}:1", f"{host}:{PORT}")
+        for gateway in self.gateways.values():
+            transport = _Transport(self, gateway.host)
+            gateway.gossip.connection_made(cast(asyncio.DatagramTransport, transport))
+            gateway.gossip.start_publishing()
+
+    def deliver(self, sender: str, host: str, data: bytes) -> None:
+        """Deliver a datagram at once, or lose it."""
+        domains = frozenset({self.gateways[sender].domain, self.gateways[host].domain})
+        if {sender, host} & self.stopped or domains in self.cut:
+            return
+        self.received[host] += 1
+        self.gateways[host].gossip.datagram_received(data, (sender, PORT))
+
+    def begin(self, host: str, engine: str, *, is_chunk: bool = False) -> None:
+        """Begin a request of a gateway at an engine."""
+        self.gateways[host].loads.begin(
+            engine,
+            prefill_seconds=0.0,
+            memory_tokens=5_000,
+            now=self.timers.now(),
+            to_helper=is_chunk,
+        )
+
+    def lacking(self, engine: str) -> set[str]:
+        """Return the hosts of the gateways that know no load of an engine."""
+        now = self.timers.now()
+        return {
+            host
+            for host, gateway in self.gateways.items()
+            if host not in self.stopped and not gateway.loads.load(engine, now=now).memory_tokens
+        }
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes that all gateways sent."""
+        return sum(gateway.gossip.traffic.sent for gateway in self.gateways.values())
+
+    @property
+    def remote_bytes_sent(self) -> int:
+        """Bytes that relays sent to other failure domains."""
+        return sum(gateway.gossip.remote_traffic.sent for gateway in self.gateways.values())
--- a/testing/test_candidates.py
+++ b/testing/test_candidates.py
@@ -10,7 +10,7 @@
 from baobabpulley.emulator.placement_simulation import DOMAIN
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
 from baobabpulley.errors import Overloaded
-from baobabpulley.gateway.gossip import GossipMessage
+from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.servers import ListedUpstream
--- a/testing/test_gossip.py
+++ b/testing/test_gossip.py
@@ -10,8 +10,8 @@
 from gateway_builders import wait_until
 
 from baobabpulley.gateway.fleet_state import FleetState
-from baobabpulley.gateway.gossip import GossipMessage
 from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.platform.documents import PlatformDocuments
