--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -148,6 +148,10 @@
         part_seconds=0.0 if plan is None else round(plan.part_seconds, 3),
         tickets=0 if plan is None else plan.tickets,
         expected=0.0 if plan is None else round(plan.first_event_seconds, 3),
+        in_flight=0 if plan is None else plan.first_load.in_flight,
+        decoding=0 if plan is None else plan.first_load.decoding,
+        backlog=0.0 if plan is None else round(plan.backlog, 3),
+        load_age=round(placement.load_age, 3),
         after=round(now - exchange.times.arrived, 3),
     ).info("placed")
 
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -38,10 +38,11 @@
     """Where one attempt goes.
 
     Its ``dispatches`` count towards the load of its engines until `Placer.end`. ``started`` is in
-    monotonic seconds.
+    monotonic seconds. ``load_age`` is the age in seconds of the oldest figure in the load of the
+    upstream that was known when it was chosen.
     """
 
-    __slots__ = ("dispatches", "plan", "started", "upstream")
+    __slots__ = ("dispatches", "load_age", "plan", "started", "upstream")
 
     def __init__(
         self,
@@ -50,7 +51,9 @@
         plan: Plan | None,
         dispatches: list[Dispatch],
         started: float,
+        load_age: float,
     ) -> None:
+        self.load_age = load_age
         self.upstream = upstream
         self.plan = plan
         self.dispatches = dispatches
@@ -296,4 +299,10 @@
     ) -> Placement:
         self._record.record_attempt(upstream)
         started = self._timers.now()
-        return Placement(upstream=upstream, plan=plan, dispatches=dispatches, started=started)
+        return Placement(
+            upstream=upstream,
+            plan=plan,
+            dispatches=dispatches,
+            started=started,
+            load_age=self._loads.oldest_share_age(upstream.id, now=started),
+        )
--- a/src/baobabpulley/policy/fleet_load.py
+++ b/src/baobabpulley/policy/fleet_load.py
@@ -280,6 +280,13 @@
             memory_tokens=share.memory_tokens + total.memory_tokens,
         )
 
+    def oldest_share_age(self, upstream: str, *, now: float) -> float:
+        """Return the age in seconds of the oldest share of a peer in an upstream's load."""
+        received_times = (
+            shares[upstream].at for shares in self._peers.values() if upstream in shares
+        )
+        return now - min(received_times, default=now)
+
     def _drop_expired(self, now: float) -> None:
         """Remove the shares that were not received again within the maximum age."""
         for node, shares in self._peers.items():
--- a/src/baobabpulley/policy/prompt_placement.py
+++ b/src/baobabpulley/policy/prompt_placement.py
@@ -51,7 +51,7 @@
     memory to reserve on each of the first ``tickets`` helpers, ``first_tokens`` that on the first
     engine. ``backlog`` is the longest prefill backlog of the engines in seconds, ``pass_seconds``
     the seconds from the end of the prefill to the first event, with the rest of the first
-    engine's current forward pass.
+    engine's current forward pass. ``first_load`` is the known load of the first engine.
     """
 
     first: ListedUpstream
@@ -62,6 +62,7 @@
     first_tokens: int
     backlog: float
     pass_seconds: float
+    first_load: Load
 
     @property
     def prefill_seconds(self) -> float:
@@ -135,6 +136,7 @@
         first_tokens=need.first_tokens,
         backlog=max(engine.load.backlog for engine in engines),
         pass_seconds=_pass_seconds(assignment.first.load, performance, prompt_tokens),
+        first_load=assignment.first.load,
     )
 
 
