Don't hold silence that queueing at an upstream explains against it

Change: a stall while the known load exceeds the slots is inconclusive. Test: full and idle engine; the full one fails before the change.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -264,9 +264,9 @@
             self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
             if failed_upstream is not upstream:
                 self._record.record_failure(failed_upstream)
-        elif (
-            isinstance(error, UpstreamStalled)
-            and exchange.times.silence_timeout < MIN_CONCLUSIVE_SILENCE_SECONDS
+        elif isinstance(error, UpstreamStalled) and (
+            exchange.times.silence_timeout < MIN_CONCLUSIVE_SILENCE_SECONDS
+            or self._placer.is_beyond_slots(upstream)
         ):
             self._record.record_inconclusive(upstream)
         elif isinstance(error, UpstreamFailed):
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -149,6 +149,14 @@
         self._call_seconds[service] += CALL_EWMA_WEIGHT * (elapsed - self._call_seconds[service])
         self.serve_queues()
 
+    def is_beyond_slots(self, upstream: ListedUpstream) -> bool:
+        """Whether more requests are at an upstream than it runs at once, so that some wait there.
+
+        Gateways that don't know of each other's latest placements may meet on one upstream.
+        """
+        load = self._loads.load(upstream.id, now=self._timers.now())
+        return load.in_flight > upstream.slots
+
     def serve_queues(self) -> None:
         """Place the queued requests that have room now; refuse those that waited too long."""
         for service, queue in self._queues.items():
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -24,6 +24,7 @@
 from platform_upstream import Behaviour
 
 from baobabpulley.platform import names
+from baobabpulley.policy.fleet_load import LoadShare
 
 
 @pytest.fixture
@@ -328,6 +329,27 @@
     assert len(_received_calls(world)) == 2
 
 
+@pytest.mark.parametrize(("others", "blamed"), [(8, False), (0, True)], ids=["full", "idle"])
+async def test_silence_that_a_queue_at_the_engine_explains_is_not_held_against_it(
+    world: World, others: int, blamed: bool
+) -> None:
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name, service=KITCHEN)
+        upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    request = asyncio.create_task(send(gateway, "/draft/7"))
+    await wait_until(lambda: len(_received_calls(world)) == 1)
+    (silent,) = [name for name, upstream in world.upstreams.items() if upstream.journal]
+    # Another gateway placed its requests there before it heard of this one.
+    shares = [LoadShare(silent, 0.0, others, others, 0, 1_000)]
+    for age in range(6):
+        gateway.loads.receive("front-9", shares, now=gateway.timers.now())
+        await asyncio.sleep(0.25 if age else 0.0)
+    await wait_until(lambda: len(_received_calls(world)) == 2)
+    assert gateway.record.has_no_record(silent) is not blamed
+    request.cancel()
+
+
 async def test_a_caller_resumes_after_its_last_event(world: World) -> None:
     upstream = await world.add_upstream("i-1", service=KITCHEN)
     upstream.behaviour = upstreams.stream(events=9)
