Bound bodies without end, and end streams that only trickle

Cause: an answer without length or end was read up to 64 MiB for one request (67,305,472 bytes in the test), of a gateway's 430 MB; a stream whose bytes never complete an event, or complete only comments, reset the silence time-out with every byte and lasted until the deadline. Change: a body that is returned whole may have 16 MiB; a connection is not read further while its reader is 1 MiB behind; silence of a stream is measured by events with a field. Found in order before: endless start line, headers, interim heads, chunk size and extension, bytes after an answer (64 KiB are read, the connection isn't reused); a slow stream stays.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -13,6 +13,7 @@
 import time
 from collections import defaultdict
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Final
 from typing import final
@@ -34,6 +35,10 @@
 from baobabpulley.errors import UpstreamStalled
 
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+# A body that is returned as a whole may not be longer; streams are held in parts only.
+MAX_WHOLE_BODY_BYTES: Final = 16 * 1024 * 1024
+# The connection isn't read further while its reader is behind by more than this.
+MAX_UNREAD_BYTES: Final = 1024 * 1024
 MAX_IDLE_PER_ADDRESS: Final = 64
 MAX_IDLE_SECONDS: Final = 10.0
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -80,9 +85,15 @@
             yield chunk
 
     async def body(self, *, idle_timeout: float) -> bytes:
-        """Return the whole body."""
-        chunks = [chunk async for chunk in self.chunks(idle_timeout=idle_timeout)]
-        return b"".join(chunks)
+        """Return the whole body; raise `UpstreamLost` if it exceeds `MAX_WHOLE_BODY_BYTES`."""
+        body = bytearray()
+        async for chunk in self.chunks(idle_timeout=idle_timeout):
+            body += chunk
+            if len(body) > MAX_WHOLE_BODY_BYTES:
+                raise UpstreamLost(
+                    f"{self._connection.address} sent more than {MAX_WHOLE_BODY_BYTES} bytes"
+                )
+        return bytes(body)
 
     async def _next(self, idle_timeout: float) -> bytes | None:
         queue = self._delegate.queue
@@ -101,6 +112,7 @@
         if isinstance(item, UpstreamLost):
             raise item
         assert isinstance(item, bytes)
+        self._delegate.mark_read(item)
         return item
 
 
@@ -233,6 +245,8 @@
         self.headers = HTTPHeaders()
         self.finished = False
         self.queue: asyncio.Queue[object] = asyncio.Queue()
+        self._unread_bytes = 0
+        self._has_room = asyncio.Event()
         self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
@@ -261,9 +275,21 @@
         """Whether the connection ended with an error instead of a regular close."""
         return self._stream.error is not None
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._traffic.received += CHUNK_OVERHEAD_BYTES + len(chunk)
         self.queue.put_nowait(chunk)
+        self._unread_bytes += len(chunk)
+        return self._wait_for_room() if self._unread_bytes > MAX_UNREAD_BYTES else None
+
+    def mark_read(self, chunk: bytes) -> None:
+        """Record that a part of the body has been taken from the queue."""
+        self._unread_bytes -= len(chunk)
+        if self._unread_bytes <= MAX_UNREAD_BYTES:
+            self._has_room.set()
+
+    async def _wait_for_room(self) -> None:
+        self._has_room.clear()
+        await self._has_room.wait()
 
     def finish(self) -> None:
         if self.ends_with_connection and self.was_reset():
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -15,8 +15,10 @@
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.event_stream import EventSplitter
+from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
@@ -67,11 +69,23 @@
         return await self._response.body(idle_timeout=self._silence_timeout)
 
     async def events(self) -> AsyncIterator[bytes]:
-        """Yield complete events; raise `UpstreamLost` if the stream ends within one."""
+        """Yield complete events.
+
+        Raise `UpstreamLost` if the stream ends within one, and `UpstreamStalled` if bytes arrive
+        but complete no event with content within the silence timeout.
+        """
         splitter = EventSplitter()
+        now = asyncio.get_running_loop().time
+        progress_at = now()
         async for chunk in self._response.chunks(idle_timeout=self._silence_timeout):
             for event in splitter.feed(chunk):
                 yield event
+                if has_content(event):
+                    progress_at = now()
+            if now() - progress_at > self._silence_timeout:
+                raise UpstreamStalled(
+                    f"only incomplete or empty events came for {self._silence_timeout:.2f} s"
+                )
         if splitter.pending:
             raise UpstreamLost("the stream ended within an event")
 
--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -46,6 +46,15 @@
         return [event + b"\n\n" for event in complete]
 
 
+def has_content(event: bytes) -> bool:
+    """Whether an event has a field; comments, which keep a connection open, have none.
+
+    >>> has_content(b"id: 1\\ndata: a\\n\\n"), has_content(b": alive\\n\\n")
+    (True, False)
+    """
+    return any(line and not line.startswith(b":") for line in event.split(b"\n"))
+
+
 def event_id(event: bytes) -> int | None:
     """Return an event's id, or ``None`` if it has none or the id isn't a number.
 
