--- a/src/baobabpulley/keeper/order_issuer.py
+++ b/src/baobabpulley/keeper/order_issuer.py
@@ -280,7 +280,7 @@
         """Whether an order sent to this incarnation may still take visible effect."""
         return (
             unconfirmed.incarnation == state.incarnation
-            and now - unconfirmed.at < self._section.order_window
+            and now - unconfirmed.sent_at < self._section.order_window
         )
 
     def _new_order(self, planned: PlannedOrder, state: EngineState) -> UnconfirmedOrder:
--- a/testing/order_world.py
+++ b/testing/order_world.py
@@ -103,6 +103,8 @@
         self.closes_late_bodies = closes_late_bodies
         self.engines = {f"engine-{index}": FakeEngine(self) for index in range(engines)}
         self.effects: list[tuple[float, str, int, Order]] = []
+        # Time and id of each order that an engine lost.
+        self.lost_orders: list[tuple[float, str]] = []
         self.credentials: set[str] = set()
         self.max_loading = 0
 
@@ -135,6 +137,8 @@
         self.fence = 0
         self.incarnation = 1
         self.up = True
+        # Orders then get neither an effect nor an answer.
+        self.loses_orders = False
 
     def finish_loads(self) -> None:
         for model, (end, version) in tuple(self.loading.items()):
@@ -252,6 +256,9 @@
     def _deliver(self, id: str, order: Order, head_at: float) -> None:
         world = self._world
         engine = world.engines[id]
+        if engine.loses_orders:
+            world.lost_orders.append((world.clock.time, order.id))
+            raise UpstreamLost(f"{id} did not answer")
         if world.closes_late_bodies and world.clock.time - head_at > SERVER_READ_TIMEOUT_SECONDS:
             raise UpstreamLost(f"{id} closed the connection")
         if not engine.up:
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -138,6 +138,26 @@
     assert ("engine-1", "confirmed", "") in reasons
 
 
+async def test_an_order_without_an_answer_is_repeated_late_and_delays_no_other() -> None:
+    world = World(engines=2, checks_fencing=True, closes_late_bodies=True)
+    section = OrderIssuerSection(loads_per_second=5.0)
+    keeper = Keeper(world, "vm-0", section=section)
+    keeper.set_desired(version="1")
+    world.engines["engine-0"].loses_orders = True
+    for _ in range(12):
+        await keeper.run_second()
+    assert world.state("engine-1").models == {MODEL: "1"}
+    times = [at for at, _ in world.lost_orders]
+    assert len(times) > 1
+    assert all(
+        later - earlier >= section.order_window for earlier, later in itertools.pairwise(times)
+    )
+    world.engines["engine-0"].loses_orders = False
+    for _ in range(8):
+        await keeper.run_second()
+    assert world.state("engine-0").models == {MODEL: "1"}
+
+
 async def test_loads_keep_to_the_weight_stores_rate() -> None:
     world = World(engines=12, checks_fencing=True, closes_late_bodies=True)
     section = OrderIssuerSection(loads_per_second=0.5, loads_burst=1.0)
