--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -11,9 +11,9 @@
 from typing import Final
 
 from baobabpulley.emulator.placement_simulation import DOMAIN
-from baobabpulley.emulator.placement_simulation import LONG_ROUTE
 from baobabpulley.emulator.placement_simulation import SERVICE
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
+from baobabpulley.emulator.replayed_requests import LONG_ROUTE
 from baobabpulley.emulator.typical_engine import TYPICAL_ENGINE
 from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.planning import PromptPlanner
--- a/bench/replay_mix.py
+++ b/bench/replay_mix.py
@@ -17,12 +17,12 @@
 import msgspec
 
 from baobabpulley.emulator.mix_report import percentiles
-from baobabpulley.emulator.placement_simulation import LONG_ROUTE
-from baobabpulley.emulator.placement_simulation import MIDDLE_ROUTE
-from baobabpulley.emulator.placement_simulation import SHORT_ROUTE
-from baobabpulley.emulator.placement_simulation import Arrival
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
-from baobabpulley.emulator.placement_simulation import RequestOutcome
+from baobabpulley.emulator.replayed_requests import LONG_ROUTE
+from baobabpulley.emulator.replayed_requests import MIDDLE_ROUTE
+from baobabpulley.emulator.replayed_requests import SHORT_ROUTE
+from baobabpulley.emulator.replayed_requests import Arrival
+from baobabpulley.emulator.replayed_requests import RequestOutcome
 from baobabpulley.model.routes import Route
 
 # The rates of the request kinds are those of this number of engines.
--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -12,6 +12,10 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.emulator.replayed_requests import DEFAULT_OUTPUT_TOKENS
+from baobabpulley.emulator.replayed_requests import Arrival
+from baobabpulley.emulator.replayed_requests import RequestOutcome
+from baobabpulley.emulator.replayed_requests import route_for
 from baobabpulley.emulator.simulated_engine import DecodeJob
 from baobabpulley.emulator.simulated_engine import PrefillJob
 from baobabpulley.emulator.simulated_engine import SimulatedEngine
@@ -27,7 +31,6 @@
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import RequestParameters
-from baobabpulley.model.routes import STREAM
 from baobabpulley.model.routes import Route
 from baobabpulley.model.routes import Service
 from baobabpulley.model.servers import ListedUpstream
@@ -41,100 +44,12 @@
 PUBLISH_PERIOD_STEPS: Final = 8
 # 25 ms, like the queue check period of a real gateway.
 QUEUE_CHECK_PERIOD_STEPS: Final = 2
-DEFAULT_OUTPUT_TOKENS: Final = 1300
-SHORT_ROUTE: Final = Route("draft", "h", "/", STREAM, 10.0, 0.3, 1, (), 2, False, True, 0.25)
-MIDDLE_ROUTE: Final = Route("review", "h", "/", STREAM, 10.0, 1.5, 1, (), 2, False, True, 0.6)
-LONG_ROUTE: Final = Route("archive", "h", "/", STREAM, 15.0, 3.0, 1, (), 2, False, True, 1.0)
 SERVICE: Final = Service(name="kitchen", max_connections=424, engine=TYPICAL_ENGINE)
-MAX_SHORT_PROMPT_TOKENS, MAX_MIDDLE_PROMPT_TOKENS = 20_000, 60_000
 DOMAIN: Final = "fes"
 # The simulation opens no sockets, so no address is ever used.
 UNUSED_ADDRESS: Final = "127.0.0.1:9"
 
 
-@final
-class Arrival:
-    """A request that arrives ``at`` seconds after the start of a replay.
-
-    ``account`` is only a label. With ``retries`` the request is sent again 25 ms after each
-    refusal, whatever its ``retry_after``.
-    """
-
-    __slots__ = ("account", "at", "output_tokens", "priority", "retries", "route", "tokens")
-
-    def __init__(
-        self,
-        at: float,
-        tokens: int,
-        *,
-        account: str = "",
-        retries: bool = False,
-        priority: int | None = None,
-        route: Route | None = None,
-        output_tokens: int = DEFAULT_OUTPUT_TOKENS,
-    ) -> None:
-        self.at = at
-        self.tokens = tokens
-        self.account = account
-        self.retries = retries
-        self.priority = priority
-        self.route = route or route_for(tokens)
-        self.output_tokens = output_tokens
-
-
-@final
-class RequestOutcome:
-    """The result of one arrival. Durations are in seconds.
-
-    ``seconds`` is the time to the first event or, if ``code`` is set, to the refusal;
-    ``expected`` is the time to the first event that the placer predicted, and ``longest_pause``
-    the longest time between two events of the response. ``beyond_slots`` is whether all slots of
-    the engine were taken when the request was placed there.
-    """
-
-    __slots__ = (
-        "arrival",
-        "beyond_slots",
-        "code",
-        "expected",
-        "longest_pause",
-        "retry_after",
-        "seconds",
-    )
-
-    def __init__(
-        self,
-        arrival: Arrival,
-        *,
-        code: str,
-        seconds: float,
-        retry_after: float = 0.0,
-        expected: float = 0.0,
-        beyond_slots: bool = False,
-    ) -> None:
-        self.arrival = arrival
-        self.beyond_slots = beyond_slots
-        self.code = code
-        self.seconds = seconds
-        self.retry_after = retry_after
-        self.expected = expected
-        self.longest_pause = 0.0
-
-    @property
-    def on_time(self) -> bool:
-        """Whether the first event and every pause met the objectives of the route."""
-        route = self.arrival.route
-        within = self.seconds <= route.objective and self.longest_pause <= route.pause_objective
-        return not self.code and within
-
-
-def route_for(tokens: int) -> Route:
-    """Return the route that serves prompts of a length."""
-    if tokens <= MAX_SHORT_PROMPT_TOKENS:
-        return SHORT_ROUTE
-    return MIDDLE_ROUTE if tokens <= MAX_MIDDLE_PROMPT_TOKENS else LONG_ROUTE
-
-
 @final
 class _Gateway:
     """One gateway's placer, with its own load figures and gossip state.
--- a/testing/test_placement_under_load.py
+++ b/testing/test_placement_under_load.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from baobabpulley.emulator.placement_simulation import LONG_ROUTE
-from baobabpulley.emulator.placement_simulation import SHORT_ROUTE
-from baobabpulley.emulator.placement_simulation import Arrival
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
-from baobabpulley.emulator.placement_simulation import RequestOutcome
+from baobabpulley.emulator.replayed_requests import LONG_ROUTE
+from baobabpulley.emulator.replayed_requests import SHORT_ROUTE
+from baobabpulley.emulator.replayed_requests import Arrival
+from baobabpulley.emulator.replayed_requests import RequestOutcome
 from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.model.routes import Route
 
--- a/testing/test_simulated_engine.py
+++ b/testing/test_simulated_engine.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from baobabpulley.emulator.placement_simulation import Arrival
 from baobabpulley.emulator.placement_simulation import PlacementSimulation
+from baobabpulley.emulator.replayed_requests import Arrival
 from baobabpulley.emulator.simulated_engine import DecodeJob
 from baobabpulley.emulator.simulated_engine import PrefillJob
 from baobabpulley.emulator.simulated_engine import SimulatedEngine
