--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -36,6 +36,8 @@
 ALL_KEYS: Final = ""
 _INITIAL_BACKOFF_SECONDS: Final = 0.05
 _SNAPSHOT_TIMEOUT_SECONDS: Final = 0.5
+# Number of peers that a gateway without a configuration asks at least.
+_FIRST_SNAPSHOTS: Final = 3
 # After a longer outage, leases of live upstreams may have expired, so removals are delayed.
 _OUTAGE_SECONDS: Final = 0.5
 # A watch is repeated at once after a few changes, and at this rate in a storm of changes.
@@ -123,6 +125,11 @@
         self._timers.every(0.2, self._remove_expired, name="delayed removals")
         self._timers.every(0.2, self._check_relay, name="store watchers")
 
+    def stop(self) -> None:
+        """Stop to follow the store."""
+        if self._task is not None:
+            self._task.cancel()
+
     def restart(self) -> None:
         """Restart the watch at once, as its connection may have stalled."""
         if self._followed is not None:
@@ -161,9 +168,15 @@
         return newer
 
     async def fetch_newer_snapshot(self, addresses: Iterable[str]) -> None:
-        """Fetch snapshots from peers in turn until one is newer."""
-        for address in addresses:
-            if await self.fetch_snapshot(address):
+        """Fetch snapshots from peers in turn until one is newer.
+
+        Without a configuration, ask several peers, as the first may have been cut off for long.
+        """
+        to_ask = _FIRST_SNAPSHOTS if self._fleet_state.table is None else 1
+        found = False
+        for asked, address in enumerate(addresses, start=1):
+            found = await self.fetch_snapshot(address) or found
+            if found and asked >= to_ask:
                 return
 
     def _remove_expired(self) -> None:
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -18,10 +18,15 @@
 from baobabpulley.gateway.change_log import ChangeLog
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.fleet_state import FleetSnapshot
+from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.store_relay import WATCHERS_PER_DOMAIN
 from baobabpulley.gateway.store_relay import ChangePublisher
+from baobabpulley.gateway.store_relay import StoreWatchers
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
+from baobabpulley.platform.documents import PlatformDocuments
 
 GATEWAYS = 6
 # Nothing listens there.
@@ -172,6 +177,30 @@
     await wait_for_version(gateways, 3)
 
 
+async def test_a_gateway_that_starts_in_an_outage_does_not_stay_with_a_peer_that_was_cut_off(
+    world: World,
+) -> None:
+    cut_off, current, starting = [await world.add_gateway() for _ in range(3)]
+    cut_off.timers.cancel_all()
+    cut_off.link.stop()
+    change_configuration(world, 2)
+    await wait_for_version([current], 2)
+    assert cut_off.fleet_state.table is not None and cut_off.fleet_state.table.version == 1
+    starting.fleet_state = FleetState(PlatformDocuments())
+    link = StoreLink(
+        store=starting.store,
+        fleet_state=starting.fleet_state,
+        client=starting.client,
+        section=StoreSection(address=DEAD_STORE),
+        timers=starting.timers,
+        watchers=StoreWatchers(
+            node="front-new", failure_domain="fes", gossip=starting.gossip, timers=starting.timers
+        ),
+    )
+    await link.fetch_newer_snapshot([cut_off.node.control, current.node.control])
+    await wait_for_version([starting], 2)
+
+
 def test_the_change_log_returns_the_changes_after_a_revision() -> None:
     log = ChangeLog()
     assert log.since(0) is None
