Relay only gossip that is newer than what was received

A message of the own failure domain that arrived out of order took the place of a newer one in the next bundle. Test: fails before the change.

--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -172,24 +172,23 @@
                 "dropped a malformed gossip message: {}", error
             )
             return
-        for received in messages:
-            self.receive(received)
+        accepted = [received for received in messages if self.receive(received)]
         if isinstance(message, GossipBundle):
             self._pass_on(message)
-        elif self._relay.add(message):
+        elif accepted and self._relay.add(message):
             self._send_bundles()
 
     def error_received(self, exc: Exception) -> None:
         logger.bind(event="news_unsent").debug("a gossip datagram could not be sent: {}", exc)
 
-    def receive(self, message: GossipMessage) -> None:
-        """Process another gateway's message; ignore one that is older than the last received."""
+    def receive(self, message: GossipMessage) -> bool:
+        """Process another gateway's message; return whether it is newer than the last received."""
         if message.node == self._node.id:
-            return
+            return False
         now = self._timers.now()
         known = self._peers.get(message.node)
         if known is not None and known.supersedes(message):
-            return
+            return False
         if known is not None and known.incarnation != message.incarnation:
             self._loads.forget(message.node)
         self._peers[message.node] = GossipPeer(message, received_at=now, known=known)
@@ -197,6 +196,7 @@
         self._loads.receive(message.node, message.shares, now=now)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
+        return True
 
     def next_message(self, *, is_urgent: bool = False) -> GossipMessage | None:
         """Return the next message, or ``None`` if nothing changed and no keepalive is due."""
--- a/testing/test_gossip_relay.py
+++ b/testing/test_gossip_relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from gossip_fleet import GossipFleet
 
@@ -155,6 +156,29 @@
     assert loads.load("i-2", now=now).in_flight == 1
 
 
+async def test_a_message_that_arrives_out_of_order_is_not_relayed(
+    fleet_of: FleetFactory,
+) -> None:
+    fleet = await fleet_of(2, 8)
+    relay = next(
+        gateway
+        for gateway in fleet.gateways.values()
+        if gateway.gossip.remote_traffic.sent and gateway.domain == "domain-0"
+    )
+    sender = next(host for host in fleet.gateways if host != relay.host)
+    assert fleet.gateways[sender].domain == "domain-0"
+    message = msgspec.structs.replace(make_message(1_000, share("i-1")), node=f"front-{sender}")
+    known = relay.gossip.peers[message.node]
+    latest = msgspec.structs.replace(message, incarnation=known.incarnation)
+    late = msgspec.structs.replace(latest, sequence=999, shares=(share("i-1", 5),))
+    for one in (latest, late):
+        relay.gossip.datagram_received(encode(one), (sender, 9))
+    await fleet.timers.advance(RELAY_PERIOD_SECONDS)
+    now = fleet.timers.now()
+    remote = fleet.gateways["10.1.0.0"].loads
+    assert remote.load("i-1", now=now).in_flight == 1
+
+
 async def test_peers_that_left_long_ago_are_forgotten(fleet_of: FleetFactory) -> None:
     fleet = await fleet_of(1, 2)
     gossip = fleet.gateways["10.0.0.0"].gossip
