--- a/src/baobabpulley/policy/memory_placement.py
+++ b/src/baobabpulley/policy/memory_placement.py
@@ -44,11 +44,6 @@
         """Whether the engine can start another request without queueing it."""
         return self.load.in_flight < self.upstream.slots
 
-    @property
-    def can_help(self) -> bool:
-        """Whether the engine takes another chunk: it refuses more prompts than it has slots."""
-        return self.load.helping < self.upstream.slots
-
     @property
     def cost(self) -> float:
         """Cost of choosing the engine, in seconds; only differences between engines matter."""
@@ -186,10 +181,8 @@
 def _pick_holders(
     engines: list[Candidate], performance: EnginePerformance, need: MemoryNeed
 ) -> list[Candidate]:
-    """Return engines that can help and have memory for a ticket, at most ``need.tickets``."""
+    """Return engines with memory for a ticket, at most ``need.tickets`` of them."""
     with_memory = [
-        engine
-        for engine in engines
-        if engine.can_help and engine.has_memory(need.ticket_tokens, performance)
+        engine for engine in engines if engine.has_memory(need.ticket_tokens, performance)
     ]
     return sorted(with_memory, key=lambda engine: engine.load.memory_tokens)[: need.tickets]
--- a/src/baobabpulley/policy/prompt_placement.py
+++ b/src/baobabpulley/policy/prompt_placement.py
@@ -3,10 +3,11 @@
 Prefilling a prompt of 133,000 tokens takes one engine two seconds, and every answer that the engine
 is generating stalls meanwhile. Short prompts are packed on few engines: on a random one of as many
 engines as other gateways may be choosing now, so that gateways that know the same loads don't all
-choose the same engine. A long prompt is split over as many engines as are needed to keep each chunk
-too short for a noticeable stall. Engines prefill chunks before their earlier work, so long prompts
-delay each other least if the chunks are short. A prompt that is too long even for that goes to the
-engines that generate the fewest answers: more engines finish it sooner but stall more answers.
+choose the same engine. A long prompt is split over
+as many engines as are needed to keep each chunk too short for a noticeable stall. Engines prefill
+chunks before their earlier work, so long prompts delay each other least if the chunks are short. A
+prompt that is too long even for that goes to the engines that generate the fewest answers: more
+engines finish it sooner but stall more answers.
 """
 
 from __future__ import annotations
@@ -100,8 +101,6 @@
 ) -> Plan | None:
     """Return the engines for a prompt, or ``None`` while too few have free slots and memory.
 
-    Engines that help as many other prompts as they may get no chunk of a long one.
-
     ``objective`` is the target for the first event of the answer, in seconds. ``first_id`` is the
     engine that has to generate the answer; it is set if an earlier attempt used it. ``fastest``
     plans the fastest prefill, however many answers it stalls. ``unheard`` is the number of requests
@@ -119,11 +118,8 @@
             source=source or random.Random(),
         )
     else:
-        able = [engine for engine in candidates if engine.can_help]
-        if not able:
-            return None
         target = 0.0 if fastest else objective
-        chosen = _split(able, total, need.holder_count, target)
+        chosen = _split(candidates, total, need.holder_count, target)
     assignment = assign_engines(
         chosen, candidates, performance=performance, need=need, first_id=first_id
     )
--- a/testing/policy_builders.py
+++ b/testing/policy_builders.py
@@ -16,7 +16,6 @@
     backlog: float = 0.0,
     in_flight: int = 0,
     decoding: int = 0,
-    helping: int = 0,
     memory_tokens: int = 0,
 ) -> Candidate:
     """Return a candidate engine with a load; ``decoding`` requests are past their prefill."""
@@ -32,7 +31,6 @@
         backlog=backlog,
         in_flight=max(in_flight, decoding),
         decoding=decoding,
-        helping=helping,
         memory_tokens=memory_tokens,
     )
     return Candidate(upstream=upstream, load=load)
