--- a/src/baobabpulley/gateway/control.py
+++ b/src/baobabpulley/gateway/control.py
@@ -15,7 +15,9 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
 from baobabpulley.gateway.store_relay import ChangePublisher
+from baobabpulley.gateway.store_relay import compress
 
 
 class ReadinessHandler(RequestHandler):
@@ -29,14 +31,22 @@
 
 
 class SnapshotHandler(RequestHandler):
-    """Return the gateway's `FleetSnapshot` as MessagePack."""
+    """Return the gateway's `FleetSnapshot` as MessagePack, compressed if that is accepted.
+
+    Gateways of earlier versions neither ask for compression nor offer it.
+    """
 
     def initialize(self, fleet_state: FleetState) -> None:
         self._fleet_state = fleet_state
 
     def get(self) -> None:
-        self.set_header("Content-Type", "application/msgpack")
-        self.write(msgspec.msgpack.encode(self._fleet_state.snapshot()))
+        data = msgspec.msgpack.encode(self._fleet_state.snapshot())
+        if self.request.headers.get("Accept") == COMPRESSED_TYPE:
+            self.set_header("Content-Type", COMPRESSED_TYPE)
+            self.write(compress(data))
+        else:
+            self.set_header("Content-Type", "application/msgpack")
+            self.write(data)
 
 
 class ChangesHandler(RequestHandler):
@@ -56,8 +66,8 @@
             removal_delay=self._link.removal_delay,
             connected=lambda: self._link.connected,
         )
-        self.set_header("Content-Type", "application/msgpack")
-        self.write(msgspec.msgpack.encode(update))
+        self.set_header("Content-Type", COMPRESSED_TYPE)
+        self.write(self._publisher.encode(update))
 
 
 class MetricsHandler(RequestHandler):
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -328,7 +328,12 @@
 
     async def _fetch_peer_snapshot(self) -> None:
         seeds = self.settings.get(GatewayPeersSection).seeds
-        known = [peer.control for peer in self.gossip.live_peers()]
+        newer = [
+            peer for peer in self.gossip.live_peers() if peer.revision > self.fleet_state.revision
+        ]
+        # Sorting is stable: peers of the own failure domain first, the newest of them first.
+        newer.sort(key=lambda peer: peer.failure_domain != self.node.failure_domain)
+        known = [peer.control for peer in newer]
         others = [address for address in (*known, *seeds) if address != self.node.control]
         await self.link.fetch_newer_snapshot(dict.fromkeys(others))
 
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -24,8 +24,10 @@
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
 from baobabpulley.gateway.store_relay import FleetUpdate
 from baobabpulley.gateway.store_relay import StoreWatchers
+from baobabpulley.gateway.store_relay import decompress
 from baobabpulley.gateway.store_relay import fetch_update
 from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.config_store import ConfigStore
@@ -47,6 +49,8 @@
 _UNREACHABLE_SECONDS: Final = 5.0
 
 _decoder = msgspec.msgpack.Decoder(FleetSnapshot)
+# MessagePack encodes a snapshot, an array of two fields, with this first byte.
+_SNAPSHOT_START: Final = b"\x92"
 
 
 @final
@@ -150,11 +154,14 @@
                 address=address,
                 method="GET",
                 path=SNAPSHOT_PATH,
+                headers={"Accept": COMPRESSED_TYPE},
                 timeout=_SNAPSHOT_TIMEOUT_SECONDS,
             )
             if status != 200:
                 return False
-            snapshot = _decoder.decode(body)
+            # Gateways of earlier versions don't compress.
+            is_compressed = not body.startswith(_SNAPSHOT_START)
+            snapshot = _decoder.decode(decompress(body) if is_compressed else body)
         except (BaobabError, msgspec.DecodeError) as error:
             logger.bind(event="peer_unheard", peer=address).info(
                 "no valid snapshot from the peer: {}", error
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -1,18 +1,22 @@
 """Relay the store's changes to the gateways of the failure domain that don't watch it themselves.
 
-A gateway without a watch keeps one request for changes pending at a gateway that has one.
+A gateway without a watch keeps one request for changes pending at a gateway that has one. Updates
+are compressed: a configuration of 1,600 routes that goes to eight followers at once would otherwise
+keep the link of a gateway busy for half a second.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import Callable
 from typing import Final
 from typing import final
 
 import msgspec
 
+from baobabpulley.adapters.http_client import MAX_WHOLE_BODY_BYTES
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import UpstreamLost
@@ -24,6 +28,8 @@
 from baobabpulley.timers import TimerService
 
 CHANGES_PATH: Final = "/changes"
+# Content type of compressed MessagePack.
+COMPRESSED_TYPE: Final = "application/zlib"
 WATCHERS_PER_DOMAIN: Final = 2
 # A request for changes is answered after this time even if there are none.
 MAX_WAIT_SECONDS: Final = 2.0
@@ -48,16 +54,39 @@
     connected: bool
 
 
+_encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(FleetUpdate)
+_FASTEST_COMPRESSION: Final = 1
+
+
+def compress(data: bytes) -> bytes:
+    """Compress what a gateway sends to others."""
+    return zlib.compress(data, level=_FASTEST_COMPRESSION)
+
+
+def decompress(data: bytes) -> bytes:
+    """Return what a gateway sent; raise `UpstreamLost` if it is damaged or too long."""
+    try:
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(data, MAX_WHOLE_BODY_BYTES)
+    except zlib.error as error:
+        raise UpstreamLost(f"a gateway's state cannot be decompressed: {error}") from error
+    if not inflater.eof:
+        raise UpstreamLost(
+            f"a gateway's state ends early or has more than {MAX_WHOLE_BODY_BYTES} bytes"
+        )
+    return content
 
 
 @final
 class ChangePublisher:
     """Answer requests for changes as soon as there are any."""
 
-    __slots__ = ("_changed", "_fleet_state", "_timers")
+    __slots__ = ("_changed", "_encoded", "_fleet_state", "_timers")
 
     def __init__(self, *, fleet_state: FleetState, timers: TimerService) -> None:
+        # The latest update and its encoding: most followers ask for the same.
+        self._encoded: tuple[FleetUpdate, bytes] | None = None
         self._fleet_state = fleet_state
         self._timers = timers
         self._changed = asyncio.Event()
@@ -81,6 +110,12 @@
             connected=connected(),
         )
 
+    def encode(self, update: FleetUpdate) -> bytes:
+        """Return an update as it is sent."""
+        if self._encoded is None or self._encoded[0] != update:
+            self._encoded = (update, compress(_encoder.encode(update)))
+        return self._encoded[1]
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -152,6 +187,6 @@
     if status != 200:
         raise UpstreamLost(f"{address} answered {status} to a request for changes")
     try:
-        return _decoder.decode(body)
+        return _decoder.decode(decompress(body))
     except msgspec.DecodeError as error:
         raise UpstreamLost(f"{address} sent invalid changes: {error}") from error
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -14,6 +14,9 @@
 from gateway_builders import route
 from gateway_builders import wait_until
 
+from baobabpulley.adapters.http_client import MAX_WHOLE_BODY_BYTES
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.change_log import MAX_CHANGES
 from baobabpulley.gateway.change_log import ChangeLog
 from baobabpulley.gateway.daemon import Gateway
@@ -21,9 +24,12 @@
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
 from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
 from baobabpulley.gateway.store_relay import WATCHERS_PER_DOMAIN
 from baobabpulley.gateway.store_relay import ChangePublisher
 from baobabpulley.gateway.store_relay import StoreWatchers
+from baobabpulley.gateway.store_relay import compress
+from baobabpulley.gateway.store_relay import decompress
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
@@ -66,6 +72,20 @@
     )
 
 
+def link_without_store(gateway: Gateway) -> StoreLink:
+    """Return a link that isn't started, over the gateway's state and client."""
+    return StoreLink(
+        store=gateway.store,
+        fleet_state=gateway.fleet_state,
+        client=gateway.client,
+        section=StoreSection(address=DEAD_STORE),
+        timers=gateway.timers,
+        watchers=StoreWatchers(
+            node="front-new", failure_domain="fes", gossip=gateway.gossip, timers=gateway.timers
+        ),
+    )
+
+
 def entry(key: str, revision: int, value: bytes | None = b"{}") -> StoredEntry:
     return StoredEntry(key=key, value=value, mod_revision=revision)
 
@@ -163,8 +183,10 @@
     await asyncio.sleep(0.8)
     world.store.delete(names.UPSTREAM_PREFIX + "i-back")
     world.store.mode = ""
-    await wait_until(lambda: all(gateway.link.connected for gateway in gateways))
-    await asyncio.sleep(0.3)
+    # Each gateway knows of the removal, and delays it.
+    await wait_until(
+        lambda: all(one.fleet_state.revision >= world.store.revision for one in gateways)
+    )
     assert all("i-back" in gateway.fleet_state.upstreams for gateway in gateways)
     await wait_until(lambda: not any(one.fleet_state.upstreams for one in gateways))
 
@@ -187,20 +209,56 @@
     await wait_for_version([current], 2)
     assert cut_off.fleet_state.table is not None and cut_off.fleet_state.table.version == 1
     starting.fleet_state = FleetState(PlatformDocuments())
-    link = StoreLink(
-        store=starting.store,
-        fleet_state=starting.fleet_state,
-        client=starting.client,
-        section=StoreSection(address=DEAD_STORE),
-        timers=starting.timers,
-        watchers=StoreWatchers(
-            node="front-new", failure_domain="fes", gossip=starting.gossip, timers=starting.timers
-        ),
-    )
+    link = link_without_store(starting)
     await link.fetch_newer_snapshot([cut_off.node.control, current.node.control])
     await wait_for_version([starting], 2)
 
 
+async def test_a_large_configuration_is_relayed_compressed(world: World) -> None:
+    routes = [route(f"/r{number}/", LEDGER, names.KIND_ONCE) for number in range(400)]
+    document = configuration(2, routes=routes)
+    gateways = await start_gateways(world, 3)
+    world.store.put(names.CONFIGURATION_KEY, document)
+    await wait_for_version(gateways, 2)
+    relay = watchers(gateways)[0]
+    for path in ("/changes?after=0", "/snapshot"):
+        status, body = await fetch(
+            relay.client,
+            address=relay.node.control,
+            method="GET",
+            path=path,
+            headers={"Accept": COMPRESSED_TYPE},
+            timeout=2.0,
+        )
+        assert status == 200
+        assert len(body) < len(document) / 5
+
+
+async def test_a_snapshot_of_an_older_gateway_is_understood(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old = await world.add_gateway()
+    new = await world.add_gateway()
+    # An older gateway ignores that the request accepts compression.
+    monkeypatch.setattr("baobabpulley.gateway.control.COMPRESSED_TYPE", "unknown")
+    new.fleet_state = FleetState(PlatformDocuments())
+    assert await link_without_store(new).fetch_snapshot(old.node.control)
+    assert new.fleet_state.table is not None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"no zlib", id="damaged"),
+        pytest.param(compress(b"x" * 1000)[:-4], id="cut"),
+        pytest.param(compress(b"x" * (MAX_WHOLE_BODY_BYTES + 1)), id="too-long"),
+    ],
+)
+def test_damaged_or_endless_updates_are_refused(data: bytes) -> None:
+    with pytest.raises(UpstreamLost):
+        decompress(data)
+
+
 def test_the_change_log_returns_the_changes_after_a_revision() -> None:
     log = ChangeLog()
     assert log.since(0) is None
