Delay removals at a gateway that takes over the watch from one that lost the store

Cause: how long the store was away was measured by each gateway for itself. One that took over the watch during an outage saw less than 0.5 s of it, removed upstreams whose registrations had expired at once, and passed the removals on without delay. Change: such a gateway delays removals as after an outage.

--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -67,6 +67,7 @@
         "_fleet_state",
         "_followed",
         "_has_snapshot",
+        "_outage_elsewhere",
         "_random",
         "_removal_delay_until",
         "_section",
@@ -105,6 +106,7 @@
         self._disconnected_at: float | None = None
         self._removal_delay_until = 0.0
         self._has_snapshot = False
+        self._outage_elsewhere = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -211,7 +213,9 @@
                 continue
             except StoreUnavailable as error:
                 failures = failures + 1 if self._disconnected_at is not None else 1
-                self._store_failed_at = self._timers.now()
+                if failures > 1:
+                    # The store may cut a watch at any time, which says nothing of the next call.
+                    self._store_failed_at = self._timers.now()
                 self._mark_disconnected(error)
             backoff = min(self._section.longest_pause, _INITIAL_BACKOFF_SECONDS * 2**failures)
             await self._timers.sleep(self._random.uniform(0.5, 1.0) * backoff)
@@ -259,6 +263,8 @@
             )
 
     async def _read_and_watch(self) -> None:
+        # A gateway that takes over from one that lost the store has not seen how long it was away.
+        self._outage_elsewhere = self._watchers.store_failed_peer
         if not self._has_snapshot:
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
@@ -304,14 +310,20 @@
 
     def _mark_store_reached(self) -> None:
         self._store_failed_at = None
+        if self._outage_elsewhere:
+            self._outage_elsewhere = False
+            self._delay_removals()
         self._mark_connected()
 
+    def _delay_removals(self) -> None:
+        self._removal_delay_until = self._timers.now() + self._section.returned_within
+
     def _mark_connected(self) -> None:
         if self._disconnected_at is None:
             return
         now = self._timers.now()
         outage = now - self._disconnected_at
         if outage > _OUTAGE_SECONDS:
-            self._removal_delay_until = now + self._section.returned_within
+            self._delay_removals()
         logger.bind(event="store_regained", away=round(outage, 2)).info("store reachable again")
         self._disconnected_at = None
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -22,6 +22,7 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.gossip_peers import GossipPeer
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.policy.relays import choose_relays
 from baobabpulley.policy.rendezvous import ranked
@@ -142,14 +143,7 @@
 
         The ``current`` one is kept as long as it is one of the watchers.
         """
-        now = self._timers.now()
-        peers = {
-            node: peer
-            for node, peer in self._gossip.peers.items()
-            if peer.failure_domain == self._failure_domain
-            and now - peer.received_at <= _HEARD_SECONDS
-            and now >= self._excluded_until.get(peer.control, 0.0)
-        }
+        peers = self._peers()
         unreachable = {node for node, peer in peers.items() if not peer.store_reachable}
         if not store_reachable:
             unreachable.add(self._node)
@@ -161,6 +155,22 @@
         addresses = [peers[node].control for node in ranked(self._node, watchers)]
         return current if current in addresses else addresses[0]
 
+    @property
+    def store_failed_peer(self) -> bool:
+        """Whether the store recently failed another gateway of this failure domain."""
+        return not all(peer.store_reachable for peer in self._peers().values())
+
+    def _peers(self) -> dict[str, GossipPeer]:
+        """Return the gateways of this failure domain that may be followed, by node."""
+        now = self._timers.now()
+        return {
+            node: peer
+            for node, peer in self._gossip.peers.items()
+            if peer.failure_domain == self._failure_domain
+            and now - peer.received_at <= _HEARD_SECONDS
+            and now >= self._excluded_until.get(peer.control, 0.0)
+        }
+
     def exclude(self, address: str) -> None:
         """Don't follow a gateway for some seconds, as it failed to relay."""
         now = self._timers.now()
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -22,8 +22,8 @@
     """An HTTP server over keys with revisions in memory.
 
     ``mode`` is the fault injected into all requests: empty for none, ``silent`` (no response),
-    ``busy`` (503) or ``reset`` (connection closed). With ``silent_watches``, watches get no
-    response.
+    ``busy`` (503), ``reset`` (connection closed) or ``cut`` (only pending watches closed). With
+    ``silent_watches``, watches get no response.
     ``responses_to_lose`` is how many more transactions take effect without a response. A watch
     from a revision before ``history_start`` gets 410. ``page_size`` is the number of keys in a
     page of a range.
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -160,6 +160,18 @@
     await wait_for_version([*refused, *served], 2)
 
 
+async def test_a_watch_that_is_cut_once_changes_no_watcher(world: World) -> None:
+    gateways = await start_gateways(world)
+    before = watchers(gateways)
+    world.store.mode = "cut"
+    change_configuration(world, 2)
+    await asyncio.sleep(0.02)
+    world.store.mode = ""
+    await wait_for_version(gateways, 2)
+    await asyncio.sleep(0.5)
+    assert watchers(gateways) == before
+
+
 async def test_an_outage_of_the_store_is_met_by_few_gateways(world: World) -> None:
     gateways = await start_gateways(world)
     world.store.mode = "reset"
