Pass the delay of removals on, and split the store watchers from the relay

Two paths were left by which a gateway removed upstreams at once: it followed a gateway that had itself become a follower and no longer knew the delay, or the only peers that had lost the store were excluded as relays. Two tests without timing. Also: store_watchers and compression are modules of their own.

--- a/src/baobabpulley/gateway/control.py
+++ b/src/baobabpulley/gateway/control.py
@@ -13,11 +13,11 @@
 from tornado.web import RequestHandler
 
 from baobabpulley.adapters.addresses import split_address
+from baobabpulley.gateway.compression import COMPRESSED_TYPE
+from baobabpulley.gateway.compression import compress
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.store_link import StoreLink
-from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
 from baobabpulley.gateway.store_relay import ChangePublisher
-from baobabpulley.gateway.store_relay import compress
 
 
 class ReadinessHandler(RequestHandler):
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -38,7 +38,7 @@
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.store_relay import CHANGES_PATH
 from baobabpulley.gateway.store_relay import ChangePublisher
-from baobabpulley.gateway.store_relay import StoreWatchers
+from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.logs import dropped_line_count
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -21,14 +21,14 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreUnavailable
+from baobabpulley.gateway.compression import COMPRESSED_TYPE
+from baobabpulley.gateway.compression import decompress
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
-from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
 from baobabpulley.gateway.store_relay import FleetUpdate
-from baobabpulley.gateway.store_relay import StoreWatchers
-from baobabpulley.gateway.store_relay import decompress
 from baobabpulley.gateway.store_relay import fetch_update
+from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.timers import TimerService
@@ -253,7 +253,9 @@
         else:
             self._mark_disconnected(StoreUnavailable("the gateway that is followed lost the store"))
         now = self._timers.now()
-        removal_delay = max(update.removal_delay, self.removal_delay())
+        # Kept, as gateways that follow this one get their delay from it.
+        self._removal_delay_until = max(self._removal_delay_until, now + update.removal_delay)
+        removal_delay = self.removal_delay()
         if update.is_full:
             snapshot = FleetSnapshot(revision=update.revision, entries=update.entries)
             self._fleet_state.install(snapshot, now=now, removal_delay=removal_delay)
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -1,44 +1,31 @@
 """Relay the store's changes to the gateways of the failure domain that don't watch it themselves.
 
-A gateway without a watch keeps one request for changes pending at a gateway that has one. Updates
-are compressed: a configuration of 1,600 routes that goes to eight followers at once would otherwise
-keep the link of a gateway busy for half a second.
+A gateway without a watch keeps one request for changes pending at a gateway that has one.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import zlib
 from collections.abc import Callable
 from typing import Final
 from typing import final
 
 import msgspec
 
-from baobabpulley.adapters.http_client import MAX_WHOLE_BODY_BYTES
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import UpstreamLost
+from baobabpulley.gateway.compression import compress
+from baobabpulley.gateway.compression import decompress
 from baobabpulley.gateway.fleet_state import FleetState
-from baobabpulley.gateway.gossip import GossipProtocol
-from baobabpulley.gateway.gossip_peers import GossipPeer
 from baobabpulley.model.documents import StoredEntry
-from baobabpulley.policy.relays import choose_relays
-from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.timers import TimerService
 
 CHANGES_PATH: Final = "/changes"
-# Content type of compressed MessagePack.
-COMPRESSED_TYPE: Final = "application/zlib"
-WATCHERS_PER_DOMAIN: Final = 2
 # A request for changes is answered after this time even if there are none.
 MAX_WAIT_SECONDS: Final = 2.0
 _RESPONSE_TIMEOUT_SECONDS: Final = 0.7
-# A gateway that sent no gossip for this long is not followed; keepalives come every 0.5 s.
-_HEARD_SECONDS: Final = 1.2
-# A gateway that failed to relay is not followed for this long.
-_EXCLUSION_SECONDS: Final = 3.0
 
 
 class FleetUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -57,26 +44,6 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(FleetUpdate)
-_FASTEST_COMPRESSION: Final = 1
-
-
-def compress(data: bytes) -> bytes:
-    """Compress what a gateway sends to others."""
-    return zlib.compress(data, level=_FASTEST_COMPRESSION)
-
-
-def decompress(data: bytes) -> bytes:
-    """Return what a gateway sent; raise `UpstreamLost` if it is damaged or too long."""
-    try:
-        inflater = zlib.decompressobj()
-        content = inflater.decompress(data, MAX_WHOLE_BODY_BYTES)
-    except zlib.error as error:
-        raise UpstreamLost(f"a gateway's state cannot be decompressed: {error}") from error
-    if not inflater.eof:
-        raise UpstreamLost(
-            f"a gateway's state ends early or has more than {MAX_WHOLE_BODY_BYTES} bytes"
-        )
-    return content
 
 
 @final
@@ -122,64 +89,6 @@
         self._changed = asyncio.Event()
 
 
-@final
-class StoreWatchers:
-    """Choose the gateways of this failure domain that watch the store."""
-
-    __slots__ = ("_excluded_until", "_failure_domain", "_gossip", "_node", "_timers")
-
-    def __init__(
-        self, *, node: str, failure_domain: str, gossip: GossipProtocol, timers: TimerService
-    ) -> None:
-        self._node = node
-        self._failure_domain = failure_domain
-        self._gossip = gossip
-        self._timers = timers
-        # By control address, in monotonic seconds.
-        self._excluded_until: dict[str, float] = {}
-
-    def relay(self, *, store_reachable: bool, current: str | None = None) -> str | None:
-        """Return the control address of the gateway to follow, or ``None`` to watch the store.
-
-        The ``current`` one is kept as long as it is one of the watchers.
-        """
-        peers = self._peers()
-        unreachable = {node for node, peer in peers.items() if not peer.store_reachable}
-        if not store_reachable:
-            unreachable.add(self._node)
-        watchers = choose_relays(
-            {self._node, *peers}, count=WATCHERS_PER_DOMAIN, unreachable=unreachable
-        )
-        if self._node in watchers:
-            return None
-        addresses = [peers[node].control for node in ranked(self._node, watchers)]
-        return current if current in addresses else addresses[0]
-
-    @property
-    def store_failed_peer(self) -> bool:
-        """Whether the store recently failed another gateway of this failure domain."""
-        return not all(peer.store_reachable for peer in self._peers().values())
-
-    def _peers(self) -> dict[str, GossipPeer]:
-        """Return the gateways of this failure domain that may be followed, by node."""
-        now = self._timers.now()
-        return {
-            node: peer
-            for node, peer in self._gossip.peers.items()
-            if peer.failure_domain == self._failure_domain
-            and now - peer.received_at <= _HEARD_SECONDS
-            and now >= self._excluded_until.get(peer.control, 0.0)
-        }
-
-    def exclude(self, address: str) -> None:
-        """Don't follow a gateway for some seconds, as it failed to relay."""
-        now = self._timers.now()
-        self._excluded_until = {
-            other: until for other, until in self._excluded_until.items() if until > now
-        }
-        self._excluded_until[address] = now + _EXCLUSION_SECONDS
-
-
 async def fetch_update(
     client: HttpClient, address: str, *, after: int, timers: TimerService
 ) -> FleetUpdate:
--- /dev/null
+++ b/src/baobabpulley/gateway/store_watchers.py
@@ -0,0 +1,80 @@
+"""Which gateways of a failure domain watch the store, and which of them this one follows."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.gossip_peers import GossipPeer
+from baobabpulley.policy.relays import choose_relays
+from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.timers import TimerService
+
+WATCHERS_PER_DOMAIN: Final = 2
+# A gateway that sent no gossip for this long is not followed; keepalives come every 0.5 s.
+_HEARD_SECONDS: Final = 1.2
+# A gateway that failed to relay is not followed for this long.
+_EXCLUSION_SECONDS: Final = 3.0
+
+
+@final
+class StoreWatchers:
+    """Choose the gateways of this failure domain that watch the store."""
+
+    __slots__ = ("_excluded_until", "_failure_domain", "_gossip", "_node", "_timers")
+
+    def __init__(
+        self, *, node: str, failure_domain: str, gossip: GossipProtocol, timers: TimerService
+    ) -> None:
+        self._node = node
+        self._failure_domain = failure_domain
+        self._gossip = gossip
+        self._timers = timers
+        # By control address, in monotonic seconds.
+        self._excluded_until: dict[str, float] = {}
+
+    def relay(self, *, store_reachable: bool, current: str | None = None) -> str | None:
+        """Return the control address of the gateway to follow, or ``None`` to watch the store.
+
+        The ``current`` one is kept as long as it is one of the watchers.
+        """
+        now = self._timers.now()
+        peers = {
+            node: peer
+            for node, peer in self._heard().items()
+            if now >= self._excluded_until.get(peer.control, 0.0)
+        }
+        unreachable = {node for node, peer in peers.items() if not peer.store_reachable}
+        if not store_reachable:
+            unreachable.add(self._node)
+        watchers = choose_relays(
+            {self._node, *peers}, count=WATCHERS_PER_DOMAIN, unreachable=unreachable
+        )
+        if self._node in watchers:
+            return None
+        addresses = [peers[node].control for node in ranked(self._node, watchers)]
+        return current if current in addresses else addresses[0]
+
+    @property
+    def store_failed_peer(self) -> bool:
+        """Whether the store recently failed another gateway of this failure domain."""
+        return not all(peer.store_reachable for peer in self._heard().values())
+
+    def _heard(self) -> dict[str, GossipPeer]:
+        """Return the live gateways of this failure domain by node."""
+        now = self._timers.now()
+        return {
+            node: peer
+            for node, peer in self._gossip.peers.items()
+            if peer.failure_domain == self._failure_domain
+            and now - peer.received_at <= _HEARD_SECONDS
+        }
+
+    def exclude(self, address: str) -> None:
+        """Don't follow a gateway for some seconds, as it failed to relay."""
+        now = self._timers.now()
+        self._excluded_until = {
+            other: until for other, until in self._excluded_until.items() if until > now
+        }
+        self._excluded_until[address] = now + _EXCLUSION_SECONDS
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -19,17 +19,19 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.change_log import MAX_CHANGES
 from baobabpulley.gateway.change_log import ChangeLog
+from baobabpulley.gateway.compression import COMPRESSED_TYPE
+from baobabpulley.gateway.compression import compress
+from baobabpulley.gateway.compression import decompress
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.sections import StoreSection
 from baobabpulley.gateway.store_link import StoreLink
-from baobabpulley.gateway.store_relay import COMPRESSED_TYPE
-from baobabpulley.gateway.store_relay import WATCHERS_PER_DOMAIN
 from baobabpulley.gateway.store_relay import ChangePublisher
-from baobabpulley.gateway.store_relay import StoreWatchers
-from baobabpulley.gateway.store_relay import compress
-from baobabpulley.gateway.store_relay import decompress
+from baobabpulley.gateway.store_relay import FleetUpdate
+from baobabpulley.gateway.store_watchers import WATCHERS_PER_DOMAIN
+from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
@@ -203,6 +205,29 @@
     await wait_until(lambda: not any(one.fleet_state.upstreams for one in gateways))
 
 
+async def test_a_gateway_passes_the_delay_of_removals_on_that_it_was_given(world: World) -> None:
+    gateway = await world.add_gateway()
+    link = link_without_store(gateway)
+    assert link.removal_delay() == 0.0
+    link._apply_update(FleetUpdate(1, (), is_full=False, removal_delay=0.5, connected=True))
+    assert 0.0 < link.removal_delay() <= 0.5
+
+
+async def test_the_store_counts_as_lost_by_a_peer_that_is_not_followed_either(
+    world: World,
+) -> None:
+    gateway = await world.add_gateway()
+    watchers_seen = StoreWatchers(
+        node="front-new", failure_domain="fes", gossip=gateway.gossip, timers=gateway.timers
+    )
+    assert not watchers_seen.store_failed_peer
+    gateway.gossip.receive(
+        GossipMessage("front-9", "a", 1, "fes", "127.0.0.9:1", 0, 0, store_reachable=False)
+    )
+    watchers_seen.exclude("127.0.0.9:1")
+    assert watchers_seen.store_failed_peer
+
+
 async def test_followers_keep_up_after_the_store_compacted_its_history(world: World) -> None:
     gateways = await start_gateways(world)
     world.store.history_start = world.store.revision + 2
