Log why an attempt is not followed by another one

A request that ended after a failed attempt left no line that says whether the count of attempts, the time, the route's kind or the retry budget forbade another one, so the hypotheses could not be told apart. `retry_denied` names the reason and the figures.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -22,9 +22,11 @@
 from baobabpulley.gateway.attempts import UpstreamResponse
 from baobabpulley.gateway.attempts import did_not_run
 from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import RetryDenial
 from baobabpulley.gateway.exchange_state import UpstreamFailure
 from baobabpulley.gateway.exchange_state import error_for_caller
 from baobabpulley.gateway.exchange_state import log_placement
+from baobabpulley.gateway.exchange_state import log_retry_denied
 from baobabpulley.gateway.exchange_state import urgency_of
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
@@ -282,12 +284,22 @@
             # Nothing was sent, so this does not count towards the route's limit on attempts.
             exchange.attempts -= 1
         if not allowed or not self._may_retry(exchange):
+            log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
             raise error_for_caller(exchange, error)
         if unsent or isinstance(error, UpstreamFailed):
             return
         if not self._spend_retry(exchange):
+            log_retry_denied(exchange, RetryDenial.BUDGET, now=self._timers.now())
             raise error_for_caller(exchange, error)
 
+    def _denial(self, exchange: Exchange) -> RetryDenial:
+        """Return why the count, the time or the route allows no other attempt."""
+        if not exchange.route.retryable and exchange.may_have_run:
+            return RetryDenial.NOT_RETRYABLE
+        if exchange.attempts >= exchange.route.max_attempts:
+            return RetryDenial.ATTEMPTS
+        return RetryDenial.TIME
+
     def _reserve_retry(self, exchange: Exchange) -> bool:
         """Whether to retry after an upstream's error response; spends the retry budget if so."""
         return self._can_retry_if_run(exchange) and self._spend_retry(exchange)
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Final
 from typing import final
 
@@ -30,6 +31,15 @@
 _MOST_URGENT: Final = 0
 
 
+class RetryDenial(StrEnum):
+    """Why a failed or silent attempt is not followed by another one."""
+
+    NOT_RETRYABLE = "not_retryable"
+    ATTEMPTS = "attempts"
+    TIME = "time"
+    BUDGET = "budget"
+
+
 @final
 class UpstreamFailure:
     """An upstream's error response, passed on if no later attempt succeeds."""
@@ -156,6 +166,19 @@
     ).info("placed")
 
 
+def log_retry_denied(exchange: Exchange, denial: RetryDenial, *, now: float) -> None:
+    """Log why no further attempt is made, with what it was decided from."""
+    logger.bind(
+        event="retry_denied",
+        request=exchange.parameters.attempt,
+        service=exchange.service.name,
+        reason=str(denial),
+        attempts=exchange.attempts,
+        max_attempts=exchange.route.max_attempts,
+        left=round(exchange.times.end - now, 3),
+    ).info("no further attempt: {}", denial)
+
+
 def urgency_of(exchange: Exchange) -> int:
     """Return the request's priority, limited to the range of urgencies that upstreams accept."""
     return max(_MOST_URGENT, min(_LEAST_URGENT, exchange.times.priority))
