--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -190,6 +190,16 @@
     await asyncio.sleep(3600)
 
 
+def pause_first(seconds: float, behaviour: Behaviour) -> Behaviour:
+    """Return a behaviour that sends nothing for ``seconds`` and then does ``behaviour``."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await asyncio.sleep(seconds)
+        await behaviour(upstream, call)
+
+    return run
+
+
 async def refuse_unexecuted(upstream: UpstreamStandin, call: Call) -> None:
     """Refuse the request with 503 and mark it as not executed."""
     upstream.journal.pop()
