Keep a silent attempt running until its replacement has an answer

Cause: the silence timeout ended the attempt because another one was allowed by count and time; only then were the retry budget asked and a placement sought, and each of them may say no. A failed replacement ended the request too. Class: giving up what may be sound before the right to its replacement is secured.

Fix: silence ends nothing any more. `AttemptRace` holds the attempts of an exchange. After the silence timeout another attempt is started only once the retry budget has one left and a placement has room; the silent one keeps running, and whichever has something new for the caller first wins, the others are cancelled in the same step, so events never mix. An upstream that goes on loses the penalty of its silence. Each attempt still ends by the deadline.

Recording of failed attempts moved from exchange.py to attempt_outcomes.py.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -67,10 +67,17 @@
                 return
             yield chunk
 
-    async def body(self, *, idle_timeout: float) -> bytes:
-        """Return the whole body; raise `UpstreamLost` if it exceeds `MAX_WHOLE_BODY_BYTES`."""
+    async def body(
+        self, *, idle_timeout: float, on_data: Callable[[], None] | None = None
+    ) -> bytes:
+        """Return the whole body; raise `UpstreamLost` if it exceeds `MAX_WHOLE_BODY_BYTES`.
+
+        ``on_data`` is called for each part that arrives.
+        """
         body = bytearray()
         async for chunk in self.chunks(idle_timeout=idle_timeout):
+            if on_data is not None:
+                on_data()
             body += chunk
             if len(body) > MAX_WHOLE_BODY_BYTES:
                 raise UpstreamLost(
--- /dev/null
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -0,0 +1,116 @@
+"""Record failed and silent attempts: health of upstreams, metrics, log lines."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamFailed
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamStalled
+from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.attempt_race import RunningAttempt
+from baobabpulley.gateway.attempts import did_not_run
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.metrics import GatewayMetrics
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.servers import ListedUpstream
+
+# A shorter silence timeout comes from a caller's or route's short deadline: a stall that it detects
+# says nothing about the health of the upstream, and is not counted against it.
+MIN_CONCLUSIVE_SILENCE_SECONDS: Final = 0.8
+
+
+@final
+class AttemptOutcomes:
+    """Record how attempts ended, in their exchange and for the choice of upstreams."""
+
+    __slots__ = ("_metrics", "_placer", "_record")
+
+    def __init__(self, *, record: UpstreamRecord, placer: Placer, metrics: GatewayMetrics) -> None:
+        self._record = record
+        self._placer = placer
+        self._metrics = metrics
+
+    def record_success(self, exchange: Exchange) -> None:
+        """Record that an attempt delivered a complete response."""
+        self._metrics.attempts.labels(service=exchange.service.name, outcome="ok").inc()
+
+    def record_timeout(self, exchange: Exchange, attempt: RunningAttempt) -> None:
+        """Record that the deadline passed during an attempt."""
+        exchange.may_have_run = True
+        self._record.record_inconclusive(attempt.placement.upstream)
+
+    def record_failure(
+        self, exchange: Exchange, attempt: RunningAttempt, error: BaobabError
+    ) -> None:
+        """Record that an attempt failed; its upstream isn't used again for the exchange."""
+        upstream = attempt.placement.upstream
+        failed_upstream = self._upstream_at_fault(upstream, error)
+        exchange.excluded.add(failed_upstream.id)
+        exchange.first_engine_id = None if failed_upstream is upstream else upstream.id
+        if failed_upstream is not upstream or isinstance(error, UpstreamUnreachable):
+            # Nothing was sent, or the same engine is retried without this helper, so the attempt
+            # does not count towards the route's limit.
+            exchange.attempts -= 1
+        if not did_not_run(error):
+            exchange.may_have_run = True
+        self._record_health(exchange, upstream, error, failed_upstream)
+        self._report(exchange, upstream, error)
+
+    def record_silence(
+        self, exchange: Exchange, attempt: RunningAttempt, *, seconds: float
+    ) -> None:
+        """Record that an attempt which keeps running has been silent for so long."""
+        upstream = attempt.placement.upstream
+        attempt.reported_silent = True
+        exchange.excluded.add(upstream.id)
+        exchange.may_have_run = True
+        error = UpstreamStalled(f"{upstream.id} sent nothing for {seconds:.2f} s")
+        self._record_health(exchange, upstream, error, upstream)
+        self._report(exchange, upstream, error)
+
+    def _report(self, exchange: Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
+        self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
+        logger.bind(
+            event="attempt_failed",
+            request=exchange.parameters.attempt,
+            upstream=upstream.id,
+            code=error.code,
+            attempt=exchange.attempts,
+        ).info("{}", error.message)
+
+    def _upstream_at_fault(self, upstream: ListedUpstream, error: BaobabError) -> ListedUpstream:
+        """Return the upstream that caused a failure: the helper that a refusal names, if any."""
+        if not isinstance(error, UpstreamRefused) or error.at_fault is None:
+            return upstream
+        return self._record.find_by_address(error.at_fault) or upstream
+
+    def _record_health(
+        self,
+        exchange: Exchange,
+        upstream: ListedUpstream,
+        error: BaobabError,
+        failed_upstream: ListedUpstream,
+    ) -> None:
+        """Record the result of a failed attempt for health checks and circuit breaking."""
+        if isinstance(error, UpstreamOutOfMemory):
+            self._record.record_inconclusive(upstream)
+        elif isinstance(error, UpstreamRefused):
+            self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
+            if failed_upstream is not upstream:
+                self._record.record_failure(failed_upstream)
+        elif isinstance(error, UpstreamStalled) and (
+            exchange.times.silence_timeout < MIN_CONCLUSIVE_SILENCE_SECONDS
+            or self._placer.is_beyond_slots(upstream)
+        ):
+            self._record.record_inconclusive(upstream)
+        elif isinstance(error, UpstreamFailed):
+            self._record.record_response(upstream, succeeded=False)
+        else:
+            self._record.record_failure(upstream)
--- /dev/null
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -0,0 +1,122 @@
+"""Attempts of one exchange that run at the same time.
+
+An attempt whose upstream is silent keeps running beside the one that may replace it, because a
+sound upstream may pause and go on. The first attempt that has something new for the caller wins.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+from typing import final
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.placer import Placement
+from baobabpulley.timers import TimerService
+
+
+@final
+class RunningAttempt:
+    """One attempt; ``reported_silent`` is whether its silence has been recorded."""
+
+    __slots__ = ("_task", "placement", "progress", "reported_silent")
+
+    def __init__(self, *, placement: Placement, progress: AttemptProgress) -> None:
+        self._task: asyncio.Task[None] | None = None
+        self.placement = placement
+        self.progress = progress
+        self.reported_silent = False
+
+    @property
+    def task(self) -> asyncio.Task[None]:
+        """The task that runs the attempt; set by `AttemptRace.start`."""
+        assert self._task is not None
+        return self._task
+
+    @property
+    def error(self) -> BaobabError | None:
+        """Return the error of an attempt that has ended; raise one that isn't a `BaobabError`."""
+        error = self.task.exception()
+        if error is not None and not isinstance(error, BaobabError):
+            raise error
+        return error
+
+    def run(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Start the task."""
+        self._task = asyncio.get_running_loop().create_task(coroutine)
+
+
+@final
+class AttemptRace:
+    """The attempts of one exchange, of which at most one delivers to the caller at a time."""
+
+    __slots__ = ("_attempts", "_beaten", "_check_at", "_timers")
+
+    def __init__(self, *, timers: TimerService) -> None:
+        self._timers = timers
+        self._attempts: list[RunningAttempt] = []
+        self._beaten: list[RunningAttempt] = []
+        self._check_at = 0.0
+
+    @property
+    def attempts(self) -> tuple[RunningAttempt, ...]:
+        """The attempts whose end `wait` has not returned yet, without beaten ones."""
+        return tuple(self._attempts)
+
+    def start(self, attempt: RunningAttempt, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run an attempt beside the others."""
+        attempt.run(coroutine)
+        self._attempts.append(attempt)
+
+    def has_others(self, attempt: RunningAttempt) -> bool:
+        """Whether another attempt than the given one is running."""
+        return any(other is not attempt for other in self._attempts)
+
+    def claim(self, winner: RunningAttempt) -> None:
+        """Cancel the other attempts, as this one has something new for the caller."""
+        if not self.has_others(winner):
+            return
+        for attempt in self._attempts:
+            if attempt is not winner:
+                attempt.task.cancel()
+                self._beaten.append(attempt)
+        self._attempts = [winner]
+
+    def postpone(self, seconds: float) -> None:
+        """Let `wait` report no silence for so long."""
+        self._check_at = self._timers.now() + seconds
+
+    async def wait(self, *, silence_timeout: float | None) -> RunningAttempt | None:
+        """Return an attempt that ended, or ``None`` once all are silent for ``silence_timeout``.
+
+        Silence isn't watched if the timeout is ``None``.
+        """
+        while True:
+            ended = next((attempt for attempt in self._attempts if attempt.task.done()), None)
+            if ended is not None:
+                self._attempts.remove(ended)
+                return ended
+            timeout = None
+            if silence_timeout is not None:
+                timeout = self._silent_at(silence_timeout) - self._timers.now()
+                if timeout <= 0:
+                    return None
+            await asyncio.wait(
+                [attempt.task for attempt in self._attempts],
+                timeout=None if timeout is None else self._timers.to_real_seconds(timeout),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    async def close(self) -> None:
+        """Cancel all attempts and wait for their end."""
+        tasks = [attempt.task for attempt in (*self._attempts, *self._beaten)]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _silent_at(self, silence_timeout: float) -> float:
+        """Return when all attempts will have been silent for so long, if none makes progress."""
+        latest = max(attempt.progress.at for attempt in self._attempts)
+        return max(latest + silence_timeout, self._check_at)
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -15,7 +15,6 @@
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
-from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
@@ -33,20 +32,44 @@
 # A call that must not be retried reuses only connections that were idle for less than this.
 NON_RETRYABLE_MAX_IDLE_SECONDS: Final = 2.0
 MAX_IDLE_SECONDS: Final = 9.0
+DEADLINE_MARGIN_SECONDS: Final = 1.0
+# A refusal is passed on without its body, so little time is spent on reading it.
+REFUSAL_BODY_TIMEOUT_SECONDS: Final = 0.2
 EVENT_STREAM: Final = "text/event-stream"
 
 
+@final
+class AttemptProgress:
+    """When an attempt last received a part of its answer, or started, in monotonic seconds."""
+
+    __slots__ = ("_timers", "at")
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self.at = timers.now()
+
+    def record(self) -> None:
+        """Record that a part of the answer has arrived now."""
+        self.at = self._timers.now()
+
+
 @final
 class UpstreamResponse:
-    """An upstream's response with a checked head."""
+    """An upstream's response with a checked head; ``timeout`` is in real seconds."""
 
-    __slots__ = ("_response", "_silence_timeout", "head")
+    __slots__ = ("_progress", "_response", "_timeout", "head")
 
     def __init__(
-        self, response: HttpResponse, head: ResponseHead, *, silence_timeout: float
+        self,
+        response: HttpResponse,
+        head: ResponseHead,
+        *,
+        progress: AttemptProgress,
+        timeout: float,
     ) -> None:
         self._response = response
-        self._silence_timeout = silence_timeout
+        self._progress = progress
+        self._timeout = timeout
         self.head = head
 
     @property
@@ -66,26 +89,19 @@
 
     async def body(self) -> bytes:
         """Return the complete body."""
-        return await self._response.body(idle_timeout=self._silence_timeout)
+        return await self._response.body(idle_timeout=self._timeout, on_data=self._progress.record)
 
     async def events(self) -> AsyncIterator[bytes]:
-        """Yield complete events.
+        """Yield complete events; raise `UpstreamLost` if the stream ends within one.
 
-        Raise `UpstreamLost` if the stream ends within one, and `UpstreamStalled` if bytes arrive
-        but complete no event with content within the silence timeout.
+        Only complete events with content count as progress.
         """
         splitter = EventSplitter()
-        now = asyncio.get_running_loop().time
-        progress_at = now()
-        async for chunk in self._response.chunks(idle_timeout=self._silence_timeout):
+        async for chunk in self._response.chunks(idle_timeout=self._timeout):
             for event in splitter.feed(chunk):
-                yield event
                 if has_content(event):
-                    progress_at = now()
-            if now() - progress_at > self._silence_timeout:
-                raise UpstreamStalled(
-                    f"only incomplete or empty events came for {self._silence_timeout:.2f} s"
-                )
+                    self._progress.record()
+                yield event
         if splitter.pending:
             raise UpstreamLost("the stream ended within an event")
 
@@ -109,33 +125,37 @@
         upstream: ListedUpstream,
         *,
         retryable: bool,
-        silence_timeout: float,
+        progress: AttemptProgress,
     ) -> AsyncIterator[UpstreamResponse]:
         """Yield the response of one upstream; leaving the block early drops the connection.
 
-        The upstream counts as lost after ``silence_timeout`` seconds without a byte. Raise
+        What arrives is recorded in ``progress``; silence ends nothing here. Raise
         `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run
         there, `UpstreamLost` if it may have, and `DeadlineExceeded` if the upstream did not finish
         within ``parameters.remaining`` seconds.
         """
+        timeout = self._timers.to_real_seconds(parameters.remaining)
+        # The deadline ends a silent attempt first, so that it isn't taken for a lost connection.
+        silence_timeout = timeout + DEADLINE_MARGIN_SECONDS
         try:
             async with (
-                asyncio.timeout(self._timers.to_real_seconds(parameters.remaining)),
+                asyncio.timeout(timeout),
                 self._client.call(
                     address=upstream.address,
                     method=incoming.method,
                     path=incoming.target,
                     body=incoming.body,
                     headers=self._wire.request_headers(incoming.headers, parameters),
-                    head_timeout=self._timers.to_real_seconds(silence_timeout),
+                    head_timeout=silence_timeout,
                     ack_timeout=self._timers.to_real_seconds(UNACKNOWLEDGED_TIMEOUT_SECONDS),
                     connect_timeout=self._timers.to_real_seconds(CONNECT_TIMEOUT_SECONDS),
                     max_idle=MAX_IDLE_SECONDS if retryable else NON_RETRYABLE_MAX_IDLE_SECONDS,
                 ) as response,
             ):
+                progress.record()
                 head = self._wire.parse_response_head(response.status, response.headers)
                 if head.not_run:
-                    await self._skip_body(response, silence_timeout)
+                    await self._skip_body(response)
                     raise UpstreamRefused(
                         f"{upstream.id} answered {head.status}, not run", at_fault=head.at_fault
                     )
@@ -143,18 +163,17 @@
                     raise UpstreamLost(
                         f"{upstream.id} sent a response without a seal or to another attempt"
                     )
-                yield UpstreamResponse(
-                    response, head, silence_timeout=self._timers.to_real_seconds(silence_timeout)
-                )
+                yield UpstreamResponse(response, head, progress=progress, timeout=silence_timeout)
         except TimeoutError:
             raise DeadlineExceeded(
                 f"{upstream.id} did not finish within {max(0.0, parameters.remaining):.2f} s"
             ) from None
 
-    async def _skip_body(self, response: HttpResponse, silence_timeout: float) -> None:
+    async def _skip_body(self, response: HttpResponse) -> None:
         """Read the body of a refusal to its end, so that its connection can be reused."""
+        timeout = self._timers.to_real_seconds(REFUSAL_BODY_TIMEOUT_SECONDS)
         try:
-            await response.body(idle_timeout=self._timers.to_real_seconds(silence_timeout))
+            await response.body(idle_timeout=timeout)
         except UpstreamLost as error:
             logger.debug("the body of a refusal ended early: {}", error.message)
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -16,11 +16,15 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
-from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
+from baobabpulley.gateway.attempt_race import AttemptRace
+from baobabpulley.gateway.attempt_race import RunningAttempt
+from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import UpstreamResponse
 from baobabpulley.gateway.attempts import did_not_run
+from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.gateway.exchange_state import Exchange
 from baobabpulley.gateway.exchange_state import RetryDenial
 from baobabpulley.gateway.exchange_state import UpstreamFailure
@@ -40,7 +44,6 @@
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.exchanges import RequestParameters
-from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.deadlines import retry_after_seconds
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
 from baobabpulley.ports.exchange_wire import ExchangeWire
@@ -50,9 +53,8 @@
 RESPONSE_MARGIN_SECONDS: Final = 0.03
 # No attempt is started with less time than this.
 MIN_ATTEMPT_SECONDS: Final = 0.05
-# A shorter silence timeout comes from a caller's or route's short deadline: a stall that it detects
-# says nothing about the health of the upstream, and is not counted against it.
-MIN_CONCLUSIVE_SILENCE_SECONDS: Final = 0.8
+# While a silent attempt can't be replaced, budget and upstreams are checked this often.
+REPLACEMENT_PERIOD_SECONDS: Final = 0.25
 
 
 @final
@@ -65,6 +67,7 @@
         "_gossip",
         "_metrics",
         "_opener",
+        "_outcomes",
         "_placer",
         "_random",
         "_record",
@@ -98,6 +101,7 @@
         self._metrics = metrics
         self._gossip = gossip
         self._tickets = tickets
+        self._outcomes = AttemptOutcomes(record=record, placer=placer, metrics=metrics)
         self._timers = timers
         self._random = random.Random()
 
@@ -133,35 +137,102 @@
     async def _run(self, exchange: Exchange) -> None:
         """Make attempts until one of them has delivered a complete response to the caller.
 
-        The silence timeout ends an attempt only while a retry is possible; otherwise the attempt
-        may run until the deadline.
+        A silent attempt is not ended: another one is started beside it if the route's attempts, the
+        retry budget and the upstreams have room for one, and the first that goes on is delivered.
         """
-        while True:
+        race = AttemptRace(timers=self._timers)
+        try:
+            while not await self._advance(exchange, race):
+                pass
+        finally:
+            await race.close()
+
+    async def _advance(self, exchange: Exchange, race: AttemptRace) -> bool:
+        """Start, replace or end an attempt; return whether the response is complete."""
+        if not race.attempts:
             self._check_time(exchange)
-            try:
-                placement = await self._placer.place(exchange.placement_request())
-            except BaobabError as error:
-                raise error_for_caller(exchange, error) from error
-            try:
-                await self._attempt(exchange, placement)
-                self._metrics.attempts.labels(service=exchange.service.name, outcome="ok").inc()
-                return
-            except (UpstreamUnreachable, UpstreamRefused, UpstreamLost) as error:
-                self._record_failure(exchange, placement, error)
-                self._check_retry(exchange, error)
-            except DeadlineExceeded as error:
-                exchange.may_have_run = True
-                self._record.record_inconclusive(placement.upstream)
-                raise error
-            finally:
-                self._placer.end(placement)
-
-    async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
+            self._start(exchange, race, await self._place(exchange))
+        can_replace = self._can_retry_if_run(exchange)
+        ended = await race.wait(
+            silence_timeout=exchange.times.silence_timeout if can_replace else None
+        )
+        if ended is None:
+            self._replace_silent(exchange, race)
+            return False
+        error = ended.error
+        if error is None:
+            self._outcomes.record_success(exchange)
+            return True
+        self._end_failed(exchange, race, ended, error)
+        return False
+
+    async def _place(self, exchange: Exchange) -> Placement:
+        try:
+            return await self._placer.place(exchange.placement_request())
+        except BaobabError as error:
+            raise error_for_caller(exchange, error) from error
+
+    def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
         upstream = placement.upstream
         log_placement(exchange, placement, now=self._timers.now())
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.chunks = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
+        attempt = RunningAttempt(placement=placement, progress=AttemptProgress(self._timers))
+        race.start(attempt, self._attempt(exchange, race, attempt))
+        attempt.task.add_done_callback(lambda _: self._placer.end(placement))
+
+    def _end_failed(
+        self, exchange: Exchange, race: AttemptRace, attempt: RunningAttempt, error: BaobabError
+    ) -> None:
+        """Record a failed attempt; raise if no other one is running or allowed."""
+        if isinstance(error, UpstreamUnreachable | UpstreamRefused | UpstreamLost):
+            self._outcomes.record_failure(exchange, attempt, error)
+            if not race.attempts:
+                self._check_retry(exchange, error)
+            return
+        if isinstance(error, DeadlineExceeded):
+            self._outcomes.record_timeout(exchange, attempt)
+        raise error
+
+    def _replace_silent(self, exchange: Exchange, race: AttemptRace) -> None:
+        """Start another attempt beside silent ones, once there is budget and room for it."""
+        for attempt in race.attempts:
+            if not attempt.reported_silent:
+                seconds = self._timers.now() - attempt.progress.at
+                self._outcomes.record_silence(exchange, attempt, seconds=seconds)
+        placement = self._reserve_replacement(exchange)
+        if placement is None:
+            race.postpone(REPLACEMENT_PERIOD_SECONDS)
+        else:
+            self._start(exchange, race, placement)
+
+    def _reserve_replacement(self, exchange: Exchange) -> Placement | None:
+        """Return a placement for which the retry budget has been charged, or ``None``."""
+        service, now = exchange.service.name, self._timers.now()
+        nodes = self._gossip.gateway_count
+        if not self._retry_budget.has_left(service, nodes=nodes, now=now):
+            self._deny_replacement(exchange, RetryDenial.BUDGET)
+            return None
+        placement = self._placer.place_now(exchange.placement_request())
+        if placement is None:
+            self._deny_replacement(exchange, RetryDenial.NO_ROOM)
+            return None
+        self._spend_retry(exchange)
+        exchange.denial = None
+        return placement
+
+    def _deny_replacement(self, exchange: Exchange, denial: RetryDenial) -> None:
+        """Log why a silent attempt isn't replaced, unless the reason is still the same."""
+        if exchange.denial is not denial:
+            exchange.denial = denial
+            log_retry_denied(exchange, denial, now=self._timers.now())
+
+    async def _attempt(
+        self, exchange: Exchange, race: AttemptRace, attempt: RunningAttempt
+    ) -> None:
+        placement = attempt.placement
+        upstream = placement.upstream
         remaining = exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
         async with self._tickets.reserved(placement) as helpers:
             parameters = AttemptParameters(
@@ -178,115 +249,80 @@
                 parameters,
                 upstream,
                 retryable=exchange.route.retryable,
-                silence_timeout=(
-                    exchange.times.silence_timeout
-                    if self._can_retry_if_run(exchange)
-                    else remaining
-                ),
+                progress=attempt.progress,
             ) as response:
-                await self._deliver(exchange, placement, response)
+                await self._deliver(exchange, race, attempt, response)
 
     async def _deliver(
-        self, exchange: Exchange, placement: Placement, response: UpstreamResponse
+        self,
+        exchange: Exchange,
+        race: AttemptRace,
+        attempt: RunningAttempt,
+        response: UpstreamResponse,
     ) -> None:
         if response.is_stream and response.status == 200:
-            await self._deliver_events(exchange, placement, response)
+            await self._deliver_events(exchange, race, attempt, response)
             return
         body = await response.body()
+        upstream = attempt.placement.upstream
         server_error = response.status >= 500
         if not server_error:
-            self._record.record_response(placement.upstream, succeeded=True)
-        if server_error and self._reserve_retry(exchange):
+            self._record.record_response(upstream, succeeded=True)
+        if server_error and (race.has_others(attempt) or self._reserve_retry(exchange)):
             exchange.may_have_run = True
             exchange.upstream_failure = UpstreamFailure(response.status, response.headers, body)
-            raise UpstreamFailed(f"{placement.upstream.id} answered {response.status}")
+            raise UpstreamFailed(f"{upstream.id} answered {response.status}")
         if exchange.reply.started:
             raise UpstreamLost(
                 f"cannot resume a stream from a response with status {response.status}"
             )
+        race.claim(attempt)
         exchange.reply.send(response.status, self._wire.response_headers(response.headers), body)
 
     async def _deliver_events(
-        self, exchange: Exchange, placement: Placement, response: UpstreamResponse
+        self,
+        exchange: Exchange,
+        race: AttemptRace,
+        attempt: RunningAttempt,
+        response: UpstreamResponse,
     ) -> None:
         reply = exchange.reply
         first = True
         async for event in response.events():
             if first:
-                self._placer.end_prefill(placement)
-                self._record.record_response(placement.upstream, succeeded=True)
+                self._placer.end_prefill(attempt.placement)
                 first = False
+                self._record.record_response(attempt.placement.upstream, succeeded=True)
             if not exchange.progress.accept(event):
                 continue
+            if has_content(event):
+                self._claim(race, attempt)
             if not reply.started:
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
             exchange.record_event(self._timers.now())
+        race.claim(attempt)
         if not reply.started:
             reply.start(response.status, self._wire.response_headers(response.headers))
         reply.finish()
 
-    def _record_failure(self, exchange: Exchange, placement: Placement, error: BaobabError) -> None:
-        upstream = placement.upstream
-        failed_upstream = self._upstream_at_fault(upstream, error)
-        exchange.excluded.add(failed_upstream.id)
-        exchange.first_engine_id = None if failed_upstream is upstream else upstream.id
-        if failed_upstream is not upstream:
-            # The same engine is retried without this helper, so the attempt does not count.
-            exchange.attempts -= 1
-        if not did_not_run(error):
-            exchange.may_have_run = True
-        self._record_health(exchange, upstream, error, failed_upstream)
-        self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
-        logger.bind(
-            event="attempt_failed",
-            request=exchange.parameters.attempt,
-            upstream=upstream.id,
-            code=error.code,
-            attempt=exchange.attempts,
-        ).info("{}", error.message)
-
-    def _upstream_at_fault(self, upstream: ListedUpstream, error: BaobabError) -> ListedUpstream:
-        """Return the upstream that caused a failure: the helper that a refusal names, if any."""
-        if not isinstance(error, UpstreamRefused) or error.at_fault is None:
-            return upstream
-        return self._record.find_by_address(error.at_fault) or upstream
-
-    def _record_health(
-        self,
-        exchange: Exchange,
-        upstream: ListedUpstream,
-        error: BaobabError,
-        failed_upstream: ListedUpstream,
-    ) -> None:
-        """Record the result of a failed attempt for health checks and circuit breaking."""
-        if isinstance(error, UpstreamOutOfMemory):
-            self._record.record_inconclusive(upstream)
-        elif isinstance(error, UpstreamRefused):
-            self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
-            if failed_upstream is not upstream:
-                self._record.record_failure(failed_upstream)
-        elif isinstance(error, UpstreamStalled) and (
-            exchange.times.silence_timeout < MIN_CONCLUSIVE_SILENCE_SECONDS
-            or self._placer.is_beyond_slots(upstream)
-        ):
-            self._record.record_inconclusive(upstream)
-        elif isinstance(error, UpstreamFailed):
-            self._record.record_response(upstream, succeeded=False)
-        else:
-            self._record.record_failure(upstream)
+    def _claim(self, race: AttemptRace, attempt: RunningAttempt) -> None:
+        """Let an attempt that goes on win; its upstream is sound if it was only silent."""
+        race.claim(attempt)
+        if attempt.reported_silent:
+            attempt.reported_silent = False
+            self._record.record_response(attempt.placement.upstream, succeeded=True)
 
     def _check_retry(self, exchange: Exchange, error: BaobabError) -> None:
         """Raise unless another attempt is allowed; spends the retry budget where it applies."""
         allowed = did_not_run(error) or exchange.route.retryable
-        unsent = isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory)
-        if allowed and isinstance(error, UpstreamUnreachable):
-            # Nothing was sent, so this does not count towards the route's limit on attempts.
-            exchange.attempts -= 1
         if not allowed or not self._may_retry(exchange):
             log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
             raise error_for_caller(exchange, error)
-        if unsent or isinstance(error, UpstreamFailed):
+        if isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory):
+            return
+        if exchange.retry_reserved:
+            exchange.retry_reserved = False
             return
         if not self._spend_retry(exchange):
             log_retry_denied(exchange, RetryDenial.BUDGET, now=self._timers.now())
@@ -302,7 +338,8 @@
 
     def _reserve_retry(self, exchange: Exchange) -> bool:
         """Whether to retry after an upstream's error response; spends the retry budget if so."""
-        return self._can_retry_if_run(exchange) and self._spend_retry(exchange)
+        exchange.retry_reserved = self._can_retry_if_run(exchange) and self._spend_retry(exchange)
+        return exchange.retry_reserved
 
     def _can_retry_if_run(self, exchange: Exchange) -> bool:
         """Whether another attempt is allowed even if the current one has run."""
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -38,6 +38,7 @@
     ATTEMPTS = "attempts"
     TIME = "time"
     BUDGET = "budget"
+    NO_ROOM = "no_room"
 
 
 @final
@@ -57,13 +58,16 @@
     """State of one request while it is served.
 
     ``chunks`` is the number of engines that prefill a chunk of the prompt in the latest attempt.
-    ``excluded`` are the ids of upstreams that failed. Event times are in monotonic seconds.
+    ``excluded`` are the ids of upstreams that failed. ``retry_reserved`` is whether the budget was
+    charged for the retry of an attempt that is about to fail. ``denial`` is why the latest silent
+    attempt has no replacement yet. Event times are in monotonic seconds.
     """
 
     __slots__ = (
         "account",
         "attempts",
         "chunks",
+        "denial",
         "excluded",
         "first_engine_id",
         "first_event_at",
@@ -74,6 +78,7 @@
         "parameters",
         "progress",
         "reply",
+        "retry_reserved",
         "route",
         "service",
         "times",
@@ -102,6 +107,8 @@
         self.progress = StreamProgress(parameters.last_event)
         self.attempts = 0
         self.may_have_run = False
+        self.retry_reserved = False
+        self.denial: RetryDenial | None = None
         # Set if this engine named a helper at fault: it is retried without that helper.
         self.first_engine_id: str | None = None
         self.excluded: set[str] = set()
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -132,6 +132,16 @@
                 return placement
         return await self._wait(_Waiter(request), queue)
 
+    def place_now(self, request: PlacementRequest) -> Placement | None:
+        """Return where an attempt goes if there is room at once, or else ``None``."""
+        service = request.service.name
+        if not self._candidates.has_any(service, excluded=request.excluded):
+            return None
+        try:
+            return self._try(request)
+        except (NoUpstream, Overloaded):
+            return None
+
     def end_prefill(self, placement: Placement) -> None:
         """Record that the prompt of an attempt has been prefilled."""
         now = self._timers.now()
--- a/src/baobabpulley/policy/node_retry_budget.py
+++ b/src/baobabpulley/policy/node_retry_budget.py
@@ -41,12 +41,16 @@
         """Count a request of a caller."""
         self._requests[service].append(now)
 
-    def spend(self, service: str, *, nodes: int, now: float) -> bool:
-        """Count a retry if an even share among ``nodes`` allows it; return whether it does."""
+    def has_left(self, service: str, *, nodes: int, now: float) -> bool:
+        """Whether an even share among ``nodes`` allows a retry."""
         requests = self._count_recent(self._requests[service], now)
         retries = self._count_recent(self._retries[service], now)
         allowed = SPENDABLE_RATIO * (self._slack / max(1, nodes) + self._ratio * requests)
-        if retries + 1 > allowed:
+        return retries + 1 <= allowed
+
+    def spend(self, service: str, *, nodes: int, now: float) -> bool:
+        """Count a retry if an even share among ``nodes`` allows it; return whether it does."""
+        if not self.has_left(service, nodes=nodes, now=now):
             return False
         self._retries[service].append(now)
         return True
--- a/testing/test_silent_upstreams.py
+++ b/testing/test_silent_upstreams.py
@@ -110,7 +110,7 @@
 async def test_an_answer_that_resumes_before_its_replacement_answers_is_delivered(
     world: World,
 ) -> None:
-    slow = upstreams.stream(events=4, pause_after=0, pause=30.0)
+    slow = upstreams.pause_first(30.0, upstreams.stream(events=4))
     behaviour = upstreams.first_then(PAUSING_STREAM, then=slow)
     await add_engines(world, behaviour, behaviour)
     gateway = await world.add_gateway()
@@ -120,8 +120,8 @@
     assert time.monotonic() - began < PAUSE_SECONDS + 0.3
     assert len(calls(world)) == 2
     await wait_until(lambda: sum(engine.early_closes for engine in world.upstreams.values()) == 1)
-    # The upstream that paused is used again at once.
-    assert not gateway.record.paused_upstreams()
+    listed = list(gateway.fleet_state.upstreams.values())
+    assert gateway.record.usable(listed) == listed
 
 
 async def test_a_stream_is_resumed_on_another_engine_while_the_first_stays_silent(
