Free the probe of an upstream when its caller leaves

What callers saw: an upstream that had been lost once and whose probe's caller disconnected got no request again for the life of the process, unless no other one was usable. Cause: `UpstreamHealth` marks a probe when it is placed, and only a result of the attempt cleared the mark; a cancelled attempt has none. With several attempts of one exchange, the ones that lose are cancelled too. Class: state taken at a start and given back at only some of the ends.

Fix: the callback that ends an attempt's placement, which runs at every end, records a cancelled one as inconclusive. The test failed before (2 s without the upstream becoming usable).

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -180,7 +180,12 @@
         exchange.chunks = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
         attempt = RunningAttempt(placement=placement, progress=AttemptProgress(self._timers))
         race.start(attempt, self._attempt(exchange, race, attempt))
-        attempt.task.add_done_callback(lambda _: self._placer.end(placement))
+        attempt.task.add_done_callback(lambda task: self._end_placement(placement, task))
+
+    def _end_placement(self, placement: Placement, task: asyncio.Task[None]) -> None:
+        self._placer.end(placement)
+        if task.cancelled():
+            self._record.record_inconclusive(placement.upstream)
 
     def _end_failed(
         self, exchange: Exchange, race: AttemptRace, attempt: RunningAttempt, error: BaobabError
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -350,6 +350,18 @@
     request.cancel()
 
 
+async def test_an_upstream_is_used_again_after_the_caller_of_its_probe_left(world: World) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    listed = gateway.fleet_state.upstreams["i-1"]
+    gateway.record.record_failure(listed)
+    probe = asyncio.create_task(send(gateway, "/draft/7"))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    probe.cancel()
+    await wait_until(lambda: gateway.record.usable([listed]) == [listed], seconds=2.0)
+
+
 async def test_a_caller_resumes_after_its_last_event(world: World) -> None:
     upstream = await world.add_upstream("i-1", service=KITCHEN)
     upstream.behaviour = upstreams.stream(events=9)
