Log the shared parts of a prompt and the events received with a failed attempt

A crash takes all requests at the engine with it; which of them had begun to be answered, and what they share, was in no log line, so crashes by one part of a prompt could not be told from engines that crash by themselves or under load.

--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -61,7 +61,7 @@
         if not did_not_run(error):
             exchange.may_have_run = True
         self._record_health(exchange, upstream, error, failed_upstream)
-        self._report(exchange, upstream, error)
+        self._report(exchange, attempt, error)
 
     def record_silence(
         self, exchange: Exchange, attempt: RunningAttempt, *, seconds: float
@@ -73,16 +73,18 @@
         exchange.may_have_run = True
         error = UpstreamStalled(f"{upstream.id} sent nothing for {seconds:.2f} s")
         self._record_health(exchange, upstream, error, upstream)
-        self._report(exchange, upstream, error)
+        self._report(exchange, attempt, error)
 
-    def _report(self, exchange: Exchange, upstream: ListedUpstream, error: BaobabError) -> None:
+    def _report(self, exchange: Exchange, attempt: RunningAttempt, error: BaobabError) -> None:
         self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
         logger.bind(
             event="attempt_failed",
             request=exchange.parameters.attempt,
-            upstream=upstream.id,
+            upstream=attempt.placement.upstream.id,
             code=error.code,
             attempt=exchange.attempts,
+            events=attempt.events,
+            shared_parts=exchange.parameters.shared_parts,
         ).info("{}", error.message)
 
     def _upstream_at_fault(self, upstream: ListedUpstream, error: BaobabError) -> ListedUpstream:
--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -19,14 +19,19 @@
 
 @final
 class RunningAttempt:
-    """One attempt; ``reported_silent`` is whether its silence has been recorded."""
+    """One attempt.
 
-    __slots__ = ("_task", "placement", "progress", "reported_silent")
+    ``events`` is the number of events with content that it has received. ``reported_silent`` is
+    whether its silence has been recorded.
+    """
+
+    __slots__ = ("_task", "events", "placement", "progress", "reported_silent")
 
     def __init__(self, *, placement: Placement, progress: AttemptProgress) -> None:
         self._task: asyncio.Task[None] | None = None
         self.placement = placement
         self.progress = progress
+        self.events = 0
         self.reported_silent = False
 
     @property
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -298,6 +298,8 @@
                 self._placer.end_prefill(attempt.placement)
                 first = False
                 self._record.record_response(attempt.placement.upstream, succeeded=True)
+            if has_content(event):
+                attempt.events += 1
             if not exchange.progress.accept(event):
                 continue
             if has_content(event):
--- a/src/baobabpulley/model/exchanges.py
+++ b/src/baobabpulley/model/exchanges.py
@@ -12,6 +12,7 @@
     ``attempt`` is the caller's id for this attempt and ``key`` the key of its client account.
     ``remaining`` is the number of seconds until the caller's deadline, from the arrival of the
     request. ``last_event`` is the id of the last event received of a stream to be resumed.
+    ``shared_parts`` are the ids of the parts of the prompt that other prompts may share, in order.
     """
 
     attempt: str
@@ -20,6 +21,7 @@
     last_event: str | None = None
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 class IncomingRequest(msgspec.Struct, frozen=True):
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -17,6 +17,9 @@
 
 _MS_PER_SECOND: Final = 1000
 _MAX_ATTEMPT_ID_LENGTH: Final = 256
+# Longer ids of prompt parts, and parts beyond this number, are left out: they are kept in memory.
+_MAX_PART_ID_LENGTH: Final = 32
+_MAX_SHARED_PARTS: Final = 16
 
 # Headers that apply to a single connection and aren't forwarded.
 _HOP_BY_HOP: Final = frozenset(
@@ -70,6 +73,7 @@
             last_event=headers.get(names.LAST_EVENT),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
+            shared_parts=_parse_shared_parts(headers.get(names.PROMPT_PREFIX)),
         )
 
     def request_headers(self, received: HTTPHeaders, outgoing: AttemptParameters) -> HTTPHeaders:
@@ -146,5 +150,16 @@
     return int(prompt), int(output)
 
 
+def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts without the last one, which is its own.
+
+    >>> _parse_shared_parts("5c1e:800,91bd:410,e440:250"), _parse_shared_parts("e440:250")
+    (('5c1e', '91bd'), ())
+    """
+    parts = (text or "").split(",")[:-1][:_MAX_SHARED_PARTS]
+    ids = [part.partition(":")[0].strip().lower() for part in parts]
+    return tuple(id for id in ids if 0 < len(id) <= _MAX_PART_ID_LENGTH)
+
+
 def _format_helper(helper: HelperEngine) -> str:
     return helper.address if helper.ticket is None else f"{helper.address}/{helper.ticket}"
