Quarantine parts of prompts that crash the engines which begin their answers

Cause: nothing related the crashes to each other. Each gateway sent and resent each such request, and the caller's own repeat began anew. Class: a fault that travels with a request is retried like one that belongs to an upstream.

Fix: policy/prompt_quarantine.py derives from shared evidence which part explains the crashes. Evidence is gossiped: each crash once for each engine and time, with the shared parts of prompts whose answers had not begun, and answers that did begin. Three crashes in a row without an answer between them quarantine the part that explains the most, the narrower of two that explain as many; one that was answered in the minute before needs six, so that what sound prompts share stays. Crashes within 0.1 s count once (a rack). Refused at once as not run, with Retry-After; a request that already crashed an engine is not called "not run". Probes by one gateway at a time, after 30 s doubling to 600 s; an answer that begins ends the quarantine everywhere. Bounded: 64 reports of 16 prompts, 4,096 survivals, 2 reports and 8 survivals a message.

--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -19,7 +19,7 @@
 
 from baobabpulley.adapters.kill_timer import kill_after
 from baobabpulley.adapters.traffic import Traffic
-from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamStalled
 
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
@@ -109,7 +109,9 @@
         """Report a broken connection to the reader, unless the response is complete."""
         if self.finished:
             return
-        error = UpstreamLost(f"the connection to {self.address} broke before the response ended")
+        error = UpstreamDisconnected(
+            f"the connection to {self.address} broke before the response ended"
+        )
         if not self.head.done():
             self.head.set_exception(error)
         self.queue.put_nowait(error)
@@ -168,7 +170,9 @@
                 f"{self.address} sent no response within {timeout:.2f} s"
             ) from None
         except StreamClosedError as error:
-            raise UpstreamLost(f"the connection to {self.address} broke: {error}") from error
+            raise UpstreamDisconnected(
+                f"the connection to {self.address} broke: {error}"
+            ) from error
         return delegate
 
     def detach(self, *, clean: bool) -> IOStream | None:
--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -22,6 +22,7 @@
 from baobabpulley.emulator.typical_engine import TYPICAL_ENGINE
 from baobabpulley.errors import BaobabError
 from baobabpulley.gateway.candidates import CandidateList
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.placer import Placement
@@ -71,6 +72,7 @@
             section=GatewayPeersSection(),
             fleet_state=fleet_state,
             loads=self.loads,
+            evidence=CrashEvidence(node=name, timers=timers),
             timers=timers,
             on_newer_revision=lambda revision: None,
         )
--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -41,6 +41,7 @@
 from baobabpulley.errors.requests import OutcomeExpired
 from baobabpulley.errors.requests import OutcomeUnknown
 from baobabpulley.errors.requests import Overloaded
+from baobabpulley.errors.requests import PromptQuarantined
 from baobabpulley.errors.requests import PromptTooLong
 from baobabpulley.errors.requests import TeamLimitReached
 from baobabpulley.errors.requests import TicketInvalid
@@ -49,6 +50,7 @@
 from baobabpulley.errors.requests import UnknownModel
 from baobabpulley.errors.upstreams import MismatchedResponse
 from baobabpulley.errors.upstreams import OrderTooLate
+from baobabpulley.errors.upstreams import UpstreamDisconnected
 from baobabpulley.errors.upstreams import UpstreamFailed
 from baobabpulley.errors.upstreams import UpstreamImportFailed
 from baobabpulley.errors.upstreams import UpstreamLeaving
@@ -93,6 +95,7 @@
     "Overloaded",
     "PeerLeaving",
     "PeerUnavailable",
+    "PromptQuarantined",
     "PromptTooLong",
     "StoreCompacted",
     "StoreResponseLost",
@@ -103,6 +106,7 @@
     "TooFewEngines",
     "UnknownModel",
     "UnknownName",
+    "UpstreamDisconnected",
     "UpstreamFailed",
     "UpstreamImportFailed",
     "UpstreamLeaving",
--- a/src/baobabpulley/errors/requests.py
+++ b/src/baobabpulley/errors/requests.py
@@ -130,6 +130,17 @@
     default_remedy = "Shorten the prompt to at most the figure in the message, or add engines."
 
 
+class PromptQuarantined(BaobabError):
+    """Prompts that share a part with this one crashed the engines that began to answer them."""
+
+    code = "prompt_quarantined"
+    status = 503
+    ran = False
+    default_remedy = (
+        "Send the prompt without the part in the message, or retry after the time in Retry-After."
+    )
+
+
 class NotReady(BaobabError):
     """The process has no settings yet, or is shutting down."""
 
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -14,6 +14,10 @@
     default_remedy = "Retry if the call is idempotent; completions are."
 
 
+class UpstreamDisconnected(UpstreamLost):
+    """The connection to an upstream broke before its answer was complete."""
+
+
 class UpstreamStalled(UpstreamLost):
     """An upstream received the request, then sent nothing for the silence timeout."""
 
--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
@@ -15,6 +16,7 @@
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.attempt_race import RunningAttempt
 from baobabpulley.gateway.attempts import did_not_run
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.exchange_state import Exchange
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.placer import Placer
@@ -24,15 +26,25 @@
 # A shorter silence timeout comes from a caller's or route's short deadline: a stall that it detects
 # says nothing about the health of the upstream, and is not counted against it.
 MIN_CONCLUSIVE_SILENCE_SECONDS: Final = 0.8
+# An engine that crashes as it begins an answer may still send the first event.
+SURVIVAL_EVENTS: Final = 2
 
 
 @final
 class AttemptOutcomes:
     """Record how attempts ended, in their exchange and for the choice of upstreams."""
 
-    __slots__ = ("_metrics", "_placer", "_record")
+    __slots__ = ("_evidence", "_metrics", "_placer", "_record")
 
-    def __init__(self, *, record: UpstreamRecord, placer: Placer, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self,
+        *,
+        record: UpstreamRecord,
+        evidence: CrashEvidence,
+        placer: Placer,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._evidence = evidence
         self._record = record
         self._placer = placer
         self._metrics = metrics
@@ -60,9 +72,22 @@
             exchange.attempts -= 1
         if not did_not_run(error):
             exchange.may_have_run = True
+        if isinstance(error, UpstreamDisconnected) and attempt.events < SURVIVAL_EVENTS:
+            self._evidence.record_crash(upstream.id, exchange.parameters.shared_parts)
         self._record_health(exchange, upstream, error, failed_upstream)
         self._report(exchange, attempt, error)
 
+    def record_event(self, exchange: Exchange, attempt: RunningAttempt) -> None:
+        """Record an event with content."""
+        attempt.events += 1
+        if attempt.events == SURVIVAL_EVENTS:
+            self.record_survival(exchange)
+
+    def record_survival(self, exchange: Exchange) -> None:
+        """Record that an upstream began the answer to a prompt and went on, or ended it."""
+        if exchange.parameters.shared_parts:
+            self._evidence.record_survival(exchange.parameters.shared_parts)
+
     def record_silence(
         self, exchange: Exchange, attempt: RunningAttempt, *, seconds: float
     ) -> None:
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -13,6 +13,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamUnreachable
@@ -92,7 +93,7 @@
         return await self._response.body(idle_timeout=self._timeout, on_data=self._progress.record)
 
     async def events(self) -> AsyncIterator[bytes]:
-        """Yield complete events; raise `UpstreamLost` if the stream ends within one.
+        """Yield complete events; raise `UpstreamDisconnected` if the stream ends within one.
 
         Only complete events with content count as progress.
         """
@@ -103,7 +104,7 @@
                     self._progress.record()
                 yield event
         if splitter.pending:
-            raise UpstreamLost("the stream ended within an event")
+            raise UpstreamDisconnected("the stream ended within an event")
 
 
 @final
--- /dev/null
+++ b/src/baobabpulley/gateway/crash_evidence.py
@@ -0,0 +1,231 @@
+"""Share evidence of prompts that crash engines with the other gateways, and refuse such prompts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Final
+from typing import final
+
+from loguru import logger
+
+from baobabpulley.errors import PromptQuarantined
+from baobabpulley.gateway.gossip_messages import CrashRow
+from baobabpulley.gateway.gossip_messages import SurvivalRow
+from baobabpulley.policy.prompt_quarantine import PROBE_TURN_SECONDS
+from baobabpulley.policy.prompt_quarantine import RECENT_SECONDS
+from baobabpulley.policy.prompt_quarantine import CrashReport
+from baobabpulley.policy.prompt_quarantine import PromptQuarantine
+from baobabpulley.policy.prompt_quarantine import Quarantine
+from baobabpulley.policy.prompt_quarantine import probing_turn
+from baobabpulley.policy.rendezvous import owner_of
+from baobabpulley.timers import TimerService
+
+# A report is sent in this many messages, as datagrams may be lost.
+TRANSMISSIONS_PER_REPORT: Final = 2
+# All gateways together send one of the reports behind a quarantine again in this time, for those
+# that have just started.
+REFRESH_SECONDS: Final = 0.25
+REPORTS_PER_QUARANTINE: Final = 4
+# Keep a gossip message within one packet of the usual size.
+MAX_CRASHES_PER_MESSAGE: Final = 2
+MAX_SURVIVALS_PER_MESSAGE: Final = 8
+# A part whose answers begin often is not sent more often than this.
+SURVIVAL_PERIOD_SECONDS: Final = 0.5
+# Evidence is looked through for what is too old this often.
+EXPIRY_PERIOD_SECONDS: Final = 1.0
+
+
+@final
+class CrashEvidence:
+    """Crashes and survivals that this gateway saw or heard of."""
+
+    __slots__ = (
+        "_crashes_due",
+        "_listener",
+        "_node",
+        "_policy",
+        "_probed_at",
+        "_refresh_position",
+        "_refreshed_at",
+        "_survivals_due",
+        "_survivals_sent_at",
+        "_timers",
+    )
+
+    def __init__(self, *, node: str, timers: TimerService) -> None:
+        self._node = node
+        self._timers = timers
+        self._policy = PromptQuarantine()
+        self._crashes_due: dict[str, int] = {}
+        self._survivals_due: dict[str, float] = {}
+        self._survivals_sent_at: dict[str, float] = {}
+        self._refreshed_at = 0.0
+        # Gateways start at different reports, so that all are sent soon.
+        self._refresh_position = random.randrange(REPORTS_PER_QUARANTINE)
+        self._probed_at: dict[str, float] = {}
+        self._listener: Callable[[], None] | None = None
+
+    @property
+    def quarantined(self) -> int:
+        """Number of quarantined parts."""
+        return len(self._policy.quarantines)
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a crash should be published at once."""
+        self._listener = listener
+
+    def start(self) -> None:
+        """Start to forget evidence that is too old."""
+        self._timers.every(EXPIRY_PERIOD_SECONDS, self._expire, name="crash evidence")
+
+    def record_crash(self, upstream: str, parts: tuple[str, ...]) -> None:
+        """Record that an engine was lost before it began the answer to a prompt."""
+        if not parts:
+            return
+        now = self._timers.now()
+        before = dict(self._policy.quarantines)
+        if not self._policy.record_crash(CrashReport(upstream, now, (parts,)), now=now):
+            return
+        logger.bind(event="crash_evidence", upstream=upstream, shared_parts=parts).info(
+            "an engine was lost before it began an answer"
+        )
+        self._log_changes(before)
+        self._publish_recent_survivals(parts)
+        self._crashes_due[upstream] = TRANSMISSIONS_PER_REPORT
+        if self._listener is not None:
+            self._listener()
+
+    def record_survival(self, parts: tuple[str, ...]) -> None:
+        """Record that an engine began the answer to a prompt and went on."""
+        now = self._timers.now()
+        before = dict(self._policy.quarantines)
+        for part in parts:
+            self._policy.record_survival(part, at=now, now=now)
+            if self._policy.concerns(part):
+                self._survivals_due[part] = now
+        self._log_changes(before)
+
+    def refusal(self, parts: tuple[str, ...], *, nodes: Iterable[str]) -> PromptQuarantined | None:
+        """Return the error for a prompt that has to be refused, or ``None``.
+
+        ``nodes`` returns the live gateways, this one included. A prompt that isn't refused although
+        one of its parts is quarantined is a probe.
+        """
+        quarantine = self._policy.find(parts)
+        if quarantine is None or self._may_probe(quarantine, nodes):
+            return None
+        left = max(0.0, quarantine.ends_at - self._timers.now())
+        return PromptQuarantined(
+            f"all prompts with part {quarantine.part} crashed the engines that began to answer"
+            f" them, {quarantine.crashes} times; they are refused for {left:.0f} s",
+            retry_after=max(PROBE_TURN_SECONDS, left),
+        )
+
+    def receive(self, crashes: Iterable[CrashRow], survivals: Iterable[SurvivalRow]) -> None:
+        """Record what another gateway saw or heard of."""
+        now = self._timers.now()
+        before = dict(self._policy.quarantines)
+        for row in survivals:
+            self._policy.record_survival(row.part, at=now - max(0.0, row.age), now=now)
+        for crash in crashes:
+            report = CrashReport(crash.upstream, now - max(0.0, crash.age), crash.prompts)
+            if self._policy.record_crash(report, now=now):
+                self._publish_recent_survivals(report.parts)
+        self._log_changes(before)
+
+    def take_due_crashes(self, *, gateways: int) -> tuple[CrashRow, ...]:
+        """Return the crashes to send in the next message to the other gateways."""
+        now = self._timers.now()
+        reports = {report.upstream: report for report in self._policy.reports}
+        due = [upstream for upstream in self._crashes_due if upstream in reports]
+        rows = [reports[upstream] for upstream in due[:MAX_CRASHES_PER_MESSAGE]]
+        for upstream in due[:MAX_CRASHES_PER_MESSAGE]:
+            self._crashes_due[upstream] -= 1
+        self._crashes_due = {
+            upstream: left
+            for upstream, left in self._crashes_due.items()
+            if left > 0 and upstream in reports
+        }
+        if not rows and now - self._refreshed_at >= REFRESH_SECONDS * gateways:
+            rows = self._next_refresh(now)
+        return tuple(
+            CrashRow(report.upstream, round(now - report.at, 3), report.prompts) for report in rows
+        )
+
+    def take_due_survivals(self) -> tuple[SurvivalRow, ...]:
+        """Return the survivals to send in the next message to the other gateways."""
+        now = self._timers.now()
+        due = [
+            (part, at)
+            for part, at in self._survivals_due.items()
+            if now - self._survivals_sent_at.get(part, 0.0) >= SURVIVAL_PERIOD_SECONDS
+        ][:MAX_SURVIVALS_PER_MESSAGE]
+        for part, _ in due:
+            del self._survivals_due[part]
+            self._survivals_sent_at[part] = now
+        return tuple(SurvivalRow(part, round(now - at, 3)) for part, at in due)
+
+    def _publish_recent_survivals(self, parts: Iterable[str]) -> None:
+        """Tell the other gateways of answers to these parts that began before a crash."""
+        for part in parts:
+            at = self._policy.survival(part)
+            if at is not None and self._timers.now() - at <= RECENT_SECONDS:
+                self._survivals_due[part] = at
+
+    def _next_refresh(self, now: float) -> list[CrashReport]:
+        """Return one of the reports behind the quarantines, in turn."""
+        reports = self._policy.evidence(most=REPORTS_PER_QUARANTINE)
+        if not reports:
+            return []
+        self._refreshed_at = now
+        self._refresh_position += 1
+        return [reports[self._refresh_position % len(reports)]]
+
+    def _may_probe(self, quarantine: Quarantine, nodes: Callable[[], Iterable[str]]) -> bool:
+        """Whether this gateway may send a prompt with a quarantined part now, and record it."""
+        now = self._timers.now()
+        turn = probing_turn(quarantine, now=now)
+        if turn is None or owner_of(turn, nodes()) != self._node:
+            return False
+        probed_at = self._probed_at.get(quarantine.part)
+        if probed_at is not None and now - probed_at < PROBE_TURN_SECONDS:
+            return False
+        self._probed_at[quarantine.part] = now
+        logger.bind(event="quarantine_probe", part=quarantine.part).info(
+            "one prompt with a quarantined part is sent as a probe"
+        )
+        return True
+
+    def _expire(self) -> None:
+        now = self._timers.now()
+        before = dict(self._policy.quarantines)
+        self._policy.expire(now=now)
+        self._log_changes(before)
+        self._survivals_due = {
+            part: at for part, at in self._survivals_due.items() if self._policy.concerns(part)
+        }
+        self._survivals_sent_at = {
+            part: at
+            for part, at in self._survivals_sent_at.items()
+            if now - at < SURVIVAL_PERIOD_SECONDS
+        }
+        self._probed_at = {
+            part: at for part, at in self._probed_at.items() if now - at < PROBE_TURN_SECONDS
+        }
+
+    def _log_changes(self, before: dict[str, Quarantine]) -> None:
+        """Log the quarantines that began or ended."""
+        after = self._policy.quarantines
+        for part in after.keys() - before.keys():
+            quarantine = after[part]
+            logger.bind(
+                event="quarantine",
+                part=part,
+                crashes=quarantine.crashes,
+                seconds=quarantine.seconds,
+                reports=len(self._policy.reports),
+            ).warning("prompts with a part that crashes engines are refused")
+        for part in before.keys() - after.keys():
+            logger.bind(event="quarantine_ended", part=part).info("prompts with a part are served")
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -21,6 +21,7 @@
 from baobabpulley.gateway.control import ReadinessHandler
 from baobabpulley.gateway.control import SnapshotHandler
 from baobabpulley.gateway.control import serve_http
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.exchange import ExchangeServer
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
@@ -86,11 +87,13 @@
         )
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
+        self.evidence = CrashEvidence(node=self.node.id, timers=timers)
         self.gossip = GossipProtocol(
             node=self.node,
             section=settings.get(GatewayPeersSection),
             fleet_state=self.fleet_state,
             loads=self.loads,
+            evidence=self.evidence,
             timers=timers,
             on_newer_revision=self._record_behind,
             store_reachable=lambda: self.link.store_reachable,
@@ -174,6 +177,7 @@
             serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)]),
         )
         await self.gossip.start()
+        self.evidence.start()
         self.link.start()
         self.placer.start()
         self.reload.start()
@@ -232,6 +236,11 @@
         add_gauge("in_flight", "Requests being served", lambda: self.listener.active_requests)
         add_gauge("upstreams", "Upstreams listed", lambda: len(self.fleet_state.upstreams))
         add_gauge("upstreams_leaving", "Upstreams listed as leaving", self._leaving)
+        add_gauge(
+            "quarantined_parts",
+            "Parts of prompts that crash engines",
+            lambda: self.evidence.quarantined,
+        )
         add_gauge("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
         add_gauge("log_lines_left_out", "Log lines that no reader took", dropped_line_count)
 
@@ -282,6 +291,7 @@
                 section=self.settings.get(EnginesSection),
                 timers=self.timers,
             ),
+            evidence=self.evidence,
             timers=self.timers,
         )
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -24,6 +24,7 @@
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import UpstreamResponse
 from baobabpulley.gateway.attempts import did_not_run
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.gateway.exchange_state import Exchange
 from baobabpulley.gateway.exchange_state import RetryDenial
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "_caller",
+        "_evidence",
         "_fleet_state",
         "_gossip",
         "_metrics",
@@ -89,6 +91,7 @@
         metrics: GatewayMetrics,
         gossip: GossipProtocol,
         tickets: TicketManager,
+        evidence: CrashEvidence,
         timers: TimerService,
     ) -> None:
         self._fleet_state = fleet_state
@@ -101,7 +104,10 @@
         self._metrics = metrics
         self._gossip = gossip
         self._tickets = tickets
-        self._outcomes = AttemptOutcomes(record=record, placer=placer, metrics=metrics)
+        self._evidence = evidence
+        self._outcomes = AttemptOutcomes(
+            record=record, evidence=evidence, placer=placer, metrics=metrics
+        )
         self._timers = timers
         self._random = random.Random()
 
@@ -167,10 +173,25 @@
         return False
 
     async def _place(self, exchange: Exchange) -> Placement:
+        self._check_quarantine(exchange)
         try:
-            return await self._placer.place(exchange.placement_request())
+            placement = await self._placer.place(exchange.placement_request())
         except BaobabError as error:
             raise error_for_caller(exchange, error) from error
+        try:
+            self._check_quarantine(exchange)
+        except BaobabError:
+            self._placer.end(placement)
+            raise
+        return placement
+
+    def _check_quarantine(self, exchange: Exchange) -> None:
+        """Raise if prompts with one of the parts of this one crash engines."""
+        refusal = self._evidence.refusal(
+            exchange.parameters.shared_parts, nodes=self._gossip.live_nodes
+        )
+        if refusal is not None:
+            raise error_for_caller(exchange, refusal)
 
     def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
         upstream = placement.upstream
@@ -282,6 +303,8 @@
                 f"cannot resume a stream from a response with status {response.status}"
             )
         race.claim(attempt)
+        if not server_error:
+            self._outcomes.record_survival(exchange)
         exchange.reply.send(response.status, self._wire.response_headers(response.headers), body)
 
     async def _deliver_events(
@@ -299,7 +322,7 @@
                 first = False
                 self._record.record_response(attempt.placement.upstream, succeeded=True)
             if has_content(event):
-                attempt.events += 1
+                self._outcomes.record_event(exchange, attempt)
             if not exchange.progress.accept(event):
                 continue
             if has_content(event):
@@ -309,6 +332,7 @@
             reply.write(event)
             exchange.record_event(self._timers.now())
         race.claim(attempt)
+        self._outcomes.record_survival(exchange)
         if not reply.started:
             reply.start(response.status, self._wire.response_headers(response.headers))
         reply.finish()
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -1,4 +1,5 @@
-"""Gossip between gateways over UDP: their loads, and the store revisions that they have reached.
+"""Gossip between gateways over UDP: their loads, the store revisions that they have reached, and
+evidence of prompts that crash engines.
 
 Messages go directly to the gateways of the own failure domain, and through relays to the others.
 
@@ -21,6 +22,7 @@
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.traffic import Traffic
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip_messages import GossipBundle
 from baobabpulley.gateway.gossip_messages import GossipMessage
@@ -56,6 +58,7 @@
 
     __slots__ = (
         "_delta",
+        "_evidence",
         "_fleet_state",
         "_incarnation",
         "_last_seen",
@@ -84,6 +87,7 @@
         section: GatewayPeersSection,
         fleet_state: FleetState,
         loads: LoadTracker,
+        evidence: CrashEvidence,
         timers: TimerService,
         on_newer_revision: Callable[[int], None],
         store_reachable: Callable[[], bool] = lambda: True,
@@ -92,6 +96,7 @@
         self._section = section
         self._fleet_state = fleet_state
         self._loads = loads
+        self._evidence = evidence
         self._timers = timers
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
@@ -140,6 +145,10 @@
         live = [peer for peer in self._peers.values() if peer.received_at >= since]
         return sorted(live, key=lambda peer: -peer.revision)
 
+    def live_nodes(self) -> list[str]:
+        """Return the nodes of the gateways that sent a message recently, and of this one."""
+        return [self._node.id, *(peer.node for peer in self.live_peers())]
+
     async def start(self) -> None:
         """Open the socket and start to publish."""
         host = split_address(self._node.control)[0]
@@ -153,6 +162,7 @@
         self._timers.every(self._section.news_period, self._publish, name="news")
         self._timers.every(RELAY_PERIOD_SECONDS, self._relay_news, name="news relay")
         self._loads.listen(self._publish_soon)
+        self._evidence.listen(self._publish_soon)
 
     def close(self) -> None:
         """Close the socket."""
@@ -194,6 +204,8 @@
         self._peers[message.node] = GossipPeer(message, received_at=now, known=known)
         self._last_seen[message.failure_domain] = now
         self._loads.receive(message.node, message.shares, now=now)
+        if message.crashes or message.survivals:
+            self._evidence.receive(message.crashes, message.survivals)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
         return True
@@ -202,8 +214,11 @@
         """Return the next message, or ``None`` if nothing changed and no keepalive is due."""
         now = self._timers.now()
         shares = self._delta.take_due(self._loads.shares(now=now), now=now)
+        crashes = self._evidence.take_due_crashes(gateways=self.gateway_count)
+        survivals = self._evidence.take_due_survivals()
         revision = self._fleet_state.revision
-        unchanged = not shares and revision == self._published_revision
+        has_news = bool(shares or crashes or survivals)
+        unchanged = not has_news and revision == self._published_revision
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
         self._published_revision, self._sent_at = revision, now
@@ -219,10 +234,12 @@
             shares=shares,
             store_reachable=self._store_reachable(),
             is_urgent=is_urgent,
+            crashes=crashes,
+            survivals=survivals,
         )
 
     def _publish_soon(self) -> None:
-        """Publish a long prompt's load before another gateway chooses the same engines."""
+        """Publish what changes the choice of other gateways at once, like a long prompt's load."""
         if not self._publish_scheduled:
             self._publish_scheduled = True
             asyncio.get_running_loop().call_soon(self._publish_urgently)
--- a/src/baobabpulley/gateway/gossip_messages.py
+++ b/src/baobabpulley/gateway/gossip_messages.py
@@ -15,6 +15,24 @@
 _FIRST_ARRAY_BYTE: Final = 0x90
 
 
+class CrashRow(msgspec.Struct, frozen=True, array_like=True):
+    """An engine's crash ``age`` seconds before the message was sent.
+
+    ``prompts`` are the shared parts of each prompt whose answer had not begun there.
+    """
+
+    upstream: str
+    age: float
+    prompts: tuple[tuple[str, ...], ...]
+
+
+class SurvivalRow(msgspec.Struct, frozen=True, array_like=True):
+    """The beginning of an answer to a prompt with a part, ``age`` seconds before it was sent."""
+
+    part: str
+    age: float
+
+
 class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
     """State of one gateway, and those of its loads that are due for publication.
 
@@ -23,6 +41,7 @@
     ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
     of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
     false if the store failed the gateway recently. ``is_urgent`` messages are relayed at once.
+    ``crashes`` and ``survivals`` are evidence of prompts that crash engines.
     """
 
     node: str
@@ -35,14 +54,20 @@
     shares: tuple[LoadShare, ...] = ()
     store_reachable: bool = True
     is_urgent: bool = False
+    crashes: tuple[CrashRow, ...] = ()
+    survivals: tuple[SurvivalRow, ...] = ()
 
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
-        """Return a later message of the same process, with the loads of this one that it lacks."""
+        """Return a later message of the same process, with what this one has and it lacks."""
         shares = {share.upstream: share for share in (*self.shares, *newer.shares)}
+        crashes = {crash.upstream: crash for crash in (*self.crashes, *newer.crashes)}
+        survivals = {survival.part: survival for survival in (*self.survivals, *newer.survivals)}
         return msgspec.structs.replace(
             newer,
             shares=tuple(shares.values()),
             is_urgent=self.is_urgent or newer.is_urgent,
+            crashes=tuple(crashes.values()),
+            survivals=tuple(survivals.values()),
         )
 
 
--- a/testing/gossip_fleet.py
+++ b/testing/gossip_fleet.py
@@ -7,6 +7,7 @@
 from typing import cast
 from typing import final
 
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.sections import GatewayNodeSection
@@ -42,6 +43,7 @@
         self.host = host
         self.domain = domain
         self.loads = LoadTracker()
+        self.evidence = CrashEvidence(node=f"front-{host}", timers=timers)
         self.gossip = GossipProtocol(
             node=GatewayNodeSection(
                 id=f"front-{host}",
@@ -54,6 +56,7 @@
             section=GatewayPeersSection(),
             fleet_state=state,
             loads=self.loads,
+            evidence=self.evidence,
             timers=timers,
             on_newer_revision=lambda revision: None,
         )
--- a/testing/test_gossip.py
+++ b/testing/test_gossip.py
@@ -9,6 +9,7 @@
 import pytest
 from gateway_builders import wait_until
 
+from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.gossip_messages import GossipMessage
@@ -46,6 +47,7 @@
             section=GatewayPeersSection(seeds=tuple(peers)),
             fleet_state=FleetState(PlatformDocuments()),
             loads=self.loads,
+            evidence=CrashEvidence(node=f"front-{host}", timers=self.timers),
             timers=self.timers,
             on_newer_revision=lambda revision: None,
         )
