--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -187,12 +187,15 @@
 
     def _check_quarantine(self, exchange: Exchange) -> None:
         """Raise if prompts with one of the parts of this one crash engines."""
-        refusal = self._evidence.refusal(
-            exchange.parameters.shared_parts, nodes=self._gossip.live_nodes
-        )
+        refusal = self._quarantine_refusal(exchange)
         if refusal is not None:
             raise error_for_caller(exchange, refusal)
 
+    def _quarantine_refusal(self, exchange: Exchange) -> BaobabError | None:
+        return self._evidence.refusal(
+            exchange.parameters.shared_parts, nodes=self._gossip.live_nodes
+        )
+
     def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
         upstream = placement.upstream
         log_placement(exchange, placement, now=self._timers.now())
@@ -237,6 +240,9 @@
         """Return a placement for which the retry budget has been charged, or ``None``."""
         service, now = exchange.service.name, self._timers.now()
         nodes = self._gossip.gateway_count
+        if self._quarantine_refusal(exchange) is not None:
+            self._deny_replacement(exchange, RetryDenial.QUARANTINE)
+            return None
         if not self._retry_budget.has_left(service, nodes=nodes, now=now):
             self._deny_replacement(exchange, RetryDenial.BUDGET)
             return None
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -39,6 +39,7 @@
     TIME = "time"
     BUDGET = "budget"
     NO_ROOM = "no_room"
+    QUARANTINE = "quarantine"
 
 
 @final
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -191,6 +191,22 @@
     assert (first.status, engines.crashes) == (502, 2)
 
 
+async def test_a_silent_prompt_whose_part_was_quarantined_meanwhile_is_sent_to_no_other_engine(
+    world: World,
+) -> None:
+    for number in range(3):
+        engine = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        engine.behaviour = upstreams.pause_first(1.5, upstreams.stream(events=4))
+    gateway = await world.add_gateway()
+    prefix = {names.PROMPT_PREFIX: f"shared:40,{BAD_PART}:95,own:900"}
+    request = asyncio.create_task(send(gateway, "/draft/7", **prefix))
+    await wait_until(lambda: any(engine.journal for engine in world.upstreams.values()))
+    crashes = [CrashRow(f"i-gone-{number}", 0.3 * number, (BAD,)) for number in range(3)]
+    gateway.evidence.receive(crashes, ())
+    assert (await request).complete
+    assert sum(len(engine.journal) for engine in world.upstreams.values()) == 1
+
+
 async def test_engines_that_break_connections_by_themselves_quarantine_nothing(
     world: World,
 ) -> None:
