Send the probe of a quarantined part

Cause: one call both asked for a refusal and claimed the probe; it is made before a request waits for an engine and again after, and the second call found the probe already claimed and refused it. Asking and claiming are now two calls, and the exchange carries that it is the probe until its attempt fails. A 3xx or 4xx answer no longer counts as a survival.

--- a/src/baobabpulley/gateway/crash_evidence.py
+++ b/src/baobabpulley/gateway/crash_evidence.py
@@ -107,14 +107,10 @@
                 self._survivals_due[part] = now
         self._log_changes(before)
 
-    def refusal(self, parts: tuple[str, ...], *, nodes: Iterable[str]) -> PromptQuarantined | None:
-        """Return the error for a prompt that has to be refused, or ``None``.
-
-        ``nodes`` returns the live gateways, this one included. A prompt that isn't refused although
-        one of its parts is quarantined is a probe.
-        """
+    def refusal(self, parts: tuple[str, ...]) -> PromptQuarantined | None:
+        """Return the error for a prompt with a quarantined part, or ``None`` if it has none."""
         quarantine = self._policy.find(parts)
-        if quarantine is None or self._may_probe(quarantine, nodes):
+        if quarantine is None:
             return None
         left = max(0.0, quarantine.ends_at - self._timers.now())
         return PromptQuarantined(
@@ -123,6 +119,25 @@
             retry_after=max(PROBE_TURN_SECONDS, left),
         )
 
+    def start_probe(self, parts: tuple[str, ...], *, nodes: Iterable[str]) -> bool:
+        """Whether a prompt with a quarantined part may be sent as a probe; record it if so.
+
+        ``nodes`` are the live gateways, this one included, of which one at a time sends a probe.
+        """
+        quarantine = self._policy.find(parts)
+        now = self._timers.now()
+        turn = None if quarantine is None else probing_turn(quarantine, now=now)
+        if quarantine is None or turn is None or owner_of(turn, nodes) != self._node:
+            return False
+        probed_at = self._probed_at.get(quarantine.part)
+        if probed_at is not None and now - probed_at < PROBE_TURN_SECONDS:
+            return False
+        self._probed_at[quarantine.part] = now
+        logger.bind(event="quarantine_probe", part=quarantine.part).info(
+            "one prompt with a quarantined part is sent as a probe"
+        )
+        return True
+
     def receive(self, crashes: Iterable[CrashRow], survivals: Iterable[SurvivalRow]) -> None:
         """Record what another gateway saw or heard of."""
         now = self._timers.now()
@@ -183,21 +198,6 @@
         self._refresh_position += 1
         return [reports[self._refresh_position % len(reports)]]
 
-    def _may_probe(self, quarantine: Quarantine, nodes: Callable[[], Iterable[str]]) -> bool:
-        """Whether this gateway may send a prompt with a quarantined part now, and record it."""
-        now = self._timers.now()
-        turn = probing_turn(quarantine, now=now)
-        if turn is None or owner_of(turn, nodes()) != self._node:
-            return False
-        probed_at = self._probed_at.get(quarantine.part)
-        if probed_at is not None and now - probed_at < PROBE_TURN_SECONDS:
-            return False
-        self._probed_at[quarantine.part] = now
-        logger.bind(event="quarantine_probe", part=quarantine.part).info(
-            "one prompt with a quarantined part is sent as a probe"
-        )
-        return True
-
     def _expire(self) -> None:
         now = self._timers.now()
         before = dict(self._policy.quarantines)
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -186,16 +186,15 @@
         return placement
 
     def _check_quarantine(self, exchange: Exchange) -> None:
-        """Raise if prompts with one of the parts of this one crash engines."""
-        refusal = self._quarantine_refusal(exchange)
-        if refusal is not None:
+        """Raise if prompts with one of the parts of this one crash engines; it may be a probe."""
+        parts = exchange.parameters.shared_parts
+        refusal = self._evidence.refusal(parts)
+        if refusal is None or exchange.is_probe:
+            return
+        exchange.is_probe = self._evidence.start_probe(parts, nodes=self._gossip.live_nodes())
+        if not exchange.is_probe:
             raise error_for_caller(exchange, refusal)
 
-    def _quarantine_refusal(self, exchange: Exchange) -> BaobabError | None:
-        return self._evidence.refusal(
-            exchange.parameters.shared_parts, nodes=self._gossip.live_nodes
-        )
-
     def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
         upstream = placement.upstream
         log_placement(exchange, placement, now=self._timers.now())
@@ -217,6 +216,7 @@
         """Record a failed attempt; raise if no other one is running or allowed."""
         if isinstance(error, UpstreamUnreachable | UpstreamRefused | UpstreamLost):
             self._outcomes.record_failure(exchange, attempt, error)
+            exchange.is_probe = False
             if not race.attempts:
                 self._check_retry(exchange, error)
             return
@@ -240,7 +240,7 @@
         """Return a placement for which the retry budget has been charged, or ``None``."""
         service, now = exchange.service.name, self._timers.now()
         nodes = self._gossip.gateway_count
-        if self._quarantine_refusal(exchange) is not None:
+        if self._evidence.refusal(exchange.parameters.shared_parts) is not None:
             self._deny_replacement(exchange, RetryDenial.QUARANTINE)
             return None
         if not self._retry_budget.has_left(service, nodes=nodes, now=now):
@@ -309,7 +309,7 @@
                 f"cannot resume a stream from a response with status {response.status}"
             )
         race.claim(attempt)
-        if not server_error:
+        if response.status < 300:
             self._outcomes.record_survival(exchange)
         exchange.reply.send(response.status, self._wire.response_headers(response.headers), body)
 
@@ -337,7 +337,7 @@
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
             exchange.record_event(self._timers.now())
-        race.claim(attempt)
+        self._claim(race, attempt)
         self._outcomes.record_survival(exchange)
         if not reply.started:
             reply.start(response.status, self._wire.response_headers(response.headers))
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -61,7 +61,8 @@
     ``chunks`` is the number of engines that prefill a chunk of the prompt in the latest attempt.
     ``excluded`` are the ids of upstreams that failed. ``retry_reserved`` is whether the budget was
     charged for the retry of an attempt that is about to fail. ``denial`` is why the latest silent
-    attempt has no replacement yet. Event times are in monotonic seconds.
+    attempt has no replacement yet. ``is_probe`` is whether the next attempt or the running one is
+    sent although a part of the prompt is quarantined. Event times are in monotonic seconds.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         "first_engine_id",
         "first_event_at",
         "incoming",
+        "is_probe",
         "last_event_at",
         "longest_pause",
         "may_have_run",
@@ -109,6 +111,7 @@
         self.attempts = 0
         self.may_have_run = False
         self.retry_reserved = False
+        self.is_probe = False
         self.denial: RetryDenial | None = None
         # Set if this engine named a helper at fault: it is retried without that helper.
         self.first_engine_id: str | None = None
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -43,7 +43,16 @@
     return [
         host
         for host, gateway in fleet.gateways.items()
-        if gateway.evidence.refusal(BAD, nodes=gateway.gossip.live_nodes) is not None
+        if gateway.evidence.refusal(BAD) is not None
+    ]
+
+
+def probers(fleet: GossipFleet) -> list[str]:
+    """Return the hosts of the gateways that send a probe with the bad prompt now."""
+    return [
+        host
+        for host, gateway in fleet.gateways.items()
+        if gateway.evidence.start_probe(BAD, nodes=gateway.gossip.live_nodes())
     ]
 
 
@@ -106,8 +115,8 @@
     await fleet.timers.advance(1.0)
     await crash_three(fleet)
     await fleet.timers.advance(INITIAL_QUARANTINE_SECONDS + 1.0)
-    (prober,) = set(fleet.gateways) - set(refusing(fleet))
-    # Its one probe is on its way.
+    (prober,) = probers(fleet)
+    assert probers(fleet) == []
     assert len(refusing(fleet)) == 8
     fleet.gateways[prober].evidence.record_survival(BAD)
     await fleet.timers.advance(KNOWN_SECONDS)
@@ -120,9 +129,10 @@
     await fleet.timers.advance(1.0)
     await crash_three(fleet)
     await fleet.timers.advance(INITIAL_QUARANTINE_SECONDS + 1.0)
-    (prober,) = set(fleet.gateways) - set(refusing(fleet))
+    (prober,) = probers(fleet)
     fleet.gateways[prober].evidence.record_crash("i-9", BAD)
     await fleet.timers.advance(PROBE_TURN_SECONDS + 1.0)
+    assert probers(fleet) == []
     assert len(refusing(fleet)) == 8
     fleet.timers.cancel_all()
 
@@ -207,6 +217,35 @@
     assert sum(len(engine.journal) for engine in world.upstreams.values()) == 1
 
 
+async def test_a_probe_reaches_an_engine_and_a_cured_part_is_served_again(world: World) -> None:
+    engine = await world.add_upstream("i-1", service=KITCHEN)
+    engine.behaviour = upstreams.stream(events=4)
+    gateway = await world.add_gateway()
+    crashes = [
+        CrashRow(f"i-gone-{number}", INITIAL_QUARANTINE_SECONDS + 1.0 + number, (BAD,))
+        for number in range(3)
+    ]
+    gateway.evidence.receive(crashes, ())
+    assert gateway.evidence.quarantined == 1
+    prefix = {names.PROMPT_PREFIX: f"shared:40,{BAD_PART}:95,own:900"}
+    replies = [await send(gateway, "/draft/7", **prefix) for _ in range(2)]
+    assert [(reply.status, reply.complete) for reply in replies] == [(200, True)] * 2
+    assert gateway.evidence.quarantined == 0
+
+
+async def test_a_probe_that_crashes_its_engine_is_not_sent_to_another(world: World) -> None:
+    engines = await CrashingEngines.start(world, count=4)
+    gateway = await world.add_gateway()
+    crashes = [
+        CrashRow(f"i-gone-{number}", INITIAL_QUARANTINE_SECONDS + 1.0 + number, (BAD,))
+        for number in range(3)
+    ]
+    gateway.evidence.receive(crashes, ())
+    replies = [await engines.send_bad(gateway) for _ in range(3)]
+    assert [reply.status for reply in replies] == [502, 503, 503]
+    assert engines.crashes == 1
+
+
 async def test_engines_that_break_connections_by_themselves_quarantine_nothing(
     world: World,
 ) -> None:
