Split the exchange server: attempts, their delivery and the retry rules in modules of their own

It now opens exchanges, answers failures and records ends; attempt_loop.py makes the attempts, delivery.py sends one and passes its answer on, retry_rules.py decides on further ones.

--- /dev/null
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -0,0 +1,208 @@
+"""Make the attempts of an exchange: place, start, replace silent ones, retry failed ones."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Final
+from typing import final
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
+from baobabpulley.gateway.attempt_race import AttemptRace
+from baobabpulley.gateway.attempt_race import RunningAttempt
+from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.crash_evidence import CrashEvidence
+from baobabpulley.gateway.delivery import RESPONSE_MARGIN_SECONDS
+from baobabpulley.gateway.delivery import AttemptDelivery
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import RetryDenial
+from baobabpulley.gateway.exchange_state import error_for_caller
+from baobabpulley.gateway.exchange_state import log_placement
+from baobabpulley.gateway.exchange_state import log_retry_denied
+from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.placer import Placement
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.retry_rules import MIN_ATTEMPT_SECONDS
+from baobabpulley.gateway.retry_rules import RetryRules
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.policy.deadlines import retry_after_seconds
+from baobabpulley.timers import TimerService
+
+# While a silent attempt can't be replaced, budget and upstreams are checked this often.
+REPLACEMENT_PERIOD_SECONDS: Final = 0.25
+
+
+@final
+class AttemptLoop:
+    """Make attempts of exchanges until each is answered or none is allowed any more."""
+
+    __slots__ = (
+        "_delivery",
+        "_evidence",
+        "_gossip",
+        "_outcomes",
+        "_placer",
+        "_random",
+        "_record",
+        "_retries",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        *,
+        placer: Placer,
+        delivery: AttemptDelivery,
+        outcomes: AttemptOutcomes,
+        retries: RetryRules,
+        record: UpstreamRecord,
+        evidence: CrashEvidence,
+        gossip: GossipProtocol,
+        timers: TimerService,
+    ) -> None:
+        self._placer = placer
+        self._delivery = delivery
+        self._outcomes = outcomes
+        self._retries = retries
+        self._record = record
+        self._evidence = evidence
+        self._gossip = gossip
+        self._timers = timers
+        self._random = random.Random()
+
+    async def run(self, exchange: Exchange) -> None:
+        """Make attempts until one of them has delivered a complete response to the caller.
+
+        A silent attempt is not ended: another one is started beside it if the route's attempts, the
+        retry budget and the upstreams have room for one, and the first that goes on is delivered.
+        """
+        race = AttemptRace(timers=self._timers)
+        try:
+            while not await self._advance(exchange, race):
+                pass
+        finally:
+            await race.close()
+
+    async def _advance(self, exchange: Exchange, race: AttemptRace) -> bool:
+        """Start, replace or end an attempt; return whether the response is complete."""
+        if not race.attempts:
+            self._check_time(exchange)
+            self._start(exchange, race, await self._place(exchange))
+        can_replace = self._retries.may_retry_if_run(exchange)
+        ended = await race.wait(
+            silence_timeout=exchange.times.silence_timeout if can_replace else None
+        )
+        if ended is None:
+            self._replace_silent(exchange, race)
+            return False
+        error = ended.error
+        if error is None:
+            self._outcomes.record_success(exchange)
+            return True
+        self._end_failed(exchange, race, ended, error)
+        return False
+
+    async def _place(self, exchange: Exchange) -> Placement:
+        self._check_quarantine(exchange)
+        try:
+            placement = await self._placer.place(exchange.placement_request())
+        except BaobabError as error:
+            raise error_for_caller(exchange, error) from error
+        try:
+            self._check_quarantine(exchange)
+        except BaobabError:
+            self._placer.end(placement)
+            raise
+        return placement
+
+    def _check_quarantine(self, exchange: Exchange) -> None:
+        """Raise if prompts with one of the parts of this one crash engines; it may be a probe."""
+        parts = exchange.parameters.shared_parts
+        refusal = self._evidence.refusal(parts)
+        if refusal is None or exchange.is_probe:
+            return
+        exchange.is_probe = self._evidence.start_probe(parts, nodes=self._gossip.live_nodes())
+        if not exchange.is_probe:
+            raise error_for_caller(exchange, refusal)
+
+    def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
+        upstream = placement.upstream
+        log_placement(exchange, placement, now=self._timers.now())
+        exchange.attempts += 1
+        exchange.upstreams.append(upstream.id)
+        exchange.chunks = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
+        attempt = RunningAttempt(placement=placement, progress=AttemptProgress(self._timers))
+        race.start(attempt, self._delivery.run(exchange, race, attempt))
+        attempt.task.add_done_callback(lambda task: self._end_placement(placement, task))
+
+    def _end_placement(self, placement: Placement, task: asyncio.Task[None]) -> None:
+        self._placer.end(placement)
+        if task.cancelled():
+            self._record.record_inconclusive(placement.upstream)
+
+    def _end_failed(
+        self, exchange: Exchange, race: AttemptRace, attempt: RunningAttempt, error: BaobabError
+    ) -> None:
+        """Record a failed attempt; raise if no other one is running or allowed."""
+        if isinstance(error, UpstreamUnreachable | UpstreamRefused | UpstreamLost):
+            self._outcomes.record_failure(exchange, attempt, error)
+            exchange.is_probe = False
+            if not race.attempts:
+                self._retries.check_retry(exchange, error)
+            return
+        if isinstance(error, DeadlineExceeded):
+            self._outcomes.record_timeout(exchange, attempt)
+        raise error
+
+    def _replace_silent(self, exchange: Exchange, race: AttemptRace) -> None:
+        """Start another attempt beside silent ones, once there is budget and room for it."""
+        for attempt in race.attempts:
+            if not attempt.reported_silent:
+                seconds = self._timers.now() - attempt.progress.at
+                self._outcomes.record_silence(exchange, attempt, seconds=seconds)
+        placement = self._reserve_replacement(exchange)
+        if placement is None:
+            race.postpone(REPLACEMENT_PERIOD_SECONDS)
+        else:
+            self._start(exchange, race, placement)
+
+    def _reserve_replacement(self, exchange: Exchange) -> Placement | None:
+        """Return a placement for which the retry budget has been charged, or ``None``."""
+        if self._evidence.refusal(exchange.parameters.shared_parts) is not None:
+            self._deny_replacement(exchange, RetryDenial.QUARANTINE)
+            return None
+        if not self._retries.has_budget(exchange):
+            self._deny_replacement(exchange, RetryDenial.BUDGET)
+            return None
+        placement = self._placer.place_now(exchange.placement_request())
+        if placement is None:
+            self._deny_replacement(exchange, RetryDenial.NO_ROOM)
+            return None
+        self._retries.spend(exchange)
+        exchange.denial = None
+        return placement
+
+    def _deny_replacement(self, exchange: Exchange, denial: RetryDenial) -> None:
+        """Log why a silent attempt isn't replaced, unless the reason is still the same."""
+        if exchange.denial is not denial:
+            exchange.denial = denial
+            log_retry_denied(exchange, denial, now=self._timers.now())
+
+    def _check_time(self, exchange: Exchange) -> None:
+        left = exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
+        if left > MIN_ATTEMPT_SECONDS:
+            return
+        if exchange.may_have_run:
+            raise DeadlineExceeded(
+                f"no attempt succeeded, and {max(0.0, left):.2f} s left is too short for another"
+            )
+        raise DeadlineBeforeStart(
+            f"{max(0.0, left):.2f} s left is too short for an attempt",
+            retry_after=retry_after_seconds(self._random, expected=0.0, left=max(0.0, left)),
+        )
--- /dev/null
+++ b/src/baobabpulley/gateway/delivery.py
@@ -0,0 +1,154 @@
+"""Run one attempt of an exchange and deliver its answer to the caller."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from baobabpulley.errors import UpstreamFailed
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
+from baobabpulley.gateway.attempt_race import AttemptRace
+from baobabpulley.gateway.attempt_race import RunningAttempt
+from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.attempts import UpstreamResponse
+from baobabpulley.gateway.event_stream import has_content
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import UpstreamFailure
+from baobabpulley.gateway.exchange_state import urgency_of
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.retry_rules import RetryRules
+from baobabpulley.gateway.tickets import TicketManager
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.exchanges import AttemptParameters
+from baobabpulley.ports.exchange_wire import ExchangeWire
+from baobabpulley.timers import TimerService
+
+# Attempts end this long before the caller's deadline, so that the response still arrives in time.
+RESPONSE_MARGIN_SECONDS: Final = 0.03
+
+
+@final
+class AttemptDelivery:
+    """Send attempts and pass on what their upstreams answer."""
+
+    __slots__ = (
+        "_caller",
+        "_outcomes",
+        "_placer",
+        "_record",
+        "_retries",
+        "_tickets",
+        "_timers",
+        "_wire",
+    )
+
+    def __init__(
+        self,
+        *,
+        caller: UpstreamCaller,
+        wire: ExchangeWire,
+        placer: Placer,
+        record: UpstreamRecord,
+        outcomes: AttemptOutcomes,
+        retries: RetryRules,
+        tickets: TicketManager,
+        timers: TimerService,
+    ) -> None:
+        self._caller = caller
+        self._wire = wire
+        self._placer = placer
+        self._record = record
+        self._outcomes = outcomes
+        self._retries = retries
+        self._tickets = tickets
+        self._timers = timers
+
+    async def run(self, exchange: Exchange, race: AttemptRace, attempt: RunningAttempt) -> None:
+        """Send the attempt and deliver its answer; raise the typed error of its failure."""
+        placement = attempt.placement
+        upstream = placement.upstream
+        remaining = exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
+        async with self._tickets.reserved(placement) as helpers:
+            parameters = AttemptParameters(
+                attempt=exchange.parameters.attempt,
+                remaining=remaining,
+                instance=upstream.id,
+                account=None if exchange.account is None else exchange.account.name,
+                last_event=exchange.progress.last_event,
+                urgency=urgency_of(exchange),
+                helpers=helpers,
+            )
+            async with self._caller.send(
+                exchange.incoming,
+                parameters,
+                upstream,
+                retryable=exchange.route.retryable,
+                progress=attempt.progress,
+            ) as response:
+                await self._deliver(exchange, race, attempt, response)
+
+    async def _deliver(
+        self,
+        exchange: Exchange,
+        race: AttemptRace,
+        attempt: RunningAttempt,
+        response: UpstreamResponse,
+    ) -> None:
+        if response.is_stream and response.status == 200:
+            await self._deliver_events(exchange, race, attempt, response)
+            return
+        body = await response.body()
+        upstream = attempt.placement.upstream
+        server_error = response.status >= 500
+        if not server_error:
+            self._record.record_response(upstream, succeeded=True)
+        if server_error and (race.has_others(attempt) or self._retries.reserve_retry(exchange)):
+            exchange.may_have_run = True
+            exchange.upstream_failure = UpstreamFailure(response.status, response.headers, body)
+            raise UpstreamFailed(f"{upstream.id} answered {response.status}")
+        if exchange.reply.started:
+            raise UpstreamLost(
+                f"cannot resume a stream from a response with status {response.status}"
+            )
+        race.claim(attempt)
+        if response.status < 300:
+            self._outcomes.record_survival(exchange)
+        exchange.reply.send(response.status, self._wire.response_headers(response.headers), body)
+
+    async def _deliver_events(
+        self,
+        exchange: Exchange,
+        race: AttemptRace,
+        attempt: RunningAttempt,
+        response: UpstreamResponse,
+    ) -> None:
+        reply = exchange.reply
+        first = True
+        async for event in response.events():
+            if first:
+                self._placer.end_prefill(attempt.placement)
+                first = False
+                self._record.record_response(attempt.placement.upstream, succeeded=True)
+            if has_content(event):
+                self._outcomes.record_event(exchange, attempt)
+            if not exchange.progress.accept(event):
+                continue
+            if has_content(event):
+                self._claim(race, attempt)
+            if not reply.started:
+                reply.start(response.status, self._wire.response_headers(response.headers))
+            reply.write(event)
+            exchange.record_event(self._timers.now())
+        self._claim(race, attempt)
+        self._outcomes.record_survival(exchange)
+        if not reply.started:
+            reply.start(response.status, self._wire.response_headers(response.headers))
+        reply.finish()
+
+    def _claim(self, race: AttemptRace, attempt: RunningAttempt) -> None:
+        """Let an attempt that goes on win; its upstream is sound if it was only silent."""
+        race.claim(attempt)
+        if attempt.reported_silent:
+            attempt.reported_silent = False
+            self._record.record_response(attempt.placement.upstream, succeeded=True)
--- /dev/null
+++ b/src/baobabpulley/gateway/retry_rules.py
@@ -0,0 +1,87 @@
+"""Whether another attempt of an exchange is allowed: by its route, its time and the budget."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.attempts import did_not_run
+from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import RetryDenial
+from baobabpulley.gateway.exchange_state import error_for_caller
+from baobabpulley.gateway.exchange_state import log_retry_denied
+from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.policy.node_retry_budget import NodeRetryBudget
+from baobabpulley.timers import TimerService
+
+# No attempt is started with less time than this.
+MIN_ATTEMPT_SECONDS: Final = 0.05
+
+
+@final
+class RetryRules:
+    """Decide on further attempts and charge the retry budget for them."""
+
+    __slots__ = ("_budget", "_gossip", "_timers")
+
+    def __init__(
+        self, *, budget: NodeRetryBudget, gossip: GossipProtocol, timers: TimerService
+    ) -> None:
+        self._budget = budget
+        self._gossip = gossip
+        self._timers = timers
+
+    def check_retry(self, exchange: Exchange, error: BaobabError) -> None:
+        """Raise unless another attempt is allowed; spends the retry budget where it applies."""
+        allowed = did_not_run(error) or exchange.route.retryable
+        if not allowed or not self._may_retry(exchange):
+            log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
+            raise error_for_caller(exchange, error)
+        if isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory):
+            return
+        if exchange.retry_reserved:
+            exchange.retry_reserved = False
+            return
+        if not self.spend(exchange):
+            log_retry_denied(exchange, RetryDenial.BUDGET, now=self._timers.now())
+            raise error_for_caller(exchange, error)
+
+    def reserve_retry(self, exchange: Exchange) -> bool:
+        """Whether to retry after an upstream's error response; spends the retry budget if so."""
+        exchange.retry_reserved = self.may_retry_if_run(exchange) and self.spend(exchange)
+        return exchange.retry_reserved
+
+    def may_retry_if_run(self, exchange: Exchange) -> bool:
+        """Whether another attempt is allowed even if the current one has run."""
+        return exchange.route.retryable and self._may_retry(exchange)
+
+    def has_budget(self, exchange: Exchange) -> bool:
+        """Whether the retry budget has one left."""
+        return self._budget.has_left(
+            exchange.service.name, nodes=self._gossip.gateway_count, now=self._timers.now()
+        )
+
+    def spend(self, exchange: Exchange) -> bool:
+        """Charge the retry budget; return whether it had one left."""
+        return self._budget.spend(
+            exchange.service.name, nodes=self._gossip.gateway_count, now=self._timers.now()
+        )
+
+    def _may_retry(self, exchange: Exchange) -> bool:
+        left = exchange.times.end - self._timers.now()
+        return (
+            exchange.attempts < exchange.route.max_attempts
+            and left > MIN_ATTEMPT_SECONDS
+            and (exchange.route.retryable or not exchange.may_have_run)
+        )
+
+    def _denial(self, exchange: Exchange) -> RetryDenial:
+        """Return why the count, the time or the route allows no other attempt."""
+        if not exchange.route.retryable and exchange.may_have_run:
+            return RetryDenial.NOT_RETRYABLE
+        if exchange.attempts >= exchange.route.max_attempts:
+            return RetryDenial.ATTEMPTS
+        return RetryDenial.TIME
