Send nothing new to upstreams that say in a response that they are leaving

The gateway looked at the store alone and kept sending first attempts, retries, resumed streams, chunks and reservations there.

Design: `ResponseHead.leaving`, translated in platform/. `UpstreamRecord.record_head` gets the head of each response as soon as it arrives (answers, failures, refusals, heads of streams, reservations, releases), before anything else is checked, so a truncated or unsealed answer counts too. A 421 comes from another instance: all upstreams listed at that address count as leaving. Running attempts end undisturbed, their reservations are renewed and released. The gateway sends no health checks.

Open: not shared with peers; a gateway that restarts learns it anew. An upstream whose entry is removed while the store is sound and that registers again with the same start time is used again.

--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -58,6 +58,7 @@
 from baobabpulley.errors.upstreams import UpstreamOverloaded
 from baobabpulley.errors.upstreams import UpstreamRefused
 from baobabpulley.errors.upstreams import UpstreamReserved
+from baobabpulley.errors.upstreams import UpstreamSkipped
 from baobabpulley.errors.upstreams import UpstreamStalled
 from baobabpulley.errors.upstreams import UpstreamUnreachable
 
@@ -112,6 +113,7 @@
     "UpstreamOverloaded",
     "UpstreamRefused",
     "UpstreamReserved",
+    "UpstreamSkipped",
     "UpstreamStalled",
     "UpstreamUnreachable",
     "errors_by_code",
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -78,6 +78,12 @@
     code = "upstream_leaving"
 
 
+class UpstreamSkipped(UpstreamRefused):
+    """An upstream asked for no new requests after the attempt was placed; nothing was sent."""
+
+    code = "upstream_skipped"
+
+
 class UpstreamModelMissing(UpstreamRefused):
     """The engine does not have the model loaded."""
 
--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -11,6 +11,7 @@
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.attempt_race import RunningAttempt
@@ -54,7 +55,8 @@
         failed_upstream = self._upstream_at_fault(upstream, error)
         exchange.excluded.add(failed_upstream.id)
         exchange.first_engine_id = None if failed_upstream is upstream else upstream.id
-        if failed_upstream is not upstream or isinstance(error, UpstreamUnreachable):
+        nothing_sent = isinstance(error, UpstreamUnreachable | UpstreamSkipped)
+        if failed_upstream is not upstream or nothing_sent:
             # Nothing was sent, or the same engine is retried without this helper, so the attempt
             # does not count towards the route's limit.
             exchange.attempts -= 1
@@ -99,7 +101,7 @@
         failed_upstream: ListedUpstream,
     ) -> None:
         """Record the result of a failed attempt for health checks and circuit breaking."""
-        if isinstance(error, UpstreamOutOfMemory):
+        if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped):
             self._record.record_inconclusive(upstream)
         elif isinstance(error, UpstreamRefused):
             self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -14,10 +14,13 @@
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
@@ -110,10 +113,18 @@
 class UpstreamCaller:
     """Send attempts to upstreams and check that the responses belong to them."""
 
-    __slots__ = ("_client", "_timers", "_wire")
+    __slots__ = ("_client", "_record", "_timers", "_wire")
 
-    def __init__(self, *, client: HttpClient, wire: ExchangeWire, timers: TimerService) -> None:
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        wire: ExchangeWire,
+        record: UpstreamRecord,
+        timers: TimerService,
+    ) -> None:
         self._client = client
+        self._record = record
         self._wire = wire
         self._timers = timers
 
@@ -132,8 +143,9 @@
         What arrives is recorded in ``progress``; silence ends nothing here. Raise
         `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run
         there, `UpstreamLost` if it may have, and `DeadlineExceeded` if the upstream did not finish
-        within ``parameters.remaining`` seconds.
+        within ``parameters.remaining`` seconds. Nothing is sent to an upstream that is leaving.
         """
+        self._record.check_accepting(upstream)
         timeout = self._timers.to_real_seconds(parameters.remaining)
         # The deadline ends a silent attempt first, so that it isn't taken for a lost connection.
         silence_timeout = timeout + DEADLINE_MARGIN_SECONDS
@@ -154,6 +166,7 @@
             ):
                 progress.record()
                 head = self._wire.parse_response_head(response.status, response.headers)
+                self._record.record_head(upstream, head)
                 if head.not_run:
                     await self._skip_body(response)
                     raise UpstreamRefused(
@@ -181,3 +194,8 @@
 def did_not_run(error: Exception) -> bool:
     """Whether an error proves that the attempt did not run."""
     return isinstance(error, UpstreamUnreachable | UpstreamRefused)
+
+
+def costs_no_retry(error: Exception) -> bool:
+    """Whether another attempt after an error is not charged to the retry budget."""
+    return isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory | UpstreamSkipped)
--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -21,7 +21,7 @@
 
 @final
 class CandidateList:
-    """Candidates of each service; upstreams that are draining are left out.
+    """Candidates of each service; upstreams that are leaving are left out.
 
     Each gateway prefers a subset of the upstreams. If none of the upstreams is usable according to
     its health record, all of them are candidates.
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -231,7 +231,12 @@
         add_gauge("waiting", "Requests that wait for an upstream", lambda: self.placer.waiting)
         add_gauge("in_flight", "Requests being served", lambda: self.listener.active_requests)
         add_gauge("upstreams", "Upstreams listed", lambda: len(self.fleet_state.upstreams))
-        add_gauge("upstreams_leaving", "Upstreams listed as leaving", self._leaving)
+        add_gauge("upstreams_leaving", "Upstreams that are leaving", self._leaving)
+        add_gauge(
+            "upstreams_said_leaving",
+            "Of these, upstreams registered as ready that said so in a response",
+            lambda: self.fleet_state.said_leaving_count,
+        )
         add_gauge("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
         add_gauge("log_lines_left_out", "Log lines that no reader took", dropped_line_count)
 
@@ -271,7 +276,9 @@
         return ExchangeServer(
             fleet_state=self.fleet_state,
             placer=self.placer,
-            caller=UpstreamCaller(client=self.client, wire=wire, timers=self.timers),
+            caller=UpstreamCaller(
+                client=self.client, wire=wire, record=self.record, timers=self.timers
+            ),
             wire=wire,
             record=self.record,
             retry_budget=self.retry_budget,
@@ -279,6 +286,7 @@
             gossip=self.gossip,
             tickets=TicketManager(
                 reservations=PlatformMemoryReservations(client=self.client),
+                record=self.record,
                 section=self.settings.get(EnginesSection),
                 timers=self.timers,
             ),
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -14,7 +14,6 @@
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
-from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
@@ -23,6 +22,7 @@
 from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.attempts import UpstreamResponse
+from baobabpulley.gateway.attempts import costs_no_retry
 from baobabpulley.gateway.attempts import did_not_run
 from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.gateway.exchange_state import Exchange
@@ -319,7 +319,7 @@
         if not allowed or not self._may_retry(exchange):
             log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
             raise error_for_caller(exchange, error)
-        if isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory):
+        if costs_no_retry(error):
             return
         if exchange.retry_reserved:
             exchange.retry_reserved = False
--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -3,6 +3,9 @@
 Entries come from the store, or from other gateways while the store is unavailable. All updates are
 ordered by store revision: an entry is replaced only by a newer one, whatever its source, so the
 state never goes back to an older one.
+
+An upstream counts as leaving if its entry says so or if it said so itself in a response; see
+`baobabpulley.policy.leaving_upstreams`.
 """
 
 from __future__ import annotations
@@ -21,6 +24,7 @@
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.policy.leaving_upstreams import LeavingUpstreams
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 
@@ -48,6 +52,7 @@
         "_configured",
         "_documents",
         "_entries",
+        "_leaving",
         "_listeners",
         "_members",
         "_pending_removals",
@@ -64,6 +69,7 @@
         # (monotonic seconds) unless they are registered again.
         self._pending_removals: dict[str, float] = {}
         self._upstreams: dict[str, ListedUpstream] = {}
+        self._leaving = LeavingUpstreams()
         self._members: dict[str, GatewayMember] = {}
         self._table: RoutingTable | None = None
         self._configuration_revision = 0
@@ -88,9 +94,14 @@
 
     @property
     def upstreams(self) -> dict[str, ListedUpstream]:
-        """Upstreams by id, including those that are draining."""
+        """Upstreams by id, including those that are leaving."""
         return self._upstreams
 
+    @property
+    def said_leaving_count(self) -> int:
+        """Number of upstreams that said that they are leaving, but are registered as ready."""
+        return len(self._leaving)
+
     @property
     def members(self) -> dict[str, GatewayMember]:
         """Registered gateways by node."""
@@ -159,6 +170,18 @@
         if entries:
             self._notify()
 
+    def record_leaving(self, upstream: ListedUpstream) -> None:
+        """Record that an upstream, as listed when it got a request, said that it is leaving."""
+        listed = self._upstreams.get(upstream.id)
+        if listed is None or listed.leaving or listed.born > upstream.born:
+            return
+        self._leaving.record(listed)
+        self._upstreams[listed.id] = msgspec.structs.replace(listed, leaving=True)
+        logger.bind(
+            event="upstream_leaving", upstream=listed.id, service=listed.service, born=listed.born
+        ).info("upstream said in a response that it is leaving")
+        self._notify()
+
     def remove_expired(self, *, now: float) -> None:
         """Remove upstreams that weren't registered again within the removal delay."""
         expired = [key for key, until in self._pending_removals.items() if until <= now]
@@ -199,7 +222,10 @@
                 event="configuration", version=table.version, revision=entry.mod_revision
             ).info("applied a configuration")
         elif kind == UPSTREAM:
-            upstream = self._documents.upstream(name, value)
+            registered = self._documents.upstream(name, value)
+            upstream = msgspec.structs.replace(
+                registered, leaving=self._leaving.is_leaving(registered)
+            )
             previous = self._upstreams.get(name)
             self._upstreams[name] = upstream
             if previous is None or previous.leaving != upstream.leaving:
@@ -219,12 +245,14 @@
         if kind == CONFIGURATION:
             # Operators never delete the configuration, so its absence is a fault of the store.
             return
-        if upstream is not None and removal_delay and not upstream.leaving:
+        draining = upstream is not None and upstream.leaving and name not in self._leaving
+        if upstream is not None and removal_delay and not draining:
             self._pending_removals.setdefault(key, now + removal_delay)
             return
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
         self._upstreams.pop(name, None) if kind == UPSTREAM else self._members.pop(name, None)
+        self._leaving.forget(name)
         if upstream is not None:
             logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
 
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -119,13 +119,8 @@
 
     async def place(self, request: PlacementRequest) -> Placement:
         """Return where an attempt goes, once there is room; raise `NoUpstream` or `Overloaded`."""
-        service = request.service.name
-        if not self._candidates.has_any(service, excluded=request.excluded):
-            raise NoUpstream(
-                f"service {service} has no upstream left for the request",
-                retry_after=self._retry_after(request),
-            )
-        queue = self._queues[service]
+        self._check_available(request)
+        queue = self._queues[request.service.name]
         if not queue or request.needs.prompt_tokens:
             placement = self._try(request)
             if placement is not None:
@@ -197,6 +192,7 @@
                 queue.remove(waiter)
                 continue
             try:
+                self._check_available(waiter.request)
                 placement = self._try(waiter.request)
             except (NoUpstream, Overloaded) as error:
                 queue.remove(waiter)
@@ -209,6 +205,15 @@
                 # The requests behind it are less urgent or need more, so they have no room either.
                 break
 
+    def _check_available(self, request: PlacementRequest) -> None:
+        """Raise `NoUpstream` if the service has no upstream that may get the request."""
+        service = request.service.name
+        if not self._candidates.has_any(service, excluded=request.excluded):
+            raise NoUpstream(
+                f"service {service} has no upstream left for the request",
+                retry_after=self._retry_after(request),
+            )
+
     def _may_have_room(self, service: str) -> bool:
         """Whether to try the queued requests: not if all slots are taken."""
         subset = self._candidates.in_subset(service, excluded=NO_EXCLUSIONS)
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -13,6 +13,7 @@
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.sections import EnginesSection
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import HelperEngine
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.ports.exchange_wire import MemoryReservations
@@ -32,14 +33,23 @@
 
 @final
 class TicketManager:
-    """Reserve the memory of a prompt at all engines or none, renew it, and release it."""
+    """Reserve the memory of a prompt at all engines or none, renew it, and release it.
 
-    __slots__ = ("_reservations", "_section", "_tasks", "_timers")
+    Memory of running prompts is renewed at leaving engines too.
+    """
+
+    __slots__ = ("_record", "_reservations", "_section", "_tasks", "_timers")
 
     def __init__(
-        self, *, reservations: MemoryReservations, section: EnginesSection, timers: TimerService
+        self,
+        *,
+        reservations: MemoryReservations,
+        record: UpstreamRecord,
+        section: EnginesSection,
+        timers: TimerService,
     ) -> None:
         self._reservations = reservations
+        self._record = record
         self._section = section
         self._timers = timers
         self._tasks: set[asyncio.Task[None]] = set()
@@ -48,7 +58,8 @@
     async def reserved(self, placement: Placement) -> AsyncIterator[tuple[HelperEngine, ...]]:
         """Yield the helper engines of a placement, with their tickets renewed within the block.
 
-        Raise `UpstreamOutOfMemory` if an engine no longer has enough free memory.
+        Raise `UpstreamOutOfMemory` if an engine no longer has enough free memory, and
+        `UpstreamSkipped` if one said while memory was reserved that it is leaving.
         """
         plan = placement.plan
         if plan is None:
@@ -62,6 +73,8 @@
         try:
             if tickets:
                 await self._reserve_all(tickets)
+                for helper in plan.helpers:
+                    self._record.check_accepting(helper)
                 renewal = asyncio.get_running_loop().create_task(self._renew(tickets))
             ticket_names = {ticket.upstream.id: ticket.name for ticket in tickets}
             yield tuple(
@@ -84,12 +97,15 @@
                 )
 
     async def _reserve(self, ticket: _Ticket) -> bool:
-        return await self._reservations.reserve(
+        outcome = await self._reservations.reserve(
             ticket.upstream,
             ticket=ticket.name,
             tokens=ticket.tokens,
             hold_seconds=self._section.ticket_hold,
         )
+        if outcome.head is not None:
+            self._record.record_head(ticket.upstream, outcome.head)
+        return outcome.reserved
 
     async def _renew(self, tickets: list[_Ticket]) -> None:
         """Renew tickets until cancelled; an unresponsive engine doesn't delay the others."""
@@ -107,7 +123,11 @@
 
     def _release_later(self, ticket: _Ticket) -> None:
         # A task of its own, as the memory has to be released even if the caller disconnects.
-        release = self._reservations.release(ticket.upstream, ticket=ticket.name)
-        task = asyncio.get_running_loop().create_task(release)  # type: ignore[arg-type]
+        task = asyncio.get_running_loop().create_task(self._release(ticket))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+    async def _release(self, ticket: _Ticket) -> None:
+        head = await self._reservations.release(ticket.upstream, ticket=ticket.name)
+        if head is not None:
+            self._record.record_head(ticket.upstream, head)
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -1,4 +1,4 @@
-"""Record the results of attempts for health checks and circuit breaking."""
+"""Record what attempts show of upstreams: health, reachability, and whether they are leaving."""
 
 from __future__ import annotations
 
@@ -6,10 +6,12 @@
 from collections.abc import Sequence
 from typing import final
 
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.domain_circuit_breaker import DomainCircuitBreaker
 from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
 
 # Returns when gossip from a gateway of a failure domain was last received, in monotonic seconds, or
@@ -19,7 +21,10 @@
 
 @final
 class UpstreamRecord:
-    """Health of upstreams and reachability of failure domains, from this gateway's attempts."""
+    """Health of upstreams and reachability of failure domains, from this gateway's attempts.
+
+    The head of each response is recorded as soon as it arrives, whatever becomes of its attempt.
+    """
 
     __slots__ = ("_breaker", "_fleet_state", "_health", "_last_seen", "_timers")
 
@@ -58,6 +63,27 @@
             if upstream.failure_domain in reachable and upstream.id not in paused
         ]
 
+    def check_accepting(self, upstream: ListedUpstream) -> None:
+        """Raise `UpstreamSkipped` if an upstream, as listed when it was chosen, is leaving now."""
+        listed = self._fleet_state.upstreams.get(upstream.id)
+        if listed is not None and listed.leaving:
+            raise UpstreamSkipped(f"{upstream.id} is leaving by now", at_fault=upstream.id)
+
+    def record_head(self, upstream: ListedUpstream, head: ResponseHead) -> None:
+        """Record what the head of a response says of the upstream."""
+        if head.leaving:
+            for instance in self._responding_instances(upstream, head):
+                self._fleet_state.record_leaving(instance)
+
+    def _responding_instances(
+        self, upstream: ListedUpstream, head: ResponseHead
+    ) -> tuple[ListedUpstream, ...]:
+        """Return the upstream, or all that are listed at its address if another one responded."""
+        if not head.misdirected:
+            return (upstream,)
+        listed = self._fleet_state.upstreams.values()
+        return tuple(other for other in listed if other.address == upstream.address)
+
     def record_attempt(self, upstream: ListedUpstream) -> None:
         """Record the start of an attempt."""
         self._health.record_attempt(upstream.id)
--- a/src/baobabpulley/platform/memory_reservations.py
+++ b/src/baobabpulley/platform/memory_reservations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import Final
 from typing import final
 
@@ -9,12 +11,14 @@
 from loguru import logger
 
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
+from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.ports.exchange_wire import MemoryReservations
+from baobabpulley.ports.exchange_wire import ReservationOutcome
+from baobabpulley.ports.exchange_wire import ResponseHead
 
 # Short, as engines answer these requests without waiting for a free slot.
 _REQUEST_TIMEOUT_SECONDS: Final = 0.4
@@ -39,36 +43,44 @@
 class PlatformMemoryReservations(MemoryReservations):
     """Reservations over HTTP; a request without a response counts as refused."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_wire")
 
     def __init__(self, *, client: HttpClient) -> None:
         self._client = client
+        self._wire = PlatformWire()
 
     async def reserve(
         self, upstream: ListedUpstream, *, ticket: str, tokens: int, hold_seconds: float
-    ) -> bool:
+    ) -> ReservationOutcome:
         request = _Reserve(
             identifier=ticket, token_count=tokens, hold_ms=round(hold_seconds * _MS_PER_SECOND)
         )
-        return await self._send(upstream, msgspec.json.encode(request)) == 200
+        head = await self._send(upstream, msgspec.json.encode(request))
+        return ReservationOutcome(reserved=head is not None and head.status == 200, head=head)
 
-    async def release(self, upstream: ListedUpstream, *, ticket: str) -> None:
-        await self._send(upstream, msgspec.json.encode(_Release(identifier=ticket)))
+    async def release(self, upstream: ListedUpstream, *, ticket: str) -> ResponseHead | None:
+        return await self._send(upstream, msgspec.json.encode(_Release(identifier=ticket)))
 
-    async def _send(self, upstream: ListedUpstream, body: bytes) -> int:
+    async def _send(self, upstream: ListedUpstream, body: bytes) -> ResponseHead | None:
+        """Send an order and return the head of the response; its body is not needed."""
+        head: ResponseHead | None = None
         try:
-            status, _ = await fetch(
-                self._client,
-                address=upstream.address,
-                method="POST",
-                path=names.ORDER,
-                body=body,
-                headers=_JSON | {names.EXPECTED_INSTANCE: upstream.id},
-                timeout=_REQUEST_TIMEOUT_SECONDS,
-            )
-        except (UpstreamLost, UpstreamUnreachable) as error:
+            async with (
+                asyncio.timeout(_REQUEST_TIMEOUT_SECONDS),
+                self._client.call(
+                    address=upstream.address,
+                    method="POST",
+                    path=names.ORDER,
+                    body=body,
+                    headers=_JSON | {names.EXPECTED_INSTANCE: upstream.id},
+                    head_timeout=_REQUEST_TIMEOUT_SECONDS,
+                ) as response,
+            ):
+                head = self._wire.parse_response_head(response.status, response.headers)
+                with contextlib.suppress(UpstreamLost):
+                    await response.body(idle_timeout=_REQUEST_TIMEOUT_SECONDS)
+        except (TimeoutError, UpstreamLost, UpstreamUnreachable) as error:
             logger.bind(upstream=upstream.id).info(
-                "no response to a memory reservation request: {}", error.message
+                "no complete response to a memory reservation request: {!r}", error
             )
-            return 0
-        return status
+        return head
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -17,6 +17,10 @@
 
 _MS_PER_SECOND: Final = 1000
 _MAX_ATTEMPT_ID_LENGTH: Final = 256
+# Another instance than the expected one received the request.
+_MISDIRECTED_STATUS: Final = 421
+# Value of a header that states a fact.
+_YES: Final = "1"
 
 # Headers that apply to a single connection and aren't forwarded.
 _HOP_BY_HOP: Final = frozenset(
@@ -94,8 +98,10 @@
             status=status,
             attempt=headers.get(names.ATTEMPT),
             sealed=names.SEAL in headers,
-            not_run=names.NOT_EXECUTED in headers or status == 421,
+            not_run=names.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             at_fault=headers.get(names.AT_SERVER),
+            misdirected=status == _MISDIRECTED_STATUS,
+            leaving=headers.get(names.LEAVING, "").strip() == _YES,
         )
 
 
--- a/src/baobabpulley/ports/exchange_wire.py
+++ b/src/baobabpulley/ports/exchange_wire.py
@@ -22,6 +22,8 @@
     ``attempt`` is the id of the attempt that the response belongs to. ``sealed`` says whether it
     has the seal that upstreams put on their own responses, ``not_run`` whether the request is
     certain not to have run there. ``at_fault`` names the upstream that caused a failure.
+    ``misdirected`` is whether another instance than the expected one responded, ``leaving`` whether
+    the one that responded says that it is leaving.
     """
 
     status: int
@@ -29,6 +31,15 @@
     sealed: bool
     not_run: bool
     at_fault: str | None
+    misdirected: bool = False
+    leaving: bool = False
+
+
+class ReservationOutcome(msgspec.Struct, frozen=True):
+    """Result of a reservation; ``head`` is that of the response, ``None`` if there was none."""
+
+    reserved: bool
+    head: ResponseHead | None
 
 
 class ExchangeWire(ABC):
@@ -57,9 +68,12 @@
     @abstractmethod
     async def reserve(
         self, upstream: ListedUpstream, *, ticket: str, tokens: int, hold_seconds: float
-    ) -> bool:
-        """Reserve memory for ``hold_seconds``, or renew it; return whether it is reserved."""
+    ) -> ReservationOutcome:
+        """Reserve memory for ``hold_seconds``, or renew it."""
 
     @abstractmethod
-    async def release(self, upstream: ListedUpstream, *, ticket: str) -> None:
-        """Release memory; if the release is lost, the memory stays reserved until it expires."""
+    async def release(self, upstream: ListedUpstream, *, ticket: str) -> ResponseHead | None:
+        """Release memory and return the head of the response, ``None`` if there was none.
+
+        If the release is lost, the memory stays reserved until it expires.
+        """
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -29,12 +29,14 @@
         headers: dict[str, str],
         body: bytes,
         writer: asyncio.StreamWriter,
+        upstream: UpstreamStandin,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.writer = writer
+        self.upstream = upstream
 
     @property
     def attempt(self) -> str:
@@ -42,7 +44,8 @@
 
     def head(self, status: int, *extra: str, length: int | None = None) -> bytes:
         """Return a response head with the attempt's id and the ``extra`` header lines."""
-        lines = [f"HTTP/1.1 {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra]
+        always = self.upstream.response_headers
+        lines = [f"HTTP/1.1 {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra, *always]
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -73,9 +76,10 @@
 class UpstreamStandin:
     """One server.
 
-    ``behaviour`` responds to requests. ``journal`` lists the executed attempts, and ``orders`` the
-    orders received. ``connections`` counts accepted connections, and ``early_closes`` requests
-    whose caller closed or sent more before the response was complete.
+    ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
+    executed, and ``orders`` the orders received. ``response_headers`` are header lines of all
+    responses. ``connections`` counts accepted connections, and ``early_closes`` requests whose
+    caller closed or sent more before the response was complete.
     """
 
     def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
@@ -84,7 +88,9 @@
         self.zone = zone
         self.slots = slots
         self.behaviour: Behaviour = answer_complete
+        self.arrivals: list[Call] = []
         self.journal: list[Call] = []
+        self.response_headers: list[str] = []
         self.orders: list[dict[str, object]] = []
         self.order_status = 200
         self.order_delay_seconds = 0.0
@@ -125,7 +131,7 @@
         self._tasks.add(task)
         self.connections += 1
         try:
-            while (call := await _read_call(reader, writer)) is not None:
+            while (call := await _read_call(self, reader, writer)) is not None:
                 await self._answer(call, reader)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -139,6 +145,7 @@
             await asyncio.sleep(self.order_delay_seconds)
             await call.write(call.head(self.order_status, length=0))
             return
+        self.arrivals.append(call)
         expected = call.headers.get(names.EXPECTED_INSTANCE.lower())
         if expected != self.name:
             await call.write(call.head(421, length=0))
@@ -157,7 +164,9 @@
             await response
 
 
-async def _read_call(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Call | None:
+async def _read_call(
+    upstream: UpstreamStandin, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> Call | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -166,7 +175,9 @@
     method, target, _ = first.split(" ")
     headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Call(method=method, target=target, headers=headers, body=body, writer=writer)
+    return Call(
+        method=method, target=target, headers=headers, body=body, writer=writer, upstream=upstream
+    )
 
 
 async def answer_complete(upstream: UpstreamStandin, call: Call) -> None:
