Send nothing to upstreams that answer 503 with Retry-After until it is over

The gateway read only that the request hadn't run: it counted a failure, charged a retry, and sent the next request there at once.

Design: `ResponseHead.retry_after`, translated in platform/ for 503 alone; NaN for a date or another text. Within it the upstream is no candidate for first attempts, retries, replacements, resumed streams, chunks and reservations, and gets no probe; renewals and releases of reservations that are in use go on, as they belong to work that runs. It is no failure: no penalty, no circuit, and no retry charged if the request certainly didn't run. If all upstreams of a service have asked, callers, queued ones too, are refused at once as `overloaded`, with the earliest end as Retry-After, spread and bounded as before; so is a caller whose last attempt was the one that showed it.

Open: not shared with peers. At the end of a window an upstream gets its full share at once, not a single request first.

--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -49,6 +49,7 @@
 from baobabpulley.errors.requests import UnknownModel
 from baobabpulley.errors.upstreams import MismatchedResponse
 from baobabpulley.errors.upstreams import OrderTooLate
+from baobabpulley.errors.upstreams import UpstreamBackpressure
 from baobabpulley.errors.upstreams import UpstreamFailed
 from baobabpulley.errors.upstreams import UpstreamImportFailed
 from baobabpulley.errors.upstreams import UpstreamLeaving
@@ -104,6 +105,7 @@
     "TooFewEngines",
     "UnknownModel",
     "UnknownName",
+    "UpstreamBackpressure",
     "UpstreamFailed",
     "UpstreamImportFailed",
     "UpstreamLeaving",
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -78,6 +78,12 @@
     code = "upstream_leaving"
 
 
+class UpstreamBackpressure(UpstreamRefused):
+    """The upstream did not run the request and asked for no others for a while."""
+
+    code = "upstream_backpressure"
+
+
 class UpstreamSkipped(UpstreamRefused):
     """An upstream asked for no new requests after the attempt was placed; nothing was sent."""
 
--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
@@ -103,6 +104,8 @@
         """Record the result of a failed attempt for health checks and circuit breaking."""
         if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped):
             self._record.record_inconclusive(upstream)
+        elif self._is_backpressure(upstream, error):
+            self._record.record_reachable(upstream)
         elif isinstance(error, UpstreamRefused):
             self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
             if failed_upstream is not upstream:
@@ -116,3 +119,9 @@
             self._record.record_response(upstream, succeeded=False)
         else:
             self._record.record_failure(upstream)
+
+    def _is_backpressure(self, upstream: ListedUpstream, error: BaobabError) -> bool:
+        """Whether an upstream answered that it wants no requests; that is not held against it."""
+        if isinstance(error, UpstreamFailed):
+            return self._record.backpressure_seconds_left(upstream) > 0
+        return isinstance(error, UpstreamBackpressure)
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -13,6 +13,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
@@ -143,7 +144,8 @@
         What arrives is recorded in ``progress``; silence ends nothing here. Raise
         `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run
         there, `UpstreamLost` if it may have, and `DeadlineExceeded` if the upstream did not finish
-        within ``parameters.remaining`` seconds. Nothing is sent to an upstream that is leaving.
+        within ``parameters.remaining`` seconds. Nothing is sent to an upstream that
+        has asked for no requests since it was chosen.
         """
         self._record.check_accepting(upstream)
         timeout = self._timers.to_real_seconds(parameters.remaining)
@@ -169,7 +171,8 @@
                 self._record.record_head(upstream, head)
                 if head.not_run:
                     await self._skip_body(response)
-                    raise UpstreamRefused(
+                    refusal = UpstreamRefused if head.retry_after is None else UpstreamBackpressure
+                    raise refusal(
                         f"{upstream.id} answered {head.status}, not run", at_fault=head.at_fault
                     )
                 if head.attempt != parameters.attempt or not head.sealed:
@@ -198,4 +201,7 @@
 
 def costs_no_retry(error: Exception) -> bool:
     """Whether another attempt after an error is not charged to the retry budget."""
-    return isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory | UpstreamSkipped)
+    return isinstance(
+        error,
+        UpstreamUnreachable | UpstreamOutOfMemory | UpstreamBackpressure | UpstreamSkipped,
+    )
--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -21,7 +21,7 @@
 
 @final
 class CandidateList:
-    """Candidates of each service; upstreams that are leaving are left out.
+    """Candidates of each service; upstreams that are leaving or asked for no requests are left out.
 
     Each gateway prefers a subset of the upstreams. If none of the upstreams is usable according to
     its health record, all of them are candidates.
@@ -71,8 +71,17 @@
         return self._candidates(self._all(service), excluded)
 
     def has_any(self, service: str, *, excluded: frozenset[str]) -> bool:
-        """Whether a service has an upstream that is not excluded."""
-        return any(upstream.id not in excluded for upstream in self._all(service))
+        """Whether a service has a candidate."""
+        blocked = excluded | self._record.backpressured_upstreams()
+        return any(upstream.id not in blocked for upstream in self._all(service))
+
+    def backpressure_seconds(self, service: str) -> float | None:
+        """Return the seconds until an upstream of a service wants requests again.
+
+        Return ``None`` if one wants requests now, or if there is none.
+        """
+        left = [self._record.backpressure_seconds_left(upstream) for upstream in self._all(service)]
+        return min(left, default=0.0) or None
 
     def exceeds_subset(self, service: str) -> bool:
         """Whether a service has upstreams beyond this gateway's subset."""
@@ -94,9 +103,10 @@
         self, upstreams: Sequence[ListedUpstream], excluded: frozenset[str]
     ) -> list[Candidate]:
         now = self._timers.now()
+        blocked = excluded | self._record.backpressured_upstreams()
         allowed = (
-            [upstream for upstream in upstreams if upstream.id not in excluded]
-            if excluded
+            [upstream for upstream in upstreams if upstream.id not in blocked]
+            if blocked
             else upstreams
         )
         usable = self._record.usable(allowed)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -237,6 +237,11 @@
             "Of these, upstreams registered as ready that said so in a response",
             lambda: self.fleet_state.said_leaving_count,
         )
+        add_gauge(
+            "upstreams_backpressured",
+            "Upstreams that asked for no requests for now",
+            lambda: len(self.record.backpressured_upstreams()),
+        )
         add_gauge("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
         add_gauge("log_lines_left_out", "Log lines that no reader took", dropped_line_count)
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -12,6 +12,7 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
@@ -318,7 +319,7 @@
         allowed = did_not_run(error) or exchange.route.retryable
         if not allowed or not self._may_retry(exchange):
             log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
-            raise error_for_caller(exchange, error)
+            raise error_for_caller(exchange, self._refusal(exchange, error))
         if costs_no_retry(error):
             return
         if exchange.retry_reserved:
@@ -328,6 +329,12 @@
             log_retry_denied(exchange, RetryDenial.BUDGET, now=self._timers.now())
             raise error_for_caller(exchange, error)
 
+    def _refusal(self, exchange: Exchange, error: BaobabError) -> BaobabError:
+        """Return the error to report, which tells when the first upstream wants requests again."""
+        if not isinstance(error, UpstreamBackpressure):
+            return error
+        return self._placer.backpressure_error(exchange.placement_request()) or error
+
     def _denial(self, exchange: Exchange) -> RetryDenial:
         """Return why the count, the time or the route allows no other attempt."""
         if not exchange.route.retryable and exchange.may_have_run:
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -137,6 +137,19 @@
         except (NoUpstream, Overloaded):
             return None
 
+    def backpressure_error(self, request: PlacementRequest) -> Overloaded | None:
+        """Return the error to report if all upstreams of the service asked for no requests."""
+        service = request.service.name
+        seconds = self._candidates.backpressure_seconds(service)
+        if seconds is None:
+            return None
+        return Overloaded(
+            f"all upstreams of {service} asked for no requests, the first for {seconds:.2f} s more",
+            retry_after=self._planner.retry_after(
+                request.times, now=self._timers.now(), expected=seconds
+            ),
+        )
+
     def end_prefill(self, placement: Placement) -> None:
         """Record that the prompt of an attempt has been prefilled."""
         now = self._timers.now()
@@ -206,13 +219,14 @@
                 break
 
     def _check_available(self, request: PlacementRequest) -> None:
-        """Raise `NoUpstream` if the service has no upstream that may get the request."""
+        """Raise `NoUpstream` or `Overloaded` if no upstream may get the request for now."""
         service = request.service.name
-        if not self._candidates.has_any(service, excluded=request.excluded):
-            raise NoUpstream(
-                f"service {service} has no upstream left for the request",
-                retry_after=self._retry_after(request),
-            )
+        if self._candidates.has_any(service, excluded=request.excluded):
+            return
+        raise self.backpressure_error(request) or NoUpstream(
+            f"service {service} has no upstream left for the request",
+            retry_after=self._retry_after(request),
+        )
 
     def _may_have_room(self, service: str) -> bool:
         """Whether to try the queued requests: not if all slots are taken."""
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -35,7 +35,7 @@
 class TicketManager:
     """Reserve the memory of a prompt at all engines or none, renew it, and release it.
 
-    Memory of running prompts is renewed at leaving engines too.
+    Memory of running prompts is renewed also at engines that are leaving or asked for no requests.
     """
 
     __slots__ = ("_record", "_reservations", "_section", "_tasks", "_timers")
@@ -59,7 +59,7 @@
         """Yield the helper engines of a placement, with their tickets renewed within the block.
 
         Raise `UpstreamOutOfMemory` if an engine no longer has enough free memory, and
-        `UpstreamSkipped` if one said while memory was reserved that it is leaving.
+        `UpstreamSkipped` if one asked for no requests while memory was reserved.
         """
         plan = placement.plan
         if plan is None:
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -1,15 +1,20 @@
-"""Record what attempts show of upstreams: health, reachability, and whether they are leaving."""
+"""Record what responses and failures show of upstreams: health, leaving, back-pressure."""
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import final
 
+from loguru import logger
+
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.domain_circuit_breaker import DomainCircuitBreaker
+from baobabpulley.policy.upstream_backpressure import BackpressureWindows
+from baobabpulley.policy.upstream_backpressure import backpressure_seconds
 from baobabpulley.policy.upstream_health import UpstreamHealth
 from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
@@ -26,7 +31,7 @@
     The head of each response is recorded as soon as it arrives, whatever becomes of its attempt.
     """
 
-    __slots__ = ("_breaker", "_fleet_state", "_health", "_last_seen", "_timers")
+    __slots__ = ("_backpressure", "_breaker", "_fleet_state", "_health", "_last_seen", "_timers")
 
     def __init__(
         self,
@@ -39,6 +44,7 @@
         self._fleet_state = fleet_state
         self._last_seen = last_seen
         self._timers = timers
+        self._backpressure = BackpressureWindows()
         self._health = UpstreamHealth()
         self._breaker = DomainCircuitBreaker(own_domain=failure_domain)
 
@@ -64,16 +70,45 @@
         ]
 
     def check_accepting(self, upstream: ListedUpstream) -> None:
-        """Raise `UpstreamSkipped` if an upstream, as listed when it was chosen, is leaving now."""
+        """Raise `UpstreamSkipped` if an upstream has asked for no requests since it was chosen."""
         listed = self._fleet_state.upstreams.get(upstream.id)
         if listed is not None and listed.leaving:
             raise UpstreamSkipped(f"{upstream.id} is leaving by now", at_fault=upstream.id)
+        seconds = self.backpressure_seconds_left(upstream)
+        if seconds:
+            raise UpstreamSkipped(
+                f"{upstream.id} asked for no requests for {seconds:.2f} s more",
+                at_fault=upstream.id,
+            )
+
+    def backpressured_upstreams(self) -> frozenset[str]:
+        """Return the ids of the upstreams that asked for no requests now."""
+        return self._backpressure.upstreams(now=self._timers.now())
+
+    def backpressure_seconds_left(self, upstream: ListedUpstream) -> float:
+        """Return for how many seconds an upstream still wants no requests; 0 if it gets some."""
+        return self._backpressure.seconds_left(upstream.id, now=self._timers.now())
 
     def record_head(self, upstream: ListedUpstream, head: ResponseHead) -> None:
         """Record what the head of a response says of the upstream."""
         if head.leaving:
             for instance in self._responding_instances(upstream, head):
                 self._fleet_state.record_leaving(instance)
+        if head.retry_after is not None:
+            self._record_backpressure(upstream, head.retry_after)
+
+    def _record_backpressure(self, upstream: ListedUpstream, asked: float) -> None:
+        if upstream.id not in self._fleet_state.upstreams:
+            return
+        seconds = backpressure_seconds(asked)
+        if self._backpressure.record(upstream.id, seconds=seconds, now=self._timers.now()):
+            logger.bind(
+                event="upstream_backpressure",
+                upstream=upstream.id,
+                service=upstream.service,
+                asked=asked if math.isfinite(asked) else None,
+                seconds=seconds,
+            ).info("upstream asked for no requests")
 
     def _responding_instances(
         self, upstream: ListedUpstream, head: ResponseHead
@@ -103,12 +138,18 @@
             domain, upstream.id, last_seen=self._last_seen(domain), now=now
         )
 
+    def record_reachable(self, upstream: ListedUpstream) -> None:
+        """Record a response that shows no more than that the upstream can be reached."""
+        self._health.cancel_probe(upstream.id)
+        self._breaker.record_response(upstream.failure_domain)
+
     def record_inconclusive(self, upstream: ListedUpstream) -> None:
         """Record that an attempt ended without showing whether its upstream is healthy."""
         self._health.cancel_probe(upstream.id)
 
     def forget(self, upstream: ListedUpstream) -> None:
-        """Drop the health record of an upstream that was removed."""
+        """Drop the records of an upstream that was removed."""
+        self._backpressure.forget(upstream.id)
         self._health.forget(upstream.id)
 
     def has_no_record(self, upstream: str) -> bool:
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import Final
 from typing import final
 
@@ -17,6 +19,9 @@
 
 _MS_PER_SECOND: Final = 1000
 _MAX_ATTEMPT_ID_LENGTH: Final = 256
+_BUSY_STATUS: Final = 503
+_RETRY_AFTER: Final = "Retry-After"
+_DECIMAL: Final = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 # Another instance than the expected one received the request.
 _MISDIRECTED_STATUS: Final = 421
 # Value of a header that states a fact.
@@ -101,6 +106,7 @@
             not_run=names.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             at_fault=headers.get(names.AT_SERVER),
             misdirected=status == _MISDIRECTED_STATUS,
+            retry_after=_parse_retry_after(headers) if status == _BUSY_STATUS else None,
             leaving=headers.get(names.LEAVING, "").strip() == _YES,
         )
 
@@ -139,6 +145,20 @@
     return max(0.0, value) / _MS_PER_SECOND if value == value else None
 
 
+def _parse_retry_after(headers: HTTPHeaders) -> float | None:
+    """Return the seconds of a Retry-After header; NaN if it is a date or not a decimal number.
+
+    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "1.5"})), _parse_retry_after(HTTPHeaders())
+    (1.5, None)
+    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "soon"}))
+    nan
+    """
+    if _RETRY_AFTER not in headers:
+        return None
+    text = headers[_RETRY_AFTER].strip()
+    return float(text) if _DECIMAL.fullmatch(text) else math.nan
+
+
 def _parse_token_counts(text: str | None) -> tuple[int, int]:
     """Return the number of prompt tokens and the maximum number of output tokens; 0 if unknown.
 
--- a/src/baobabpulley/ports/exchange_wire.py
+++ b/src/baobabpulley/ports/exchange_wire.py
@@ -23,7 +23,9 @@
     has the seal that upstreams put on their own responses, ``not_run`` whether the request is
     certain not to have run there. ``at_fault`` names the upstream that caused a failure.
     ``misdirected`` is whether another instance than the expected one responded, ``leaving`` whether
-    the one that responded says that it is leaving.
+    the one that responded says that it is leaving. ``retry_after`` is for how many seconds an
+    upstream that refused the request for lack of capacity wants no others: NaN if that can't be
+    read, ``None`` if it didn't say.
     """
 
     status: int
@@ -33,6 +35,7 @@
     at_fault: str | None
     misdirected: bool = False
     leaving: bool = False
+    retry_after: float | None = None
 
 
 class ReservationOutcome(msgspec.Struct, frozen=True):
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -310,3 +310,23 @@
         await call.write(b"0\r\n\r\n")
 
     return run
+
+
+def refuse_with_retry_after(value: str, *headers: str, status: int = 503) -> Behaviour:
+    """Return a behaviour that refuses unexecuted requests with ``value`` as Retry-After."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        upstream.journal.pop()
+        refusal = call.head(
+            status, f"{names.NOT_EXECUTED}: 1", f"Retry-After: {value}", *headers, length=0
+        )
+        await call.write(refusal)
+
+    return run
+
+
+async def fail_with_retry_after(upstream: UpstreamStandin, call: Call) -> None:
+    """Send a sealed 503 with Retry-After that doesn't say that the request wasn't executed."""
+    body = b"busy"
+    head = call.head(503, f"{names.SEAL}: s.{call.attempt}", "Retry-After: 5", length=len(body))
+    await call.write(head + body)
