--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -50,6 +50,7 @@
 from baobabpulley.errors.requests import UnknownModel
 from baobabpulley.errors.upstreams import MismatchedResponse
 from baobabpulley.errors.upstreams import OrderTooLate
+from baobabpulley.errors.upstreams import UpstreamBackpressure
 from baobabpulley.errors.upstreams import UpstreamDisconnected
 from baobabpulley.errors.upstreams import UpstreamFailed
 from baobabpulley.errors.upstreams import UpstreamImportFailed
@@ -60,6 +61,7 @@
 from baobabpulley.errors.upstreams import UpstreamOverloaded
 from baobabpulley.errors.upstreams import UpstreamRefused
 from baobabpulley.errors.upstreams import UpstreamReserved
+from baobabpulley.errors.upstreams import UpstreamSkipped
 from baobabpulley.errors.upstreams import UpstreamStalled
 from baobabpulley.errors.upstreams import UpstreamUnreachable
 
@@ -106,6 +108,7 @@
     "TooFewEngines",
     "UnknownModel",
     "UnknownName",
+    "UpstreamBackpressure",
     "UpstreamDisconnected",
     "UpstreamFailed",
     "UpstreamImportFailed",
@@ -116,6 +119,7 @@
     "UpstreamOverloaded",
     "UpstreamRefused",
     "UpstreamReserved",
+    "UpstreamSkipped",
     "UpstreamStalled",
     "UpstreamUnreachable",
     "errors_by_code",
--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -8,10 +8,12 @@
 from loguru import logger
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.attempt_race import RunningAttempt
@@ -66,7 +68,8 @@
         failed_upstream = self._upstream_at_fault(upstream, error)
         exchange.excluded.add(failed_upstream.id)
         exchange.first_engine_id = None if failed_upstream is upstream else upstream.id
-        if failed_upstream is not upstream or isinstance(error, UpstreamUnreachable):
+        nothing_sent = isinstance(error, UpstreamUnreachable | UpstreamSkipped)
+        if failed_upstream is not upstream or nothing_sent:
             # Nothing was sent, or the same engine is retried without this helper, so the attempt
             # does not count towards the route's limit.
             exchange.attempts -= 1
@@ -126,8 +129,10 @@
         failed_upstream: ListedUpstream,
     ) -> None:
         """Record the result of a failed attempt for health checks and circuit breaking."""
-        if isinstance(error, UpstreamOutOfMemory):
+        if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped):
             self._record.record_inconclusive(upstream)
+        elif self._is_backpressure(upstream, error):
+            self._record.record_reachable(upstream)
         elif isinstance(error, UpstreamRefused):
             self._record.record_response(upstream, succeeded=failed_upstream is not upstream)
             if failed_upstream is not upstream:
@@ -141,3 +146,9 @@
             self._record.record_response(upstream, succeeded=False)
         else:
             self._record.record_failure(upstream)
+
+    def _is_backpressure(self, upstream: ListedUpstream, error: BaobabError) -> bool:
+        """Whether an upstream answered that it wants no requests; that is not held against it."""
+        if isinstance(error, UpstreamFailed):
+            return self._record.backpressure_seconds_left(upstream) > 0
+        return isinstance(error, UpstreamBackpressure)
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -13,12 +13,16 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamLost
+from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
+from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
@@ -111,10 +115,18 @@
 class UpstreamCaller:
     """Send attempts to upstreams and check that the responses belong to them."""
 
-    __slots__ = ("_client", "_timers", "_wire")
+    __slots__ = ("_client", "_record", "_timers", "_wire")
 
-    def __init__(self, *, client: HttpClient, wire: ExchangeWire, timers: TimerService) -> None:
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        wire: ExchangeWire,
+        record: UpstreamRecord,
+        timers: TimerService,
+    ) -> None:
         self._client = client
+        self._record = record
         self._wire = wire
         self._timers = timers
 
@@ -133,8 +145,10 @@
         What arrives is recorded in ``progress``; silence ends nothing here. Raise
         `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run
         there, `UpstreamLost` if it may have, and `DeadlineExceeded` if the upstream did not finish
-        within ``parameters.remaining`` seconds.
+        within ``parameters.remaining`` seconds. Nothing is sent to an upstream that
+        has asked for no requests since it was chosen.
         """
+        self._record.check_accepting(upstream)
         timeout = self._timers.to_real_seconds(parameters.remaining)
         # The deadline ends a silent attempt first, so that it isn't taken for a lost connection.
         silence_timeout = timeout + DEADLINE_MARGIN_SECONDS
@@ -155,9 +169,11 @@
             ):
                 progress.record()
                 head = self._wire.parse_response_head(response.status, response.headers)
+                self._record.record_head(upstream, head)
                 if head.not_run:
                     await self._skip_body(response)
-                    raise UpstreamRefused(
+                    refusal = UpstreamRefused if head.retry_after is None else UpstreamBackpressure
+                    raise refusal(
                         f"{upstream.id} answered {head.status}, not run", at_fault=head.at_fault
                     )
                 if head.attempt != parameters.attempt or not head.sealed:
@@ -182,3 +198,11 @@
 def did_not_run(error: Exception) -> bool:
     """Whether an error proves that the attempt did not run."""
     return isinstance(error, UpstreamUnreachable | UpstreamRefused)
+
+
+def costs_no_retry(error: Exception) -> bool:
+    """Whether another attempt after an error is not charged to the retry budget."""
+    return isinstance(
+        error,
+        UpstreamUnreachable | UpstreamOutOfMemory | UpstreamBackpressure | UpstreamSkipped,
+    )
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -66,7 +66,7 @@
         self._metrics = metrics
         self._timers = timers
         outcomes = AttemptOutcomes(record=record, evidence=evidence, placer=placer, metrics=metrics)
-        retries = RetryRules(budget=retry_budget, gossip=gossip, timers=timers)
+        retries = RetryRules(budget=retry_budget, gossip=gossip, placer=placer, timers=timers)
         delivery = AttemptDelivery(
             caller=caller,
             wire=wire,
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -119,13 +119,8 @@
 
     async def place(self, request: PlacementRequest) -> Placement:
         """Return where an attempt goes, once there is room; raise `NoUpstream` or `Overloaded`."""
-        service = request.service.name
-        if not self._candidates.has_any(service, excluded=request.excluded):
-            raise NoUpstream(
-                f"service {service} has no upstream left for the request",
-                retry_after=self._retry_after(request),
-            )
-        queue = self._queues[service]
+        self._check_available(request)
+        queue = self._queues[request.service.name]
         if not queue or request.needs.prompt_tokens:
             placement = self._try(request)
             if placement is not None:
@@ -142,6 +137,19 @@
         except (NoUpstream, Overloaded):
             return None
 
+    def backpressure_error(self, request: PlacementRequest) -> Overloaded | None:
+        """Return the error to report if all upstreams of the service asked for no requests."""
+        service = request.service.name
+        seconds = self._candidates.backpressure_seconds(service)
+        if seconds is None:
+            return None
+        return Overloaded(
+            f"all upstreams of {service} asked for no requests, the first for {seconds:.2f} s more",
+            retry_after=self._planner.retry_after(
+                request.times, now=self._timers.now(), expected=seconds
+            ),
+        )
+
     def end_prefill(self, placement: Placement) -> None:
         """Record that the prompt of an attempt has been prefilled."""
         now = self._timers.now()
@@ -197,6 +205,7 @@
                 queue.remove(waiter)
                 continue
             try:
+                self._check_available(waiter.request)
                 placement = self._try(waiter.request)
             except (NoUpstream, Overloaded) as error:
                 queue.remove(waiter)
@@ -209,6 +218,16 @@
                 # The requests behind it are less urgent or need more, so they have no room either.
                 break
 
+    def _check_available(self, request: PlacementRequest) -> None:
+        """Raise `NoUpstream` or `Overloaded` if no upstream may get the request for now."""
+        service = request.service.name
+        if self._candidates.has_any(service, excluded=request.excluded):
+            return
+        raise self.backpressure_error(request) or NoUpstream(
+            f"service {service} has no upstream left for the request",
+            retry_after=self._retry_after(request),
+        )
+
     def _may_have_room(self, service: str) -> bool:
         """Whether to try the queued requests: not if all slots are taken."""
         subset = self._candidates.in_subset(service, excluded=NO_EXCLUSIONS)
--- a/src/baobabpulley/gateway/retry_rules.py
+++ b/src/baobabpulley/gateway/retry_rules.py
@@ -6,14 +6,15 @@
 from typing import final
 
 from baobabpulley.errors import BaobabError
-from baobabpulley.errors import UpstreamOutOfMemory
-from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.errors import UpstreamBackpressure
+from baobabpulley.gateway.attempts import costs_no_retry
 from baobabpulley.gateway.attempts import did_not_run
 from baobabpulley.gateway.exchange_state import Exchange
 from baobabpulley.gateway.exchange_state import RetryDenial
 from baobabpulley.gateway.exchange_state import error_for_caller
 from baobabpulley.gateway.exchange_state import log_retry_denied
 from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.placer import Placer
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
 from baobabpulley.timers import TimerService
 
@@ -25,13 +26,19 @@
 class RetryRules:
     """Decide on further attempts and charge the retry budget for them."""
 
-    __slots__ = ("_budget", "_gossip", "_timers")
+    __slots__ = ("_budget", "_gossip", "_placer", "_timers")
 
     def __init__(
-        self, *, budget: NodeRetryBudget, gossip: GossipProtocol, timers: TimerService
+        self,
+        *,
+        budget: NodeRetryBudget,
+        gossip: GossipProtocol,
+        placer: Placer,
+        timers: TimerService,
     ) -> None:
         self._budget = budget
         self._gossip = gossip
+        self._placer = placer
         self._timers = timers
 
     def check_retry(self, exchange: Exchange, error: BaobabError) -> None:
@@ -39,8 +46,8 @@
         allowed = did_not_run(error) or exchange.route.retryable
         if not allowed or not self._may_retry(exchange):
             log_retry_denied(exchange, self._denial(exchange), now=self._timers.now())
-            raise error_for_caller(exchange, error)
-        if isinstance(error, UpstreamUnreachable | UpstreamOutOfMemory):
+            raise error_for_caller(exchange, self._refusal(exchange, error))
+        if costs_no_retry(error):
             return
         if exchange.retry_reserved:
             exchange.retry_reserved = False
@@ -78,6 +85,12 @@
             and (exchange.route.retryable or not exchange.may_have_run)
         )
 
+    def _refusal(self, exchange: Exchange, error: BaobabError) -> BaobabError:
+        """Return the error to report, which tells when the first upstream wants requests again."""
+        if not isinstance(error, UpstreamBackpressure):
+            return error
+        return self._placer.backpressure_error(exchange.placement_request()) or error
+
     def _denial(self, exchange: Exchange) -> RetryDenial:
         """Return why the count, the time or the route allows no other attempt."""
         if not exchange.route.retryable and exchange.may_have_run:
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import Final
 from typing import final
 
@@ -20,6 +22,13 @@
 # Longer ids of prompt parts, and parts beyond this number, are left out: they are kept in memory.
 _MAX_PART_ID_LENGTH: Final = 32
 _MAX_SHARED_PARTS: Final = 16
+_BUSY_STATUS: Final = 503
+_RETRY_AFTER: Final = "Retry-After"
+_DECIMAL: Final = re.compile(r"-?[0-9]+(\.[0-9]+)?")
+# Another instance than the expected one received the request.
+_MISDIRECTED_STATUS: Final = 421
+# Value of a header that states a fact.
+_YES: Final = "1"
 
 # Headers that apply to a single connection and aren't forwarded.
 _HOP_BY_HOP: Final = frozenset(
@@ -98,8 +107,11 @@
             status=status,
             attempt=headers.get(names.ATTEMPT),
             sealed=names.SEAL in headers,
-            not_run=names.NOT_EXECUTED in headers or status == 421,
+            not_run=names.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             at_fault=headers.get(names.AT_SERVER),
+            misdirected=status == _MISDIRECTED_STATUS,
+            retry_after=_parse_retry_after(headers) if status == _BUSY_STATUS else None,
+            leaving=headers.get(names.LEAVING, "").strip() == _YES,
         )
 
 
@@ -137,6 +149,20 @@
     return max(0.0, value) / _MS_PER_SECOND if value == value else None
 
 
+def _parse_retry_after(headers: HTTPHeaders) -> float | None:
+    """Return the seconds of a Retry-After header; NaN if it is a date or not a decimal number.
+
+    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "1.5"})), _parse_retry_after(HTTPHeaders())
+    (1.5, None)
+    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "soon"}))
+    nan
+    """
+    if _RETRY_AFTER not in headers:
+        return None
+    text = headers[_RETRY_AFTER].strip()
+    return float(text) if _DECIMAL.fullmatch(text) else math.nan
+
+
 def _parse_token_counts(text: str | None) -> tuple[int, int]:
     """Return the number of prompt tokens and the maximum number of output tokens; 0 if unknown.
 
