Record every end of a probe: deadline, beaten after a failure, placement never used

The callback that ends a placement covers deadlines too, `claim` leaves failed attempts to `wait`, and the placer frees the probe of an unused placement.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -143,7 +143,7 @@
 
     def _end_placement(self, placement: Placement, task: asyncio.Task[None]) -> None:
         self._placer.end(placement)
-        if task.cancelled():
+        if task.cancelled() or isinstance(task.exception(), DeadlineExceeded):
             self._record.record_inconclusive(placement.upstream)
 
     def _end_failed(
@@ -157,7 +157,7 @@
                 self._retries.check_retry(exchange, error)
             return
         if isinstance(error, DeadlineExceeded):
-            self._outcomes.record_timeout(exchange, attempt)
+            exchange.may_have_run = True
         raise error
 
     def _replace_silent(self, exchange: Exchange, race: AttemptRace) -> None:
--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -55,11 +55,6 @@
         """Record that an attempt delivered a complete response."""
         self._metrics.attempts.labels(service=exchange.service.name, outcome="ok").inc()
 
-    def record_timeout(self, exchange: Exchange, attempt: RunningAttempt) -> None:
-        """Record that the deadline passed during an attempt."""
-        exchange.may_have_run = True
-        self._record.record_inconclusive(attempt.placement.upstream)
-
     def record_failure(
         self, exchange: Exchange, attempt: RunningAttempt, error: BaobabError
     ) -> None:
--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -80,14 +80,19 @@
         return any(other is not attempt for other in self._attempts)
 
     def claim(self, winner: RunningAttempt) -> None:
-        """Cancel the other attempts, as this one has something new for the caller."""
-        if not self.has_others(winner):
-            return
-        for attempt in self._attempts:
-            if attempt is not winner:
-                attempt.task.cancel()
-                self._beaten.append(attempt)
-        self._attempts = [winner]
+        """Cancel the other running attempts, as this one has something new for the caller.
+
+        Those that have failed by themselves are still returned by `wait`.
+        """
+        beaten = [
+            attempt
+            for attempt in self._attempts
+            if attempt is not winner and not attempt.task.done()
+        ]
+        for attempt in beaten:
+            attempt.task.cancel()
+            self._attempts.remove(attempt)
+        self._beaten += beaten
 
     def postpone(self, seconds: float) -> None:
         """Let `wait` report no silence for so long."""
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -260,7 +260,9 @@
 
     def _end_unused(self, future: asyncio.Future[Placement]) -> None:
         if future.exception() is None:
-            self.end(future.result())
+            placement = future.result()
+            self.end(placement)
+            self._record.record_inconclusive(placement.upstream)
 
     def _expected_wait(self, request: PlacementRequest, queue: SortedKeyList) -> float:
         service = request.service.name
