Refund the retry budget for replacements that reached no upstream

If its upstream was unreachable, had no memory or had asked for no requests, the next was charged at once, so a few dead upstreams spent the budget that other silent attempts need; ordinary retries of this kind are free. The test was known red and passes.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -131,13 +131,24 @@
         if not exchange.is_probe:
             raise error_for_caller(exchange, refusal)
 
-    def _start(self, exchange: Exchange, race: AttemptRace, placement: Placement) -> None:
+    def _start(
+        self,
+        exchange: Exchange,
+        race: AttemptRace,
+        placement: Placement,
+        *,
+        replaces_silent: bool = False,
+    ) -> None:
         upstream = placement.upstream
         log_placement(exchange, placement, now=self._timers.now())
         exchange.attempts += 1
         exchange.upstreams.append(upstream.id)
         exchange.chunks = 1 + (len(placement.plan.helpers) if placement.plan is not None else 0)
-        attempt = RunningAttempt(placement=placement, progress=AttemptProgress(self._timers))
+        attempt = RunningAttempt(
+            placement=placement,
+            progress=AttemptProgress(self._timers),
+            replaces_silent=replaces_silent,
+        )
         race.start(attempt, self._delivery.run(exchange, race, attempt))
         attempt.task.add_done_callback(lambda task: self._end_placement(placement, task))
 
@@ -155,6 +166,8 @@
             exchange.is_probe = False
             if not race.attempts:
                 self._retries.check_retry(exchange, error)
+            elif attempt.replaces_silent:
+                self._retries.refund(exchange, error)
             return
         if isinstance(error, DeadlineExceeded):
             exchange.may_have_run = True
@@ -170,7 +183,7 @@
         if placement is None:
             race.postpone(REPLACEMENT_PERIOD_SECONDS)
         else:
-            self._start(exchange, race, placement)
+            self._start(exchange, race, placement, replaces_silent=True)
 
     def _reserve_replacement(self, exchange: Exchange) -> Placement | None:
         """Return a placement for which the retry budget has been charged, or ``None``."""
--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -21,17 +21,28 @@
 class RunningAttempt:
     """One attempt.
 
-    ``events`` is the number of events with content that it has received. ``reported_silent`` is
-    whether its silence has been recorded.
+    ``events`` is the number of events with content that it has received. ``replaces_silent`` is
+    whether it was started beside silent attempts, and charged to the retry budget for that.
+    ``reported_silent`` is whether its own silence has been recorded.
     """
 
-    __slots__ = ("_task", "events", "placement", "progress", "reported_silent")
-
-    def __init__(self, *, placement: Placement, progress: AttemptProgress) -> None:
+    __slots__ = (
+        "_task",
+        "events",
+        "placement",
+        "progress",
+        "replaces_silent",
+        "reported_silent",
+    )
+
+    def __init__(
+        self, *, placement: Placement, progress: AttemptProgress, replaces_silent: bool = False
+    ) -> None:
         self._task: asyncio.Task[None] | None = None
         self.placement = placement
         self.progress = progress
         self.events = 0
+        self.replaces_silent = replaces_silent
         self.reported_silent = False
 
     @property
--- a/src/baobabpulley/gateway/retry_rules.py
+++ b/src/baobabpulley/gateway/retry_rules.py
@@ -77,6 +77,11 @@
             exchange.service.name, nodes=self._gossip.gateway_count, now=self._timers.now()
         )
 
+    def refund(self, exchange: Exchange, error: BaobabError) -> None:
+        """Take back the charge for an attempt beside a running one if its failure costs none."""
+        if costs_no_retry(error):
+            self._budget.refund(exchange.service.name)
+
     def _may_retry(self, exchange: Exchange) -> bool:
         left = exchange.times.end - self._timers.now()
         return (
--- a/src/baobabpulley/policy/node_retry_budget.py
+++ b/src/baobabpulley/policy/node_retry_budget.py
@@ -55,6 +55,11 @@
         self._retries[service].append(now)
         return True
 
+    def refund(self, service: str) -> None:
+        """Take back the latest retry, as it reached no upstream."""
+        if self._retries[service]:
+            self._retries[service].pop()
+
     def _count_recent(self, times: deque[float], now: float) -> int:
         while times and times[0] < now - self._window:
             times.popleft()
