--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -32,8 +32,9 @@
 
 # Upstreams are only milliseconds away.
 CONNECT_TIMEOUT_SECONDS: Final = 0.2
-# The kernel drops a connection whose data stays unacknowledged for this long (TCP_USER_TIMEOUT).
-UNACKNOWLEDGED_TIMEOUT_SECONDS: Final = 0.5
+# The kernel drops a connection whose data stays unacknowledged, or whose peer reads nothing, for
+# this long (TCP_USER_TIMEOUT); sound upstreams may pause for a second or two.
+UNACKNOWLEDGED_TIMEOUT_SECONDS: Final = 3.0
 # A call that must not be retried reuses only connections that were idle for less than this.
 NON_RETRYABLE_MAX_IDLE_SECONDS: Final = 2.0
 MAX_IDLE_SECONDS: Final = 9.0
