Notice within 3 s that the machine of a silent upstream is gone

Cause: a silent attempt is kept, and with it its tickets; nothing tells a dead machine from a process that pauses when no data is in flight. Short keepalive probes do: a pausing process's kernel answers them, a dead machine doesn't, and TCP_USER_TIMEOUT then drops the connection after 3 s without traffic. The attempt fails, its tickets are released, another one is made.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -34,6 +34,9 @@
 MAX_WHOLE_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_IDLE_PER_ADDRESS: Final = 64
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# The shortest period that the kernel allows.
+KEEPALIVE_PERIOD_SECONDS: Final = 1
+_MS_PER_SECOND: Final = 1000
 
 
 class HttpResponse:
@@ -157,7 +160,8 @@
         ``before_body`` is called after the request's headers are written and before its body is;
         if it raises, the connection is dropped. It returns the time within which the body must be
         written, or ``None`` if that is unbounded: see `kill_after`. ``ack_timeout`` is the time
-        after which the kernel drops a connection whose sent bytes are not acknowledged.
+        after which the kernel drops a connection whose peer acknowledges neither sent bytes nor
+        the keepalive probes on a connection without traffic.
 
         Raises `UpstreamUnreachable` if no connection could be opened, and `UpstreamLost` on
         failures after that, when bytes may have been sent.
@@ -166,8 +170,7 @@
             address, fresh=fresh, timeout=connect_timeout, max_idle=max_idle
         )
         if ack_timeout is not None:
-            timeout_ms = max(1, round(ack_timeout * 1000))
-            stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+            _detect_dead_peer(stream.socket, ack_timeout)
         connection = Connection(address=address, stream=stream, traffic=self.traffic)
         clean = False
         try:
@@ -224,6 +227,16 @@
         streams.append((now + connection.idle_seconds, now, stream))
 
 
+def _detect_dead_peer(plain: socket.socket, seconds: float) -> None:
+    """Let the kernel drop a connection whose peer's machine is gone; a silent process is not."""
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PERIOD_SECONDS)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_SECONDS)
+    plain.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, round(seconds * _MS_PER_SECOND))
+    )
+
+
 async def fetch(
     client: HttpClient,
     *,
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -32,8 +32,9 @@
 
 # Upstreams are only milliseconds away.
 CONNECT_TIMEOUT_SECONDS: Final = 0.2
-# The kernel drops a connection whose data stays unacknowledged, or whose peer reads nothing, for
-# this long (TCP_USER_TIMEOUT); sound upstreams may pause for a second or two.
+# The kernel drops a connection whose peer acknowledges neither data nor keepalive probes, or reads
+# nothing, for this long (TCP_USER_TIMEOUT). Sound upstreams may pause for a second or two; memory
+# that a dead one's prompt holds elsewhere has to be free within 4 s.
 UNACKNOWLEDGED_TIMEOUT_SECONDS: Final = 3.0
 # A call that must not be retried reuses only connections that were idle for less than this.
 NON_RETRYABLE_MAX_IDLE_SECONDS: Final = 2.0
