--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -93,7 +93,6 @@
         upstream = attempt.placement.upstream
         attempt.reported_silent = True
         exchange.excluded.add(upstream.id)
-        exchange.may_have_run = True
         error = UpstreamStalled(f"{upstream.id} sent nothing for {seconds:.2f} s")
         self._record_health(exchange, upstream, error, upstream)
         self._report(exchange, attempt, error)
--- a/testing/test_silent_upstreams.py
+++ b/testing/test_silent_upstreams.py
@@ -200,3 +200,11 @@
         lambda: sum(engine.early_closes for engine in world.upstreams.values()) == 2, seconds=0.5
     )
     assert gateway.listener.active_requests == 0
+
+
+async def test_a_silent_attempt_that_is_refused_after_all_is_reported_as_not_run(
+    world: World,
+) -> None:
+    await add_engines(world, upstreams.pause_first(PAUSE_SECONDS, upstreams.refuse_unexecuted))
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/draft/7")).status == 503
