--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -72,7 +72,9 @@
             exchange.may_have_run = True
         if isinstance(error, UpstreamDisconnected) and attempt.events < SURVIVAL_EVENTS:
             self._evidence.record_crash(upstream.id, exchange.parameters.shared_parts)
-        self._record_health(exchange, upstream, error, failed_upstream)
+        if not attempt.reported_silent:
+            # The silence of the others has been counted against their upstream.
+            self._record_health(exchange, upstream, error, failed_upstream)
         self._report(exchange, attempt, error)
 
     def record_event(self, exchange: Exchange, attempt: RunningAttempt) -> None:
--- a/testing/test_silent_upstreams.py
+++ b/testing/test_silent_upstreams.py
@@ -208,3 +208,13 @@
     await add_engines(world, upstreams.pause_first(PAUSE_SECONDS, upstreams.refuse_unexecuted))
     gateway = await world.add_gateway()
     assert (await send(gateway, "/draft/7")).status == 503
+
+
+async def test_an_attempt_that_fails_after_its_silence_is_counted_once(world: World) -> None:
+    await add_engines(world, upstreams.pause_first(PAUSE_SECONDS, upstreams.reset_after_run))
+    gateway = await world.add_gateway()
+    spend_retry_budget(gateway)
+    assert (await send(gateway, "/draft/7")).status == 502
+    listed = list(gateway.fleet_state.upstreams.values())
+    # The first loss keeps an upstream from work for 1 s, a second one in a row for 2 s.
+    await wait_until(lambda: gateway.record.usable(listed) == listed, seconds=1.2)
