Start no replacement with too little time left for an attempt

The test passes before too when the event loop is on time, as the silence ends above the bound in most runs; it holds the rule.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -187,6 +187,9 @@
 
     def _reserve_replacement(self, exchange: Exchange) -> Placement | None:
         """Return a placement for which the retry budget has been charged, or ``None``."""
+        if self._seconds_left(exchange) <= MIN_ATTEMPT_SECONDS:
+            self._deny_replacement(exchange, RetryDenial.TIME)
+            return None
         if self._evidence.refusal(exchange.parameters.shared_parts) is not None:
             self._deny_replacement(exchange, RetryDenial.QUARANTINE)
             return None
@@ -208,7 +211,7 @@
             log_retry_denied(exchange, denial, now=self._timers.now())
 
     def _check_time(self, exchange: Exchange) -> None:
-        left = exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
+        left = self._seconds_left(exchange)
         if left > MIN_ATTEMPT_SECONDS:
             return
         if exchange.may_have_run:
@@ -219,3 +222,7 @@
             f"{max(0.0, left):.2f} s left is too short for an attempt",
             retry_after=retry_after_seconds(self._random, expected=0.0, left=max(0.0, left)),
         )
+
+    def _seconds_left(self, exchange: Exchange) -> float:
+        """Return the time that an attempt started now would have."""
+        return exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
--- a/testing/test_silent_upstreams.py
+++ b/testing/test_silent_upstreams.py
@@ -218,3 +218,10 @@
     listed = list(gateway.fleet_state.upstreams.values())
     # The first loss keeps an upstream from work for 1 s, a second one in a row for 2 s.
     await wait_until(lambda: gateway.record.usable(listed) == listed, seconds=1.2)
+
+
+async def test_a_silent_attempt_is_not_replaced_when_too_little_time_is_left(world: World) -> None:
+    await add_engines(world, *[upstreams.stay_silent] * 2)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.REMAINING_MS: "1070"})
+    assert (reply.status, len(calls(world))) == (504, 1)
