Bound, weigh and spread the evidence of crashing prompts as its review asks

Found by a reviewer who had not seen the work, each with a test that was known red and passes now: - the 17th prompt of a report was dropped, so a crashing part behind many others was never found: a report samples its parts by a hash that differs from engine to engine, those answered lately first; - a received report was kept whole (1,000 prompts), a message was up to 17,563 bytes (1,300 allowed), evaluating the evidence took 0.26 s of processor time (0.1 allowed): bounds on parts, eight parts a crash in a message, only parts of three crashes are compared; - ids over 32 characters were ignored: they are hashed; - engines that die 0.15 s apart quarantined the part that most prompts share: crashes against a part that was answered lately have to go on for 2 s; for others each crash counts, also of the same moment, as five at once and slow followers let five more requests pass; - no gateway probed where some knew fewer crashes: the turn no longer depends on their number; - gateways that start or return learnt late, or nothing after failed probes: three peers send them the evidence at once, all others in different phases, and how long a quarantine lasts follows from the latest crashes alone.

--- a/src/baobabpulley/gateway/crash_evidence.py
+++ b/src/baobabpulley/gateway/crash_evidence.py
@@ -15,6 +15,7 @@
 from baobabpulley.gateway.gossip_messages import SurvivalRow
 from baobabpulley.policy.prompt_quarantine import PROBE_TURN_SECONDS
 from baobabpulley.policy.prompt_quarantine import RECENT_SECONDS
+from baobabpulley.policy.prompt_quarantine import REPORTS_PER_QUARANTINE
 from baobabpulley.policy.prompt_quarantine import CrashReport
 from baobabpulley.policy.prompt_quarantine import PromptQuarantine
 from baobabpulley.policy.prompt_quarantine import Quarantine
@@ -27,9 +28,9 @@
 # All gateways together send one of the reports behind a quarantine again in this time, for those
 # that have just started.
 REFRESH_SECONDS: Final = 0.25
-REPORTS_PER_QUARANTINE: Final = 4
 # Keep a gossip message within one packet of the usual size.
 MAX_CRASHES_PER_MESSAGE: Final = 2
+MAX_PARTS_PER_CRASH: Final = 8
 MAX_SURVIVALS_PER_MESSAGE: Final = 8
 # A part whose answers begin often is not sent more often than this.
 SURVIVAL_PERIOD_SECONDS: Final = 0.5
@@ -47,6 +48,7 @@
         "_node",
         "_policy",
         "_probed_at",
+        "_refresh_phase",
         "_refresh_position",
         "_refreshed_at",
         "_survivals_due",
@@ -61,9 +63,11 @@
         self._crashes_due: dict[str, int] = {}
         self._survivals_due: dict[str, float] = {}
         self._survivals_sent_at: dict[str, float] = {}
-        self._refreshed_at = 0.0
-        # Gateways start at different reports, so that all are sent soon.
-        self._refresh_position = random.randrange(REPORTS_PER_QUARANTINE)
+        # Gateways send at different times and different reports, so that all are sent soon.
+        source = random.Random(node)
+        self._refresh_phase = source.random()
+        self._refreshed_at: float | None = None
+        self._refresh_position = source.randrange(REPORTS_PER_QUARANTINE)
         self._probed_at: dict[str, float] = {}
         self._listener: Callable[[], None] | None = None
 
@@ -150,6 +154,11 @@
                 self._publish_recent_survivals(report.parts)
         self._log_changes(before)
 
+    def resend(self) -> None:
+        """Send the reports behind the quarantines again, as a gateway has started or returned."""
+        for report in self._policy.evidence(most=REPORTS_PER_QUARANTINE):
+            self._crashes_due.setdefault(report.upstream, 1)
+
     def take_due_crashes(self, *, gateways: int) -> tuple[CrashRow, ...]:
         """Return the crashes to send in the next message to the other gateways."""
         now = self._timers.now()
@@ -163,10 +172,12 @@
             for upstream, left in self._crashes_due.items()
             if left > 0 and upstream in reports
         }
-        if not rows and now - self._refreshed_at >= REFRESH_SECONDS * gateways:
-            rows = self._next_refresh(now)
+        if not rows:
+            rows = self._next_refresh(now, period=REFRESH_SECONDS * gateways)
+        sampled = (self._policy.sampled(row, most=MAX_PARTS_PER_CRASH, now=now) for row in rows)
         return tuple(
-            CrashRow(report.upstream, round(now - report.at, 3), report.prompts) for report in rows
+            CrashRow(report.upstream, round(now - report.at, 3), report.prompts)
+            for report in sampled
         )
 
     def take_due_survivals(self) -> tuple[SurvivalRow, ...]:
@@ -189,10 +200,15 @@
             if at is not None and self._timers.now() - at <= RECENT_SECONDS:
                 self._survivals_due[part] = at
 
-    def _next_refresh(self, now: float) -> list[CrashReport]:
-        """Return one of the reports behind the quarantines, in turn."""
+    def _next_refresh(self, now: float, *, period: float) -> list[CrashReport]:
+        """Return one of the reports behind the quarantines, in turn, once in each period."""
         reports = self._policy.evidence(most=REPORTS_PER_QUARANTINE)
         if not reports:
+            self._refreshed_at = None
+            return []
+        if self._refreshed_at is None:
+            self._refreshed_at = now - self._refresh_phase * period
+        if now - self._refreshed_at < period:
             return []
         self._refreshed_at = now
         self._refresh_position += 1
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -35,12 +35,15 @@
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
+from baobabpulley.policy.rendezvous import ranked
 from baobabpulley.timers import TimerService
 
 # A relay collects messages for this long, so that few datagrams leave its failure domain.
 RELAY_PERIOD_SECONDS: Final = 0.2
 # A gateway that wasn't heard for this long relays nothing; keepalives come every 0.5 s.
 RELAY_HEARD_SECONDS: Final = 1.2
+# So many gateways inform a peer that has started or returned; some may not reach it.
+INFORMERS: Final = 3
 # A peer that is neither a member nor heard for this long is forgotten.
 FORGET_SECONDS: Final = 30.0
 
@@ -201,6 +204,8 @@
             return False
         if known is not None and known.incarnation != message.incarnation:
             self._loads.forget(message.node)
+        if known is None or known.incarnation != message.incarnation or self._is_late(known, now):
+            self._inform_newcomer(message.node)
         self._peers[message.node] = GossipPeer(message, received_at=now, known=known)
         self._last_seen[message.failure_domain] = now
         self._loads.receive(message.node, message.shares, now=now)
@@ -210,6 +215,18 @@
             self._on_newer_revision(message.revision)
         return True
 
+    def _is_late(self, peer: GossipPeer, now: float) -> bool:
+        """Whether a peer wasn't heard for so long that it may lack what the others said."""
+        return now - peer.received_at > RELAY_HEARD_SECONDS
+
+    def _inform_newcomer(self, node: str) -> None:
+        """Send the evidence again if this is one of the gateways that inform this newcomer."""
+        if (
+            self._evidence.quarantined
+            and self._node.id in ranked(node, self.live_nodes())[:INFORMERS]
+        ):
+            self._evidence.resend()
+
     def next_message(self, *, is_urgent: bool = False) -> GossipMessage | None:
         """Return the next message, or ``None`` if nothing changed and no keepalive is due."""
         now = self._timers.now()
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -8,6 +8,7 @@
 from typing import final
 
 from tornado.httputil import HTTPHeaders
+from xxhash import xxh3_64_hexdigest
 
 from baobabpulley.errors import BadRequest
 from baobabpulley.model.exchanges import AttemptParameters
@@ -19,9 +20,9 @@
 
 _MS_PER_SECOND: Final = 1000
 _MAX_ATTEMPT_ID_LENGTH: Final = 256
-# Longer ids of prompt parts, and parts beyond this number, are left out: they are kept in memory.
-_MAX_PART_ID_LENGTH: Final = 32
-_MAX_SHARED_PARTS: Final = 16
+# Ids of prompt parts are kept in memory: longer ones are hashed, parts beyond this number left out.
+_MAX_PART_ID_LENGTH: Final = 24
+_MAX_SHARED_PARTS: Final = 64
 _BUSY_STATUS: Final = 503
 _RETRY_AFTER: Final = "Retry-After"
 _DECIMAL: Final = re.compile(r"-?[0-9]+(\.[0-9]+)?")
@@ -183,8 +184,12 @@
     (('5c1e', '91bd'), ())
     """
     parts = (text or "").split(",")[:-1][:_MAX_SHARED_PARTS]
-    ids = [part.partition(":")[0].strip().lower() for part in parts]
-    return tuple(id for id in ids if 0 < len(id) <= _MAX_PART_ID_LENGTH)
+    ids = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(_shortened(id) for id in ids if id)
+
+
+def _shortened(id: str) -> str:
+    return id if len(id) <= _MAX_PART_ID_LENGTH else xxh3_64_hexdigest(id.encode())
 
 
 def _format_helper(helper: HelperEngine) -> str:
--- a/src/baobabpulley/policy/prompt_quarantine.py
+++ b/src/baobabpulley/policy/prompt_quarantine.py
@@ -25,15 +25,17 @@
 from typing import final
 
 import msgspec
+from xxhash import xxh3_64_intdigest
 
 # Crashes in a row that quarantine a part that was in all of them.
 CRASHES_TO_QUARANTINE: Final = 3
-# Crashes closer together count once: a rack that fails takes many engines down at the same moment.
-CORRELATED_SECONDS: Final = 0.1
 # Crashes count less against a part that was answered within this time before them: it is likely
-# shared with sound prompts.
+# shared with sound prompts. Those at the same moment count once, and they have to go on for a
+# while: a rack or failure domain that is lost takes many engines down one after the other.
 RECENT_SECONDS: Final = 60.0
 SURVIVOR_WEIGHT: Final = 0.5
+CORRELATED_SECONDS: Final = 0.1
+SURVIVOR_SPAN_SECONDS: Final = 2.0
 # Reports of an engine within this time are of the same crash, seen by several gateways.
 SAME_CRASH_SECONDS: Final = 2.0
 # A report that supports no quarantine is forgotten after this time.
@@ -42,12 +44,17 @@
 MAX_QUARANTINE_SECONDS: Final = 600.0
 # A quarantine whose part no prompt had for this long after it ended is forgotten.
 IDLE_SECONDS: Final = 600.0
+# Older reports are ignored: longer than the times between the failed probes that gateways share.
+MAX_REPORT_AGE_SECONDS: Final = 4 * MAX_QUARANTINE_SECONDS
 # The gateway that may send a probe changes after this time.
 PROBE_TURN_SECONDS: Final = 10.0
 # Bounds of the memory used, whatever callers send.
 MAX_REPORTS: Final = 64
 MAX_PROMPTS_PER_REPORT: Final = 16
+MAX_PARTS_PER_REPORT: Final = 48
 MAX_SURVIVALS: Final = 4096
+# Reports of each quarantine that gateways tell each other again.
+REPORTS_PER_QUARANTINE: Final = 4
 
 
 class CrashReport(msgspec.Struct, frozen=True):
@@ -60,21 +67,36 @@
     at: float
     prompts: tuple[tuple[str, ...], ...]
 
+    @property
+    def key(self) -> tuple[str, float]:
+        """Engine and time, which identify the report within a process."""
+        return self.upstream, self.at
+
     @property
     def parts(self) -> frozenset[str]:
         """All parts of the prompts."""
         return frozenset(part for prompt in self.prompts for part in prompt)
 
-    def without(self, parts: Callable[[str], bool]) -> CrashReport:
-        """Return the report without the parts for which ``parts`` is true."""
-        prompts = (tuple(part for part in prompt if not parts(part)) for prompt in self.prompts)
-        kept = tuple(dict.fromkeys(prompt for prompt in prompts if prompt))
-        return CrashReport(self.upstream, self.at, kept)
-
     def merged(self, other: CrashReport) -> CrashReport:
         """Return one report of the same crash with the prompts of both."""
         prompts = tuple(dict.fromkeys((*self.prompts, *other.prompts)))
-        return CrashReport(self.upstream, min(self.at, other.at), prompts[:MAX_PROMPTS_PER_REPORT])
+        return CrashReport(self.upstream, min(self.at, other.at), prompts)
+
+    def sampled(self, *, most: int, survived: Callable[[str], bool]) -> CrashReport:
+        """Return the report with at most ``most`` parts and `MAX_PROMPTS_PER_REPORT` prompts.
+
+        Parts that survived go first, then some that differ from engine to engine, so that a part
+        of many crashes stays in most of their reports.
+        """
+        ranked = sorted(self.parts, key=lambda part: (survived(part), self._hash(part)))
+        rank = {part: position for position, part in enumerate(ranked[:most])}
+        prompts = (tuple(part for part in prompt if part in rank) for prompt in self.prompts)
+        kept = list(dict.fromkeys(prompt for prompt in prompts if prompt))
+        kept.sort(key=lambda prompt: min(rank[part] for part in prompt))
+        return CrashReport(self.upstream, self.at, tuple(kept[:MAX_PROMPTS_PER_REPORT]))
+
+    def _hash(self, part: str) -> int:
+        return xxh3_64_intdigest(f"{self.upstream}\0{part}".encode())
 
 
 class Quarantine(msgspec.Struct, frozen=True):
@@ -101,10 +123,12 @@
     All times are in seconds of the same monotonic clock.
     """
 
-    __slots__ = ("_named", "_quarantines", "_reports", "_survivals")
+    __slots__ = ("_heard_at", "_named", "_quarantines", "_reports", "_survivals")
 
     def __init__(self) -> None:
         self._reports: list[CrashReport] = []
+        # When each report was first heard, by engine and time of the crash.
+        self._heard_at: dict[tuple[str, float], float] = {}
         # The parts that the reports name.
         self._named: frozenset[str] = frozenset()
         self._survivals: OrderedDict[str, float] = OrderedDict()
@@ -122,12 +146,15 @@
 
     def record_crash(self, report: CrashReport, *, now: float) -> bool:
         """Record a crash seen here or by another gateway; return whether it adds anything."""
-        if not report.parts or now - report.at > REPORT_SECONDS + MAX_QUARANTINE_SECONDS:
+        if not report.parts or not now - report.at <= MAX_REPORT_AGE_SECONDS:
             return False
         known = self._find(report)
         merged = report if known is None else known.merged(report)
-        if known is not None and merged.prompts == known.prompts:
+        merged = self.sampled(merged, most=MAX_PARTS_PER_REPORT, now=now)
+        if known is not None and set(merged.prompts) <= set(known.prompts):
             return False
+        heard_at = now if known is None else self._heard_at[known.key]
+        self._heard_at[merged.key] = heard_at
         self._reports = [kept for kept in self._reports if kept is not known]
         self._reports.append(merged)
         self._reports.sort(key=lambda kept: kept.at)
@@ -151,6 +178,15 @@
         """Forget what is too old."""
         self._update(now)
 
+    def retract(self, upstream: str, *, at: float, now: float) -> bool:
+        """Forget a crash at ``at``, as its engine goes on; return whether it was reported."""
+        known = self._find(CrashReport(upstream, at, ()))
+        if known is None:
+            return False
+        self._reports = [kept for kept in self._reports if kept is not known]
+        self._update(now)
+        return True
+
     def survival(self, part: str) -> float | None:
         """Return when an answer to a prompt with this part last began, or ``None``."""
         return self._survivals.get(part)
@@ -164,6 +200,13 @@
                 found[report.upstream, report.at] = self._without_survivors(report)
         return list(found.values())
 
+    def sampled(self, report: CrashReport, *, most: int, now: float) -> CrashReport:
+        """Return a report with at most ``most`` parts; those answered lately go first."""
+        since = now - RECENT_SECONDS
+        return report.sampled(
+            most=most, survived=lambda part: self._survivals.get(part, since) > since
+        )
+
     def concerns(self, part: str) -> bool:
         """Whether a kept report names the part, so that its survivals matter to other gateways."""
         return part in self._named
@@ -183,7 +226,12 @@
         return None
 
     def _without_survivors(self, report: CrashReport) -> CrashReport:
-        return report.without(lambda part: self._survivals.get(part, report.at) > report.at)
+        prompts = (
+            tuple(part for part in prompt if self._survivals.get(part, report.at) <= report.at)
+            for prompt in report.prompts
+        )
+        kept = tuple(dict.fromkeys(prompt for prompt in prompts if prompt))
+        return CrashReport(report.upstream, report.at, kept)
 
     def _update(self, now: float) -> None:
         self._quarantines = find_quarantines(self._reports, self._survivals, now=now)
@@ -191,7 +239,7 @@
         kept = [
             report
             for report in self._reports
-            if now - report.at <= REPORT_SECONDS or report.parts & supporting
+            if now - self._heard_at[report.key] <= REPORT_SECONDS or report.parts & supporting
         ]
         excess = len(kept) - MAX_REPORTS
         if excess > 0:
@@ -200,6 +248,7 @@
             dropped = {id(report) for report in ranked[:excess]}
             kept = [report for report in kept if id(report) not in dropped]
         self._reports = kept
+        self._heard_at = {report.key: self._heard_at[report.key] for report in kept}
         self._named = frozenset().union(*(report.parts for report in kept))
 
 
@@ -211,13 +260,13 @@
     Crashes that one part explains count for no other. Of parts with the same score, the one that
     stands later in its prompts is chosen, as fewer prompts share it.
     """
+    suspects = _suspects(reports)
     unexplained = list(reports)
     found: dict[str, Quarantine] = {}
     while True:
-        crashes = _crash_times(unexplained, survivals)
-        positions = _positions(unexplained)
+        crashes = _crash_times(unexplained, survivals, suspects)
         scores = {part: _score(times, survivals.get(part)) for part, times in crashes.items()}
-        part = max(crashes, key=lambda part: (scores[part], positions[part], part), default=None)
+        part = max(crashes, key=lambda part: (scores[part], suspects[part], part), default=None)
         if part is None or scores[part] < CRASHES_TO_QUARANTINE:
             return found
         quarantine = _make_quarantine(part, crashes[part])
@@ -231,10 +280,11 @@
 
 def _score(times: Sequence[float], survived_at: float | None) -> float:
     """Return how strongly the ascending times of a part's crashes speak against it."""
-    count = _count_distinct(times)
     if survived_at is None or times[0] - survived_at > RECENT_SECONDS:
-        return count
-    return count * SURVIVOR_WEIGHT
+        return len(times)
+    if times[-1] - times[0] < SURVIVOR_SPAN_SECONDS:
+        return 0.0
+    return _count_distinct(times) * SURVIVOR_WEIGHT
 
 
 def probing_turn(quarantine: Quarantine, *, now: float) -> str | None:
@@ -245,31 +295,33 @@
     if now < quarantine.ends_at:
         return None
     turn = int((now - quarantine.ends_at) / PROBE_TURN_SECONDS)
-    return f"{quarantine.part}/{quarantine.crashes}/{turn}"
+    return f"{quarantine.part}/{turn}"
+
+
+def _suspects(reports: Sequence[CrashReport]) -> dict[str, int]:
+    """Return the parts of enough crashes for a quarantine, with their last position in a prompt."""
+    counts = Counter(part for report in reports for part in report.parts)
+    positions: Counter[str] = Counter()
+    for report in reports:
+        for prompt in report.prompts:
+            for position, part in enumerate(prompt):
+                if counts[part] >= CRASHES_TO_QUARANTINE:
+                    positions[part] = max(positions[part], position)
+    return positions
 
 
 def _crash_times(
-    reports: Iterable[CrashReport], survivals: Mapping[str, float]
+    reports: Iterable[CrashReport], survivals: Mapping[str, float], suspects: Mapping[str, int]
 ) -> dict[str, list[float]]:
-    """Return the times of each part's crashes since its last survival, in order."""
+    """Return the times of each suspect's crashes since its last survival, in order."""
     crashes: dict[str, list[float]] = {}
     for report in reports:
-        for part in report.parts:
+        for part in report.parts & suspects.keys():
             if report.at > survivals.get(part, float("-inf")):
                 crashes.setdefault(part, []).append(report.at)
     return crashes
 
 
-def _positions(reports: Iterable[CrashReport]) -> Counter[str]:
-    """Return the last position of each part in a prompt."""
-    positions: Counter[str] = Counter()
-    for report in reports:
-        for prompt in report.prompts:
-            for position, part in enumerate(prompt):
-                positions[part] = max(positions[part], position)
-    return positions
-
-
 def _count_distinct(times: Sequence[float]) -> int:
     """Return how many of the ascending times are apart from the last one that counted."""
     count = 0
@@ -282,14 +334,19 @@
 
 
 def _make_quarantine(part: str, times: Sequence[float]) -> Quarantine:
-    """Return the quarantine for the crashes of a part; it doubles with each failed probe.
+    """Return the quarantine for the crashes of a part.
 
-    A crash long after the one before it is that of a probe.
+    It lasts twice as long as the one before, which is known from the time between its latest
+    crashes, as a gateway that has just started hears only of these.
     """
+    latest = times[-REPORTS_PER_QUARANTINE:]
+    longest = max((later - earlier for earlier, later in itertools.pairwise(latest)), default=0.0)
     seconds = INITIAL_QUARANTINE_SECONDS
-    for earlier, later in itertools.pairwise(times):
-        if later - earlier >= INITIAL_QUARANTINE_SECONDS:
-            seconds = min(MAX_QUARANTINE_SECONDS, 2 * seconds)
+    while seconds <= longest and seconds < MAX_QUARANTINE_SECONDS:
+        seconds *= 2
     return Quarantine(
-        part=part, crashed_at=times[-1], crashes=_count_distinct(times), seconds=seconds
+        part=part,
+        crashed_at=times[-1],
+        crashes=len(times),
+        seconds=min(MAX_QUARANTINE_SECONDS, seconds),
     )
