Gossip an answer to a part once after each crash that names it

An answer matters only if none is known since the latest crash that names its part; earlier answers are told once in 30 s. The test failed before.

--- a/src/baobabpulley/gateway/crash_evidence.py
+++ b/src/baobabpulley/gateway/crash_evidence.py
@@ -134,9 +134,9 @@
         now = self._timers.now()
         before = dict(self._policy.quarantines)
         for part in parts:
-            self._policy.record_survival(part, at=now, now=now)
-            if self._policy.concerns(part):
+            if self._policy.is_new_answer(part):
                 self._survivals_due[part] = now
+            self._policy.record_survival(part, at=now, now=now)
         self._log_changes(before)
 
     def refusal(self, parts: tuple[str, ...]) -> PromptQuarantined | None:
@@ -233,10 +233,14 @@
         return tuple(SurvivalRow(part, round(now - at, 3)) for part, at in due)
 
     def _publish_recent_survivals(self, parts: Iterable[str]) -> None:
-        """Tell the other gateways of answers to these parts that began before a crash."""
+        """Tell the other gateways once of answers to these parts that began before a crash."""
+        now = self._timers.now()
         for part in parts:
             at = self._policy.survival(part)
-            if at is not None and self._timers.now() - at <= RECENT_SECONDS:
+            told_at = self._survivals_sent_at.get(part)
+            if at is None or now - at > RECENT_SECONDS:
+                continue
+            if told_at is None or now - told_at > RECENT_SECONDS / 2:
                 self._survivals_due[part] = at
 
     def _next_refresh(self, now: float, *, period: float) -> list[CrashReport]:
@@ -267,9 +271,7 @@
             part: at for part, at in self._survivals_due.items() if self._policy.concerns(part)
         }
         self._survivals_sent_at = {
-            part: at
-            for part, at in self._survivals_sent_at.items()
-            if now - at < SURVIVAL_PERIOD_SECONDS
+            part: at for part, at in self._survivals_sent_at.items() if now - at < RECENT_SECONDS
         }
         self._probed_at = {
             part: at for part, at in self._probed_at.items() if now - at < PROBE_TURN_SECONDS
--- a/src/baobabpulley/policy/prompt_quarantine.py
+++ b/src/baobabpulley/policy/prompt_quarantine.py
@@ -217,6 +217,13 @@
         """Whether a kept report names the part, so that its survivals matter to other gateways."""
         return part in self._named
 
+    def is_new_answer(self, part: str) -> bool:
+        """Whether an answer to the part now would be the first known since its latest crash."""
+        if part not in self._named:
+            return False
+        crashed_at = max(report.at for report in self._reports if part in report.parts)
+        return self._survivals.get(part, float("-inf")) <= crashed_at
+
     def find(self, parts: Iterable[str]) -> Quarantine | None:
         """Return the quarantine of one of the parts that ends last, or ``None``."""
         if not self._quarantines:
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -28,6 +28,8 @@
 from baobabpulley.policy.prompt_quarantine import PROBE_TURN_SECONDS
 
 BAD = ("shared", BAD_PART)
+# docs/CAPACITY.md: what control may cost a node.
+MAX_BYTES_PER_SECOND = 7_000
 # A crash is known at all gateways within two relay periods, and one more if a datagram is lost.
 KNOWN_SECONDS = 1.0
 
@@ -137,6 +139,24 @@
     fleet.timers.cancel_all()
 
 
+async def test_answers_to_parts_that_a_crash_names_add_less_than_the_budget_of_a_node() -> None:
+    fleet = GossipFleet(domains=5, per_domain=16)
+    await fleet.timers.advance(1.0)
+    popular = tuple(f"popular-{number}" for number in range(16))
+    sent = []
+    for is_named in (False, True):
+        if is_named:
+            next(iter(fleet.gateways.values())).evidence.record_crash("i-0", popular)
+        before = fleet.bytes_sent
+        for _ in range(10):
+            for gateway in fleet.gateways.values():
+                gateway.evidence.record_survival(popular)
+            await fleet.timers.advance(0.5)
+        sent.append((fleet.bytes_sent - before) / 5.0 / len(fleet.gateways))
+    fleet.timers.cancel_all()
+    assert sent[1] - sent[0] < MAX_BYTES_PER_SECOND
+
+
 def test_a_message_of_a_gateway_without_evidence_is_understood_and_the_other_way_round() -> None:
     message = GossipMessage(
         "n",
