Let refusals reach callers that are still sending

What callers saw: a request that is refused while its body arrives (413, 400 for the path or the framing) ended with a reset connection. The answer was sent, and the reset that followed destroyed it, or ended the caller's sending before it looked for an answer. The head of a 413 didn't say that the connection closes, either.

Cause: the connection was closed while the kernel held unread bytes of the request, and a socket closed so sends a reset and drops what it has not sent. Class: an end of a connection that doesn't wait for the other side.

Fix: `StrictConnection`, in a module of its own, ends only the sending side after its last answer. What the caller still sends is read and ignored until the caller closes, for 2 s at most. An answer that announces the close ends the connection; one sent before the whole request has been read announces it. The 64 MB limit moves to `_Request`, so a longer body gets one answer (tornado wrote a 400 behind the 413). `abort`, for answers that must look truncated, still closes at once.

Evidence: four cases of testing/test_caller_connections.py ("a refusal ... reaches a caller that is still sending") failed on the code before with ConnectionResetError and pass now. The other tests of the file passed before, too: requests that wait in the queue, hold tickets, send a body or are between two attempts while routes, services, keys, limits, upstreams or the settings file change are all answered, and "not run" is true.

--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import re
+import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -11,11 +11,9 @@
 from typing import final
 
 from loguru import logger
-from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import HTTPHeaders
-from tornado.httputil import HTTPInputError
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.httputil import RequestStartLine
@@ -31,15 +29,16 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.gateway.replies import Reply
+from baobabpulley.gateway.strict_connection import StrictConnection
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.timers import TimerService
 
-# Tornado's limits, which also hold before the configuration's limits are known.
+# These limits hold whatever the configuration allows.
 MAX_HEADER_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
-
-_BARE_LINE_END: Final = re.compile(rb"(?<!\r)\n|\r(?!\n)")
+# What a caller sends after its last response is read and ignored in pieces of this size.
+DISCARDED_BYTES: Final = 65_536
 
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
 
@@ -68,7 +67,8 @@
         no_delay_stream = NoDelayStream(stream.socket, max_buffer_size=MAX_BODY_BYTES * 2)
         parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            # `_Request` refuses long bodies, with an answer.
+            max_body_size=sys.maxsize,
             header_timeout=self.bounds().idle_timeout + self.bounds().header_timeout,
         )
         connection = _CallerConnection(no_delay_stream, parameters, self)
@@ -104,18 +104,31 @@
         self._listener = listener
         # More than one, as a request may be read before the task of the previous one has ended.
         self.requests: set[_Request] = set()
+        self._exchange: StrictConnection | None = None
 
     @property
     def idle(self) -> bool:
         """Whether no request is in progress and no byte of another one has been received."""
         # A stream without a pending read has delivered bytes that aren't processed yet.
-        return not self.requests and self.stream.reading() and is_reusable(self.stream)
+        return (
+            not self.requests
+            and not self._ended
+            and self.stream.reading()
+            and is_reusable(self.stream)
+        )
+
+    @property
+    def _ended(self) -> bool:
+        """Whether the latest response was the last one on this connection."""
+        return self._exchange is not None and self._exchange.ended
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
             keep_alive = True
             while keep_alive:
                 keep_alive = await self._serve_one(delegate) and not self._listener.draining
+            while self._ended:
+                await self.stream.read_bytes(DISCARDED_BYTES, partial=True)
         except (StreamClosedError, UnsatisfiableReadError, asyncio.CancelledError):
             pass
         except Exception:
@@ -125,40 +138,23 @@
             delegate.on_close(self)
 
     async def _serve_one(self, delegate: HTTPServerConnectionDelegate) -> bool:
-        connection = _StrictConnection(self.stream, False, self.params, None)
-        return bool(await connection.read_response(delegate.start_request(self, connection)))
-
-
-class _StrictConnection(HTTP1Connection):
-    """Reject requests that two parsers could frame differently, against request smuggling."""
-
-    def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
-        if _BARE_LINE_END.search(data):
-            raise HTTPInputError("a header line does not end with CR LF")
-        start_line, headers = super()._parse_headers(data)
-        lengths = headers.get_list("Content-Length")
-        encodings = headers.get_list("Transfer-Encoding")
-        if len(lengths) + len(encodings) > 1:
-            raise HTTPInputError("more than one Content-Length or Transfer-Encoding header")
-        if lengths and not lengths[0].isdecimal():
-            raise HTTPInputError("Content-Length is not a decimal number")
-        if encodings and encodings[0].lower() != "chunked":
-            raise HTTPInputError("Transfer-Encoding is not chunked")
-        if len(headers.get_list("Host")) != 1:
-            raise HTTPInputError("the request does not have exactly one Host header")
-        return start_line, headers
+        self._exchange = StrictConnection(self.stream, self.params)
+        request = delegate.start_request(self, self._exchange)
+        return bool(await self._exchange.read_response(request)) and not self._ended
 
 
 class _Request(HTTPMessageDelegate):
     """Receive one request and serve it in a task that is cancelled if the caller disconnects."""
 
     def __init__(
-        self, listener: CallerListener, server: _CallerConnection, connection: HTTP1Connection
+        self, listener: CallerListener, server: _CallerConnection, connection: StrictConnection
     ) -> None:
         self._listener = listener
         self._server = server
         self._connection = connection
-        self._reply = Reply(connection, closing=lambda: listener.draining)
+        self._reply = Reply(
+            connection, closing=lambda: listener.draining or not connection.request_read
+        )
         self._chunks: list[bytes] = []
         self._size = 0
         self._refused = False
@@ -172,7 +168,7 @@
         self._arrived = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
-        if int(headers.get("Content-Length", "0")) > self._listener.bounds().max_body:
+        if int(headers.get("Content-Length", "0")) > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
         elif not start_line.path.startswith("/") or not start_line.path.isascii():
             self._refuse(BadRequest("the request path is not absolute or not ASCII"))
@@ -182,7 +178,7 @@
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
-        if self._size > self._listener.bounds().max_body:
+        if self._size > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
 
     def finish(self) -> None:
@@ -210,6 +206,9 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _max_body(self) -> int:
+        return min(MAX_BODY_BYTES, self._listener.bounds().max_body)
+
     def _refuse(self, error: BaobabError) -> None:
         self._refused = True
         self._chunks.clear()
--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -7,11 +7,11 @@
 from typing import final
 
 import msgspec
-from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import ResponseStartLine
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.gateway.strict_connection import StrictConnection
 
 _REASONS: Final = {200: "OK", 503: "Service Unavailable"}
 
@@ -26,7 +26,7 @@
 
     __slots__ = ("_closing", "_connection", "_finished", "_started", "disconnected", "status")
 
-    def __init__(self, connection: HTTP1Connection, *, closing: Callable[[], bool]) -> None:
+    def __init__(self, connection: StrictConnection, *, closing: Callable[[], bool]) -> None:
         self._connection = connection
         self._closing = closing
         self._started = False
@@ -78,7 +78,7 @@
     def abort(self) -> None:
         """Close the connection, so that a truncated response does not look complete."""
         self._finished = True
-        self._connection.close()
+        self._connection.abort()
 
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None) -> None:
         self._started = True
--- /dev/null
+++ b/testing/test_caller_connections.py
@@ -0,0 +1,458 @@
+"""Tests of the ends of callers' connections: no request that was read ends without an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+from typing import final
+
+import platform_upstream as upstreams
+import pytest
+from gateway_builders import KITCHEN
+from gateway_builders import LEDGER
+from gateway_builders import Reply as ReceivedReply
+from gateway_builders import World
+from gateway_builders import configuration
+from gateway_builders import open_world
+from gateway_builders import read_reply
+from gateway_builders import request_bytes
+from gateway_builders import route
+from gateway_builders import send
+from gateway_builders import wait_until
+from platform_upstream import Call
+from platform_upstream import UpstreamStandin
+from tornado.httputil import HTTPHeaders
+from tornado.testing import bind_unused_port
+
+from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.replies import Reply
+from baobabpulley.model.exchanges import IncomingRequest
+from baobabpulley.model.routes import RequestBounds
+from baobabpulley.platform import names
+from baobabpulley.timers import TimerService
+
+WAIT_SECONDS = 10.0
+LARGE_BODY = b"x" * 400_000
+# More than the kernel buffers of both ends of a connection hold.
+LARGE_ANSWER = b"y" * 12_000_000
+
+Connected = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+# The callers' ends of the connections of the current test.
+_writers: list[asyncio.StreamWriter] = []
+
+
+@final
+class Listening:
+    """A listener alone, whose handler answers at once, and the targets that it was asked for."""
+
+    def __init__(self) -> None:
+        self.bounds = RequestBounds()
+        self.requested: list[str] = []
+        self.timers = TimerService()
+        self.listener = CallerListener(
+            handler=self._answer, bounds=lambda: self.bounds, timers=self.timers
+        )
+        sock, self.port = bind_unused_port()
+        self.listener.add_socket(sock)
+
+    async def connect(self) -> Connected:
+        """Return a connection on which one request has been answered."""
+        reader, writer = await open_to("127.0.0.1", self.port)
+        writer.write(request_bytes("/first"))
+        assert (await receive(reader)).status == 200
+        return reader, writer
+
+    async def _answer(self, incoming: IncomingRequest, reply: Reply) -> None:
+        self.requested.append(incoming.target)
+        reply.send(200, HTTPHeaders(), b"answer")
+
+
+@pytest.fixture(autouse=True)
+async def closed_writers() -> AsyncIterator[None]:
+    yield
+    for writer in _writers:
+        writer.close()
+    _writers.clear()
+
+
+@pytest.fixture
+async def listening() -> AsyncIterator[Listening]:
+    opened = Listening()
+    yield opened
+    opened.listener.stop()
+    opened.listener.close_all()
+    opened.timers.cancel_all()
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+async def receive(reader: asyncio.StreamReader) -> ReceivedReply:
+    return await asyncio.wait_for(read_reply(reader), WAIT_SECONDS)
+
+
+async def open_to(host: str, port: int, **options: Any) -> Connected:
+    """Open a connection that is closed at the end of the test."""
+    connection = socket.socket()
+    for option, value in options.items():
+        connection.setsockopt(socket.SOL_SOCKET, getattr(socket, option), value)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, (host, port))
+    reader, writer = await asyncio.open_connection(sock=connection)
+    _writers.append(writer)
+    return reader, writer
+
+
+async def connect(gateway: Gateway, **options: Any) -> Connected:
+    host, port = gateway.node.callers.split(":")
+    return await open_to(host, int(port), **options)
+
+
+def send_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Hand all data to the kernel before returning."""
+    sent = os.write(writer.get_extra_info("socket").fileno(), data)
+    assert sent == len(data)
+
+
+def hold_up_process(seconds: float) -> None:
+    """Keep the event loop from running, as a freeze or a long computation does."""
+    time.sleep(seconds)
+
+
+def head_and_body(path: str, *, body: bytes = b"hello") -> tuple[bytes, bytes]:
+    data = request_bytes(path, body=body)
+    return data[: len(data) - len(body)], body
+
+
+def is_not_run(reply: ReceivedReply) -> bool:
+    return reply.complete and reply.status in {408, 429, 503}
+
+
+# Time limits of a connection.
+
+
+async def test_a_connection_idle_since_before_a_shorter_limit_lives_by_the_longer_one(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(idle_timeout=1.5, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    await asyncio.sleep(0.3)
+    listening.bounds = RequestBounds(idle_timeout=0.1, header_timeout=0.1)
+    await asyncio.sleep(0.9)
+    writer.write(request_bytes("/second"))
+    assert (await receive(reader)).status == 200
+
+
+async def test_a_body_that_arrives_slowly_but_steadily_is_served(listening: Listening) -> None:
+    listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    head, body = head_and_body("/second", body=b"12345")
+    writer.write(head)
+    for byte in body:
+        await asyncio.sleep(0.2)
+        writer.write(bytes([byte]))
+    assert (await receive(reader)).status == 200
+
+
+# Refusals while the body is still arriving.
+
+
+async def send_slowly(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Send a body as a caller does that looks for an answer only after it; fail on a reset."""
+    for start in range(0, len(data), 40_000):
+        writer.write(data[start : start + 40_000])
+        await writer.drain()
+        await asyncio.sleep(0.01)
+
+
+async def test_a_refusal_of_a_long_body_reaches_a_caller_that_is_still_sending(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(max_body=100_000)
+    reader, writer = await listening.connect()
+    await send_slowly(writer, request_bytes("/second", body=LARGE_BODY))
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (413, True)
+    assert reply.headers["connection"] == "close"
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+
+
+async def test_a_refusal_of_a_long_chunked_body_reaches_a_caller_that_is_still_sending(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(max_body=100_000)
+    reader, writer = await listening.connect()
+    head, _ = head_and_body("/second", body=b"")
+    chunk = b"%x\r\n%s\r\n" % (40_000, b"x" * 40_000)
+    head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    await send_slowly(writer, head + 10 * chunk + b"0\r\n\r\n")
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (413, True)
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+
+
+async def test_a_refusal_of_a_path_reaches_a_caller_that_is_still_sending(
+    listening: Listening,
+) -> None:
+    reader, writer = await listening.connect()
+    await send_slowly(writer, request_bytes("second", body=LARGE_BODY))
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (400, True)
+    assert listening.requested == ["/first"]
+
+
+async def test_a_refusal_of_bad_framing_reaches_a_caller_that_is_still_sending(
+    listening: Listening,
+) -> None:
+    reader, writer = await listening.connect()
+    two_lengths = {"Transfer_Encoding": "chunked"}
+    await send_slowly(writer, request_bytes("/second", body=LARGE_BODY, **two_lengths))
+    assert (await receive(reader)).status == 400
+    assert listening.requested == ["/first"]
+
+
+async def test_a_body_beyond_the_hard_limit_gets_one_answer(listening: Listening) -> None:
+    reader, writer = await listening.connect()
+    head = request_bytes("/second", body=b"").replace(
+        b"Content-Length: 0", b"Content-Length: 500000000"
+    )
+    writer.write(head)
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (413, True)
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+
+
+# Shutdown.
+
+
+async def test_a_shutdown_with_only_idle_connections_ends_at_once(world: World) -> None:
+    gateway = await world.add_gateway()
+    reader, _writer = await connect(gateway)
+    began = time.monotonic()
+    await gateway.drain()
+    assert time.monotonic() - began < 0.8
+    assert await reader.read() == b""
+
+
+# Changes of the configuration and of upstreams beside requests in each state.
+
+LONG_MS = 10_000
+LONG = {names.REMAINING_MS: str(LONG_MS)}
+SHORT = {names.REMAINING_MS: "1000"}
+LONG_ROUTES = [
+    route("/draft/", KITCHEN, names.KIND_STREAM, **{"timeout-ms": LONG_MS}),
+    route("/order/", LEDGER, names.KIND_ONCE, **{"timeout-ms": LONG_MS}),
+    route("/lookup/", LEDGER, names.KIND_IDEMPOTENT, **{"timeout-ms": LONG_MS}),
+]
+OTHER = "other"
+OTHER_ROUTES = [route("/order/", OTHER, names.KIND_ONCE)]
+OTHER_SERVICES = [{"name": OTHER, "connection-limit": 10}]
+OTHER_TENANTS = [{"name": "medina", "api-keys": ["another-key"], "priority": 1}]
+
+CHANGES: dict[str, dict[str, object]] = {
+    "route removed": {"routes": OTHER_ROUTES[:0]},
+    "route moved": {"routes": OTHER_ROUTES, "services": OTHER_SERVICES},
+    "service removed": {"services": OTHER_SERVICES},
+    "key removed": {"tenants": OTHER_TENANTS},
+    "all replaced": {
+        "routes": OTHER_ROUTES,
+        "services": OTHER_SERVICES,
+        "tenants": OTHER_TENANTS,
+        "limits": {"max-body-bytes": 1, "header-timeout-ms": 50, "idle-timeout-ms": 50},
+    },
+}
+with_each_change = pytest.mark.parametrize("change", CHANGES.values(), ids=CHANGES.keys())
+
+
+async def configure(world: World, gateway: Gateway, **changes: object) -> None:
+    """Publish a configuration and wait until the gateway has applied it."""
+    table = gateway.fleet_state.table
+    assert table is not None
+    version = table.version + 1
+    world.store.put(names.CONFIGURATION_KEY, configuration(version, **changes))
+
+    def is_applied() -> bool:
+        now = gateway.fleet_state.table
+        return now is not None and now.version == version
+
+    await wait_until(is_applied)
+
+
+async def remove(world: World, gateway: Gateway, *removed: str) -> None:
+    """Remove upstreams from the store and wait until the gateway knows."""
+    for name in removed:
+        world.store.delete(names.UPSTREAM_PREFIX + name)
+    await wait_until(lambda: not gateway.fleet_state.upstreams.keys() & set(removed))
+
+
+def held_until(event: asyncio.Event) -> upstreams.Behaviour:
+    """Return a behaviour that answers once ``event`` is set."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await event.wait()
+        await upstreams.answer_complete(upstream, call)
+
+    return run
+
+
+@with_each_change
+async def test_a_request_in_the_queue_is_answered_after_a_change(
+    world: World, change: dict[str, object]
+) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    may_answer = asyncio.Event()
+    upstream.behaviour = held_until(may_answer)
+    gateway = await world.add_gateway()
+    running = asyncio.create_task(send(gateway, "/order/1"))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    waiting = asyncio.create_task(send(gateway, "/order/2"))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    await configure(world, gateway, **change)
+    may_answer.set()
+    assert ((await running).status, (await waiting).status) == (200, 200)
+    assert [call.target for call in upstream.journal] == ["/order/1", "/order/2"]
+
+
+async def test_a_request_in_the_queue_is_refused_once_its_service_has_no_upstream(
+    world: World,
+) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    running = asyncio.create_task(send(gateway, "/order/1", **SHORT))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    waiting = asyncio.create_task(send(gateway, "/order/2", **SHORT))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    await remove(world, gateway, "i-1")
+    assert is_not_run(await waiting)
+    assert [call.target for call in upstream.journal] == ["/order/1"]
+    assert (await running).complete
+
+
+async def test_a_request_in_the_queue_moves_to_an_upstream_that_comes_later(world: World) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    running = asyncio.create_task(send(gateway, "/order/1", **SHORT))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    waiting = asyncio.create_task(send(gateway, "/order/2", **SHORT))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    await remove(world, gateway, "i-1")
+    await world.add_upstream("i-2")
+    assert (await waiting).status == 200
+    assert (await running).complete
+
+
+@with_each_change
+async def test_a_request_whose_body_arrives_during_a_change_is_answered(
+    world: World, change: dict[str, object]
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    reader, writer = await connect(gateway)
+    data = request_bytes("/order/1", body=LARGE_BODY[:50_000])
+    writer.write(data[:20_000])
+    await wait_until(lambda: gateway.listener.active_requests == 1)
+    await configure(world, gateway, **change)
+    writer.write(data[20_000:])
+    reply = await receive(reader)
+    assert reply.complete
+    assert (reply.status == 200) == (len(upstream.journal) == 1)
+    assert reply.status in {200, 401, 404, 408, 413, 503}
+
+
+@with_each_change
+async def test_a_request_between_two_attempts_is_answered_after_a_change(
+    world: World, change: dict[str, object]
+) -> None:
+    may_refuse = asyncio.Event()
+
+    async def refuse_later(upstream: UpstreamStandin, call: Call) -> None:
+        await may_refuse.wait()
+        await upstreams.refuse_unexecuted(upstream, call)
+
+    behaviour = upstreams.first_then(refuse_later, then=upstreams.answer_complete)
+    for name in ("i-1", "i-2"):
+        (await world.add_upstream(name)).behaviour = behaviour
+    gateway = await world.add_gateway()
+    task = asyncio.create_task(send(gateway, "/order/1"))
+    await wait_until(lambda: sum(len(up.journal) for up in world.upstreams.values()) == 1)
+    await configure(world, gateway, **change)
+    may_refuse.set()
+    assert (await task).status == 200
+    assert sum(len(up.journal) for up in world.upstreams.values()) == 1
+
+
+@pytest.mark.parametrize("path", ["/order/1", "/lookup/1"])
+async def test_a_request_whose_upstreams_go_between_two_attempts_is_answered_truly(
+    world: World, path: str
+) -> None:
+    may_fail = asyncio.Event()
+
+    async def reset_later(upstream: UpstreamStandin, call: Call) -> None:
+        await may_fail.wait()
+        call.reset()
+
+    for name in ("i-1", "i-2"):
+        (await world.add_upstream(name)).behaviour = reset_later
+    gateway = await world.add_gateway()
+    task = asyncio.create_task(send(gateway, path))
+    await wait_until(lambda: sum(len(up.journal) for up in world.upstreams.values()) == 1)
+    await remove(world, gateway, "i-1", "i-2")
+    may_fail.set()
+    reply = await task
+    assert (reply.status, reply.complete) == (502, True)
+
+
+async def test_a_prompt_that_waits_for_its_tickets_is_answered_after_its_engines_went(
+    world: World,
+) -> None:
+    engines = []
+    for number in range(1, 4):
+        engine = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        engine.order_delay_seconds = 0.5
+        engine.behaviour = upstreams.stream(events=3)
+        engines.append(engine)
+    gateway = await world.add_gateway()
+    task = asyncio.create_task(send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "300000,100"}))
+    await wait_until(lambda: any(engine.orders for engine in engines))
+    await remove(world, gateway, *(engine.name for engine in engines))
+    await configure(world, gateway, **CHANGES["all replaced"])
+    reply = await task
+    assert reply.complete
+    assert (reply.status == 200) == any(engine.journal for engine in engines)
+
+
+# Changes of the settings file.
+
+
+async def test_requests_in_each_state_are_answered_across_a_reload(world: World) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    may_answer = asyncio.Event()
+    upstream.behaviour = held_until(may_answer)
+    gateway = await world.add_gateway()
+    running = asyncio.create_task(send(gateway, "/order/1"))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    waiting = asyncio.create_task(send(gateway, "/order/2"))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    kept_reader, kept_writer = await connect(gateway)
+    kept_writer.write(request_bytes("/order/3")[:-2])
+    await wait_until(lambda: gateway.listener.active_requests == 3)
+    path = world.folder / "gateway-1.ini"
+    path.write_text(path.read_text().replace("slack = 100", "slack = 0"))
+    gateway.reload.check()
+    kept_writer.write(b"lo")
+    await asyncio.sleep(0.05)
+    may_answer.set()
+    replies = [await running, await waiting, await receive(kept_reader)]
+    assert [reply.status for reply in replies] == [200, 200, 200]
