Apply the time limits in force to callers' open connections, and answer late requests

Cause: tornado's header_timeout, fixed at accept from the configuration of that moment. (1) After a change that lengthens idle-timeout-ms, callers reuse connections for up to 4/5 of the new limit, while the gateway still closes by the old one, in the middle of that span. (2) When the limit ends in the same pass of the event loop in which the request was read, the timeout wins over the head that is already read. After a hold-up of the process (a freeze, a large configuration) every request that came meanwhile meets its timeout in one pass. (3) A head that arrives too slowly was closed without an answer, and a body without any limit. Class: a timer that decides by what was known when it was set instead of what has arrived when it fires.

Fix: the listener checks the connections twice a second, by the limits in force. What was read or waits in the socket is never cut. An idle connection lives by the longer of the limits in force when it became idle and now, plus the time for a head, as before; a head that stays incomplete for header-timeout-ms and a body of which no byte comes for idle-timeout-ms + header-timeout-ms get 408 (`header_too_slow`, `body_too_slow`), which is true, as neither has been read whole. A timer less per request.

Evidence: five cases of testing/test_caller_connections.py failed on the code before (closed at 0.4 s under a limit of 2 s; kept open over 10 s under 0.2 s; a request that came 0.05 s after its predecessor got no answer after a hold-up of 0.6 s; a slow head and a stopped body got no answer) and pass now. Two that pass on both guard the neighbours: an idle period begun under a longer limit, and a body that arrives slowly but steadily.

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -52,9 +52,19 @@
     return stream
 
 
+def has_unconsumed_bytes(stream: IOStream) -> bool:
+    """Whether bytes have been read from the socket that no read has consumed yet."""
+    return bool(stream._read_buffer_size)
+
+
 def is_reusable(stream: IOStream) -> bool:
     """Whether an idle connection is still open and has received no unexpected bytes."""
-    if stream.closed() or stream._read_buffer_size:
+    return not has_unconsumed_bytes(stream) and is_drained(stream)
+
+
+def is_drained(stream: IOStream) -> bool:
+    """Whether a connection is open and its socket holds no bytes that have not been read."""
+    if stream.closed():
         return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK)
--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -34,6 +34,7 @@
 from baobabpulley.errors.requests import DeadlineExceeded
 from baobabpulley.errors.requests import Forbidden
 from baobabpulley.errors.requests import HeaderTooLarge
+from baobabpulley.errors.requests import HeaderTooSlow
 from baobabpulley.errors.requests import MethodNotAllowed
 from baobabpulley.errors.requests import NotFound
 from baobabpulley.errors.requests import NotReady
@@ -78,6 +79,7 @@
     "DeadlineExceeded",
     "Forbidden",
     "HeaderTooLarge",
+    "HeaderTooSlow",
     "InvalidDocument",
     "InvalidSettings",
     "LimitLowered",
--- a/src/baobabpulley/errors/requests.py
+++ b/src/baobabpulley/errors/requests.py
@@ -67,6 +67,15 @@
     default_remedy = "Send fewer and shorter headers."
 
 
+class HeaderTooSlow(BaobabError):
+    """The request's headers did not arrive in time."""
+
+    code = "header_too_slow"
+    status = 408
+    ran = False
+    default_remedy = "Send all headers within the time in the message."
+
+
 class BodyTooSlow(BaobabError):
     """The request's body did not arrive in time."""
 
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 from typing import Final
 from typing import final
@@ -24,10 +26,14 @@
 from tornado.tcpserver import TCPServer
 
 from baobabpulley.adapters.addresses import NoDelayStream
+from baobabpulley.adapters.addresses import has_unconsumed_bytes
+from baobabpulley.adapters.addresses import is_drained
 from baobabpulley.adapters.addresses import is_reusable
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import BodyTooSlow
+from baobabpulley.errors import HeaderTooSlow
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.gateway.strict_connection import StrictConnection
 from baobabpulley.model.exchanges import IncomingRequest
@@ -39,6 +45,8 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 # What a caller sends after its last response is read and ignored in pieces of this size.
 DISCARDED_BYTES: Final = 65_536
+# How often the time limits of the connections are checked.
+LIMITS_CHECK_PERIOD_SECONDS: Final = 0.5
 
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
 
@@ -62,6 +70,12 @@
         """Number of requests being received or served."""
         return sum(len(connection.requests) for connection in self._connections)
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        super().add_sockets(sockets)
+        self.timers.every(
+            LIMITS_CHECK_PERIOD_SECONDS, self._check_time_limits, name="limits of callers"
+        )
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         # Nothing reads from the given stream yet, so its socket can be moved to another stream.
         no_delay_stream = NoDelayStream(stream.socket, max_buffer_size=MAX_BODY_BYTES * 2)
@@ -69,7 +83,6 @@
             max_header_size=MAX_HEADER_BYTES,
             # `_Request` refuses long bodies, with an answer.
             max_body_size=sys.maxsize,
-            header_timeout=self.bounds().idle_timeout + self.bounds().header_timeout,
         )
         connection = _CallerConnection(no_delay_stream, parameters, self)
         self._connections.add(connection)
@@ -88,6 +101,12 @@
             if connection.idle:
                 connection.stream.close()
 
+    def _check_time_limits(self) -> None:
+        """Apply the time limits now in force, whatever they were when a connection was opened."""
+        now, bounds = self.timers.now(), self.bounds()
+        for connection in tuple(self._connections):
+            connection.check_time_limits(now, bounds)
+
     def close_all(self) -> None:
         """Close every connection."""
         for connection in tuple(self._connections):
@@ -105,6 +124,7 @@
         # More than one, as a request may be read before the task of the previous one has ended.
         self.requests: set[_Request] = set()
         self._exchange: StrictConnection | None = None
+        self._receiving: _Request | None = None
 
     @property
     def idle(self) -> bool:
@@ -122,6 +142,11 @@
         """Whether the latest response was the last one on this connection."""
         return self._exchange is not None and self._exchange.ended
 
+    def check_time_limits(self, now: float, bounds: RequestBounds) -> None:
+        """Close the connection if it is idle, or refuse its request, beyond the time allowed."""
+        if self._receiving is not None and not self._ended and not self.stream.closed():
+            self._receiving.check_time_limits(now, bounds)
+
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
             keep_alive = True
@@ -140,6 +165,8 @@
     async def _serve_one(self, delegate: HTTPServerConnectionDelegate) -> bool:
         self._exchange = StrictConnection(self.stream, self.params)
         request = delegate.start_request(self, self._exchange)
+        assert isinstance(request, _Request)
+        self._receiving = request
         return bool(await self._exchange.read_response(request)) and not self._ended
 
 
@@ -159,13 +186,33 @@
         self._size = 0
         self._refused = False
         self._task: asyncio.Task[None] | None = None
+        self._expected_since = listener.timers.now()
+        self._idle_timeout = listener.bounds().idle_timeout
+        self._head_since: float | None = None
+        self._body_progress_at: float | None = None
+
+    def check_time_limits(self, now: float, bounds: RequestBounds) -> None:
+        """Close or refuse a request that has not been received within the time allowed.
+
+        What has arrived but has not been processed is never cut: the process may have been late.
+        """
+        if self._task is not None or self._refused or not self._server.stream.reading():
+            return
+        if self._body_progress_at is not None:
+            self._check_body(now, bounds, progress_at=self._body_progress_at)
+        elif has_unconsumed_bytes(self._server.stream):
+            self._check_head(now, bounds)
+        else:
+            self._check_idle(now, bounds)
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        if self._refused:
+            return
         self._server.requests.add(self)
-        self._arrived = self._listener.timers.now()
+        self._arrived = self._body_progress_at = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
         if int(headers.get("Content-Length", "0")) > self._max_body():
@@ -176,6 +223,7 @@
     def data_received(self, chunk: bytes) -> None:
         if self._refused:
             return
+        self._body_progress_at = self._listener.timers.now()
         self._chunks.append(chunk)
         self._size += len(chunk)
         if self._size > self._max_body():
@@ -206,6 +254,27 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _check_idle(self, now: float, bounds: RequestBounds) -> None:
+        # A caller may go by the limit that was in force when the connection became idle. A request
+        # that it sends at the end of the limit gets the time allowed for a head to arrive.
+        limit = max(self._idle_timeout, bounds.idle_timeout) + bounds.header_timeout
+        if now - self._expected_since > limit and self._server.idle:
+            self._server.stream.close()
+
+    def _check_head(self, now: float, bounds: RequestBounds) -> None:
+        if self._head_since is None:
+            self._head_since = now
+        elif now - self._head_since > bounds.header_timeout and is_drained(self._server.stream):
+            self._connection.answer_without_request()
+            self._refuse(
+                HeaderTooSlow(f"headers incomplete after the limit of {bounds.header_timeout} s")
+            )
+
+    def _check_body(self, now: float, bounds: RequestBounds, *, progress_at: float) -> None:
+        limit = bounds.idle_timeout + bounds.header_timeout
+        if now - progress_at > limit and is_drained(self._server.stream):
+            self._refuse(BodyTooSlow(f"no byte of the request body arrived for {limit} s"))
+
     def _max_body(self) -> int:
         return min(MAX_BODY_BYTES, self._listener.bounds().max_body)
 
--- a/src/baobabpulley/gateway/strict_connection.py
+++ b/src/baobabpulley/gateway/strict_connection.py
@@ -42,6 +42,11 @@
         """Whether the whole request has been read."""
         return self._read_finished
 
+    def answer_without_request(self) -> None:
+        """Allow a response although the head of the request has not been read."""
+        self._request_start_line = RequestStartLine("GET", "/", "HTTP/1.1")
+        self._request_headers = HTTPHeaders()
+
     def write_headers(
         self,
         start_line: RequestStartLine | ResponseStartLine,
@@ -55,8 +60,7 @@
 
     def close(self) -> None:
         """End the sending side; the stream closes when the caller closes, or after a while."""
-        is_without_request = self.stream.reading() and self._request_start_line is None
-        if self.stream.closed() or is_without_request:
+        if self.stream.closed():
             super().close()
             return
         self.ended = True
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -141,6 +141,17 @@
 # Time limits of a connection.
 
 
+async def test_an_open_connection_lives_by_a_longer_idle_limit_of_a_later_configuration(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    listening.bounds = RequestBounds(idle_timeout=2.0, header_timeout=0.1)
+    await asyncio.sleep(1.2)
+    writer.write(request_bytes("/second"))
+    assert (await receive(reader)).status == 200
+
+
 async def test_a_connection_idle_since_before_a_shorter_limit_lives_by_the_longer_one(
     listening: Listening,
 ) -> None:
@@ -153,6 +164,52 @@
     assert (await receive(reader)).status == 200
 
 
+async def test_an_open_connection_lives_by_a_shorter_idle_limit_of_a_later_configuration(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(idle_timeout=30.0, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    listening.bounds = RequestBounds(idle_timeout=0.2, header_timeout=0.1)
+    writer.write(request_bytes("/second"))
+    assert (await receive(reader)).status == 200
+    began = time.monotonic()
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+    assert 0.2 < time.monotonic() - began < 1.5
+
+
+async def test_a_request_that_arrives_while_the_process_is_held_up_past_the_limit_is_answered(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(idle_timeout=0.2, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    await asyncio.sleep(0.05)
+    send_now(writer, request_bytes("/second"))
+    hold_up_process(0.6)
+    assert (await receive(reader)).status == 200
+    assert listening.requested == ["/first", "/second"]
+
+
+async def test_a_head_that_arrives_too_slowly_is_refused(listening: Listening) -> None:
+    listening.bounds = RequestBounds(idle_timeout=0.1, header_timeout=0.3)
+    reader, writer = await listening.connect()
+    writer.write(request_bytes("/second")[:40])
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (408, True)
+    assert reply.headers["connection"] == "close"
+    assert listening.requested == ["/first"]
+
+
+async def test_a_body_that_stops_arriving_is_refused(listening: Listening) -> None:
+    listening.bounds = RequestBounds(idle_timeout=0.2, header_timeout=0.1)
+    reader, writer = await listening.connect()
+    writer.write(request_bytes("/second")[:-1])
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (408, True)
+    writer.write(b"!")
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+    assert listening.requested == ["/first"]
+
+
 async def test_a_body_that_arrives_slowly_but_steadily_is_served(listening: Listening) -> None:
     listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
     reader, writer = await listening.connect()
