End a shutdown once connections are done, not once no request is active

Cause: `drain` closed the idle connections once and then waited for the count of active requests. A request counts from its whole head to the moment at which its answer has been written into tornado's buffer. So a connection that `close_idle` rightly left open, because bytes had arrived or an answer was not flushed, was closed in the same step by `close_all` if nothing else was active. Class: waiting for a count that covers only a part of what must not be interrupted.

A connection that has announced its end is closed once the caller has acknowledged the whole answer, so that callers that don't close don't hold up the shutdown. Slow heads are bounded by their own limit, everything by the grace period as before.

Evidence: three cases of testing/test_caller_connections.py failed on the code before (12 MB answer cut; status 0 for a request that came as idle connections were closed, and for one whose head was arriving) and pass now; a shutdown with only idle connections ends at once on both.

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
+from typing import Final
 
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.errors import UpstreamUnreachable
 
+_INT: Final = struct.Struct("i")
+
 
 class NoDelayStream(IOStream):
     """A connection with ``TCP_NODELAY`` always on, so that each write is sent at once."""
@@ -57,6 +63,12 @@
     return bool(stream._read_buffer_size)
 
 
+def is_acknowledged(stream: IOStream) -> bool:
+    """Whether the other side has received all bytes that were written to an open connection."""
+    unacknowledged = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(_INT.size))
+    return not stream.writing() and _INT.unpack(unacknowledged)[0] == 0
+
+
 def is_reusable(stream: IOStream) -> bool:
     """Whether an idle connection is still open and has received no unexpected bytes."""
     return not has_unconsumed_bytes(stream) and is_drained(stream)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -189,7 +189,9 @@
     async def drain(self) -> None:
         """Stop accepting connections once the load balancer has noticed, then finish requests.
 
-        Connections still busy near the end of the grace period are closed.
+        Each connection is closed once it is idle: nothing of a request has arrived, and the answer
+        before it has been handed to the kernel. Connections still busy near the end of the grace
+        period are closed.
         """
         section = self.settings.get(GatewayShutdownSection)
         begun = self.timers.now()
@@ -198,11 +200,9 @@
         await self.timers.sleep(section.balancer_lag)
         self.listener.stop()
         self.listener.close_idle()
-        while (
-            self.listener.active_requests
-            and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace
-        ):
+        while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
             await self.timers.sleep(_DRAIN_POLL_SECONDS)
+            self.listener.close_idle()
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
 
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -27,6 +27,7 @@
 
 from baobabpulley.adapters.addresses import NoDelayStream
 from baobabpulley.adapters.addresses import has_unconsumed_bytes
+from baobabpulley.adapters.addresses import is_acknowledged
 from baobabpulley.adapters.addresses import is_drained
 from baobabpulley.adapters.addresses import is_reusable
 from baobabpulley.errors import BadRequest
@@ -70,6 +71,13 @@
         """Number of requests being received or served."""
         return sum(len(connection.requests) for connection in self._connections)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a connection is open or a request is being served."""
+        return self.active_requests > 0 or any(
+            not connection.stream.closed() for connection in self._connections
+        )
+
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         super().add_sockets(sockets)
         self.timers.every(
@@ -98,7 +106,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress and without unread bytes."""
         for connection in tuple(self._connections):
-            if connection.idle:
+            if connection.idle or connection.done:
                 connection.stream.close()
 
     def _check_time_limits(self) -> None:
@@ -137,6 +145,17 @@
             and is_reusable(self.stream)
         )
 
+    @property
+    def done(self) -> bool:
+        """Whether the last response has been received and nothing has come after its request."""
+        return (
+            self._exchange is not None
+            and self._exchange.ended
+            and self._exchange.request_read
+            and is_reusable(self.stream)
+            and is_acknowledged(self.stream)
+        )
+
     @property
     def _ended(self) -> bool:
         """Whether the latest response was the last one on this connection."""
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -292,6 +292,61 @@
 # Shutdown.
 
 
+async def test_a_shutdown_does_not_cut_an_answer_that_its_caller_still_reads(
+    world: World,
+) -> None:
+    upstream = await world.add_upstream("i-1")
+
+    async def answer_at_length(standin: UpstreamStandin, call: Call) -> None:
+        await call.write(call.sealed(LARGE_ANSWER))
+
+    upstream.behaviour = answer_at_length
+    gateway = await world.add_gateway()
+    reader, writer = await connect(gateway, SO_RCVBUF=4096)
+    writer.write(request_bytes("/lookup/1"))
+    await reader.readuntil(b"\r\n\r\n")
+    await wait_until(lambda: gateway.listener.active_requests == 0)
+    draining = asyncio.create_task(gateway.drain())
+    await asyncio.sleep(0.7)
+    body = await asyncio.wait_for(reader.readexactly(len(LARGE_ANSWER)), WAIT_SECONDS)
+    assert body == LARGE_ANSWER
+    await draining
+
+
+async def test_a_shutdown_answers_a_request_that_arrives_as_idle_connections_are_closed(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    reader, writer = await connect(gateway)
+    writer.write(request_bytes("/order/1"))
+    assert (await receive(reader)).status == 200
+    stop = gateway.listener.stop
+
+    def send_and_stop() -> None:
+        send_now(writer, request_bytes("/order/2"))
+        stop()
+
+    monkeypatch.setattr(gateway.listener, "stop", send_and_stop)
+    await gateway.drain()
+    reply = await receive(reader)
+    assert (reply.status, reply.headers["connection"]) == (200, "close")
+
+
+async def test_a_shutdown_waits_for_a_head_that_is_arriving(world: World) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    reader, writer = await connect(gateway)
+    data = request_bytes("/order/1")
+    writer.write(data[:50])
+    await asyncio.sleep(0.05)
+    draining = asyncio.create_task(gateway.drain())
+    await asyncio.sleep(0.8)
+    writer.write(data[50:])
+    assert (await receive(reader)).status == 200
+    await draining
+
+
 async def test_a_shutdown_with_only_idle_connections_ends_at_once(world: World) -> None:
     gateway = await world.add_gateway()
     reader, _writer = await connect(gateway)
