Keep a connection open in a shutdown until an answer has announced its end

What callers saw: a request sent on a kept connection while a stream that began before SIGTERM was still running, or just as it ended, was read and closed without an answer. The stream's head, sent before the shutdown, had not said that the connection closes.

Cause: after each answer the server loop closed the connection of a draining gateway, whatever the answer had announced and whatever had been read behind its request. Class: one side ends a connection without having said so.

Evidence: test_an_early_second_request_behind_a_stream_is_answered_during_a_shutdown failed on the code before (no answer to the second request) and passes now.

--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -168,9 +168,8 @@
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
-            keep_alive = True
-            while keep_alive:
-                keep_alive = await self._serve_one(delegate) and not self._listener.draining
+            while await self._serve_one(delegate):
+                pass
             while self._ended:
                 await self.stream.read_bytes(DISCARDED_BYTES, partial=True)
         except (StreamClosedError, UnsatisfiableReadError, asyncio.CancelledError):
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -333,6 +333,24 @@
     assert (reply.status, reply.headers["connection"]) == (200, "close")
 
 
+async def test_an_early_second_request_behind_a_stream_is_answered_during_a_shutdown(
+    world: World,
+) -> None:
+    engine = await world.add_upstream("i-1", service=KITCHEN)
+    engine.behaviour = upstreams.stream(events=4, pause_after=2, pause=0.5)
+    gateway = await world.add_gateway()
+    reader, writer = await connect(gateway)
+    writer.write(request_bytes("/draft/1"))
+    await wait_until(lambda: len(engine.journal) == 1)
+    await asyncio.sleep(0.1)
+    draining = asyncio.create_task(gateway.drain())
+    writer.write(request_bytes("/draft/2"))
+    first, second = await receive(reader), await receive(reader)
+    assert (first.events, second.events) == ([0, 1, 2, 3], [0, 1, 2, 3])
+    assert second.headers["connection"] == "close"
+    await draining
+
+
 async def test_a_shutdown_waits_for_a_head_that_is_arriving(world: World) -> None:
     await world.add_upstream("i-1")
     gateway = await world.add_gateway()
