Answer the requests that are left at the end of a shutdown's grace period

What callers saw: near the end of the grace period (95 %) every request still in progress ended with a closed connection, also one that waited in the queue and had reached no server, or whose body was still arriving.

Cause: `drain` closed all connections; the cancelled handlers took that for callers that had left. Class: our own end of a request is indistinguishable from the caller's.

Fix: before the connections are closed, the requests are ended one by one: a body that is arriving is refused, and a handler that is cancelled while its caller is connected answers 503 "not run" if no attempt has begun or may have run, else 502. Streams that have begun are cut, as before. A finished answer is not touched.

Evidence: two cases of testing/test_caller_connections.py ("a shutdown refuses ... at its end") failed on the code before with status 0 and pass now; the request in the queue reaches no server. test_shutdown_ends_within_its_grace_period asserted the closed connection of a request at a silent server (status 0); it asserts the complete 502 in its place, and the same time.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -22,6 +22,7 @@
 from baobabpulley.gateway.control import SnapshotHandler
 from baobabpulley.gateway.control import serve_http
 from baobabpulley.gateway.exchange import ExchangeServer
+from baobabpulley.gateway.exchange_state import shutdown_error
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.listener import CallerListener
@@ -65,7 +66,7 @@
 # If a peer has been on a newer store revision for this long, the watch is assumed to be stalled.
 _MAX_BEHIND_SECONDS: Final = 0.4
 _DRAIN_POLL_SECONDS: Final = 0.05
-# Connections that are still busy after this fraction of the grace period are closed.
+# Requests that are unanswered after this fraction of the grace period are ended.
 _DRAIN_GRACE_RATIO: Final = 0.95
 
 
@@ -190,8 +191,8 @@
         """Stop accepting connections once the load balancer has noticed, then finish requests.
 
         Each connection is closed once it is idle: nothing of a request has arrived, and the answer
-        before it has been handed to the kernel. Connections still busy near the end of the grace
-        period are closed.
+        before it has been handed to the kernel. Requests that are still unanswered near the end of
+        the grace period are refused, or answered 502 if they may have run.
         """
         section = self.settings.get(GatewayShutdownSection)
         begun = self.timers.now()
@@ -203,6 +204,9 @@
         while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
             await self.timers.sleep(_DRAIN_POLL_SECONDS)
             self.listener.close_idle()
+        if self.listener.busy:
+            self.listener.refuse_all(shutdown_error(None))
+            await self.timers.sleep(_DRAIN_POLL_SECONDS)
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -31,6 +31,7 @@
 from baobabpulley.gateway.exchange_state import error_for_caller
 from baobabpulley.gateway.exchange_state import log_placement
 from baobabpulley.gateway.exchange_state import log_retry_denied
+from baobabpulley.gateway.exchange_state import shutdown_error
 from baobabpulley.gateway.exchange_state import urgency_of
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
@@ -119,8 +120,12 @@
             outcome, reason = error.code, error.message
             self._send_failure(exchange, reply, error)
         except asyncio.CancelledError:
-            outcome = "client_gone"
-            raise
+            if reply.disconnected:
+                outcome = "client_gone"
+                raise
+            error = shutdown_error(exchange)
+            outcome, reason = error.code, error.message
+            self._send_failure(exchange, reply, error)
         finally:
             self._record_end(
                 incoming, parameters, exchange, status=reply.status, outcome=outcome, reason=reason
@@ -144,6 +149,9 @@
         try:
             while not await self._advance(exchange, race):
                 pass
+        except asyncio.CancelledError:
+            exchange.may_have_run = exchange.may_have_run or bool(race.attempts)
+            raise
         finally:
             await race.close()
 
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import NotReady
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
@@ -26,6 +27,8 @@
 
 # Retry-after delay if there is no estimate of when capacity will be available.
 NOT_READY_RETRY_AFTER_SECONDS: Final = 0.5
+# Another gateway can serve a request at once that a gateway refuses as it stops.
+SHUTDOWN_RETRY_AFTER_SECONDS: Final = 0.0
 # The range of urgencies that upstreams accept.
 _LEAST_URGENT: Final = 9
 _MOST_URGENT: Final = 0
@@ -191,6 +194,15 @@
     return max(_MOST_URGENT, min(_LEAST_URGENT, exchange.times.priority))
 
 
+def shutdown_error(exchange: Exchange | None) -> BaobabError:
+    """Return the error for a request that is still unanswered when the gateway has to stop."""
+    error = NotReady(
+        "the gateway is shutting down and has no time left for the request",
+        retry_after=SHUTDOWN_RETRY_AFTER_SECONDS,
+    )
+    return error if exchange is None else error_for_caller(exchange, error)
+
+
 def error_for_caller(exchange: Exchange, error: BaobabError) -> BaobabError:
     """Return the error to report, which says "not run" only if no attempt can have run.
 
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -109,6 +109,15 @@
             if connection.idle or connection.done:
                 connection.stream.close()
 
+    def refuse_all(self, error: BaobabError) -> None:
+        """Refuse the requests whose bodies are arriving with ``error``, and cancel the others.
+
+        The handler answers a request that is cancelled while its caller is connected.
+        """
+        for connection in tuple(self._connections):
+            for request in tuple(connection.requests):
+                request.end(error)
+
     def _check_time_limits(self) -> None:
         """Apply the time limits now in force, whatever they were when a connection was opened."""
         now, bounds = self.timers.now(), self.bounds()
@@ -266,6 +275,15 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.get_running_loop().create_task(self._serve(incoming))
 
+    def end(self, error: BaobabError) -> None:
+        """Cancel the request, or refuse it with ``error`` if it has not been read whole."""
+        if self._reply.finished:
+            return
+        if self._task is None:
+            self._refuse(error)
+        else:
+            self._task.cancel()
+
     def on_connection_close(self) -> None:
         self._server.requests.discard(self)
         self._reply.disconnected = True
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -333,6 +333,35 @@
     assert (reply.status, reply.headers["connection"]) == (200, "close")
 
 
+async def test_a_shutdown_refuses_what_waits_in_the_queue_until_its_end(world: World) -> None:
+    upstream = await world.add_upstream("i-1", slots=1)
+    upstream.behaviour = upstreams.stay_silent
+    world.store.put(names.CONFIGURATION_KEY, configuration(2, routes=LONG_ROUTES))
+    gateway = await world.add_gateway(grace="1")
+    running = asyncio.create_task(send(gateway, "/order/1", **LONG))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    waiting = asyncio.create_task(send(gateway, "/order/2", **LONG))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    await gateway.drain()
+    assert is_not_run(await waiting)
+    lost = await running
+    assert (lost.status, lost.complete) == (502, True)
+    assert [call.target for call in upstream.journal] == ["/order/1"]
+
+
+async def test_a_shutdown_refuses_a_request_whose_body_is_still_arriving_at_its_end(
+    world: World,
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway(grace="1")
+    reader, writer = await connect(gateway)
+    writer.write(request_bytes("/order/1")[:-1])
+    await wait_until(lambda: gateway.listener.active_requests == 1)
+    await gateway.drain()
+    assert is_not_run(await receive(reader))
+    assert not upstream.journal
+
+
 async def test_an_early_second_request_behind_a_stream_is_answered_during_a_shutdown(
     world: World,
 ) -> None:
--- a/testing/test_gateway_lifecycle.py
+++ b/testing/test_gateway_lifecycle.py
@@ -92,7 +92,8 @@
     began = time.monotonic()
     await gateway.drain()
     assert time.monotonic() - began < 1.2
-    assert (await task).status == 0
+    reply = await task
+    assert (reply.status, reply.complete) == (502, True)
 
 
 async def test_changed_settings_are_applied_without_a_signal(world: World) -> None:
