Log and count closes of callers' connections that leave a request or an answer incomplete

`connection_closed` names the request, a typed reason (`CloseReason`), the status, whether the answer had begun and was written, the bytes of the body and the age; `connections_closed` counts them by reason. A `request` line without it means that the answer was sent whole. `explain` reads it for requests without a `request` line.

Evidence: seven cases of testing/test_caller_connections.py and one of test_request_timeline.py, for each reason but `connection_broken`, `no_response` and `shutdown`, which no test makes.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -16,6 +16,7 @@
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.candidates import CandidateList
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.control import ChangesHandler
 from baobabpulley.gateway.control import MetricsHandler
 from baobabpulley.gateway.control import ReadinessHandler
@@ -137,8 +138,15 @@
         self.retry_budget = NodeRetryBudget(
             ratio=section.ratio, slack=section.slack, window=section.window
         )
+        closed = self.metrics.connections_closed
         self.listener = CallerListener(
-            handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
+            handler=self._exchange_server().serve,
+            bounds=self._bounds,
+            closes=ConnectionCloses(
+                identify=PlatformWire().request_id,
+                count=lambda reason: closed.labels(reason=reason).inc(),
+            ),
+            timers=timers,
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         self._register_gauges()
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -35,6 +35,8 @@
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import BodyTooSlow
 from baobabpulley.errors import HeaderTooSlow
+from baobabpulley.gateway.connection_closes import CloseReason
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.gateway.strict_connection import StrictConnection
 from baobabpulley.model.exchanges import IncomingRequest
@@ -57,11 +59,17 @@
     """Accept callers' connections and serve each in a task of its own."""
 
     def __init__(
-        self, *, handler: Handler, bounds: Callable[[], RequestBounds], timers: TimerService
+        self,
+        *,
+        handler: Handler,
+        bounds: Callable[[], RequestBounds],
+        closes: ConnectionCloses,
+        timers: TimerService,
     ) -> None:
         super().__init__()
         self.handler = handler
         self.bounds = bounds
+        self.closes = closes
         self.timers = timers
         self.draining = False
         self._connections: set[_CallerConnection] = set()
@@ -127,7 +135,7 @@
     def close_all(self) -> None:
         """Close every connection."""
         for connection in tuple(self._connections):
-            connection.stream.close()
+            connection.cut()
 
 
 class _CallerConnection(HTTP1ServerConnection):
@@ -140,6 +148,7 @@
         self._listener = listener
         # More than one, as a request may be read before the task of the previous one has ended.
         self.requests: set[_Request] = set()
+        self.was_cut = False
         self._exchange: StrictConnection | None = None
         self._receiving: _Request | None = None
 
@@ -175,6 +184,11 @@
         if self._receiving is not None and not self._ended and not self.stream.closed():
             self._receiving.check_time_limits(now, bounds)
 
+    def cut(self) -> None:
+        """Close the connection, whatever its state."""
+        self.was_cut = True
+        self.stream.close()
+
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
             while await self._serve_one(delegate):
@@ -212,6 +226,7 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._refused = False
+        self._headers = HTTPHeaders()
         self._task: asyncio.Task[None] | None = None
         self._expected_since = listener.timers.now()
         self._idle_timeout = listener.bounds().idle_timeout
@@ -285,6 +300,8 @@
             self._task.cancel()
 
     def on_connection_close(self) -> None:
+        if not self._refused:
+            self._record_close(self._close_reason())
         self._server.requests.discard(self)
         self._reply.disconnected = True
         if self._task is not None:
@@ -314,10 +331,29 @@
     def _max_body(self) -> int:
         return min(MAX_BODY_BYTES, self._listener.bounds().max_body)
 
+    def _close_reason(self) -> CloseReason:
+        if self._server.was_cut:
+            return CloseReason.SHUTDOWN
+        if not self._server.stream.closed():
+            return CloseReason.MALFORMED
+        broken = self._server.stream.error is not None
+        return CloseReason.CONNECTION_BROKEN if broken else CloseReason.CALLER_CLOSED
+
+    def _record_close(self, reason: CloseReason) -> None:
+        since = self._expected_since if self._body_progress_at is None else self._arrived
+        self._listener.closes.record(
+            reason,
+            headers=self._headers,
+            reply=self._reply,
+            received=self._size,
+            seconds=self._listener.timers.now() - since,
+        )
+
     def _refuse(self, error: BaobabError) -> None:
         self._refused = True
         self._chunks.clear()
         self._reply.send_error(error)
+        self._record_close(CloseReason.REFUSED_UNREAD)
         self._server.requests.discard(self)
 
     async def _serve(self, incoming: IncomingRequest) -> None:
@@ -330,5 +366,10 @@
             self._reply.send_error(BaobabError("unexpected error while serving the request"))
         finally:
             self._server.requests.discard(self)
-            if not self._reply.finished and not self._reply.disconnected:
+            if self._reply.disconnected:
+                pass
+            elif self._reply.aborted:
+                self._record_close(CloseReason.RESPONSE_ABORTED)
+            elif not self._reply.finished:
                 self._reply.abort()
+                self._record_close(CloseReason.NO_RESPONSE)
--- a/src/baobabpulley/gateway/metrics.py
+++ b/src/baobabpulley/gateway/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a gateway.
 
-Labels are services, kinds of route and error codes, so their number is bounded.
+Labels are services, kinds of route, error codes and reasons of closes, so their number is bounded.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "attempts",
+        "connections_closed",
         "first_event_seconds",
         "longest_pause_seconds",
         "registry",
@@ -45,6 +46,12 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.connections_closed = Counter(
+            "baobab_gateway_connections_closed",
+            "Callers' connections closed with a request or an answer incomplete, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self.request_seconds = self._histogram(
             "baobab_gateway_request_seconds", "Time from a request's arrival to its end"
         )
--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -24,13 +24,22 @@
     status sent, 0 before the head of the response.
     """
 
-    __slots__ = ("_closing", "_connection", "_finished", "_started", "disconnected", "status")
+    __slots__ = (
+        "_aborted",
+        "_closing",
+        "_connection",
+        "_finished",
+        "_started",
+        "disconnected",
+        "status",
+    )
 
     def __init__(self, connection: StrictConnection, *, closing: Callable[[], bool]) -> None:
         self._connection = connection
         self._closing = closing
         self._started = False
         self._finished = False
+        self._aborted = False
         self.disconnected = False
         self.status = 0
 
@@ -44,6 +53,11 @@
         """Whether the response is complete or was aborted."""
         return self._finished
 
+    @property
+    def aborted(self) -> bool:
+        """Whether the connection was closed in place of the rest of the response."""
+        return self._aborted
+
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of a response whose body is streamed."""
         self._write_head(status, headers, None)
@@ -77,7 +91,7 @@
 
     def abort(self) -> None:
         """Close the connection, so that a truncated response does not look complete."""
-        self._finished = True
+        self._finished = self._aborted = True
         self._connection.abort()
 
     def _write_head(self, status: int, headers: HTTPHeaders, body: bytes | None) -> None:
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -55,6 +55,10 @@
 
     __slots__ = ()
 
+    def request_id(self, headers: HTTPHeaders) -> str | None:
+        attempt = headers.get(names.ATTEMPT)
+        return None if attempt is None else attempt[:_MAX_ATTEMPT_ID_LENGTH]
+
     def parse_request_headers(self, headers: HTTPHeaders) -> RequestParameters:
         attempt = headers.get(names.ATTEMPT, "")
         if not 0 < len(attempt) <= _MAX_ATTEMPT_ID_LENGTH or "," in attempt:
--- a/src/baobabpulley/policy/request_timeline.py
+++ b/src/baobabpulley/policy/request_timeline.py
@@ -83,6 +83,9 @@
             "No log line mentions it: the process that served it ended, or its lines were left out."
         )
     last = timeline[-1]
+    if last.event == "connection_closed":
+        answer = f"answered {last.status}" if last.status else "not answered"
+        return f"It was not read whole and {answer}: {last.reason}."
     return f"{last.node} ended, or was cut off, while {last.upstream} worked on it."
 
 
--- a/src/baobabpulley/ports/exchange_wire.py
+++ b/src/baobabpulley/ports/exchange_wire.py
@@ -34,6 +34,10 @@
 class ExchangeWire(ABC):
     """Translation between HTTP headers and the gateway's own types, without policy."""
 
+    @abstractmethod
+    def request_id(self, headers: HTTPHeaders) -> str | None:
+        """Return the id by which a caller's request is logged, if it sent one."""
+
     @abstractmethod
     def parse_request_headers(self, headers: HTTPHeaders) -> RequestParameters:
         """Return the parameters that a caller sent; raise `BadRequest` if they are invalid."""
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -19,9 +19,12 @@
 from platform_store import StoreStandin
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.gateway.connection_closes import CloseReason
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.platform import names
+from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.settings import load_settings
 from baobabpulley.shutdown import cancel_remaining_tasks
 
@@ -255,6 +258,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def recorded_closes(reasons: list[CloseReason]) -> ConnectionCloses:
+    """Return a recorder of closed connections that also appends their reasons to a list."""
+    return ConnectionCloses(identify=PlatformWire().request_id, count=reasons.append)
+
+
 async def send(gateway: Gateway, path: str, **options: Any) -> Reply:
     """Send one request on a new connection and return the response."""
     return await send_raw(gateway, request_bytes(path, **options))
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 from typing import final
@@ -20,15 +21,18 @@
 from gateway_builders import configuration
 from gateway_builders import open_world
 from gateway_builders import read_reply
+from gateway_builders import recorded_closes
 from gateway_builders import request_bytes
 from gateway_builders import route
 from gateway_builders import send
 from gateway_builders import wait_until
+from loguru import logger
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 from tornado.httputil import HTTPHeaders
 from tornado.testing import bind_unused_port
 
+from baobabpulley.gateway.connection_closes import CloseReason
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.listener import CallerListener
 from baobabpulley.gateway.replies import Reply
@@ -50,14 +54,22 @@
 
 @final
 class Listening:
-    """A listener alone, whose handler answers at once, and the targets that it was asked for."""
+    """A listener alone, whose handler answers at once.
+
+    ``requested`` are the targets that it was asked for, ``closes`` the reasons of the connections
+    that it closed with a request or an answer incomplete.
+    """
 
     def __init__(self) -> None:
         self.bounds = RequestBounds()
         self.requested: list[str] = []
+        self.closes: list[CloseReason] = []
         self.timers = TimerService()
         self.listener = CallerListener(
-            handler=self._answer, bounds=lambda: self.bounds, timers=self.timers
+            handler=self._answer,
+            bounds=lambda: self.bounds,
+            closes=recorded_closes(self.closes),
+            timers=self.timers,
         )
         sock, self.port = bind_unused_port()
         self.listener.add_socket(sock)
@@ -615,3 +627,99 @@
     may_answer.set()
     replies = [await running, await waiting, await receive(kept_reader)]
     assert [reply.status for reply in replies] == [200, 200, 200]
+
+
+# Log lines and the counter of closes.
+
+
+@pytest.fixture
+def closes() -> Iterator[list[dict[str, object]]]:
+    """Return the fields of the log lines of closed connections, as they are written."""
+    lines: list[dict[str, object]] = []
+
+    def write(message: Any) -> None:
+        extra = message.record["extra"]
+        if extra.get("event") == "connection_closed":
+            lines.append(extra)
+
+    sink = logger.add(write)
+    yield lines
+    logger.remove(sink)
+
+
+async def test_a_caller_that_leaves_is_logged_with_its_request(
+    world: World, closes: list[dict[str, object]]
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    upstream.behaviour = upstreams.stay_silent
+    gateway = await world.add_gateway()
+    _reader, writer = await connect(gateway)
+    writer.write(request_bytes("/order/1", **{names.ATTEMPT: "left"}))
+    await wait_until(lambda: len(upstream.journal) == 1)
+    writer.close()
+    await wait_until(lambda: bool(closes))
+    (line,) = closes
+    assert (line["request"], line["reason"]) == ("left", CloseReason.CALLER_CLOSED)
+    assert (line["started"], line["status"], line["received"]) == (False, 0, 5)
+    counted = gateway.metrics.registry.get_sample_value(
+        "baobab_gateway_connections_closed_total", {"reason": "caller_closed"}
+    )
+    assert counted == 1
+
+
+async def test_an_answer_that_is_cut_is_logged_as_aborted(
+    world: World, closes: list[dict[str, object]]
+) -> None:
+    engine = await world.add_upstream("i-1", service=KITCHEN)
+    engine.behaviour = upstreams.stream(events=4, breaks_after=2)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1", **{names.ATTEMPT: "cut"})
+    assert (reply.status, reply.complete) == (200, False)
+    (line,) = closes
+    assert (line["request"], line["reason"]) == ("cut", CloseReason.RESPONSE_ABORTED)
+    assert (line["started"], line["finished"], line["status"]) == (True, False, 200)
+
+
+async def test_requests_cut_by_a_shutdown_are_logged_as_such(
+    world: World, closes: list[dict[str, object]]
+) -> None:
+    engine = await world.add_upstream("i-1", service=KITCHEN)
+    engine.behaviour = upstreams.stream(events=4, pause_after=2, pause=5.0)
+    gateway = await world.add_gateway(grace="1")
+    task = asyncio.create_task(send(gateway, "/draft/1", **{names.ATTEMPT: "cut"}))
+    await wait_until(lambda: len(engine.journal) == 1)
+    await gateway.drain()
+    assert not (await task).complete
+    (line,) = closes
+    assert (line["request"], line["reason"]) == ("cut", CloseReason.RESPONSE_ABORTED)
+
+
+async def test_refusals_of_requests_that_are_not_read_whole_are_recorded(
+    listening: Listening,
+) -> None:
+    listening.bounds = RequestBounds(max_body=10)
+    reader, writer = await listening.connect()
+    writer.write(request_bytes("/second", body=b"x" * 20))
+    assert (await receive(reader)).status == 413
+    assert listening.closes == [CloseReason.REFUSED_UNREAD]
+
+
+@pytest.mark.parametrize("closes_at", [60, -1], ids=["in the head", "in the body"])
+async def test_only_a_close_within_a_request_is_recorded(
+    listening: Listening, closes_at: int
+) -> None:
+    _reader, writer = await listening.connect()
+    writer.write(request_bytes("/second")[:closes_at])
+    await asyncio.sleep(0.05)
+    writer.close()
+    await wait_until(lambda: not listening.listener.busy)
+    assert listening.closes == ([CloseReason.CALLER_CLOSED] if closes_at == -1 else [])
+
+
+async def test_a_malformed_body_is_recorded(listening: Listening) -> None:
+    reader, writer = await listening.connect()
+    head, _ = head_and_body("/second", body=b"")
+    writer.write(head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"x\r\n")
+    assert (await receive(reader)).status == 400
+    assert listening.closes == [CloseReason.MALFORMED]
+    assert listening.requested == ["/first"]
--- a/testing/test_gateway_listener.py
+++ b/testing/test_gateway_listener.py
@@ -8,6 +8,7 @@
 
 import pytest
 from gateway_builders import read_reply
+from gateway_builders import recorded_closes
 from gateway_builders import request_bytes
 from tornado.httputil import HTTPHeaders
 from tornado.ioloop import IOLoop
@@ -34,7 +35,9 @@
         await second_may_end.wait()
         reply.send(200, HTTPHeaders(), b"two")
 
-    listener = CallerListener(handler=handler, bounds=RequestBounds, timers=TimerService())
+    listener = CallerListener(
+        handler=handler, bounds=RequestBounds, closes=recorded_closes([]), timers=TimerService()
+    )
     socket, port = bind_unused_port()
     listener.add_socket(socket)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -60,7 +63,9 @@
         requested.append(incoming.target)
         reply.send(200, HTTPHeaders(), b"answer")
 
-    listener = CallerListener(handler=handler, bounds=RequestBounds, timers=TimerService())
+    listener = CallerListener(
+        handler=handler, bounds=RequestBounds, closes=recorded_closes([]), timers=TimerService()
+    )
     sock, port = bind_unused_port()
     listener.add_socket(sock)
     yield listener, requested, port
--- a/testing/test_request_timeline.py
+++ b/testing/test_request_timeline.py
@@ -95,6 +95,11 @@
     assert describe_cause([placed]) == "front-1 ended, or was cut off, while i-1 worked on it."
 
 
+def test_a_request_that_was_refused_before_it_was_read_is_explained() -> None:
+    closed = LogLine(time=1.0, event="connection_closed", reason="refused_unread", status=413)
+    assert describe_cause([closed]) == "It was not read whole and answered 413: refused_unread."
+
+
 def test_a_freeze_is_reported_when_the_caller_left_during_it() -> None:
     end = LogLine(time=9.0, node="front-1", event="request", outcome="client_gone", seconds=0.01)
     frozen = LogLine(time=8.99, node="front-1", event="frozen", seconds=3.8)
