Refuse an absurd Content-Length with 400 in place of a closed connection

What callers saw: a request whose Content-Length has more than 4,300 digits ended with a closed connection without an answer, and the log had an unexpected error.

Cause: Python refuses to convert such a number; the ValueError of `int` ended the connection. Class: an unchecked conversion of what a caller sent.

Fix: a length of more than 18 digits is bad framing, which gets 400.

--- a/src/baobabpulley/gateway/strict_connection.py
+++ b/src/baobabpulley/gateway/strict_connection.py
@@ -20,6 +20,8 @@
 
 # A caller that is still sending when its connection ends may do so for this many real seconds.
 LINGER_SECONDS: Final = 2.0
+# Lengths beyond this are no sizes of bodies, and Python may refuse to convert them.
+MAX_LENGTH_DIGITS: Final = 18
 
 _BARE_LINE_END: Final = re.compile(rb"(?<!\r)\n|\r(?!\n)")
 
@@ -83,8 +85,10 @@
         encodings = headers.get_list("Transfer-Encoding")
         if len(lengths) + len(encodings) > 1:
             raise HTTPInputError("more than one Content-Length or Transfer-Encoding header")
-        if lengths and not lengths[0].isdecimal():
-            raise HTTPInputError("Content-Length is not a decimal number")
+        if lengths and not (lengths[0].isdecimal() and len(lengths[0]) <= MAX_LENGTH_DIGITS):
+            raise HTTPInputError(
+                f"Content-Length is not a decimal number of at most {MAX_LENGTH_DIGITS} digits"
+            )
         if encodings and encodings[0].lower() != "chunked":
             raise HTTPInputError("Transfer-Encoding is not chunked")
         if len(headers.get_list("Host")) != 1:
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -301,6 +301,15 @@
     assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
 
 
+@pytest.mark.parametrize("digits", [18, 5000])
+async def test_an_absurd_length_of_a_body_is_refused(listening: Listening, digits: int) -> None:
+    reader, writer = await listening.connect()
+    length = b"Content-Length: " + b"9" * digits
+    writer.write(request_bytes("/second", body=b"").replace(b"Content-Length: 0", length))
+    assert (await receive(reader)).status in {400, 413}
+    assert listening.requested == ["/first"]
+
+
 # Shutdown.
 
 
