Refuse headers beyond the hard limit with 431 in place of a closed connection

What callers saw: a request whose head exceeds 64 KB ended with a reset connection, without an answer.

Cause: tornado closes a connection whose head exceeds its limit. Class: a refusal that only closes.

Fix: heads are read up to eight times the limit and refused with 431 `header_too_large` above it; beyond that the connection is still closed. As before, max-header-bytes of the configuration is not enforced below 64 KB.

Evidence: test_headers_beyond_the_hard_limit_are_refused failed on the code before (status 0) and passes now.

--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -34,6 +34,7 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import BodyTooSlow
+from baobabpulley.errors import HeaderTooLarge
 from baobabpulley.errors import HeaderTooSlow
 from baobabpulley.gateway.connection_closes import CloseReason
 from baobabpulley.gateway.connection_closes import ConnectionCloses
@@ -45,6 +46,8 @@
 
 # These limits hold whatever the configuration allows.
 MAX_HEADER_BYTES: Final = 65_536
+# A longer head is not even read to its end, so that it can be refused.
+MAX_READ_HEADER_BYTES: Final = 8 * MAX_HEADER_BYTES
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 # What a caller sends after its last response is read and ignored in pieces of this size.
 DISCARDED_BYTES: Final = 65_536
@@ -96,8 +99,8 @@
         # Nothing reads from the given stream yet, so its socket can be moved to another stream.
         no_delay_stream = NoDelayStream(stream.socket, max_buffer_size=MAX_BODY_BYTES * 2)
         parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES,
-            # `_Request` refuses long bodies, with an answer.
+            # `_Request` refuses longer heads and bodies, with an answer.
+            max_header_size=MAX_READ_HEADER_BYTES,
             max_body_size=sys.maxsize,
         )
         connection = _CallerConnection(no_delay_stream, parameters, self)
@@ -257,7 +260,9 @@
         self._arrived = self._body_progress_at = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
-        if int(headers.get("Content-Length", "0")) > self._max_body():
+        if self._connection.head_size > MAX_HEADER_BYTES:
+            self._refuse(HeaderTooLarge(f"the headers exceed {MAX_HEADER_BYTES} bytes"))
+        elif int(headers.get("Content-Length", "0")) > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
         elif not start_line.path.startswith("/") or not start_line.path.isascii():
             self._refuse(BadRequest("the request path is not absolute or not ASCII"))
--- a/src/baobabpulley/gateway/strict_connection.py
+++ b/src/baobabpulley/gateway/strict_connection.py
@@ -33,11 +33,13 @@
     Closing a socket that holds unread bytes resets the connection, which may destroy an answer that
     the caller hasn't read. So `close` only ends the sending side; the rest of what the caller sends
     is read and ignored for `LINGER_SECONDS` at most. ``ended`` is whether that has begun.
+    ``head_size`` is the size of the request's head in bytes, 0 before it has been read.
     """
 
     def __init__(self, stream: IOStream, parameters: HTTP1ConnectionParameters) -> None:
         super().__init__(stream, False, parameters, None)
         self.ended = False
+        self.head_size = 0
 
     @property
     def request_read(self) -> bool:
@@ -78,6 +80,7 @@
         super().close()
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
+        self.head_size = len(data)
         if _BARE_LINE_END.search(data):
             raise HTTPInputError("a header line does not end with CR LF")
         start_line, headers = super()._parse_headers(data)
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -301,6 +301,16 @@
     assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
 
 
+async def test_headers_beyond_the_hard_limit_are_refused(listening: Listening) -> None:
+    reader, writer = await listening.connect()
+    await send_slowly(writer, request_bytes("/second", **{"X_Long": "x" * 100_000}))
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (431, True)
+    assert reply.headers["connection"] == "close"
+    assert await asyncio.wait_for(reader.read(), WAIT_SECONDS) == b""
+    assert listening.requested == ["/first"]
+
+
 @pytest.mark.parametrize("digits", [18, 5000])
 async def test_an_absurd_length_of_a_body_is_refused(listening: Listening, digits: int) -> None:
     reader, writer = await listening.connect()
