Don't let SIGHUP during the start end a gateway

What operators saw: a gateway that got SIGHUP while it started, before its event loop handled the signal, ended.

Cause: until `SettingsReload.start` the signal has its default action. Class: a signal that is documented as harmless has a window in which it kills.

Nothing is missed: a file that changes after its first digest is found by the check once a second. Left: a change between the load of the file and that digest is missed until the next one; with `python -m baobabpulley`, the import of the package itself (about 0.2 s) precedes the command.

Evidence: test_a_signal_to_reload_during_the_start_does_not_end_the_process failed on the code before (no configuration within 20 s) and passes now. Its first form sent the signal while the package was imported and failed on both; it waits for the command's modules now.

--- a/src/baobabpulley/cli/main.py
+++ b/src/baobabpulley/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from importlib import import_module
 from typing import Final
@@ -35,6 +36,8 @@
     "keeper": "daemons",
     "standin": "standins",
 }
+# Commands that reload their settings on SIGHUP.
+_RELOADING_COMMANDS: Final = frozenset({"gateway"})
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -48,7 +51,11 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    module = _SINGLE_MODULE_COMMANDS.get(sys.argv[1]) if len(sys.argv) > 1 else None
+    command = sys.argv[1] if len(sys.argv) > 1 else ""
+    if command in _RELOADING_COMMANDS:
+        # A signal that comes before the command handles it must not end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    module = _SINGLE_MODULE_COMMANDS.get(command)
     load_commands(*filter(None, [module]))
     cli()
 
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -125,6 +125,10 @@
         with self._log.open("wb") as log:
             self._popen = subprocess.Popen(command, stdout=log, stderr=log)
 
+    def has_loaded(self, library: str) -> bool:
+        """Whether the process has mapped a library whose path contains ``library``."""
+        return library in Path(f"/proc/{self._popen.pid}/maps").read_text()
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
@@ -177,12 +181,17 @@
             )
         return gateway
 
-    async def add_gateway_process(self) -> GatewayProcess:
-        """Start a gateway in a separate process, and wait until it logs its configuration."""
+    def start_gateway_process(self) -> GatewayProcess:
+        """Start a gateway in a separate process, without waiting for it."""
         path = self.folder / "gateway-process.ini"
         path.write_text(self._settings(100, next(_ports), {}))
         process = GatewayProcess(path)
         self.processes.append(process)
+        return process
+
+    async def add_gateway_process(self) -> GatewayProcess:
+        """Start a gateway in a separate process, and wait until it logs its configuration."""
+        process = self.start_gateway_process()
         await wait_until(lambda: "configuration" in process.events(), seconds=20.0)
         return process
 
--- a/testing/test_gateway_lifecycle.py
+++ b/testing/test_gateway_lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -104,6 +105,13 @@
     assert not gateway.retry_budget.spend("ledger", nodes=1, now=0.0)
 
 
+async def test_a_signal_to_reload_during_the_start_does_not_end_the_process(world: World) -> None:
+    process = world.start_gateway_process()
+    await wait_until(lambda: process.has_loaded("tornado"), seconds=20.0)
+    process.signal(signal.SIGHUP)
+    await wait_until(lambda: "configuration" in process.events(), seconds=20.0)
+
+
 async def test_invalid_settings_change_nothing(world: World) -> None:
     gateway = await world.add_gateway()
     path = world.folder / "gateway-1.ini"
