--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
+from typing import Final
 
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.errors import UpstreamUnreachable
 
+_INT: Final = struct.Struct("i")
+
 
 class NoDelayStream(IOStream):
     """A connection with ``TCP_NODELAY`` always on, so that each write is sent at once."""
@@ -52,9 +58,25 @@
     return stream
 
 
+def has_unconsumed_bytes(stream: IOStream) -> bool:
+    """Whether bytes have been read from the socket that no read has consumed yet."""
+    return bool(stream._read_buffer_size)
+
+
+def is_acknowledged(stream: IOStream) -> bool:
+    """Whether the other side has received all bytes that were written to an open connection."""
+    unacknowledged = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(_INT.size))
+    return not stream.writing() and _INT.unpack(unacknowledged)[0] == 0
+
+
 def is_reusable(stream: IOStream) -> bool:
     """Whether an idle connection is still open and has received no unexpected bytes."""
-    if stream.closed() or stream._read_buffer_size:
+    return not has_unconsumed_bytes(stream) and is_drained(stream)
+
+
+def is_drained(stream: IOStream) -> bool:
+    """Whether a connection is open and its socket holds no bytes that have not been read."""
+    if stream.closed():
         return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK)
--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -87,6 +87,9 @@
         try:
             while not await self._advance(exchange, race):
                 pass
+        except asyncio.CancelledError:
+            exchange.may_have_run = exchange.may_have_run or bool(race.attempts)
+            raise
         finally:
             await race.close()
 
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -16,6 +16,7 @@
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.candidates import CandidateList
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.control import ChangesHandler
 from baobabpulley.gateway.control import MetricsHandler
 from baobabpulley.gateway.control import ReadinessHandler
@@ -23,6 +24,7 @@
 from baobabpulley.gateway.control import serve_http
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.exchange import ExchangeServer
+from baobabpulley.gateway.exchange_state import shutdown_error
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.listener import CallerListener
@@ -66,7 +68,7 @@
 # If a peer has been on a newer store revision for this long, the watch is assumed to be stalled.
 _MAX_BEHIND_SECONDS: Final = 0.4
 _DRAIN_POLL_SECONDS: Final = 0.05
-# Connections that are still busy after this fraction of the grace period are closed.
+# Requests that are unanswered after this fraction of the grace period are ended.
 _DRAIN_GRACE_RATIO: Final = 0.95
 
 
@@ -139,8 +141,15 @@
         self.retry_budget = NodeRetryBudget(
             ratio=section.ratio, slack=section.slack, window=section.window
         )
+        closed = self.metrics.connections_closed
         self.listener = CallerListener(
-            handler=self._exchange_server().serve, bounds=self._bounds, timers=timers
+            handler=self._exchange_server().serve,
+            bounds=self._bounds,
+            closes=ConnectionCloses(
+                identify=PlatformWire().request_id,
+                count=lambda reason: closed.labels(reason=reason).inc(),
+            ),
+            timers=timers,
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         self._register_gauges()
@@ -193,7 +202,9 @@
     async def drain(self) -> None:
         """Stop accepting connections once the load balancer has noticed, then finish requests.
 
-        Connections still busy near the end of the grace period are closed.
+        Each connection is closed once it is idle: nothing of a request has arrived, and the answer
+        before it has been handed to the kernel. Requests that are still unanswered near the end of
+        the grace period are refused, or answered 502 if they may have run.
         """
         section = self.settings.get(GatewayShutdownSection)
         begun = self.timers.now()
@@ -202,10 +213,11 @@
         await self.timers.sleep(section.balancer_lag)
         self.listener.stop()
         self.listener.close_idle()
-        while (
-            self.listener.active_requests
-            and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace
-        ):
+        while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
+            await self.timers.sleep(_DRAIN_POLL_SECONDS)
+            self.listener.close_idle()
+        if self.listener.busy:
+            self.listener.refuse_all(shutdown_error(None))
             await self.timers.sleep(_DRAIN_POLL_SECONDS)
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -14,6 +14,7 @@
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.delivery import AttemptDelivery
 from baobabpulley.gateway.exchange_state import Exchange
+from baobabpulley.gateway.exchange_state import shutdown_error
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.metrics import GatewayMetrics
@@ -102,8 +103,12 @@
             outcome, reason = error.code, error.message
             self._send_failure(exchange, reply, error)
         except asyncio.CancelledError:
-            outcome = "client_gone"
-            raise
+            if reply.disconnected:
+                outcome = "client_gone"
+                raise
+            error = shutdown_error(exchange)
+            outcome, reason = error.code, error.message
+            self._send_failure(exchange, reply, error)
         finally:
             self._record_end(
                 incoming, parameters, exchange, status=reply.status, outcome=outcome, reason=reason
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import re
+import socket
+import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 from typing import Final
 from typing import final
 
 from loguru import logger
-from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import HTTPHeaders
-from tornado.httputil import HTTPInputError
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.httputil import RequestStartLine
@@ -26,20 +26,33 @@
 from tornado.tcpserver import TCPServer
 
 from baobabpulley.adapters.addresses import NoDelayStream
+from baobabpulley.adapters.addresses import has_unconsumed_bytes
+from baobabpulley.adapters.addresses import is_acknowledged
+from baobabpulley.adapters.addresses import is_drained
 from baobabpulley.adapters.addresses import is_reusable
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
+from baobabpulley.errors import BodyTooSlow
+from baobabpulley.errors import HeaderTooLarge
+from baobabpulley.errors import HeaderTooSlow
+from baobabpulley.gateway.connection_closes import CloseReason
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.replies import Reply
+from baobabpulley.gateway.strict_connection import StrictConnection
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.timers import TimerService
 
-# Tornado's limits, which also hold before the configuration's limits are known.
+# These limits hold whatever the configuration allows.
 MAX_HEADER_BYTES: Final = 65_536
+# A longer head is not even read to its end, so that it can be refused.
+MAX_READ_HEADER_BYTES: Final = 8 * MAX_HEADER_BYTES
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
-
-_BARE_LINE_END: Final = re.compile(rb"(?<!\r)\n|\r(?!\n)")
+# What a caller sends after its last response is read and ignored in pieces of this size.
+DISCARDED_BYTES: Final = 65_536
+# How often the time limits of the connections are checked.
+LIMITS_CHECK_PERIOD_SECONDS: Final = 0.5
 
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
 
@@ -49,11 +62,17 @@
     """Accept callers' connections and serve each in a task of its own."""
 
     def __init__(
-        self, *, handler: Handler, bounds: Callable[[], RequestBounds], timers: TimerService
+        self,
+        *,
+        handler: Handler,
+        bounds: Callable[[], RequestBounds],
+        closes: ConnectionCloses,
+        timers: TimerService,
     ) -> None:
         super().__init__()
         self.handler = handler
         self.bounds = bounds
+        self.closes = closes
         self.timers = timers
         self.draining = False
         self._connections: set[_CallerConnection] = set()
@@ -63,13 +82,26 @@
         """Number of requests being received or served."""
         return sum(len(connection.requests) for connection in self._connections)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a connection is open or a request is being served."""
+        return self.active_requests > 0 or any(
+            not connection.stream.closed() for connection in self._connections
+        )
+
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        super().add_sockets(sockets)
+        self.timers.every(
+            LIMITS_CHECK_PERIOD_SECONDS, self._check_time_limits, name="limits of callers"
+        )
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         # Nothing reads from the given stream yet, so its socket can be moved to another stream.
         no_delay_stream = NoDelayStream(stream.socket, max_buffer_size=MAX_BODY_BYTES * 2)
         parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            header_timeout=self.bounds().idle_timeout + self.bounds().header_timeout,
+            # `_Request` refuses longer heads and bodies, with an answer.
+            max_header_size=MAX_READ_HEADER_BYTES,
+            max_body_size=sys.maxsize,
         )
         connection = _CallerConnection(no_delay_stream, parameters, self)
         self._connections.add(connection)
@@ -85,13 +117,28 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress and without unread bytes."""
         for connection in tuple(self._connections):
-            if connection.idle:
+            if connection.idle or connection.done:
                 connection.stream.close()
 
+    def refuse_all(self, error: BaobabError) -> None:
+        """Refuse the requests whose bodies are arriving with ``error``, and cancel the others.
+
+        The handler answers a request that is cancelled while its caller is connected.
+        """
+        for connection in tuple(self._connections):
+            for request in tuple(connection.requests):
+                request.end(error)
+
+    def _check_time_limits(self) -> None:
+        """Apply the time limits now in force, whatever they were when a connection was opened."""
+        now, bounds = self.timers.now(), self.bounds()
+        for connection in tuple(self._connections):
+            connection.check_time_limits(now, bounds)
+
     def close_all(self) -> None:
         """Close every connection."""
         for connection in tuple(self._connections):
-            connection.stream.close()
+            connection.cut()
 
 
 class _CallerConnection(HTTP1ServerConnection):
@@ -104,18 +151,53 @@
         self._listener = listener
         # More than one, as a request may be read before the task of the previous one has ended.
         self.requests: set[_Request] = set()
+        self.was_cut = False
+        self._exchange: StrictConnection | None = None
+        self._receiving: _Request | None = None
 
     @property
     def idle(self) -> bool:
         """Whether no request is in progress and no byte of another one has been received."""
         # A stream without a pending read has delivered bytes that aren't processed yet.
-        return not self.requests and self.stream.reading() and is_reusable(self.stream)
+        return (
+            not self.requests
+            and not self._ended
+            and self.stream.reading()
+            and is_reusable(self.stream)
+        )
+
+    @property
+    def done(self) -> bool:
+        """Whether the last response has been received and nothing has come after its request."""
+        return (
+            self._exchange is not None
+            and self._exchange.ended
+            and self._exchange.request_read
+            and is_reusable(self.stream)
+            and is_acknowledged(self.stream)
+        )
+
+    @property
+    def _ended(self) -> bool:
+        """Whether the latest response was the last one on this connection."""
+        return self._exchange is not None and self._exchange.ended
+
+    def check_time_limits(self, now: float, bounds: RequestBounds) -> None:
+        """Close the connection if it is idle, or refuse its request, beyond the time allowed."""
+        if self._receiving is not None and not self._ended and not self.stream.closed():
+            self._receiving.check_time_limits(now, bounds)
+
+    def cut(self) -> None:
+        """Close the connection, whatever its state."""
+        self.was_cut = True
+        self.stream.close()
 
     async def _server_request_loop(self, delegate: HTTPServerConnectionDelegate) -> None:
         try:
-            keep_alive = True
-            while keep_alive:
-                keep_alive = await self._serve_one(delegate) and not self._listener.draining
+            while await self._serve_one(delegate):
+                pass
+            while self._ended:
+                await self.stream.read_bytes(DISCARDED_BYTES, partial=True)
         except (StreamClosedError, UnsatisfiableReadError, asyncio.CancelledError):
             pass
         except Exception:
@@ -125,54 +207,62 @@
             delegate.on_close(self)
 
     async def _serve_one(self, delegate: HTTPServerConnectionDelegate) -> bool:
-        connection = _StrictConnection(self.stream, False, self.params, None)
-        return bool(await connection.read_response(delegate.start_request(self, connection)))
-
-
-class _StrictConnection(HTTP1Connection):
-    """Reject requests that two parsers could frame differently, against request smuggling."""
-
-    def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
-        if _BARE_LINE_END.search(data):
-            raise HTTPInputError("a header line does not end with CR LF")
-        start_line, headers = super()._parse_headers(data)
-        lengths = headers.get_list("Content-Length")
-        encodings = headers.get_list("Transfer-Encoding")
-        if len(lengths) + len(encodings) > 1:
-            raise HTTPInputError("more than one Content-Length or Transfer-Encoding header")
-        if lengths and not lengths[0].isdecimal():
-            raise HTTPInputError("Content-Length is not a decimal number")
-        if encodings and encodings[0].lower() != "chunked":
-            raise HTTPInputError("Transfer-Encoding is not chunked")
-        if len(headers.get_list("Host")) != 1:
-            raise HTTPInputError("the request does not have exactly one Host header")
-        return start_line, headers
+        self._exchange = StrictConnection(self.stream, self.params)
+        request = delegate.start_request(self, self._exchange)
+        assert isinstance(request, _Request)
+        self._receiving = request
+        return bool(await self._exchange.read_response(request)) and not self._ended
 
 
 class _Request(HTTPMessageDelegate):
     """Receive one request and serve it in a task that is cancelled if the caller disconnects."""
 
     def __init__(
-        self, listener: CallerListener, server: _CallerConnection, connection: HTTP1Connection
+        self, listener: CallerListener, server: _CallerConnection, connection: StrictConnection
     ) -> None:
         self._listener = listener
         self._server = server
         self._connection = connection
-        self._reply = Reply(connection, closing=lambda: listener.draining)
+        self._reply = Reply(
+            connection, closing=lambda: listener.draining or not connection.request_read
+        )
         self._chunks: list[bytes] = []
         self._size = 0
         self._refused = False
+        self._headers = HTTPHeaders()
         self._task: asyncio.Task[None] | None = None
+        self._expected_since = listener.timers.now()
+        self._idle_timeout = listener.bounds().idle_timeout
+        self._head_since: float | None = None
+        self._body_progress_at: float | None = None
+
+    def check_time_limits(self, now: float, bounds: RequestBounds) -> None:
+        """Close or refuse a request that has not been received within the time allowed.
+
+        What has arrived but has not been processed is never cut: the process may have been late.
+        """
+        if self._task is not None or self._refused or not self._server.stream.reading():
+            return
+        if self._body_progress_at is not None:
+            self._check_body(now, bounds, progress_at=self._body_progress_at)
+        elif has_unconsumed_bytes(self._server.stream):
+            self._check_head(now, bounds)
+        else:
+            self._check_idle(now, bounds)
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        if self._refused:
+            return
         self._server.requests.add(self)
-        self._arrived = self._listener.timers.now()
+        self._arrived = self._body_progress_at = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
-        if int(headers.get("Content-Length", "0")) > self._listener.bounds().max_body:
+        if self._connection.head_size > MAX_HEADER_BYTES:
+            self._refuse(HeaderTooLarge(f"the headers exceed {MAX_HEADER_BYTES} bytes"))
+        elif int(headers.get("Content-Length", "0")) > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
         elif not start_line.path.startswith("/") or not start_line.path.isascii():
             self._refuse(BadRequest("the request path is not absolute or not ASCII"))
@@ -180,9 +270,10 @@
     def data_received(self, chunk: bytes) -> None:
         if self._refused:
             return
+        self._body_progress_at = self._listener.timers.now()
         self._chunks.append(chunk)
         self._size += len(chunk)
-        if self._size > self._listener.bounds().max_body:
+        if self._size > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
 
     def finish(self) -> None:
@@ -204,16 +295,70 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.get_running_loop().create_task(self._serve(incoming))
 
+    def end(self, error: BaobabError) -> None:
+        """Cancel the request, or refuse it with ``error`` if it has not been read whole."""
+        if self._reply.finished:
+            return
+        if self._task is None:
+            self._refuse(error)
+        else:
+            self._task.cancel()
+
     def on_connection_close(self) -> None:
+        if not self._refused:
+            self._record_close(self._close_reason())
         self._server.requests.discard(self)
         self._reply.disconnected = True
         if self._task is not None:
             self._task.cancel()
 
+    def _check_idle(self, now: float, bounds: RequestBounds) -> None:
+        # A caller may go by the limit that was in force when the connection became idle. A request
+        # that it sends at the end of the limit gets the time allowed for a head to arrive.
+        limit = max(self._idle_timeout, bounds.idle_timeout) + bounds.header_timeout
+        if now - self._expected_since > limit and self._server.idle:
+            self._server.stream.close()
+
+    def _check_head(self, now: float, bounds: RequestBounds) -> None:
+        if self._head_since is None:
+            self._head_since = now
+        elif now - self._head_since > bounds.header_timeout and is_drained(self._server.stream):
+            self._connection.answer_without_request()
+            self._refuse(
+                HeaderTooSlow(f"headers incomplete after the limit of {bounds.header_timeout} s")
+            )
+
+    def _check_body(self, now: float, bounds: RequestBounds, *, progress_at: float) -> None:
+        limit = bounds.idle_timeout + bounds.header_timeout
+        if now - progress_at > limit and is_drained(self._server.stream):
+            self._refuse(BodyTooSlow(f"no byte of the request body arrived for {limit} s"))
+
+    def _max_body(self) -> int:
+        return min(MAX_BODY_BYTES, self._listener.bounds().max_body)
+
+    def _close_reason(self) -> CloseReason:
+        if self._server.was_cut:
+            return CloseReason.SHUTDOWN
+        if not self._server.stream.closed():
+            return CloseReason.MALFORMED
+        broken = self._server.stream.error is not None
+        return CloseReason.CONNECTION_BROKEN if broken else CloseReason.CALLER_CLOSED
+
+    def _record_close(self, reason: CloseReason) -> None:
+        since = self._expected_since if self._body_progress_at is None else self._arrived
+        self._listener.closes.record(
+            reason,
+            headers=self._headers,
+            reply=self._reply,
+            received=self._size,
+            seconds=self._listener.timers.now() - since,
+        )
+
     def _refuse(self, error: BaobabError) -> None:
         self._refused = True
         self._chunks.clear()
         self._reply.send_error(error)
+        self._record_close(CloseReason.REFUSED_UNREAD)
         self._server.requests.discard(self)
 
     async def _serve(self, incoming: IncomingRequest) -> None:
@@ -226,5 +371,10 @@
             self._reply.send_error(BaobabError("unexpected error while serving the request"))
         finally:
             self._server.requests.discard(self)
-            if not self._reply.finished and not self._reply.disconnected:
+            if self._reply.disconnected:
+                pass
+            elif self._reply.aborted:
+                self._record_close(CloseReason.RESPONSE_ABORTED)
+            elif not self._reply.finished:
                 self._reply.abort()
+                self._record_close(CloseReason.NO_RESPONSE)
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -19,9 +19,12 @@
 from platform_store import StoreStandin
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.gateway.connection_closes import CloseReason
+from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.platform import names
+from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.settings import load_settings
 from baobabpulley.shutdown import cancel_remaining_tasks
 
@@ -122,6 +125,10 @@
         with self._log.open("wb") as log:
             self._popen = subprocess.Popen(command, stdout=log, stderr=log)
 
+    def has_loaded(self, library: str) -> bool:
+        """Whether the process has mapped a library whose path contains ``library``."""
+        return library in Path(f"/proc/{self._popen.pid}/maps").read_text()
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
@@ -174,12 +181,17 @@
             )
         return gateway
 
-    async def add_gateway_process(self) -> GatewayProcess:
-        """Start a gateway in a separate process, and wait until it logs its configuration."""
+    def start_gateway_process(self) -> GatewayProcess:
+        """Start a gateway in a separate process, without waiting for it."""
         path = self.folder / "gateway-process.ini"
         path.write_text(self._settings(100, next(_ports), {}))
         process = GatewayProcess(path)
         self.processes.append(process)
+        return process
+
+    async def add_gateway_process(self) -> GatewayProcess:
+        """Start a gateway in a separate process, and wait until it logs its configuration."""
+        process = self.start_gateway_process()
         await wait_until(lambda: "configuration" in process.events(), seconds=20.0)
         return process
 
@@ -255,6 +267,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def recorded_closes(reasons: list[CloseReason]) -> ConnectionCloses:
+    """Return a recorder of closed connections that also appends their reasons to a list."""
+    return ConnectionCloses(identify=PlatformWire().request_id, count=reasons.append)
+
+
 async def send(gateway: Gateway, path: str, **options: Any) -> Reply:
     """Send one request on a new connection and return the response."""
     return await send_raw(gateway, request_bytes(path, **options))
