Test answers without length or chunks on the gateway

The stand-in of the servers now sends such answers whole, with pauses, broken inside an event, reset at each place, with another answer behind them and without end.

--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -40,9 +40,11 @@
     def attempt(self) -> str:
         return self.headers.get(names.ATTEMPT.lower(), "")
 
-    def head(self, status: int, *extra: str, length: int | None = None) -> bytes:
+    def head(
+        self, status: int, *extra: str, length: int | None = None, version: str = "1.1"
+    ) -> bytes:
         """Return a response head with the attempt's id and the ``extra`` header lines."""
-        lines = [f"HTTP/1.1 {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra]
+        lines = [f"HTTP/{version} {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra]
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -59,6 +61,10 @@
     async def write_chunk(self, data: bytes) -> None:
         await self.write(b"%x\r\n%s\r\n" % (len(data), data))
 
+    def close(self) -> None:
+        """Close the connection in order, after everything that was written."""
+        self.writer.close()
+
     def reset(self) -> None:
         """Reset the connection."""
         transport = self.writer.transport
@@ -299,3 +305,70 @@
         await call.write(b"0\r\n\r\n")
 
     return run
+
+
+def unframed(
+    *pieces: bytes,
+    status: int = 200,
+    headers: tuple[str, ...] = (),
+    version: str = "1.1",
+    pause: float = 0.0,
+    then_reset: bool = False,
+) -> Behaviour:
+    """Return a behaviour that answers with neither a length nor chunks and ends the connection.
+
+    It sends the head, then the ``pieces``, with ``pause`` seconds before each of them, and closes
+    the connection in order, or resets it with ``then_reset``.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(call.head(status, f"{names.SEAL}: s", *headers, version=version))
+        for piece in pieces:
+            await asyncio.sleep(pause)
+            await call.write(piece)
+        if then_reset:
+            # The peer reads what was sent before it sees the reset.
+            await asyncio.sleep(0.02)
+            call.reset()
+        else:
+            call.close()
+
+    return run
+
+
+def unframed_stream(
+    *,
+    events: int,
+    ends_after: int | None = None,
+    ending: bytes = b"",
+    then_reset: bool = False,
+    version: str = "1.1",
+    pause_after: int | None = None,
+    pause: float = 0.0,
+) -> Behaviour:
+    """Return a behaviour that streams events from 0 and ends the stream with the connection.
+
+    The stream goes on after the last event that the caller has. It ends before event ``ends_after``
+    if that is given, sends ``ending`` behind its last event, and pauses for ``pause`` seconds
+    before event ``pause_after``. ``then_reset`` resets the connection instead of closing it.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        last = call.headers.get(names.LAST_EVENT.lower())
+        start = 0 if last is None else int(last) + 1
+        end = events if ends_after is None else ends_after
+        seal = f"{names.SEAL}: s.{upstream.name}"
+        await call.write(call.head(200, seal, "Content-Type: text/event-stream", version=version))
+        for number in range(start, end):
+            if number == pause_after:
+                await asyncio.sleep(pause)
+            await call.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(0.002)
+        await call.write(ending)
+        if then_reset:
+            await asyncio.sleep(0.02)
+            call.reset()
+        else:
+            call.close()
+
+    return run
