Bound what a gateway holds of a stream whose caller does not read

What callers saw: nothing directly; a gateway held up to 64 MB for one caller that had stopped reading a stream, and with several of them would have run out of memory and dropped everybody's requests.

Cause: the events of a stream were written to the caller's connection without regard to what it had taken, so all that the upstream sent was buffered there, up to the largest size of a response.

Why this works: a gateway that has more than 1 MiB to send reads no further events until all of it is sent, and so the upstream's connection fills up and the upstream waits. The wait ends with the deadline or the caller. It counts as progress of the attempt, so the upstream isn't taken for a silent one and nothing is sent to another one; a second test holds that.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -55,6 +55,8 @@
 MIN_ATTEMPT_SECONDS: Final = 0.05
 # While a silent attempt can't be replaced, budget and upstreams are checked this often.
 REPLACEMENT_PERIOD_SECONDS: Final = 0.25
+# While a caller is slow to read a stream, it is checked this often, in real seconds.
+CALLER_CHECK_SECONDS: Final = 0.25
 
 
 @final
@@ -301,6 +303,10 @@
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
             exchange.record_event(self._timers.now())
+            while reply.is_behind:
+                # The caller is slow, not the upstream.
+                attempt.progress.record()
+                await reply.wait_until_sent(seconds=CALLER_CHECK_SECONDS)
         race.claim(attempt)
         if not reply.started:
             reply.start(response.status, self._wire.response_headers(response.headers))
--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 from typing import final
@@ -13,6 +14,8 @@
 
 from baobabpulley.errors import BaobabError
 
+# A caller that has not read more than this of a streamed body gets no more for now.
+MAX_UNSENT_BYTES: Final = 1024 * 1024
 _REASONS: Final = {200: "OK", 503: "Service Unavailable"}
 
 
@@ -24,13 +27,23 @@
     status sent, 0 before the head of the response.
     """
 
-    __slots__ = ("_closing", "_connection", "_finished", "_started", "disconnected", "status")
+    __slots__ = (
+        "_closing",
+        "_connection",
+        "_finished",
+        "_started",
+        "_unsent_bytes",
+        "disconnected",
+        "status",
+    )
 
     def __init__(self, connection: HTTP1Connection, *, closing: Callable[[], bool]) -> None:
         self._connection = connection
         self._closing = closing
         self._started = False
         self._finished = False
+        # Bytes written since the connection last had nothing left to send.
+        self._unsent_bytes = 0
         self.disconnected = False
         self.status = 0
 
@@ -44,6 +57,11 @@
         """Whether the response is complete or was aborted."""
         return self._finished
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the caller has not read so much that no more should be written."""
+        return self._unsent_bytes > MAX_UNSENT_BYTES and not self.disconnected
+
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of a response whose body is streamed."""
         self._write_head(status, headers, None)
@@ -52,6 +70,17 @@
         """Send a piece of the response body."""
         if not self.disconnected:
             self._connection.write(data)
+            writing = self._connection.stream.writing()
+            self._unsent_bytes = self._unsent_bytes + len(data) if writing else 0
+
+    async def wait_until_sent(self, *, seconds: float) -> None:
+        """Wait until all that was written has been sent, or for so many real seconds."""
+        stream = self._connection.stream
+        if not stream.closed():
+            # An empty write ends when the writes before it have been sent.
+            await asyncio.wait([stream.write(b"")], timeout=seconds)
+        if stream.closed() or not stream.writing():
+            self._unsent_bytes = 0
 
     def finish(self) -> None:
         """End a complete response."""
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -37,6 +37,8 @@
 PAUSE_SECONDS = 1.4
 MEGABYTE = 1024 * 1024
 BLOCK_BYTES = 65_536
+# A gateway of 430 MB serves many requests at once, so one connection may not hold more than this.
+MAX_BYTES = 24 * MEGABYTE
 STREAM_HEADER = "Content-Type: text/event-stream"
 ALL_EVENTS = [0, 1, 2, 3]
 JUNK = b"HTTP/1.1 200 Answer\r\nContent-Length: 4\r\n\r\njunk"
@@ -389,3 +391,38 @@
     assert (reply.status, reply.complete) != (200, True)
     assert len(calls(world)) <= 2
     await wait_until(lambda: all(call.writer.is_closing() for call in calls(world)), seconds=1.0)
+
+
+async def test_a_stream_without_end_to_a_caller_that_does_not_read_is_bounded_in_memory(
+    world: World,
+) -> None:
+    behaviour = EndlessAnswer(numbered_event, headers=(STREAM_HEADER,))
+    await add_upstreams(world, behaviour, service=KITCHEN)
+    gateway = await world.add_gateway()
+    host, port = gateway.node.callers.split(":")
+    _, writer = await asyncio.open_connection(host, int(port), limit=BLOCK_BYTES)
+    writer.write(request_bytes("/draft/1"))
+    await wait_until(lambda: bool(calls(world)))
+    await wait_until(lambda: not gateway.listener.active_requests, seconds=DEADLINE_MS / 1000 + 0.5)
+    writer.close()
+    assert behaviour.sent <= MAX_BYTES
+
+
+async def test_a_caller_that_pauses_in_a_large_stream_gets_it_whole_from_one_upstream(
+    world: World,
+) -> None:
+    count = 30 * MEGABYTE // BLOCK_BYTES
+
+    async def send_large(upstream: UpstreamStandin, call: Call) -> None:
+        await unframed(*map(numbered_event, range(count)), headers=(STREAM_HEADER,))(upstream, call)
+
+    await add_upstreams(world, send_large, send_large, service=KITCHEN)
+    gateway = await world.add_gateway()
+    host, port = gateway.node.callers.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), limit=BLOCK_BYTES)
+    writer.write(request_bytes("/draft/1"))
+    await asyncio.sleep(PAUSE_SECONDS)
+    reply = await read_reply(reader)
+    writer.close()
+    assert (reply.status, reply.complete, reply.events) == (200, True, list(range(count)))
+    assert len(calls(world)) == 1
