Don't reuse connections that their upstream ends by HTTP/1.0 or a list of options

What callers saw: an order that was sent on such a connection crossed its end, and ended with 502 though nothing was wrong.

Cause: a connection was kept unless `Connection` was exactly `close`. An answer with the version HTTP/1.0 ends its connection unless it says `keep-alive`, and `Connection` is a list (RFC 9112, section 9.3).

Evidence: the cases http-1.0 and close-in-a-list of test_a_connection_that_ends_with_a_framed_answer_is_not_reused failed before (the second of three orders got 502) and pass now; the case with a plain `close`, and HTTP/1.0 with keep-alive, passed before and after.

Why this works: whether the connection persists is now decided by the version and by each option of the list.

--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -46,6 +46,7 @@
         self._traffic = traffic
         self._stream = stream
         self.status = 0
+        self._version = "HTTP/1.1"
         self.headers = HTTPHeaders()
         self.finished = False
         self.queue: asyncio.Queue[object] = asyncio.Queue()
@@ -56,13 +57,17 @@
     @property
     def allows_reuse(self) -> bool:
         """Whether the server keeps the connection open after this response."""
-        return self.headers.get("Connection", "").lower() != "close"
+        options = {
+            option.strip().lower() for option in self.headers.get("Connection", "").split(",")
+        }
+        return "close" not in options and (self._version != "HTTP/1.0" or "keep-alive" in options)
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
+        self._version = start_line.version
         self.headers = headers
         self._traffic.received += HEAD_OVERHEAD_BYTES + sum(
             len(name) + len(value) for name, value in headers.items()
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -426,3 +426,42 @@
     writer.close()
     assert (reply.status, reply.complete, reply.events) == (200, True, list(range(count)))
     assert len(calls(world)) == 1
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        pytest.param({"version": "1.0"}, id="http-1.0"),
+        pytest.param({"extra": "Connection: close"}, id="close"),
+        pytest.param({"extra": "Connection: Close, TE"}, id="close-in-a-list"),
+    ],
+)
+async def test_a_connection_that_ends_with_a_framed_answer_is_not_reused(
+    world: World, headers: dict[str, str]
+) -> None:
+    async def answer_and_close(upstream: UpstreamStandin, call: Call) -> None:
+        await asyncio.sleep(0.05)
+        extra = [headers["extra"]] if "extra" in headers else []
+        head = call.head(
+            200, f"{names.SEAL}: s", *extra, length=6, version=headers.get("version", "1.1")
+        )
+        await call.write(head + b"answer")
+        # The end of the connection crosses a request that is sent on it meanwhile.
+        asyncio.get_running_loop().call_later(0.02, call.close)
+
+    await add_upstreams(world, answer_and_close)
+    gateway = await world.add_gateway()
+    replies = [await send(gateway, f"/order/{number}") for number in range(3)]
+    assert [(reply.status, reply.body) for reply in replies] == [(200, b"answer")] * 3
+
+
+async def test_a_connection_that_http_1_0_keeps_is_reused(world: World) -> None:
+    async def answer(upstream: UpstreamStandin, call: Call) -> None:
+        seal, kept = f"{names.SEAL}: s", "Connection: keep-alive"
+        await call.write(call.head(200, seal, kept, length=6, version="1.0") + b"answer")
+
+    await add_upstreams(world, answer)
+    gateway = await world.add_gateway()
+    replies = [await send(gateway, f"/order/{number}") for number in range(3)]
+    assert [(reply.status, reply.body) for reply in replies] == [(200, b"answer")] * 3
+    assert connections(world) == 1
