Let only events decide under which upstream's head a stream is answered

What callers saw: a stream whose first upstream paused before its head, and whose replacement had sent only a comment, came with the head and the X-Response-Seal of the replacement and with the events of the first.

Cause: of two attempts that run at once the first with a field in an event wins, but a comment was already written, and with it the head of an attempt that hadn't won.

Evidence: test_a_replacement_that_has_only_comments_gives_the_answer_no_head failed before in both cases (seal of i-kitchen-2 over the events of i-kitchen-1) and passes now.

Why this works: while another attempt is running, a comment is dropped, so the head is written by the attempt that wins.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -299,6 +299,9 @@
                 continue
             if has_content(event):
                 self._claim(race, attempt)
+            elif race.has_others(attempt):
+                # A comment decides nothing: another attempt may answer, under its own head.
+                continue
             if not reply.started:
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import final
@@ -19,7 +20,7 @@
 
 @final
 class Call:
-    """A received request, and the connection to respond on."""
+    """A received request, when it arrived, and the connection to respond on."""
 
     def __init__(
         self,
@@ -35,6 +36,7 @@
         self.headers = headers
         self.body = body
         self.writer = writer
+        self.received_at = time.monotonic()
 
     @property
     def attempt(self) -> str:
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -465,3 +465,30 @@
     replies = [await send(gateway, f"/order/{number}") for number in range(3)]
     assert [(reply.status, reply.body) for reply in replies] == [(200, b"answer")] * 3
     assert connections(world) == 1
+
+
+@pytest.mark.parametrize("ending", ["silent", "closed"])
+async def test_a_replacement_that_has_only_comments_gives_the_answer_no_head(
+    world: World, ending: str
+) -> None:
+    """The head and its seal are those of the upstream whose events the caller gets."""
+
+    async def send_comments(upstream: UpstreamStandin, call: Call) -> None:
+        seal = f"{names.SEAL}: s.{upstream.name}"
+        await call.write(call.head(200, seal, STREAM_HEADER) + b": alive\n\n")
+        if ending == "silent":
+            await asyncio.sleep(30.0)
+        else:
+            await call.write(b": ali")
+            call.close()
+
+    pausing = upstreams.pause_first(PAUSE_SECONDS, unframed_stream(events=4))
+    behaviour = upstreams.first_then(pausing, then=send_comments)
+    await add_upstreams(world, behaviour, behaviour, service=KITCHEN)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1")
+    first = min(calls(world), key=lambda call: call.received_at)
+    sealed_by = reply.headers[names.SEAL.lower()].removeprefix("s.")
+    assert (reply.complete, reply.events) == (True, ALL_EVENTS)
+    assert sealed_by == first.headers[names.EXPECTED_INSTANCE.lower()]
+    assert b"alive" not in reply.body
