Keep a silent lookup running until another attempt has its response

What callers saw: an idempotent call to a plain service, over a sound upstream that fell silent for a bit more than `answer_timeout` (2 s), ended with 504 after 2 s of its 10 s while the retry budget was spent or the attempts were used up; a call whose replacement was refused ended with 503.

The timeout ended the attempt first; the retry budget and the next upstream were asked after it.

Why this works: a silent attempt isn't ended any more. Another one is started beside it once the limit of attempts, an upstream and the budget allow it, which is looked at again each 0.25 s, and the first response is returned. All attempts end with the deadline of the call or with its caller; their number and the budget are bounded as before. A failed attempt only ends the call if no other is running.

--- a/src/baobabpulley/entry/service_caller.py
+++ b/src/baobabpulley/entry/service_caller.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import secrets
 from collections import defaultdict
+from typing import Final
 from typing import final
 
 import msgspec
@@ -32,13 +34,17 @@
 from baobabpulley.settings import section
 from baobabpulley.timers import TimerService
 
+# While a silent attempt can't be replaced, budget and upstreams are checked this often.
+REPLACEMENT_PERIOD_SECONDS: Final = 0.25
+
 
 @section("services", "entry")
 class ServicesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of calls to plain services (bytes, model seconds).
 
-    ``answer_timeout`` is the timeout of one attempt of an idempotent call, ``deadline`` that of all
-    its attempts. After ``once_timeout`` the outcome of an at-most-once call counts as unknown.
+    An attempt of an idempotent call that has no response after ``answer_timeout`` is silent, and
+    another one may be started beside it; ``deadline`` is the timeout of all its attempts. After
+    ``once_timeout`` the outcome of an at-most-once call counts as unknown.
     """
 
     max_body_bytes: Count = 262_144
@@ -48,6 +54,30 @@
     once_timeout: Seconds = 10.0
 
 
+class _IdempotentRun:
+    """The attempts of one idempotent call.
+
+    ``started`` is their number so far, ``tried`` the ids of upstreams that failed or were silent,
+    and ``check_at`` when silence is looked at next. Times are in model seconds.
+    """
+
+    __slots__ = ("attempts", "call", "check_at", "deadline_at", "started", "tried")
+
+    def __init__(self, call: PlainCall, *, deadline_at: float) -> None:
+        self.call = call
+        self.deadline_at = deadline_at
+        self.check_at = deadline_at
+        self.started = 0
+        self.tried: set[str] = set()
+        self.attempts: dict[asyncio.Task[ServiceResponse], Upstream] = {}
+
+    async def cancel(self) -> None:
+        """Cancel the attempts that are still running and wait for their end."""
+        for attempt in self.attempts:
+            attempt.cancel()
+        await asyncio.gather(*self.attempts, return_exceptions=True)
+
+
 @final
 class ServiceCaller:
     """Send calls to the upstreams of plain services in this failure domain."""
@@ -88,29 +118,31 @@
         self._budgets: dict[str, RetryBudget] = defaultdict(self._new_budget)
 
     async def run_idempotent(self, call: PlainCall) -> ServiceResponse:
-        """Return the response to an idempotent call, with retries within budget and deadline."""
+        """Return the response to an idempotent call, with retries within budget and deadline.
+
+        A silent attempt is not ended: once the budget and the upstreams allow it, another one is
+        started beside it, and the first response is returned.
+        """
         budget = self._budgets[call.service]
         budget.earn()
-        deadline_at = self._timers.now() + self._section.deadline
-        tried: set[str] = set()
-        retry = 0
-        while True:
-            upstream = self._choose(call.service, tried)
-            try:
-                return await self._send(
-                    upstream,
-                    call,
-                    timeout=min(self._section.answer_timeout, deadline_at - self._now()),
-                )
-            except (UpstreamUnreachable, UpstreamRefused, UpstreamLost) as error:
-                tried.add(upstream.id)
-                self._mark_suspect(upstream, error)
-                pause = full_jitter(self._random, pause=self._retries.pause, retry=retry)
-                retry += 1
-                exhausted = retry >= self._retries.max_attempts or not budget.spend()
-                if exhausted or self._now() + pause >= deadline_at:
-                    raise _final_error(call, error) from error
-                await self._timers.sleep(pause)
+        run = _IdempotentRun(call, deadline_at=self._now() + self._section.deadline)
+        try:
+            self._start(run, self._choose(call.service, run.tried))
+            while True:
+                ended = await self._wait(run)
+                if ended is None:
+                    self._replace_silent(run, budget)
+                    continue
+                upstream = run.attempts.pop(ended)
+                try:
+                    return ended.result()
+                except (UpstreamUnreachable, UpstreamRefused, UpstreamLost) as error:
+                    run.tried.add(upstream.id)
+                    self._mark_suspect(upstream, error)
+                    if not run.attempts:
+                        await self._retry(run, budget, error)
+        finally:
+            await run.cancel()
 
     async def run_once(self, call: PlainCall) -> ServiceResponse:
         """Run a call at most once, and return its response.
@@ -135,6 +167,56 @@
     def _now(self) -> float:
         return self._timers.now()
 
+    def _start(self, run: _IdempotentRun, upstream: Upstream) -> None:
+        timeout = run.deadline_at - self._now()
+        coroutine = self._send(upstream, run.call, timeout=timeout)
+        run.attempts[asyncio.get_running_loop().create_task(coroutine)] = upstream
+        run.started += 1
+        run.check_at = self._now() + self._section.answer_timeout
+
+    async def _wait(self, run: _IdempotentRun) -> asyncio.Task[ServiceResponse] | None:
+        """Return an attempt that ended, or ``None`` once silence has to be looked at.
+
+        Raise `DeadlineExceeded` at the deadline.
+        """
+        seconds = min(run.check_at, run.deadline_at) - self._now()
+        ended, _ = await asyncio.wait(
+            run.attempts,
+            timeout=self._timers.to_real_seconds(max(0.0, seconds)),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if ended:
+            return ended.pop()
+        if self._now() >= run.deadline_at:
+            raise DeadlineExceeded(
+                f"{run.call.service} did not respond within {self._section.deadline:g} s"
+            )
+        return None
+
+    def _replace_silent(self, run: _IdempotentRun, budget: RetryBudget) -> None:
+        """Start another attempt beside silent ones, once an upstream and the budget allow it."""
+        for upstream in run.attempts.values():
+            run.tried.add(upstream.id)
+            self._suspect(upstream)
+        run.check_at = self._now() + REPLACEMENT_PERIOD_SECONDS
+        if run.started >= self._retries.max_attempts:
+            return
+        try:
+            upstream = self._choose(run.call.service, run.tried)
+        except NoUpstream:
+            return
+        if budget.spend():
+            self._start(run, upstream)
+
+    async def _retry(self, run: _IdempotentRun, budget: RetryBudget, error: BaobabError) -> None:
+        """Start another attempt after all have failed; raise the final error if none may be."""
+        pause = full_jitter(self._random, pause=self._retries.pause, retry=run.started - 1)
+        exhausted = run.started >= self._retries.max_attempts or not budget.spend()
+        if exhausted or self._now() + pause >= run.deadline_at:
+            raise _final_error(run.call, error) from error
+        await self._timers.sleep(pause)
+        self._start(run, self._choose(run.call.service, run.tried))
+
     def _new_budget(self) -> RetryBudget:
         return RetryBudget(share=self._retries.share, burst=self._retries.burst)
 
@@ -156,6 +238,9 @@
     def _mark_suspect(self, upstream: Upstream, error: BaobabError) -> None:
         if isinstance(error, UpstreamLeaving):
             self._view.mark_leaving(upstream.id)
+        self._suspect(upstream)
+
+    def _suspect(self, upstream: Upstream) -> None:
         self._suspect_until[upstream.id] = self._now() + self._retries.suspect
 
     async def _send(
