Don't report a lookup as not run after an attempt that may have run

What callers saw: an idempotent call to a plain service whose first attempt was lost and whose last one was refused ended with `no_upstream`, which promises that it has not run.

Cause: the error was chosen by the last attempt alone.

Evidence: both cases of test_a_lookup_that_may_have_run_is_not_reported_as_not_run failed before (NoUpstream) and pass now; a call that every upstream refused is still reported as not run, and a test states that.

Why this works: the call remembers whether any failed attempt may have run, and only without one its error says "not run".

--- a/src/baobabpulley/entry/service_caller.py
+++ b/src/baobabpulley/entry/service_caller.py
@@ -58,15 +58,25 @@
     """The attempts of one idempotent call.
 
     ``started`` is their number so far, ``tried`` the ids of upstreams that failed or were silent,
-    and ``check_at`` when silence is looked at next. Times are in model seconds.
+    ``check_at`` when silence is looked at next, and ``may_have_run`` whether a failed attempt may
+    have run. Times are in model seconds.
     """
 
-    __slots__ = ("attempts", "call", "check_at", "deadline_at", "started", "tried")
+    __slots__ = (
+        "attempts",
+        "call",
+        "check_at",
+        "deadline_at",
+        "may_have_run",
+        "started",
+        "tried",
+    )
 
     def __init__(self, call: PlainCall, *, deadline_at: float) -> None:
         self.call = call
         self.deadline_at = deadline_at
         self.check_at = deadline_at
+        self.may_have_run = False
         self.started = 0
         self.tried: set[str] = set()
         self.attempts: dict[asyncio.Task[ServiceResponse], Upstream] = {}
@@ -138,6 +148,7 @@
                     return ended.result()
                 except (UpstreamUnreachable, UpstreamRefused, UpstreamLost) as error:
                     run.tried.add(upstream.id)
+                    run.may_have_run = run.may_have_run or error.ran is not False
                     self._mark_suspect(upstream, error)
                     if not run.attempts:
                         await self._retry(run, budget, error)
@@ -213,9 +224,12 @@
         pause = full_jitter(self._random, pause=self._retries.pause, retry=run.started - 1)
         exhausted = run.started >= self._retries.max_attempts or not budget.spend()
         if exhausted or self._now() + pause >= run.deadline_at:
-            raise _final_error(run.call, error) from error
+            raise _final_error(run, error) from error
         await self._timers.sleep(pause)
-        self._start(run, self._choose(run.call.service, run.tried))
+        try:
+            self._start(run, self._choose(run.call.service, run.tried))
+        except NoUpstream as no_upstream:
+            raise _final_error(run, no_upstream) from error
 
     def _new_budget(self) -> RetryBudget:
         return RetryBudget(share=self._retries.share, burst=self._retries.burst)
@@ -261,7 +275,8 @@
         return response
 
 
-def _final_error(call: PlainCall, error: BaobabError) -> BaobabError:
-    if error.ran is False:
-        return NoUpstream(f"no upstream of {call.service} accepted the call", retry_after=1.0)
-    return DeadlineExceeded(f"{call.service} did not respond: {error.message}")
+def _final_error(run: _IdempotentRun, error: BaobabError) -> BaobabError:
+    """Return the error for the caller, which says "not run" only if no attempt can have run."""
+    if not run.may_have_run:
+        return NoUpstream(f"no upstream of {run.call.service} accepted the call", retry_after=1.0)
+    return DeadlineExceeded(f"{run.call.service} did not respond: {error.message}")
--- a/testing/test_service_pauses.py
+++ b/testing/test_service_pauses.py
@@ -15,6 +15,7 @@
 from baobabpulley.entry.service_caller import ServicesSection
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamStalled
@@ -170,3 +171,29 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert service.cancelled == 2
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        pytest.param([fail(UpstreamLost("reset")), fail(UpstreamOverloaded("full"))], id="lost"),
+        pytest.param(
+            [fail(UpstreamLost("reset"), after=2.2), fail(UpstreamOverloaded("full"), after=1.0)],
+            id="lost-while-replaced",
+        ),
+    ],
+)
+async def test_a_lookup_that_may_have_run_is_not_reported_as_not_run(script: list[Step]) -> None:
+    caller, service, _ = make_caller(*script, retries=RetriesSection(max_attempts=2))
+    with pytest.raises(DeadlineExceeded) as caught:
+        await caller.run_idempotent(LOOKUP)
+    assert caught.value.ran is not False
+    assert len(service.called) == 2
+
+
+async def test_a_lookup_that_every_upstream_refused_is_reported_as_not_run() -> None:
+    script = [fail(UpstreamOverloaded("full"))] * 2
+    caller, _, _ = make_caller(*script, retries=RetriesSection(max_attempts=2))
+    with pytest.raises(NoUpstream) as caught:
+        await caller.run_idempotent(LOOKUP)
+    assert caught.value.ran is False
