Resume the wait for a chunk instead of giving up the member of a gang

What callers saw: a prompt of several engines, one of which fell silent for a bit more than 3 s, lost the chunk that this engine was prefilling; its memory was released and the chunk was sent to another engine, or, if none had room, the whole gang started over or ended with its deadline.

Streams of completions are resumed on a new connection after silence, the wait for a chunk was not, so its prefill was given up before a replacement was sought, though the engine still worked on it.

Why this works: after a lost connection the entry asks once for the same chunk by its id, as the protocol allows for all that an engine runs.

--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -107,23 +107,11 @@
         await self.release(upstream, ids=(attempt,))
 
     async def prefill_chunk(self, upstream: Upstream, call: PrefillCall) -> ChunkRef:
-        # The engine sends keepalive comments while it works, so a silence timeout is enough.
-        async with self._client.call(
-            address=upstream.address,
-            method="POST",
-            path="/v1/parts",
-            body=msgspec.json.encode(call),
-            head_timeout=self._timers.to_real_seconds(self._silence_timeout),
-        ) as response:
-            await self._raise_for_status(response)
-            chunks = response.chunks(
-                idle_timeout=self._timers.to_real_seconds(self._silence_timeout)
-            )
-            async for data in read_events(chunks):
-                return msgspec.json.decode(data, type=ChunkRef)
-        raise UpstreamLost(
-            f"{upstream.id} ended the response to chunk {call.part} without a result"
-        )
+        return await self._chunk(upstream, "/v1/parts", msgspec.json.encode(call), call.part)
+
+    async def resume_chunk(self, upstream: Upstream, *, part: str) -> ChunkRef:
+        body = msgspec.json.encode({"attempt": part, "offset": 0})
+        return await self._chunk(upstream, "/v1/resume", body, part, fresh=True)
 
     async def holds(self, upstream: Upstream) -> tuple[Hold, ...]:
         return await self._call(upstream, "GET", "/v1/holds", response_type=tuple[Hold, ...])
@@ -226,6 +214,24 @@
         if not ended:
             raise UpstreamLost(f"{upstream.id} closed the stream before its end event")
 
+    async def _chunk(
+        self, upstream: Upstream, path: str, body: bytes, part: str, *, fresh: bool = False
+    ) -> ChunkRef:
+        # The engine sends keepalive comments while it works, so a silence timeout is enough.
+        idle = self._timers.to_real_seconds(self._silence_timeout)
+        async with self._client.call(
+            address=upstream.address,
+            method="POST",
+            path=path,
+            body=body,
+            head_timeout=idle,
+            fresh=fresh,
+        ) as response:
+            await self._raise_for_status(response)
+            async for data in read_events(response.chunks(idle_timeout=idle)):
+                return msgspec.json.decode(data, type=ChunkRef)
+        raise UpstreamLost(f"{upstream.id} ended the response to chunk {part} without a result")
+
     async def _call(
         self,
         upstream: Upstream,
--- a/src/baobabpulley/entry/resuming_engine.py
+++ b/src/baobabpulley/entry/resuming_engine.py
@@ -1,4 +1,4 @@
-"""Resume a running stream on a new connection after the old one broke or timed out."""
+"""Resume a stream or a prefill on a new connection after the old one broke or timed out."""
 
 from __future__ import annotations
 
@@ -16,20 +16,25 @@
 from baobabpulley.model.requests import EndEvent
 from baobabpulley.model.requests import TokenEvent
 from baobabpulley.model.upstreams import Upstream
+from baobabpulley.ports.engine import ChunkRef
 from baobabpulley.ports.engine import Engine
 from baobabpulley.ports.engine import EngineCall
+from baobabpulley.ports.engine import PrefillCall
 from baobabpulley.ports.wrapped_engine import WrappedEngine
 
 MAX_RESUMES: Final = 3
+# Fewer than for a stream, as the other members of a gang wait for the chunk meanwhile.
+MAX_CHUNK_RESUMES: Final = 1
 ALARM_MISMATCHED_RESPONSE: Final = "crossed_answer"
 
 
 @final
 class ResumingEngine(WrappedEngine):
-    """Resume lost streams; delegate everything else.
+    """Resume lost streams and prefills of chunks; delegate everything else.
 
     A stream that is lost after its start is resumed at its offset on a new connection, if the
-    upstream still has the attempt. Raises `UpstreamLost` if it cannot be resumed.
+    upstream still has the attempt, and so is the wait for a chunk. Raises `UpstreamLost` if it
+    cannot be resumed.
     """
 
     __slots__ = ("_metrics",)
@@ -63,6 +68,22 @@
             self._metrics.resumes.inc()
             events = self._engine.resume(upstream, attempt=call.attempt, offset=offset)
 
+    async def prefill_chunk(self, upstream: Upstream, call: PrefillCall) -> ChunkRef:
+        try:
+            return await self._engine.prefill_chunk(upstream, call)
+        except UpstreamLost as error:
+            prefill_error = error
+        for _ in range(MAX_CHUNK_RESUMES):
+            self._metrics.resumes.inc()
+            try:
+                return await self._engine.resume_chunk(upstream, part=call.part)
+            except (UpstreamRefused, UpstreamUnreachable) as error:
+                # The prefill may have run: the error must not say "not run".
+                raise prefill_error from error
+            except UpstreamLost as error:
+                prefill_error = error
+        raise prefill_error
+
     def _count_mismatch(self, error: UpstreamLost) -> None:
         if isinstance(error, MismatchedResponse):
             self._metrics.alarms.labels(kind=ALARM_MISMATCHED_RESPONSE).inc()
--- a/src/baobabpulley/ports/engine.py
+++ b/src/baobabpulley/ports/engine.py
@@ -165,6 +165,10 @@
     async def prefill_chunk(self, upstream: Upstream, call: PrefillCall) -> ChunkRef:
         """Prefill a chunk, hold its KV cache and return a reference for importing it."""
 
+    @abstractmethod
+    async def resume_chunk(self, upstream: Upstream, *, part: str) -> ChunkRef:
+        """Wait on a new connection for a chunk that the engine prefills or holds already."""
+
     @abstractmethod
     async def holds(self, upstream: Upstream) -> tuple[Hold, ...]:
         """Return all memory that the engine holds for our processes."""
--- a/src/baobabpulley/ports/wrapped_engine.py
+++ b/src/baobabpulley/ports/wrapped_engine.py
@@ -40,6 +40,9 @@
     async def prefill_chunk(self, upstream: Upstream, call: PrefillCall) -> ChunkRef:
         return await self._engine.prefill_chunk(upstream, call)
 
+    async def resume_chunk(self, upstream: Upstream, *, part: str) -> ChunkRef:
+        return await self._engine.resume_chunk(upstream, part=part)
+
     async def holds(self, upstream: Upstream) -> tuple[Hold, ...]:
         return await self._engine.holds(upstream)
 
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -45,7 +45,7 @@
     def _unused(self, *_: Any, **__: Any) -> Any:
         raise NotImplementedError
 
-    resume = prefill_chunk = holds = renew = release = _unused
+    resume = prefill_chunk = resume_chunk = holds = renew = release = _unused
     load = events = order = state = _unused
 
 
