Keep the memory of a failed member of a gang until its replacement has memory

What callers saw: a prompt of several engines, one of which fell silent while no other engine had room, lost that engine's memory to others; then the gang started over with all its chunks, or ended with its deadline.

The reservation on the failed engine was released before a replacement was sought.

Evidence: test_a_silent_member_keeps_its_memory_until_it_is_replaced failed before in both cases, and so did test_a_chunk_whose_engine_is_gone_is_prefilled_again_at_once (GangFailed: no replacement became available in time); they pass now.

Why this works: the reservation is released only once another engine has granted its own. Until then the gang may return to the same engine, as soon as it isn't excluded any more, and nobody else can take its memory. The search ends when it did before, and then all reservations of the gang are released.

--- a/src/baobabpulley/entry/gang_run.py
+++ b/src/baobabpulley/entry/gang_run.py
@@ -228,12 +228,14 @@
             self._timers.now() + FAILED_EXCLUSION_SECONDS
         )
         members = {remaining.upstream.id for remaining in self._members if remaining is not member}
-        self._reservations.release_claims(self._plan.reservation, (member.upstream.id,))
+        # The memory on the failed engine is kept meanwhile: it may be sound and the only one.
         replacement = await self._acquirer.replace(
             self._plan, tokens=self._plan.needs[index], members=members
         )
         if replacement is None:
             raise GangFailed(f"no replacement for {member.upstream.id} became available in time")
+        if replacement.id != member.upstream.id:
+            self._reservations.release_claims(self._plan.reservation, (member.upstream.id,))
         self._add_step("replaced", upstream=member.upstream.id, by=replacement.id, part=index)
         member.upstream = replacement
 
