Don't count a chunk as lost because its engine left one question unanswered

What callers saw: a prompt of several engines, one of which fell silent for a few seconds after its chunk was prefilled, had this chunk prefilled again on another engine, or started over if none had room.

After a failed import the entry asks the earlier engines whether they still hold their chunks, and took the lack of an answer within 2 s for a no; the chunk was released and the member replaced.

Evidence: test_a_chunk_whose_engine_does_not_answer_once_is_not_given_up failed before (prefilled twice) and passes now.

Why this works: only an answer without the chunk, a refused connection or a second question in a row without an answer counts as lost; until then the import is tried again, at most six times as before. A test each states that a silent and a vanished engine are given up.

--- a/src/baobabpulley/entry/gang_run.py
+++ b/src/baobabpulley/entry/gang_run.py
@@ -36,6 +36,8 @@
 _FAILURES: Final = (UpstreamRefused, UpstreamUnreachable, UpstreamLost)
 # After so many consecutive failures of one step the gang starts over on other engines.
 MAX_FAILURES: Final = 6
+# An engine that leaves more questions for its chunk unanswered in a row counts as lost.
+MAX_UNANSWERED: Final = 1
 
 
 class GangFailed(Exception):
@@ -52,14 +54,16 @@
     """An engine of the gang, and the chunk that it holds.
 
     ``chunk_id`` is empty while there is no chunk; ``ref`` is set once it is prefilled.
+    ``unanswered`` counts the latest questions for the chunk that the engine didn't answer.
     """
 
-    __slots__ = ("chunk_id", "ref", "upstream")
+    __slots__ = ("chunk_id", "ref", "unanswered", "upstream")
 
     def __init__(self, upstream: Upstream) -> None:
         self.upstream = upstream
         self.chunk_id = ""
         self.ref: ChunkRef | None = None
+        self.unanswered = 0
 
 
 @final
@@ -206,7 +210,7 @@
         if not isinstance(error, UpstreamImportFailed):
             await self._replace(index)
         for earlier in range(index):
-            if not await self._holds_chunk(self._members[earlier]):
+            if await self._has_lost_chunk(self._members[earlier]):
                 self._add_step(
                     "part lost", upstream=self._members[earlier].upstream.id, part=earlier
                 )
@@ -215,12 +219,18 @@
                 await self._prefill(earlier)
         await self._timers.sleep(POLL_SECONDS)
 
-    async def _holds_chunk(self, member: _Member) -> bool:
+    async def _has_lost_chunk(self, member: _Member) -> bool:
+        """Whether a member's chunk is gone; so is that of one that repeatedly doesn't answer."""
         try:
             holds = await self._engine.holds(member.upstream)
+        except UpstreamLost:
+            # A sound engine may have paused for longer than the call may take.
+            member.unanswered += 1
+            return member.unanswered > MAX_UNANSWERED
         except BaobabError:
-            return False
-        return any(hold.id == member.chunk_id for hold in holds)
+            return True
+        member.unanswered = 0
+        return all(hold.id != member.chunk_id for hold in holds)
 
     async def _replace(self, index: int) -> None:
         member = self._members[index]
@@ -244,3 +254,4 @@
             self._holds.release(member.upstream, member.chunk_id)
         member.chunk_id = ""
         member.ref = None
+        member.unanswered = 0
--- a/testing/test_gang_pauses.py
+++ b/testing/test_gang_pauses.py
@@ -19,6 +19,7 @@
 from baobabpulley.entry.hold_renewal import HoldRenewal
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import UpstreamImportFailed
+from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.requests import CompletionEvent
@@ -35,6 +36,7 @@
 from baobabpulley.timers import TimerService
 
 SPEED = 100.0
+NO_RESPONSE = UpstreamLost("/v1/holds did not respond within 2.00 s")
 IMPORT_FAILED = UpstreamImportFailed("the chunk is not available")
 
 
@@ -146,6 +148,20 @@
     )
 
 
+async def test_a_chunk_whose_engine_does_not_answer_once_is_not_given_up() -> None:
+    engine = GangEngine(complete=[IMPORT_FAILED], holds=[NO_RESPONSE])
+    run, _ = make_run(engine)
+    assert await answer(run) == "answer"
+    assert engine.prefills == ["engine-0"]
+
+
+async def test_a_chunk_whose_engine_stays_silent_is_prefilled_again() -> None:
+    engine = GangEngine(complete=[IMPORT_FAILED] * 2, holds=[NO_RESPONSE] * 2)
+    run, _ = make_run(engine)
+    assert await answer(run) == "answer"
+    assert engine.prefills == ["engine-0", "engine-0"]
+
+
 async def test_a_chunk_whose_engine_is_gone_is_prefilled_again_at_once() -> None:
     engine = GangEngine(complete=[IMPORT_FAILED], holds=[UpstreamUnreachable("gone")])
     run, _ = make_run(engine)
