Wait for the outcome of a key through a pause of the store

Evidence: test_a_repeat_outlasts_a_pause_of_the_store_while_the_first_call_runs failed before (504 for the repeat) and passes now.

Why this works: while the store is unavailable the claim is read again each `poll` until the wait ends, and only then is the outcome reported as unknown; a test bounds that. Nothing is sent to the service meanwhile.

--- a/src/baobabpulley/entry/claims.py
+++ b/src/baobabpulley/entry/claims.py
@@ -207,7 +207,14 @@
     async def _await_outcome(self, path: str, call: PlainCall) -> ServiceResponse:
         give_up_at = self._timers.now() + self._section.wait
         while True:
-            document = await self._read_claim(path)
+            try:
+                document = await self._read_claim(path)
+            except StoreUnavailable as error:
+                # The store may only have paused; the call runs elsewhere meanwhile.
+                if self._timers.now() >= give_up_at:
+                    raise _claim_unreadable(error) from error
+                await self._timers.sleep(self._section.poll)
+                continue
             if document is None:
                 raise OutcomeUnknown("the claim on the key was released; retry the call")
             if document.fingerprint != call.fingerprint:
@@ -221,13 +228,11 @@
             await self._timers.sleep(self._section.poll)
 
     async def _read_claim(self, path: str) -> ClaimDocument | None:
+        entry = await self._store.get(path)
         try:
-            entry = await self._store.get(path)
             return None if entry is None else decode_document(entry, ClaimDocument)
-        except (StoreUnavailable, InvalidDocument) as error:
-            raise OutcomeUnknown(
-                f"the claim on the key could not be read: {error.message}"
-            ) from error
+        except InvalidDocument as error:
+            raise _claim_unreadable(error) from error
 
     def _write_outcome_soon(
         self,
@@ -287,6 +292,10 @@
     return f"{CLAIMS_PREFIX}{team}/{sha256(key.encode()).hexdigest()}"
 
 
+def _claim_unreadable(error: BaobabError) -> OutcomeUnknown:
+    return OutcomeUnknown(f"the claim on the key could not be read: {error.message}")
+
+
 def _outcome_pending() -> OutcomeUnknown:
     return OutcomeUnknown(
         "the call with this key has no outcome yet", remedy="Retry with the same key."
--- a/testing/test_services.py
+++ b/testing/test_services.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from builders import wait_until
 from entry_builders import LedgerFleet
 from entry_builders import open_client
 from entry_builders import send_order
@@ -193,6 +194,49 @@
     assert ledger.executed_orders == [{"id": 3}]
 
 
+async def test_a_repeat_outlasts_a_pause_of_the_store_while_the_first_call_runs(
+    ledger: LedgerFleet,
+) -> None:
+    for service in ledger.services:
+        service.faults.apply(FaultOrder(kind="delay", seconds=0.4))
+    async with open_client() as http:
+        first = asyncio.create_task(
+            send_order(http, ledger.entries[0].address, 4, Idempotency_Key="pause")
+        )
+        await wait_until(lambda: len(ledger.executed_orders) == 1)
+        repeat = asyncio.create_task(
+            send_order(http, ledger.entries[1].address, 4, Idempotency_Key="pause")
+        )
+        await asyncio.sleep(0.1)
+        ledger.store.faults.apply(FaultOrder(kind="down", seconds=0.2))
+        answers = await asyncio.gather(first, repeat)
+    assert [status for status, _ in answers] == [201, 201], answers
+    assert ledger.executed_orders == [{"id": 4}]
+
+
+async def test_a_repeat_ends_in_time_while_the_store_stays_down(ledger: LedgerFleet) -> None:
+    for service in ledger.services:
+        service.faults.apply(FaultOrder(kind="delay", seconds=0.4))
+    async with open_client() as http:
+        first = asyncio.create_task(
+            send_order(http, ledger.entries[0].address, 4, Idempotency_Key="down")
+        )
+        await wait_until(lambda: len(ledger.executed_orders) == 1)
+        repeat = asyncio.create_task(
+            send_order(http, ledger.entries[1].address, 4, Idempotency_Key="down")
+        )
+        await asyncio.sleep(0.1)
+        ledger.store.faults.apply(FaultOrder(kind="down", seconds=60.0))
+        (first_status, _), (status, answer) = await asyncio.gather(first, repeat)
+    assert first_status == 201
+    assert (status, answer["error"]["code"], answer["error"]["ran"]) == (
+        504,
+        "outcome_unknown",
+        None,
+    )
+    assert ledger.executed_orders == [{"id": 4}]
+
+
 async def test_concurrent_repeats_of_one_key_run_once(ledger: LedgerFleet) -> None:
     async with open_client() as http:
         addresses = [entry.address for entry in ledger.entries]
