Test renewals of tickets that are unframed, refused or not answered

A prompt of several engines keeps its answer while the renewals of its tickets come without a length, are refused or get no answer. All three cases passed on the code as it was: the gateway only logs a renewal that failed.

--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -82,8 +82,9 @@
     """One server.
 
     ``behaviour`` responds to requests. ``journal`` lists the executed attempts, and ``orders`` the
-    orders received. ``connections`` counts accepted connections, and ``early_closes`` requests
-    whose caller closed or sent more before the response was complete.
+    orders received; without ``frames_orders`` their answers have no length. ``connections`` counts
+    accepted connections, and ``early_closes`` requests whose caller closed or sent more before the
+    response was complete.
     """
 
     def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
@@ -96,6 +97,7 @@
         self.orders: list[dict[str, object]] = []
         self.order_status = 200
         self.order_delay_seconds = 0.0
+        self.frames_orders = True
         self.connections = 0
         self.early_closes = 0
         self.address = ""
@@ -145,7 +147,10 @@
         if call.target == names.ORDER:
             self.orders.append(json.loads(call.body))
             await asyncio.sleep(self.order_delay_seconds)
-            await call.write(call.head(self.order_status, length=0))
+            if self.frames_orders:
+                await call.write(call.head(self.order_status, length=0))
+            else:
+                await unframed(b"{}", status=self.order_status)(self, call)
             return
         expected = call.headers.get(names.EXPECTED_INSTANCE.lower())
         if expected != self.name:
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from collections import Counter
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from pathlib import Path
@@ -492,3 +493,27 @@
     assert (reply.complete, reply.events) == (True, ALL_EVENTS)
     assert sealed_by == first.headers[names.EXPECTED_INSTANCE.lower()]
     assert b"alive" not in reply.body
+
+
+@pytest.mark.parametrize("renewals", ["unframed", "refused", "silent"])
+async def test_a_prompt_of_several_engines_survives_renewals_of_its_tickets(
+    world: World, renewals: str
+) -> None:
+    """Tickets are reserved and renewed by answers without a length, or aren't renewed at all."""
+    behaviour = unframed_stream(events=4, pause_after=1, pause=1.2)
+    await add_upstreams(world, *[behaviour] * 4, service=KITCHEN)
+    for upstream in world.upstreams.values():
+        upstream.frames_orders = False
+    gateway = await world.add_gateway()
+    options = {names.TOKEN_COUNTS: "300000,100"}
+    request = asyncio.create_task(send(gateway, "/draft/1", **options))
+    await wait_until(lambda: len(calls(world)) == 1)
+    for upstream in world.upstreams.values():
+        upstream.order_status = 409 if renewals == "refused" else 200
+        upstream.order_delay_seconds = 60.0 if renewals == "silent" else 0.0
+    reply = await request
+    assert (reply.status, reply.complete, reply.events) == (200, True, ALL_EVENTS)
+    assert len(calls(world)) == 1
+    orders = [order for upstream in world.upstreams.values() for order in upstream.orders]
+    renewed = Counter(order["identifier"] for order in orders if order["operation"] == "reserve")
+    assert min(renewed.values()) >= 3
