Ask again for a stream that an engine can't know yet after a pause

What callers saw: a completion whose engine fell silent for a bit more than 3 s before it read the request, and then read the question for the rest of the stream first, ended with 502 while no retry was allowed.

Silence ends the first connection, and the stream is resumed on a new one; the engine's refusal of an attempt that it hadn't read yet was taken for the loss of the attempt.

Why this works: after silence in which nothing was received, a refusal is followed by the remaining resumes, 0.25 s apart, before the attempt counts as lost; the engine runs it once, as before.

--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -92,7 +92,9 @@
     peers.subscribe(settings.get(KeeperLinkSection).address, placer.receive)
     memory = EntryMemory(
         settings=settings,
-        engine=ResumingEngine(engine=HttpEngine(client=client, timers=timers), metrics=metrics),
+        engine=ResumingEngine(
+            engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+        ),
         peers=peers,
         view=view,
         metrics=metrics,
--- a/src/baobabpulley/entry/resuming_engine.py
+++ b/src/baobabpulley/entry/resuming_engine.py
@@ -11,6 +11,7 @@
 from baobabpulley.errors import MismatchedResponse
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
+from baobabpulley.errors import UpstreamStalled
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.requests import CompletionEvent
 from baobabpulley.model.requests import EndEvent
@@ -21,8 +22,11 @@
 from baobabpulley.ports.engine import EngineCall
 from baobabpulley.ports.engine import PrefillCall
 from baobabpulley.ports.wrapped_engine import WrappedEngine
+from baobabpulley.timers import TimerService
 
 MAX_RESUMES: Final = 3
+# An engine that doesn't know an attempt that may only be late is asked again after this time.
+UNKNOWN_ATTEMPT_PAUSE_SECONDS: Final = 0.25
 # Fewer than for a stream, as the other members of a gang wait for the chunk meanwhile.
 MAX_CHUNK_RESUMES: Final = 1
 ALARM_MISMATCHED_RESPONSE: Final = "crossed_answer"
@@ -37,21 +41,24 @@
     cannot be resumed.
     """
 
-    __slots__ = ("_metrics",)
+    __slots__ = ("_metrics", "_timers")
 
-    def __init__(self, *, engine: Engine, metrics: EntryMetrics) -> None:
+    def __init__(self, *, engine: Engine, metrics: EntryMetrics, timers: TimerService) -> None:
         super().__init__(engine=engine)
         self._metrics = metrics
+        self._timers = timers
 
     async def complete(
         self, upstream: Upstream, call: EngineCall
     ) -> AsyncIterator[CompletionEvent]:
         offset = call.offset
+        received = False
         events = self._engine.complete(upstream, call)
         for resumes in range(MAX_RESUMES + 1):
             try:
                 async with contextlib.aclosing(events) as stream:  # type: ignore[type-var]
                     async for event in stream:
+                        received = True
                         offset = _next_offset(event, offset)
                         yield event
                 return
@@ -63,8 +70,13 @@
             except (UpstreamRefused, UpstreamUnreachable) as error:
                 if not resumes:
                     raise
-                # The first connection's attempt may have run: the error must not say "not run".
-                raise stream_error from error
+                is_silence = isinstance(stream_error, UpstreamStalled) and not received
+                may_be_late = is_silence and isinstance(error, UpstreamRefused)
+                if resumes == MAX_RESUMES or not may_be_late:
+                    # The attempt may have run: the error must not say "not run".
+                    raise stream_error from error
+                # An engine that paused may read the request after the question for its stream.
+                await self._timers.sleep(UNKNOWN_ATTEMPT_PAUSE_SECONDS)
             self._metrics.resumes.inc()
             events = self._engine.resume(upstream, attempt=call.attempt, offset=offset)
 
--- a/testing/pausing_link.py
+++ b/testing/pausing_link.py
@@ -7,14 +7,15 @@
 from typing import final
 
 BLOCK_BYTES = 65_536
+LATE_SECONDS = 0.02
 
 
 @final
 class PausingLink:
     """Forward connections from a free loopback port to ``target``, an ``ip:port`` address.
 
-    Connections are accepted during a pause, as a suspended process's kernel does. ``passed`` counts
-    the bytes that the server sent, and ``connections`` the connections that were accepted.
+    Connections are accepted during a pause, as a suspended process's kernel does. ``connections``
+    counts the connections that were accepted.
     """
 
     def __init__(self, target: str) -> None:
@@ -23,8 +24,8 @@
         self._open.set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self.passed = 0
         self.connections = 0
+        self._late_connections = 0
         self.address = ""
 
     async def start(self) -> None:
@@ -39,38 +40,48 @@
         for task in tuple(self._tasks):
             task.cancel()
 
-    def pause(self, seconds: float) -> None:
-        """Let nothing pass for so many real seconds."""
+    def pause(self, seconds: float, *, late_connections: int = 0) -> None:
+        """Let nothing pass for so many real seconds.
+
+        What waits on the first ``late_connections`` connections passes after all others.
+        """
         self._open.clear()
+        self._late_connections = late_connections
         asyncio.get_running_loop().call_later(seconds, self._open.set)
 
+    async def _wait_until_open(self, number: int) -> None:
+        if self._open.is_set():
+            return
+        await self._open.wait()
+        if number <= self._late_connections:
+            await asyncio.sleep(LATE_SECONDS)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
         self.connections += 1
+        number = self.connections
         host, port = self._target
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            await self._open.wait()
+            await self._wait_until_open(number)
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
             try:
                 async with asyncio.TaskGroup() as both:
-                    both.create_task(self._forward(reader, far_writer, counted=False))
-                    both.create_task(self._forward(far_reader, writer, counted=True))
+                    both.create_task(self._forward(number, reader, far_writer))
+                    both.create_task(self._forward(number, far_reader, writer))
             finally:
                 far_writer.close()
         writer.close()
         self._tasks.discard(task)
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, counted: bool
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(BLOCK_BYTES):
-                await self._open.wait()
+                await self._wait_until_open(number)
                 writer.write(data)
                 await writer.drain()
-                if counted:
-                    self.passed += len(data)
-        await self._open.wait()
+        await self._wait_until_open(number)
         writer.close()
--- a/testing/test_engine_pauses.py
+++ b/testing/test_engine_pauses.py
@@ -8,6 +8,7 @@
 
 import pytest
 from builders import MODEL
+from builders import make_call
 from builders import make_request
 from builders import make_view
 from pausing_link import PausingLink
@@ -33,6 +34,7 @@
 from baobabpulley.ports.engine import PrefillCall
 from baobabpulley.standins.engine import EngineStandin
 from baobabpulley.standins.engine_core import EngineProfile
+from baobabpulley.standins.faults import FaultOrder
 from baobabpulley.standins.text import expected_text
 from baobabpulley.timers import TimerService
 
@@ -102,7 +104,9 @@
     lanes, metrics = LanesSection(), EntryMetrics()
     return Dispatcher(
         holder="entry-0",
-        engine=ResumingEngine(engine=HttpEngine(client=client, timers=timers), metrics=metrics),
+        engine=ResumingEngine(
+            engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+        ),
         view=view,
         placer=make_placer(
             vm="vm-0",
@@ -136,7 +140,10 @@
     return make_request(tokens=tokens, arrived=TimerService(speed=SPEED).now(), seconds=60.0)
 
 
-@pytest.mark.parametrize("when", ["before-the-request", "before-a-token", "in-mid-answer"])
+@pytest.mark.parametrize(
+    "when",
+    ["before-the-request", "before-a-request-that-arrives-late", "before-a-token", "in-mid-answer"],
+)
 async def test_an_answer_survives_a_pause_while_no_retry_is_allowed(
     base_port: int, when: str
 ) -> None:
@@ -154,6 +161,9 @@
 
         if when == "before-the-request":
             pause()
+        elif when == "before-a-request-that-arrives-late":
+            # The engine sees the question for the rest of the stream before the stream's request.
+            engine.link.pause(PAUSE_SECONDS / SPEED, late_connections=1)
         elif when == "before-a-token":
             engine.timers.after(0.5, pause)
         async for event in dispatcher.run(request, record):
@@ -172,7 +182,9 @@
     client = HttpClient()
     async with open_engines(1, port=base_port + 910, profile=profile) as (engine,):
         calls = ResumingEngine(
-            engine=HttpEngine(client=client, timers=engine.timers), metrics=EntryMetrics()
+            engine=HttpEngine(client=client, timers=engine.timers),
+            metrics=EntryMetrics(),
+            timers=engine.timers,
         )
         before = 0.0 if when == "before-the-request" else 0.5
         engine.timers.after(before, lambda: engine.link.pause(PAUSE_SECONDS / SPEED))
@@ -186,7 +198,9 @@
     client = HttpClient()
     async with open_engines(1, port=base_port + 920, profile=EngineProfile()) as (engine,):
         calls = ResumingEngine(
-            engine=HttpEngine(client=client, timers=engine.timers), metrics=EntryMetrics()
+            engine=HttpEngine(client=client, timers=engine.timers),
+            metrics=EntryMetrics(),
+            timers=engine.timers,
         )
         engine.link.pause(60.0 / SPEED)
         began = engine.timers.now()
@@ -194,3 +208,23 @@
             await calls.prefill_chunk(engine.upstream, make_prefill_call("part-1"))
         assert engine.timers.now() - began < 2 * SILENCE_TIMEOUT_SECONDS + 1.0
     client.close()
+
+
+async def test_an_engine_that_restarted_during_its_pause_is_given_up_soon(base_port: int) -> None:
+    client = HttpClient()
+    async with open_engines(1, port=base_port + 930, profile=EngineProfile()) as (engine,):
+        calls = ResumingEngine(
+            engine=HttpEngine(client=client, timers=engine.timers),
+            metrics=EntryMetrics(),
+            timers=engine.timers,
+        )
+        began = engine.timers.now()
+        # The request is refused, so that the questions for its stream find nothing.
+        engine.standin.faults.apply(FaultOrder(kind="leaving"))
+        engine.link.pause(PAUSE_SECONDS / SPEED)
+        with pytest.raises(UpstreamLost):
+            async for _ in calls.complete(engine.upstream, make_call("attempt-1")):
+                pass
+        assert engine.timers.now() - began < PAUSE_SECONDS + 2.0
+        assert engine.started() == []
+    client.close()
