--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -26,6 +26,8 @@
 
 # Attempts end this long before the caller's deadline, so that the response still arrives in time.
 RESPONSE_MARGIN_SECONDS: Final = 0.03
+# While a caller is slow to read a stream, it is checked this often, in real seconds.
+CALLER_CHECK_SECONDS: Final = 0.25
 
 
 @final
@@ -136,10 +138,17 @@
                 continue
             if has_content(event):
                 self._claim(race, attempt)
+            elif race.has_others(attempt):
+                # A comment decides nothing: another attempt may answer, under its own head.
+                continue
             if not reply.started:
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
             exchange.record_event(self._timers.now())
+            while reply.is_behind:
+                # The caller is slow, not the upstream.
+                attempt.progress.record()
+                await reply.wait_until_sent(seconds=CALLER_CHECK_SECONDS)
         self._claim(race, attempt)
         if attempt.events:
             self._outcomes.record_survival(exchange)
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import final
@@ -19,7 +20,7 @@
 
 @final
 class Call:
-    """A received request, and the connection to respond on."""
+    """A received request, when it arrived, and the connection to respond on."""
 
     def __init__(
         self,
@@ -37,15 +38,23 @@
         self.body = body
         self.writer = writer
         self.upstream = upstream
+        self.received_at = time.monotonic()
 
     @property
     def attempt(self) -> str:
         return self.headers.get(names.ATTEMPT.lower(), "")
 
-    def head(self, status: int, *extra: str, length: int | None = None) -> bytes:
+    def head(
+        self, status: int, *extra: str, length: int | None = None, version: str = "1.1"
+    ) -> bytes:
         """Return a response head with the attempt's id and the ``extra`` header lines."""
         always = self.upstream.response_headers
-        lines = [f"HTTP/1.1 {status} Answer", f"{names.ATTEMPT}: {self.attempt}", *extra, *always]
+        lines = [
+            f"HTTP/{version} {status} Answer",
+            f"{names.ATTEMPT}: {self.attempt}",
+            *extra,
+            *always,
+        ]
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -62,6 +71,10 @@
     async def write_chunk(self, data: bytes) -> None:
         await self.write(b"%x\r\n%s\r\n" % (len(data), data))
 
+    def close(self) -> None:
+        """Close the connection in order, after everything that was written."""
+        self.writer.close()
+
     def reset(self) -> None:
         """Reset the connection."""
         transport = self.writer.transport
@@ -77,9 +90,10 @@
     """One server.
 
     ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
-    executed, and ``orders`` the orders received. ``response_headers`` are header lines of all
-    responses. ``connections`` counts accepted connections, and ``early_closes`` requests whose
-    caller closed or sent more before the response was complete.
+    executed, and ``orders`` the orders received; without ``frames_orders`` their answers have no
+    length. ``response_headers`` are header lines of all responses. ``connections`` counts accepted
+    connections, and ``early_closes`` requests whose caller closed or sent more before the response
+    was complete.
     """
 
     def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
@@ -94,6 +108,7 @@
         self.orders: list[dict[str, object]] = []
         self.order_status = 200
         self.order_delay_seconds = 0.0
+        self.frames_orders = True
         self.connections = 0
         self.early_closes = 0
         self.address = ""
@@ -143,7 +158,10 @@
         if call.target == names.ORDER:
             self.orders.append(json.loads(call.body))
             await asyncio.sleep(self.order_delay_seconds)
-            await call.write(call.head(self.order_status, length=0))
+            if self.frames_orders:
+                await call.write(call.head(self.order_status, length=0))
+            else:
+                await unframed(b"{}", status=self.order_status)(self, call)
             return
         self.arrivals.append(call)
         expected = call.headers.get(names.EXPECTED_INSTANCE.lower())
@@ -325,8 +343,75 @@
     return run
 
 
+def unframed(
+    *pieces: bytes,
+    status: int = 200,
+    headers: tuple[str, ...] = (),
+    version: str = "1.1",
+    pause: float = 0.0,
+    then_reset: bool = False,
+) -> Behaviour:
+    """Return a behaviour that answers with neither a length nor chunks and ends the connection.
+
+    It sends the head, then the ``pieces``, with ``pause`` seconds before each of them, and closes
+    the connection in order, or resets it with ``then_reset``.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(call.head(status, f"{names.SEAL}: s", *headers, version=version))
+        for piece in pieces:
+            await asyncio.sleep(pause)
+            await call.write(piece)
+        if then_reset:
+            # The peer reads what was sent before it sees the reset.
+            await asyncio.sleep(0.02)
+            call.reset()
+        else:
+            call.close()
+
+    return run
+
+
 async def fail_with_retry_after(upstream: UpstreamStandin, call: Call) -> None:
     """Send a sealed 503 with Retry-After that doesn't say that the request wasn't executed."""
     body = b"busy"
     head = call.head(503, f"{names.SEAL}: s.{call.attempt}", "Retry-After: 5", length=len(body))
     await call.write(head + body)
+
+
+def unframed_stream(
+    *,
+    events: int,
+    ends_after: int | None = None,
+    ending: bytes = b"",
+    then_reset: bool = False,
+    version: str = "1.1",
+    pause_after: int | None = None,
+    pause: float = 0.0,
+) -> Behaviour:
+    """Return a behaviour that streams events from 0 and ends the stream with the connection.
+
+    The stream goes on after the last event that the caller has. It ends before event ``ends_after``
+    if that is given, sends ``ending`` behind its last event, and pauses for ``pause`` seconds
+    before event ``pause_after``. ``then_reset`` resets the connection instead of closing it.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        last = call.headers.get(names.LAST_EVENT.lower())
+        start = 0 if last is None else int(last) + 1
+        end = events if ends_after is None else ends_after
+        seal = f"{names.SEAL}: s.{upstream.name}"
+        await call.write(call.head(200, seal, "Content-Type: text/event-stream", version=version))
+        for number in range(start, end):
+            if number == pause_after:
+                await asyncio.sleep(pause)
+            await call.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(0.002)
+        await call.write(ending)
+        if then_reset:
+            await asyncio.sleep(0.02)
+            call.reset()
+        else:
+            call.close()
+
+    return run
