--- a/src/baobabpulley/gateway/crash_evidence.py
+++ b/src/baobabpulley/gateway/crash_evidence.py
@@ -194,25 +194,9 @@
     def take_due_crashes(self, *, gateways: int) -> tuple[CrashRow, ...]:
         """Return the crashes and retractions to send in the next message to other gateways."""
         now = self._timers.now()
-        retractions = [
-            CrashRow(upstream, round(now - at, 3), ())
-            for upstream, at in self._retractions_due.items()
-        ][:MAX_CRASHES_PER_MESSAGE]
-        for row in retractions:
-            del self._retractions_due[row.upstream]
-        reports = {report.upstream: report for report in self._policy.reports}
-        due = [upstream for upstream in self._crashes_due if upstream in reports]
-        rows = [reports[upstream] for upstream in due[:MAX_CRASHES_PER_MESSAGE]]
-        for upstream in due[:MAX_CRASHES_PER_MESSAGE]:
-            self._crashes_due[upstream] -= 1
-        self._crashes_due = {
-            upstream: left
-            for upstream, left in self._crashes_due.items()
-            if left > 0 and upstream in reports
-        }
-        if not rows:
-            rows = self._next_refresh(now, period=REFRESH_SECONDS * gateways)
-        sampled = (self._policy.sampled(row, most=MAX_PARTS_PER_CRASH, now=now) for row in rows)
+        retractions = self._take_retractions(now)
+        reports = self._take_reports() or self._next_refresh(now, REFRESH_SECONDS * gateways)
+        sampled = (self._policy.sampled(row, most=MAX_PARTS_PER_CRASH, now=now) for row in reports)
         crashes = [
             CrashRow(report.upstream, round(now - report.at, 3), report.prompts)
             for report in sampled
@@ -232,6 +216,21 @@
             self._survivals_sent_at[part] = now
         return tuple(SurvivalRow(part, round(now - at, 3)) for part, at in due)
 
+    def _take_retractions(self, now: float) -> list[CrashRow]:
+        """Return the retractions to send now."""
+        upstreams = list(self._retractions_due)[:MAX_CRASHES_PER_MESSAGE]
+        ages = {upstream: now - self._retractions_due.pop(upstream) for upstream in upstreams}
+        return [CrashRow(upstream, round(age, 3), ()) for upstream, age in ages.items()]
+
+    def _take_reports(self) -> list[CrashReport]:
+        """Return the reports with transmissions due, and record one for each."""
+        reports = {report.upstream: report for report in self._policy.reports}
+        due = [upstream for upstream in self._crashes_due if upstream in reports]
+        taken = due[:MAX_CRASHES_PER_MESSAGE]
+        left = {upstream: self._crashes_due[upstream] - (upstream in taken) for upstream in due}
+        self._crashes_due = {upstream: count for upstream, count in left.items() if count}
+        return [reports[upstream] for upstream in taken]
+
     def _publish_recent_survivals(self, parts: Iterable[str]) -> None:
         """Tell the other gateways once of answers to these parts that began before a crash."""
         now = self._timers.now()
@@ -243,7 +242,7 @@
             if told_at is None or now - told_at > RECENT_SECONDS / 2:
                 self._survivals_due[part] = at
 
-    def _next_refresh(self, now: float, *, period: float) -> list[CrashReport]:
+    def _next_refresh(self, now: float, period: float) -> list[CrashReport]:
         """Return one of the reports behind the quarantines, in turn, once in each period."""
         reports = self._policy.evidence(most=REPORTS_PER_QUARANTINE)
         if not reports:
