Don't pass on an unframed stream that ends before its first event as whole

It is a lost attempt now, and evidence for the quarantine. A resumed stream without a further event stays whole, as its caller may have had all. The test failed before (no events, complete). Comments no longer count as events of the caller (first event, pauses, proof that a prompt crashes no engine).

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -58,6 +58,11 @@
         """HTTP headers."""
         return self._delegate.headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the end of the body."""
+        return self._delegate.ends_with_connection
+
     async def chunks(self, *, idle_timeout: float) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -94,6 +94,11 @@
         """Whether the body is a stream of server-sent events."""
         return EVENT_STREAM in self._response.headers.get("Content-Type", "")
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the end of the body."""
+        return self._response.ends_with_connection
+
     async def body(self) -> bytes:
         """Return the complete body."""
         return await self._response.body(idle_timeout=self._timeout, on_data=self._progress.record)
--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.errors import UpstreamDisconnected
 from baobabpulley.errors import UpstreamFailed
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
@@ -144,11 +145,15 @@
             if not reply.started:
                 reply.start(response.status, self._wire.response_headers(response.headers))
             reply.write(event)
-            exchange.record_event(self._timers.now())
+            if has_content(event):
+                exchange.record_event(self._timers.now())
             while reply.is_behind:
                 # The caller is slow, not the upstream.
                 attempt.progress.record()
                 await reply.wait_until_sent(seconds=CALLER_CHECK_SECONDS)
+        if not attempt.events and not exchange.has_events and response.ends_with_connection:
+            # An upstream that crashes may close its connections in order.
+            raise UpstreamDisconnected("the connection ended before the first event")
         self._claim(race, attempt)
         if attempt.events:
             self._outcomes.record_survival(exchange)
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -62,7 +62,7 @@
     """State of one request while it is served.
 
     ``chunks`` is the number of engines that prefill a chunk of the prompt in the latest attempt.
-    ``events`` is the number of events sent to the caller.
+    ``events`` is the number of events with content sent to the caller.
     ``excluded`` are the ids of upstreams that failed. ``retry_reserved`` is whether the budget was
     charged for the retry of an attempt that is about to fail. ``denial`` is why the latest silent
     attempt has no replacement yet. ``is_probe`` is whether the next attempt or the running one is
@@ -129,8 +129,13 @@
         self.last_event_at = 0.0
         self.longest_pause = 0.0
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has events of the stream, of this exchange or of one before."""
+        return self.events > 0 or self.parameters.last_event is not None
+
     def record_event(self, now: float) -> None:
-        """Record when an event was sent to the caller."""
+        """Record when an event with content was sent to the caller."""
         self.events += 1
         if self.first_event_at is None:
             self.first_event_at = now
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -522,3 +522,17 @@
     orders = [order for upstream in world.upstreams.values() for order in upstream.orders]
     renewed = Counter(order["identifier"] for order in orders if order["operation"] == "reserve")
     assert min(renewed.values()) >= 3
+
+
+async def test_an_unframed_stream_that_ends_before_its_first_event_is_not_whole(
+    world: World,
+) -> None:
+    behaviour = upstreams.first_then(
+        upstreams.unframed_stream(events=4, ends_after=0), then=upstreams.unframed_stream(events=4)
+    )
+    for number in range(2):
+        engine = await world.add_upstream(f"i-{number}", service=KITCHEN)
+        engine.behaviour = behaviour
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7")
+    assert (reply.status, reply.complete, reply.events) == (200, True, [0, 1, 2, 3])
