Free the probe of an upstream whose request was refused after it had waited

The second check of the quarantine gave the placement back, but not the probe that it may have been; found while reading.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -122,6 +122,7 @@
             self._check_quarantine(exchange)
         except BaobabError:
             self._placer.end(placement)
+            self._record.record_inconclusive(placement.upstream)
             raise
         return placement
 
