--- a/testing/test_quarantine_review.py
+++ b/testing/test_quarantine_review.py
@@ -304,6 +304,8 @@
     assert before < 3
     assert reply.status == 503
     assert all(BAD_PART not in call.headers.get("x-prompt-prefix", "") for call in calls(world))
+    await wait_until(lambda: gateway.listener.active_requests == 0)
+    assert gateway.loads.load("i-0", now=time.monotonic()).in_flight == 0
 
 
 def test_few_more_bad_prompts_reach_engines_after_five_crashes_at_the_same_moment() -> None:
