Register a gateway again after its member entry was refused

What operators would see: a gateway that never appears among the members in the store, so that gateways which don't know it by other ways send it no news.

Cause: the lease was kept from the moment the store granted it. If the entry's write then failed (store busy for one call, answer lost), the next round found a lease, renewed it and took the entry for written; it was never written.

Found by reading daemon.py while splitting it.

The lease now counts only once the entry stands under it: MemberRegistration returns it after the write, so a failed write begins anew with a new lease. The one before expires.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -13,7 +13,6 @@
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.candidates import CandidateList
 from baobabpulley.gateway.connection_closes import ConnectionCloses
@@ -28,6 +27,7 @@
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.member_registration import MemberRegistration
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.reload import SettingsReload
@@ -54,7 +54,6 @@
 from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
-from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.settings import Settings
 from baobabpulley.shutdown import cancel_remaining_tasks
 from baobabpulley.shutdown import stop_event
@@ -87,6 +86,12 @@
             address=settings.get(StoreSection).address,
             watch_wait=settings.get(StoreSection).watch_wait,
         )
+        self._registration = MemberRegistration(
+            node=self.node,
+            store=self.store,
+            lease_seconds=settings.get(StoreSection).member_lease,
+            timers=timers,
+        )
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
         self.evidence = CrashEvidence(node=self.node.id, timers=timers)
@@ -194,7 +199,7 @@
         self.timers.every(
             _PEER_REQUEST_PERIOD_SECONDS, self._request_peer_snapshot, name="peer snapshots"
         )
-        asyncio.get_running_loop().create_task(self._keep_registered(), name="membership")
+        asyncio.get_running_loop().create_task(self._registration.run(), name="membership")
         address, port = split_address(node.callers)
         self.listener.listen(port, address, backlog=1024)
         logger.bind(event="start").info("gateway started")
@@ -384,27 +389,6 @@
             self.client.close()
             self.link.restart()
 
-    async def _keep_registered(self) -> None:
-        """Keep this gateway's member entry in the store, and renew its lease."""
-        host = split_address(self.node.control)[0]
-        entry = GatewayMember(
-            node=self.node.id, control=self.node.control, news=f"{host}:{self.node.news_port}"
-        )
-        key, value = PlatformDocuments().encode_member(entry)
-        seconds = self.settings.get(StoreSection).member_lease
-        lease = 0
-        while True:
-            try:
-                if not lease or not await self.store.keep_alive(lease):
-                    lease = await self.store.grant_lease(seconds)
-                    await self.store.put(key, value, lease=lease)
-                await self.timers.sleep(seconds / 3)
-            except StoreUnavailable as error:
-                logger.bind(event="membership").info(
-                    "not registered in the store: {}", error.message
-                )
-                await self.timers.sleep(1.0)
-
 
 def _boot_time() -> float:
     """Return the time of the clock that also runs while the machine is suspended, in seconds."""
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -208,6 +208,7 @@
             f"control = {host}:{port + 2}\nnews_port = {news_port}\nmetrics_port = {port + 4}\n"
             f"[store]\naddress = {options.get('store', self.store.address)}\n"
             f"watch_wait = {options.get('watch_wait', '1')}\nreturned_within = 0.8\n"
+            f"member_lease = {options.get('member_lease', '30')}\n"
             f"[peers]\nseeds = {','.join(seeds)}\n"
             f"[repeats]\nratio = 0.2\nslack = 100\n"
             f"[shutdown]\nbalancer_lag = 0.3\ngrace = {options.get('grace', '3')}\n"
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -24,8 +24,9 @@
     ``mode`` is the fault injected into all requests: empty for none, ``silent`` (no response),
     ``busy`` (503), ``reset`` (connection closed) or ``cut`` (only pending watches closed). With
     ``silent_watches``, watches get no response.
-    ``responses_to_lose`` is how many more transactions take effect without a response. A watch
-    from a revision before ``history_start`` gets 410. ``page_size`` is the number of keys in a
+    ``responses_to_lose`` is how many more transactions take effect without a response, and
+    ``transactions_to_refuse`` how many get 503 without effect. A watch from a revision before
+    ``history_start`` gets 410. ``page_size`` is the number of keys in a
     page of a range.
     """
 
@@ -37,6 +38,7 @@
         self.mode = ""
         self.silent_watches = False
         self.responses_to_lose = 0
+        self.transactions_to_refuse = 0
         self.calls = 0
         self.leases: dict[int, set[str]] = {}
         self.lease_numbers = itertools.count(1000)
@@ -182,6 +184,10 @@
 
 class _Transaction(_Handler):
     async def post(self) -> None:
+        if self.store.transactions_to_refuse:
+            self.store.transactions_to_refuse -= 1
+            self.respond({}, 503)
+            return
         transaction = json.loads(self.request.body)
         for row in transaction["expected"]:
             item = self.store.items.get(row["key"])
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -299,3 +299,19 @@
         pass
     finally:
         writer.close()
+
+
+async def test_a_gateway_whose_member_entry_was_refused_writes_it_again(world: World) -> None:
+    world.store.transactions_to_refuse = 1
+    gateway = await world.add_gateway()
+    await wait_until(lambda: world.store.transactions_to_refuse == 0)
+    await wait_until(lambda: f"{names.MEMBER_PREFIX}{gateway.node.id}" in world.store.items)
+
+
+async def test_a_gateway_whose_lease_expired_registers_anew(world: World) -> None:
+    gateway = await world.add_gateway(member_lease="0.6")
+    key = f"{names.MEMBER_PREFIX}{gateway.node.id}"
+    await wait_until(lambda: key in world.store.items)
+    world.store.end_lease(world.store.items[key]["lease"])
+    assert key not in world.store.items
+    await wait_until(lambda: key in world.store.items)
