--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -25,10 +25,13 @@
 from baobabpulley.gateway.exchange import ExchangeServer
 from baobabpulley.gateway.exchange_state import shutdown_error
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gauges import GaugeSources
+from baobabpulley.gateway.gauges import register_gauges
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.listener import CallerListener
 from baobabpulley.gateway.member_registration import MemberRegistration
 from baobabpulley.gateway.metrics import GatewayMetrics
+from baobabpulley.gateway.peer_snapshots import PeerSnapshots
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.reload import SettingsReload
 from baobabpulley.gateway.sections import EnginesSection
@@ -44,7 +47,6 @@
 from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
-from baobabpulley.logs import dropped_line_count
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
@@ -63,9 +65,6 @@
 _FREEZE_CHECK_PERIOD_SECONDS: Final = 0.25
 # After a check that is later than this, open connections may be dead and are replaced.
 _MIN_FREEZE_SECONDS: Final = 1.5
-_PEER_REQUEST_PERIOD_SECONDS: Final = 0.3
-# If a peer has been on a newer store revision for this long, the watch is assumed to be stalled.
-_MAX_BEHIND_SECONDS: Final = 0.4
 _DRAIN_POLL_SECONDS: Final = 0.05
 # Requests that are unanswered after this fraction of the grace period are ended.
 _DRAIN_GRACE_RATIO: Final = 0.95
@@ -102,7 +101,7 @@
             loads=self.loads,
             evidence=self.evidence,
             timers=timers,
-            on_newer_revision=self._record_behind,
+            on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
         )
         watchers = StoreWatchers(
@@ -119,6 +118,14 @@
             timers=timers,
             watchers=watchers,
         )
+        self._peer_snapshots = PeerSnapshots(
+            node=self.node,
+            fleet_state=self.fleet_state,
+            gossip=self.gossip,
+            link=self.link,
+            seeds=lambda: self.settings.get(GatewayPeersSection).seeds,
+            timers=timers,
+        )
         self.changes = ChangePublisher(fleet_state=self.fleet_state, timers=timers)
         self.record = UpstreamRecord(
             failure_domain=self.node.failure_domain,
@@ -157,13 +164,22 @@
             timers=timers,
         )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
-        self._register_gauges()
+        register_gauges(
+            self.metrics,
+            GaugeSources(
+                evidence=self.evidence,
+                fleet_state=self.fleet_state,
+                gossip=self.gossip,
+                link=self.link,
+                listener=self.listener,
+                placer=self.placer,
+                record=self.record,
+                store=self.store,
+            ),
+        )
         self._listed: dict[str, ListedUpstream] = {}
         self.fleet_state.listen(self._forget_removed)
         self._servers: tuple[HTTPServer, ...] = ()
-        # A store revision that a peer reached before this gateway, and when that was heard.
-        self._behind: tuple[int, float] | None = None
-        self._snapshot_task: asyncio.Task[None] | None = None
         self._freeze_checked_at = _boot_time()
 
     @property
@@ -196,9 +212,7 @@
         self.placer.start()
         self.reload.start()
         self.timers.every(_FREEZE_CHECK_PERIOD_SECONDS, self._check_for_freeze, name="pulse")
-        self.timers.every(
-            _PEER_REQUEST_PERIOD_SECONDS, self._request_peer_snapshot, name="peer snapshots"
-        )
+        self._peer_snapshots.start()
         asyncio.get_running_loop().create_task(self._registration.run(), name="membership")
         address, port = split_address(node.callers)
         self.listener.listen(port, address, backlog=1024)
@@ -227,50 +241,6 @@
         self.listener.close_all()
         logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
 
-    def _register_gauges(self) -> None:
-        """Register gauges for the state that this gateway knows."""
-        add_gauge = self.metrics.add_gauge
-        add_gauge("configuration_version", "Version of the configuration in force", self._version)
-        add_gauge(
-            "store_revision", "Revision of the store followed", lambda: self.fleet_state.revision
-        )
-        add_gauge(
-            "store_connected", "1 while the store answers", lambda: float(self.link.connected)
-        )
-        add_gauge("store_calls", "Calls made to the store", lambda: self.store.calls)
-        add_gauge(
-            "gateways", "Gateways known, this one included", lambda: self.gossip.gateway_count
-        )
-        add_gauge(
-            "news_bytes", "Bytes of news sent to other gateways", lambda: self.gossip.traffic.sent
-        )
-        add_gauge(
-            "news_bytes_remote",
-            "Bytes of news sent to gateways of other failure domains through relays",
-            lambda: self.gossip.remote_traffic.sent,
-        )
-        add_gauge("waiting", "Requests that wait for an upstream", lambda: self.placer.waiting)
-        add_gauge("in_flight", "Requests being served", lambda: self.listener.active_requests)
-        add_gauge("upstreams", "Upstreams listed", lambda: len(self.fleet_state.upstreams))
-        add_gauge("upstreams_leaving", "Upstreams that are leaving", self._leaving)
-        add_gauge(
-            "quarantined_parts",
-            "Parts of prompts that crash engines",
-            lambda: self.evidence.quarantined,
-        )
-        add_gauge(
-            "upstreams_said_leaving",
-            "Of these, upstreams registered as ready that said so in a response",
-            lambda: self.fleet_state.said_leaving_count,
-        )
-        add_gauge(
-            "upstreams_backpressured",
-            "Upstreams that asked for no requests for now",
-            lambda: len(self.record.backpressured_upstreams()),
-        )
-        add_gauge("upstreams_unusable", "Upstreams kept from work for now", self._unusable)
-        add_gauge("log_lines_left_out", "Log lines that no reader took", dropped_line_count)
-
     def _forget_removed(self) -> None:
         """Drop the records of removed upstreams; a restarted upstream has a new id."""
         listed = dict(self.fleet_state.upstreams)
@@ -282,16 +252,6 @@
                     self.client.drop_idle(upstream.address)
         self._listed = listed
 
-    def _version(self) -> float:
-        return 0 if self.fleet_state.table is None else self.fleet_state.table.version
-
-    def _leaving(self) -> float:
-        return sum(upstream.leaving for upstream in self.fleet_state.upstreams.values())
-
-    def _unusable(self) -> float:
-        listed = tuple(self.fleet_state.upstreams.values())
-        return len(listed) - len(self.record.usable(listed))
-
     def close(self) -> None:
         """Stop listening and close every connection."""
         for server in self._servers:
@@ -338,45 +298,6 @@
         table = self.fleet_state.table
         return RequestBounds() if table is None else table.bounds
 
-    def _record_behind(self, revision: int) -> None:
-        """Record since when a peer has been on a newer revision of the store."""
-        if self._behind is None:
-            self._behind = (revision, self.timers.now())
-
-    def _is_behind(self) -> bool:
-        """Whether a peer reached a revision a while ago that this gateway still has not."""
-        if self._behind is None:
-            return False
-        revision, since = self._behind
-        if self.fleet_state.revision >= revision:
-            self._behind = None
-            return False
-        return self.timers.now() - since > _MAX_BEHIND_SECONDS
-
-    def _request_peer_snapshot(self) -> None:
-        """Fetch a peer's snapshot before the first configuration, or if peers stay ahead."""
-        starting = self.fleet_state.table is None
-        behind = self._is_behind()
-        if not (starting or behind) or (
-            self._snapshot_task is not None and not self._snapshot_task.done()
-        ):
-            return
-        if behind and self.link.connected:
-            # The store serves other gateways, so the watch of this one may have stalled.
-            self.link.restart()
-        self._snapshot_task = asyncio.get_running_loop().create_task(self._fetch_peer_snapshot())
-
-    async def _fetch_peer_snapshot(self) -> None:
-        seeds = self.settings.get(GatewayPeersSection).seeds
-        newer = [
-            peer for peer in self.gossip.live_peers() if peer.revision > self.fleet_state.revision
-        ]
-        # Sorting is stable: peers of the own failure domain first, the newest of them first.
-        newer.sort(key=lambda peer: peer.failure_domain != self.node.failure_domain)
-        known = [peer.control for peer in newer]
-        others = [address for address in (*known, *seeds) if address != self.node.control]
-        await self.link.fetch_newer_snapshot(dict.fromkeys(others))
-
     def _check_for_freeze(self) -> None:
         """Replace idle connections and the watch if the process was frozen, as they may be dead."""
         now = _boot_time()
--- /dev/null
+++ b/src/baobabpulley/gateway/gauges.py
@@ -0,0 +1,160 @@
+"""Gauges of the state that a gateway knows, each computed on a scrape."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+from typing import final
+
+from baobabpulley.gateway.crash_evidence import CrashEvidence
+from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.metrics import GatewayMetrics
+from baobabpulley.gateway.placer import Placer
+from baobabpulley.gateway.store_link import StoreLink
+from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.logs import dropped_line_count
+from baobabpulley.platform.store import PlatformStore
+
+
+@final
+class GaugeSources:
+    """The components of a gateway whose state is shown."""
+
+    __slots__ = (
+        "evidence",
+        "fleet_state",
+        "gossip",
+        "link",
+        "listener",
+        "placer",
+        "record",
+        "store",
+    )
+
+    def __init__(
+        self,
+        *,
+        evidence: CrashEvidence,
+        fleet_state: FleetState,
+        gossip: GossipProtocol,
+        link: StoreLink,
+        listener: CallerListener,
+        placer: Placer,
+        record: UpstreamRecord,
+        store: PlatformStore,
+    ) -> None:
+        self.evidence = evidence
+        self.fleet_state = fleet_state
+        self.gossip = gossip
+        self.link = link
+        self.listener = listener
+        self.placer = placer
+        self.record = record
+        self.store = store
+
+
+GaugeValue = Callable[[GaugeSources], float]
+
+# Help text and value, by name without the prefix of all metrics.
+_GAUGES: Final[dict[str, tuple[str, GaugeValue]]] = {}
+
+
+def register_gauges(metrics: GatewayMetrics, sources: GaugeSources) -> None:
+    """Add all gauges to the metrics of a gateway."""
+    for name, (text, value) in _GAUGES.items():
+        metrics.add_gauge(name, text, partial(value, sources))
+
+
+def _gauge(text: str) -> Callable[[GaugeValue], GaugeValue]:
+    """Return a decorator that registers a gauge under the name of its function."""
+
+    def add(value: GaugeValue) -> GaugeValue:
+        _GAUGES[value.__name__] = (text, value)
+        return value
+
+    return add
+
+
+@_gauge("Version of the configuration in force")
+def configuration_version(sources: GaugeSources) -> float:
+    table = sources.fleet_state.table
+    return 0 if table is None else table.version
+
+
+@_gauge("Revision of the store followed")
+def store_revision(sources: GaugeSources) -> float:
+    return sources.fleet_state.revision
+
+
+@_gauge("1 while the store answers")
+def store_connected(sources: GaugeSources) -> float:
+    return float(sources.link.connected)
+
+
+@_gauge("Calls made to the store")
+def store_calls(sources: GaugeSources) -> float:
+    return sources.store.calls
+
+
+@_gauge("Gateways known, this one included")
+def gateways(sources: GaugeSources) -> float:
+    return sources.gossip.gateway_count
+
+
+@_gauge("Bytes of news sent to other gateways")
+def news_bytes(sources: GaugeSources) -> float:
+    return sources.gossip.traffic.sent
+
+
+@_gauge("Bytes of news sent to gateways of other failure domains through relays")
+def news_bytes_remote(sources: GaugeSources) -> float:
+    return sources.gossip.remote_traffic.sent
+
+
+@_gauge("Requests that wait for an upstream")
+def waiting(sources: GaugeSources) -> float:
+    return sources.placer.waiting
+
+
+@_gauge("Requests being served")
+def in_flight(sources: GaugeSources) -> float:
+    return sources.listener.active_requests
+
+
+@_gauge("Upstreams listed")
+def upstreams(sources: GaugeSources) -> float:
+    return len(sources.fleet_state.upstreams)
+
+
+@_gauge("Upstreams that are leaving")
+def upstreams_leaving(sources: GaugeSources) -> float:
+    return sum(upstream.leaving for upstream in sources.fleet_state.upstreams.values())
+
+
+@_gauge("Parts of prompts that crash engines")
+def quarantined_parts(sources: GaugeSources) -> float:
+    return sources.evidence.quarantined
+
+
+@_gauge("Of these, upstreams registered as ready that said so in a response")
+def upstreams_said_leaving(sources: GaugeSources) -> float:
+    return sources.fleet_state.said_leaving_count
+
+
+@_gauge("Upstreams that asked for no requests for now")
+def upstreams_backpressured(sources: GaugeSources) -> float:
+    return len(sources.record.backpressured_upstreams())
+
+
+@_gauge("Upstreams kept from work for now")
+def upstreams_unusable(sources: GaugeSources) -> float:
+    listed = tuple(sources.fleet_state.upstreams.values())
+    return len(listed) - len(sources.record.usable(listed))
+
+
+@_gauge("Log lines that no reader took")
+def log_lines_left_out(sources: GaugeSources) -> float:
+    return dropped_line_count()
