Split the entry's placer: queues of the lanes and the check of waits apart

Placement and Waiter stand in placements.py, the two queues and their order in lane_queues.py, and the estimate by which a request is refused in wait_check.py. test_placer, test_retries and test_engine_pauses pass as they are.

--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -13,7 +13,7 @@
 from baobabpulley.entry.delivery import CompletionProgress
 from baobabpulley.entry.forwarding import RequestForwarder
 from baobabpulley.entry.pacing import Pacer
-from baobabpulley.entry.placer import Placement
+from baobabpulley.entry.placements import Placement
 from baobabpulley.entry.placer import Placer
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from baobabpulley.entry.lane_queues import LaneQueues
 from baobabpulley.entry.load_estimates import LoadEstimates
-from baobabpulley.entry.outstanding import DispatchedAttempt
 from baobabpulley.entry.outstanding import UpstreamEstimate
+from baobabpulley.entry.placements import Placement
+from baobabpulley.entry.placements import Waiter
 from baobabpulley.entry.short_lane_rate import ShortLaneRate
+from baobabpulley.entry.wait_check import WaitCheck
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import NoUpstream
 from baobabpulley.model.blocks import chained_block_hashes
@@ -20,98 +23,32 @@
 from baobabpulley.model.requests import CompletionRequest
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.policy.admission import AdmissionSection
-from baobabpulley.policy.admission import check_wait
-from baobabpulley.policy.admission import short_wait
 from baobabpulley.policy.fairness import DeficitQueue
 from baobabpulley.policy.lanes import SHORT
 from baobabpulley.policy.lanes import LanesSection
-from baobabpulley.policy.lanes import response_ratio
 from baobabpulley.policy.routing import RoutingPolicy
 from baobabpulley.policy.routing import RoutingSection
 from baobabpulley.policy.routing import routing_policies
-from baobabpulley.ports.engine import PRIORITY_LONG
-from baobabpulley.ports.engine import PRIORITY_SHORT
 from baobabpulley.timers import TimerHandle
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD_SECONDS: Final = 0.1
 
 
-@final
-class Placement:
-    """The upstream chosen for an attempt, and the estimates it was chosen by.
-
-    ``attempt`` is how the attempt is counted at the upstream, ``blocks`` the chained hashes of
-    the prompt's blocks, and ``cached_tokens`` the estimated prefix cache hit. ``queued_at`` is the
-    model time at which the request entered its lane.
-    """
-
-    __slots__ = ("attempt", "blocks", "cached_tokens", "queued_at", "upstream")
-
-    def __init__(
-        self,
-        *,
-        upstream: Upstream,
-        attempt: DispatchedAttempt,
-        blocks: tuple[int, ...],
-        cached_tokens: float,
-        queued_at: float,
-    ) -> None:
-        self.upstream = upstream
-        self.attempt = attempt
-        self.blocks = blocks
-        self.cached_tokens = cached_tokens
-        self.queued_at = queued_at
-
-    @property
-    def waited(self) -> float:
-        """Model seconds that the request was queued in its lane."""
-        return self.attempt.sent_at - self.queued_at
-
-
-class _Waiter:
-    """A queued request, and the future that is resolved with its placement.
-
-    ``ideal`` is the duration of the prefill on an idle engine, in model seconds.
-    """
-
-    __slots__ = ("blocks", "excluded", "future", "ideal", "lane", "queued_at", "request")
-
-    def __init__(
-        self,
-        *,
-        request: CompletionRequest,
-        lane: str,
-        excluded: frozenset[str],
-        blocks: tuple[int, ...],
-        ideal: float,
-        queued_at: float,
-    ) -> None:
-        self.request = request
-        self.lane = lane
-        self.excluded = excluded
-        self.blocks = blocks
-        self.ideal = ideal
-        self.queued_at = queued_at
-        self.future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-
-
 @final
 class Placer:
     """Admit the requests of one entry, queue them by lane, and assign them to upstreams."""
 
     __slots__ = (
-        "_admission",
         "_estimates",
-        "_lanes",
-        "_long_queue",
         "_policy",
+        "_queues",
         "_routing",
-        "_short_queue",
         "_short_rate",
         "_ticker",
         "_timers",
         "_view",
+        "_wait_check",
     )
 
     def __init__(
@@ -129,25 +66,23 @@
         self._estimates = estimates
         self._policy = policy
         self._routing = routing
-        self._lanes = lanes
-        self._admission = admission
         self._timers = timers
         self._short_rate = ShortLaneRate()
         self._ticker: TimerHandle | None = None
-        self._short_queue: DeficitQueue[_Waiter] = DeficitQueue(
-            quantum=lanes.short_quantum, cost=_prompt_tokens, weight=self._team_weight
-        )
-        self._long_queue: DeficitQueue[_Waiter] = DeficitQueue(
-            quantum=lanes.long_quantum,
-            cost=_prompt_tokens,
-            rank=self._long_rank,
-            weight=self._team_weight,
+        self._queues = LaneQueues(lanes=lanes, weight=self._team_weight, timers=timers)
+        self._wait_check = WaitCheck(
+            admission=admission,
+            estimates=estimates,
+            queues=self._queues,
+            short_rate=self._short_rate,
+            view=view,
+            timers=timers,
         )
 
     @property
     def waiting(self) -> int:
         """Number of requests that are queued."""
-        return len(self._short_queue) + len(self._long_queue)
+        return len(self._queues)
 
     async def place(
         self,
@@ -166,10 +101,10 @@
         """
         waiter = self._make_waiter(request, lane, excluded, queued_at)
         eligible = self._eligible(waiter)
-        queue = self._queue(lane)
+        queue = self._queues.of_lane(lane)
         room = [] if len(queue) else self._with_room(waiter, eligible)
         if queued_at is None:
-            self._check_admission(waiter, eligible, waits=not room)
+            self._wait_check.check(waiter, eligible, waits=not room)
         return self._dispatch(waiter, room) if room else await self._wait(waiter, queue)
 
     def record_first_token(self, placement: Placement) -> None:
@@ -210,9 +145,9 @@
         lane: str,
         excluded: frozenset[str],
         queued_at: float | None,
-    ) -> _Waiter:
+    ) -> Waiter:
         blocks = chained_block_hashes(request.prompt.encode()) if self._routing.prefix_aware else ()
-        return _Waiter(
+        return Waiter(
             request=request,
             lane=lane,
             excluded=excluded,
@@ -221,10 +156,7 @@
             queued_at=self._timers.now() if queued_at is None else queued_at,
         )
 
-    def _queue(self, lane: str) -> DeficitQueue[_Waiter]:
-        return self._short_queue if lane == SHORT else self._long_queue
-
-    async def _wait(self, waiter: _Waiter, queue: DeficitQueue[_Waiter]) -> Placement:
+    async def _wait(self, waiter: Waiter, queue: DeficitQueue[Waiter]) -> Placement:
         request = waiter.request
         queue.push(request.team, waiter)
         self._start_ticker()
@@ -263,23 +195,16 @@
 
     def _serve(self) -> None:
         """Place the queued requests that have room: the short lane first, then the long one."""
-        while (waiter := self._short_queue.head()) is not None and self._try_place(
-            self._short_queue, waiter
+        while (waiter := self._queues.short.head()) is not None and self._try_place(
+            self._queues.short, waiter
         ):
             pass
-        while (waiter := self._next_long_waiter()) is not None and self._try_place(
-            self._long_queue, waiter
+        while (waiter := self._queues.next_long()) is not None and self._try_place(
+            self._queues.long, waiter
         ):
             pass
 
-    def _next_long_waiter(self) -> _Waiter | None:
-        oldest = min(self._long_queue, key=lambda waiter: waiter.queued_at, default=None)
-        if oldest is None:
-            return None
-        overdue = self._timers.now() - oldest.queued_at > self._lanes.long_wait_bound
-        return oldest if overdue else self._long_queue.head()
-
-    def _try_place(self, queue: DeficitQueue[_Waiter], waiter: _Waiter) -> bool:
+    def _try_place(self, queue: DeficitQueue[Waiter], waiter: Waiter) -> bool:
         if waiter.future.done():
             queue.remove(waiter.request.team, waiter)
             return True
@@ -296,11 +221,11 @@
         waiter.future.set_result(self._dispatch(waiter, room))
         return True
 
-    def _eligible(self, waiter: _Waiter) -> list[Upstream]:
+    def _eligible(self, waiter: Waiter) -> list[Upstream]:
         return self._estimates.eligible(waiter.request, excluded=waiter.excluded)
 
     def _with_room(
-        self, waiter: _Waiter, eligible: list[Upstream]
+        self, waiter: Waiter, eligible: list[Upstream]
     ) -> list[tuple[Upstream, UpstreamEstimate]]:
         """Return the upstreams that have room for the request now, and their load estimates."""
         estimates = self._estimates
@@ -313,9 +238,7 @@
             if estimates.has_room(upstream, waiter.request, lane=waiter.lane, estimate=estimate)
         ]
 
-    def _dispatch(
-        self, waiter: _Waiter, room: list[tuple[Upstream, UpstreamEstimate]]
-    ) -> Placement:
+    def _dispatch(self, waiter: Waiter, room: list[tuple[Upstream, UpstreamEstimate]]) -> Placement:
         """Choose among the upstreams with room and count the request as dispatched."""
         request = waiter.request
         candidates = [
@@ -334,77 +257,10 @@
             queued_at=waiter.queued_at,
         )
 
-    def _check_admission(self, waiter: _Waiter, eligible: list[Upstream], *, waits: bool) -> None:
-        """Raise `Overloaded` if the estimated wait exceeds the admission bounds.
-
-        The engines' prefill rate is assumed to be divided evenly among the entries.
-        """
-        entries = max(1, len(self._view.keepers))
-        rate = sum(self._estimates.rate(upstream.id) for upstream in eligible) / entries
-        if waiter.lane == SHORT:
-            wait, service = (
-                self._short_wait(waiter, rate) + self._engine_wait(eligible),
-                waiter.ideal,
-            )
-            bound = self._admission.max_short_wait
-        else:
-            share = self._long_share(rate)
-            total = sum(_prompt_tokens(queued) for queued in self._long_queue) + _prompt_tokens(
-                waiter
-            )
-            running = sum(
-                self._estimates.ahead_tokens(upstream.id, PRIORITY_LONG) for upstream in eligible
-            )
-            wait = (total + running / entries) / (rate * share)
-            service = waiter.ideal / share
-            bound = float("inf")
-        check_wait(
-            wait=wait if waits else 0.0,
-            service=service,
-            remaining=waiter.request.deadline - self._timers.now(),
-            bound=bound,
-        )
-
-    def _short_wait(self, waiter: _Waiter, rate: float) -> float:
-        team = waiter.request.team
-        own_waiters = self._short_queue.of_team(team)
-        return short_wait(
-            own_tokens=sum(_prompt_tokens(queued) for queued in own_waiters)
-            + _prompt_tokens(waiter),
-            total_tokens=sum(_prompt_tokens(queued) for queued in self._short_queue)
-            + _prompt_tokens(waiter),
-            teams=self._short_queue.teams + (0 if own_waiters else 1),
-            rate=rate,
-            others_rate=self._short_rate.rate_of_others(team, now=self._timers.now()),
-        )
-
-    def _engine_wait(self, eligible: list[Upstream]) -> float:
-        """Return the shortest queueing time of a short request at an engine, in model seconds."""
-        estimates = self._estimates
-        return min(
-            estimates.ahead_tokens(upstream.id, PRIORITY_SHORT) / estimates.rate(upstream.id)
-            for upstream in eligible
-        )
-
-    def _long_share(self, rate: float) -> float:
-        """Return the ratio of this entry's prefill rate that short requests leave unused."""
-        unused_ratio = 1.0 - self._short_rate.rate(now=self._timers.now()) / rate
-        return max(self._admission.least_long_share, unused_ratio)
-
-    def _long_rank(self, waiter: _Waiter) -> float:
-        waited = self._timers.now() - waiter.queued_at
-        if self._lanes.long_order == "arrival":
-            return waited
-        return response_ratio(waited=waited, ideal=waiter.ideal)
-
     def _team_weight(self, team: str) -> float:
         return self._view.settings_state.access(team).weight
 
 
-def _prompt_tokens(waiter: _Waiter) -> int:
-    return waiter.request.prompt_tokens
-
-
 def make_placer(
     *,
     vm: str,
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -9,7 +9,7 @@
 from builders import make_request
 from builders import make_view
 
-from baobabpulley.entry.placer import Placement
+from baobabpulley.entry.placements import Placement
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import NoUpstream
