--- a/src/baobabpulley/keeper/order_issuer.py
+++ b/src/baobabpulley/keeper/order_issuer.py
@@ -22,7 +22,6 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Annotated
 from typing import Final
 from typing import final
 
@@ -30,7 +29,6 @@
 from loguru import logger
 
 from baobabpulley.errors import BaobabError
-from baobabpulley.errors import InvalidSettings
 from baobabpulley.errors import OrderTooLate
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.keeper.context import KeeperContext
@@ -39,6 +37,8 @@
 from baobabpulley.keeper.engine_states import EngineStates
 from baobabpulley.keeper.order_credentials import OrderCredentials
 from baobabpulley.keeper.order_lease import OrderLease
+from baobabpulley.keeper.order_settings import OrderIssuerSection
+from baobabpulley.keeper.order_settings import checked_times
 from baobabpulley.model.documents import order_lease_key
 from baobabpulley.model.messages import OrderDecision
 from baobabpulley.model.messages import OrderDecisionsRequest
@@ -51,55 +51,12 @@
 from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.engine import EngineState
 from baobabpulley.ports.engine import Order
-from baobabpulley.settings import Seconds
-from baobabpulley.settings import section
 
 MAX_DECISIONS: Final = 1_000
 # Attempts skipped while a live keeper holds the lease, to reduce requests to the store.
 SKIPPED_ATTEMPTS: Final = 4
 
 
-@section("tender", "keeper")
-class OrderIssuerSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of the order lease and of orders. Times are model seconds.
-
-    ``try_again`` is the period of attempts to acquire the lease, ``period`` that of comparing the
-    desired and actual state of engines. The holder stops issuing orders ``margin`` before the store
-    can expire the lease. ``loads_per_second`` is the rate at which the weight store
-    can serve model loads. An order that is not confirmed within ``confirm_within`` is issued again
-    under a new id. ``credential`` is the bearer token for engines that authenticate the sender of
-    an order.
-    """
-
-    ttl: Seconds = 20.0
-    margin: Seconds = 7.0
-    renew: Seconds = 5.0
-    try_again: Seconds = 3.0
-    period: Seconds = 1.0
-    order_window: Seconds = 3.0
-    confirm_within: Seconds = 30.0
-    loads_per_second: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    loads_burst: Annotated[float, msgspec.Meta(ge=1)] = 2.0
-    credential: str = ""
-
-
-def checked_times(times: OrderIssuerSection) -> OrderIssuerSection:
-    """Return the section if its times keep the guarantees; raise `InvalidSettings` if not."""
-    if times.margin <= 2 * times.order_window:
-        raise InvalidSettings(
-            f"[tender] margin = {times.margin:g} is not more than twice order_window = "
-            f"{times.order_window:g}",
-            remedy="Raise margin, or lower order_window if all engines' read timeouts allow it.",
-        )
-    if times.ttl <= times.margin + 2 * times.renew:
-        raise InvalidSettings(
-            f"[tender] ttl = {times.ttl:g} is not more than margin = {times.margin:g} plus twice "
-            f"renew = {times.renew:g}",
-            remedy="Raise ttl above margin + 2 * renew.",
-        )
-    return times
-
-
 @final
 class UnconfirmedOrder:
     """An order that was sent and is not confirmed yet; retries keep its ``id``."""
--- a/testing/order_world.py
+++ b/testing/order_world.py
@@ -23,7 +23,7 @@
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import KeeperPart
 from baobabpulley.keeper.order_issuer import OrderIssuer
-from baobabpulley.keeper.order_issuer import OrderIssuerSection
+from baobabpulley.keeper.order_settings import OrderIssuerSection
 from baobabpulley.model.documents import ModelDocument
 from baobabpulley.model.documents import ServiceDocument
 from baobabpulley.model.documents import StoredEntry
--- a/testing/test_orders.py
+++ b/testing/test_orders.py
@@ -12,8 +12,8 @@
 from order_world import World
 
 from baobabpulley.errors import InvalidSettings
-from baobabpulley.keeper.order_issuer import OrderIssuerSection
-from baobabpulley.keeper.order_issuer import checked_times
+from baobabpulley.keeper.order_settings import OrderIssuerSection
+from baobabpulley.keeper.order_settings import checked_times
 from baobabpulley.model.documents import ServiceDocument
 from baobabpulley.model.documents import service_key
 
