Use connections that opened while the process was held up

For all upstreams to which a gateway is connecting when its process is held up for longer than 0.2 s: an attempt that failed, a mark against the upstream's health and its failure domain.

Cause: in the first turn of the event loop after a hold-up both the connection's event and the timer are due. The event's result needs one turn more to reach the task that waits, so the timer won.

When the time is over, the kernel is asked now whether the connection is open; if so, the event loop gets its turns. The error names the time, which was missing ('no connection to ...: ').

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -44,12 +44,10 @@
 
     ``timeout`` is in real seconds.
     """
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    stream = NoDelayStream(connection)
+    stream = NoDelayStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     try:
-        async with asyncio.timeout(timeout):
-            await stream.connect(split_address(address))
-    except (TimeoutError, StreamClosedError, OSError) as error:
+        await _open(stream, address, timeout)
+    except (StreamClosedError, OSError) as error:
         stream.close()
         raise UpstreamUnreachable(f"no connection to {address}: {error}") from error
     except BaseException:
@@ -58,6 +56,26 @@
     return stream
 
 
+async def _open(stream: IOStream, address: str, timeout: float) -> None:
+    opening = stream.connect(split_address(address))
+    await asyncio.wait({opening}, timeout=timeout)
+    if not opening.done() and _is_open(stream):
+        # This process was held up; the event loop reports the connection in its next turns.
+        await asyncio.wait({opening}, timeout=timeout)
+    if not opening.done():
+        raise UpstreamUnreachable(f"no connection to {address}: not open within {timeout:.2f} s")
+    await opening
+
+
+def _is_open(stream: IOStream) -> bool:
+    """Whether the kernel has opened a connection, be it known to the stream yet or not."""
+    try:
+        stream.socket.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def has_unconsumed_bytes(stream: IOStream) -> bool:
     """Whether bytes have been read from the socket that no read has consumed yet."""
     return bool(stream._read_buffer_size)
