--- a/bench/replay_mix.py
+++ b/bench/replay_mix.py
@@ -82,7 +82,7 @@
 
 
 async def _day(seed: int, *, gateways: int, engines: int, slots: int) -> list[RequestOutcome]:
-    simulation = PlacementSimulation(engines, gateways=gateways, slots=slots)
+    simulation = PlacementSimulation(engines, gateways=gateways, slots=slots, seed=seed)
     arrivals = _arrivals(seed, scale=engines / ENGINES)
     return await simulation.replay(arrivals, seconds=DAY_SECONDS + DRAIN_SECONDS)
 
--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import random
 from collections import Counter
 from collections.abc import Iterable
 from typing import Final
@@ -61,7 +62,13 @@
     __slots__ = ("candidates", "gossip", "loads", "placer", "publish_due", "publish_step")
 
     def __init__(
-        self, name: str, *, fleet_state: FleetState, timers: ManualTimers, publish_step: int
+        self,
+        name: str,
+        *,
+        fleet_state: FleetState,
+        timers: ManualTimers,
+        publish_step: int,
+        source: random.Random,
     ) -> None:
         self.loads = LoadTracker()
         self.publish_due = False
@@ -97,6 +104,7 @@
             record=record,
             timers=timers,
             max_waiting=2000,
+            source=source,
         )
 
     def _mark_publish_due(self) -> None:
@@ -118,7 +126,8 @@
 class PlacementSimulation:
     """Gateways that place requests on simulated engines; each arrival goes to the next gateway.
 
-    ``slots`` is the number of requests that an engine serves at once.
+    ``slots`` is the number of requests that an engine serves at once. With ``seed`` the placers
+    draw the same choices in each run.
     """
 
     __slots__ = (
@@ -133,8 +142,14 @@
     )
 
     def __init__(
-        self, engines: int, *, gateways: int = 1, slots: int = TYPICAL_ENGINE.slots
+        self,
+        engines: int,
+        *,
+        gateways: int = 1,
+        slots: int = TYPICAL_ENGINE.slots,
+        seed: int | None = None,
     ) -> None:
+        seeds = random.Random(seed)
         self._slots = slots
         # Requests of all gateways at each engine, as they are now.
         self._running: Counter[str] = Counter()
@@ -155,6 +170,7 @@
                 fleet_state=self.fleet_state,
                 timers=self.timers,
                 publish_step=number % PUBLISH_PERIOD_STEPS,
+                source=random.Random(seeds.getrandbits(64)),
             )
             for number in range(gateways)
         ]
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -94,13 +94,14 @@
         record: UpstreamRecord,
         timers: TimerService,
         max_waiting: int,
+        source: random.Random | None = None,
     ) -> None:
         self._candidates = candidates
         self._loads = loads
         self._record = record
         self._timers = timers
         self._max_waiting = max_waiting
-        self._random = random.Random()
+        self._random = source or random.Random()
         self._planner = PromptPlanner(source=self._random)
         self._call_seconds: dict[str, float] = defaultdict(lambda: INITIAL_CALL_SECONDS)
         self._queues: dict[str, SortedKeyList] = defaultdict(
--- a/testing/test_placement_under_load.py
+++ b/testing/test_placement_under_load.py
@@ -205,3 +205,12 @@
     assert share_on_time(served, SHORT_ROUTE) >= 0.95
     assert sorted(in_use)[len(in_use) // 2] <= ENGINES // 2
     world.timers.cancel_all()
+
+
+async def test_a_seed_repeats_the_placements() -> None:
+    expected = []
+    for seed in (1, 1, 2):
+        world = PlacementSimulation(ENGINES, gateways=4, seed=seed)
+        served = await world.replay(short_arrivals(40.0, begin=0.0, end=3.0), seconds=3.0)
+        expected.append([result.expected for result in served])
+    assert expected[0] == expected[1] != expected[2]
