Show that a prompt refused after its wait frees the probe of its engine

A prompt waits for the only slot of an engine, which is then lost to the gateway's record; the prompt gets the slot as its probe and is refused by the quarantine of its part. The engine has to be usable again once its backoff is over.

--- a/testing/test_quarantine_review.py
+++ b/testing/test_quarantine_review.py
@@ -316,6 +316,23 @@
     assert gateway.loads.load("i-0", now=time.monotonic()).in_flight == 0
 
 
+async def test_a_prompt_refused_after_its_wait_frees_the_probe_of_its_engine(world: World) -> None:
+    await world.add_upstream("i-0", service=KITCHEN, slots=1)
+    gateway = await world.add_gateway()
+    loads, timers = gateway.loads, gateway.timers
+    taken = loads.begin("i-0", prefill_seconds=0.0, memory_tokens=0, now=timers.now())
+    waiting = asyncio.create_task(send_prompt(gateway))
+    await wait_until(lambda: gateway.placer.waiting == 1)
+    hear_crashes(gateway, ages=(0.6, 0.3, 0.0))
+    listed = list(gateway.fleet_state.upstreams.values())
+    gateway.record.record_failure(listed[0])
+    # The slot that this frees goes to the waiting prompt, as the probe of the engine.
+    loads.end(taken, now=timers.now())
+    assert (await waiting).status == 503
+    assert calls(world) == []
+    await wait_until(lambda: gateway.record.usable(listed) == listed)
+
+
 def test_few_more_bad_prompts_reach_engines_after_five_crashes_at_the_same_moment() -> None:
     """Engines crash 30 ms after the request; a request is repeated as soon as it is lost."""
     quarantine = PromptQuarantine()
