Test time limits of callers' connections by a clock that the test moves

test_a_body_that_arrives_slowly_but_steadily_is_served failed once in 6 runs of its file at load 22 to 34: 'assert 408 == 200'.

Cause: the test, not the gateway. It sent a byte every 0.2 s by sleeps of its own process and the limit is 0.4 s, so a delay of 0.2 s by the machine is a body that really stops for longer than allowed. Which delay it was can't be read from the failed run's output. The two tests of idle limits waited in the same way, 1.2 s of 1.6 s and of 2.1 s.

They now move the listener's clock themselves, to 10 ms before the idle limit, so they check more of the limit than before and don't depend on the machine. The body's bytes have to be acknowledged before the clock moves: without that a byte was still on its way (183 bytes unacknowledged, nothing in the listener's kernel buffer or stream) when the limit was checked.

--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import os
 import socket
+import termios
 import time
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
@@ -39,6 +42,7 @@
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.platform import names
+from baobabpulley.timers import ManualTimers
 from baobabpulley.timers import TimerService
 
 WAIT_SECONDS = 10.0
@@ -60,11 +64,11 @@
     that it closed with a request or an answer incomplete.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, timers: TimerService) -> None:
         self.bounds = RequestBounds()
         self.requested: list[str] = []
         self.closes: list[CloseReason] = []
-        self.timers = TimerService()
+        self.timers = timers
         self.listener = CallerListener(
             handler=self._answer,
             bounds=lambda: self.bounds,
@@ -94,15 +98,21 @@
     _writers.clear()
 
 
-@pytest.fixture
-async def listening() -> AsyncIterator[Listening]:
-    opened = Listening()
+@contextlib.asynccontextmanager
+async def open_listening(timers: TimerService) -> AsyncIterator[Listening]:
+    opened = Listening(timers)
     yield opened
     opened.listener.stop()
     opened.listener.close_all()
     opened.timers.cancel_all()
 
 
+@pytest.fixture
+async def listening() -> AsyncIterator[Listening]:
+    async with open_listening(TimerService()) as opened:
+        yield opened
+
+
 @pytest.fixture
 async def world(tmp_path: Path) -> AsyncIterator[World]:
     async with open_world(tmp_path) as opened:
@@ -136,6 +146,14 @@
     assert sent == len(data)
 
 
+def is_received(writer: asyncio.StreamWriter) -> bool:
+    """Whether the other side's kernel has acknowledged all that was sent."""
+    unacknowledged = fcntl.ioctl(
+        writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4)
+    )
+    return not any(unacknowledged)
+
+
 def hold_up_process(seconds: float) -> None:
     """Keep the event loop from running, as a freeze or a long computation does."""
     time.sleep(seconds)
@@ -153,27 +171,27 @@
 # Time limits of a connection.
 
 
-async def test_an_open_connection_lives_by_a_longer_idle_limit_of_a_later_configuration(
-    listening: Listening,
-) -> None:
-    listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
-    reader, writer = await listening.connect()
-    listening.bounds = RequestBounds(idle_timeout=2.0, header_timeout=0.1)
-    await asyncio.sleep(1.2)
-    writer.write(request_bytes("/second"))
-    assert (await receive(reader)).status == 200
+async def test_an_open_connection_lives_by_a_longer_idle_limit_of_a_later_configuration() -> None:
+    timers = ManualTimers()
+    async with open_listening(timers) as listening:
+        listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
+        reader, writer = await listening.connect()
+        listening.bounds = RequestBounds(idle_timeout=2.0, header_timeout=0.1)
+        await timers.advance(1.99)
+        writer.write(request_bytes("/second"))
+        assert (await receive(reader)).status == 200
 
 
-async def test_a_connection_idle_since_before_a_shorter_limit_lives_by_the_longer_one(
-    listening: Listening,
-) -> None:
-    listening.bounds = RequestBounds(idle_timeout=1.5, header_timeout=0.1)
-    reader, writer = await listening.connect()
-    await asyncio.sleep(0.3)
-    listening.bounds = RequestBounds(idle_timeout=0.1, header_timeout=0.1)
-    await asyncio.sleep(0.9)
-    writer.write(request_bytes("/second"))
-    assert (await receive(reader)).status == 200
+async def test_a_connection_idle_since_before_a_shorter_limit_lives_by_the_longer_one() -> None:
+    timers = ManualTimers()
+    async with open_listening(timers) as listening:
+        listening.bounds = RequestBounds(idle_timeout=1.5, header_timeout=0.1)
+        reader, writer = await listening.connect()
+        await timers.advance(0.3)
+        listening.bounds = RequestBounds(idle_timeout=0.1, header_timeout=0.1)
+        await timers.advance(1.19)
+        writer.write(request_bytes("/second"))
+        assert (await receive(reader)).status == 200
 
 
 async def test_an_open_connection_lives_by_a_shorter_idle_limit_of_a_later_configuration(
@@ -222,15 +240,18 @@
     assert listening.requested == ["/first"]
 
 
-async def test_a_body_that_arrives_slowly_but_steadily_is_served(listening: Listening) -> None:
-    listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
-    reader, writer = await listening.connect()
-    head, body = head_and_body("/second", body=b"12345")
-    writer.write(head)
-    for byte in body:
-        await asyncio.sleep(0.2)
-        writer.write(bytes([byte]))
-    assert (await receive(reader)).status == 200
+async def test_a_body_that_arrives_slowly_but_steadily_is_served() -> None:
+    timers = ManualTimers()
+    async with open_listening(timers) as listening:
+        listening.bounds = RequestBounds(idle_timeout=0.3, header_timeout=0.1)
+        reader, writer = await listening.connect()
+        head, body = head_and_body("/second", body=b"12345")
+        send_now(writer, head)
+        for byte in body:
+            await wait_until(lambda: is_received(writer))
+            await timers.advance(0.29)
+            send_now(writer, bytes([byte]))
+        assert (await receive(reader)).status == 200
 
 
 # Refusals while the body is still arriving.
