Give the caller that reads during a shutdown a grace that the machine can't use up

test_a_shutdown_does_not_cut_an_answer_that_its_caller_still_reads failed in 2 of 6 runs of its file at load 22 to 34: 11,812,766 and 8,814,494 of 12,000,000 bytes read.

The caller reads through a receive buffer of 4 KB from 0.7 s on; alone that takes 0.24 to 0.6 s, beside the load more than 2 s. So the answer was cut at the end of the grace and not by the shutdown's begin, which is what the test is about.

The gateway of this test now has a grace of 30 s, and the shutdown must still be waiting when the caller begins to read. With close_idle closing every connection without a request on a scratch copy it fails (drain already done).

--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -353,13 +353,15 @@
         await call.write(call.sealed(LARGE_ANSWER))
 
     upstream.behaviour = answer_at_length
-    gateway = await world.add_gateway()
+    # Long enough for a caller that reads slowly on a busy machine.
+    gateway = await world.add_gateway(grace="30")
     reader, writer = await connect(gateway, SO_RCVBUF=4096)
     writer.write(request_bytes("/lookup/1"))
     await reader.readuntil(b"\r\n\r\n")
     await wait_until(lambda: gateway.listener.active_requests == 0)
     draining = asyncio.create_task(gateway.drain())
     await asyncio.sleep(0.7)
+    assert not draining.done()
     body = await asyncio.wait_for(reader.readexactly(len(LARGE_ANSWER)), WAIT_SECONDS)
     assert body == LARGE_ANSWER
     await draining
