Let timers and other callers run while a stream's events arrive faster than they are passed on

Callers of a stream whose upstream sends small events or comments back to back got their end up to 4 s late (6.8 s for events of 3 bytes, 3 s allowed, before the test had other callers), and all other callers of the gateway waited meanwhile: 2 to 4 of them were served in those seconds.

Hypotheses: (1) comments count as progress, so that the deadline moves; (2) the deadline's timer is set too late or not at all; (3) the timer can't fire, as the task that passes the events on never suspends. Ruled out: (1), only events with content are recorded as progress and the deadline doesn't depend on it; (2), the same stream with a pause between its blocks ends after 2.99 s. (3) holds: up to 1 MiB, 200,000 events, are in the queue of the connection, awaiting a queue that isn't empty or a write that is done doesn't suspend, and the loop's lag was 2.67 s in one piece. Tornado's reader already lets others run; the reader of the events didn't.

The reader of the events now ends its turn after 32 events. EndlessSender moved to its own module of builders, unchanged, as two test files use it.

--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
+from baobabpulley.adapters.turns import Turns
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamDisconnected
@@ -109,11 +110,13 @@
         Only complete events with content count as progress.
         """
         splitter = EventSplitter()
+        turns = Turns()
         async for chunk in self._response.chunks(idle_timeout=self._timeout):
             for event in splitter.feed(chunk):
                 if has_content(event):
                     self._progress.record()
                 yield event
+                await turns.end_item()
         if splitter.pending:
             raise UpstreamDisconnected("the stream ended within an event")
 
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -7,9 +7,14 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from pathlib import Path
-from typing import final
 
 import pytest
+from endless_sender import BLOCK_BYTES
+from endless_sender import EndlessSender
+from endless_sender import begin_chunks
+from endless_sender import begin_stream
+from endless_sender import begin_without_length
+from endless_sender import chunk
 from gateway_builders import DEADLINE_MS
 from gateway_builders import KITCHEN
 from gateway_builders import LEDGER
@@ -22,7 +27,6 @@
 
 from baobabpulley.platform import names
 
-BLOCK_BYTES = 65_536
 # A gateway of 430 MB serves many requests at once, so one connection may not hold more than this.
 MAX_BYTES = 24 * 1024 * 1024
 
@@ -33,55 +37,6 @@
         yield opened
 
 
-@final
-class EndlessSender:
-    """A behaviour of an upstream: send ``begin`` and then ``block`` until the connection closes.
-
-    ``pause`` is the time between two blocks in seconds. ``sent`` is the number of bytes sent.
-    """
-
-    def __init__(
-        self, begin: Callable[[Call], bytes], block: bytes = b"x" * BLOCK_BYTES, pause: float = 0.0
-    ) -> None:
-        self._begin = begin
-        self._block = block
-        self._pause = pause
-        self.sent = 0
-        self.closed = asyncio.Event()
-
-    async def __call__(self, upstream: UpstreamStandin, call: Call) -> None:
-        call.writer.write(self._begin(call))
-        try:
-            while not call.writer.is_closing():
-                call.writer.write(self._block)
-                await call.writer.drain()
-                self.sent += len(self._block)
-                await asyncio.sleep(self._pause)
-        except ConnectionError:
-            pass
-        self.closed.set()
-
-
-def sealed_head(call: Call, *extra: str) -> bytes:
-    return call.head(200, f"{names.SEAL}: s.{call.attempt}", *extra)
-
-
-def begin_without_length(call: Call) -> bytes:
-    return sealed_head(call)
-
-
-def begin_chunks(call: Call) -> bytes:
-    return sealed_head(call, "Transfer-Encoding: chunked")
-
-
-def begin_stream(call: Call) -> bytes:
-    return sealed_head(call, "Content-Type: text/event-stream")
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def refuse(call: Call) -> bytes:
     return call.head(503, f"{names.NOT_EXECUTED}: 1")
 
