Judge whole events at once, not line by line, and take an id of too many digits for none

Callers of the gateway waited up to 0.3 s of processor time while one event of many lines (comments of 30,000 lines) was looked at: it was split into its lines by has_content, three times, and by event_id. An id of more than 4,300 digits raised ValueError (Python's limit), no BaobabError, so that the caller got a 500 in place of its stream.

Numbers of more than 18 digits are no ids; such an event is passed on like one without an id. Both new cases of test_floods.py failed before.

--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -5,13 +5,18 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 from typing import final
 
 from baobabpulley.errors import UpstreamLost
 
 MAX_EVENT_BYTES: Final = 1_048_576
-_ID: Final = b"id:"
+# A number with more digits is no id of an event, and Python may refuse to convert it.
+MAX_ID_DIGITS: Final = 18
+# The begin of a line that is neither empty nor a comment.
+_FIELD: Final = re.compile(rb"^[^:\n]", re.MULTILINE)
+_ID: Final = re.compile(rb"^id:(.*)", re.MULTILINE)
 
 
 @final
@@ -52,7 +57,7 @@
     >>> has_content(b"id: 1\\ndata: a\\n\\n"), has_content(b": alive\\n\\n")
     (True, False)
     """
-    return any(line and not line.startswith(b":") for line in event.split(b"\n"))
+    return _FIELD.search(event) is not None
 
 
 def event_id(event: bytes) -> int | None:
@@ -61,11 +66,11 @@
     >>> event_id(b"id: 12\\ndata: x\\n\\n"), event_id(b"data: x\\n\\n")
     (12, None)
     """
-    for line in event.split(b"\n"):
-        if line.startswith(_ID):
-            text = line[len(_ID) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    field = _ID.search(event)
+    if field is None:
+        return None
+    text = field.group(1).strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
 
 
 @final
--- a/testing/test_floods.py
+++ b/testing/test_floods.py
@@ -19,6 +19,9 @@
 from gateway_builders import open_world
 from gateway_builders import request_bytes
 from gateway_builders import send
+from platform_upstream import Behaviour
+from platform_upstream import Call
+from platform_upstream import UpstreamStandin
 
 from baobabpulley.gateway.daemon import Gateway
 
@@ -33,6 +36,7 @@
     pytest.param(chunk(b": x\n\n") * 6_000, id="a-comment-in-each-chunk"),
     pytest.param(chunk(b"d") * 10_000, id="bytes-of-one-event"),
     pytest.param(chunk(b"d\n" * 30_000), id="lines-of-one-event"),
+    pytest.param(chunk(b":\n" * 30_000 + b"\n"), id="long-comments"),
     pytest.param(chunk(b"id: 1\ndata: x\n\n" * 4_000), id="the-same-event"),
 ]
 
@@ -43,6 +47,15 @@
         yield opened
 
 
+def stream_once(block: bytes) -> Behaviour:
+    """Return a behaviour that answers with a stream of the bytes of ``block``."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(begin_event_chunks(call) + chunk(block) + b"0\r\n\r\n")
+
+    return run
+
+
 async def flood(world: World, block: bytes) -> None:
     for name in ("i-1", "i-2"):
         upstream = await world.add_upstream(name, service=KITCHEN)
@@ -104,3 +117,12 @@
     assert received[9:12] in (b"200", b"502", b"503", b"504")
     assert others >= MIN_OTHERS_A_SECOND * elapsed
     assert max(turns) < MAX_TURN_SECONDS
+
+
+async def test_an_id_with_too_many_digits_for_a_number_is_passed_on_as_none(world: World) -> None:
+    event = b"id: " + b"1" * 5_000 + b"\ndata: x\n\n"
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = stream_once(event)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7")
+    assert (reply.status, reply.complete, reply.body) == (200, True, event)
