End the stream of a caller that reads slowly with its reason, in the product's own interface

A caller that was slow to read when its deadline passed got a stream that ended in order, without an error event and without [DONE], and was counted as client_gone.

Cause: the deadline's timer is set in an asynchronous generator (dispatch, forwarding) and cancels the task that waits, which is the handler in flush() while the caller is behind; the generator then ends by GeneratorExit, so that no TimeoutError is made of it, and the handler took every cancellation for a caller that had left. Ruled out by tests that pass before and after: floods of comments or of repeated tokens end in time (2 s allowed) and hold up no other task for 0.1 s; Tornado lets others run after 256 KB.

The handler now notes that its caller has left; any other cancellation is the deadline, and the error event is written.

--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -19,6 +19,7 @@
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import PromptTooLong
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import errors_by_code
@@ -100,6 +101,7 @@
         # Concurrent requests may share a request id, so token accounting uses an id of its own.
         self._spending_id = secrets.token_hex(8)
         self._task: asyncio.Task[None] | None = None
+        self._client_gone = False
         self._record: DecisionRecord | None = None
         self.expect_body(max_bytes=self._section.max_body_bytes, timeout=self._section.body_timeout)
         if self.request.method == "POST":
@@ -127,8 +129,10 @@
         except StreamClosedError:
             self._count(record, "client_gone")
         except asyncio.CancelledError:
-            # Only on_connection_close cancels this task, so no client is left to respond to.
-            self._count(record, "client_gone")
+            if self._client_gone:
+                self._count(record, "client_gone")
+            else:
+                self._end_late(record)
         finally:
             self._task = None
             await self._refund(request)
@@ -146,6 +150,7 @@
 
     def on_connection_close(self) -> None:
         super().on_connection_close()
+        self._client_gone = True
         if self._task is not None:
             self._task.cancel()
 
@@ -239,6 +244,20 @@
             self.set_header("Content-Type", "application/json")
             await self.finish(body)
 
+    def _end_late(self, record: DecisionRecord) -> None:
+        """End a response whose deadline passed while the caller was not reading it.
+
+        The deadline's timer interrupts whatever the task waits for, also a write to the caller.
+        """
+        if self._finished:
+            # All of the answer has been written, and the caller may still read it.
+            self._count(record, "ok")
+            return
+        error = DeadlineExceeded("the deadline passed while the caller was slow to read")
+        self._count(record, error.code)
+        # Not waited for, as the caller may never read it.
+        self.finish(frame_event(msgspec.json.encode(error.document())))
+
     async def _send_error(self, error: BaobabError) -> None:
         if not self._headers_written:
             self.finish_with_error(error)
--- a/testing/test_floods.py
+++ b/testing/test_floods.py
@@ -19,6 +19,8 @@
 from gateway_builders import open_world
 from gateway_builders import request_bytes
 from gateway_builders import send
+from measured_turns import MAX_TURN_SECONDS
+from measured_turns import measured_turns
 from platform_upstream import Behaviour
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
@@ -26,8 +28,6 @@
 from baobabpulley.gateway.daemon import Gateway
 
 SLACK_SECONDS = 0.5
-# Processor time for which no other task of the event loop may run, so that load doesn't count.
-MAX_TURN_SECONDS = 0.1
 MIN_OTHERS_A_SECOND = 3
 
 FLOODS = [
@@ -62,24 +62,6 @@
         upstream.behaviour = EndlessSender(begin_event_chunks, block)
 
 
-@contextlib.asynccontextmanager
-async def measured_turns() -> AsyncIterator[list[float]]:
-    """Yield a list of the processor time, in seconds, used between two turns of a task."""
-    turns: list[float] = []
-
-    async def measure() -> None:
-        while True:
-            began = time.thread_time()
-            await asyncio.sleep(0.001)
-            turns.append(time.thread_time() - began)
-
-    task = asyncio.create_task(measure())
-    try:
-        yield turns
-    finally:
-        task.cancel()
-
-
 async def read_to_the_end(gateway: Gateway, data: bytes) -> bytes:
     """Send a request and return all that arrives until its connection is closed."""
     host, port = gateway.node.callers.split(":")
