Count what a write costs besides its data against the memory that a slow caller may hold

A caller that reads slowly holds up to 1 MiB of unsent events on the gateway, counted by their data alone. Each write also holds two futures, a callback and a frame until it is sent: 20,000 unsent events of one byte took 14.2 MB (tracemalloc), so that the million that were allowed would take about 700 MB, more than a gateway has.

Each write counts 1 KiB more; measured, one holds 0.7 KiB.

--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -14,8 +14,10 @@
 from baobabpulley.errors import BaobabError
 from baobabpulley.gateway.strict_connection import StrictConnection
 
-# A caller that has not read more than this of a streamed body gets no more for now.
+# A caller for which more memory than this waits to be sent gets no more for now.
 MAX_UNSENT_BYTES: Final = 1024 * 1024
+# Memory that a write takes besides its data until it has been sent.
+WRITE_OVERHEAD_BYTES: Final = 1024
 _REASONS: Final = {200: "OK", 503: "Service Unavailable"}
 
 
@@ -44,7 +46,7 @@
         self._started = False
         self._finished = False
         self._aborted = False
-        # Bytes written since the connection last had nothing left to send.
+        # Memory of what was written since the connection last had nothing left to send.
         self._unsent_bytes = 0
         self.disconnected = False
         self.status = 0
@@ -77,8 +79,10 @@
         """Send a piece of the response body."""
         if not self.disconnected:
             self._connection.write(data)
-            writing = self._connection.stream.writing()
-            self._unsent_bytes = self._unsent_bytes + len(data) if writing else 0
+            if self._connection.stream.writing():
+                self._unsent_bytes += len(data) + WRITE_OVERHEAD_BYTES
+            else:
+                self._unsent_bytes = 0
 
     async def wait_until_sent(self, *, seconds: float) -> None:
         """Wait until all that was written has been sent, or for so many real seconds."""
--- a/testing/test_gateway_listener.py
+++ b/testing/test_gateway_listener.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import os
+import socket
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import pytest
@@ -15,11 +17,15 @@
 from tornado.testing import bind_unused_port
 
 from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.replies import MAX_UNSENT_BYTES
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.timers import TimerService
 
+BLOCK_BYTES = 65_536
+MAX_WRITES = 20_000
+
 
 async def test_a_request_counts_as_active_while_the_previous_handler_still_cleans_up() -> None:
     second_runs, second_may_end = asyncio.Event(), asyncio.Event()
@@ -38,8 +44,8 @@
     listener = CallerListener(
         handler=handler, bounds=RequestBounds, closes=recorded_closes([]), timers=TimerService()
     )
-    socket, port = bind_unused_port()
-    listener.add_socket(socket)
+    sock, port = bind_unused_port()
+    listener.add_socket(sock)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(request_bytes("/1"))
     assert (await read_reply(reader)).body == b"one"
@@ -128,3 +134,42 @@
     assert await asyncio.wait_for(reader.read(), 2.0) == b""
     await asyncio.sleep(0.1)
     assert requested == ["/1"]
+
+
+async def test_unread_events_of_a_byte_take_no_more_memory_than_is_allowed() -> None:
+    ends = asyncio.Event()
+    used: list[int] = []
+
+    async def handler(incoming: IncomingRequest, reply: Reply) -> None:
+        # A fixed size: the kernel would make room while the test writes.
+        plain = reply._connection.stream.socket
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BLOCK_BYTES)
+        reply.start(200, HTTPHeaders())
+        while not reply._unsent_bytes:
+            reply.write(b"x" * BLOCK_BYTES)
+            await reply.wait_until_sent(seconds=0.1)
+        tracemalloc.start()
+        try:
+            for _ in range(MAX_WRITES):
+                if reply.is_behind:
+                    break
+                reply.write(b"x")
+                await asyncio.sleep(0)
+            used.append(tracemalloc.get_traced_memory()[0])
+        finally:
+            tracemalloc.stop()
+        reply.abort()
+        ends.set()
+
+    listener = CallerListener(
+        handler=handler, bounds=RequestBounds, closes=recorded_closes([]), timers=TimerService()
+    )
+    sock, port = bind_unused_port()
+    listener.add_socket(sock)
+    _reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1_024)
+    writer.write(request_bytes("/1"))
+    await asyncio.wait_for(ends.wait(), 60.0)
+    writer.close()
+    listener.stop()
+    listener.close_all()
+    assert used[0] <= MAX_UNSENT_BYTES
