Bound the time for the body of a refusal as a whole

A caller whose upstream refused with "not run" and then sent the body byte by byte got 504 at its deadline, although another upstream was free. Cause: the 0.2 s for the body of a refusal, which nobody reads, were allowed again for each byte. They are a bound for the whole body now; an incomplete body drops the connection, as before.

--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -200,9 +200,10 @@
         """Read the body of a refusal to its end, so that its connection can be reused."""
         timeout = self._timers.to_real_seconds(REFUSAL_BODY_TIMEOUT_SECONDS)
         try:
-            await response.body(idle_timeout=timeout)
-        except UpstreamLost as error:
-            logger.debug("the body of a refusal ended early: {}", error.message)
+            async with asyncio.timeout(timeout):
+                await response.body(idle_timeout=timeout)
+        except (TimeoutError, UpstreamLost) as error:
+            logger.debug("the body of a refusal ended early: {!r}", error)
 
 
 def did_not_run(error: Exception) -> bool:
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -114,3 +114,19 @@
     assert (reply.complete, reply.events) == (True, [0, 1, 2, 3])
     assert sum(len(standin.journal) for standin in world.upstreams.values()) == 1
     assert upstream.early_closes == 0
+
+
+async def test_a_refusal_whose_body_trickles_is_followed_by_another_upstream(world: World) -> None:
+    def refuse_with_body(call: Call) -> bytes:
+        call.upstream.journal.pop()
+        return refuse(call)
+
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name, service=LEDGER)
+        upstream.behaviour = EndlessSender(refuse_with_body, b"x", pause=0.05)
+    gateway = await world.add_gateway()
+    began = time.monotonic()
+    reply = await send(gateway, "/lookup/7")
+    assert time.monotonic() - began < DEADLINE_MS / 2000
+    assert reply.status == 503
+    assert {len(upstream.arrivals) for upstream in world.upstreams.values()} == {1}
