Log and count a request that ends by an unexpected exception with outcome internal

A handler that raised an exception which is no BaobabError was logged as outcome ok with status 0 and counted as ok; its caller got the listener's 500 afterwards, or a cut stream. serve() now sends the error itself, before it counts and logs the end of the request, with the exception's type and text as the reason. A response that was complete stays so.

--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -109,6 +109,11 @@
             error = shutdown_error(exchange)
             outcome, reason = error.code, error.message
             self._send_failure(exchange, reply, error)
+        except Exception as error:
+            outcome, reason = BaobabError.code, f"{type(error).__name__}: {error}"
+            logger.exception("unexpected error while serving a request")
+            if not reply.finished:
+                reply.send_error(BaobabError("unexpected error while serving the request"))
         finally:
             self._record_end(
                 incoming, parameters, exchange, status=reply.status, outcome=outcome, reason=reason
