Free the probe of an upstream whose attempt ended by an unexpected exception

An upstream that was lost gets one request as a probe. Load, slots and tickets were freed before too.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -162,7 +162,7 @@
 
     def _end_placement(self, placement: Placement, task: asyncio.Task[None]) -> None:
         self._placer.end(placement)
-        if task.cancelled() or isinstance(task.exception(), DeadlineExceeded):
+        if task.cancelled() or _is_inconclusive(task.exception()):
             self._record.record_inconclusive(placement.upstream)
 
     def _end_failed(
@@ -234,3 +234,8 @@
     def _seconds_left(self, exchange: Exchange) -> float:
         """Return the time that an attempt started now would have."""
         return exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
+
+
+def _is_inconclusive(error: BaseException | None) -> bool:
+    """Whether an attempt's error says nothing of its upstream: the deadline's, or a bug here."""
+    return isinstance(error, DeadlineExceeded) or not isinstance(error, BaobabError | None)
