--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
+from baobabpulley.adapters.turns import Turns
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamDisconnected
@@ -109,11 +110,13 @@
         Only complete events with content count as progress.
         """
         splitter = EventSplitter()
+        turns = Turns()
         async for chunk in self._response.chunks(idle_timeout=self._timeout):
             for event in splitter.feed(chunk):
                 if has_content(event):
                     self._progress.record()
                 yield event
+                await turns.end_item()
         if splitter.pending:
             raise UpstreamDisconnected("the stream ended within an event")
 
@@ -197,9 +200,10 @@
         """Read the body of a refusal to its end, so that its connection can be reused."""
         timeout = self._timers.to_real_seconds(REFUSAL_BODY_TIMEOUT_SECONDS)
         try:
-            await response.body(idle_timeout=timeout)
-        except UpstreamLost as error:
-            logger.debug("the body of a refusal ended early: {}", error.message)
+            async with asyncio.timeout(timeout):
+                await response.body(idle_timeout=timeout)
+        except (TimeoutError, UpstreamLost) as error:
+            logger.debug("the body of a refusal ended early: {!r}", error)
 
 
 def did_not_run(error: Exception) -> bool:
