--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -203,7 +203,8 @@
         seeds = [gateway.node.control for gateway in self.gateways]
         news_port = self.gateways[0].node.news_port if self.gateways else port + 3
         return (
-            f"[node]\nid = front-{number}\nfailure_domain = fes\n"
+            f"[node]\nid = front-{number}\n"
+            f"failure_domain = {options.get('failure_domain', 'fes')}\n"
             f"callers = {host}:{port}\nreadiness = {host}:{port + 1}\n"
             f"control = {host}:{port + 2}\nnews_port = {news_port}\nmetrics_port = {port + 4}\n"
             f"[store]\naddress = {options.get('store', self.store.address)}\n"
