Let the stand-ins pause, and refuse work with a Retry-After

'pause' reads and sends nothing for a time and goes on; 'busy' refuses new work with 503 and the rest of the time as Retry-After, while what runs goes on. 'leaving' was there.

--- a/src/baobabpulley/standins/engine.py
+++ b/src/baobabpulley/standins/engine.py
@@ -234,6 +234,9 @@
     def _check_available(self, model: str) -> None:
         if self.faults.leaving:
             raise Refusal("leaving", f"{self._state.upstream} is draining and accepts no new work")
+        if seconds := self.faults.busy_seconds:
+            message = f"{self._state.upstream} accepts no new work for {seconds:.2f} s"
+            raise Refusal("overloaded", message, retry_after=seconds)
         if model not in self._state.models:
             message = f"{self._state.upstream} has not loaded {model}"
             raise Refusal("unknown_model", message, status=404)
--- a/src/baobabpulley/standins/faults.py
+++ b/src/baobabpulley/standins/faults.py
@@ -15,16 +15,23 @@
 
 
 class Refusal(Exception):
-    """A call was refused and did not run; ``code`` and ``status`` go into the response."""
+    """A call was refused and did not run; the attributes go into the response.
 
-    def __init__(self, code: str, message: str, *, status: int = 503) -> None:
+    ``retry_after`` is the Retry-After in seconds.
+    """
+
+    def __init__(
+        self, code: str, message: str, *, status: int = 503, retry_after: float | None = None
+    ) -> None:
         super().__init__(message)
         self.code = code
         self.status = status
+        self.retry_after = retry_after
 
 
 Kind = Literal["die", "freeze", "silent", "delay", "delay_answer", "lose_answer", "lose_request"]
 Kind |= Literal["cross", "repeat", "down", "leaving", "none"]
+Kind |= Literal["pause", "busy"]
 
 
 class FaultOrder(msgspec.Struct, forbid_unknown_fields=True):
@@ -43,6 +50,8 @@
     ``repeat`` sends events twice.
     ``down`` refuses all calls for ``seconds``.
     ``leaving`` accepts no new work.
+    ``pause`` reads and sends nothing for ``seconds`` and then goes on.
+    ``busy`` refuses new work for ``seconds`` with 503 and the rest of them as Retry-After.
     ``none`` switches all faults off.
     """
 
@@ -66,19 +75,30 @@
         self.connections: WeakSet[IOStream] = WeakSet()
         self._silenced: WeakSet[IOStream] = WeakSet()
         self._delays_response = delays_response
-        # By kind: the seconds of a delay, the end time of an outage, or the calls left to affect.
+        # By kind: the seconds of a delay, the end of an outage, a pause or refusals, or the number
+        # of calls left to affect.
         self._active: dict[str, float] = {}
 
     @property
     def down(self) -> bool:
         """Whether all calls are refused now."""
-        return self.timers.now() < self._active.get("down", 0.0)
+        return self._seconds_left("down") > 0
 
     @property
     def leaving(self) -> bool:
         """Whether the stand-in is draining: it accepts no new work."""
         return "leaving" in self._active
 
+    @property
+    def busy_seconds(self) -> float:
+        """For how long the stand-in still refuses new work; 0 if it accepts it."""
+        return self._seconds_left("busy")
+
+    async def wait_while_paused(self) -> None:
+        """Wait for the end of a pause, if there is one."""
+        while left := self._seconds_left("pause"):
+            await self.timers.sleep(left)
+
     async def apply_delay(self, kind: str) -> None:
         """Wait for the time of a delay fault, if it is active."""
         await self.timers.sleep(self._active.get(kind, 0.0))
@@ -104,9 +124,12 @@
             self._silenced |= self.connections
         elif order.kind == "none":
             self._active.clear()
-        elif order.kind == "down":
-            self._active["down"] = self.timers.now() + order.seconds
+        elif order.kind in {"down", "pause", "busy"}:
+            self._active[order.kind] = self.timers.now() + order.seconds
         elif order.kind in {"delay", "delay_answer"}:
             self._active["delay_answer" if self._delays_response else order.kind] = order.seconds
         else:
             self._active[order.kind] = order.count
+
+    def _seconds_left(self, kind: str) -> float:
+        return max(0.0, self._active.get(kind, 0.0) - self.timers.now())
--- a/src/baobabpulley/standins/service.py
+++ b/src/baobabpulley/standins/service.py
@@ -47,6 +47,9 @@
     def _check_available(self) -> None:
         if self.faults.leaving:
             raise Refusal("leaving", f"{self._id} is draining and accepts no new work")
+        if seconds := self.faults.busy_seconds:
+            message = f"{self._id} accepts no new work for {seconds:.2f} s"
+            raise Refusal("overloaded", message, retry_after=seconds)
 
 
 class _OrdersHandler(StandinHandler):
--- a/src/baobabpulley/standins/web.py
+++ b/src/baobabpulley/standins/web.py
@@ -43,6 +43,7 @@
     async def prepare(self) -> None:
         # PUT is exempt from faults: tests use it to set up the state of a stand-in.
         if self.subject_to_faults and self.request.method != "PUT":
+            await self.faults.wait_while_paused()
             await self.faults.apply_delay("delay")
             await self._wait_if_silenced()
             if self.faults.down or self.faults.consume("lose_request"):
@@ -71,6 +72,7 @@
         if self.subject_to_faults:
             if not self._headers_written:
                 await self.faults.apply_delay("delay_answer")
+            await self.faults.wait_while_paused()
             await self._wait_if_silenced()
         self.write(data)
         await (self.finish() if last else self.flush())
@@ -88,6 +90,8 @@
         code = f"http_{status_code}"
         if isinstance(error, Refusal):
             code, status_code = error.code, error.status
+            if error.retry_after is not None:
+                self.set_header("Retry-After", f"{error.retry_after:.3f}")
         elif isinstance(error, msgspec.DecodeError):
             code, status_code = "bad_request", 400
         self.set_status(status_code)
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from builders import MODEL
 from builders import WAIT_SECONDS
@@ -17,6 +18,7 @@
 from baobabpulley.adapters.http_engine import HttpEngine
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.model.blocks import BLOCK_TOKENS
 from baobabpulley.model.requests import CompletionEvent
@@ -218,3 +220,45 @@
     else:
         await engine_client.order(upstream, older)
     assert (MODEL in (await engine_client.state(upstream)).models) is checks
+
+
+async def test_a_paused_engine_goes_on_where_it_was(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(decode_rate=20.0)
+    events = engine_client.complete(upstream, make_call("a", max_tokens=40))
+    received = [await anext(events)]
+    engine.faults.apply(FaultOrder(kind="pause", seconds=4.0))
+    paused_at = engine.timers.now()
+    late = engine_client.complete(upstream, make_call("b"))
+    await anext(late)
+    received.append(await anext(events))
+    assert engine.timers.now() - paused_at >= 4.0
+    await late.aclose()
+    received += [event async for event in events]
+    assert text_of(received) == expected_text(make_call("a").prompt, seed=0, max_tokens=40)
+
+
+async def test_a_busy_engine_refuses_new_work_with_the_time_that_is_left(
+    start: Start, upstream: Upstream, engine_client: HttpEngine
+) -> None:
+    engine = start(decode_rate=20.0)
+    running = engine_client.complete(upstream, make_call("a", max_tokens=40))
+    received = [await anext(running)]
+    engine.faults.apply(FaultOrder(kind="busy", seconds=3.0))
+    with pytest.raises(UpstreamOverloaded):
+        await anext(engine_client.complete(upstream, make_call("b")))
+    async with HttpClient().call(
+        address=upstream.address,
+        method="POST",
+        path="/v1/completions",
+        body=msgspec.json.encode(make_call("c")),
+        head_timeout=5.0,
+    ) as response:
+        await response.body(idle_timeout=5.0)
+    assert response.status == 503
+    assert 2.0 < float(response.headers["Retry-After"]) <= 3.0
+    received += [event async for event in running]
+    assert text_of(received) == expected_text(make_call("a").prompt, seed=0, max_tokens=40)
+    await engine.timers.sleep(3.0)
+    await anext(engine_client.complete(upstream, make_call("d")))
