Compare goodput under more load than is left with answers, not requests

It now counts the answers of upstreams that don't refuse which end within the refusals; under less load, the requests sent as before.

--- a/src/baobabpulley/emulator/upstream_pauses.py
+++ b/src/baobabpulley/emulator/upstream_pauses.py
@@ -175,7 +175,8 @@
 
     ``late`` is a ratio of the streams sent, by the objective of the route, and ``later_than_aim``
     by the users' aim. ``beyond_slots`` is a ratio of the attempts of streams. ``kept_out`` is for
-    how many seconds after a pause a gateway still kept an upstream from work, at most.
+    how many seconds after a pause a gateway still kept an upstream from work, at most, if only
+    for as long as a probe ran there.
     """
 
     streams: int
@@ -287,18 +288,28 @@
         )
 
     def goodput(self, path: str) -> float:
-        """Return the answers to requests sent during the refusals, as a ratio.
+        """Return the ratio of what was served during the refusals to what could be.
 
-        They are compared with the requests or, if these are more, with what the upstreams that do
-        not refuse can serve in that time.
+        Upstreams that do not refuse can serve the requests sent in that time or, under a higher
+        load, as many answers as fit into it.
         """
         plan, faults = self.plan, self.plan.faults
-        results = [
-            result for result in self.results_of(path) if faults.refusal_left(result.request.at) > 0
-        ]
+        results = self.results_of(path)
+        if plan.load <= 1 - faults.share:
+            sent = [result for result in results if faults.refusal_left(result.request.at) > 0]
+            return sum(result.served for result in sent) / len(sent)
         capacity = plan.streams_per_second if path == STREAM_PATH else plan.calls_per_second / 2
-        possible = (1 - faults.share) * capacity * faults.refuse_seconds
-        return sum(result.served for result in results) / min(len(results), possible)
+        refusers = {arrival.request for arrival in self.arrivals if self._runs_at_refuser(arrival)}
+        served = sum(
+            result.served
+            and result.request.id not in refusers
+            and faults.refusal_left(result.request.at + result.seconds) > 0
+            for result in results
+        )
+        return served / ((1 - faults.share) * capacity * faults.refuse_seconds)
+
+    def _runs_at_refuser(self, arrival: UpstreamArrival) -> bool:
+        return arrival.faulty and not arrival.refused
 
     def _late_by_cause(self, streams: Sequence[RequestResult]) -> dict[str, int]:
         """Count late first events by what the first upstream of the request did when it arrived."""
