Share with peers which upstreams said that they are leaving

Cause: FleetState.record_leaving kept the fact in the process. Nothing in the gossip carried it.

Why it works: the gateway that was told names the upstream, the start time of its incarnation and the store revision that it has reached; the peer records it in LeavingUpstreams like an answer of its own, only for the same start time and only if the sender knew the registration as ready that the peer has. So a late report, or one of a gateway that is behind the store, says nothing about an upstream that was restarted, listed anew, or draining and then ready again. Own words replace reports. - Only what was said first-hand is sent. policy/report_schedule.py sends it at once, again within a second, then every 7 to 14 s for 300 s; a report heard from another gateway counts as sent, so the traffic doesn't grow with the square of the gateways. A gateway that starts or returns is told within about two seconds: the second transmission is later than the relays to it are found. - Worst case: all upstreams leaving by their own words are refused at once (NoUpstream), as the callers' other machines and the store know more. By the word of peers alone this would let one wrong gateway stop a service; so reports are followed only while they leave half of the upstreams that a service would have, and expire after 30 s unless repeated. If they are right after all, an upstream refuses the request itself or serves it, and says so: that is how it was before. - A message without reports is as long as before, byte for byte; earlier gateways ignore the new field. Earlier relays drop it.

The fleet of gossip tests has one FleetState a gateway, as its gateways have to know different things; no other test depended on one.

--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -31,6 +31,7 @@
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.model.exchanges import RequestParameters
 from baobabpulley.model.routes import Route
 from baobabpulley.model.routes import Service
@@ -67,12 +68,14 @@
         self.publish_due = False
         self.publish_step = publish_step
         self.loads.listen(self._mark_publish_due)
+        reports = UpstreamReports(node=name, fleet_state=fleet_state, timers=timers)
         self.gossip = GossipProtocol(
             node=_node_section(name),
             section=GatewayPeersSection(),
             fleet_state=fleet_state,
             loads=self.loads,
             evidence=CrashEvidence(node=name, timers=timers),
+            reports=reports,
             timers=timers,
             on_newer_revision=lambda revision: None,
         )
@@ -80,6 +83,7 @@
             failure_domain=DOMAIN,
             fleet_state=fleet_state,
             last_seen=self.gossip.last_seen,
+            reports=reports,
             timers=timers,
         )
         self.candidates = CandidateList(
--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -89,10 +89,12 @@
 
     def _all(self, service: str) -> list[ListedUpstream]:
         if self._by_service is None:
-            self._by_service = defaultdict(list)
+            listed: dict[str, list[ListedUpstream]] = defaultdict(list)
             for upstream in self._fleet_state.upstreams.values():
-                if not upstream.leaving:
-                    self._by_service[upstream.service].append(upstream)
+                listed[upstream.service].append(upstream)
+            self._by_service = {
+                name: self._fleet_state.accepting(upstreams) for name, upstreams in listed.items()
+            }
         return self._by_service.get(service, [])
 
     def _invalidate(self) -> None:
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -44,6 +44,7 @@
 from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.logs import dropped_line_count
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
@@ -90,12 +91,16 @@
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
         self.evidence = CrashEvidence(node=self.node.id, timers=timers)
+        self.reports = UpstreamReports(
+            node=self.node.id, fleet_state=self.fleet_state, timers=timers
+        )
         self.gossip = GossipProtocol(
             node=self.node,
             section=settings.get(GatewayPeersSection),
             fleet_state=self.fleet_state,
             loads=self.loads,
             evidence=self.evidence,
+            reports=self.reports,
             timers=timers,
             on_newer_revision=self._record_behind,
             store_reachable=lambda: self.link.store_reachable,
@@ -119,6 +124,7 @@
             failure_domain=self.node.failure_domain,
             fleet_state=self.fleet_state,
             last_seen=self.gossip.last_seen,
+            reports=self.reports,
             timers=timers,
         )
         candidates = CandidateList(
@@ -187,6 +193,7 @@
         )
         await self.gossip.start()
         self.evidence.start()
+        self.reports.start()
         self.link.start()
         self.placer.start()
         self.reload.start()
@@ -258,6 +265,11 @@
             "Of these, upstreams registered as ready that said so in a response",
             lambda: self.fleet_state.said_leaving_count,
         )
+        add_gauge(
+            "upstreams_reported_leaving",
+            "Of these, upstreams registered as ready that said so to other gateways only",
+            lambda: self.fleet_state.reported_leaving_count,
+        )
         add_gauge(
             "upstreams_backpressured",
             "Upstreams that asked for no requests for now",
--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -4,8 +4,8 @@
 ordered by store revision: an entry is replaced only by a newer one, whatever its source, so the
 state never goes back to an older one.
 
-An upstream counts as leaving if its entry says so or if it said so itself in a response; see
-`baobabpulley.policy.leaving_upstreams`.
+An upstream counts as leaving if its entry says so, or if it said so itself in a response to this
+gateway or another; see `baobabpulley.policy.leaving_upstreams`.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -100,7 +101,12 @@
     @property
     def said_leaving_count(self) -> int:
         """Number of upstreams that said that they are leaving, but are registered as ready."""
-        return len(self._leaving)
+        return self._leaving.said_count
+
+    @property
+    def reported_leaving_count(self) -> int:
+        """Number of upstreams that are leaving only by reports of other gateways."""
+        return self._leaving.reported_count
 
     @property
     def members(self) -> dict[str, GatewayMember]:
@@ -170,17 +176,56 @@
         if entries:
             self._notify()
 
-    def record_leaving(self, upstream: ListedUpstream) -> None:
-        """Record that an upstream, as listed when it got a request, said that it is leaving."""
+    def has_said_leaving(self, upstream: str) -> bool:
+        """Whether an upstream that is registered as ready said that it is leaving."""
+        return self._leaving.has_said_so(upstream)
+
+    def is_only_reported_leaving(self, upstream: str) -> bool:
+        """Whether an upstream is leaving only by reports of other gateways."""
+        return self._leaving.is_only_reported(upstream)
+
+    def accepting(self, upstreams: Sequence[ListedUpstream]) -> list[ListedUpstream]:
+        """Return the upstreams of a service, of all those listed, that may get new requests."""
+        return self._leaving.accepting(upstreams)
+
+    def record_leaving(self, upstream: ListedUpstream) -> bool:
+        """Record that an upstream, as listed when it got a request, said that it is leaving.
+
+        Return whether neither its entry nor a response said so before.
+        """
         listed = self._upstreams.get(upstream.id)
-        if listed is None or listed.leaving or listed.born > upstream.born:
-            return
+        if listed is None or listed.born > upstream.born:
+            return False
+        if listed.leaving and not self._leaving.is_only_reported(listed.id):
+            return False
         self._leaving.record(listed)
-        self._upstreams[listed.id] = msgspec.structs.replace(listed, leaving=True)
-        logger.bind(
-            event="upstream_leaving", upstream=listed.id, service=listed.service, born=listed.born
-        ).info("upstream said in a response that it is leaving")
-        self._notify()
+        self._begin_leaving(listed, source="response", peer=None)
+        return True
+
+    def record_reported_leaving(
+        self, id: str, *, born: int, revision: int, peer: str, now: float
+    ) -> None:
+        """Record another gateway's report that an upstream said that it is leaving."""
+        listed = self._upstreams.get(id)
+        if listed is None:
+            return
+        if not self._leaving.record_report(listed, born=born, revision=revision, now=now):
+            return
+        if not listed.leaving:
+            self._begin_leaving(listed, source="peer", peer=peer)
+
+    def drop_expired_reports(self, *, now: float) -> None:
+        """Use the upstreams again of which other gateways no longer report that they leave."""
+        expired = self._leaving.take_expired(now=now)
+        for id in expired:
+            listed = self._upstreams.get(id)
+            if listed is not None:
+                self._upstreams[id] = msgspec.structs.replace(listed, leaving=False)
+            logger.bind(event="upstream_leaving_expired", upstream=id).info(
+                "no gateway reports any more that an upstream is leaving"
+            )
+        if expired:
+            self._notify()
 
     def remove_expired(self, *, now: float) -> None:
         """Remove upstreams that weren't registered again within the removal delay."""
@@ -224,7 +269,8 @@
         elif kind == UPSTREAM:
             registered = self._documents.upstream(name, value)
             upstream = msgspec.structs.replace(
-                registered, leaving=self._leaving.is_leaving(registered)
+                registered,
+                leaving=self._leaving.is_leaving(registered, revision=entry.mod_revision),
             )
             previous = self._upstreams.get(name)
             self._upstreams[name] = upstream
@@ -256,6 +302,18 @@
         if upstream is not None:
             logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
 
+    def _begin_leaving(self, listed: ListedUpstream, *, source: str, peer: str | None) -> None:
+        self._upstreams[listed.id] = msgspec.structs.replace(listed, leaving=True)
+        logger.bind(
+            event="upstream_leaving",
+            upstream=listed.id,
+            service=listed.service,
+            born=listed.born,
+            source=source,
+            peer=peer,
+        ).info("upstream said in a response that it is leaving")
+        self._notify()
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -1,5 +1,5 @@
-"""Gossip between gateways over UDP: their loads, the store revisions that they have reached, and
-evidence of prompts that crash engines.
+"""Gossip between gateways over UDP: their loads, the store revisions that they have reached,
+evidence of prompts that crash engines, and what upstreams told them.
 
 Messages go directly to the gateways of the own failure domain, and through relays to the others.
 
@@ -33,6 +33,7 @@
 from baobabpulley.gateway.gossip_relay import GossipRelay
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
 from baobabpulley.policy.rendezvous import ranked
@@ -72,6 +73,7 @@
         "_publish_scheduled",
         "_published_revision",
         "_relay",
+        "_reports",
         "_section",
         "_sent_at",
         "_sequence",
@@ -91,6 +93,7 @@
         fleet_state: FleetState,
         loads: LoadTracker,
         evidence: CrashEvidence,
+        reports: UpstreamReports,
         timers: TimerService,
         on_newer_revision: Callable[[int], None],
         store_reachable: Callable[[], bool] = lambda: True,
@@ -100,6 +103,7 @@
         self._fleet_state = fleet_state
         self._loads = loads
         self._evidence = evidence
+        self._reports = reports
         self._timers = timers
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
@@ -211,6 +215,7 @@
         self._loads.receive(message.node, message.shares, now=now)
         if message.crashes or message.survivals:
             self._evidence.receive(message.crashes, message.survivals)
+        self._reports.receive(message.node, message.leaving)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
         return True
@@ -220,7 +225,11 @@
         return now - peer.received_at > RELAY_HEARD_SECONDS
 
     def _inform_newcomer(self, node: str) -> None:
-        """Send the evidence again if this is one of the gateways that inform this newcomer."""
+        """Send the evidence again if this is one of the gateways that inform this newcomer.
+
+        Reports are sent again by all gateways that have them, but for those that hear another.
+        """
+        self._reports.inform_newcomer()
         if (
             self._evidence.quarantined
             and self._node.id in ranked(node, self.live_nodes())[:INFORMERS]
@@ -233,8 +242,9 @@
         shares = self._delta.take_due(self._loads.shares(now=now), now=now)
         crashes = self._evidence.take_due_crashes(gateways=self.gateway_count)
         survivals = self._evidence.take_due_survivals()
+        leaving = self._reports.take_due_leaving()
         revision = self._fleet_state.revision
-        has_news = bool(shares or crashes or survivals)
+        has_news = bool(shares or crashes or survivals or leaving)
         unchanged = not has_news and revision == self._published_revision
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
@@ -253,6 +263,7 @@
             is_urgent=is_urgent,
             crashes=crashes,
             survivals=survivals,
+            leaving=leaving,
         )
 
     def _publish_soon(self) -> None:
--- a/src/baobabpulley/gateway/gossip_messages.py
+++ b/src/baobabpulley/gateway/gossip_messages.py
@@ -34,6 +34,18 @@
     age: float
 
 
+class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that said in a response to the sender that it is leaving.
+
+    ``born`` is the start time of the incarnation that said so. ``revision`` is the store revision
+    that the sender had reached when it sent the row.
+    """
+
+    upstream: str
+    born: int
+    revision: int
+
+
 class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
     """State of one gateway, and those of its loads that are due for publication.
 
@@ -42,7 +54,8 @@
     ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
     of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
     false if the store failed the gateway recently. ``is_urgent`` messages are relayed at once.
-    ``crashes`` and ``survivals`` are evidence of prompts that crash engines.
+    ``crashes`` and ``survivals`` are evidence of prompts that crash engines. ``leaving`` are
+    upstreams that said to the gateway that they are leaving.
     """
 
     node: str
@@ -57,18 +70,21 @@
     is_urgent: bool = False
     crashes: tuple[CrashRow, ...] = ()
     survivals: tuple[SurvivalRow, ...] = ()
+    leaving: tuple[LeavingRow, ...] = ()
 
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
         """Return a later message of the same process, with what this one has and it lacks."""
         shares = {share.upstream: share for share in (*self.shares, *newer.shares)}
         crashes = {crash.upstream: crash for crash in (*self.crashes, *newer.crashes)}
         survivals = {survival.part: survival for survival in (*self.survivals, *newer.survivals)}
+        leaving = {row.upstream: row for row in (*self.leaving, *newer.leaving)}
         return msgspec.structs.replace(
             newer,
             shares=tuple(shares.values()),
             is_urgent=self.is_urgent or newer.is_urgent,
             crashes=tuple(crashes.values()),
             survivals=tuple(survivals.values()),
+            leaving=tuple(leaving.values()),
         )
 
 
@@ -89,6 +105,8 @@
 
 def encode(message: GossipMessage | GossipBundle) -> bytes:
     """Encode a datagram."""
+    if isinstance(message, GossipMessage):
+        return _encode_message(message)
     return _encoder.encode(message)
 
 
@@ -109,10 +127,17 @@
     bundles: list[list[msgspec.Raw]] = [[]]
     size = 0
     for message in messages:
-        data = msgspec.Raw(_encoder.encode(message))
+        data = msgspec.Raw(_encode_message(message))
         if bundles[-1] and size + len(data) > MAX_BUNDLE_BYTES:
             bundles.append([])
             size = 0
         bundles[-1].append(data)
         size += len(data)
     return [_encoder.encode(GossipBundle(tuple(bundle))) for bundle in bundles if bundle]
+
+
+def _encode_message(message: GossipMessage) -> bytes:
+    """Encode a message; the fields behind the evidence of crashes cost nothing while empty."""
+    if message.leaving:
+        return _encoder.encode(message)
+    return _encoder.encode(msgspec.structs.astuple(message)[:-1])
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -11,6 +11,7 @@
 
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.domain_circuit_breaker import DomainCircuitBreaker
 from baobabpulley.policy.upstream_backpressure import BackpressureWindows
@@ -31,7 +32,15 @@
     The head of each response is recorded as soon as it arrives, whatever becomes of its attempt.
     """
 
-    __slots__ = ("_backpressure", "_breaker", "_fleet_state", "_health", "_last_seen", "_timers")
+    __slots__ = (
+        "_backpressure",
+        "_breaker",
+        "_fleet_state",
+        "_health",
+        "_last_seen",
+        "_reports",
+        "_timers",
+    )
 
     def __init__(
         self,
@@ -39,9 +48,11 @@
         failure_domain: str,
         fleet_state: FleetState,
         last_seen: LastSeen,
+        reports: UpstreamReports,
         timers: TimerService,
     ) -> None:
         self._fleet_state = fleet_state
+        self._reports = reports
         self._last_seen = last_seen
         self._timers = timers
         self._backpressure = BackpressureWindows()
@@ -70,9 +81,13 @@
         ]
 
     def check_accepting(self, upstream: ListedUpstream) -> None:
-        """Raise `UpstreamSkipped` if an upstream has asked for no requests since it was chosen."""
+        """Raise `UpstreamSkipped` if an upstream has asked for no requests since it was chosen.
+
+        Reports of other gateways refuse nothing that has been placed.
+        """
         listed = self._fleet_state.upstreams.get(upstream.id)
-        if listed is not None and listed.leaving:
+        only_reported = self._fleet_state.is_only_reported_leaving(upstream.id)
+        if listed is not None and listed.leaving and not only_reported:
             raise UpstreamSkipped(f"{upstream.id} is leaving by now", at_fault=upstream.id)
         seconds = self.backpressure_seconds_left(upstream)
         if seconds:
@@ -93,7 +108,7 @@
         """Record what the head of a response says of the upstream."""
         if head.leaving:
             for instance in self._responding_instances(upstream, head):
-                self._fleet_state.record_leaving(instance)
+                self._reports.record_leaving(instance)
         if head.retry_after is not None:
             self._record_backpressure(upstream, head.retry_after)
 
--- a/testing/gossip_fleet.py
+++ b/testing/gossip_fleet.py
@@ -4,15 +4,22 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 from typing import cast
 from typing import final
 
+from platform_upstream import UpstreamStandin
+
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.gateway.upstream_reports import UpstreamReports
+from baobabpulley.model.documents import StoredEntry
+from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.policy.fleet_load import Dispatch
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.timers import ManualTimers
@@ -39,11 +46,13 @@
 class FleetGateway:
     """Gossip and loads of one gateway at the address ``host``."""
 
-    def __init__(self, host: str, domain: str, *, timers: ManualTimers, state: FleetState) -> None:
+    def __init__(self, host: str, domain: str, *, timers: ManualTimers) -> None:
         self.host = host
         self.domain = domain
+        self.state = FleetState(PlatformDocuments())
         self.loads = LoadTracker()
         self.evidence = CrashEvidence(node=f"front-{host}", timers=timers)
+        self.reports = UpstreamReports(node=f"front-{host}", fleet_state=self.state, timers=timers)
         self.gossip = GossipProtocol(
             node=GatewayNodeSection(
                 id=f"front-{host}",
@@ -54,9 +63,10 @@
                 news_port=PORT,
             ),
             section=GatewayPeersSection(),
-            fleet_state=state,
+            fleet_state=self.state,
             loads=self.loads,
             evidence=self.evidence,
+            reports=self.reports,
             timers=timers,
             on_newer_revision=lambda revision: None,
         )
@@ -75,20 +85,54 @@
         self.stopped: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.received: Counter[str] = Counter()
-        state = FleetState(PlatformDocuments())
         self.gateways: dict[str, FleetGateway] = {}
         for domain in range(domains):
             for number in range(per_domain):
                 host = f"10.{domain}.0.{number}"
-                gateway = FleetGateway(host, f"domain-{domain}", timers=self.timers, state=state)
-                self.gateways[host] = gateway
-                node = f"front-{host}"
-                state.members[node] = GatewayMember(node, f"{host}:1", f"{host}:{PORT}")
+                self.gateways[host] = FleetGateway(host, f"domain-{domain}", timers=self.timers)
+        members = {
+            node: GatewayMember(node, f"{host}:1", f"{host}:{PORT}")
+            for host in self.gateways
+            for node in (f"front-{host}",)
+        }
         for gateway in self.gateways.values():
+            gateway.state.members.update(members)
+            gateway.reports.start()
             transport = _Transport(self, gateway.host)
             gateway.gossip.connection_made(cast(asyncio.DatagramTransport, transport))
             gateway.gossip.start_publishing()
 
+    def register(
+        self, id: str, *, revision: int, hosts: Iterable[str] = (), **changes: object
+    ) -> None:
+        """Give the gateways at ``hosts``, or all, an upstream's entry of a store revision."""
+        changes = {"address": "10.9.0.1:80", "born": 100, **changes}
+        value = UpstreamStandin(id, service="kitchen").entry(**changes)  # type: ignore[arg-type]
+        self._apply(StoredEntry(names.UPSTREAM_PREFIX + id, value, revision), hosts)
+
+    def remove(self, id: str, *, revision: int, hosts: Iterable[str] = ()) -> None:
+        """Remove an upstream's entry at the gateways at ``hosts``, or at all."""
+        self._apply(StoredEntry(names.UPSTREAM_PREFIX + id, None, revision), hosts)
+
+    def _apply(self, entry: StoredEntry, hosts: Iterable[str]) -> None:
+        for host in tuple(hosts) or tuple(self.gateways):
+            state = self.gateways[host].state
+            state.apply_changes((entry,), revision=entry.mod_revision, now=self.timers.now())
+
+    def say_leaving(self, host: str, id: str) -> None:
+        """Let an upstream say to a gateway that it is leaving."""
+        gateway = self.gateways[host]
+        gateway.reports.record_leaving(gateway.state.upstreams[id])
+
+    def not_sending_to(self, id: str) -> set[str]:
+        """Return the hosts of the gateways that send an upstream no new requests."""
+        unused = set()
+        for host, gateway in self.gateways.items():
+            accepting = gateway.state.accepting(list(gateway.state.upstreams.values()))
+            if id not in {upstream.id for upstream in accepting}:
+                unused.add(host)
+        return unused
+
     def deliver(self, sender: str, host: str, data: bytes) -> None:
         """Deliver a datagram at once, or lose it."""
         domains = frozenset({self.gateways[sender].domain, self.gateways[host].domain})
@@ -97,9 +141,9 @@
         self.received[host] += 1
         self.gateways[host].gossip.datagram_received(data, (sender, PORT))
 
-    def begin(self, host: str, engine: str, *, is_chunk: bool = False) -> None:
+    def begin(self, host: str, engine: str, *, is_chunk: bool = False) -> Dispatch:
         """Begin a request of a gateway at an engine."""
-        self.gateways[host].loads.begin(
+        return self.gateways[host].loads.begin(
             engine,
             prefill_seconds=0.0,
             memory_tokens=5_000,
--- a/testing/test_candidates.py
+++ b/testing/test_candidates.py
@@ -12,6 +12,7 @@
 from baobabpulley.errors import Overloaded
 from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
@@ -42,6 +43,10 @@
     ) == make_upstreams(MAX_SUBSET_SIZE)
 
 
+def make_reports(fleet: PlacementSimulation) -> UpstreamReports:
+    return UpstreamReports(node="front-0", fleet_state=fleet.fleet_state, timers=fleet.timers)
+
+
 def make_gossip(node: str, *, failure_domain: str) -> GossipMessage:
     return GossipMessage(node, "a", 1, failure_domain, "127.0.0.1:9", 0, 0)
 
@@ -131,6 +136,7 @@
         failure_domain="meknes",
         fleet_state=fleet.fleet_state,
         last_seen=last_seen,
+        reports=make_reports(fleet),
         timers=fleet.timers,
     )
     upstreams = tuple(fleet.fleet_state.upstreams.values())
@@ -156,6 +162,7 @@
         failure_domain="meknes",
         fleet_state=fleet.fleet_state,
         last_seen=lambda domain: None,
+        reports=make_reports(fleet),
         timers=fleet.timers,
     )
     remote = list(fleet.fleet_state.upstreams.values())
--- a/testing/test_gossip.py
+++ b/testing/test_gossip.py
@@ -15,6 +15,7 @@
 from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.timers import ManualTimers
@@ -35,6 +36,7 @@
         self.loads = LoadTracker()
         self.timers = ManualTimers()
         peers = [f"{peer}:1" for peer in HOSTS if peer != host]
+        state = FleetState(PlatformDocuments())
         self.gossip = GossipProtocol(
             node=GatewayNodeSection(
                 id=f"front-{host}",
@@ -45,9 +47,10 @@
                 news_port=port,
             ),
             section=GatewayPeersSection(seeds=tuple(peers)),
-            fleet_state=FleetState(PlatformDocuments()),
+            fleet_state=state,
             loads=self.loads,
             evidence=CrashEvidence(node=f"front-{host}", timers=self.timers),
+            reports=UpstreamReports(node=f"front-{host}", fleet_state=state, timers=self.timers),
             timers=self.timers,
             on_newer_revision=lambda revision: None,
         )
