--- a/src/baobabpulley/emulator/placement_simulation.py
+++ b/src/baobabpulley/emulator/placement_simulation.py
@@ -32,6 +32,7 @@
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.model.exchanges import RequestParameters
 from baobabpulley.model.routes import Route
 from baobabpulley.model.routes import Service
@@ -59,7 +60,15 @@
     It publishes when ``publish_due``, and in each period at the step ``publish_step``.
     """
 
-    __slots__ = ("candidates", "gossip", "loads", "placer", "publish_due", "publish_step")
+    __slots__ = (
+        "candidates",
+        "gossip",
+        "loads",
+        "placer",
+        "publish_due",
+        "publish_step",
+        "record",
+    )
 
     def __init__(
         self,
@@ -74,19 +83,22 @@
         self.publish_due = False
         self.publish_step = publish_step
         self.loads.listen(self._mark_publish_due)
+        reports = UpstreamReports(node=name, fleet_state=fleet_state, timers=timers)
         self.gossip = GossipProtocol(
             node=_node_section(name),
             section=GatewayPeersSection(),
             fleet_state=fleet_state,
             loads=self.loads,
             evidence=CrashEvidence(node=name, timers=timers),
+            reports=reports,
             timers=timers,
             on_newer_revision=lambda revision: None,
         )
-        record = UpstreamRecord(
+        self.record = UpstreamRecord(
             failure_domain=DOMAIN,
             fleet_state=fleet_state,
             last_seen=self.gossip.last_seen,
+            reports=reports,
             timers=timers,
         )
         self.candidates = CandidateList(
@@ -94,14 +106,14 @@
             failure_domain=DOMAIN,
             fleet_state=fleet_state,
             loads=self.loads,
-            record=record,
+            record=self.record,
             timers=timers,
         )
         self.placer = Placer(
             candidates=self.candidates,
             fleet_state=fleet_state,
             loads=self.loads,
-            record=record,
+            record=self.record,
             timers=timers,
             max_waiting=2000,
             source=source,
@@ -127,7 +139,7 @@
     """Gateways that place requests on simulated engines; each arrival goes to the next gateway.
 
     ``slots`` is the number of requests that an engine serves at once. With ``seed`` the placers
-    draw the same choices in each run.
+    draw the same choices in each run. ``started`` counts the requests placed on each engine.
     """
 
     __slots__ = (
@@ -138,6 +150,7 @@
         "_slots",
         "fleet_state",
         "outcomes",
+        "started",
         "timers",
     )
 
@@ -176,6 +189,7 @@
         ]
         self._gateway_cycle = itertools.cycle(self._gateways)
         self.outcomes: list[RequestOutcome] = []
+        self.started: Counter[str] = Counter()
 
     @property
     def loads(self) -> LoadTracker:
@@ -192,6 +206,11 @@
         """The first gateway's placer."""
         return self._gateways[0].placer
 
+    @property
+    def record(self) -> UpstreamRecord:
+        """The first gateway's record of upstreams."""
+        return self._gateways[0].record
+
     @property
     def candidates(self) -> CandidateList:
         """The first gateway's candidates."""
@@ -275,6 +294,7 @@
             return error
         first = placement.upstream.id
         self._running[first] += 1
+        self.started[first] += 1
         await self._execute(arrival, placement, placer, started_at)
         self._running[first] -= 1
         placer.end(placement)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -47,6 +47,7 @@
 from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.gateway.upstream_reports import UpstreamReports
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
@@ -94,12 +95,16 @@
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
         self.evidence = CrashEvidence(node=self.node.id, timers=timers)
+        self.reports = UpstreamReports(
+            node=self.node.id, fleet_state=self.fleet_state, timers=timers
+        )
         self.gossip = GossipProtocol(
             node=self.node,
             section=settings.get(GatewayPeersSection),
             fleet_state=self.fleet_state,
             loads=self.loads,
             evidence=self.evidence,
+            reports=self.reports,
             timers=timers,
             on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
@@ -131,6 +136,7 @@
             failure_domain=self.node.failure_domain,
             fleet_state=self.fleet_state,
             last_seen=self.gossip.last_seen,
+            reports=self.reports,
             timers=timers,
         )
         candidates = CandidateList(
@@ -208,6 +214,7 @@
         )
         await self.gossip.start()
         self.evidence.start()
+        self.reports.start()
         self.link.start()
         self.placer.start()
         self.reload.start()
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -144,11 +144,21 @@
     return sources.fleet_state.said_leaving_count
 
 
+@_gauge("Of these, upstreams registered as ready that said so to other gateways only")
+def upstreams_reported_leaving(sources: GaugeSources) -> float:
+    return sources.fleet_state.reported_leaving_count
+
+
 @_gauge("Upstreams that asked for no requests for now")
 def upstreams_backpressured(sources: GaugeSources) -> float:
     return len(sources.record.backpressured_upstreams())
 
 
+@_gauge("Upstreams that asked other gateways for no requests for now")
+def upstreams_backpressure_hinted(sources: GaugeSources) -> float:
+    return len(sources.record.hinted_upstreams())
+
+
 @_gauge("Upstreams kept from work for now")
 def upstreams_unusable(sources: GaugeSources) -> float:
     listed = tuple(sources.fleet_state.upstreams.values())
