Round the Retry-After of stand-ins under load up

The test fleet wrote the rest of its refusals with three digits, so it could end up to 0.5 ms before they did. In a run at 90% load a gateway sent 8 requests to one refusing engine, 7 of them at second 6.9998, and the refusals lasted until second 7: the gateway kept to what it was told.

--- a/testing/pausing_fleet.py
+++ b/testing/pausing_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from pathlib import Path
 from typing import Final
@@ -41,6 +42,7 @@
 TOKEN_COUNTS: Final = "5000,1000"
 RESPONSE_TIMEOUT_SECONDS: Final = 20.0
 WATCH_PERIOD_SECONDS: Final = 0.1
+MS_PER_SECOND: Final = 1000
 
 
 @final
@@ -63,7 +65,8 @@
         self._record_arrival(upstream, call, refused=left > 0)
         await self._work(0.0)
         if left > 0:
-            await upstreams.refuse_with_retry_after(f"{left:.3f}")(upstream, call)
+            seconds = math.ceil(MS_PER_SECOND * left) / MS_PER_SECOND
+            await upstreams.refuse_with_retry_after(f"{seconds:.3f}")(upstream, call)
             return
         async with self._slots:
             if upstream.service == KITCHEN:
