Let streams of two quarantine tests go on when the test says so

It reported six crashes at 0.11 s each by sleeps while a stream paused for 0.8 s. The request was placed at 10.074 and still ran at 11.205 when the check had failed, so the pause was over before the six were; an answer that goes on acquits its part. That last step is concluded, the log doesn't show it. - test_resets_by_engines_that_go_on_with_other_streams_quarantine_nothing: '{(200, False)} == {(200, True)}'. Sixteen streams of 200 events, placed at 11.345, were cut at 14.397, the route's 3 s.

The first stream now pauses until the test has seen the quarantine; the six crashes are reported at once with their ages, all after the stream's first event. The others' streams go on until the three prompts have been answered, with an event every 20 ms. No bound is changed.

--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -297,11 +297,12 @@
     breaks_after: int | None = None,
     pause_after: int | None = None,
     pause: float = 0.0,
+    resumes: asyncio.Event | None = None,
 ) -> Behaviour:
     """Return a behaviour that streams events numbered from ``first``.
 
-    The stream resets within an event after ``breaks_after`` events, and pauses for ``pause``
-    seconds after ``pause_after`` events.
+    The stream resets within an event after ``breaks_after`` events, and pauses after
+    ``pause_after`` events for ``pause`` seconds and until ``resumes`` is set, if there is one.
     """
 
     async def run(upstream: UpstreamStandin, call: Call) -> None:
@@ -318,6 +319,8 @@
         for number in range(start, first + events):
             if pause_after is not None and number == first + pause_after:
                 await asyncio.sleep(pause)
+                if resumes is not None:
+                    await resumes.wait()
             if breaks_after is not None and number - first >= breaks_after:
                 await call.write_chunk(b"id: %d\nda" % number)
                 await asyncio.sleep(0.02)
@@ -330,6 +333,23 @@
     return run
 
 
+def stream_until(ends: asyncio.Event) -> Behaviour:
+    """Return a behaviour that streams events, 20 ms apart, until ``ends`` is set."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        seal = f"{names.SEAL}: s.{upstream.name}"
+        stream_head = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        await call.write(call.head(200, seal, *stream_head))
+        for number in itertools.count():
+            if ends.is_set():
+                break
+            await call.write_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(0.02)
+        await call.write(b"0\r\n\r\n")
+
+    return run
+
+
 def refuse_with_retry_after(value: str, *headers: str, status: int = 503) -> Behaviour:
     """Return a behaviour that refuses unexecuted requests with ``value`` as Retry-After."""
 
--- a/testing/test_quarantine_review.py
+++ b/testing/test_quarantine_review.py
@@ -113,22 +113,29 @@
     assert reached == 1
 
 
+def has_begun_stream(gateway: Gateway) -> bool:
+    """Whether the gateway has got an event of a stream that runs."""
+    now = gateway.timers.now()
+    return any(gateway.loads.load(id, now=now).decoding for id in gateway.fleet_state.upstreams)
+
+
 async def test_a_stream_that_has_begun_is_resumed_although_its_part_is_quarantined(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Its events prove that it crashes no engine, so the part was quarantined by mistake."""
     monkeypatch.setattr(prompt_quarantine, "SURVIVOR_SPAN_SECONDS", 0.0)
-    breaking = upstreams.stream(events=6, pause_after=3, pause=0.8, breaks_after=4)
+    resumes = asyncio.Event()
+    breaking = upstreams.stream(events=6, pause_after=3, resumes=resumes, breaks_after=4)
     behaviour = upstreams.first_then(breaking, then=upstreams.stream(events=6))
     await add_engines(world, behaviour)
     gateway = await world.add_gateway()
     request = asyncio.create_task(send_prompt(gateway))
-    await asyncio.sleep(0.05)
-    for number in range(6):
-        # Six, as the part was answered lately.
-        gateway.evidence.receive([CrashRow(f"i-gone-{number}", 0.0, (BAD,))], ())
-        await asyncio.sleep(0.11)
+    await wait_until(lambda: has_begun_stream(gateway))
+    await asyncio.sleep(0.6)
+    # Six since the stream began, as the part was answered lately.
+    hear_crashes(gateway, ages=(0.55, 0.44, 0.33, 0.22, 0.11, 0.0))
     assert gateway.evidence.quarantined == 1
+    resumes.set()
     reply = await request
     assert (reply.complete, reply.events) == (True, list(range(6)))
 
@@ -137,28 +144,31 @@
     world: World,
 ) -> None:
     """Like those of connections beyond an engine's limit: a crash breaks all its streams."""
-    resets = 0
+    resets, others_end = 0, asyncio.Event()
 
     async def answer(upstream: UpstreamStandin, call: Call) -> None:
         nonlocal resets
-        is_rare = "rare:" in call.headers.get(names.PROMPT_PREFIX.lower(), "")
-        if is_rare and resets < 4:
+        if "rare:" not in call.headers.get(names.PROMPT_PREFIX.lower(), ""):
+            await upstreams.stream_until(others_end)(upstream, call)
+        elif resets < 4:
             resets += 1
             await asyncio.sleep(0.12)
             call.reset()
-            return
-        await upstreams.stream(events=200)(upstream, call)
+        else:
+            await upstreams.stream(events=200)(upstream, call)
 
     await add_engines(world, answer, slots=5)
     gateway = await world.add_gateway()
     # So many that each engine has some.
     prefixes = [f"shared:40,own-{number}:900" for number in range(16)]
     others = [asyncio.create_task(send_prompt(gateway, prefix)) for prefix in prefixes]
+    await wait_until(lambda: len(calls(world)) == 16)
     await asyncio.sleep(0.05)
     replies = []
     for number in range(3):
         replies.append(await send_prompt(gateway, f"shared:40,rare:95,own-{number}:900"))
         await asyncio.sleep(0.05)
+    others_end.set()
     assert {(reply.status, reply.complete) for reply in await asyncio.gather(*others)} == {
         (200, True)
     }
