Use a connection that opened while the process was held up

Callers got 503 'no upstream' (a single upstream), or 502 after a retry had failed too, although the upstream was sound, and the upstream counted as lost for a second and more.

Cause: opening a connection may take 0.2 s. If the gateway's process was held up for longer, the connection was open and the timer over at the same time; the timer cancelled the task, and the open connection was closed.

That these two are this fault is concluded: the logs don't show when the connections opened. The new test opens a connection and holds up the process for three times the timeout: UpstreamUnreachable before, used now.

The timeout no longer cancels: once it is over, the connection is looked at, and only one that isn't open is given up. One that is refused or doesn't open in time is unreachable as before (two tests). The error now names the time; it was empty.

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -42,13 +42,17 @@
 async def connect(address: str, *, timeout: float) -> IOStream:
     """Open a TCP connection; raise `UpstreamUnreachable` if it fails or takes too long.
 
-    ``timeout`` is in real seconds.
+    ``timeout`` is in real seconds. A connection that has opened by the time the process notices the
+    timeout is returned: the process may have been late.
     """
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     stream = NoDelayStream(connection)
     try:
-        async with asyncio.timeout(timeout):
-            await stream.connect(split_address(address))
+        opening = stream.connect(split_address(address))
+        await asyncio.wait((opening,), timeout=timeout)
+        if not opening.done():
+            raise TimeoutError(f"not open after {timeout:.2f} s")
+        opening.result()
     except (TimeoutError, StreamClosedError, OSError) as error:
         stream.close()
         raise UpstreamUnreachable(f"no connection to {address}: {error}") from error
