Take a header of too many digits for no number

A caller whose X-Token-Counts or Last-Event-Id had more than 4,300 digits got a 500: Python refuses to convert them, and the ValueError wasn't expected. They are ignored now like any other text that is no number. Both cases of the test failed before (500).

--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -80,7 +80,9 @@
     __slots__ = ("_last",)
 
     def __init__(self, last_event: str | None) -> None:
-        self._last = int(last_event) if last_event and last_event.isdecimal() else None
+        text = last_event or ""
+        is_id = text.isdecimal() and len(text) <= MAX_ID_DIGITS
+        self._last = int(text) if is_id else None
 
     @property
     def last_event(self) -> str | None:
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -28,6 +28,8 @@
 _DECIMAL: Final = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 # Another instance than the expected one received the request.
 _MISDIRECTED_STATUS: Final = 421
+# A number with more digits counts nothing, and Python may refuse to convert it.
+_MAX_COUNT_DIGITS: Final = 18
 # Value of a header that states a fact.
 _YES: Final = "1"
 
@@ -176,11 +178,15 @@
     """
     prompt, _, output = (text or "").partition(",")
     prompt, output = prompt.strip(), output.strip()
-    if not (prompt.isdecimal() and output.isdecimal()):
+    if not (_is_count(prompt) and _is_count(output)):
         return 0, 0
     return int(prompt), int(output)
 
 
+def _is_count(text: str) -> bool:
+    return text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
+
+
 def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
     """Return the ids of a prompt's parts without the last one, which is its own.
 
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -460,3 +460,15 @@
         for order in upstream.orders
         if order["operation"] == operation
     ]
+
+
+@pytest.mark.parametrize("header", [names.TOKEN_COUNTS, names.LAST_EVENT])
+async def test_a_header_with_too_many_digits_for_a_number_is_ignored(
+    world: World, header: str
+) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+    upstream.behaviour = upstreams.stream(events=3)
+    gateway = await world.add_gateway()
+    value = "1" * 5_000 + (",80" if header == names.TOKEN_COUNTS else "")
+    reply = await send(gateway, "/draft/7", **{header: value})
+    assert (reply.status, reply.complete, reply.events) == (200, True, [0, 1, 2])
