Wait for an engine that pauses when memory is reserved there, if the prompt has no place without it

Callers of a prompt that needs tickets got 503 after 0.4 s when one engine paused for a second, while no other had room.

Traced: the first reservation had 0.4 s, no answer counted as refused, the engine was excluded, and placement failed with "no upstream left". Where another engine has room the prompt went there at no cost to the retry budget, which stays. Also found: the time left was taken before the reservations, so that an attempt told its engine, and allowed itself, up to 0.4 s more than the caller had.

Now a reservation has up to 2 s. An engine without an answer after 0.4 s is silent; it is given up if the prompt has a place without the silent engines (Placer.can_place, which places nothing), else looked at again every 0.25 s. The wait counts as progress of the attempt: its first engine has no request yet. Not changed: a reservation that was given up may be executed after its release and then lasts for ticket_hold, 1.8 s.

Tests: a pause of 1.2 s (503 before), renewal at the others meanwhile (no call before), another engine preferred, engines that stay silent, a short deadline; the last three passed before too. Guards switched off: without the renewal one case fails (1 order of 3), without the question for another place one (503).

--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -71,8 +71,15 @@
         """Send the attempt and deliver its answer; raise the typed error of its failure."""
         placement = attempt.placement
         upstream = placement.upstream
-        remaining = exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
-        async with self._tickets.reserved(placement) as helpers:
+        async with self._tickets.reserved(
+            placement,
+            seconds=self._seconds_left(exchange),
+            progress=attempt.progress,
+            can_place_without=lambda ids: self._placer.can_place(
+                exchange.placement_request(without=ids)
+            ),
+        ) as helpers:
+            remaining = self._seconds_left(exchange)
             parameters = AttemptParameters(
                 attempt=exchange.parameters.attempt,
                 remaining=remaining,
@@ -91,6 +98,9 @@
             ) as response:
                 await self._deliver(exchange, race, attempt, response)
 
+    def _seconds_left(self, exchange: Exchange) -> float:
+        return exchange.times.end - RESPONSE_MARGIN_SECONDS - self._timers.now()
+
     async def _deliver(
         self,
         exchange: Exchange,
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -143,13 +143,13 @@
             self.longest_pause = max(self.longest_pause, now - self.last_event_at)
         self.last_event_at = now
 
-    def placement_request(self) -> PlacementRequest:
-        """Return the placement request for the next attempt."""
+    def placement_request(self, *, without: frozenset[str] = frozenset()) -> PlacementRequest:
+        """Return the placement request for the next attempt, which excludes these upstreams too."""
         return PlacementRequest(
             service=self.service,
             needs=self.parameters,
             times=self.times,
-            excluded=frozenset(self.excluded),
+            excluded=frozenset(self.excluded) | without,
             first=self.first_engine_id,
         )
 
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -18,6 +18,7 @@
 from baobabpulley.gateway.planning import PlacementRequest
 from baobabpulley.gateway.planning import PromptPlanner
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.routes import EnginePerformance
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.fleet_load import Dispatch
 from baobabpulley.policy.fleet_load import LoadTracker
@@ -137,6 +138,16 @@
         except (NoUpstream, Overloaded):
             return None
 
+    def can_place(self, request: PlacementRequest) -> bool:
+        """Whether there is room for a prompt at once; nothing is placed."""
+        candidates = self._candidates.all(request.service.name, excluded=request.excluded)
+        if request.engine is None or not candidates:
+            return False
+        try:
+            return self._plan(candidates, request, request.engine) is not None
+        except (NoUpstream, Overloaded):
+            return False
+
     def backpressure_error(self, request: PlacementRequest) -> Overloaded | None:
         """Return the error to report if all upstreams of the service asked for no requests."""
         service = request.service.name
@@ -294,10 +305,15 @@
         performance = request.engine
         if performance is None:
             return self._try_call(candidates)
+        plan = self._plan(candidates, request, performance)
+        return None if plan is None else self._begin_plan(plan)
+
+    def _plan(
+        self, candidates: list[Candidate], request: PlacementRequest, performance: EnginePerformance
+    ) -> Plan | None:
         now = self._timers.now()
         unheard = self._loads.expected_unheard(now=now)
-        plan = self._planner.plan(request, candidates, performance, now=now, unheard=unheard)
-        return None if plan is None else self._begin_plan(plan)
+        return self._planner.plan(request, candidates, performance, now=now, unheard=unheard)
 
     def _try_call(self, candidates: list[Candidate]) -> Placement | None:
         free = [candidate for candidate in candidates if candidate.has_slot]
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -6,11 +6,15 @@
 import contextlib
 import secrets
 from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Final
 from typing import final
 
 from loguru import logger
 
 from baobabpulley.errors import UpstreamOutOfMemory
+from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.sections import EnginesSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
@@ -19,6 +23,18 @@
 from baobabpulley.ports.exchange_wire import MemoryReservations
 from baobabpulley.timers import TimerService
 
+# A renewal that has no answer yet is given up; the next one is due.
+RENEWAL_TIMEOUT_SECONDS: Final = 0.4
+# An engine without an answer to a first reservation for so long is silent. It may be pausing.
+SILENCE_SECONDS: Final = 0.4
+# A silent engine is waited for no longer, as memory is held elsewhere meanwhile.
+MAX_SILENCE_SECONDS: Final = 2.0
+# While an engine is silent, the others are looked at this often.
+CHECK_PERIOD_SECONDS: Final = 0.25
+
+# Whether a prompt could be placed without the engines of these ids.
+CanPlaceWithout = Callable[[frozenset[str]], bool]
+
 
 class _Ticket:
     """A reservation of memory at one engine, identified by a random name."""
@@ -55,9 +71,19 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
-    async def reserved(self, placement: Placement) -> AsyncIterator[tuple[HelperEngine, ...]]:
+    async def reserved(
+        self,
+        placement: Placement,
+        *,
+        seconds: float,
+        progress: AttemptProgress,
+        can_place_without: CanPlaceWithout,
+    ) -> AsyncIterator[tuple[HelperEngine, ...]]:
         """Yield the helper engines of a placement, with their tickets renewed within the block.
 
+        An engine that is silent is waited for, at most ``seconds``, while the prompt has no place
+        without it; the wait is recorded in ``progress``, as the first engine has no request yet.
+
         Raise `UpstreamOutOfMemory` if an engine no longer has enough free memory, and
         `UpstreamSkipped` if one asked for no requests while memory was reserved.
         """
@@ -72,7 +98,12 @@
         renewal: asyncio.Task[None] | None = None
         try:
             if tickets:
-                await self._reserve_all(tickets)
+                await self._reserve_all(
+                    tickets,
+                    timeout=min(MAX_SILENCE_SECONDS, seconds),
+                    progress=progress,
+                    can_place_without=can_place_without,
+                )
                 for helper in plan.helpers:
                     self._record.check_accepting(helper)
                 renewal = asyncio.get_running_loop().create_task(self._renew(tickets))
@@ -87,21 +118,46 @@
             for ticket in tickets:
                 self._release_later(ticket)
 
-    async def _reserve_all(self, tickets: list[_Ticket]) -> None:
-        results = await asyncio.gather(*(self._reserve(ticket) for ticket in tickets))
-        for ticket, is_reserved in zip(tickets, results, strict=True):
-            if not is_reserved:
-                raise UpstreamOutOfMemory(
-                    f"{ticket.upstream.id} did not reserve memory for {ticket.tokens} tokens",
-                    at_fault=ticket.upstream.id,
+    async def _reserve_all(
+        self,
+        tickets: list[_Ticket],
+        *,
+        timeout: float,
+        progress: AttemptProgress,
+        can_place_without: CanPlaceWithout,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        requests = {
+            loop.create_task(self._reserve(ticket, timeout=timeout)): ticket for ticket in tickets
+        }
+        renewal: asyncio.Task[None] | None = None
+        try:
+            answered, silent = await asyncio.wait(requests, timeout=SILENCE_SECONDS)
+            _check_reserved(requests, answered)
+            if silent:
+                held = [requests[request] for request in answered]
+                renewal = loop.create_task(self._renew(held))
+            while silent:
+                _check_needed(requests, silent, can_place_without)
+                progress.record()
+                answered, silent = await asyncio.wait(
+                    silent, timeout=CHECK_PERIOD_SECONDS, return_when=asyncio.FIRST_COMPLETED
                 )
+                _check_reserved(requests, answered)
+        finally:
+            if renewal is not None:
+                renewal.cancel()
+            for request in requests:
+                request.cancel()
+            await asyncio.gather(*requests, return_exceptions=True)
 
-    async def _reserve(self, ticket: _Ticket) -> bool:
+    async def _reserve(self, ticket: _Ticket, *, timeout: float) -> bool:
         outcome = await self._reservations.reserve(
             ticket.upstream,
             ticket=ticket.name,
             tokens=ticket.tokens,
             hold_seconds=self._section.ticket_hold,
+            timeout=timeout,
         )
         if outcome.head is not None:
             self._record.record_head(ticket.upstream, outcome.head)
@@ -116,7 +172,7 @@
                     renewals.create_task(self._renew_once(ticket))
 
     async def _renew_once(self, ticket: _Ticket) -> None:
-        if not await self._reserve(ticket):
+        if not await self._reserve(ticket, timeout=RENEWAL_TIMEOUT_SECONDS):
             logger.bind(event="ticket_lost", upstream=ticket.upstream.id).warning(
                 "the engine did not renew a memory reservation"
             )
@@ -131,3 +187,29 @@
         head = await self._reservations.release(ticket.upstream, ticket=ticket.name)
         if head is not None:
             self._record.record_head(ticket.upstream, head)
+
+
+_Requests = dict[asyncio.Task[bool], _Ticket]
+
+
+def _check_reserved(requests: _Requests, answered: Iterable[asyncio.Task[bool]]) -> None:
+    """Raise `UpstreamOutOfMemory` if an engine has refused a reservation."""
+    for request in answered:
+        ticket = requests[request]
+        if not request.result():
+            raise UpstreamOutOfMemory(
+                f"{ticket.upstream.id} did not reserve memory for {ticket.tokens} tokens",
+                at_fault=ticket.upstream.id,
+            )
+
+
+def _check_needed(
+    requests: _Requests, silent: set[asyncio.Task[bool]], can_place_without: CanPlaceWithout
+) -> None:
+    """Raise `UpstreamOutOfMemory` if the prompt has a place without the silent engines."""
+    engines = sorted(requests[request].upstream.id for request in silent)
+    if can_place_without(frozenset(engines)):
+        raise UpstreamOutOfMemory(
+            f"{engines[0]} did not answer a reservation within {SILENCE_SECONDS} s",
+            at_fault=engines[0],
+        )
--- a/src/baobabpulley/platform/memory_reservations.py
+++ b/src/baobabpulley/platform/memory_reservations.py
@@ -21,7 +21,8 @@
 from baobabpulley.ports.exchange_wire import ResponseHead
 
 # Short, as engines answer these requests without waiting for a free slot.
-_REQUEST_TIMEOUT_SECONDS: Final = 0.4
+_RELEASE_TIMEOUT_SECONDS: Final = 0.4
+_BODY_TIMEOUT_SECONDS: Final = 0.4
 _MS_PER_SECOND: Final = 1000
 _JSON: Final = {"Content-Type": "application/json"}
 
@@ -50,35 +51,47 @@
         self._wire = PlatformWire()
 
     async def reserve(
-        self, upstream: ListedUpstream, *, ticket: str, tokens: int, hold_seconds: float
+        self,
+        upstream: ListedUpstream,
+        *,
+        ticket: str,
+        tokens: int,
+        hold_seconds: float,
+        timeout: float,
     ) -> ReservationOutcome:
         request = _Reserve(
             identifier=ticket, token_count=tokens, hold_ms=round(hold_seconds * _MS_PER_SECOND)
         )
-        head = await self._send(upstream, msgspec.json.encode(request))
+        head = await self._send(upstream, msgspec.json.encode(request), timeout=timeout)
         return ReservationOutcome(reserved=head is not None and head.status == 200, head=head)
 
     async def release(self, upstream: ListedUpstream, *, ticket: str) -> ResponseHead | None:
-        return await self._send(upstream, msgspec.json.encode(_Release(identifier=ticket)))
+        request = _Release(identifier=ticket)
+        return await self._send(
+            upstream, msgspec.json.encode(request), timeout=_RELEASE_TIMEOUT_SECONDS
+        )
 
-    async def _send(self, upstream: ListedUpstream, body: bytes) -> ResponseHead | None:
+    async def _send(
+        self, upstream: ListedUpstream, body: bytes, *, timeout: float
+    ) -> ResponseHead | None:
         """Send an order and return the head of the response; its body is not needed."""
         head: ResponseHead | None = None
         try:
             async with (
-                asyncio.timeout(_REQUEST_TIMEOUT_SECONDS),
+                asyncio.timeout(timeout),
                 self._client.call(
                     address=upstream.address,
                     method="POST",
                     path=names.ORDER,
                     body=body,
                     headers=_JSON | {names.EXPECTED_INSTANCE: upstream.id},
-                    head_timeout=_REQUEST_TIMEOUT_SECONDS,
+                    head_timeout=timeout,
                 ) as response,
             ):
                 head = self._wire.parse_response_head(response.status, response.headers)
-                with contextlib.suppress(UpstreamLost):
-                    await response.body(idle_timeout=_REQUEST_TIMEOUT_SECONDS)
+                with contextlib.suppress(TimeoutError, UpstreamLost):
+                    async with asyncio.timeout(_BODY_TIMEOUT_SECONDS):
+                        await response.body(idle_timeout=_BODY_TIMEOUT_SECONDS)
         except (TimeoutError, UpstreamLost, UpstreamUnreachable) as error:
             logger.bind(upstream=upstream.id).info(
                 "no complete response to a memory reservation request: {!r}", error
--- a/src/baobabpulley/ports/exchange_wire.py
+++ b/src/baobabpulley/ports/exchange_wire.py
@@ -74,9 +74,18 @@
 
     @abstractmethod
     async def reserve(
-        self, upstream: ListedUpstream, *, ticket: str, tokens: int, hold_seconds: float
+        self,
+        upstream: ListedUpstream,
+        *,
+        ticket: str,
+        tokens: int,
+        hold_seconds: float,
+        timeout: float,
     ) -> ReservationOutcome:
-        """Reserve memory for ``hold_seconds``, or renew it."""
+        """Reserve memory for ``hold_seconds``, or renew it.
+
+        A request without a response within ``timeout`` real seconds counts as refused.
+        """
 
     @abstractmethod
     async def release(self, upstream: ListedUpstream, *, ticket: str) -> ResponseHead | None:
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -91,9 +91,9 @@
 
     ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
     executed, and ``orders`` the orders received; without ``frames_orders`` their answers have no
-    length. ``response_headers`` are header lines of all responses. ``connections`` counts accepted
-    connections, and ``early_closes`` requests whose caller closed or sent more before the response
-    was complete.
+    length. The first order waits for ``first_order_pause_seconds``. ``response_headers`` are
+    header lines of all responses. ``connections`` counts accepted connections, and
+    ``early_closes`` requests whose caller closed or sent more before the response was complete.
     """
 
     def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
@@ -108,6 +108,7 @@
         self.orders: list[dict[str, object]] = []
         self.order_status = 200
         self.order_delay_seconds = 0.0
+        self.first_order_pause_seconds = 0.0
         self.frames_orders = True
         self.connections = 0
         self.early_closes = 0
@@ -156,8 +157,9 @@
 
     async def _answer(self, call: Call, reader: asyncio.StreamReader) -> None:
         if call.target == names.ORDER:
+            pause = 0.0 if self.orders else self.first_order_pause_seconds
             self.orders.append(json.loads(call.body))
-            await asyncio.sleep(self.order_delay_seconds)
+            await asyncio.sleep(pause + self.order_delay_seconds)
             if self.frames_orders:
                 await call.write(call.head(self.order_status, length=0))
             else:
