Enforce max-header-bytes on callers' connections, with 431, also for a head that never ends

The operators' limit (16,384 by default) wasn't looked at: heads up to 64 KB were served whatever it said, and a head of more than 512 KB, or without an end, got a reset without an answer, or at a slow pace nothing for 3 s.

A complete head is compared with the limit in force. An incomplete one is refused within 0.5 s once what has arrived exceeds the limit, and at once beyond eight times the limit, where Tornado closes the stream: the refusal is sent on a second descriptor of the connection, and what the caller still sends is ignored for 2 s, as for other refusals. Each leaves one connection_closed line, refused_unread.

Tests: six of seven new cases failed before (200, no answer, or no answer within 2 s), a raised limit passed before too. While a flood is ignored no other task waits for 0.1 s of processor time.

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -58,9 +58,9 @@
     return stream
 
 
-def has_unconsumed_bytes(stream: IOStream) -> bool:
-    """Whether bytes have been read from the socket that no read has consumed yet."""
-    return bool(stream._read_buffer_size)
+def unconsumed_bytes(stream: IOStream) -> int:
+    """Return how many bytes have been read from the socket that no read has consumed yet."""
+    return int(stream._read_buffer_size)
 
 
 def is_acknowledged(stream: IOStream) -> bool:
@@ -71,7 +71,7 @@
 
 def is_reusable(stream: IOStream) -> bool:
     """Whether an idle connection is still open and has received no unexpected bytes."""
-    return not has_unconsumed_bytes(stream) and is_drained(stream)
+    return not unconsumed_bytes(stream) and is_drained(stream)
 
 
 def is_drained(stream: IOStream) -> bool:
--- a/src/baobabpulley/gateway/listener.py
+++ b/src/baobabpulley/gateway/listener.py
@@ -25,17 +25,19 @@
 from tornado.iostream import UnsatisfiableReadError
 from tornado.tcpserver import TCPServer
 
-from baobabpulley.adapters.addresses import NoDelayStream
-from baobabpulley.adapters.addresses import has_unconsumed_bytes
 from baobabpulley.adapters.addresses import is_acknowledged
 from baobabpulley.adapters.addresses import is_drained
 from baobabpulley.adapters.addresses import is_reusable
+from baobabpulley.adapters.addresses import unconsumed_bytes
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
 from baobabpulley.errors import BodyTooSlow
 from baobabpulley.errors import HeaderTooLarge
 from baobabpulley.errors import HeaderTooSlow
+from baobabpulley.gateway.caller_stream import DISCARDED_BYTES
+from baobabpulley.gateway.caller_stream import CallerStream
+from baobabpulley.gateway.caller_stream import HeadRefusals
 from baobabpulley.gateway.connection_closes import CloseReason
 from baobabpulley.gateway.connection_closes import ConnectionCloses
 from baobabpulley.gateway.replies import Reply
@@ -46,11 +48,9 @@
 
 # These limits hold whatever the configuration allows.
 MAX_HEADER_BYTES: Final = 65_536
-# A longer head is not even read to its end, so that it can be refused.
-MAX_READ_HEADER_BYTES: Final = 8 * MAX_HEADER_BYTES
+# A head beyond the limit by this factor is not even read to its end.
+READ_HEADER_RATIO: Final = 8
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
-# What a caller sends after its last response is read and ignored in pieces of this size.
-DISCARDED_BYTES: Final = 65_536
 # How often the time limits of the connections are checked.
 LIMITS_CHECK_PERIOD_SECONDS: Final = 0.5
 
@@ -76,6 +76,12 @@
         self.timers = timers
         self.draining = False
         self._connections: set[_CallerConnection] = set()
+        self._refusals = HeadRefusals()
+
+    @property
+    def max_header(self) -> int:
+        """The largest head in bytes that is allowed now."""
+        return min(MAX_HEADER_BYTES, self.bounds().max_header)
 
     @property
     def active_requests(self) -> int:
@@ -97,13 +103,12 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         # Nothing reads from the given stream yet, so its socket can be moved to another stream.
-        no_delay_stream = NoDelayStream(stream.socket, max_buffer_size=MAX_BODY_BYTES * 2)
-        parameters = HTTP1ConnectionParameters(
-            # `_Request` refuses longer heads and bodies, with an answer.
-            max_header_size=MAX_READ_HEADER_BYTES,
-            max_body_size=sys.maxsize,
+        caller_stream = CallerStream(
+            stream.socket, refuse_head=self._refusals.start, max_buffer_size=MAX_BODY_BYTES * 2
         )
-        connection = _CallerConnection(no_delay_stream, parameters, self)
+        max_read = READ_HEADER_RATIO * self.max_header
+        parameters = HTTP1ConnectionParameters(max_header_size=max_read, max_body_size=sys.maxsize)
+        connection = _CallerConnection(caller_stream, parameters, self)
         self._connections.add(connection)
         connection.start_serving(self)
 
@@ -204,6 +209,8 @@
             logger.exception("unexpected error on a caller's connection")
         finally:
             self.stream.close()
+            if isinstance(self.stream.error, UnsatisfiableReadError) and self._receiving:
+                self._receiving.record_unread_head()
             delegate.on_close(self)
 
     async def _serve_one(self, delegate: HTTPServerConnectionDelegate) -> bool:
@@ -245,7 +252,7 @@
             return
         if self._body_progress_at is not None:
             self._check_body(now, bounds, progress_at=self._body_progress_at)
-        elif has_unconsumed_bytes(self._server.stream):
+        elif unconsumed_bytes(self._server.stream):
             self._check_head(now, bounds)
         else:
             self._check_idle(now, bounds)
@@ -260,8 +267,8 @@
         self._arrived = self._body_progress_at = self._listener.timers.now()
         self._start_line = start_line
         self._headers = headers
-        if self._connection.head_size > MAX_HEADER_BYTES:
-            self._refuse(HeaderTooLarge(f"the headers exceed {MAX_HEADER_BYTES} bytes"))
+        if self._connection.head_size > self._listener.max_header:
+            self._refuse(HeaderTooLarge(f"the headers exceed {self._listener.max_header} bytes"))
         elif int(headers.get("Content-Length", "0")) > self._max_body():
             self._refuse(BodyTooLarge("the request body exceeds the configured size limit"))
         elif not start_line.path.startswith("/") or not start_line.path.isascii():
@@ -304,6 +311,12 @@
         else:
             self._task.cancel()
 
+    def record_unread_head(self) -> None:
+        """Record that the stream refused the request, as its head was too long to be read."""
+        if not self._refused:
+            self._reply.status = HeaderTooLarge.status
+            self._record_close(CloseReason.REFUSED_UNREAD)
+
     def on_connection_close(self) -> None:
         if not self._refused:
             self._record_close(self._close_reason())
@@ -320,13 +333,17 @@
             self._server.stream.close()
 
     def _check_head(self, now: float, bounds: RequestBounds) -> None:
-        if self._head_since is None:
+        limit = bounds.header_timeout
+        if unconsumed_bytes(self._server.stream) > self._listener.max_header:
+            self._refuse_head(HeaderTooLarge("the incomplete headers exceed the limit"))
+        elif self._head_since is None:
             self._head_since = now
-        elif now - self._head_since > bounds.header_timeout and is_drained(self._server.stream):
-            self._connection.answer_without_request()
-            self._refuse(
-                HeaderTooSlow(f"headers incomplete after the limit of {bounds.header_timeout} s")
-            )
+        elif now - self._head_since > limit and is_drained(self._server.stream):
+            self._refuse_head(HeaderTooSlow(f"headers incomplete after the limit of {limit} s"))
+
+    def _refuse_head(self, error: BaobabError) -> None:
+        self._connection.answer_without_request()
+        self._refuse(error)
 
     def _check_body(self, now: float, bounds: RequestBounds, *, progress_at: float) -> None:
         limit = bounds.idle_timeout + bounds.header_timeout
--- a/testing/test_caller_connections.py
+++ b/testing/test_caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
 import time
@@ -27,6 +28,8 @@
 from gateway_builders import send
 from gateway_builders import wait_until
 from loguru import logger
+from measured_turns import MAX_TURN_SECONDS
+from measured_turns import measured_turns
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 from tornado.httputil import HTTPHeaders
@@ -36,12 +39,14 @@
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.listener import CallerListener
 from baobabpulley.gateway.replies import Reply
+from baobabpulley.gateway.strict_connection import LINGER_SECONDS
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.platform import names
 from baobabpulley.timers import TimerService
 
 WAIT_SECONDS = 10.0
+BLOCK_BYTES = 16_384
 LARGE_BODY = b"x" * 400_000
 # More than the kernel buffers of both ends of a connection hold.
 LARGE_ANSWER = b"y" * 12_000_000
@@ -86,6 +91,15 @@
         reply.send(200, HTTPHeaders(), b"answer")
 
 
+async def send_forever(writer: asyncio.StreamWriter, *, pause: float) -> None:
+    """Send bytes of a line until the connection is closed."""
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(b"x" * BLOCK_BYTES)
+            await writer.drain()
+            await asyncio.sleep(pause)
+
+
 @pytest.fixture(autouse=True)
 async def closed_writers() -> AsyncIterator[None]:
     yield
@@ -311,6 +325,44 @@
     assert listening.requested == ["/first"]
 
 
+@pytest.mark.parametrize("size", [3_000, 60_000])
+async def test_headers_beyond_the_limit_in_force_are_refused(
+    listening: Listening, size: int
+) -> None:
+    listening.bounds = RequestBounds(max_header=2_000)
+    reader, writer = await listening.connect()
+    await send_slowly(writer, request_bytes("/second", **{"X_Long": "x" * size}))
+    reply = await receive(reader)
+    assert (reply.status, reply.complete) == (431, True)
+    assert listening.requested == ["/first"]
+    assert listening.closes == [CloseReason.REFUSED_UNREAD]
+
+
+async def test_headers_within_a_raised_limit_are_accepted(listening: Listening) -> None:
+    listening.bounds = RequestBounds(max_header=50_000)
+    reader, writer = await listening.connect()
+    writer.write(request_bytes("/second", **{"X_Long": "x" * 40_000}))
+    assert (await receive(reader)).status == 200
+
+
+@pytest.mark.parametrize("begin", [b"GET /", b"GET / HTTP/1.1\r\nX-Long: "])
+@pytest.mark.parametrize("pause", [0.0, 0.1], ids=["at-once", "slowly"])
+async def test_a_head_that_never_ends_is_refused_in_time(
+    listening: Listening, begin: bytes, pause: float
+) -> None:
+    reader, writer = await listening.connect()
+    writer.write(begin)
+    sending = asyncio.create_task(send_forever(writer, pause=pause))
+    async with measured_turns() as turns:
+        reply = await asyncio.wait_for(read_reply(reader), 2.0)
+        assert (reply.status, reply.complete) == (431, True)
+        assert b"header_too_large" in reply.body
+        # The caller goes on sending until the connection is closed.
+        await asyncio.wait_for(sending, 2 * LINGER_SECONDS)
+    assert max(turns) < MAX_TURN_SECONDS
+    assert (listening.requested, listening.closes) == (["/first"], [CloseReason.REFUSED_UNREAD])
+
+
 @pytest.mark.parametrize("digits", [18, 5000])
 async def test_an_absurd_length_of_a_body_is_refused(listening: Listening, digits: int) -> None:
     reader, writer = await listening.connect()
