Move reading Retry-After to a module that both interfaces can use

Only the platform's wire could read it; engines and services of the product's own interface can refuse with it too.

--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import math
-import re
 from typing import Final
 from typing import final
 
 from tornado.httputil import HTTPHeaders
 from xxhash import xxh3_64_hexdigest
 
+from baobabpulley.adapters.retry_after import parse_retry_after
 from baobabpulley.errors import BadRequest
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import HelperEngine
@@ -23,9 +22,6 @@
 # Ids of prompt parts are kept in memory: longer ones are hashed, parts beyond this number left out.
 _MAX_PART_ID_LENGTH: Final = 24
 _MAX_SHARED_PARTS: Final = 64
-_BUSY_STATUS: Final = 503
-_RETRY_AFTER: Final = "Retry-After"
-_DECIMAL: Final = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 # Another instance than the expected one received the request.
 _MISDIRECTED_STATUS: Final = 421
 # Value of a header that states a fact.
@@ -115,7 +111,7 @@
             not_run=names.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             at_fault=headers.get(names.AT_SERVER),
             misdirected=status == _MISDIRECTED_STATUS,
-            retry_after=_parse_retry_after(headers) if status == _BUSY_STATUS else None,
+            retry_after=parse_retry_after(status, headers),
             leaving=headers.get(names.LEAVING, "").strip() == _YES,
         )
 
@@ -154,20 +150,6 @@
     return max(0.0, value) / _MS_PER_SECOND if value == value else None
 
 
-def _parse_retry_after(headers: HTTPHeaders) -> float | None:
-    """Return the seconds of a Retry-After header; NaN if it is a date or not a decimal number.
-
-    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "1.5"})), _parse_retry_after(HTTPHeaders())
-    (1.5, None)
-    >>> _parse_retry_after(HTTPHeaders({"Retry-After": "soon"}))
-    nan
-    """
-    if _RETRY_AFTER not in headers:
-        return None
-    text = headers[_RETRY_AFTER].strip()
-    return float(text) if _DECIMAL.fullmatch(text) else math.nan
-
-
 def _parse_token_counts(text: str | None) -> tuple[int, int]:
     """Return the number of prompt tokens and the maximum number of output tokens; 0 if unknown.
 
