--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.attempt_history import AttemptHistory
 from baobabpulley.entry.delivery import CompletionProgress
 from baobabpulley.entry.forwarding import RequestForwarder
 from baobabpulley.entry.pacing import Pacer
@@ -23,8 +24,6 @@
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
-from baobabpulley.errors import UpstreamOutOfMemory
-from baobabpulley.errors import UpstreamOverloaded
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamReserved
 from baobabpulley.errors import UpstreamUnreachable
@@ -54,41 +53,6 @@
 SUSPECT_POLL_SECONDS: Final = 0.1
 
 
-class _AttemptHistory:
-    """The failed attempts of one request, and whether any of them may have run."""
-
-    __slots__ = ("failures", "lost", "may_have_run", "overloads", "queued_at", "refused")
-
-    def __init__(self) -> None:
-        # Model time at which the request entered its lane; set once it has to be queued again.
-        self.queued_at: float | None = None
-        self.refused: set[str] = set()
-        self.lost: set[str] = set()
-        self.failures = 0
-        self.overloads = 0
-        self.may_have_run = False
-
-    @property
-    def excluded(self) -> frozenset[str]:
-        """Upstreams on which the request has failed."""
-        return frozenset(self.refused | self.lost)
-
-    def add(self, upstream: str, error: BaobabError, *, started: bool) -> None:
-        """Record a failed attempt."""
-        (self.refused if isinstance(error, UpstreamRefused) else self.lost).add(upstream)
-        self.failures += 1
-        self.overloads += isinstance(error, UpstreamOverloaded | UpstreamOutOfMemory)
-        self.may_have_run = self.may_have_run or started or error.ran is not False
-
-    def error_for_caller(self, error: BaobabError) -> BaobabError:
-        """Return the error, or one that does not say "not run" if an attempt may have run."""
-        if error.ran is not False or not self.may_have_run:
-            return error
-        if isinstance(error, DeadlineExceeded):
-            return DeadlineExceeded(error.message)
-        return UpstreamLost(f"an attempt was lost and cannot be retried: {error.message}")
-
-
 @final
 class Dispatcher:
     """Run completion requests against the engines of this failure domain."""
@@ -151,7 +115,7 @@
         progress = CompletionProgress(
             max_tokens=request.max_tokens, offset=request.offset, delivered=request.delivered
         )
-        history = _AttemptHistory()
+        history = AttemptHistory()
         runner = self._run_in_domain(request, record, progress, history)
         if record.lane == GANG and self._gangs is not None:
             runner = self._gangs.run(request, record)
@@ -182,7 +146,7 @@
         request: CompletionRequest,
         record: DecisionRecord,
         progress: CompletionProgress,
-        history: _AttemptHistory,
+        history: AttemptHistory,
     ) -> AsyncIterator[CompletionEvent]:
         budget = self._budget(request)
         budget.earn()
@@ -219,7 +183,7 @@
         request: CompletionRequest,
         record: DecisionRecord,
         progress: CompletionProgress,
-        history: _AttemptHistory,
+        history: AttemptHistory,
     ) -> Placement:
         try:
             if history.lost and self._forwarder_for(request, progress) is None:
@@ -245,7 +209,7 @@
         return placement
 
     async def _place_once(
-        self, request: CompletionRequest, record: DecisionRecord, history: _AttemptHistory
+        self, request: CompletionRequest, record: DecisionRecord, history: AttemptHistory
     ) -> Placement:
         return await self._placer.place(
             request,
@@ -255,7 +219,7 @@
         )
 
     async def _place_including_lost(
-        self, request: CompletionRequest, record: DecisionRecord, history: _AttemptHistory
+        self, request: CompletionRequest, record: DecisionRecord, history: AttemptHistory
     ) -> Placement:
         """Place a request that cannot be forwarded, if need be on an upstream that lost it.
 
@@ -295,7 +259,7 @@
             self._placer.suspect(upstream.id, seconds=self._retries.suspect)
 
     def _check_retry(
-        self, history: _AttemptHistory, budget: RetryBudget, error: BaobabError
+        self, history: AttemptHistory, budget: RetryBudget, error: BaobabError
     ) -> None:
         """Raise the final error unless the request may be retried."""
         if history.overloads > 1:
@@ -363,7 +327,7 @@
         except TimeoutError:
             raise _deadline_error(progress) from None
 
-    def _check_deadline(self, request: CompletionRequest, history: _AttemptHistory) -> None:
+    def _check_deadline(self, request: CompletionRequest, history: AttemptHistory) -> None:
         if self._timers.now() >= request.deadline:
             raise history.error_for_caller(
                 DeadlineBeforeStart("the deadline passed before an engine accepted the request")
