Send nothing new to engines that asked for no requests

The engine gets no completion, chunk of a paced prompt, chunk of a gang, reservation of a gang or question for a lost stream until its time is over, whatever its load reports say. Its answer is no failure: it isn't suspected. A refusal that certainly didn't run costs no retry. That makes no storm: an engine refuses only what was sent before its first refusal arrived, and a request has four attempts at most. An attempt that may have run is charged as before. If all engines of a model asked, requests, queued ones too, get no_upstream at once, with the earliest end, spread, or go to another failure domain.

test_an_engine_gets_no_requests_until_its_retry_after_is_over failed before and passes, its bound and check unchanged; it builds the engine as the daemon does.

--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -14,7 +14,9 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.retry_after import parse_retry_after
 from baobabpulley.errors import MismatchedResponse
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamImportFailed
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
@@ -261,20 +263,39 @@
     async def _raise_for_status(self, response: HttpResponse) -> None:
         if response.status < 400:
             return
-        body = await response.body(idle_timeout=self._timers.to_real_seconds(self._silence_timeout))
-        raise parse_upstream_error("the engine", body)
+        idle = self._timers.to_real_seconds(self._silence_timeout)
+        asked_pause = parse_retry_after(response.status, response.headers)
+        try:
+            body = await response.body(idle_timeout=idle)
+        except UpstreamLost as error:
+            if asked_pause is None:
+                raise
+            # What the head asked for holds, whatever becomes of the body.
+            raise UpstreamLost(error.message, asked_pause=asked_pause) from error
+        raise parse_upstream_error("the engine", body, asked_pause=asked_pause)
+
 
+def parse_upstream_error(
+    name: str, body: bytes, *, asked_pause: float | None = None
+) -> UpstreamLost | UpstreamRefused:
+    """Return the typed error for the error document of the upstream ``name``.
 
-def parse_upstream_error(name: str, body: bytes) -> UpstreamLost | UpstreamRefused:
-    """Return the typed error for the error document of the upstream ``name``."""
+    ``asked_pause`` is for how many seconds the response asked for no requests, if it did.
+    """
     try:
         error = msgspec.json.decode(body, type=_ErrorDocument).error
     except msgspec.DecodeError:
-        return UpstreamLost(f"{name} sent an invalid error document")
+        return UpstreamLost(f"{name} sent an invalid error document", asked_pause=asked_pause)
     if error.ran is not False:
-        return UpstreamLost(f"{name} failed: {error.code}: {error.message}")
+        return UpstreamLost(
+            f"{name} failed: {error.code}: {error.message}", asked_pause=asked_pause
+        )
     error_type = _REFUSED_BY_CODE.get(error.code, UpstreamRefused)
-    return error_type(f"{name} did not run the request: {error.code}: {error.message}")
+    if asked_pause is not None and error_type is not UpstreamLeaving:
+        error_type = UpstreamBackpressure
+    return error_type(
+        f"{name} did not run the request: {error.code}: {error.message}", asked_pause=asked_pause
+    )
 
 
 def _decode(upstream: Upstream, data: bytes, decoder: msgspec.json.Decoder[T]) -> T:
--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "alarms",
         "attempts",
+        "backpressured",
         "control",
         "first_token",
         "refusals",
@@ -58,6 +59,11 @@
         self.attempts = Counter(
             "baobab_attempts", "Attempts at upstreams", ["service"], registry=self.registry
         )
+        self.backpressured = Gauge(
+            "baobab_upstreams_backpressured",
+            "Upstreams that asked for no requests and get none now",
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "baobab_refusals", "Requests that did not run", ["code"], registry=self.registry
         )
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -17,6 +17,8 @@
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.adapters.no_store import NoStore
 from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.entry.backpressure import EntryBackpressure
+from baobabpulley.entry.backpressure_engine import BackpressureEngine
 from baobabpulley.entry.claims import Claims
 from baobabpulley.entry.claims import ClaimsSection
 from baobabpulley.entry.context import EntryContext
@@ -81,20 +83,27 @@
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
     client = HttpClient()
+    backpressure = EntryBackpressure(timers=timers)
+    metrics.backpressured.set_function(lambda: len(backpressure.upstreams()))
     placer = make_placer(
         vm=node.vm,
         view=view,
         routing=settings.get(RoutingSection),
         lanes=settings.get(LanesSection),
         admission=settings.get(AdmissionSection),
+        backpressure=backpressure,
         timers=timers,
     )
     peers.subscribe(settings.get(KeeperLinkSection).address, placer.receive)
     memory = EntryMemory(
         settings=settings,
-        engine=ResumingEngine(
-            engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+        engine=BackpressureEngine(
+            engine=ResumingEngine(
+                engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+            ),
+            backpressure=backpressure,
         ),
+        backpressure=backpressure,
         peers=peers,
         view=view,
         metrics=metrics,
--- a/src/baobabpulley/entry/dispatch.py
+++ b/src/baobabpulley/entry/dispatch.py
@@ -11,6 +11,7 @@
 
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.entry.attempt_history import AttemptHistory
+from baobabpulley.entry.backpressure import asked_pause
 from baobabpulley.entry.delivery import CompletionProgress
 from baobabpulley.entry.forwarding import RequestForwarder
 from baobabpulley.entry.pacing import Pacer
@@ -22,10 +23,12 @@
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import Overloaded
 from baobabpulley.errors import UnknownModel
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamReserved
+from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.decisions import DecisionRecord
 from baobabpulley.model.decisions import Detail
@@ -166,6 +169,11 @@
                 self._placer.pause_long_requests(placement.upstream.id)
                 history.queued_at = placement.queued_at
                 continue
+            except UpstreamSkipped as error:
+                # Nothing was sent here either, and the upstream gets no requests for now.
+                self._add_step(request, record, error.code, upstream=placement.upstream.id)
+                history.queued_at = placement.queued_at
+                continue
             except (UpstreamRefused, UpstreamUnreachable, UpstreamLost) as error:
                 upstream = placement.upstream
                 self._add_step(request, record, error.code, upstream=upstream.id)
@@ -174,7 +182,7 @@
                     # Already admitted and partly delivered, so only its deadline limits the wait.
                     history.queued_at = placement.queued_at
                 self._mark_suspect(upstream, error)
-                self._check_retry(history, budget, error)
+                self._check_retry(request, history, budget, error)
             pause = full_jitter(self._random, pause=self._retries.pause, retry=history.failures - 1)
             await self._timers.sleep(pause)
 
@@ -255,13 +263,21 @@
     def _mark_suspect(self, upstream: Upstream, error: BaobabError) -> None:
         if isinstance(error, UpstreamLeaving):
             self._view.mark_leaving(upstream.id)
-        elif isinstance(error, UpstreamUnreachable | UpstreamLost):
+        elif isinstance(error, UpstreamUnreachable | UpstreamLost) and asked_pause(error) is None:
             self._placer.suspect(upstream.id, seconds=self._retries.suspect)
 
     def _check_retry(
-        self, history: AttemptHistory, budget: RetryBudget, error: BaobabError
+        self,
+        request: CompletionRequest,
+        history: AttemptHistory,
+        budget: RetryBudget,
+        error: BaobabError,
     ) -> None:
-        """Raise the final error unless the request may be retried."""
+        """Raise the final error unless the request may be retried.
+
+        What an upstream refused that asked for no requests costs no retry. Each upstream refuses
+        so only what was sent before its first refusal arrived, and each request has few attempts.
+        """
         if history.overloads > 1:
             raise history.error_for_caller(
                 Overloaded(
@@ -269,6 +285,10 @@
                     retry_after=RETRY_AFTER_SECONDS,
                 )
             ) from error
+        if isinstance(error, UpstreamBackpressure):
+            if history.failures >= self._retries.max_attempts:
+                raise self._placer.backpressure_error(request) or history.error_for_caller(error)
+            return
         if history.failures >= self._retries.max_attempts or not budget.spend():
             raise history.error_for_caller(error) from error
 
--- a/src/baobabpulley/entry/gang_acquire.py
+++ b/src/baobabpulley/entry/gang_acquire.py
@@ -6,8 +6,10 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.reservations import EntryReservations
 from baobabpulley.errors import DeadlineBeforeStart
+from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import PeerUnavailable
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.model.reservations import MemoryClaim
@@ -69,18 +71,20 @@
 class GangAcquirer:
     """Acquire the members of one entry's gangs."""
 
-    __slots__ = ("_random", "_reservations", "_stale_seconds", "_timers", "_view")
+    __slots__ = ("_backpressure", "_random", "_reservations", "_stale_seconds", "_timers", "_view")
 
     def __init__(
         self,
         *,
         reservations: EntryReservations,
         view: FleetView,
+        backpressure: EntryBackpressure,
         timers: TimerService,
         stale_load: float,
     ) -> None:
         self._reservations = reservations
         self._view = view
+        self._backpressure = backpressure
         self._timers = timers
         self._stale_seconds = stale_load
         self._random = random.Random()
@@ -97,13 +101,15 @@
     async def acquire(self, plan: GangPlan) -> tuple[Upstream, ...]:
         """Return one reserved member for each chunk, ascending by id.
 
-        Raises `DeadlineBeforeStart` if they are not acquired by ``plan.give_up_at``.
+        Raises `DeadlineBeforeStart` if they are not acquired by ``plan.give_up_at``, and
+        `NoUpstream` once all candidates have asked for no requests.
         """
         members: list[Upstream] = []
         done = False
         try:
             while not done:
                 self._check_time(plan)
+                self._check_accepting(plan)
                 if await self._has_turn(plan):
                     done = await self._acquire_in_turn(plan, members)
                 else:
@@ -153,6 +159,7 @@
         try:
             while len(members) < len(plan.needs):
                 self._check_time(plan)
+                self._check_accepting(plan)
                 if not await self._has_turn(plan) or self._timers.now() > release_at:
                     self._release(plan, members)
                     return False
@@ -191,10 +198,12 @@
 
     def _candidates(self, plan: GangPlan, *, excluding: set[str]) -> list[GangCandidate]:
         now = self._timers.now()
+        paused = self._backpressure.upstreams()
         return [
             candidate
             for candidate in self.all_candidates(plan.service, plan.model)
             if candidate.upstream.id not in excluding
+            and candidate.upstream.id not in paused
             and plan.excluded_until.get(candidate.upstream.id, 0.0) < now
         ]
 
@@ -219,6 +228,16 @@
     def _release_refused(self, plan: GangPlan, refused: set[str]) -> None:
         self._reservations.release_claims(plan.reservation, tuple(refused))
 
+    def _check_accepting(self, plan: GangPlan) -> None:
+        upstreams = [
+            candidate.upstream for candidate in self.all_candidates(plan.service, plan.model)
+        ]
+        retry_after = self._backpressure.retry_after(upstreams)
+        if retry_after is not None:
+            raise NoUpstream(
+                f"all engines of {plan.service} asked for no requests", retry_after=retry_after
+            )
+
     def _check_time(self, plan: GangPlan) -> None:
         if self._timers.now() >= plan.give_up_at:
             raise DeadlineBeforeStart(
--- a/src/baobabpulley/entry/gangs.py
+++ b/src/baobabpulley/entry/gangs.py
@@ -22,7 +22,7 @@
 from baobabpulley.entry.reservations import EntryReservations
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import DeadlineExceeded
-from baobabpulley.errors import TooFewEngines
+from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import UnknownModel
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.model.decisions import DecisionRecord
@@ -107,7 +107,7 @@
             if not started:
                 raise
             raise DeadlineExceeded(error.message) from error
-        except TooFewEngines as error:
+        except NoUpstream as error:
             if not started:
                 raise
             raise UpstreamLost(
--- a/src/baobabpulley/entry/load_estimates.py
+++ b/src/baobabpulley/entry/load_estimates.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.outstanding import DispatchedAttempt
 from baobabpulley.entry.outstanding import OutstandingAttempts
 from baobabpulley.entry.outstanding import UpstreamEstimate
@@ -40,6 +41,7 @@
 
     __slots__ = (
         "_assignment_inputs",
+        "_backpressure",
         "_failures",
         "_foreign_engines",
         "_lanes",
@@ -60,12 +62,14 @@
         view: FleetView,
         routing: RoutingSection,
         lanes: LanesSection,
+        backpressure: EntryBackpressure,
         timers: TimerService,
     ) -> None:
         self._vm = vm
         self._view = view
         self._routing = routing
         self._lanes = lanes
+        self._backpressure = backpressure
         self._timers = timers
         self._outstanding = OutstandingAttempts(corrected=routing.corrected)
         self._prefixes = PrefixIndex()
@@ -81,23 +85,30 @@
         return self._prefixes
 
     def eligible(self, request: CompletionRequest, *, excluded: frozenset[str]) -> list[Upstream]:
-        """Return the upstreams that could run a request now or later, without suspected ones.
+        """Return the upstreams that could run a request now or later.
 
-        Raises `NoUpstream` if there is none or none has enough memory.
+        Those that are suspected or asked for no requests are left out. Raises `NoUpstream` if
+        there is none or none has enough memory.
         """
-        document = self._view.settings_state.models.get(request.model)
-        if document is None:
-            raise UnknownModel(f"unknown model {request.model!r}")
         upstreams = [
             upstream
-            for upstream in self._view.live_upstreams(document.service)
-            if upstream.id not in excluded
-            and self._may_have_model(upstream.id, request.model)
-            and not self._is_suspect(upstream.id)
+            for upstream in self._backpressure.accepting(self._with_model(request.model))
+            if upstream.id not in excluded and not self._is_suspect(upstream.id)
         ]
         self._check_capacity(request, upstreams)
         return upstreams
 
+    def backpressure_error(self, request: CompletionRequest) -> NoUpstream | None:
+        """Return the error to report if all upstreams of a request asked for no requests."""
+        retry_after = self._backpressure.retry_after(self._with_model(request.model))
+        if retry_after is None:
+            return None
+        return NoUpstream(
+            f"all upstreams in {self._view.failure_domain} that serve {request.model} "
+            "asked for no requests",
+            retry_after=retry_after,
+        )
+
     def estimate(self, upstream: str, *, lane: str) -> UpstreamEstimate:
         """Return the estimate for a new attempt of a lane at an upstream."""
         return self._estimate(upstream, self.priority(lane))
@@ -194,7 +205,7 @@
 
     def _check_capacity(self, request: CompletionRequest, eligible: list[Upstream]) -> None:
         if not eligible:
-            raise NoUpstream(
+            raise self.backpressure_error(request) or NoUpstream(
                 f"no upstream in {self._view.failure_domain} can serve {request.model} now"
             )
         loads = [self._view.loads.get(upstream.id) for upstream in eligible]
@@ -202,9 +213,20 @@
         if largest < request.total_tokens:
             raise NoUpstream(
                 f"the request needs {request.total_tokens} tokens of memory; "
-                f"the largest engine has {largest:.0f}"
+                f"the largest engine that accepts requests has {largest:.0f}"
             )
 
+    def _with_model(self, model: str) -> list[Upstream]:
+        """Return the upstreams that accept work and may have a model."""
+        document = self._view.settings_state.models.get(model)
+        if document is None:
+            raise UnknownModel(f"unknown model {model!r}")
+        return [
+            upstream
+            for upstream in self._view.live_upstreams(document.service)
+            if self._may_have_model(upstream.id, model)
+        ]
+
     def _may_have_model(self, upstream: str, model: str) -> bool:
         load = self._view.loads.get(upstream)
         return load is None or model in load.report.models
--- a/src/baobabpulley/entry/memory.py
+++ b/src/baobabpulley/entry/memory.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.gang_acquire import GangAcquirer
 from baobabpulley.entry.gangs import EntryGangRunner
 from baobabpulley.entry.hold_renewal import HoldRenewal
@@ -33,6 +34,7 @@
         *,
         settings: Settings,
         engine: Engine,
+        backpressure: EntryBackpressure,
         peers: Peers,
         view: FleetView,
         metrics: EntryMetrics,
@@ -64,6 +66,7 @@
             acquirer=GangAcquirer(
                 reservations=self.reservations,
                 view=view,
+                backpressure=backpressure,
                 timers=timers,
                 stale_load=section.stale_load,
             ),
--- a/src/baobabpulley/entry/pacing.py
+++ b/src/baobabpulley/entry/pacing.py
@@ -59,7 +59,8 @@
         except UpstreamRefused as error:
             if prefilled:
                 raise UpstreamLost(
-                    f"refused after a prefix had been prefilled: {error.message}"
+                    f"refused after a prefix had been prefilled: {error.message}",
+                    asked_pause=error.asked_pause,
                 ) from error
             raise
 
--- a/src/baobabpulley/entry/placer.py
+++ b/src/baobabpulley/entry/placer.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.lane_queues import LaneQueues
 from baobabpulley.entry.load_estimates import LoadEstimates
 from baobabpulley.entry.outstanding import UpstreamEstimate
@@ -135,6 +136,10 @@
         """Exclude an upstream until its next load report, or else for at least ``seconds``."""
         self._estimates.suspect(upstream, seconds=seconds)
 
+    def backpressure_error(self, request: CompletionRequest) -> NoUpstream | None:
+        """Return the error to report if all upstreams of a request asked for no requests."""
+        return self._estimates.backpressure_error(request)
+
     def pause_long_requests(self, upstream: str) -> None:
         """Send an upstream no long requests for a short time: others have reserved its memory."""
         self._estimates.pause_long_requests(upstream)
@@ -268,10 +273,13 @@
     routing: RoutingSection,
     lanes: LanesSection,
     admission: AdmissionSection,
+    backpressure: EntryBackpressure,
     timers: TimerService,
 ) -> Placer:
     """Return a placer with the configured policy; ``vm`` is the id of this entry's VM."""
-    estimates = LoadEstimates(vm=vm, view=view, routing=routing, lanes=lanes, timers=timers)
+    estimates = LoadEstimates(
+        vm=vm, view=view, routing=routing, lanes=lanes, backpressure=backpressure, timers=timers
+    )
     return Placer(
         view=view,
         estimates=estimates,
--- a/src/baobabpulley/entry/resuming_engine.py
+++ b/src/baobabpulley/entry/resuming_engine.py
@@ -64,7 +64,7 @@
                 return
             except UpstreamLost as error:
                 self._count_mismatch(error)
-                if resumes == MAX_RESUMES:
+                if resumes == MAX_RESUMES or error.asked_pause is not None:
                     raise
                 stream_error = error
             except (UpstreamRefused, UpstreamUnreachable) as error:
@@ -84,6 +84,8 @@
         try:
             return await self._engine.prefill_chunk(upstream, call)
         except UpstreamLost as error:
+            if error.asked_pause is not None:
+                raise
             prefill_error = error
         for _ in range(MAX_CHUNK_RESUMES):
             self._metrics.resumes.inc()
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -13,6 +13,22 @@
     ran = None
     default_remedy = "Retry if the call is idempotent; completions are."
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        remedy: str | None = None,
+        retry_after: float | None = None,
+        asked_pause: float | None = None,
+    ) -> None:
+        super().__init__(message, remedy=remedy, retry_after=retry_after)
+        self._asked_pause = asked_pause
+
+    @property
+    def asked_pause(self) -> float | None:
+        """Seconds for which the upstream asked for no requests; NaN if unreadable."""
+        return self._asked_pause
+
 
 class UpstreamDisconnected(UpstreamLost):
     """The connection to an upstream broke before its answer was complete."""
@@ -54,15 +70,22 @@
         remedy: str | None = None,
         retry_after: float | None = None,
         at_fault: str | None = None,
+        asked_pause: float | None = None,
     ) -> None:
         super().__init__(message, remedy=remedy, retry_after=retry_after)
         self._at_fault = at_fault
+        self._asked_pause = asked_pause
 
     @property
     def at_fault(self) -> str | None:
         """Address of another upstream that the refusing one reports as the cause, if any."""
         return self._at_fault
 
+    @property
+    def asked_pause(self) -> float | None:
+        """Seconds for which the upstream asked for no requests; NaN if unreadable."""
+        return self._asked_pause
+
 
 class UpstreamOutOfMemory(UpstreamRefused):
     """The engine has too little free memory for the request's KV cache."""
--- a/testing/test_engine_backpressure.py
+++ b/testing/test_engine_backpressure.py
@@ -15,6 +15,8 @@
 from baobabpulley.adapters.http_engine import HttpEngine
 from baobabpulley.adapters.http_service import HttpPlainService
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
+from baobabpulley.entry.backpressure_engine import BackpressureEngine
 from baobabpulley.entry.dispatch import Dispatcher
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.entry.resuming_engine import ResumingEngine
@@ -83,10 +85,13 @@
 
 def make_dispatcher(view: FleetView, timers: TimerService) -> Dispatcher:
     lanes, metrics = LanesSection(), EntryMetrics()
-    engine = HttpEngine(client=HttpClient(), timers=timers)
+    backpressure = EntryBackpressure(timers=timers)
+    engine = ResumingEngine(
+        engine=HttpEngine(client=HttpClient(), timers=timers), metrics=metrics, timers=timers
+    )
     return Dispatcher(
         holder="entry-0",
-        engine=ResumingEngine(engine=engine, metrics=metrics, timers=timers),
+        engine=BackpressureEngine(engine=engine, backpressure=backpressure),
         view=view,
         placer=make_placer(
             vm="vm-0",
@@ -94,6 +99,7 @@
             routing=RoutingSection(),
             lanes=lanes,
             admission=AdmissionSection(),
+            backpressure=backpressure,
             timers=timers,
         ),
         lanes=lanes,
--- a/testing/test_engine_pauses.py
+++ b/testing/test_engine_pauses.py
@@ -17,6 +17,7 @@
 from baobabpulley.adapters.http_engine import SILENCE_TIMEOUT_SECONDS
 from baobabpulley.adapters.http_engine import HttpEngine
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.dispatch import Dispatcher
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.entry.resuming_engine import ResumingEngine
@@ -114,6 +115,7 @@
             routing=RoutingSection(),
             lanes=lanes,
             admission=AdmissionSection(),
+            backpressure=EntryBackpressure(timers=timers),
             timers=timers,
         ),
         lanes=lanes,
--- a/testing/test_placer.py
+++ b/testing/test_placer.py
@@ -9,6 +9,7 @@
 from builders import make_request
 from builders import make_view
 
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.placements import Placement
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.errors import DeadlineBeforeStart
@@ -39,6 +40,7 @@
             routing=RoutingSection(),
             lanes=lanes or LanesSection(),
             admission=AdmissionSection(),
+            backpressure=EntryBackpressure(timers=self.timers),
             timers=self.timers,
         )
         self.order: list[str] = []
--- a/testing/test_retries.py
+++ b/testing/test_retries.py
@@ -9,6 +9,7 @@
 from fakes import ScriptedForwarder
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.dispatch import Dispatcher
 from baobabpulley.entry.placer import make_placer
 from baobabpulley.errors import BaobabError
@@ -52,6 +53,7 @@
             routing=RoutingSection(),
             lanes=lanes,
             admission=AdmissionSection(),
+            backpressure=EntryBackpressure(timers=timers),
             timers=timers,
         ),
         lanes=lanes,
