Send nothing to upstreams of plain services that asked for no requests

Callers' lookups went to an upstream that had answered 503 with a Retry-After of 10 s four times in that time: an entry left it alone for [retries] suspect, 3 s, whatever it asked. Also a shorter pause than that cost it its share for the rest, and each refusal a retry.

The entry now records the header as it does for engines, whether the body says that the call didn't run, is the service's own error (which its caller gets as before) or is cut short. Until then the upstream gets no call of any kind. It isn't suspected, and a refusal of what certainly didn't run costs no retry, also of an attempt beside a silent one; a lookup still has four attempts at most. If all upstreams asked, callers are refused at once with the earliest end, spread.

--- a/src/baobabpulley/adapters/http_service.py
+++ b/src/baobabpulley/adapters/http_service.py
@@ -6,6 +6,8 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_engine import parse_upstream_error
+from baobabpulley.adapters.retry_after import parse_retry_after
+from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.model.upstreams import Upstream
 from baobabpulley.ports.plain_service import PlainService
@@ -45,10 +47,22 @@
             head_timeout=timeout,
             fresh=True,
         ) as response:
-            body = await response.body(idle_timeout=timeout)
+            asked_pause = parse_retry_after(response.status, response.headers)
+            try:
+                body = await response.body(idle_timeout=timeout)
+            except UpstreamLost as error:
+                if asked_pause is None:
+                    raise
+                # What the head asked for holds, whatever becomes of the body.
+                raise UpstreamLost(error.message, asked_pause=asked_pause) from error
             if response.status == 503:
-                error = parse_upstream_error(upstream.id, body)
+                error = parse_upstream_error(upstream.id, body, asked_pause=asked_pause)
                 if isinstance(error, UpstreamRefused):
                     raise error
             content_type = response.headers.get("Content-Type", "application/json")
-            return ServiceResponse(status=response.status, body=body, content_type=content_type)
+            return ServiceResponse(
+                status=response.status,
+                body=body,
+                content_type=content_type,
+                asked_pause=asked_pause,
+            )
--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -121,7 +121,9 @@
         forwarder=RequestForwarder(client=client, view=view, timers=timers),
         gangs=memory.gangs,
     )
-    services = _service_caller(settings, view=view, metrics=metrics, timers=timers)
+    services = _service_caller(
+        settings, view=view, backpressure=backpressure, metrics=metrics, timers=timers
+    )
     return EntryContext(
         settings=settings,
         node=node,
@@ -150,13 +152,19 @@
 
 
 def _service_caller(
-    settings: Settings, *, view: FleetView, metrics: EntryMetrics, timers: TimerService
+    settings: Settings,
+    *,
+    view: FleetView,
+    backpressure: EntryBackpressure,
+    metrics: EntryMetrics,
+    timers: TimerService,
 ) -> ServiceCaller:
     return ServiceCaller(
         services=HttpPlainService(client=HttpClient(), timers=timers),
         view=view,
         section=settings.get(ServicesSection),
         retries=settings.get(RetriesSection),
+        backpressure=backpressure,
         metrics=metrics,
         timers=timers,
     )
--- a/src/baobabpulley/entry/service_caller.py
+++ b/src/baobabpulley/entry/service_caller.py
@@ -12,10 +12,12 @@
 import msgspec
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import NoUpstream
 from baobabpulley.errors import OutcomeUnknown
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamLeaving
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamRefused
@@ -34,6 +36,7 @@
 from baobabpulley.settings import section
 from baobabpulley.timers import TimerService
 
+DEFAULT_RETRY_AFTER_SECONDS: Final = 1.0
 # While a silent attempt can't be replaced, budget and upstreams are checked this often.
 REPLACEMENT_PERIOD_SECONDS: Final = 0.25
 
@@ -93,6 +96,7 @@
     """Send calls to the upstreams of plain services in this failure domain."""
 
     __slots__ = (
+        "_backpressure",
         "_budgets",
         "_metrics",
         "_random",
@@ -112,6 +116,7 @@
         view: FleetView,
         section: ServicesSection,
         retries: RetriesSection,
+        backpressure: EntryBackpressure,
         metrics: EntryMetrics,
         timers: TimerService,
         seed: int | None = None,
@@ -120,6 +125,7 @@
         self._view = view
         self._section = section
         self._retries = retries
+        self._backpressure = backpressure
         self._metrics = metrics
         self._timers = timers
         self._random = random.Random(seed)
@@ -149,9 +155,12 @@
                 except (UpstreamUnreachable, UpstreamRefused, UpstreamLost) as error:
                     run.tried.add(upstream.id)
                     run.may_have_run = run.may_have_run or error.ran is not False
-                    self._mark_suspect(upstream, error)
+                    self._record_failure(upstream, error)
                     if not run.attempts:
                         await self._retry(run, budget, error)
+                    elif isinstance(error, UpstreamBackpressure):
+                        # It was charged as it began beside the silent ones, and did not run.
+                        budget.refund()
         finally:
             await run.cancel()
 
@@ -168,9 +177,9 @@
                 return await self._send(upstream, call, timeout=self._section.once_timeout)
             except (UpstreamUnreachable, UpstreamRefused) as error:
                 tried.add(upstream.id)
-                self._mark_suspect(upstream, error)
+                self._record_failure(upstream, error)
             except UpstreamLost as error:
-                self._mark_suspect(upstream, error)
+                self._record_failure(upstream, error)
                 raise OutcomeUnknown(
                     f"{call.service} may have run the call but sent no response: {error.message}"
                 ) from error
@@ -220,27 +229,32 @@
             self._start(run, upstream)
 
     async def _retry(self, run: _IdempotentRun, budget: RetryBudget, error: BaobabError) -> None:
-        """Start another attempt after all have failed; raise the final error if none may be."""
+        """Start another attempt after all have failed; raise the final error if none may be.
+
+        What an upstream refused that asked for no requests costs no retry. Each upstream refuses
+        so only what was sent before its first refusal arrived, and each call has few attempts.
+        """
         pause = full_jitter(self._random, pause=self._retries.pause, retry=run.started - 1)
-        exhausted = run.started >= self._retries.max_attempts or not budget.spend()
+        is_free = isinstance(error, UpstreamBackpressure)
+        exhausted = run.started >= self._retries.max_attempts or not (is_free or budget.spend())
         if exhausted or self._now() + pause >= run.deadline_at:
-            raise _final_error(run, error) from error
+            raise self._final_error(run, error) from error
         await self._timers.sleep(pause)
         try:
             self._start(run, self._choose(run.call.service, run.tried))
         except NoUpstream as no_upstream:
-            raise _final_error(run, no_upstream) from error
+            raise self._final_error(run, no_upstream) from error
 
     def _new_budget(self) -> RetryBudget:
         return RetryBudget(share=self._retries.share, burst=self._retries.burst)
 
     def _choose(self, service: str, tried: set[str], *, reuse_tried: bool = True) -> Upstream:
-        live = self._view.live_upstreams(service)
+        live = self._backpressure.accepting(self._view.live_upstreams(service))
         candidates = [upstream for upstream in live if upstream.id not in tried]
         if not candidates and reuse_tried:
-            candidates = list(live)
+            candidates = live
         if not candidates:
-            raise NoUpstream(f"no upstream of {service} accepted the call", retry_after=1.0)
+            raise self._no_upstream(service)
         now = self._now()
         healthy = [
             upstream for upstream in candidates if self._suspect_until.get(upstream.id, 0.0) <= now
@@ -249,10 +263,25 @@
         eligible = healthy or candidates
         return eligible[self._round_robin % len(eligible)]
 
-    def _mark_suspect(self, upstream: Upstream, error: BaobabError) -> None:
+    def _no_upstream(self, service: str) -> NoUpstream:
+        retry_after = self._backpressure.retry_after(self._view.live_upstreams(service))
+        return NoUpstream(
+            f"no upstream of {service} accepted the call",
+            retry_after=DEFAULT_RETRY_AFTER_SECONDS if retry_after is None else retry_after,
+        )
+
+    def _final_error(self, run: _IdempotentRun, error: BaobabError) -> BaobabError:
+        """Return the error for the caller: "not run" only if no attempt can have run."""
+        if not run.may_have_run:
+            return self._no_upstream(run.call.service)
+        return DeadlineExceeded(f"{run.call.service} did not respond: {error.message}")
+
+    def _record_failure(self, upstream: Upstream, error: BaobabError) -> None:
         if isinstance(error, UpstreamLeaving):
             self._view.mark_leaving(upstream.id)
-        self._suspect(upstream)
+        # One that asked for no requests answered, and gets its full share after its pause.
+        if not self._backpressure.record(upstream, error):
+            self._suspect(upstream)
 
     def _suspect(self, upstream: Upstream) -> None:
         self._suspect_until[upstream.id] = self._now() + self._retries.suspect
@@ -272,11 +301,8 @@
         )
         response = await self._services.call(upstream, attempt)
         self._suspect_until.pop(upstream.id, None)
-        return response
-
-
-def _final_error(run: _IdempotentRun, error: BaobabError) -> BaobabError:
-    """Return the error for the caller, which says "not run" only if no attempt can have run."""
-    if not run.may_have_run:
-        return NoUpstream(f"no upstream of {run.call.service} accepted the call", retry_after=1.0)
-    return DeadlineExceeded(f"{run.call.service} did not respond: {error.message}")
+        if response.asked_pause is None:
+            return response
+        self._backpressure.record_pause(upstream, response.asked_pause)
+        # Responses are stored and passed on, and the pause was asked of this entry.
+        return msgspec.structs.replace(response, asked_pause=None)
--- a/src/baobabpulley/policy/retries.py
+++ b/src/baobabpulley/policy/retries.py
@@ -61,6 +61,10 @@
         self._left -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Give back a retry that was spent for an attempt that did not run."""
+        self._left = min(float(self._burst), self._left + 1.0)
+
 
 def full_jitter(source: random.Random, *, pause: float, retry: int) -> float:
     """Return the backoff before a retry, in model seconds, with full jitter.
--- a/src/baobabpulley/ports/plain_service.py
+++ b/src/baobabpulley/ports/plain_service.py
@@ -26,11 +26,15 @@
 
 
 class ServiceResponse(msgspec.Struct, frozen=True):
-    """A complete response of a service."""
+    """A complete response of a service.
+
+    ``asked_pause`` is for how many seconds it asked for no requests, if it did; NaN if unreadable.
+    """
 
     status: int
     body: bytes
     content_type: str
+    asked_pause: float | None = None
 
 
 class PlainService(ABC):
--- a/testing/test_engine_backpressure.py
+++ b/testing/test_engine_backpressure.py
@@ -167,6 +167,7 @@
         view=make_fleet_view("ledger", [standin.address for standin in standins]),
         section=ServicesSection(),
         retries=RetriesSection(),
+        backpressure=EntryBackpressure(timers=timers),
         metrics=EntryMetrics(),
         timers=timers,
     )
--- a/testing/test_service_pauses.py
+++ b/testing/test_service_pauses.py
@@ -11,6 +11,7 @@
 from builders import wait_until
 
 from baobabpulley.adapters.metrics import EntryMetrics
+from baobabpulley.entry.backpressure import EntryBackpressure
 from baobabpulley.entry.service_caller import ServiceCaller
 from baobabpulley.entry.service_caller import ServicesSection
 from baobabpulley.errors import BaobabError
@@ -99,6 +100,7 @@
         view=view,
         section=ServicesSection(),
         retries=retries or RetriesSection(),
+        backpressure=EntryBackpressure(timers=timers),
         metrics=EntryMetrics(),
         timers=timers,
     )
