Round the Retry-After of an entry's refusals up

A refusal that said to retry after 2.4 s reached the caller as 2: whole seconds were rounded to the nearest, so that callers came back before an upstream's pause was over. The doctest shows 3; round() gave 2.

--- a/src/baobabpulley/entry/web.py
+++ b/src/baobabpulley/entry/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -49,6 +50,15 @@
     return [(pattern, handler, {"context": context}) for pattern, handler in _ROUTES]
 
 
+def format_retry_after(seconds: float) -> str:
+    """Return the value of a Retry-After header: whole seconds, never less than ``seconds``.
+
+    >>> format_retry_after(2.4), format_retry_after(2.0), format_retry_after(0.1)
+    ('3', '2', '1')
+    """
+    return str(max(1, math.ceil(seconds)))
+
+
 class EntryHandler(RequestHandler):
     """Send typed errors as JSON, and give each request an id."""
 
@@ -133,7 +143,7 @@
         if retry_after is None and error.status in _RETRYABLE_STATUSES:
             retry_after = DEFAULT_RETRY_AFTER_SECONDS
         if retry_after is not None:
-            self.set_header("Retry-After", str(max(1, round(retry_after))))
+            self.set_header("Retry-After", format_retry_after(retry_after))
         self.finish(msgspec.json.encode(error.document()))
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
