--- a/src/baobabpulley/entry/daemon.py
+++ b/src/baobabpulley/entry/daemon.py
@@ -17,6 +17,8 @@
 from baobabpulley.adapters.metrics import EntryMetrics
 from baobabpulley.adapters.no_store import NoStore
 from baobabpulley.adapters.pynng_peers import PynngPeers
+from baobabpulley.entry.backpressure import EntryBackpressure
+from baobabpulley.entry.backpressure_engine import BackpressureEngine
 from baobabpulley.entry.claims import Claims
 from baobabpulley.entry.claims import ClaimsSection
 from baobabpulley.entry.context import EntryContext
@@ -81,20 +83,27 @@
 
     view = FleetView(failure_domain=node.failure_domain, alarm=alarm)
     client = HttpClient()
+    backpressure = EntryBackpressure(timers=timers)
+    metrics.backpressured.set_function(lambda: len(backpressure.upstreams()))
     placer = make_placer(
         vm=node.vm,
         view=view,
         routing=settings.get(RoutingSection),
         lanes=settings.get(LanesSection),
         admission=settings.get(AdmissionSection),
+        backpressure=backpressure,
         timers=timers,
     )
     peers.subscribe(settings.get(KeeperLinkSection).address, placer.receive)
     memory = EntryMemory(
         settings=settings,
-        engine=ResumingEngine(
-            engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+        engine=BackpressureEngine(
+            engine=ResumingEngine(
+                engine=HttpEngine(client=client, timers=timers), metrics=metrics, timers=timers
+            ),
+            backpressure=backpressure,
         ),
+        backpressure=backpressure,
         peers=peers,
         view=view,
         metrics=metrics,
@@ -112,7 +121,9 @@
         forwarder=RequestForwarder(client=client, view=view, timers=timers),
         gangs=memory.gangs,
     )
-    services = _service_caller(settings, view=view, metrics=metrics, timers=timers)
+    services = _service_caller(
+        settings, view=view, backpressure=backpressure, metrics=metrics, timers=timers
+    )
     return EntryContext(
         settings=settings,
         node=node,
@@ -141,13 +152,19 @@
 
 
 def _service_caller(
-    settings: Settings, *, view: FleetView, metrics: EntryMetrics, timers: TimerService
+    settings: Settings,
+    *,
+    view: FleetView,
+    backpressure: EntryBackpressure,
+    metrics: EntryMetrics,
+    timers: TimerService,
 ) -> ServiceCaller:
     return ServiceCaller(
         services=HttpPlainService(client=HttpClient(), timers=timers),
         view=view,
         section=settings.get(ServicesSection),
         retries=settings.get(RetriesSection),
+        backpressure=backpressure,
         metrics=metrics,
         timers=timers,
     )
