Prefer other engines for new requests while an engine's running streams are silent

What callers saw: with a third of the engines pausing 1.2 s every 5 s at 60% load, 5 to 7% of the streams had their first event late, nearly all of them sent to an engine in the first second of its pause.

Cause: an upstream is taken for silent only after 1.0 s, so it got requests until then, although the gateway's running streams there had all stopped.

The gateway now records, for each engine, when an event of any running stream last arrived and the usual gap between the events of a stream. While nothing has arrived for 2.5 usual gaps, at least 0.2 s, requests are placed on the other engines if these have room, else as before. It is no failure: no penalty, no circuit, nothing that lasts beyond the next event, or 2.0 s. An engine without running streams is never silent, nor one with known prefill to do. Without a silent engine the choice and its draws are as before.

--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -27,6 +27,7 @@
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
+from baobabpulley.policy.upstream_silence import EngineStreams
 from baobabpulley.ports.exchange_wire import ExchangeWire
 from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
@@ -48,17 +49,41 @@
 
 @final
 class AttemptProgress:
-    """When an attempt last received a part of its answer, or started, in monotonic seconds."""
+    """When an attempt last received a part of its answer, or started, in monotonic seconds.
 
-    __slots__ = ("_timers", "at")
+    A stream's events are also recorded for its upstream, from `begin_stream` to `end_stream`.
+    """
+
+    __slots__ = ("_streams", "_timers", "at")
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
+        self._streams: EngineStreams | None = None
         self.at = timers.now()
 
     def record(self) -> None:
         """Record that a part of the answer has arrived now."""
+        now = self._timers.now()
+        if self._streams is not None:
+            self._streams.record_event(gap=now - self.at, now=now)
+        self.at = now
+
+    def record_slow_caller(self) -> None:
+        """Record that the answer isn't read now, as the caller is slow."""
         self.at = self._timers.now()
+        if self._streams is not None:
+            self._streams.record_heard(now=self.at)
+
+    def begin_stream(self, streams: EngineStreams) -> None:
+        """Record the first event of a stream, which has arrived now."""
+        self._streams = streams
+        streams.begin(now=self.at)
+
+    def end_stream(self) -> None:
+        """Record that the upstream's stream is over, if it has begun."""
+        if self._streams is not None:
+            self._streams.end()
+            self._streams = None
 
 
 @final
--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -99,7 +99,10 @@
         response: UpstreamResponse,
     ) -> None:
         if response.is_stream and response.status == 200:
-            await self._deliver_events(exchange, race, attempt, response)
+            try:
+                await self._deliver_events(exchange, race, attempt, response)
+            finally:
+                attempt.progress.end_stream()
             return
         body = await response.body()
         upstream = attempt.placement.upstream
@@ -126,15 +129,17 @@
         attempt: RunningAttempt,
         response: UpstreamResponse,
     ) -> None:
-        reply = exchange.reply
+        reply, upstream = exchange.reply, attempt.placement.upstream
         first = True
         async for event in response.events():
             if first:
                 self._placer.end_prefill(attempt.placement)
                 first = False
-                self._record.record_response(attempt.placement.upstream, succeeded=True)
+                self._record.record_response(upstream, succeeded=True)
             if has_content(event):
                 self._outcomes.record_event(exchange, attempt)
+                if attempt.events == 1:
+                    attempt.progress.begin_stream(self._record.running_streams(upstream))
             if not exchange.progress.accept(event):
                 continue
             if has_content(event):
@@ -149,7 +154,7 @@
                 exchange.record_event(self._timers.now())
             while reply.is_behind:
                 # The caller is slow, not the upstream.
-                attempt.progress.record()
+                attempt.progress.record_slow_caller()
                 await reply.wait_until_sent(seconds=CALLER_CHECK_SECONDS)
         if not attempt.events and not exchange.has_events and response.ends_with_connection:
             # An upstream that crashes may close its connections in order.
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -185,6 +185,7 @@
         decoding=0 if plan is None else plan.first_load.decoding,
         backlog=0.0 if plan is None else round(plan.backlog, 3),
         load_age=round(placement.load_age, 3),
+        avoided=placement.avoided,
         after=round(now - exchange.times.arrived, 3),
     ).info("placed")
 
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -23,6 +23,7 @@
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.memory_placement import Candidate
 from baobabpulley.policy.prompt_placement import Plan
+from baobabpulley.policy.upstream_silence import is_explained
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD_SECONDS: Final = 0.025
@@ -39,10 +40,11 @@
 
     Its ``dispatches`` count towards the load of its engines until `Placer.end`. ``started`` is in
     monotonic seconds. ``load_age`` is the age in seconds of the oldest figure in the load of the
-    upstream that was known when it was chosen.
+    upstream that was known when it was chosen. ``avoided`` is the number of silent upstreams of
+    all services, which were left out of the choice.
     """
 
-    __slots__ = ("dispatches", "load_age", "plan", "started", "upstream")
+    __slots__ = ("avoided", "dispatches", "load_age", "plan", "started", "upstream")
 
     def __init__(
         self,
@@ -53,6 +55,7 @@
         started: float,
         load_age: float,
     ) -> None:
+        self.avoided = 0
         self.load_age = load_age
         self.upstream = upstream
         self.plan = plan
@@ -276,9 +279,32 @@
         return self._planner.retry_after(request.times, now=self._timers.now())
 
     def _try(self, request: PlacementRequest) -> Placement | None:
+        """Place a request, on upstreams that aren't silent if these have room."""
+        silent = self._silent_upstreams(request)
+        if silent:
+            try:
+                placement = self._try_outside(silent, request)
+            except BaobabError:
+                placement = None
+            if placement is not None:
+                placement.avoided = len(silent)
+                return placement
+        return self._try_outside(NO_EXCLUSIONS, request)
+
+    def _silent_upstreams(self, request: PlacementRequest) -> frozenset[str]:
+        """Return the ids of silent upstreams, without those whose known prefills explain it."""
+        silent = self._record.silent_upstreams()
+        if not silent or request.first is not None:
+            return NO_EXCLUSIONS
+        now = self._timers.now()
+        return frozenset(
+            id for id in silent if not is_explained(backlog=self._loads.load(id, now=now).backlog)
+        )
+
+    def _try_outside(self, avoided: frozenset[str], request: PlacementRequest) -> Placement | None:
         """Place a request in this gateway's subset, or elsewhere if the subset has no room."""
         service, excluded = request.service.name, request.excluded
-        subset = self._candidates.in_subset(service, excluded=excluded)
+        subset = _without(self._candidates.in_subset(service, excluded=excluded), avoided)
         if not self._candidates.exceeds_subset(service):
             return self._try_among(subset, request)
         try:
@@ -287,7 +313,8 @@
             placement = None
         if placement is not None:
             return placement
-        return self._try_among(self._candidates.all(service, excluded=excluded), request)
+        candidates = self._candidates.all(service, excluded=excluded)
+        return self._try_among(_without(candidates, avoided), request)
 
     def _try_among(
         self, candidates: list[Candidate], request: PlacementRequest
@@ -346,3 +373,9 @@
             started=started,
             load_age=self._loads.oldest_share_age(upstream.id, now=started),
         )
+
+
+def _without(candidates: list[Candidate], avoided: frozenset[str]) -> list[Candidate]:
+    if not avoided:
+        return candidates
+    return [candidate for candidate in candidates if candidate.upstream.id not in avoided]
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -16,6 +16,8 @@
 from baobabpulley.policy.upstream_backpressure import BackpressureWindows
 from baobabpulley.policy.upstream_backpressure import backpressure_seconds
 from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.policy.upstream_silence import EngineStreams
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
 
@@ -31,7 +33,15 @@
     The head of each response is recorded as soon as it arrives, whatever becomes of its attempt.
     """
 
-    __slots__ = ("_backpressure", "_breaker", "_fleet_state", "_health", "_last_seen", "_timers")
+    __slots__ = (
+        "_backpressure",
+        "_breaker",
+        "_fleet_state",
+        "_health",
+        "_last_seen",
+        "_silent",
+        "_timers",
+    )
 
     def __init__(
         self,
@@ -46,6 +56,7 @@
         self._timers = timers
         self._backpressure = BackpressureWindows()
         self._health = UpstreamHealth()
+        self._silent = SilentEngines()
         self._breaker = DomainCircuitBreaker(own_domain=failure_domain)
 
     @property
@@ -89,6 +100,16 @@
         """Return for how many seconds an upstream still wants no requests; 0 if it gets some."""
         return self._backpressure.seconds_left(upstream.id, now=self._timers.now())
 
+    def silent_upstreams(self) -> frozenset[str]:
+        """Return the ids of the upstreams whose running streams are all silent now."""
+        return self._silent.silent(now=self._timers.now())
+
+    def running_streams(self, upstream: ListedUpstream) -> EngineStreams:
+        """Return the record of an upstream's running streams; nobody sees that of a removed one."""
+        if upstream.id not in self._fleet_state.upstreams:
+            return EngineStreams()
+        return self._silent.streams(upstream.id)
+
     def record_head(self, upstream: ListedUpstream, head: ResponseHead) -> None:
         """Record what the head of a response says of the upstream."""
         if head.leaving:
@@ -151,6 +172,7 @@
         """Drop the records of an upstream that was removed."""
         self._backpressure.forget(upstream.id)
         self._health.forget(upstream.id)
+        self._silent.forget(upstream.id)
 
     def has_no_record(self, upstream: str) -> bool:
         """Whether no failure of the upstream is on record."""
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -297,8 +297,9 @@
     breaks_after: int | None = None,
     pause_after: int | None = None,
     pause: float = 0.0,
+    gap: float = 0.002,
 ) -> Behaviour:
-    """Return a behaviour that streams events numbered from ``first``.
+    """Return a behaviour that streams events numbered from ``first``, ``gap`` seconds apart.
 
     The stream resets within an event after ``breaks_after`` events, and pauses for ``pause``
     seconds after ``pause_after`` events.
@@ -324,7 +325,7 @@
                 call.reset()
                 return
             await call.write_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
-            await asyncio.sleep(0.002)
+            await asyncio.sleep(gap)
         await call.write(b"0\r\n\r\n")
 
     return run
