Report silent engines to the other gateways

Gateways that see a silence name the engine in their gossip at once; one of them repeats it every 0.4 s. Others avoid it for 0.6 s after a report if they run no stream there. What is only heard is not passed on. The field is optional and last, so gateways without it go on understanding.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -56,6 +56,7 @@
 from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.settings import Settings
 from baobabpulley.shutdown import cancel_remaining_tasks
 from baobabpulley.shutdown import stop_event
@@ -94,6 +95,7 @@
         self.loads = LoadTracker()
         self.metrics = GatewayMetrics()
         self.evidence = CrashEvidence(node=self.node.id, timers=timers)
+        silent_engines = SilentEngines()
         self.gossip = GossipProtocol(
             node=self.node,
             section=settings.get(GatewayPeersSection),
@@ -103,6 +105,7 @@
             timers=timers,
             on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
+            silent_engines=silent_engines,
         )
         watchers = StoreWatchers(
             node=self.node.id,
@@ -132,6 +135,7 @@
             fleet_state=self.fleet_state,
             last_seen=self.gossip.last_seen,
             timers=timers,
+            silent_engines=silent_engines,
         )
         candidates = CandidateList(
             node=self.node.id,
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -36,6 +36,7 @@
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
 from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.timers import TimerService
 
 # A relay collects messages for this long, so that few datagrams leave its failure domain.
@@ -75,6 +76,7 @@
         "_section",
         "_sent_at",
         "_sequence",
+        "_silent",
         "_store_reachable",
         "_timers",
         "_transport",
@@ -94,6 +96,7 @@
         timers: TimerService,
         on_newer_revision: Callable[[int], None],
         store_reachable: Callable[[], bool] = lambda: True,
+        silent_engines: SilentEngines | None = None,
     ) -> None:
         self._node = node
         self._section = section
@@ -103,6 +106,7 @@
         self._timers = timers
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
+        self._silent = silent_engines or SilentEngines()
         self._incarnation = secrets.token_hex(4)
         self._sequence = 0
         self._sent_at = 0.0
@@ -211,6 +215,7 @@
         self._loads.receive(message.node, message.shares, now=now)
         if message.crashes or message.survivals:
             self._evidence.receive(message.crashes, message.survivals)
+        self._silent.receive(message.silent, now=now)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
         return True
@@ -234,7 +239,8 @@
         crashes = self._evidence.take_due_crashes(gateways=self.gateway_count)
         survivals = self._evidence.take_due_survivals()
         revision = self._fleet_state.revision
-        has_news = bool(shares or crashes or survivals)
+        silent = self._silent.take_reports(now=now)
+        has_news = bool(shares or crashes or survivals or silent)
         unchanged = not has_news and revision == self._published_revision
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
@@ -253,6 +259,7 @@
             is_urgent=is_urgent,
             crashes=crashes,
             survivals=survivals,
+            silent=silent,
         )
 
     def _publish_soon(self) -> None:
--- a/src/baobabpulley/gateway/gossip_messages.py
+++ b/src/baobabpulley/gateway/gossip_messages.py
@@ -42,7 +42,8 @@
     ``revision`` is the store revision that the gateway has reached, ``configuration_revision`` that
     of its configuration. ``shares`` are its loads, one for each upstream. ``store_reachable`` is
     false if the store failed the gateway recently. ``is_urgent`` messages are relayed at once.
-    ``crashes`` and ``survivals`` are evidence of prompts that crash engines.
+    ``crashes`` and ``survivals`` are evidence of prompts that crash engines. ``silent`` are
+    engines at which none of the gateway's running streams goes on.
     """
 
     node: str
@@ -57,18 +58,21 @@
     is_urgent: bool = False
     crashes: tuple[CrashRow, ...] = ()
     survivals: tuple[SurvivalRow, ...] = ()
+    silent: tuple[str, ...] = ()
 
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
         """Return a later message of the same process, with what this one has and it lacks."""
         shares = {share.upstream: share for share in (*self.shares, *newer.shares)}
         crashes = {crash.upstream: crash for crash in (*self.crashes, *newer.crashes)}
         survivals = {survival.part: survival for survival in (*self.survivals, *newer.survivals)}
+        silent = dict.fromkeys((*self.silent, *newer.silent))
         return msgspec.structs.replace(
             newer,
             shares=tuple(shares.values()),
             is_urgent=self.is_urgent or newer.is_urgent,
             crashes=tuple(crashes.values()),
             survivals=tuple(survivals.values()),
+            silent=tuple(silent),
         )
 
 
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -50,13 +50,14 @@
         fleet_state: FleetState,
         last_seen: LastSeen,
         timers: TimerService,
+        silent_engines: SilentEngines | None = None,
     ) -> None:
         self._fleet_state = fleet_state
         self._last_seen = last_seen
         self._timers = timers
         self._backpressure = BackpressureWindows()
         self._health = UpstreamHealth()
-        self._silent = SilentEngines()
+        self._silent = silent_engines or SilentEngines()
         self._breaker = DomainCircuitBreaker(own_domain=failure_domain)
 
     @property
@@ -101,7 +102,10 @@
         return self._backpressure.seconds_left(upstream.id, now=self._timers.now())
 
     def silent_upstreams(self) -> frozenset[str]:
-        """Return the ids of the upstreams whose running streams are all silent now."""
+        """Return the ids of the upstreams whose running streams are all silent now.
+
+        Those of other gateways count where this one runs none.
+        """
         return self._silent.silent(now=self._timers.now())
 
     def running_streams(self, upstream: ListedUpstream) -> EngineStreams:
--- a/src/baobabpulley/policy/upstream_silence.py
+++ b/src/baobabpulley/policy/upstream_silence.py
@@ -13,6 +13,8 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.policy.silence_reports import SilenceReports
+
 # An engine is silent after this many of its usual gaps between the events of a stream.
 SILENT_GAPS: Final = 2.5
 MIN_SILENT_SECONDS: Final = 0.2
@@ -52,6 +54,11 @@
         self._gap: float | None = None
         self._silent_after = MAX_SILENT_SECONDS
 
+    @property
+    def is_running(self) -> bool:
+        """Whether there are running streams."""
+        return self._running > 0
+
     def begin(self, *, now: float) -> None:
         """Record the first event of a stream."""
         self._running += 1
@@ -82,22 +89,42 @@
 
 @final
 class SilentEngines:
-    """Find the engines whose running streams are all silent."""
+    """Find the engines whose running streams are all silent, here or at other gateways."""
 
-    __slots__ = ("_streams",)
+    __slots__ = ("_reports", "_streams")
 
     def __init__(self) -> None:
         self._streams: dict[str, EngineStreams] = {}
+        self._reports = SilenceReports()
 
     def streams(self, engine: str) -> EngineStreams:
         """Return the running streams of an engine."""
         return self._streams.setdefault(engine, EngineStreams())
 
     def silent(self, *, now: float) -> frozenset[str]:
-        """Return the ids of the engines that are silent."""
-        found = [id for id, streams in self._streams.items() if streams.is_silent(now=now)]
+        """Return the ids of the engines that are silent.
+
+        What other gateways report counts for engines at which this one runs no stream.
+        """
+        found = self._seen(now)
+        found += [id for id in self._reports.heard(now=now) if not self._is_running(id)]
         return frozenset(found) if found else _NONE
 
+    def receive(self, engines: tuple[str, ...], *, now: float) -> None:
+        """Record which engines another gateway finds silent now."""
+        self._reports.receive(engines, now=now)
+
+    def take_reports(self, *, now: float) -> tuple[str, ...]:
+        """Return the ids of silent engines to report in the next message to other gateways."""
+        return self._reports.take_due(self._seen(now), now=now)
+
     def forget(self, engine: str) -> None:
         """Drop the record of an engine that was removed."""
         self._streams.pop(engine, None)
+
+    def _seen(self, now: float) -> list[str]:
+        return [id for id, streams in self._streams.items() if streams.is_silent(now=now)]
+
+    def _is_running(self, engine: str) -> bool:
+        streams = self._streams.get(engine)
+        return streams is not None and streams.is_running
--- a/testing/gossip_fleet.py
+++ b/testing/gossip_fleet.py
@@ -14,6 +14,7 @@
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.policy.fleet_load import LoadTracker
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.timers import ManualTimers
 
@@ -44,6 +45,7 @@
         self.domain = domain
         self.loads = LoadTracker()
         self.evidence = CrashEvidence(node=f"front-{host}", timers=timers)
+        self.silent_engines = SilentEngines()
         self.gossip = GossipProtocol(
             node=GatewayNodeSection(
                 id=f"front-{host}",
@@ -59,6 +61,7 @@
             evidence=self.evidence,
             timers=timers,
             on_newer_revision=lambda revision: None,
+            silent_engines=self.silent_engines,
         )
 
 
--- a/testing/test_upstream_silence.py
+++ b/testing/test_upstream_silence.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import final
 
+import msgspec
 import platform_upstream as upstreams
 import pytest
 from gateway_builders import KITCHEN
@@ -19,11 +20,17 @@
 from gateway_builders import open_world
 from gateway_builders import send
 from gateway_builders import wait_until
+from gossip_fleet import GossipFleet
 from platform_upstream import Behaviour
 from platform_upstream import UpstreamStandin
 
 from baobabpulley.emulator.emulated_time import run_in_emulated_time
-from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.gossip_messages import GossipMessage
+from baobabpulley.gateway.gossip_messages import decode
+from baobabpulley.gateway.gossip_messages import encode
+from baobabpulley.policy.silence_reports import MAX_REPORT_AGE_SECONDS
+from baobabpulley.policy.silence_reports import MAX_REPORTS_PER_MESSAGE
+from baobabpulley.policy.silence_reports import REPORT_PERIOD_SECONDS
 from baobabpulley.policy.upstream_silence import MAX_SILENT_SECONDS
 from baobabpulley.policy.upstream_silence import MIN_SILENT_SECONDS
 from baobabpulley.policy.upstream_silence import SilentEngines
@@ -33,6 +40,8 @@
 PAUSING_STREAM = upstreams.stream(events=40, gap=0.05, pause_after=10, pause=0.8)
 PAUSED_AT_SECONDS = 0.9
 RESUMED_AT_SECONDS = 1.5
+# A gossip period of the sender, one of its relay, and one of the relay in the other domain.
+REPORT_SECONDS = 0.3
 
 
 def run_stream(
@@ -113,14 +122,86 @@
     assert engines.silent(now=last + 1.0) == frozenset()
 
 
+def test_what_another_gateway_reports_counts_for_a_short_time() -> None:
+    engines = SilentEngines()
+    engines.receive(("i-1", "i-2"), now=1.0)
+    engines.receive(("i-2",), now=1.3)
+    assert engines.silent(now=1.4) == {"i-1", "i-2"}
+    assert engines.silent(now=1.01 + MAX_REPORT_AGE_SECONDS) == {"i-2"}
+    assert engines.silent(now=1.31 + MAX_REPORT_AGE_SECONDS) == frozenset()
+
+
+def test_a_silence_is_reported_at_once_and_repeated_by_one_of_those_that_see_it() -> None:
+    first, second = SilentEngines(), SilentEngines()
+    last = max(run_stream(engines, gap=0.05) for engines in (first, second))
+    begin = last + MIN_SILENT_SECONDS + 0.01
+    assert first.take_reports(now=begin) == second.take_reports(now=begin) == ("i-1",)
+    assert first.take_reports(now=begin + 0.1) == ()
+    repeat = begin + REPORT_PERIOD_SECONDS + 0.01
+    assert first.take_reports(now=repeat) == ("i-1",)
+    second.receive(("i-1",), now=repeat)
+    assert second.take_reports(now=repeat + 0.1) == ()
+
+
+def test_a_gateway_reports_only_what_it_sees_and_a_bounded_number_at_once() -> None:
+    engines = SilentEngines()
+    engines.receive(("i-heard",), now=0.9)
+    for number in range(2 * MAX_REPORTS_PER_MESSAGE):
+        last = run_stream(engines, gap=0.05, engine=f"i-{number}")
+    first = engines.take_reports(now=last + 0.3)
+    second = engines.take_reports(now=last + 0.3)
+    assert len(first) == len(second) == MAX_REPORTS_PER_MESSAGE
+    assert {*first, *second} == {f"i-{number}" for number in range(2 * MAX_REPORTS_PER_MESSAGE)}
+
+
+def test_what_another_gateway_says_is_ignored_where_own_streams_go_on() -> None:
+    engines = SilentEngines()
+    last = run_stream(engines, gap=GAP_SECONDS)
+    engines.receive(("i-1",), now=last)
+    assert engines.silent(now=last + 0.1) == frozenset()
+    engines.streams("i-1").end()
+    assert engines.silent(now=last + 0.1) == {"i-1"}
+
+
+async def test_silence_is_known_in_all_failure_domains_soon_and_not_passed_on() -> None:
+    fleet = GossipFleet(domains=3, per_domain=6)
+    await fleet.timers.advance(1.0)
+    first, *others = fleet.gateways.values()
+    run_stream(first.silent_engines, gap=0.01, begin=fleet.timers.now())
+    await fleet.timers.advance(0.2 + MIN_SILENT_SECONDS + 2 * REPORT_SECONDS)
+    now = fleet.timers.now()
+    assert {other.silent_engines.silent(now=now) for other in others} == {frozenset({"i-1"})}
+    first.silent_engines.streams("i-1").end()
+    await fleet.timers.advance(MAX_REPORT_AGE_SECONDS + REPORT_SECONDS)
+    now = fleet.timers.now()
+    assert {other.silent_engines.silent(now=now) for other in others} == {frozenset()}
+    fleet.timers.cancel_all()
+
+
+def test_gateways_that_know_no_silent_engines_are_understood_and_understand() -> None:
+    message = GossipMessage("n", "a", 1, "d", "h:1", 0, 0, silent=("i-1",))
+    assert decode(encode(message)) == message
+    old = msgspec.msgpack.encode(msgspec.structs.astuple(message)[:-1])
+    assert decode(old) == msgspec.structs.replace(message, silent=())
+
+
+def test_a_relayed_message_keeps_the_reports_of_the_one_that_it_replaces() -> None:
+    first = GossipMessage("n", "a", 1, "d", "h:1", 0, 0, silent=("i-1", "i-2"))
+    second = GossipMessage("n", "a", 2, "d", "h:1", 0, 0, silent=("i-2", "i-3"))
+    assert first.updated_by(second).silent == ("i-1", "i-2", "i-3")
+
+
 @final
 class RunningStream:
-    """A stream at one of the engines; the requests after it get short answers."""
+    """A stream at one of the engines; the requests after it get short answers.
 
-    def __init__(self, world: World, gateway: Gateway) -> None:
+    The first gateway runs the stream, the last one gets the other requests.
+    """
+
+    def __init__(self, world: World) -> None:
         self._world = world
-        self._gateway = gateway
-        self._task = asyncio.create_task(send(gateway, "/draft/1"))
+        self._gateway = world.gateways[-1]
+        self._task = asyncio.create_task(send(world.gateways[0], "/draft/1"))
         self._began = time.monotonic()
 
     @property
@@ -170,6 +251,7 @@
     scenario: Callable[[RunningStream], Awaitable[None]],
     *,
     engines: int = 2,
+    gateways: int = 1,
 ) -> None:
     """Run a scenario, in emulated time, while one of the engines runs a stream."""
 
@@ -178,7 +260,12 @@
             for number in range(engines):
                 engine = await world.add_upstream(f"i-{number}", service=KITCHEN)
                 engine.behaviour = behaviour
-            stream = RunningStream(world, await world.add_gateway())
+            for _ in range(gateways):
+                await world.add_gateway()
+            await wait_until(
+                lambda: all(up.gossip.gateway_count == gateways for up in world.gateways)
+            )
+            stream = RunningStream(world)
             await stream.start()
             await scenario(stream)
             await stream.end()
@@ -186,13 +273,22 @@
     run_in_emulated_time(run())
 
 
-def test_a_request_avoids_an_engine_whose_stream_is_silent_until_it_goes_on(tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("gateways", "resumed_at"),
+    [
+        pytest.param(1, RESUMED_AT_SECONDS, id="own"),
+        pytest.param(2, RESUMED_AT_SECONDS + MAX_REPORT_AGE_SECONDS, id="reported"),
+    ],
+)
+def test_a_request_avoids_an_engine_whose_stream_is_silent_until_it_goes_on(
+    tmp_path: Path, gateways: int, resumed_at: float
+) -> None:
     async def scenario(stream: RunningStream) -> None:
         assert await stream.sent_to(at=0.4) is stream.engine
         assert await stream.sent_to(at=PAUSED_AT_SECONDS) is not stream.engine
-        assert await stream.sent_to(at=RESUMED_AT_SECONDS) is stream.engine
+        assert await stream.sent_to(at=resumed_at) is stream.engine
 
-    run_with_stream(tmp_path, PAUSING_STREAM, scenario)
+    run_with_stream(tmp_path, PAUSING_STREAM, scenario, gateways=gateways)
 
 
 def test_a_silent_engine_gets_requests_if_no_other_has_room(tmp_path: Path) -> None:
