Race short prompts that a pause caught before their first event

What callers saw: with a third of the engines pausing 1.2 s every 5 s, a request sent in the first 0.3 s of a pause, or whose prefill the pause interrupted, got its first event after the pause, or from a second attempt started after 1.0 s.

As soon as the engine's running streams are all silent, here or by report, another attempt is started beside one that has no event yet, on an engine that isn't silent and has room, charged to the retry budget as before. The first attempt goes on; its silence is recorded only after 1.0 s, as before. An attempt is looked at every 0.05 s until its first event.

--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
+import msgspec
+
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineBeforeStart
 from baobabpulley.errors import DeadlineExceeded
@@ -27,6 +30,7 @@
 from baobabpulley.gateway.exchange_state import log_placement
 from baobabpulley.gateway.exchange_state import log_retry_denied
 from baobabpulley.gateway.gossip import GossipProtocol
+from baobabpulley.gateway.placer import NO_EXCLUSIONS
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.retry_rules import MIN_ATTEMPT_SECONDS
@@ -100,7 +104,8 @@
             self._start(exchange, race, await self._place(exchange))
         can_replace = self._retries.may_retry_if_run(exchange)
         ended = await race.wait(
-            silence_timeout=exchange.times.silence_timeout if can_replace else None
+            silence_timeout=exchange.times.silence_timeout if can_replace else None,
+            is_stalled=self._stall_check(exchange, race),
         )
         if ended is None:
             self._replace_silent(exchange, race)
@@ -181,19 +186,38 @@
             exchange.may_have_run = True
         raise error
 
+    def _stall_check(self, exchange: Exchange, race: AttemptRace) -> Callable[[], bool] | None:
+        """Return whether the only attempt waits for its first event at a silent engine.
+
+        A long prompt isn't prefilled twice for that.
+        """
+        plan = race.attempts[0].placement.plan
+        if exchange.has_events or len(race.attempts) > 1 or plan is None or plan.helpers:
+            return None
+        return lambda: plan.first.id in self._placer.silent_upstreams()
+
     def _replace_silent(self, exchange: Exchange, race: AttemptRace) -> None:
         """Start another attempt beside silent ones, once there is budget and room for it."""
-        for attempt in race.attempts:
-            if not attempt.reported_silent:
-                seconds = self._timers.now() - attempt.progress.at
-                self._outcomes.record_silence(exchange, attempt, seconds=seconds)
-        placement = self._reserve_replacement(exchange)
+        if race.is_silent(exchange.times.silence_timeout):
+            self._record_silence(exchange, race)
+            avoided = NO_EXCLUSIONS
+        else:
+            avoided = self._placer.silent_upstreams() | race.upstreams
+        placement = self._reserve_replacement(exchange, avoided=avoided)
         if placement is None:
             race.postpone(REPLACEMENT_PERIOD_SECONDS)
         else:
             self._start(exchange, race, placement, replaces_silent=True)
 
-    def _reserve_replacement(self, exchange: Exchange) -> Placement | None:
+    def _record_silence(self, exchange: Exchange, race: AttemptRace) -> None:
+        for attempt in race.attempts:
+            if not attempt.reported_silent:
+                seconds = self._timers.now() - attempt.progress.at
+                self._outcomes.record_silence(exchange, attempt, seconds=seconds)
+
+    def _reserve_replacement(
+        self, exchange: Exchange, *, avoided: frozenset[str]
+    ) -> Placement | None:
         """Return a placement for which the retry budget has been charged, or ``None``."""
         if self._seconds_left(exchange) <= MIN_ATTEMPT_SECONDS:
             self._deny_replacement(exchange, RetryDenial.TIME)
@@ -204,7 +228,9 @@
         if not self._retries.has_budget(exchange):
             self._deny_replacement(exchange, RetryDenial.BUDGET)
             return None
-        placement = self._placer.place_now(exchange.placement_request())
+        request = exchange.placement_request()
+        request = msgspec.structs.replace(request, excluded=request.excluded | avoided)
+        placement = self._placer.place_now(request)
         if placement is None:
             self._deny_replacement(exchange, RetryDenial.NO_ROOM)
             return None
--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
+from typing import Final
 from typing import final
 
 from baobabpulley.errors import BaobabError
@@ -16,6 +18,9 @@
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.timers import TimerService
 
+# Before the first event, an attempt is checked this often for a stalled upstream.
+STALL_CHECK_SECONDS: Final = 0.05
+
 
 @final
 class RunningAttempt:
@@ -105,14 +110,26 @@
             self._attempts.remove(attempt)
         self._beaten += beaten
 
+    @property
+    def upstreams(self) -> frozenset[str]:
+        """Ids of the upstreams of the running attempts."""
+        return frozenset(attempt.placement.upstream.id for attempt in self._attempts)
+
+    def is_silent(self, silence_timeout: float) -> bool:
+        """Whether all attempts have been silent for ``silence_timeout``."""
+        return self._latest_progress() + silence_timeout <= self._timers.now()
+
     def postpone(self, seconds: float) -> None:
         """Let `wait` report no silence for so long."""
         self._check_at = self._timers.now() + seconds
 
-    async def wait(self, *, silence_timeout: float | None) -> RunningAttempt | None:
+    async def wait(
+        self, *, silence_timeout: float | None, is_stalled: Callable[[], bool] | None = None
+    ) -> RunningAttempt | None:
         """Return an attempt that ended, or ``None`` once all are silent for ``silence_timeout``.
 
-        Silence isn't watched if the timeout is ``None``.
+        Silence isn't watched if the timeout is ``None``. Before the first event, ``is_stalled``
+        says whether to return ``None`` earlier.
         """
         while True:
             ended = next((attempt for attempt in self._attempts if attempt.task.done()), None)
@@ -124,6 +141,10 @@
                 timeout = self._silent_at(silence_timeout) - self._timers.now()
                 if timeout <= 0:
                     return None
+                if is_stalled is not None and not self._has_events():
+                    if self._timers.now() >= self._check_at and is_stalled():
+                        return None
+                    timeout = min(timeout, STALL_CHECK_SECONDS)
             await asyncio.wait(
                 [attempt.task for attempt in self._attempts],
                 timeout=None if timeout is None else self._timers.to_real_seconds(timeout),
@@ -137,7 +158,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _has_events(self) -> bool:
+        return any(attempt.events for attempt in self._attempts)
+
     def _silent_at(self, silence_timeout: float) -> float:
         """Return when all attempts will have been silent for so long, if none makes progress."""
-        latest = max(attempt.progress.at for attempt in self._attempts)
-        return max(latest + silence_timeout, self._check_at)
+        return max(self._latest_progress() + silence_timeout, self._check_at)
+
+    def _latest_progress(self) -> float:
+        return max(attempt.progress.at for attempt in self._attempts)
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -179,6 +179,16 @@
         load = self._loads.load(upstream.id, now=self._timers.now())
         return load.in_flight > upstream.slots
 
+    def silent_upstreams(self) -> frozenset[str]:
+        """Return the ids of silent upstreams, without those whose known prefills explain it."""
+        silent = self._record.silent_upstreams()
+        if not silent:
+            return silent
+        now = self._timers.now()
+        return frozenset(
+            id for id in silent if not is_explained(backlog=self._loads.load(id, now=now).backlog)
+        )
+
     def serve_queues(self) -> None:
         """Place the queued requests that have room now; refuse those that waited too long."""
         for service, queue in self._queues.items():
@@ -280,7 +290,7 @@
 
     def _try(self, request: PlacementRequest) -> Placement | None:
         """Place a request, on upstreams that aren't silent if these have room."""
-        silent = self._silent_upstreams(request)
+        silent = self.silent_upstreams() if request.first is None else NO_EXCLUSIONS
         if silent:
             try:
                 placement = self._try_outside(silent, request)
@@ -291,16 +301,6 @@
                 return placement
         return self._try_outside(NO_EXCLUSIONS, request)
 
-    def _silent_upstreams(self, request: PlacementRequest) -> frozenset[str]:
-        """Return the ids of silent upstreams, without those whose known prefills explain it."""
-        silent = self._record.silent_upstreams()
-        if not silent or request.first is not None:
-            return NO_EXCLUSIONS
-        now = self._timers.now()
-        return frozenset(
-            id for id in silent if not is_explained(backlog=self._loads.load(id, now=now).backlog)
-        )
-
     def _try_outside(self, avoided: frozenset[str], request: PlacementRequest) -> Placement | None:
         """Place a request in this gateway's subset, or elsewhere if the subset has no room."""
         service, excluded = request.service.name, request.excluded
--- a/testing/test_upstream_silence.py
+++ b/testing/test_upstream_silence.py
@@ -40,6 +40,10 @@
 PAUSING_STREAM = upstreams.stream(events=40, gap=0.05, pause_after=10, pause=0.8)
 PAUSED_AT_SECONDS = 0.9
 RESUMED_AT_SECONDS = 1.5
+# A request sent just after the pause has begun, and its answer by the paused engine.
+CAUGHT_AT_SECONDS = 0.52
+PAUSED_ANSWER = upstreams.pause_first(0.78, SHORT_STREAM)
+MAX_RACED_SECONDS = 0.3
 # A gossip period of the sender, one of its relay, and one of the relay in the other domain.
 REPORT_SECONDS = 0.3
 
@@ -226,14 +230,35 @@
             )
 
     async def sent_to(self, *, at: float) -> UpstreamStandin:
-        """Send a request ``at`` seconds after the start; return the engine that answered it."""
+        """Send a request ``at`` seconds after the start; return the first engine that got it."""
         await asyncio.sleep(self._began + at - time.monotonic())
         before = {name: len(up.journal) for name, up in self._world.upstreams.items()}
         reply = await send(self._gateway, "/draft/1")
         assert (reply.status, reply.complete) == (200, True)
-        return next(
+        reached = [
             up for name, up in self._world.upstreams.items() if len(up.journal) > before[name]
-        )
+        ]
+        return min(reached, key=lambda engine: engine.journal[-1].received_at)
+
+    async def seconds_behind_it(self, *, at: float, answer: Behaviour) -> float:
+        """Send a request to the engine of the stream; return how long its answer took.
+
+        The engine answers it, and only the first attempt, as given.
+        """
+        self.engine.behaviour = upstreams.first_then(answer, then=SHORT_STREAM)
+        before = len(self.engine.journal)
+        assert await self.sent_to(at=at) is self.engine
+        assert len(self.engine.journal) == before + 1
+        return time.monotonic() - self._began - at
+
+    @property
+    def attempts(self) -> int:
+        """Attempts at all engines."""
+        return sum(len(up.journal) for up in self._world.upstreams.values())
+
+    def spend_retry_budget(self) -> None:
+        """Leave nothing of the retry budget."""
+        self._gateway.retry_budget.configure(ratio=0.0, slack=0.0, window=10.0)
 
     async def end(self) -> None:
         """Check that the stream ends whole, and that no engine has a bad record."""
@@ -320,3 +345,32 @@
 
     behaviour = upstreams.pause_first(0.9, upstreams.stream(events=4))
     run_with_stream(tmp_path, behaviour, scenario)
+
+
+def test_a_request_that_a_pause_caught_before_its_first_event_is_raced_early(
+    tmp_path: Path,
+) -> None:
+    async def scenario(stream: RunningStream) -> None:
+        seconds = await stream.seconds_behind_it(at=CAUGHT_AT_SECONDS, answer=PAUSED_ANSWER)
+        assert seconds < MAX_RACED_SECONDS
+        assert stream.attempts == 3
+
+    run_with_stream(tmp_path, PAUSING_STREAM, scenario)
+
+
+def test_a_request_that_a_pause_caught_waits_if_the_retry_budget_is_spent(tmp_path: Path) -> None:
+    async def scenario(stream: RunningStream) -> None:
+        stream.spend_retry_budget()
+        seconds = await stream.seconds_behind_it(at=CAUGHT_AT_SECONDS, answer=PAUSED_ANSWER)
+        assert seconds > MAX_RACED_SECONDS
+        assert stream.attempts == 2
+
+    run_with_stream(tmp_path, PAUSING_STREAM, scenario)
+
+
+def test_a_request_at_an_engine_whose_streams_go_on_is_not_raced_early(tmp_path: Path) -> None:
+    async def scenario(stream: RunningStream) -> None:
+        await stream.seconds_behind_it(at=CAUGHT_AT_SECONDS, answer=PAUSED_ANSWER)
+        assert stream.attempts == 2
+
+    run_with_stream(tmp_path, upstreams.stream(events=40, gap=0.05), scenario)
