Merge silence of engines that running streams show

Requests are placed, if others have room, neither on engines whose running streams are silent nor on those that asked another gateway for a pause: one set of upstreams to avoid.

--- a/src/baobabpulley/gateway/candidates.py
+++ b/src/baobabpulley/gateway/candidates.py
@@ -58,29 +58,17 @@
         self._subsets: dict[str, Sequence[ListedUpstream]] = {}
         fleet_state.listen(self._invalidate)
 
-    @property
-    def has_hints(self) -> bool:
-        """Whether upstreams asked other gateways for no requests now."""
-        return bool(self._record.hinted_upstreams())
-
-    def in_subset(
-        self, service: str, *, excluded: frozenset[str], avoids_hinted: bool = False
-    ) -> list[Candidate]:
-        """Return the candidates in this gateway's subset of a service.
-
-        ``avoids_hinted`` leaves out those that asked other gateways for no requests.
-        """
+    def in_subset(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
+        """Return the candidates in this gateway's subset of a service."""
         if service not in self._subsets:
             self._subsets[service] = upstream_subset(
                 self._node, self._all(service), failure_domain=self._domain
             )
-        return self._candidates(self._subsets[service], excluded, avoids_hinted)
+        return self._candidates(self._subsets[service], excluded)
 
-    def all(
-        self, service: str, *, excluded: frozenset[str], avoids_hinted: bool = False
-    ) -> list[Candidate]:
-        """Return all candidates of a service; ``avoids_hinted`` as in `in_subset`."""
-        return self._candidates(self._all(service), excluded, avoids_hinted)
+    def all(self, service: str, *, excluded: frozenset[str]) -> list[Candidate]:
+        """Return all candidates of a service."""
+        return self._candidates(self._all(service), excluded)
 
     def has_any(self, service: str, *, excluded: frozenset[str]) -> bool:
         """Whether a service has a candidate."""
@@ -114,7 +102,7 @@
         self._subsets.clear()
 
     def _candidates(
-        self, upstreams: Sequence[ListedUpstream], excluded: frozenset[str], avoids_hinted: bool
+        self, upstreams: Sequence[ListedUpstream], excluded: frozenset[str]
     ) -> list[Candidate]:
         now = self._timers.now()
         blocked = excluded | self._record.backpressured_upstreams()
@@ -123,10 +111,7 @@
             if blocked
             else upstreams
         )
-        usable = self._record.usable(allowed) or allowed
-        if avoids_hinted:
-            hinted = self._record.hinted_upstreams()
-            usable = [upstream for upstream in usable if upstream.id not in hinted]
+        usable = self._record.usable(allowed)
         penalties = self._record.penalties
         return [
             Candidate(
@@ -137,5 +122,5 @@
                     0.0 if upstream.failure_domain == self._domain else CROSS_DOMAIN_PENALTY_SECONDS
                 ),
             )
-            for upstream in usable
+            for upstream in (usable or allowed)
         ]
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -57,6 +57,7 @@
 from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.settings import Settings
 from baobabpulley.shutdown import cancel_remaining_tasks
 from baobabpulley.shutdown import stop_event
@@ -98,6 +99,7 @@
         self.reports = UpstreamReports(
             node=self.node.id, fleet_state=self.fleet_state, timers=timers
         )
+        silent_engines = SilentEngines()
         self.gossip = GossipProtocol(
             node=self.node,
             section=settings.get(GatewayPeersSection),
@@ -108,6 +110,7 @@
             timers=timers,
             on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
+            silent_engines=silent_engines,
         )
         watchers = StoreWatchers(
             node=self.node.id,
@@ -138,6 +141,7 @@
             last_seen=self.gossip.last_seen,
             reports=self.reports,
             timers=timers,
+            silent_engines=silent_engines,
         )
         candidates = CandidateList(
             node=self.node.id,
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -37,6 +37,7 @@
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
 from baobabpulley.policy.rendezvous import ranked
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.timers import TimerService
 
 # A relay collects messages for this long, so that few datagrams leave its failure domain.
@@ -77,6 +78,7 @@
         "_section",
         "_sent_at",
         "_sequence",
+        "_silent",
         "_store_reachable",
         "_timers",
         "_transport",
@@ -97,6 +99,7 @@
         timers: TimerService,
         on_newer_revision: Callable[[int], None],
         store_reachable: Callable[[], bool] = lambda: True,
+        silent_engines: SilentEngines | None = None,
     ) -> None:
         self._node = node
         self._section = section
@@ -107,6 +110,7 @@
         self._timers = timers
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
+        self._silent = silent_engines or SilentEngines()
         self._incarnation = secrets.token_hex(4)
         self._sequence = 0
         self._sent_at = 0.0
@@ -217,6 +221,7 @@
             self._evidence.receive(message.crashes, message.survivals)
         self._reports.receive_leaving(message.node, message.leaving)
         self._reports.receive_backpressure(message.node, message.backpressure)
+        self._silent.receive(message.silent, now=now)
         if message.revision > self._fleet_state.revision:
             self._on_newer_revision(message.revision)
         return True
@@ -246,7 +251,8 @@
         leaving = self._reports.take_due_leaving()
         backpressure = self._reports.take_due_backpressure()
         revision = self._fleet_state.revision
-        has_news = bool(shares or crashes or survivals or leaving or backpressure)
+        silent = self._silent.take_reports(now=now)
+        has_news = bool(shares or crashes or survivals or leaving or backpressure or silent)
         unchanged = not has_news and revision == self._published_revision
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
@@ -267,6 +273,7 @@
             survivals=survivals,
             leaving=leaving,
             backpressure=backpressure,
+            silent=silent,
         )
 
     def _publish_soon(self) -> None:
--- a/src/baobabpulley/gateway/gossip_messages.py
+++ b/src/baobabpulley/gateway/gossip_messages.py
@@ -63,7 +63,7 @@
     false if the store failed the gateway recently. ``is_urgent`` messages are relayed at once.
     ``crashes`` and ``survivals`` are evidence of prompts that crash engines. ``leaving`` are
     upstreams that said to the gateway that they are leaving, ``backpressure`` those that asked it
-    for no requests.
+    for no requests. ``silent`` are engines at which none of the gateway's running streams goes on.
     """
 
     node: str
@@ -80,6 +80,7 @@
     survivals: tuple[SurvivalRow, ...] = ()
     leaving: tuple[LeavingRow, ...] = ()
     backpressure: tuple[BackpressureRow, ...] = ()
+    silent: tuple[str, ...] = ()
 
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
         """Return a later message of the same process, with what this one has and it lacks."""
@@ -88,6 +89,7 @@
         survivals = {survival.part: survival for survival in (*self.survivals, *newer.survivals)}
         leaving = {row.upstream: row for row in (*self.leaving, *newer.leaving)}
         backpressure = {row.upstream: row for row in (*self.backpressure, *newer.backpressure)}
+        silent = dict.fromkeys((*self.silent, *newer.silent))
         return msgspec.structs.replace(
             newer,
             shares=tuple(shares.values()),
@@ -96,6 +98,7 @@
             survivals=tuple(survivals.values()),
             leaving=tuple(leaving.values()),
             backpressure=tuple(backpressure.values()),
+            silent=tuple(silent),
         )
 
 
@@ -114,6 +117,10 @@
 _bundle_decoder = msgspec.msgpack.Decoder(GossipBundle)
 
 
+# Those that every version sends.
+_LEAST_FIELDS: Final = GossipMessage.__struct_fields__.index("survivals") + 1
+
+
 def encode(message: GossipMessage | GossipBundle) -> bytes:
     """Encode a datagram."""
     if isinstance(message, GossipMessage):
@@ -149,7 +156,8 @@
 
 def _encode_message(message: GossipMessage) -> bytes:
     """Encode a message; the fields behind the evidence of crashes cost nothing while empty."""
-    if message.backpressure:
-        return _encoder.encode(message)
     fields = msgspec.structs.astuple(message)
-    return _encoder.encode(fields[:-1] if message.leaving else fields[:-2])
+    length = len(fields)
+    while length > _LEAST_FIELDS and not fields[length - 1]:
+        length -= 1
+    return _encoder.encode(fields[:length])
--- a/src/baobabpulley/gateway/placer.py
+++ b/src/baobabpulley/gateway/placer.py
@@ -24,6 +24,7 @@
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.memory_placement import Candidate
 from baobabpulley.policy.prompt_placement import Plan
+from baobabpulley.policy.upstream_silence import is_explained
 from baobabpulley.timers import TimerService
 
 SERVE_PERIOD_SECONDS: Final = 0.025
@@ -40,10 +41,11 @@
 
     Its ``dispatches`` count towards the load of its engines until `Placer.end`. ``started`` is in
     monotonic seconds. ``load_age`` is the age in seconds of the oldest figure in the load of the
-    upstream that was known when it was chosen.
+    upstream that was known when it was chosen. ``avoided`` is the number of silent upstreams of
+    all services, which were left out of the choice.
     """
 
-    __slots__ = ("dispatches", "load_age", "plan", "started", "upstream")
+    __slots__ = ("avoided", "dispatches", "load_age", "plan", "started", "upstream")
 
     def __init__(
         self,
@@ -54,6 +56,7 @@
         started: float,
         load_age: float,
     ) -> None:
+        self.avoided = 0
         self.load_age = load_age
         self.upstream = upstream
         self.plan = plan
@@ -187,6 +190,16 @@
         load = self._loads.load(upstream.id, now=self._timers.now())
         return load.in_flight > upstream.slots
 
+    def silent_upstreams(self) -> frozenset[str]:
+        """Return the ids of silent upstreams, without those whose known prefills explain it."""
+        silent = self._record.silent_upstreams()
+        if not silent:
+            return silent
+        now = self._timers.now()
+        return frozenset(
+            id for id in silent if not is_explained(backlog=self._loads.load(id, now=now).backlog)
+        )
+
     def serve_queues(self) -> None:
         """Place the queued requests that have room now; refuse those that waited too long."""
         for service, queue in self._queues.items():
@@ -287,22 +300,27 @@
         return self._planner.retry_after(request.times, now=self._timers.now())
 
     def _try(self, request: PlacementRequest) -> Placement | None:
-        """Place a request, preferably where no gateway has been asked to send none."""
-        if self._candidates.has_hints:
+        """Place a request, preferably where upstreams are not silent and asked for no pause."""
+        avoided = self._avoided(request)
+        if avoided:
             try:
-                placement = self._try_subset_first(request, avoids_hinted=True)
+                placement = self._try_outside(avoided, request)
             except BaobabError:
                 placement = None
             if placement is not None:
+                placement.avoided = len(avoided)
                 return placement
-        return self._try_subset_first(request, avoids_hinted=False)
+        return self._try_outside(NO_EXCLUSIONS, request)
 
-    def _try_subset_first(
-        self, request: PlacementRequest, *, avoids_hinted: bool
-    ) -> Placement | None:
+    def _avoided(self, request: PlacementRequest) -> frozenset[str]:
+        """Return the ids of the upstreams that get a request only if no other has room for it."""
+        hinted = self._record.hinted_upstreams()
+        return hinted if request.first is not None else hinted | self.silent_upstreams()
+
+    def _try_outside(self, avoided: frozenset[str], request: PlacementRequest) -> Placement | None:
         """Place a request in this gateway's subset, or elsewhere if the subset has no room."""
         service, excluded = request.service.name, request.excluded
-        subset = self._candidates.in_subset(service, excluded=excluded, avoids_hinted=avoids_hinted)
+        subset = _without(self._candidates.in_subset(service, excluded=excluded), avoided)
         if not self._candidates.exceeds_subset(service):
             return self._try_among(subset, request)
         try:
@@ -311,8 +329,8 @@
             placement = None
         if placement is not None:
             return placement
-        everywhere = self._candidates.all(service, excluded=excluded, avoids_hinted=avoids_hinted)
-        return self._try_among(everywhere, request)
+        candidates = self._candidates.all(service, excluded=excluded)
+        return self._try_among(_without(candidates, avoided), request)
 
     def _try_among(
         self, candidates: list[Candidate], request: PlacementRequest
@@ -376,3 +394,9 @@
             started=started,
             load_age=self._loads.oldest_share_age(upstream.id, now=started),
         )
+
+
+def _without(candidates: list[Candidate], avoided: frozenset[str]) -> list[Candidate]:
+    if not avoided:
+        return candidates
+    return [candidate for candidate in candidates if candidate.upstream.id not in avoided]
--- a/src/baobabpulley/gateway/upstream_record.py
+++ b/src/baobabpulley/gateway/upstream_record.py
@@ -17,6 +17,8 @@
 from baobabpulley.policy.upstream_backpressure import BackpressureWindows
 from baobabpulley.policy.upstream_backpressure import backpressure_seconds
 from baobabpulley.policy.upstream_health import UpstreamHealth
+from baobabpulley.policy.upstream_silence import EngineStreams
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
 
@@ -39,6 +41,7 @@
         "_health",
         "_last_seen",
         "_reports",
+        "_silent",
         "_timers",
     )
 
@@ -50,6 +53,7 @@
         last_seen: LastSeen,
         reports: UpstreamReports,
         timers: TimerService,
+        silent_engines: SilentEngines | None = None,
     ) -> None:
         self._fleet_state = fleet_state
         self._reports = reports
@@ -57,6 +61,7 @@
         self._timers = timers
         self._backpressure = BackpressureWindows()
         self._health = UpstreamHealth()
+        self._silent = silent_engines or SilentEngines()
         self._breaker = DomainCircuitBreaker(own_domain=failure_domain)
 
     @property
@@ -108,6 +113,19 @@
         """Return for how many seconds an upstream still wants no requests; 0 if it gets some."""
         return self._backpressure.seconds_left(upstream.id, now=self._timers.now())
 
+    def silent_upstreams(self) -> frozenset[str]:
+        """Return the ids of the upstreams whose running streams are all silent now.
+
+        Those of other gateways count where this one runs none.
+        """
+        return self._silent.silent(now=self._timers.now())
+
+    def running_streams(self, upstream: ListedUpstream) -> EngineStreams:
+        """Return the record of an upstream's running streams; nobody sees that of a removed one."""
+        if upstream.id not in self._fleet_state.upstreams:
+            return EngineStreams()
+        return self._silent.streams(upstream.id)
+
     def record_head(self, upstream: ListedUpstream, head: ResponseHead) -> None:
         """Record what the head of a response says of the upstream."""
         if head.leaving:
@@ -173,6 +191,7 @@
         self._backpressure.forget(upstream.id)
         self._reports.forget(upstream.id)
         self._health.forget(upstream.id)
+        self._silent.forget(upstream.id)
 
     def has_no_record(self, upstream: str) -> bool:
         """Whether no failure of the upstream is on record."""
--- a/testing/gossip_fleet.py
+++ b/testing/gossip_fleet.py
@@ -21,6 +21,7 @@
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.policy.fleet_load import Dispatch
 from baobabpulley.policy.fleet_load import LoadTracker
+from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.timers import ManualTimers
 
@@ -53,6 +54,7 @@
         self.loads = LoadTracker()
         self.evidence = CrashEvidence(node=f"front-{host}", timers=timers)
         self.reports = UpstreamReports(node=f"front-{host}", fleet_state=self.state, timers=timers)
+        self.silent_engines = SilentEngines()
         self.gossip = GossipProtocol(
             node=GatewayNodeSection(
                 id=f"front-{host}",
@@ -69,6 +71,7 @@
             reports=self.reports,
             timers=timers,
             on_newer_revision=lambda revision: None,
+            silent_engines=self.silent_engines,
         )
 
 
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -300,8 +300,9 @@
     pause_after: int | None = None,
     pause: float = 0.0,
     resumes: asyncio.Event | None = None,
+    gap: float = 0.002,
 ) -> Behaviour:
-    """Return a behaviour that streams events numbered from ``first``.
+    """Return a behaviour that streams events numbered from ``first``, ``gap`` seconds apart.
 
     The stream resets within an event after ``breaks_after`` events, and pauses after
     ``pause_after`` events for ``pause`` seconds and until ``resumes`` is set, if there is one.
@@ -329,7 +330,7 @@
                 call.reset()
                 return
             await call.write_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
-            await asyncio.sleep(0.002)
+            await asyncio.sleep(gap)
         await call.write(b"0\r\n\r\n")
 
     return run
