Ignore a report of a silent engine only if a stream here went on meanwhile

A gateway ignored reports for any engine at which it ran a stream, so also for one that paused before a second event had told it the usual gap: then nothing said that it was silent (seen by reading after a run of the known red test with six requests sent 0.6 s and more into a pause; that this was their cause is not shown). A report now counts unless a stream of this gateway had an event since 0.2 s before it; an event after the report ends it at once.

--- a/src/baobabpulley/policy/silence_reports.py
+++ b/src/baobabpulley/policy/silence_reports.py
@@ -30,11 +30,11 @@
         self._heard: dict[str, float] = {}
         self._sent: dict[str, float] = {}
 
-    def heard(self, *, now: float) -> list[str]:
-        """Return the engines that other gateways found silent a short time ago."""
+    def heard(self, *, now: float) -> dict[str, float]:
+        """Return the engines that other gateways found silent a short time ago, and when."""
         if self._heard:
             self._heard = _recent(self._heard, now)
-        return list(self._heard)
+        return self._heard
 
     def receive(self, engines: Iterable[str], *, now: float) -> None:
         """Record which engines another gateway finds silent now."""
--- a/src/baobabpulley/policy/upstream_silence.py
+++ b/src/baobabpulley/policy/upstream_silence.py
@@ -54,11 +54,6 @@
         self._gap: float | None = None
         self._silent_after = MAX_SILENT_SECONDS
 
-    @property
-    def is_running(self) -> bool:
-        """Whether there are running streams."""
-        return self._running > 0
-
     def begin(self, *, now: float) -> None:
         """Record the first event of a stream."""
         self._running += 1
@@ -82,6 +77,10 @@
         """Record the end of a stream."""
         self._running -= 1
 
+    def went_on(self, *, since: float) -> bool:
+        """Whether an event has arrived since then."""
+        return self._heard_at > since
+
     def is_silent(self, *, now: float) -> bool:
         """Whether no running stream has had an event for clearly longer than usual."""
         return self._running > 0 and self._silent_after < now - self._heard_at <= MAX_SILENT_SECONDS
@@ -104,10 +103,11 @@
     def silent(self, *, now: float) -> frozenset[str]:
         """Return the ids of the engines that are silent.
 
-        What other gateways report counts for engines at which this one runs no stream.
+        What other gateways report counts unless a stream of this one went on meanwhile.
         """
         found = self._seen(now)
-        found += [id for id in self._reports.heard(now=now) if not self._is_running(id)]
+        reports = self._reports.heard(now=now)
+        found += [id for id, at in reports.items() if not self._went_on(id, at)]
         return frozenset(found) if found else _NONE
 
     def receive(self, engines: tuple[str, ...], *, now: float) -> None:
@@ -125,6 +125,7 @@
     def _seen(self, now: float) -> list[str]:
         return [id for id, streams in self._streams.items() if streams.is_silent(now=now)]
 
-    def _is_running(self, engine: str) -> bool:
+    def _went_on(self, engine: str, reported_at: float) -> bool:
+        """Whether a stream of this gateway has gone on since the reported silence began."""
         streams = self._streams.get(engine)
-        return streams is not None and streams.is_running
+        return streams is not None and streams.went_on(since=reported_at - MIN_SILENT_SECONDS)
