A refusal with Retry-After is an overload for the entry's callers

UpstreamBackpressure is a kind of UpstreamOverloaded: test_a_busy_engine_refuses_new_work_with_the_time_that_is_left expects that error of an engine that refuses with 503, and had failed once with the new type.

--- a/src/baobabpulley/entry/attempt_history.py
+++ b/src/baobabpulley/entry/attempt_history.py
@@ -6,6 +6,7 @@
 
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineExceeded
+from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamOutOfMemory
 from baobabpulley.errors import UpstreamOverloaded
@@ -36,7 +37,9 @@
         """Record a failed attempt."""
         (self.refused if isinstance(error, UpstreamRefused) else self.lost).add(upstream)
         self.failures += 1
-        self.overloads += isinstance(error, UpstreamOverloaded | UpstreamOutOfMemory)
+        # Those that asked for a pause say nothing of the other upstreams' capacity.
+        if not isinstance(error, UpstreamBackpressure):
+            self.overloads += isinstance(error, UpstreamOverloaded | UpstreamOutOfMemory)
         self.may_have_run = self.may_have_run or started or error.ran is not False
 
     def error_for_caller(self, error: BaobabError) -> BaobabError:
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -105,12 +105,6 @@
     code = "upstream_leaving"
 
 
-class UpstreamBackpressure(UpstreamRefused):
-    """The upstream did not run the request and asked for no others for a while."""
-
-    code = "upstream_backpressure"
-
-
 class UpstreamSkipped(UpstreamRefused):
     """An upstream asked for no new requests after the attempt was placed; nothing was sent."""
 
@@ -135,6 +129,12 @@
     code = "upstream_overloaded"
 
 
+class UpstreamBackpressure(UpstreamOverloaded):
+    """The upstream did not run the request and asked for no others for a while."""
+
+    code = "upstream_backpressure"
+
+
 class MismatchedResponse(UpstreamLost):
     """An event that belongs to another request arrived on this request's connection."""
 
