Count no upstream as silent whose events arrived while the process was held up

After a hold-up of the gateway's process for longer than the silence timeout, every running attempt was reported silent (attempt_failed, health of its upstream, circuit breaker), and a replacement was placed and charged to the retry budget, although the events lay in the gateway's own sockets.

Cause: the timer of the silence and the bytes are ready in the same turn of the event loop, and the bytes take several more turns through the stream, the HTTP parser and the queue to the attempt.

Silence that is noticed more than 0.1 s late is looked at once more 0.1 s later.

--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Coroutine
 from typing import Any
+from typing import Final
 from typing import final
 
 from baobabpulley.errors import BaobabError
@@ -16,6 +17,11 @@
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.timers import TimerService
 
+# Silence that is noticed later than by this may have been a hold-up of this process.
+MAX_LATENESS_SECONDS: Final = 0.1
+# What arrived during a hold-up is processed within this.
+HOLD_UP_GRACE_SECONDS: Final = 0.1
+
 
 @final
 class RunningAttempt:
@@ -112,8 +118,10 @@
     async def wait(self, *, silence_timeout: float | None) -> RunningAttempt | None:
         """Return an attempt that ended, or ``None`` once all are silent for ``silence_timeout``.
 
-        Silence isn't watched if the timeout is ``None``.
+        Silence isn't watched if the timeout is ``None``. If this process notices it late, what has
+        arrived meanwhile is processed first.
         """
+        was_late = False
         while True:
             ended = next((attempt for attempt in self._attempts if attempt.task.done()), None)
             if ended is not None:
@@ -122,8 +130,11 @@
             timeout = None
             if silence_timeout is not None:
                 timeout = self._silent_at(silence_timeout) - self._timers.now()
-                if timeout <= 0:
+                if timeout <= 0 and (was_late or timeout >= -MAX_LATENESS_SECONDS):
                     return None
+                if timeout <= 0:
+                    was_late = True
+                    timeout = HOLD_UP_GRACE_SECONDS
             await asyncio.wait(
                 [attempt.task for attempt in self._attempts],
                 timeout=None if timeout is None else self._timers.to_real_seconds(timeout),
