Send nothing to an upstream that asked for none while a connection to it opened

An upstream got a request after it had told this gateway, in the response to another request, that it is leaving or wants none for a while (503 with Retry-After).

Cause: the check came before the connection was opened.

Evidence: two new cases record such a head while the connection opens; the order arrived at the upstream in both before, UpstreamSkipped (not run, without a charge to the budget) now.

The check is repeated once the connection is open, right before the first byte is written. The first check stays, as it saves the connection.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -152,6 +152,7 @@
         headers: dict[str, str] | HTTPHeaders | None = None,
         head_timeout: float = 30.0,
         fresh: bool = False,
+        before_send: Callable[[], None] | None = None,
         before_body: Callable[[], float | None] | None = None,
         ack_timeout: float | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
@@ -162,6 +163,7 @@
         All durations are in real seconds. A ``Host`` in ``headers`` replaces the address in the
         ``Host`` header. ``head_timeout`` bounds the wait for the response's headers. ``fresh``
         opens a new connection instead of reusing one that has been idle for ``max_idle`` at most.
+        ``before_send`` is called once a connection is open; if it raises, nothing is sent.
         ``before_body`` is called after the request's headers are written and before its body is;
         if it raises, the connection is dropped. It returns the time within which the body must be
         written, or ``None`` if that is unbounded: see `kill_after`. ``ack_timeout`` is the time
@@ -179,6 +181,8 @@
         connection = Connection(address=address, stream=stream, traffic=self.traffic)
         clean = False
         try:
+            if before_send is not None:
+                before_send()
             delegate = await connection.send(
                 method=method,
                 path=path,
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -172,6 +172,8 @@
                     body=incoming.body,
                     headers=self._wire.request_headers(incoming.headers, parameters),
                     head_timeout=silence_timeout,
+                    # Again, as opening the connection may have taken a while.
+                    before_send=lambda: self._record.check_accepting(upstream),
                     ack_timeout=self._timers.to_real_seconds(UNACKNOWLEDGED_TIMEOUT_SECONDS),
                     connect_timeout=self._timers.to_real_seconds(CONNECT_TIMEOUT_SECONDS),
                     max_idle=MAX_IDLE_SECONDS if retryable else NON_RETRYABLE_MAX_IDLE_SECONDS,
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -15,8 +15,19 @@
 from loguru import logger
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream
 
+from baobabpulley.adapters import http_client
+from baobabpulley.errors import UpstreamSkipped
+from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.model.exchanges import AttemptParameters
+from baobabpulley.model.exchanges import IncomingRequest
+from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
+from baobabpulley.platform.wire import PlatformWire
 
 # Longer than the silence after which the attempt at an upstream of a stream is replaced.
 HOLD_UP_SECONDS = 1.5
@@ -28,6 +39,21 @@
         yield opened
 
 
+async def send_order(gateway: Gateway, upstream: ListedUpstream) -> None:
+    caller = UpstreamCaller(
+        client=gateway.client, wire=PlatformWire(), record=gateway.record, timers=gateway.timers
+    )
+    attempt = caller.send(
+        IncomingRequest("POST", "/order/7", "api.example", HTTPHeaders(), b"", 0.0),
+        AttemptParameters(attempt="a-late", remaining=1.0, instance=upstream.id),
+        upstream,
+        retryable=False,
+        progress=AttemptProgress(gateway.timers),
+    )
+    async with attempt:
+        pass
+
+
 def hold_up_process() -> None:
     """Keep the event loop from running."""
     time.sleep(HOLD_UP_SECONDS)
@@ -52,6 +78,30 @@
     await call.write(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    "header", [(names.LEAVING, "1"), ("Retry-After", "5")], ids=["leaving", "retry-after"]
+)
+async def test_nothing_is_sent_to_an_upstream_that_said_so_while_a_connection_was_opened(
+    world: World, monkeypatch: pytest.MonkeyPatch, header: tuple[str, str]
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    chosen = gateway.fleet_state.upstreams["i-1"]
+    open_connection = http_client.connect
+
+    async def hear_meanwhile(address: str, *, timeout: float) -> IOStream:
+        stream = await open_connection(address, timeout=timeout)
+        head = PlatformWire().parse_response_head(503, HTTPHeaders([header]))
+        gateway.record.record_head(chosen, head)
+        return stream
+
+    monkeypatch.setattr(http_client, "connect", hear_meanwhile)
+    with pytest.raises(UpstreamSkipped) as raised:
+        await send_order(gateway, chosen)
+    assert raised.value.ran is False
+    assert upstream.arrivals == []
+
+
 async def test_an_upstream_is_not_silent_while_the_own_process_is_held_up(world: World) -> None:
     for number in (1, 2):
         upstream = await world.add_upstream(f"i-{number}", service=KITCHEN)
