Refuse a head that never ends on its own descriptor, not on a second one

While the gateway had no free descriptor, a head beyond eight times the limit wasn't refused at once: closing its stream raised (EMFILE), the stream stayed open, and the event loop logged one exception for each arrival of bytes until the check of the time limits refused it within 0.5 s, and after that until the end of the lingering close.

Cause: the refusal duplicated the descriptor before the stream closed it.

--- a/src/baobabpulley/gateway/caller_stream.py
+++ b/src/baobabpulley/gateway/caller_stream.py
@@ -39,13 +39,21 @@
     ) -> None:
         super().__init__(connection, **options)
         self._refuse_head = refuse_head
+        self._leaves_refusal = False
 
     def close(self, exc_info: Any = False) -> None:
-        """Close the stream; a refusal goes on with a descriptor of its own."""
-        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
-            self._refuse_head(self.socket.dup())
+        """Close the stream; a refusal takes over its descriptor, as there may be no other one."""
+        self._leaves_refusal = isinstance(exc_info, UnsatisfiableReadError)
         super().close(exc_info)
 
+    def close_fd(self) -> None:
+        """Close the descriptor, or leave it to the refusal."""
+        if not self._leaves_refusal:
+            super().close_fd()
+            return
+        self._refuse_head(self.socket)
+        self.socket = None  # type: ignore[assignment]
+
 
 @final
 class HeadRefusals:
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
+import socket
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -11,26 +14,37 @@
 from gateway_builders import KITCHEN
 from gateway_builders import World
 from gateway_builders import open_world
+from gateway_builders import read_reply
+from gateway_builders import recorded_closes
 from gateway_builders import send
+from gateway_builders import wait_until
 from loguru import logger
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream
+from tornado.testing import bind_unused_port
 
 from baobabpulley.adapters import http_client
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.attempts import UpstreamCaller
+from baobabpulley.gateway.connection_closes import CloseReason
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.listener import CallerListener
+from baobabpulley.gateway.replies import Reply
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
+from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
 from baobabpulley.platform.wire import PlatformWire
+from baobabpulley.timers import TimerService
 
 # Longer than the silence after which the attempt at an upstream of a stream is replaced.
 HOLD_UP_SECONDS = 1.5
+# More than is read of a head.
+ENDLESS_HEAD = b"x" * 2_000_000
 
 
 @pytest.fixture
@@ -113,3 +127,40 @@
     logger.remove(sink)
     assert (reply.status, reply.complete) == (200, True)
     assert [event for event in events if event in ("placed", "attempt_failed")] == ["placed"]
+
+
+async def serve_nothing(incoming: IncomingRequest, reply: Reply) -> None:
+    raise AssertionError
+
+
+def fail_to_duplicate(connection: socket.socket) -> socket.socket:
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
+async def test_a_head_that_never_ends_is_refused_without_another_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    errors: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    closes: list[CloseReason] = []
+    timers = TimerService()
+    listener = CallerListener(
+        handler=serve_nothing, bounds=RequestBounds, closes=recorded_closes(closes), timers=timers
+    )
+    listening, port = bind_unused_port()
+    listener.add_socket(listening)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    monkeypatch.setattr(socket.socket, "dup", fail_to_duplicate)
+    try:
+        writer.write(ENDLESS_HEAD)
+        reply = await asyncio.wait_for(read_reply(reader), 5.0)
+        assert (reply.status, reply.complete) == (431, True)
+        await wait_until(lambda: not listener.busy)
+        assert closes == [CloseReason.REFUSED_UNREAD]
+        assert errors == []
+    finally:
+        writer.close()
+        listener.stop()
+        listener.close_all()
+        timers.cancel_all()
