Renew also the memory that an engine reserved late while another one pauses

A prompt's memory could lapse at one engine before its chunk ran there, so that another prompt got it.

Cause: while an engine is silent, up to 2 s, the tickets that were held after 0.4 s are renewed, but not those that came later. One that came between 0.4 and 0.5 s had its first renewal 0.3 s after the end of the wait, later than its ticket_hold of 1.8 s; with a shorter ticket_hold more of them.

Evidence: the new test lets one engine answer after 0.5 s and another after 1.6 s: 1 order at the first when the prompt began before (no renewal), 3 or more now. That memory lapsed and was given to another prompt is concluded, not seen.

--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -134,8 +134,8 @@
         try:
             answered, silent = await asyncio.wait(requests, timeout=SILENCE_SECONDS)
             _check_reserved(requests, answered)
+            held = [requests[request] for request in answered]
             if silent:
-                held = [requests[request] for request in answered]
                 renewal = loop.create_task(self._renew(held))
             while silent:
                 _check_needed(requests, silent, can_place_without)
@@ -144,6 +144,7 @@
                     silent, timeout=CHECK_PERIOD_SECONDS, return_when=asyncio.FIRST_COMPLETED
                 )
                 _check_reserved(requests, answered)
+                held += [requests[request] for request in answered]
         finally:
             if renewal is not None:
                 renewal.cancel()
@@ -164,7 +165,10 @@
         return outcome.reserved
 
     async def _renew(self, tickets: list[_Ticket]) -> None:
-        """Renew tickets until cancelled; an unresponsive engine doesn't delay the others."""
+        """Renew tickets until cancelled, also those added meanwhile.
+
+        An unresponsive engine doesn't delay the others.
+        """
         async with asyncio.TaskGroup() as renewals:
             while True:
                 await self._timers.sleep(self._section.ticket_renewal)
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+import platform_upstream as upstreams
 import pytest
 from gateway_builders import KITCHEN
 from gateway_builders import World
@@ -43,6 +44,10 @@
 
 # Longer than the silence after which the attempt at an upstream of a stream is replaced.
 HOLD_UP_SECONDS = 1.5
+# Later than an engine without an answer to a reservation counts as silent.
+LATE_TICKET_SECONDS = 0.5
+# Within the time that a silent engine is waited for.
+LONG_PAUSE_SECONDS = 1.6
 # More than is read of a head.
 ENDLESS_HEAD = b"x" * 2_000_000
 
@@ -164,3 +169,25 @@
         listener.stop()
         listener.close_all()
         timers.cancel_all()
+
+
+async def test_a_ticket_that_came_late_is_renewed_while_another_engine_pauses(world: World) -> None:
+    engines = [await world.add_upstream(f"i-{number}", service=KITCHEN) for number in range(3)]
+    # Idle engines are chosen in order, so the first one generates the answer.
+    _, late, pausing = engines
+    late.first_order_pause_seconds = LATE_TICKET_SECONDS
+    pausing.first_order_pause_seconds = LONG_PAUSE_SECONDS
+    orders_before: dict[str, int] = {}
+
+    async def count_orders(upstream: UpstreamStandin, call: Call) -> None:
+        orders_before.update({standin.name: len(standin.orders) for standin in engines})
+        await upstreams.stream(events=3)(upstream, call)
+
+    for standin in engines:
+        standin.behaviour = count_orders
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "300000,100"})
+    assert reply.complete
+    assert orders_before[pausing.name] == 1
+    # One reservation, and a renewal each 0.3 s until the other engine answers.
+    assert orders_before[late.name] >= 3
