--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -36,6 +36,10 @@
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 # The shortest period that the kernel allows.
 KEEPALIVE_PERIOD_SECONDS: Final = 1
+# Silence that is noticed later than by this may have been a hold-up of this process.
+MAX_LATENESS_SECONDS: Final = 0.1
+# What arrived during a hold-up is processed within this.
+HOLD_UP_GRACE_SECONDS: Final = 0.1
 _MS_PER_SECOND: Final = 1000
 
 
@@ -67,7 +71,8 @@
         """Yield the body as it arrives.
 
         ``idle_timeout`` is the longest wait for the next bytes, in real seconds. Raises
-        `UpstreamStalled` after it, and `UpstreamLost` when the connection breaks.
+        `UpstreamStalled` after it, and `UpstreamLost` when the connection breaks. If this process
+        notices the timeout late, what has arrived meanwhile is read first.
         """
         while True:
             chunk = await self._next(idle_timeout)
@@ -95,16 +100,7 @@
 
     async def _next(self, idle_timeout: float) -> bytes | None:
         queue = self._delegate.queue
-        if queue.empty():
-            try:
-                async with asyncio.timeout(idle_timeout):
-                    item = await queue.get()
-            except TimeoutError:
-                raise UpstreamStalled(
-                    f"{self._connection.address} sent nothing for {idle_timeout:.2f} s"
-                ) from None
-        else:
-            item = queue.get_nowait()
+        item = await self._wait(idle_timeout) if queue.empty() else queue.get_nowait()
         if item is END_OF_BODY:
             return None
         if isinstance(item, UpstreamLost):
@@ -113,6 +109,17 @@
         self._delegate.mark_read(item)
         return item
 
+    async def _wait(self, idle_timeout: float) -> object:
+        due = time.monotonic() + idle_timeout
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(idle_timeout):
+                return await self._delegate.queue.get()
+        if time.monotonic() - due > MAX_LATENESS_SECONDS:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HOLD_UP_GRACE_SECONDS):
+                    return await self._delegate.queue.get()
+        raise UpstreamStalled(f"{self._connection.address} sent nothing for {idle_timeout:.2f} s")
+
 
 @final
 class HttpClient:
@@ -152,6 +159,7 @@
         headers: dict[str, str] | HTTPHeaders | None = None,
         head_timeout: float = 30.0,
         fresh: bool = False,
+        before_send: Callable[[], None] | None = None,
         before_body: Callable[[], float | None] | None = None,
         ack_timeout: float | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
@@ -162,6 +170,7 @@
         All durations are in real seconds. A ``Host`` in ``headers`` replaces the address in the
         ``Host`` header. ``head_timeout`` bounds the wait for the response's headers. ``fresh``
         opens a new connection instead of reusing one that has been idle for ``max_idle`` at most.
+        ``before_send`` is called once a connection is open; if it raises, nothing is sent.
         ``before_body`` is called after the request's headers are written and before its body is;
         if it raises, the connection is dropped. It returns the time within which the body must be
         written, or ``None`` if that is unbounded: see `kill_after`. ``ack_timeout`` is the time
@@ -179,6 +188,8 @@
         connection = Connection(address=address, stream=stream, traffic=self.traffic)
         clean = False
         try:
+            if before_send is not None:
+                before_send()
             delegate = await connection.send(
                 method=method,
                 path=path,
