--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -20,6 +20,10 @@
 
 # Before the first event, an attempt is checked this often for a stalled upstream.
 STALL_CHECK_SECONDS: Final = 0.05
+# Silence that is noticed later than by this may have been a hold-up of this process.
+MAX_LATENESS_SECONDS: Final = 0.1
+# What arrived during a hold-up is processed within this.
+HOLD_UP_GRACE_SECONDS: Final = 0.1
 
 
 @final
@@ -128,9 +132,11 @@
     ) -> RunningAttempt | None:
         """Return an attempt that ended, or ``None`` once all are silent for ``silence_timeout``.
 
-        Silence isn't watched if the timeout is ``None``. Before the first event, ``is_stalled``
-        says whether to return ``None`` earlier.
+        Silence isn't watched if the timeout is ``None``. If this process notices it late, what has
+        arrived meanwhile is processed first. Before the first event, ``is_stalled`` says whether to
+        return ``None`` earlier.
         """
+        was_late = False
         while True:
             ended = next((attempt for attempt in self._attempts if attempt.task.done()), None)
             if ended is not None:
@@ -139,8 +145,11 @@
             timeout = None
             if silence_timeout is not None:
                 timeout = self._silent_at(silence_timeout) - self._timers.now()
-                if timeout <= 0:
+                if timeout <= 0 and (was_late or timeout >= -MAX_LATENESS_SECONDS):
                     return None
+                if timeout <= 0:
+                    was_late = True
+                    timeout = HOLD_UP_GRACE_SECONDS
                 if is_stalled is not None and not self._has_events():
                     if self._timers.now() >= self._check_at and is_stalled():
                         return None
