Judge silence only after what arrived during a hold-up has been processed

A prompt that waited for its first event was raced on another engine, charged to the retry budget, although its engine's streams had gone on: after a hold-up of the gateway's process all engines look silent until their bytes have been read.

Evidence: the new test holds the process up for 0.4 s; wait() returned None before. AttemptRace.wait has shorter steps.

--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -90,6 +90,11 @@
         """The attempts whose end `wait` has not returned yet, without beaten ones."""
         return tuple(self._attempts)
 
+    @property
+    def upstreams(self) -> frozenset[str]:
+        """Ids of the upstreams of the running attempts."""
+        return frozenset(attempt.placement.upstream.id for attempt in self._attempts)
+
     def start(self, attempt: RunningAttempt, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run an attempt beside the others."""
         attempt.run(coroutine)
@@ -114,11 +119,6 @@
             self._attempts.remove(attempt)
         self._beaten += beaten
 
-    @property
-    def upstreams(self) -> frozenset[str]:
-        """Ids of the upstreams of the running attempts."""
-        return frozenset(attempt.placement.upstream.id for attempt in self._attempts)
-
     def is_silent(self, silence_timeout: float) -> bool:
         """Whether all attempts have been silent for ``silence_timeout``."""
         return self._latest_progress() + silence_timeout <= self._timers.now()
@@ -132,33 +132,20 @@
     ) -> RunningAttempt | None:
         """Return an attempt that ended, or ``None`` once all are silent for ``silence_timeout``.
 
-        Silence isn't watched if the timeout is ``None``. If this process notices it late, what has
-        arrived meanwhile is processed first. Before the first event, ``is_stalled`` says whether to
-        return ``None`` earlier.
+        Silence isn't watched if the timeout is ``None``. Before the first event, ``is_stalled``
+        says whether to return ``None`` earlier. What has arrived while this process was held up is
+        processed before silence is judged.
         """
-        was_late = False
         while True:
             ended = next((attempt for attempt in self._attempts if attempt.task.done()), None)
             if ended is not None:
                 self._attempts.remove(ended)
                 return ended
-            timeout = None
-            if silence_timeout is not None:
-                timeout = self._silent_at(silence_timeout) - self._timers.now()
-                if timeout <= 0 and (was_late or timeout >= -MAX_LATENESS_SECONDS):
-                    return None
-                if timeout <= 0:
-                    was_late = True
-                    timeout = HOLD_UP_GRACE_SECONDS
-                if is_stalled is not None and not self._has_events():
-                    if self._timers.now() >= self._check_at and is_stalled():
-                        return None
-                    timeout = min(timeout, STALL_CHECK_SECONDS)
-            await asyncio.wait(
-                [attempt.task for attempt in self._attempts],
-                timeout=None if timeout is None else self._timers.to_real_seconds(timeout),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            timeout = self._seconds_to_watch(silence_timeout, is_stalled)
+            if timeout is not None and timeout <= 0:
+                return None
+            if await self._sleep(timeout):
+                await self._sleep(HOLD_UP_GRACE_SECONDS)
 
     async def close(self) -> None:
         """Cancel all attempts and wait for their end."""
@@ -167,6 +154,30 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _seconds_to_watch(
+        self, silence_timeout: float | None, is_stalled: Callable[[], bool] | None
+    ) -> float | None:
+        """Return after how long to check for silence again; 0 or less if all are silent now."""
+        if silence_timeout is None:
+            return None
+        now = self._timers.now()
+        left = self._silent_at(silence_timeout) - now
+        if is_stalled is None or self._has_events():
+            return left
+        if now >= self._check_at and is_stalled():
+            return 0.0
+        return min(left, STALL_CHECK_SECONDS)
+
+    async def _sleep(self, timeout: float | None) -> bool:
+        """Wait for an attempt to end; return whether the process was held up meanwhile."""
+        begun = self._timers.now()
+        await asyncio.wait(
+            [attempt.task for attempt in self._attempts],
+            timeout=None if timeout is None else self._timers.to_real_seconds(timeout),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return timeout is not None and self._timers.now() - begun > timeout + MAX_LATENESS_SECONDS
+
     def _has_events(self) -> bool:
         return any(attempt.events for attempt in self._attempts)
 
--- a/testing/test_attempt_race.py
+++ b/testing/test_attempt_race.py
@@ -281,6 +281,32 @@
     assert all(attempt.task.cancelled() for attempt in attempts)
 
 
+async def test_an_engine_whose_streams_went_on_while_the_process_was_held_up_is_not_stalled() -> (
+    None
+):
+    timers = TimerService()
+    race = AttemptRace(timers=timers)
+    race.start(running_attempt(timers), asyncio.sleep(0.8))
+    heard_at = time.monotonic()
+
+    async def hear() -> None:
+        nonlocal heard_at
+        while True:
+            await asyncio.sleep(0.02)
+            # Events pass through a parser and queues before they are counted.
+            for _ in range(5):
+                await asyncio.sleep(0)
+            heard_at = time.monotonic()
+
+    hearing = asyncio.create_task(hear())
+    asyncio.get_running_loop().call_later(0.2, time.sleep, 0.4)
+    ended = await race.wait(
+        silence_timeout=5.0, is_stalled=lambda: time.monotonic() - heard_at > 0.2
+    )
+    hearing.cancel()
+    assert ended is not None
+
+
 async def test_closing_a_race_ends_attempts_that_have_not_begun_and_waits_for_the_others() -> None:
     timers = TimerService()
     race = AttemptRace(timers=timers)
