Let gauges and the member's registration know the store by its port

Splitting daemon.py had moved imports of platform/ into two modules; they get a MemberStore and documents by their ports now, as the store link does. Nothing changes in what is sent.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -90,6 +90,7 @@
         self._registration = MemberRegistration(
             node=self.node,
             store=self.store,
+            documents=PlatformDocuments(),
             lease_seconds=settings.get(StoreSection).member_lease,
             timers=timers,
         )
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -16,7 +16,7 @@
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.logs import dropped_line_count
-from baobabpulley.platform.store import PlatformStore
+from baobabpulley.ports.config_store import MemberStore
 
 
 @final
@@ -44,7 +44,7 @@
         listener: CallerListener,
         placer: Placer,
         record: UpstreamRecord,
-        store: PlatformStore,
+        store: MemberStore,
     ) -> None:
         self.evidence = evidence
         self.fleet_state = fleet_state
--- a/src/baobabpulley/gateway/member_registration.py
+++ b/src/baobabpulley/gateway/member_registration.py
@@ -10,8 +10,8 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.sections import GatewayNodeSection
-from baobabpulley.platform.documents import PlatformDocuments
-from baobabpulley.platform.store import PlatformStore
+from baobabpulley.ports.config_store import MemberStore
+from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.timers import TimerService
 
@@ -28,13 +28,14 @@
         self,
         *,
         node: GatewayNodeSection,
-        store: PlatformStore,
+        store: MemberStore,
+        documents: FleetDocuments,
         lease_seconds: float,
         timers: TimerService,
     ) -> None:
         host = split_address(node.control)[0]
         entry = GatewayMember(node=node.id, control=node.control, news=f"{host}:{node.news_port}")
-        self._key, self._value = PlatformDocuments().encode_member(entry)
+        self._key, self._value = documents.encode_member(entry)
         self._store = store
         self._lease_seconds = lease_seconds
         self._timers = timers
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -19,7 +19,7 @@
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
-from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import MemberStore
 from baobabpulley.ports.config_store import StoreSnapshot
 from baobabpulley.ports.config_store import Swap
 from baobabpulley.ports.config_store import SwapOutcome
@@ -88,7 +88,7 @@
 
 
 @final
-class PlatformStore(ConfigStore):
+class PlatformStore(MemberStore):
     """Client of the store; ``watch_wait`` is the maximum wait of one watch call in seconds."""
 
     __slots__ = ("_address", "_calls", "_client", "_watch_wait")
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -98,3 +98,16 @@
         Watches the same keys that `read` returns. Raises `StoreUnavailable` when the connection
         breaks or stalls, and `StoreCompacted` when the store no longer holds ``from_revision``.
         """
+
+
+class MemberStore(ConfigStore):
+    """A store in which a process also writes the entry that is its own."""
+
+    @property
+    @abstractmethod
+    def calls(self) -> int:
+        """Number of calls made so far."""
+
+    @abstractmethod
+    async def put(self, key: str, value: bytes, *, lease: int) -> None:
+        """Write a key unconditionally; raise `StoreUnavailable` or `StoreResponseLost`."""
