Log and measure how long ago the store confirmed what a gateway knows

Added, without any decision on it:

- gauge store_confirmation_age; lines store_watch (before: none when a gateway went back to its own watch) and store_relay with that age; the source of each configuration.

--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -253,6 +253,18 @@
     )
 
 
+@final
+class WholeResponse:
+    """A response whose body has arrived completely."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, *, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
 async def fetch(
     client: HttpClient,
     *,
@@ -265,6 +277,32 @@
 ) -> tuple[int, bytes]:
     """Send a request and return status and body of the response.
 
+    See `fetch_response` for ``timeout`` and the errors.
+    """
+    response = await fetch_response(
+        client,
+        address=address,
+        method=method,
+        path=path,
+        body=body,
+        headers=headers,
+        timeout=timeout,
+    )
+    return response.status, response.body
+
+
+async def fetch_response(
+    client: HttpClient,
+    *,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout: float,
+) -> WholeResponse:
+    """Send a request and return the whole response.
+
     ``timeout`` bounds the whole call, in real seconds; `UpstreamLost` is raised after it. Raises
     the errors of `HttpClient.call` too.
     """
@@ -280,6 +318,7 @@
                 head_timeout=timeout,
             ) as response,
         ):
-            return response.status, await response.body(idle_timeout=timeout)
+            content = await response.body(idle_timeout=timeout)
+            return WholeResponse(status=response.status, headers=response.headers, body=content)
     except TimeoutError:
         raise UpstreamLost(f"{address}{path} did not respond within {timeout:.2f} s") from None
--- a/src/baobabpulley/gateway/control.py
+++ b/src/baobabpulley/gateway/control.py
@@ -15,9 +15,12 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.gateway.compression import COMPRESSED_TYPE
 from baobabpulley.gateway.compression import compress
+from baobabpulley.gateway.confirmation_header import format_confirmation
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.store_relay import ChangePublisher
+from baobabpulley.policy.store_confirmation import StoreConfirmation
+from baobabpulley.timers import TimerService
 
 
 class ReadinessHandler(RequestHandler):
@@ -30,16 +33,36 @@
         self.set_status(200 if self._ready() else 503)
 
 
-class SnapshotHandler(RequestHandler):
+class ConfirmedHandler(RequestHandler):
+    """Handler whose response says when the store confirmed it."""
+
+    def initialize(self, confirmation: StoreConfirmation, timers: TimerService) -> None:
+        self._confirmation = confirmation
+        self._timers = timers
+        self._requested_at = timers.boot_time()
+
+    def _set_confirmation(self) -> None:
+        confirmed_at = self._confirmation.confirmed_at
+        for name, value in format_confirmation(
+            confirmed_at, requested_at=self._requested_at
+        ).items():
+            self.set_header(name, value)
+
+
+class SnapshotHandler(ConfirmedHandler):
     """Return the gateway's `FleetSnapshot` as MessagePack, compressed if that is accepted.
 
     Gateways of earlier versions neither ask for compression nor offer it.
     """
 
-    def initialize(self, fleet_state: FleetState) -> None:
+    def initialize(  # type: ignore[override]
+        self, fleet_state: FleetState, confirmation: StoreConfirmation, timers: TimerService
+    ) -> None:
+        super().initialize(confirmation, timers)
         self._fleet_state = fleet_state
 
     def get(self) -> None:
+        self._set_confirmation()
         data = msgspec.msgpack.encode(self._fleet_state.snapshot())
         if self.request.headers.get("Accept") == COMPRESSED_TYPE:
             self.set_header("Content-Type", COMPRESSED_TYPE)
@@ -49,10 +72,13 @@
             self.write(data)
 
 
-class ChangesHandler(RequestHandler):
+class ChangesHandler(ConfirmedHandler):
     """Return the gateway's changes after the revision ``after`` as a `FleetUpdate`."""
 
-    def initialize(self, publisher: ChangePublisher, link: StoreLink) -> None:
+    def initialize(  # type: ignore[override]
+        self, publisher: ChangePublisher, link: StoreLink, timers: TimerService
+    ) -> None:
+        super().initialize(link.confirmation, timers)
         self._publisher = publisher
         self._link = link
 
@@ -66,6 +92,7 @@
             removal_delay=self._link.removal_delay,
             connected=lambda: self._link.connected,
         )
+        self._set_confirmation()
         self.set_header("Content-Type", COMPRESSED_TYPE)
         self.write(self._publisher.encode(update))
 
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from pathlib import Path
 from typing import Final
 from typing import final
@@ -191,7 +190,7 @@
         self._listed: dict[str, ListedUpstream] = {}
         self.fleet_state.listen(self._forget_removed)
         self._servers: tuple[HTTPServer, ...] = ()
-        self._freeze_checked_at = _boot_time()
+        self._freeze_checked_at = timers.boot_time()
 
     @property
     def ready(self) -> bool:
@@ -203,7 +202,12 @@
         node = self.node
         host = split_address(node.control)[0]
         metrics = {"registry": self.metrics.registry}
-        changes = {"publisher": self.changes, "link": self.link}
+        changes = {"publisher": self.changes, "link": self.link, "timers": self.timers}
+        snapshot = {
+            "fleet_state": self.fleet_state,
+            "confirmation": self.link.confirmation,
+            "timers": self.timers,
+        }
         self._servers = (
             serve_http(
                 node.readiness, [(READINESS, ReadinessHandler, {"ready": lambda: self.ready})]
@@ -211,7 +215,7 @@
             serve_http(
                 node.control,
                 [
-                    (SNAPSHOT_PATH, SnapshotHandler, {"fleet_state": self.fleet_state}),
+                    (SNAPSHOT_PATH, SnapshotHandler, snapshot),
                     (CHANGES_PATH, ChangesHandler, changes),
                 ],
             ),
@@ -312,7 +316,7 @@
 
     def _check_for_freeze(self) -> None:
         """Replace idle connections and the watch if the process was frozen, as they may be dead."""
-        now = _boot_time()
+        now = self.timers.boot_time()
         late = now - self._freeze_checked_at - _FREEZE_CHECK_PERIOD_SECONDS
         self._freeze_checked_at = now
         if late > _MIN_FREEZE_SECONDS:
@@ -323,11 +327,6 @@
             self.link.restart()
 
 
-def _boot_time() -> float:
-    """Return the time of the clock that also runs while the machine is suspended, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 async def run_gateway(settings: Settings, *, path: Path) -> None:
     """Run a gateway until SIGTERM or SIGINT, then drain it."""
     stop = stop_event()
--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -32,6 +32,7 @@
 CONFIGURATION: Final = "configuration"
 UPSTREAM: Final = "upstream"
 MEMBER: Final = "member"
+STORE: Final = "store"
 
 Listener = Callable[[], None]
 
@@ -138,17 +139,25 @@
         )
         return FleetSnapshot(revision=self._revision, entries=tuple(entries))
 
-    def install(self, snapshot: FleetSnapshot, *, now: float, removal_delay: float = 0.0) -> bool:
+    def install(
+        self,
+        snapshot: FleetSnapshot,
+        *,
+        now: float,
+        removal_delay: float = 0.0,
+        source: str = STORE,
+    ) -> bool:
         """Apply a snapshot unless it is older than the state; return whether it was applied.
 
         Entries that it lacks are removed; upstreams that aren't draining only after
-        ``removal_delay`` seconds.
+        ``removal_delay`` seconds. ``source`` is where it came from: `STORE`, or the control address
+        of a gateway.
         """
         if snapshot.revision < self._revision:
             return False
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
-            self._install(entry)
+            self._install(entry, source=source)
         for key, entry in tuple(self._entries.items()):
             if key not in present and entry.mod_revision <= snapshot.revision:
                 self._remove(key, now=now, removal_delay=removal_delay)
@@ -164,12 +173,13 @@
         revision: int,
         now: float,
         removal_delay: float = 0.0,
+        source: str = STORE,
     ) -> None:
-        """Apply all changes up to a revision; delay removals of upstreams as `install` does."""
+        """Apply all changes up to a revision; the rest is as for `install`."""
         self._change_log.append(entries, above=self._revision)
         for entry in entries:
             if entry.value is not None:
-                self._install(entry)
+                self._install(entry, source=source)
             elif self._known_revision(entry.key) < entry.mod_revision:
                 self._remove(entry.key, now=now, removal_delay=removal_delay)
         self._revision = max(self._revision, revision)
@@ -239,7 +249,7 @@
         entry = self._entries.get(key)
         return 0 if entry is None else entry.mod_revision
 
-    def _install(self, entry: StoredEntry) -> None:
+    def _install(self, entry: StoredEntry, *, source: str) -> None:
         self._pending_removals.pop(entry.key, None)
         if self._known_revision(entry.key) >= entry.mod_revision:
             return
@@ -248,7 +258,7 @@
             return
         self._entries[entry.key] = entry
         try:
-            self._decode(kind, name, entry)
+            self._decode(kind, name, entry, source=source)
         except InvalidDocument as error:
             logger.bind(event="bad_document", key=entry.key, revision=entry.mod_revision).warning(
                 "{}", error.message
@@ -257,14 +267,17 @@
             # last valid one stays in use.
             self._upstreams.pop(name, None)
 
-    def _decode(self, kind: str, name: str, entry: StoredEntry) -> None:
+    def _decode(self, kind: str, name: str, entry: StoredEntry, *, source: str) -> None:
         value = entry.value or b""
         if kind == CONFIGURATION:
             table = self._documents.configuration(value)
             self._table, self._configuration_revision = table, entry.mod_revision
             self._configured.set()
             logger.bind(
-                event="configuration", version=table.version, revision=entry.mod_revision
+                event="configuration",
+                version=table.version,
+                revision=entry.mod_revision,
+                source=source,
             ).info("applied a configuration")
         elif kind == UPSTREAM:
             registered = self._documents.upstream(name, value)
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -94,6 +94,11 @@
     return float(sources.link.connected)
 
 
+@_gauge("Seconds since the store last confirmed what this gateway knows")
+def store_confirmation_age(sources: GaugeSources) -> float:
+    return sources.link.confirmation_age
+
+
 @_gauge("Calls made to the store")
 def store_calls(sources: GaugeSources) -> float:
     return sources.store.calls
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -17,18 +17,21 @@
 from loguru import logger
 
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.http_client import fetch_response
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.compression import COMPRESSED_TYPE
 from baobabpulley.gateway.compression import decompress
+from baobabpulley.gateway.confirmation_header import parse_confirmation
+from baobabpulley.gateway.fleet_state import STORE
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
 from baobabpulley.gateway.store_relay import FleetUpdate
 from baobabpulley.gateway.store_relay import fetch_update
 from baobabpulley.gateway.store_watchers import StoreWatchers
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.config_store import ConfigStore
 from baobabpulley.timers import TimerService
@@ -63,10 +66,12 @@
 
     __slots__ = (
         "_client",
+        "_confirmation",
         "_disconnected_at",
         "_fleet_state",
         "_followed",
         "_has_snapshot",
+        "_logged_source",
         "_outage_elsewhere",
         "_random",
         "_removal_delay_until",
@@ -97,6 +102,8 @@
         # Control address of the gateway that is followed; ``None`` while the store is watched.
         self._followed: str | None = None
         self._store_failed_at: float | None = None
+        self._confirmation = StoreConfirmation()
+        self._logged_source: str | None = None
         self._store = store
         self._fleet_state = fleet_state
         self._client = client
@@ -125,6 +132,16 @@
         """Control address of the gateway that is followed; ``None`` while the store is watched."""
         return self._followed
 
+    @property
+    def confirmation(self) -> StoreConfirmation:
+        """When the store confirmed what this gateway knows, in `TimerService.boot_time`."""
+        return self._confirmation
+
+    @property
+    def confirmation_age(self) -> float:
+        """Seconds since that confirmation, infinity before the first."""
+        return self._confirmation.age(now=self._timers.boot_time())
+
     def start(self) -> None:
         """Start to follow the store."""
         self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
@@ -150,8 +167,9 @@
 
     async def fetch_snapshot(self, address: str) -> bool:
         """Fetch and apply a peer's snapshot; return whether it was newer."""
+        requested_at = self._timers.boot_time()
         try:
-            status, body = await fetch(
+            response = await fetch_response(
                 self._client,
                 address=address,
                 method="GET",
@@ -159,8 +177,9 @@
                 headers={"Accept": COMPRESSED_TYPE},
                 timeout=_SNAPSHOT_TIMEOUT_SECONDS,
             )
-            if status != 200:
+            if response.status != 200:
                 return False
+            body = response.body
             # Gateways of earlier versions don't compress.
             is_compressed = not body.startswith(_SNAPSHOT_START)
             snapshot = _decoder.decode(decompress(body) if is_compressed else body)
@@ -170,10 +189,16 @@
             )
             return False
         newer = snapshot.revision > self._fleet_state.revision
-        if newer and self._fleet_state.install(snapshot, now=self._timers.now()):
+        if newer and self._fleet_state.install(snapshot, now=self._timers.now(), source=address):
             logger.bind(event="snapshot", peer=address, revision=snapshot.revision).info(
                 "applied a peer's snapshot"
             )
+        # This gateway has all of the peer's changes now, if it hadn't before.
+        self._confirm(
+            parse_confirmation(
+                response.headers, requested_at=requested_at, now=self._timers.boot_time()
+            )
+        )
         return newer
 
     async def fetch_newer_snapshot(self, addresses: Iterable[str]) -> None:
@@ -230,10 +255,10 @@
 
     async def _follow_peer(self, address: str) -> None:
         """Apply the changes that a gateway relays, until it fails or is no longer a watcher."""
-        logger.bind(event="store_relay", peer=address).info("following a gateway's watch")
+        self._log_source(address)
         while self._relay() == address:
             try:
-                update = await fetch_update(
+                received = await fetch_update(
                     self._client,
                     address,
                     after=self._fleet_state.revision,
@@ -245,9 +270,28 @@
                 )
                 self._watchers.exclude(address)
                 return
-            self._apply_update(update)
+            self._apply_update(received.update, source=address)
+            self._confirm(received.confirmed_at)
+
+    def _confirm(self, confirmed_at: float | None) -> None:
+        if confirmed_at is not None:
+            self._confirmation.record(confirmed_at)
+
+    def _log_source(self, source: str) -> None:
+        """Log from where changes come from now on: the store, or a gateway that relays them."""
+        if source == self._logged_source:
+            return
+        self._logged_source = source
+        age = self._confirmation.age(now=self._timers.boot_time())
+        details = {"revision": self._fleet_state.revision, "confirmation_age": round(age, 3)}
+        if source == STORE:
+            logger.bind(event="store_watch", **details).info("watching the store")
+        else:
+            logger.bind(event="store_relay", peer=source, **details).info(
+                "following a gateway's watch"
+            )
 
-    def _apply_update(self, update: FleetUpdate) -> None:
+    def _apply_update(self, update: FleetUpdate, *, source: str = "") -> None:
         if update.connected:
             self._mark_connected()
         else:
@@ -258,16 +302,22 @@
         removal_delay = self.removal_delay()
         if update.is_full:
             snapshot = FleetSnapshot(revision=update.revision, entries=update.entries)
-            self._fleet_state.install(snapshot, now=now, removal_delay=removal_delay)
+            self._fleet_state.install(snapshot, now=now, removal_delay=removal_delay, source=source)
         else:
             self._fleet_state.apply_changes(
-                update.entries, revision=update.revision, now=now, removal_delay=removal_delay
+                update.entries,
+                revision=update.revision,
+                now=now,
+                removal_delay=removal_delay,
+                source=source,
             )
 
     async def _read_and_watch(self) -> None:
         # A gateway that takes over from one that lost the store has not seen how long it was away.
         self._outage_elsewhere = self._watchers.store_failed_peer
+        self._log_source(STORE)
         if not self._has_snapshot:
+            asked_at = self._timers.boot_time()
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
             self._fleet_state.install(
@@ -275,6 +325,7 @@
                 now=self._timers.now(),
                 removal_delay=self.removal_delay(),
             )
+            self._confirm(asked_at)
             self._has_snapshot = True
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         async with contextlib.aclosing(changes):
@@ -286,6 +337,7 @@
                     now=self._timers.now(),
                     removal_delay=self.removal_delay(),
                 )
+                self._confirm(self._timers.boot_time() - batch.age)
                 if self._relay() is not None:
                     return
                 if batch.entries:
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -14,10 +14,11 @@
 import msgspec
 
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.http_client import fetch_response
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.compression import compress
 from baobabpulley.gateway.compression import decompress
+from baobabpulley.gateway.confirmation_header import parse_confirmation
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.timers import TimerService
@@ -42,6 +43,13 @@
     connected: bool
 
 
+class ReceivedUpdate(msgspec.Struct, frozen=True):
+    """An update, and when the store confirmed it (`TimerService.boot_time`), if the sender told."""
+
+    update: FleetUpdate
+    confirmed_at: float | None
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(FleetUpdate)
 
@@ -91,21 +99,26 @@
 
 async def fetch_update(
     client: HttpClient, address: str, *, after: int, timers: TimerService
-) -> FleetUpdate:
+) -> ReceivedUpdate:
     """Return a gateway's changes after a revision, once there are any.
 
     Raise `UpstreamUnreachable` or `UpstreamLost`.
     """
-    status, body = await fetch(
+    requested_at = timers.boot_time()
+    response = await fetch_response(
         client,
         address=address,
         method="GET",
         path=f"{CHANGES_PATH}?after={after}",
         timeout=timers.to_real_seconds(MAX_WAIT_SECONDS + _RESPONSE_TIMEOUT_SECONDS),
     )
-    if status != 200:
-        raise UpstreamLost(f"{address} answered {status} to a request for changes")
+    if response.status != 200:
+        raise UpstreamLost(f"{address} answered {response.status} to a request for changes")
     try:
-        return _decoder.decode(decompress(body))
+        update = _decoder.decode(decompress(response.body))
     except msgspec.DecodeError as error:
         raise UpstreamLost(f"{address} sent invalid changes: {error}") from error
+    confirmed_at = parse_confirmation(
+        response.headers, requested_at=requested_at, now=timers.boot_time()
+    )
+    return ReceivedUpdate(update, confirmed_at)
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -24,6 +24,7 @@
 from baobabpulley.ports.config_store import Swap
 from baobabpulley.ports.config_store import SwapOutcome
 from baobabpulley.ports.config_store import WatchBatch
+from baobabpulley.timers import boot_seconds
 
 # In addition to the time for which the store may delay the response to a watch call.
 _RESPONSE_TIMEOUT_SECONDS: Final = 1.0
@@ -175,9 +176,16 @@
                 "wait-ms": round(self._watch_wait * _MS_PER_SECOND),
             }
             path = f"{names.STORE_WATCH}?{urlencode(query)}"
+            asked_at = boot_seconds()
             changes = await self._get(path, _Changes, wait_seconds=self._watch_wait)
             after = max(after, changes.at)
-            yield WatchBatch(revision=after, entries=tuple(map(_entry, changes.events)))
+            # Without changes, the store answers only when the wait is over.
+            waited = 0.0 if changes.events else self._watch_wait
+            yield WatchBatch(
+                revision=after,
+                entries=tuple(map(_entry, changes.events)),
+                age=max(0.0, boot_seconds() - asked_at - waited),
+            )
 
     async def _get(self, path: str, kind: type[T], *, wait_seconds: float = 0.0) -> T:
         status, body = await self._call("GET", path, wait_seconds=wait_seconds)
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -47,11 +47,13 @@
     """Changes reported by a watch; a batch without entries is a keepalive.
 
     Once this batch is yielded, all changes up to ``revision`` have been. A ``revision`` of 0 gives
-    no such guarantee.
+    no such guarantee. ``age`` is the time in seconds since which the store may have had newer
+    changes: when it was asked for this batch, or answered that there are none.
     """
 
     revision: int
     entries: tuple[StoredEntry, ...]
+    age: float = 0.0
 
 
 class ConfigStore(ABC):
--- a/src/baobabpulley/timers.py
+++ b/src/baobabpulley/timers.py
@@ -69,6 +69,10 @@
         """Return monotonic model seconds since an arbitrary point."""
         return time.monotonic() * self._speed
 
+    def boot_time(self) -> float:
+        """Return seconds like `now`, of a clock that runs on while the machine is suspended."""
+        return boot_seconds() * self._speed
+
     def to_real_seconds(self, seconds: float) -> float:
         """Convert model seconds to real seconds, for library calls that take a timeout."""
         return seconds / self._speed
@@ -118,6 +122,11 @@
         await _run_callback(callback, name)
 
 
+def boot_seconds() -> float:
+    """Return real seconds of a monotonic clock that runs on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 async def _run_callback(callback: Callback, name: str) -> None:
     # An exception in a callback must not stop its timer: the next call may succeed.
     try:
@@ -143,6 +152,10 @@
         """Return the time to which the clock was last moved, in model seconds."""
         return self._now
 
+    def boot_time(self) -> float:
+        """Return the same as `now`."""
+        return self._now
+
     async def sleep(self, seconds: float) -> None:
         """Sleep until the clock has been moved by the given number of model seconds."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/testing/test_gateway_lifecycle.py
+++ b/testing/test_gateway_lifecycle.py
@@ -21,6 +21,7 @@
 import baobabpulley
 from baobabpulley.gateway import daemon
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.timers import TimerService
 
 
 @pytest.fixture
@@ -139,8 +140,8 @@
     upstream = await world.add_upstream("i-1")
     gateway = await world.add_gateway()
     assert (await send(gateway, "/order/1")).status == 200
-    now = daemon._boot_time()
-    monkeypatch.setattr(daemon, "_boot_time", lambda: now + 10.0)
+    now = gateway.timers.boot_time()
+    monkeypatch.setattr(TimerService, "boot_time", lambda timers: now + 10.0)
     await asyncio.sleep(0.4)
     assert (await send(gateway, "/order/1")).status == 200
     assert upstream.connections == 2
