Ignore changes that come later than the state they belong to

Evidence: the new test fails on the code before, 'i-1' listed. All changes up to the revision reached are known, so that earlier ones are left out.

--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -177,13 +177,15 @@
     ) -> None:
         """Apply all changes up to a revision; the rest is as for `install`."""
         self._change_log.append(entries, above=self._revision)
-        for entry in entries:
+        # Changes up to the revision reached are known: one of a removed key must not bring it back.
+        new = [entry for entry in entries if entry.mod_revision > self._revision]
+        for entry in new:
             if entry.value is not None:
                 self._install(entry, source=source)
             elif self._known_revision(entry.key) < entry.mod_revision:
                 self._remove(entry.key, now=now, removal_delay=removal_delay)
         self._revision = max(self._revision, revision)
-        if entries:
+        if new:
             self._notify()
 
     def has_said_leaving(self, upstream: str) -> bool:
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -16,6 +16,7 @@
 from gateway_builders import send
 from gateway_builders import wait_until
 
+from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
 
 
@@ -315,3 +316,17 @@
     world.store.end_lease(world.store.items[key]["lease"])
     assert key not in world.store.items
     await wait_until(lambda: key in world.store.items)
+
+
+async def test_a_late_batch_brings_back_no_upstream_that_was_removed(world: World) -> None:
+    upstream = await world.add_upstream("i-1", listed=False)
+    gateway = await world.add_gateway()
+    state, key = gateway.fleet_state, names.UPSTREAM_PREFIX + "i-1"
+    first = state.revision + 1
+    registered = StoredEntry(key=key, value=upstream.entry(), mod_revision=first)
+    removed = StoredEntry(key=key, value=None, mod_revision=first + 1)
+    now = gateway.timers.now()
+    state.apply_changes((registered, removed), revision=first + 1, now=now)
+    # Of a watch or a relay that was slower than the source of the changes above.
+    state.apply_changes((registered,), revision=first, now=now)
+    assert "i-1" not in state.upstreams
