Ask the store itself when its last confirmation grows old

Cause: a follower took 'connected' of the gateway whose watch it follows for 'nothing has changed'. That gateway's path to the store was cut silently; its pending call could fail after 6 s at the earliest, and until then it said that the store is reachable. Nobody ahead was heard, so nothing spoke against it. Class: acting on another's word without its age. Fix: each gateway keeps the time as of which the store confirmed what it knows; relays pass it on; older than three quarters of configuration-ms, the gateway asks the store itself. A watch call waits a quarter of it, so that the age is low without changes. A gateway that the store fails says so until the store has answered it, not for 5 s, and relays that fail again are left alone for longer, so that nobody goes back to one that is still cut off. Why it works: the bound is held at the end of the chain, by the gateway that serves; no relay, peer or clock on the way can make a confirmation younger.

--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -39,7 +39,8 @@
 from baobabpulley.gateway.sections import GatewayShutdownSection
 from baobabpulley.gateway.sections import RetryBudgetSection
 from baobabpulley.gateway.sections import StoreSection
-from baobabpulley.gateway.store_link import SNAPSHOT_PATH
+from baobabpulley.gateway.snapshot_fetcher import SNAPSHOT_PATH
+from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.store_relay import CHANGES_PATH
 from baobabpulley.gateway.store_relay import ChangePublisher
@@ -56,6 +57,7 @@
 from baobabpulley.platform.wire import PlatformWire
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.node_retry_budget import NodeRetryBudget
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.upstream_silence import SilentEngines
 from baobabpulley.settings import Settings
 from baobabpulley.shutdown import cancel_remaining_tasks
@@ -84,7 +86,7 @@
         self.store = PlatformStore(
             client=HttpClient(),
             address=settings.get(StoreSection).address,
-            watch_wait=settings.get(StoreSection).watch_wait,
+            watch_wait=settings.get(StoreSection).call_wait,
         )
         self._registration = MemberRegistration(
             node=self.node,
@@ -118,6 +120,7 @@
             gossip=self.gossip,
             timers=timers,
         )
+        confirmation = StoreConfirmation(in_force_within=settings.get(StoreSection).in_force_within)
         self.link = StoreLink(
             store=self.store,
             fleet_state=self.fleet_state,
@@ -125,16 +128,25 @@
             section=settings.get(StoreSection),
             timers=timers,
             watchers=watchers,
+            confirmation=confirmation,
         )
         self._peer_snapshots = PeerSnapshots(
             node=self.node,
             fleet_state=self.fleet_state,
             gossip=self.gossip,
             link=self.link,
+            snapshots=SnapshotFetcher(
+                client=self.client,
+                fleet_state=self.fleet_state,
+                confirmation=confirmation,
+                timers=timers,
+            ),
             seeds=lambda: self.settings.get(GatewayPeersSection).seeds,
             timers=timers,
         )
-        self.changes = ChangePublisher(fleet_state=self.fleet_state, timers=timers)
+        self.changes = ChangePublisher(
+            fleet_state=self.fleet_state, confirmation=confirmation, timers=timers
+        )
         self.record = UpstreamRecord(
             failure_domain=self.node.failure_domain,
             fleet_state=self.fleet_state,
--- a/src/baobabpulley/gateway/peer_snapshots.py
+++ b/src/baobabpulley/gateway/peer_snapshots.py
@@ -10,6 +10,7 @@
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.timers import TimerService
 
@@ -33,6 +34,7 @@
         "_link",
         "_node",
         "_seeds",
+        "_snapshots",
         "_timers",
     )
 
@@ -43,6 +45,7 @@
         fleet_state: FleetState,
         gossip: GossipProtocol,
         link: StoreLink,
+        snapshots: SnapshotFetcher,
         seeds: Callable[[], tuple[str, ...]],
         timers: TimerService,
     ) -> None:
@@ -50,6 +53,7 @@
         self._fleet_state = fleet_state
         self._gossip = gossip
         self._link = link
+        self._snapshots = snapshots
         self._seeds = seeds
         self._timers = timers
         # A store revision that a peer reached before this gateway, and when that was heard.
@@ -94,4 +98,4 @@
         newer.sort(key=lambda peer: peer.failure_domain != self._node.failure_domain)
         known = [peer.control for peer in newer]
         others = [address for address in (*known, *self._seeds()) if address != self._node.control]
-        await self._link.fetch_newer_snapshot(dict.fromkeys(others))
+        await self._snapshots.fetch_newer(dict.fromkeys(others))
--- a/src/baobabpulley/gateway/sections.py
+++ b/src/baobabpulley/gateway/sections.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Final
 
 import msgspec
 
+from baobabpulley.policy.store_confirmation import watch_wait
 from baobabpulley.settings import Address
 from baobabpulley.settings import Count
 from baobabpulley.settings import Name
@@ -13,6 +15,8 @@
 from baobabpulley.settings import Share
 from baobabpulley.settings import section
 
+_MS_PER_SECOND: Final = 1000
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -37,7 +41,8 @@
 class StoreSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The configuration store; durations are in seconds.
 
-    ``watch_wait`` bounds the wait of one watch call, so that a stalled connection is detected.
+    ``in_force_within_ms`` is the time in milliseconds within which a change that the store accepted
+    is to be in force. ``watch_wait`` bounds the wait of one watch call further, see ``call_wait``.
     ``longest_pause`` is the maximum backoff between calls to an unavailable store.
     ``returned_within`` is how long upstreams may take to register again after an outage.
     ``member_lease`` is the lease of the gateway's entry in the member list.
@@ -48,6 +53,17 @@
     longest_pause: Seconds = 0.6
     returned_within: Seconds = 2.2
     member_lease: Seconds = 30.0
+    in_force_within_ms: Count = 2000
+
+    @property
+    def in_force_within(self) -> float:
+        """Seconds within which a change that the store accepted is to be in force."""
+        return self.in_force_within_ms / _MS_PER_SECOND
+
+    @property
+    def call_wait(self) -> float:
+        """Maximum wait of one watch call, so that a stalled connection is detected in time."""
+        return min(self.watch_wait, watch_wait(in_force_within=self.in_force_within))
 
 
 @section("peers", "gateway")
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -9,51 +9,41 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Iterable
 from typing import Final
 from typing import final
 
-import msgspec
 from loguru import logger
 
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.adapters.http_client import fetch_response
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreUnavailable
-from baobabpulley.gateway.compression import COMPRESSED_TYPE
-from baobabpulley.gateway.compression import decompress
-from baobabpulley.gateway.confirmation_header import parse_confirmation
 from baobabpulley.gateway.fleet_state import STORE
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_relay import UPDATE_TIMEOUT_SECONDS
 from baobabpulley.gateway.store_relay import FleetUpdate
 from baobabpulley.gateway.store_relay import fetch_update
 from baobabpulley.gateway.store_watchers import StoreWatchers
 from baobabpulley.policy.store_confirmation import StoreConfirmation
+from baobabpulley.policy.store_contact import StoreContact
 from baobabpulley.policy.token_bucket import TokenBucket
 from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import WatchBatch
 from baobabpulley.timers import TimerService
 
-SNAPSHOT_PATH: Final = "/snapshot"
 # Empty prefix: gateways read and watch all keys of the store.
 ALL_KEYS: Final = ""
 _INITIAL_BACKOFF_SECONDS: Final = 0.05
-_SNAPSHOT_TIMEOUT_SECONDS: Final = 0.5
-# Number of peers that a gateway without a configuration asks at least.
-_FIRST_SNAPSHOTS: Final = 3
 # After a longer outage, leases of live upstreams may have expired, so removals are delayed.
 _OUTAGE_SECONDS: Final = 0.5
 # A watch is repeated at once after a few changes, and at this rate in a storm of changes.
 _WATCHES_PER_SECOND: Final = 5.0
 _WATCH_BURST: Final = 3.0
-# A gateway that the store failed is a watcher again after this time, unless the others do better.
-_UNREACHABLE_SECONDS: Final = 5.0
-
-_decoder = msgspec.msgpack.Decoder(FleetSnapshot)
-# MessagePack encodes a snapshot, an array of two fields, with this first byte.
-_SNAPSHOT_START: Final = b"\x92"
+# A gateway that the store failed, and that follows another, asks it again after this time.
+_PROBE_PERIOD_SECONDS: Final = 3.0
+_PROBE_JITTER: Final = 0.4
 
 
 @final
@@ -67,19 +57,21 @@
     __slots__ = (
         "_client",
         "_confirmation",
+        "_contact",
         "_disconnected_at",
         "_fleet_state",
         "_followed",
         "_has_snapshot",
         "_logged_source",
         "_outage_elsewhere",
+        "_probe",
         "_random",
         "_removal_delay_until",
         "_section",
         "_store",
-        "_store_failed_at",
         "_task",
         "_timers",
+        "_was_stale",
         "_watch_bucket",
         "_watchers",
     )
@@ -93,6 +85,7 @@
         section: StoreSection,
         timers: TimerService,
         watchers: StoreWatchers,
+        confirmation: StoreConfirmation,
     ) -> None:
         self._watchers = watchers
         full_since = timers.now() - _WATCH_BURST / _WATCHES_PER_SECOND
@@ -101,9 +94,11 @@
         )
         # Control address of the gateway that is followed; ``None`` while the store is watched.
         self._followed: str | None = None
-        self._store_failed_at: float | None = None
-        self._confirmation = StoreConfirmation()
+        self._confirmation = confirmation
+        self._contact = StoreContact(max_silence=confirmation.max_age)
+        self._probe: asyncio.Task[None] | None = None
         self._logged_source: str | None = None
+        self._was_stale = False
         self._store = store
         self._fleet_state = fleet_state
         self._client = client
@@ -123,9 +118,8 @@
 
     @property
     def store_reachable(self) -> bool:
-        """Whether the store hasn't failed this gateway recently."""
-        failed_at = self._store_failed_at
-        return failed_at is None or self._timers.now() - failed_at > _UNREACHABLE_SECONDS
+        """Whether the store hasn't failed this gateway, or has answered it since."""
+        return not self._contact.is_failing(now=self._timers.boot_time())
 
     @property
     def followed(self) -> str | None:
@@ -147,11 +141,15 @@
         self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
         self._timers.every(0.2, self._remove_expired, name="delayed removals")
         self._timers.every(0.2, self._check_relay, name="store watchers")
+        self._timers.every(
+            _PROBE_PERIOD_SECONDS, self._probe_store, jitter=_PROBE_JITTER, name="store probe"
+        )
 
     def stop(self) -> None:
         """Stop to follow the store."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._probe):
+            if task is not None:
+                task.cancel()
 
     def restart(self) -> None:
         """Restart the watch at once, as its connection may have stalled."""
@@ -165,63 +163,26 @@
             self._followed = None
             self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
 
-    async def fetch_snapshot(self, address: str) -> bool:
-        """Fetch and apply a peer's snapshot; return whether it was newer."""
-        requested_at = self._timers.boot_time()
-        try:
-            response = await fetch_response(
-                self._client,
-                address=address,
-                method="GET",
-                path=SNAPSHOT_PATH,
-                headers={"Accept": COMPRESSED_TYPE},
-                timeout=_SNAPSHOT_TIMEOUT_SECONDS,
-            )
-            if response.status != 200:
-                return False
-            body = response.body
-            # Gateways of earlier versions don't compress.
-            is_compressed = not body.startswith(_SNAPSHOT_START)
-            snapshot = _decoder.decode(decompress(body) if is_compressed else body)
-        except (BaobabError, msgspec.DecodeError) as error:
-            logger.bind(event="peer_unheard", peer=address).info(
-                "no valid snapshot from the peer: {}", error
-            )
-            return False
-        newer = snapshot.revision > self._fleet_state.revision
-        if newer and self._fleet_state.install(snapshot, now=self._timers.now(), source=address):
-            logger.bind(event="snapshot", peer=address, revision=snapshot.revision).info(
-                "applied a peer's snapshot"
-            )
-        # This gateway has all of the peer's changes now, if it hadn't before.
-        self._confirm(
-            parse_confirmation(
-                response.headers, requested_at=requested_at, now=self._timers.boot_time()
-            )
-        )
-        return newer
-
-    async def fetch_newer_snapshot(self, addresses: Iterable[str]) -> None:
-        """Fetch snapshots from peers in turn until one is newer.
-
-        Without a configuration, ask several peers, as the first may have been cut off for long.
-        """
-        to_ask = _FIRST_SNAPSHOTS if self._fleet_state.table is None else 1
-        found = False
-        for asked, address in enumerate(addresses, start=1):
-            found = await self.fetch_snapshot(address) or found
-            if found and asked >= to_ask:
-                return
-
     def _remove_expired(self) -> None:
         if self._disconnected_at is None:
             self._fleet_state.remove_expired(now=self._timers.now())
 
     def _relay(self) -> str | None:
+        """Return the gateway to follow, or ``None`` to watch the store.
+
+        A gateway that may lack changes asks the store itself, whatever others say of theirs.
+        """
+        if self._is_stale and self.store_reachable:
+            return None
         return self._watchers.relay(store_reachable=self.store_reachable, current=self._followed)
 
+    @property
+    def _is_stale(self) -> bool:
+        return self._confirmation.is_stale(now=self._timers.boot_time())
+
     def _check_relay(self) -> None:
         """Change between the store and the gateways that watch it when the watchers change."""
+        self._log_staleness()
         if self._fleet_state.table is not None and self._relay() != self._followed:
             self._restart()
 
@@ -235,12 +196,13 @@
                     "the store compacted the history of the watch; reading all keys again"
                 )
                 self._has_snapshot = False
+                self._contact.record_answer(now=self._timers.boot_time())
                 continue
             except StoreUnavailable as error:
                 failures = failures + 1 if self._disconnected_at is not None else 1
                 if failures > 1:
                     # The store may cut a watch at any time, which says nothing of the next call.
-                    self._store_failed_at = self._timers.now()
+                    self._contact.record_failure()
                 self._mark_disconnected(error)
             backoff = min(self._section.longest_pause, _INITIAL_BACKOFF_SECONDS * 2**failures)
             await self._timers.sleep(self._random.uniform(0.5, 1.0) * backoff)
@@ -249,8 +211,10 @@
         """Follow a gateway or the store until the one has to be exchanged for the other."""
         self._followed = self._relay()
         if self._followed is None:
+            self._contact.begin_watch(now=self._timers.boot_time())
             await self._read_and_watch()
         else:
+            self._contact.end_watch(now=self._timers.boot_time())
             await self._follow_peer(self._followed)
 
     async def _follow_peer(self, address: str) -> None:
@@ -263,15 +227,31 @@
                     address,
                     after=self._fleet_state.revision,
                     timers=self._timers,
+                    timeout=self._relay_timeout(),
                 )
             except BaobabError as error:
-                logger.bind(event="store_relay_lost", peer=address).info(
-                    "the gateway doesn't relay changes: {}", error.message
-                )
-                self._watchers.exclude(address)
+                self._leave_relay(address, error.message)
                 return
             self._apply_update(received.update, source=address)
             self._confirm(received.confirmed_at)
+        if self._is_stale:
+            self._leave_relay(address, "the store hasn't confirmed its changes")
+
+    def _relay_timeout(self) -> float:
+        """Return the seconds that a request for changes may take.
+
+        If the store can be asked instead, that is the time until it has to be.
+        """
+        remaining = self._confirmation.max_age - self.confirmation_age
+        if remaining <= 0.0 or not self.store_reachable:
+            return UPDATE_TIMEOUT_SECONDS
+        return min(remaining, UPDATE_TIMEOUT_SECONDS)
+
+    def _leave_relay(self, address: str, reason: str) -> None:
+        logger.bind(
+            event="store_relay_lost", peer=address, confirmation_age=self._rounded_age()
+        ).info("the gateway doesn't relay changes: {}", reason)
+        self._watchers.exclude(address)
 
     def _confirm(self, confirmed_at: float | None) -> None:
         if confirmed_at is not None:
@@ -282,8 +262,10 @@
         if source == self._logged_source:
             return
         self._logged_source = source
-        age = self._confirmation.age(now=self._timers.boot_time())
-        details = {"revision": self._fleet_state.revision, "confirmation_age": round(age, 3)}
+        details = {
+            "revision": self._fleet_state.revision,
+            "confirmation_age": self._rounded_age(),
+        }
         if source == STORE:
             logger.bind(event="store_watch", **details).info("watching the store")
         else:
@@ -291,6 +273,28 @@
                 "following a gateway's watch"
             )
 
+    def _log_staleness(self) -> None:
+        """Log when changes may begin to be missing, and when the store has confirmed all again."""
+        if self._fleet_state.table is None or self._is_stale == self._was_stale:
+            return
+        self._was_stale = not self._was_stale
+        details = {
+            "revision": self._fleet_state.revision,
+            "confirmation_age": self._rounded_age(),
+        }
+        if self._was_stale:
+            logger.bind(event="configuration_unconfirmed", **details).warning(
+                "changes may be missing: neither the store nor a gateway confirms the state;"
+                " serving goes on with it"
+            )
+        else:
+            logger.bind(event="configuration_confirmed", **details).info(
+                "the store has confirmed the state again"
+            )
+
+    def _rounded_age(self) -> float:
+        return round(self.confirmation_age, 3)
+
     def _apply_update(self, update: FleetUpdate, *, source: str = "") -> None:
         if update.connected:
             self._mark_connected()
@@ -330,19 +334,39 @@
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         async with contextlib.aclosing(changes):
             async for batch in changes:
-                self._mark_store_reached()
-                self._fleet_state.apply_changes(
-                    batch.entries,
-                    revision=batch.revision,
-                    now=self._timers.now(),
-                    removal_delay=self.removal_delay(),
-                )
-                self._confirm(self._timers.boot_time() - batch.age)
+                self._apply_batch(batch)
                 if self._relay() is not None:
                     return
                 if batch.entries:
                     await self._limit_watches()
 
+    def _apply_batch(self, batch: WatchBatch) -> None:
+        self._mark_store_reached()
+        self._fleet_state.apply_changes(
+            batch.entries,
+            revision=batch.revision,
+            now=self._timers.now(),
+            removal_delay=self.removal_delay(),
+        )
+        self._confirm(self._timers.boot_time() - batch.age)
+
+    def _probe_store(self) -> None:
+        """Ask the store that failed this gateway, which follows another, whether it answers."""
+        if self._followed is None or self.store_reachable:
+            return
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.get_running_loop().create_task(self._ask_store())
+
+    async def _ask_store(self) -> None:
+        changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
+        try:
+            async with contextlib.aclosing(changes):
+                self._apply_batch(await anext(changes))
+        except StoreCompacted:
+            self._mark_store_reached()
+        except StoreUnavailable as error:
+            logger.bind(event="store_probe").debug("no answer yet: {}", error.message)
+
     async def _limit_watches(self) -> None:
         """Wait until the watch may be repeated, so that a storm of changes comes in few batches."""
         while not self._watch_bucket.take(now=self._timers.now()):
@@ -363,8 +387,11 @@
             )
 
     def _mark_store_reached(self) -> None:
-        self._store_failed_at = None
-        if self._outage_elsewhere:
+        now = self._timers.boot_time()
+        # A watch call that was answered late may have been pending through an outage.
+        was_silent = self._contact.silence(now=now) > self._section.call_wait + _OUTAGE_SECONDS
+        self._contact.record_answer(now=now)
+        if self._outage_elsewhere or was_silent:
             self._outage_elsewhere = False
             self._delay_removals()
         self._mark_connected()
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -1,6 +1,7 @@
 """Relay the store's changes to the gateways of the failure domain that don't watch it themselves.
 
-A gateway without a watch keeps one request for changes pending at a gateway that has one.
+A gateway without a watch keeps one request for changes pending at a gateway that has one. It is
+answered with the next change, or as soon as the store has confirmed that there is none.
 """
 
 from __future__ import annotations
@@ -21,12 +22,13 @@
 from baobabpulley.gateway.confirmation_header import parse_confirmation
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.timers import TimerService
 
 CHANGES_PATH: Final = "/changes"
 # A request for changes is answered after this time even if there are none.
 MAX_WAIT_SECONDS: Final = 2.0
-_RESPONSE_TIMEOUT_SECONDS: Final = 0.7
+UPDATE_TIMEOUT_SECONDS: Final = MAX_WAIT_SECONDS + 0.7
 
 
 class FleetUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -56,22 +58,25 @@
 
 @final
 class ChangePublisher:
-    """Answer requests for changes as soon as there are any."""
+    """Answer requests for changes as soon as there are any, or a confirmation of the store."""
 
     __slots__ = ("_changed", "_encoded", "_fleet_state", "_timers")
 
-    def __init__(self, *, fleet_state: FleetState, timers: TimerService) -> None:
+    def __init__(
+        self, *, fleet_state: FleetState, confirmation: StoreConfirmation, timers: TimerService
+    ) -> None:
         # The latest update and its encoding: most followers ask for the same.
         self._encoded: tuple[FleetUpdate, bytes] | None = None
         self._fleet_state = fleet_state
         self._timers = timers
         self._changed = asyncio.Event()
         fleet_state.listen(self._wake)
+        confirmation.listen(self._wake)
 
     async def update_since(
         self, revision: int, *, removal_delay: Callable[[], float], connected: Callable[[], bool]
     ) -> FleetUpdate:
-        """Return the changes after a revision; wait for the next one if there are none."""
+        """Return the changes after a revision; wait for the next news if there are none."""
         if self._fleet_state.revision <= revision:
             seconds = self._timers.to_real_seconds(MAX_WAIT_SECONDS)
             with contextlib.suppress(TimeoutError):
@@ -98,11 +103,11 @@
 
 
 async def fetch_update(
-    client: HttpClient, address: str, *, after: int, timers: TimerService
+    client: HttpClient, address: str, *, after: int, timers: TimerService, timeout: float
 ) -> ReceivedUpdate:
-    """Return a gateway's changes after a revision, once there are any.
+    """Return a gateway's changes after a revision, none if the store confirms that there are none.
 
-    Raise `UpstreamUnreachable` or `UpstreamLost`.
+    ``timeout`` bounds the whole call, in seconds. Raise `UpstreamUnreachable` or `UpstreamLost`.
     """
     requested_at = timers.boot_time()
     response = await fetch_response(
@@ -110,7 +115,7 @@
         address=address,
         method="GET",
         path=f"{CHANGES_PATH}?after={after}",
-        timeout=timers.to_real_seconds(MAX_WAIT_SECONDS + _RESPONSE_TIMEOUT_SECONDS),
+        timeout=timers.to_real_seconds(timeout),
     )
     if response.status != 200:
         raise UpstreamLost(f"{address} answered {response.status} to a request for changes")
--- a/src/baobabpulley/gateway/store_watchers.py
+++ b/src/baobabpulley/gateway/store_watchers.py
@@ -5,6 +5,8 @@
 from typing import Final
 from typing import final
 
+import msgspec
+
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.gossip_peers import GossipPeer
 from baobabpulley.policy.relays import choose_relays
@@ -14,15 +16,23 @@
 WATCHERS_PER_DOMAIN: Final = 2
 # A gateway that sent no gossip for this long is not followed; keepalives come every 0.5 s.
 _HEARD_SECONDS: Final = 1.2
-# A gateway that failed to relay is not followed for this long.
+# A gateway that failed to relay is not followed for this long; twice as long if it fails again.
 _EXCLUSION_SECONDS: Final = 3.0
+_MAX_EXCLUSION_SECONDS: Final = 48.0
+
+
+class _Exclusion(msgspec.Struct, frozen=True):
+    """A gateway isn't followed for ``seconds``, ``until`` a time in monotonic seconds."""
+
+    until: float
+    seconds: float
 
 
 @final
 class StoreWatchers:
     """Choose the gateways of this failure domain that watch the store."""
 
-    __slots__ = ("_excluded_until", "_failure_domain", "_gossip", "_node", "_timers")
+    __slots__ = ("_exclusions", "_failure_domain", "_gossip", "_node", "_timers")
 
     def __init__(
         self, *, node: str, failure_domain: str, gossip: GossipProtocol, timers: TimerService
@@ -31,8 +41,8 @@
         self._failure_domain = failure_domain
         self._gossip = gossip
         self._timers = timers
-        # By control address, in monotonic seconds.
-        self._excluded_until: dict[str, float] = {}
+        # By control address.
+        self._exclusions: dict[str, _Exclusion] = {}
 
     def relay(self, *, store_reachable: bool, current: str | None = None) -> str | None:
         """Return the control address of the gateway to follow, or ``None`` to watch the store.
@@ -43,7 +53,7 @@
         peers = {
             node: peer
             for node, peer in self._heard().items()
-            if now >= self._excluded_until.get(peer.control, 0.0)
+            if peer.control not in self._exclusions or now >= self._exclusions[peer.control].until
         }
         unreachable = {node for node, peer in peers.items() if not peer.store_reachable}
         if not store_reachable:
@@ -72,9 +82,19 @@
         }
 
     def exclude(self, address: str) -> None:
-        """Don't follow a gateway for some seconds, as it failed to relay."""
+        """Don't follow a gateway for some seconds, as it failed to relay.
+
+        One that fails again within the time of its last exclusion is excluded for twice as long.
+        """
         now = self._timers.now()
-        self._excluded_until = {
-            other: until for other, until in self._excluded_until.items() if until > now
+        self._exclusions = {
+            other: exclusion
+            for other, exclusion in self._exclusions.items()
+            if now < exclusion.until + exclusion.seconds
         }
-        self._excluded_until[address] = now + _EXCLUSION_SECONDS
+        last = self._exclusions.get(address)
+        seconds = _EXCLUSION_SECONDS if last is None else 2 * last.seconds
+        self._exclusions[address] = _Exclusion(
+            until=now + min(seconds, _MAX_EXCLUSION_SECONDS),
+            seconds=min(seconds, _MAX_EXCLUSION_SECONDS),
+        )
--- a/testing/test_store_confirmation.py
+++ b/testing/test_store_confirmation.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import math
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import final
 
@@ -16,11 +18,19 @@
 from gateway_builders import route
 from gateway_builders import send
 from gateway_builders import wait_until
+from loguru import logger
 from pausing_link import PausingLink
+from tornado.httputil import HTTPHeaders
 
+from baobabpulley.gateway.confirmation_header import CONFIRMED_AFTER
+from baobabpulley.gateway.confirmation_header import format_confirmation
+from baobabpulley.gateway.confirmation_header import parse_confirmation
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.store_watchers import WATCHERS_PER_DOMAIN
 from baobabpulley.platform import names
+from baobabpulley.policy.store_confirmation import StoreConfirmation
+from baobabpulley.policy.store_contact import StoreContact
+from baobabpulley.timers import TimerService
 
 # A change that the store accepted is in force within this time.
 CONFIGURATION_SECONDS = 2.0
@@ -75,6 +85,15 @@
             yield fleet
 
 
+@pytest.fixture
+def events() -> Iterator[list[str]]:
+    """The names of the events that are logged."""
+    names: list[str] = []
+    sink = logger.add(lambda message: names.append(str(message.record["extra"].get("event"))))
+    yield names
+    logger.remove(sink)
+
+
 def with_route(version: int, prefix: str) -> bytes:
     return configuration(version, routes=[route(prefix, LEDGER, names.KIND_ONCE)])
 
@@ -84,6 +103,13 @@
     return 0 if table is None else table.version
 
 
+async def change_and_wait(world: World, gateway: Gateway, *, seconds: float) -> None:
+    """Change the configuration, and wait until it is in force at a gateway."""
+    version = version_of(gateway) + 1
+    world.store.put(names.CONFIGURATION_KEY, configuration(version))
+    await wait_until(lambda: version_of(gateway) == version, seconds=seconds)
+
+
 async def test_a_gateway_knows_how_old_its_knowledge_is(fleet: LinkedGateways) -> None:
     await fleet.start(2)
     watcher, follower = fleet.watchers[0], fleet.followers[0]
@@ -124,3 +150,117 @@
     )
     for follower in followers:
         assert (await send(follower, "/new/7")).status == 200
+
+
+async def test_a_gateway_cut_off_from_the_store_says_so_in_time(fleet: LinkedGateways) -> None:
+    await fleet.start(2)
+    watcher, follower = fleet.watchers[0], fleet.followers[0]
+    fleet.cut_off(watcher)
+    await wait_until(
+        lambda: not follower.gossip.peers[watcher.node.id].store_reachable,
+        seconds=watcher.link.confirmation.max_age + 0.8,
+    )
+
+
+async def test_a_gateway_that_is_still_cut_off_is_not_followed_again(
+    fleet: LinkedGateways,
+) -> None:
+    await fleet.start(2)
+    watcher, follower = fleet.watchers[0], fleet.followers[0]
+    fleet.cut_off(watcher, seconds=9.0)
+    await wait_until(lambda: follower.link.followed is None, seconds=2.0)
+    end = follower.timers.now() + 6.5
+    # Longer than the exclusion and two probes of the one that is cut off.
+    while follower.timers.now() < end:
+        await change_and_wait(fleet.world, follower, seconds=0.5)
+        assert follower.link.followed is None
+    # Once it hears the store again, it is the watcher as before.
+    await wait_until(lambda: follower.link.followed is not None, seconds=8.0)
+
+
+async def test_a_gateway_that_nothing_confirms_says_so_and_serves_on(
+    fleet: LinkedGateways, events: list[str]
+) -> None:
+    await fleet.world.add_upstream("i-1")
+    await fleet.start(2)
+    for gateway in fleet.world.gateways:
+        fleet.cut_off(gateway, seconds=3.0)
+    limit = fleet.world.gateways[0].link.confirmation.max_age
+    await wait_until(lambda: all(one.link.confirmation_age > limit for one in fleet.world.gateways))
+    await wait_until(lambda: events.count("configuration_unconfirmed") == 2)
+    for gateway in fleet.world.gateways:
+        assert (await send(gateway, "/order/7")).status == 200
+    await wait_until(lambda: events.count("configuration_confirmed") == 2)
+
+
+async def test_registrations_that_expire_while_a_call_is_unanswered_stay_for_a_while(
+    fleet: LinkedGateways,
+) -> None:
+    await fleet.world.add_upstream("i-back")
+    gateway = await fleet.add()
+    # Shorter than the call may take, so that it doesn't fail.
+    fleet.cut_off(gateway, seconds=1.3)
+    fleet.world.store.delete(names.UPSTREAM_PREFIX + "i-back")
+    await wait_until(lambda: gateway.fleet_state.revision == fleet.world.store.revision)
+    assert "i-back" in gateway.fleet_state.upstreams
+    await wait_until(lambda: "i-back" not in gateway.fleet_state.upstreams)
+
+
+async def test_a_follower_frozen_with_its_relay_asks_the_store_itself(
+    fleet: LinkedGateways, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await fleet.start(2)
+    follower = fleet.followers[0]
+    suspended = follower.timers.boot_time() + 5.0
+    started = follower.timers.now()
+    monkeypatch.setattr(
+        TimerService,
+        "boot_time",
+        lambda timers: suspended + timers.now() - started,
+    )
+    assert follower.link.confirmation_age > 4.0
+    await wait_until(lambda: follower.link.confirmation_age < 1.0, seconds=2.0)
+
+
+async def test_few_calls_keep_the_age_of_all_gateways_low(fleet: LinkedGateways) -> None:
+    await fleet.start(6)
+    before = fleet.world.store.calls
+    oldest = 0.0
+    end = fleet.world.gateways[0].timers.now() + 4.0
+    while fleet.world.gateways[0].timers.now() < end:
+        ages = [one.link.confirmation_age for one in fleet.world.gateways]
+        oldest = max(oldest, *ages)
+        await asyncio.sleep(0.02)
+    assert oldest < fleet.world.gateways[0].link.confirmation.max_age
+    # One call of each watcher in each half second, and one that had begun before.
+    assert fleet.world.store.calls - before <= WATCHERS_PER_DOMAIN * (8 + 1)
+
+
+def test_a_confirmation_never_becomes_younger_on_its_way() -> None:
+    confirmation = StoreConfirmation(in_force_within=2.0)
+    confirmation.record(100.0)
+    confirmation.record(99.0)
+    assert confirmation.age(now=101.0) == 1.0
+    # The response was sent 0.3 s after the request arrived, and the way back took 5 s.
+    headers = HTTPHeaders(format_confirmation(confirmation.confirmed_at, requested_at=100.2))
+    received = parse_confirmation(headers, requested_at=500.0, now=505.3)
+    assert received == pytest.approx(499.8)
+
+
+@pytest.mark.parametrize("value", ["", "nan", "inf", "-inf", "1e999", "yesterday", "1,5"])
+def test_an_unreadable_confirmation_confirms_nothing(value: str) -> None:
+    headers = HTTPHeaders({CONFIRMED_AFTER: value})
+    assert parse_confirmation(headers, requested_at=1.0, now=2.0) is None
+
+
+def test_a_store_that_is_silent_counts_as_failing_until_it_answers() -> None:
+    contact = StoreContact(max_silence=1.5)
+    assert not contact.is_failing(now=100.0)
+    contact.begin_watch(now=100.0)
+    contact.record_answer(now=100.5)
+    assert not contact.is_failing(now=102.0)
+    assert contact.is_failing(now=102.1)
+    contact.end_watch(now=102.1)
+    assert contact.is_failing(now=200.0)
+    contact.record_answer(now=200.0)
+    assert not contact.is_failing(now=300.0)
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -27,6 +27,7 @@
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip_messages import GossipMessage
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store_link import StoreLink
 from baobabpulley.gateway.store_relay import ChangePublisher
 from baobabpulley.gateway.store_relay import FleetUpdate
@@ -35,6 +36,7 @@
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 
 GATEWAYS = 6
 # Nothing listens there.
@@ -85,6 +87,16 @@
         watchers=StoreWatchers(
             node="front-new", failure_domain="fes", gossip=gateway.gossip, timers=gateway.timers
         ),
+        confirmation=StoreConfirmation(in_force_within=2.0),
+    )
+
+
+def snapshot_fetcher(gateway: Gateway) -> SnapshotFetcher:
+    return SnapshotFetcher(
+        client=gateway.client,
+        fleet_state=gateway.fleet_state,
+        confirmation=StoreConfirmation(in_force_within=2.0),
+        timers=gateway.timers,
     )
 
 
@@ -246,8 +258,7 @@
     await wait_for_version([current], 2)
     assert cut_off.fleet_state.table is not None and cut_off.fleet_state.table.version == 1
     starting.fleet_state = FleetState(PlatformDocuments())
-    link = link_without_store(starting)
-    await link.fetch_newer_snapshot([cut_off.node.control, current.node.control])
+    await snapshot_fetcher(starting).fetch_newer([cut_off.node.control, current.node.control])
     await wait_for_version([starting], 2)
 
 
@@ -279,7 +290,7 @@
     # An older gateway ignores that the request accepts compression.
     monkeypatch.setattr("baobabpulley.gateway.control.COMPRESSED_TYPE", "unknown")
     new.fleet_state = FleetState(PlatformDocuments())
-    assert await link_without_store(new).fetch_snapshot(old.node.control)
+    assert await snapshot_fetcher(new).fetch(old.node.control)
     assert new.fleet_state.table is not None
 
 
