Go on following the store after an entry that can't be decoded

What callers would see: no change of the configuration or of the upstreams takes effect any more, at all gateways at once and without a line in a log. Cause: a value nested 100,000 deep makes the decoder raise RecursionError; the decoders of stored entries caught only msgspec's and Unicode's errors, and the task that follows the store only the store's. The task ended, and a new one ended at the same entry. Any unexpected error there, or in a listener of the state, did the same. Fix: the decoders turn all errors of decoding into InvalidDocument; one entry or listener that fails keeps no other from its turn; the task logs what it doesn't know and tries again. Each of them alone keeps the store followed.

--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -259,15 +259,19 @@
         if kind is None:
             return
         self._entries[entry.key] = entry
+        log = logger.bind(event="bad_document", key=entry.key, revision=entry.mod_revision)
         try:
             self._decode(kind, name, entry, source=source)
         except InvalidDocument as error:
-            logger.bind(event="bad_document", key=entry.key, revision=entry.mod_revision).warning(
-                "{}", error.message
-            )
-            # An upstream whose entry is invalid is dropped; after an invalid configuration the
-            # last valid one stays in use.
-            self._upstreams.pop(name, None)
+            log.warning("{}", error.message)
+        except Exception:
+            # One entry must not keep the others from being applied.
+            log.exception("unexpected error while decoding a stored entry")
+        else:
+            return
+        # An upstream whose entry is invalid is dropped; after an invalid configuration the last
+        # valid one stays in use.
+        self._upstreams.pop(name, None)
 
     def _decode(self, kind: str, name: str, entry: StoredEntry, *, source: str) -> None:
         value = entry.value or b""
@@ -331,4 +335,9 @@
 
     def _notify(self) -> None:
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception:
+                logger.bind(event="listener_failed").exception(
+                    "a listener failed after an update of the state"
+                )
--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -204,6 +204,11 @@
                     # The store may cut a watch at any time, which says nothing of the next call.
                     self._contact.record_failure()
                 self._mark_disconnected(error)
+            except Exception:
+                failures += 1
+                logger.bind(event="store_follow_failed").exception(
+                    "unexpected error while following the store; trying again"
+                )
             backoff = min(self._section.longest_pause, _INITIAL_BACKOFF_SECONDS * 2**failures)
             await self._timers.sleep(self._random.uniform(0.5, 1.0) * backoff)
 
--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.model.routes import IDEMPOTENT
 from baobabpulley.model.routes import ONCE
@@ -136,7 +137,7 @@
     """Return the routing table of a stored configuration; raise `InvalidDocument`."""
     try:
         configuration = _configuration_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise InvalidDocument(f"the stored configuration is invalid: {error}") from error
     return RoutingTable(
         version=configuration.version,
@@ -154,7 +155,7 @@
     """Decode an upstream's registration; raise `InvalidDocument`."""
     try:
         entry = _upstream_decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidDocument(
             f"the entry of upstream {upstream[:64]!r} is invalid: {error}"
         ) from error
@@ -249,7 +250,7 @@
     def member(self, value: bytes) -> GatewayMember:
         try:
             return msgspec.json.decode(value, type=GatewayMember)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise InvalidDocument(
                 f"the entry of a gateway in the member list is invalid: {error}"
             ) from error
