Go on retrying after a thousand failures in a row

What callers would see: after an outage of the store of some eight minutes no change takes effect any more at gateways whose failure domain has no other; an upstream that stays listed but dead for two hours and more ends requests that meet it with an internal error. Cause: the pause doubles with each failure before it is limited, and from the 1,024th on the number is too large for a float: OverflowError, in the task that follows the store outside of what it catches, and in record_failure of an upstream's health. Fix: policy/backoff.py limits the doublings. The other pauses that double were read: load estimates and retries are limited, limit repair stays whole numbers.

--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -26,6 +26,7 @@
 from baobabpulley.gateway.store_relay import FleetUpdate
 from baobabpulley.gateway.store_relay import fetch_update
 from baobabpulley.gateway.store_watchers import StoreWatchers
+from baobabpulley.policy.backoff import backoff_seconds
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.store_contact import StoreContact
 from baobabpulley.policy.token_bucket import TokenBucket
@@ -209,7 +210,9 @@
                 logger.bind(event="store_follow_failed").exception(
                     "unexpected error while following the store; trying again"
                 )
-            backoff = min(self._section.longest_pause, _INITIAL_BACKOFF_SECONDS * 2**failures)
+            backoff = backoff_seconds(
+                failures, first=_INITIAL_BACKOFF_SECONDS, longest=self._section.longest_pause
+            )
             await self._timers.sleep(self._random.uniform(0.5, 1.0) * backoff)
 
     async def _follow_once(self) -> None:
--- a/src/baobabpulley/policy/upstream_health.py
+++ b/src/baobabpulley/policy/upstream_health.py
@@ -10,6 +10,8 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.policy.backoff import backoff_seconds
+
 # Time without requests after an upstream was lost; doubled with each further consecutive loss.
 INITIAL_BACKOFF_SECONDS: Final = 1.0
 MAX_BACKOFF_SECONDS: Final = 8.0
@@ -85,8 +87,8 @@
         record = self._records.setdefault(upstream, _Record())
         record.failure_rate += FAILURE_EWMA_WEIGHT * (1.0 - record.failure_rate)
         record.probing = False
-        record.backoff_until = now + min(
-            MAX_BACKOFF_SECONDS, INITIAL_BACKOFF_SECONDS * 2**record.consecutive_losses
+        record.backoff_until = now + backoff_seconds(
+            record.consecutive_losses, first=INITIAL_BACKOFF_SECONDS, longest=MAX_BACKOFF_SECONDS
         )
         record.consecutive_losses += 1
 
