Forget the failures of an outage once it is over

What callers would see: a gateway that had lost the store once left a relay that went silent up to 0.6 s later than it could, so that a change was in force after its bound (2 s: 1.5 s until the confirmation is too old, 0.6 s of a pause for failures long past). Cause: failures were counted until the next loss, and each change between store and relay paused for them.

--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -192,6 +192,7 @@
         while True:
             try:
                 await self._follow_once()
+                failures = 0
             except StoreCompacted:
                 logger.bind(event="store_compacted").info(
                     "the store compacted the history of the watch; reading all keys again"
--- a/testing/test_backoff.py
+++ b/testing/test_backoff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -75,6 +76,29 @@
     assert store.calls > MANY
 
 
+async def test_failures_of_an_outage_that_is_over_delay_nothing(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = await world.add_gateway()
+    calls: list[float] = []
+
+    async def fail_then_return(link: StoreLink) -> None:
+        calls.append(gateway.timers.now())
+        if len(calls) <= 4:
+            raise StoreUnavailable("an outage")
+
+    state = FleetState(PlatformDocuments())
+    link = store_link(gateway, store=gateway.store, state=state, longest_pause=10.0)
+    monkeypatch.setattr(StoreLink, "_follow_once", fail_then_return)
+    link.start()
+    try:
+        await wait_until(lambda: len(calls) >= 8)
+    finally:
+        link.stop()
+    # Without a failure before it, the pause is 0.05 s at most.
+    assert max(later - call for call, later in itertools.pairwise(calls[4:8])) < 0.15
+
+
 def test_an_upstream_that_fails_many_times_stays_in_its_longest_backoff() -> None:
     health = UpstreamHealth()
     now = 0.0
