Treat data nested too deep like any other that can't be decoded

What callers saw: a request body nested 100,000 deep got 500 'internal', which doesn't say whether it ran, instead of 400 'not run'; an engine, a VM list, a store, an entry of another failure domain or a gossip datagram with such data raised an error that nobody caught. Cause: as with stored entries, msgspec raises RecursionError there, outside of its own errors; 16 modules each named what they catch, in five versions. Fix: one name for the errors of decoding, decoding.DECODE_ERRORS, at all of them; an entry's answer from another failure domain is decoded by the same rule (before: none).

--- a/src/baobabpulley/adapters/etcd_store.py
+++ b/src/baobabpulley/adapters/etcd_store.py
@@ -16,6 +16,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreResponseLost
 from baobabpulley.errors import StoreUnavailable
@@ -122,7 +123,7 @@
                 )
                 async for line in _lines(chunks):
                     yield _decode_batch(line)
-        except (UpstreamLost, UpstreamUnreachable, msgspec.DecodeError, KeyError) as error:
+        except (UpstreamLost, UpstreamUnreachable, KeyError, *DECODE_ERRORS) as error:
             raise StoreUnavailable(f"the watch failed: {error}") from error
         raise StoreUnavailable("the store ended the watch")
 
@@ -149,7 +150,7 @@
             raise _call_error(f"the store answered {path} with status {status}", writes=writes)
         try:
             document = msgspec.json.decode(response, type=dict[str, Any])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise _call_error(
                 f"the store's response to {path} is invalid: {error}", writes=writes
             ) from error
--- a/src/baobabpulley/adapters/http_engine.py
+++ b/src/baobabpulley/adapters/http_engine.py
@@ -15,6 +15,7 @@
 from baobabpulley.adapters.http_client import HttpResponse
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.adapters.retry_after import parse_retry_after
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import MismatchedResponse
 from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamImportFailed
@@ -255,7 +256,7 @@
             raise parse_upstream_error(upstream.id, response)
         try:
             return msgspec.json.decode(response, type=response_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise UpstreamLost(
                 f"{upstream.id} sent an invalid response to {path}: {error}"
             ) from error
@@ -284,7 +285,7 @@
     """
     try:
         error = msgspec.json.decode(body, type=_ErrorDocument).error
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return UpstreamLost(f"{name} sent an invalid error document", asked_pause=asked_pause)
     if error.ran is not False:
         return UpstreamLost(
@@ -301,5 +302,5 @@
 def _decode(upstream: Upstream, data: bytes, decoder: msgspec.json.Decoder[T]) -> T:
     try:
         return decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise UpstreamLost(f"{upstream.id} sent an invalid event: {error}") from error
--- a/src/baobabpulley/adapters/http_vm_list.py
+++ b/src/baobabpulley/adapters/http_vm_list.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
@@ -59,7 +60,7 @@
                 self._rows = msgspec.json.decode(body, type=tuple[Vm, ...])
                 self._etag = response.headers.get("Etag", "")
                 return self._rows
-        except (TimeoutError, UpstreamLost, UpstreamUnreachable, msgspec.DecodeError) as error:
+        except (TimeoutError, UpstreamLost, UpstreamUnreachable, *DECODE_ERRORS) as error:
             raise StoreUnavailable(
                 f"cannot read the VM list from {self._address}: {error}"
             ) from error
--- a/src/baobabpulley/adapters/signing.py
+++ b/src/baobabpulley/adapters/signing.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import Forbidden
 
 DIGEST_BYTES: Final = 16
@@ -56,7 +57,7 @@
             payload = data[DIGEST_BYTES:]
             if hmac.compare_digest(self._digest(payload), data[:DIGEST_BYTES]):
                 return msgspec.msgpack.decode(payload, type=self._struct)
-        except (binascii.Error, ValueError, msgspec.DecodeError):
+        except (binascii.Error, ValueError, *DECODE_ERRORS):
             pass
         raise Forbidden("the token was not issued by this fleet, or is malformed")
 
--- a/src/baobabpulley/cli/entry_client.py
+++ b/src/baobabpulley/cli/entry_client.py
@@ -12,6 +12,7 @@
 from baobabpulley.adapters.envelope import make_sealer
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.entry.credentials import CREDENTIAL_HEADER
 from baobabpulley.entry.credentials import make_credential
 from baobabpulley.errors import BaobabError
@@ -56,5 +57,5 @@
             if status != 200:
                 return f"responded with status {status}: {body.decode(errors='replace')}"
             return msgspec.json.decode(body, type=kind)
-        except (BaobabError, msgspec.DecodeError) as error:
+        except (BaobabError, *DECODE_ERRORS) as error:
             return f"no answer: {error}"
--- a/src/baobabpulley/cli/limits.py
+++ b/src/baobabpulley/cli/limits.py
@@ -14,6 +14,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.cli.main import cli
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import EXIT_FAILED
 from baobabpulley.errors import BaobabError
 from baobabpulley.model.limits import Limit
@@ -83,7 +84,7 @@
             )
         )
         return msgspec.json.decode(response, type=dict[str, Any])
-    except (BaobabError, msgspec.DecodeError) as error:
+    except (BaobabError, *DECODE_ERRORS) as error:
         click.echo(f"{entry}: {error}; try another entry with the same change id", err=True)
         sys.exit(EXIT_FAILED)
 
--- a/src/baobabpulley/entry/callers.py
+++ b/src/baobabpulley/entry/callers.py
@@ -13,6 +13,7 @@
 
 from baobabpulley.adapters.events import DONE
 from baobabpulley.adapters.events import frame_event
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.entry.forwarding import FORWARDED_HEADER
 from baobabpulley.entry.resume_tokens import RESUME_HEADER
 from baobabpulley.entry.web import StreamedBodyHandler
@@ -157,7 +158,7 @@
     def _parse(self) -> CompletionRequest:
         try:
             body = _body_decoder.decode(self.whole_body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise BadRequest(f"invalid request body: {error}") from error
         if body.max_tokens > self._section.max_output_tokens:
             raise BadRequest(f"max_tokens exceeds {self._section.max_output_tokens}")
--- a/src/baobabpulley/entry/forwarding.py
+++ b/src/baobabpulley/entry/forwarding.py
@@ -13,6 +13,7 @@
 from baobabpulley.adapters.events import read_events
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import DeadlineExceeded
 from baobabpulley.errors import NoUpstream
@@ -108,13 +109,13 @@
         self, response: HttpResponse, request: CompletionRequest, idle_timeout: float
     ) -> AsyncIterator[CompletionEvent]:
         if response.status >= 400:
-            raise _error_of(msgspec.json.decode(await response.body(idle_timeout=idle_timeout)))
+            raise _error_of(_decode(await response.body(idle_timeout=idle_timeout)))
         offset = 0
         ended = False
         async for data in read_events(response.chunks(idle_timeout=idle_timeout)):
             if data == DONE:
                 continue
-            document = msgspec.json.decode(data)
+            document = _decode(data)
             if "error" in document:
                 raise _error_of(document)
             if document.get("usage"):
@@ -130,6 +131,15 @@
             )
 
 
+def _decode(data: bytes) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(data, type=dict[str, Any])
+    except DECODE_ERRORS as error:
+        raise UpstreamLost(
+            f"the entry of another failure domain sent invalid JSON: {error}"
+        ) from error
+
+
 def _token_event(document: dict[str, Any], attempt: str, offset: int) -> TokenEvent:
     text = document["choices"][0]["text"]
     count = max(1, document.get("offset", 0) - offset)
--- a/src/baobabpulley/entry/operators.py
+++ b/src/baobabpulley/entry/operators.py
@@ -16,6 +16,7 @@
 import msgspec
 from loguru import logger
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.entry.web import EntryHandler
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
@@ -205,5 +206,5 @@
     """Decode a JSON request body; raise `BadRequest` if it is invalid."""
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise BadRequest(f"invalid request body: {error}") from error
--- a/src/baobabpulley/entry/resume.py
+++ b/src/baobabpulley/entry/resume.py
@@ -8,6 +8,7 @@
 import msgspec
 from tornado.web import stream_request_body
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.entry.callers import CompletionHandler
 from baobabpulley.entry.web import route
 from baobabpulley.errors import BadRequest
@@ -44,7 +45,7 @@
     def _parse(self) -> CompletionRequest:
         try:
             body = _decoder.decode(self.whole_body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise BadRequest(f"invalid request body: {error}") from error
         tokens = self.context.resume_tokens
         grant = tokens.open(body.resume_token, team=self._team, prompt=body.prompt)
--- a/src/baobabpulley/gateway/gossip.py
+++ b/src/baobabpulley/gateway/gossip.py
@@ -17,11 +17,11 @@
 from typing import cast
 from typing import final
 
-import msgspec
 from loguru import logger
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.traffic import Traffic
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip_messages import GossipBundle
@@ -188,7 +188,7 @@
         try:
             message = decode(data)
             messages = unpack(message) if isinstance(message, GossipBundle) else [message]
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             logger.bind(event="bad_news", sender=str(addr[0])).warning(
                 "dropped a malformed gossip message: {}", error
             )
--- a/src/baobabpulley/gateway/snapshot_fetcher.py
+++ b/src/baobabpulley/gateway/snapshot_fetcher.py
@@ -12,6 +12,7 @@
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import WholeResponse
 from baobabpulley.adapters.http_client import fetch_response
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import BaobabError
 from baobabpulley.gateway.compression import COMPRESSED_TYPE
 from baobabpulley.gateway.compression import decompress
@@ -65,7 +66,7 @@
             if response.status != 200:
                 return False
             snapshot = _decode(response.body)
-        except (BaobabError, msgspec.DecodeError) as error:
+        except (BaobabError, *DECODE_ERRORS) as error:
             logger.bind(event="peer_unheard", peer=address).info(
                 "no valid snapshot from the peer: {}", error
             )
--- a/src/baobabpulley/gateway/store_relay.py
+++ b/src/baobabpulley/gateway/store_relay.py
@@ -16,6 +16,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch_response
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.gateway.compression import compress
 from baobabpulley.gateway.compression import decompress
@@ -121,7 +122,7 @@
         raise UpstreamLost(f"{address} answered {response.status} to a request for changes")
     try:
         update = _decoder.decode(decompress(response.body))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise UpstreamLost(f"{address} sent invalid changes: {error}") from error
     confirmed_at = parse_confirmation(
         response.headers, requested_at=requested_at, now=timers.boot_time()
--- a/src/baobabpulley/keeper/change_writer.py
+++ b/src/baobabpulley/keeper/change_writer.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import ChangeOutcomeUnknown
 from baobabpulley.errors import Conflict
@@ -334,5 +335,5 @@
         )
     try:
         msgspec.json.decode(value, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise BadRequest(f"the document is not a JSON object: {error}") from error
--- a/src/baobabpulley/model/documents.py
+++ b/src/baobabpulley/model/documents.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.model.limits import Limit
 
@@ -185,5 +186,5 @@
         )
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidDocument(f"{entry.key} at revision {entry.mod_revision}: {error}") from error
--- a/src/baobabpulley/model/log_lines.py
+++ b/src/baobabpulley/model/log_lines.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from baobabpulley.decoding import DECODE_ERRORS
+
 
 class LogLine(msgspec.Struct, frozen=True):
     """One log line; fields that an event does not have keep their defaults.
@@ -57,5 +59,5 @@
             continue
         try:
             yield _decoder.decode(text[begin:])
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             continue
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
+from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreResponseLost
 from baobabpulley.errors import StoreUnavailable
@@ -235,7 +236,7 @@
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise StoreUnavailable(f"the store's response is invalid: {error}") from error
 
 
--- a/testing/test_bad_input.py
+++ b/testing/test_bad_input.py
@@ -118,6 +118,11 @@
 CASES = {
     "broken JSON": (request(b'{"model":'), 400, "bad_request"),
     "not UTF-8": (request(b'{"prompt":"\xff\xfe"}'), 400, "bad_request"),
+    "nested too deep": (
+        request(b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"),
+        400,
+        "bad_request",
+    ),
     "wrong type": (request(completion(prompt=5)), 400, "bad_request"),
     "missing field": (request({"model": MODEL}), 400, "bad_request"),
     "negative max_tokens": (request(completion(max_tokens=-1)), 400, "bad_request"),
