Decode the events of a batch one by one

What callers would see: no change takes effect any more, while the log says that the store is unavailable. Cause: a batch of changes, or a page, was decoded whole; one odd event made the same watch fail again and again, for all gateways at once. Fix: an item that can't be decoded is left out, with a line bad_item; only a page of which nothing can be read is an error, as the next one begins after it.

--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from loguru import logger
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
@@ -30,6 +31,8 @@
 # In addition to the time for which the store may delay the response to a watch call.
 _RESPONSE_TIMEOUT_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
+# Of an item that can't be decoded.
+_LOGGED_BYTES: Final = 80
 
 T = TypeVar("T")
 
@@ -50,13 +53,13 @@
     """
 
     at: int
-    items: tuple[_Item, ...] = ()
+    items: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
 
 
 class _Changes(msgspec.Struct):
     at: int
-    events: tuple[_Item, ...] = ()
+    events: tuple[msgspec.Raw, ...] = ()
 
 
 class _Expectation(msgspec.Struct):
@@ -116,10 +119,13 @@
             page = await self._get(f"{names.STORE_RANGE}?{urlencode(query)}", _Page)
             # Pages may differ in revision, so a watch has to start at the first page's.
             first = page.at if first is None else first
-            entries += [_entry(item) for item in page.items]
+            readable = _readable_entries(page.items)
+            entries += readable
             if not page.has_more or not page.items:
                 return StoreSnapshot(revision=first, entries=tuple(entries))
-            after = page.items[-1].key
+            if not readable:
+                raise StoreUnavailable("a page of the store holds no item that can be decoded")
+            after = readable[-1].key
 
     async def get(self, key: str) -> StoredEntry | None:
         path = f"{names.STORE_KEY}?{urlencode({'key': key})}"
@@ -184,7 +190,7 @@
             waited = 0.0 if changes.events else self._watch_wait
             yield WatchBatch(
                 revision=after,
-                entries=tuple(map(_entry, changes.events)),
+                entries=tuple(_readable_entries(changes.events)),
                 age=max(0.0, boot_seconds() - asked_at - waited),
             )
 
@@ -240,6 +246,20 @@
         raise StoreUnavailable(f"the store's response is invalid: {error}") from error
 
 
+def _readable_entries(items: tuple[msgspec.Raw, ...]) -> list[StoredEntry]:
+    """Return the items that can be decoded, so that an odd one keeps no other from use."""
+    entries = []
+    for item in items:
+        try:
+            entries.append(_entry(msgspec.json.decode(item, type=_Item)))
+        except DECODE_ERRORS as error:
+            start = bytes(item)[:_LOGGED_BYTES].decode("utf-8", "replace")
+            logger.bind(event="bad_item", start=start).warning(
+                "left out an item of the store that can't be decoded: {}", error
+            )
+    return entries
+
+
 def _entry(item: _Item) -> StoredEntry:
     value = None if item.tombstone else item.value
     return StoredEntry(key=item.key, value=value, mod_revision=item.revision)
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -27,7 +27,7 @@
     ``responses_to_lose`` is how many more transactions take effect without a response, and
     ``transactions_to_refuse`` how many get 503 without effect. A watch from a revision before
     ``history_start`` gets 410. ``page_size`` is the number of keys in a
-    page of a range.
+    page of a range. ``odd_events`` are sent as they are, before the others of each watch.
     """
 
     def __init__(self) -> None:
@@ -43,6 +43,7 @@
         self.leases: dict[int, set[str]] = {}
         self.lease_numbers = itertools.count(1000)
         self.page_size = 500
+        self.odd_events: list[Any] = []
         self._changed = asyncio.Event()
         self._server: HTTPServer | None = None
         self.address = ""
@@ -179,6 +180,8 @@
         if self.store.mode:
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if events:
+            events = [*self.store.odd_events, *events]
         self.respond({"events": events, "at": self.store.revision})
 
 
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -391,6 +391,26 @@
     await wait_until(lambda: _version(gateway) == 2, seconds=3.0)
 
 
+@pytest.mark.parametrize(
+    "event",
+    [
+        pytest.param({"key": 7, "revision": 3}, id="key-of-another-type"),
+        pytest.param({"key": "servers/i-odd", "revision": 3, "value": "%%"}, id="no-base64"),
+        pytest.param({"revision": 3, "tombstone": True}, id="without-key"),
+        pytest.param(None, id="null"),
+    ],
+)
+async def test_an_odd_event_keeps_no_other_of_its_batch_from_use(
+    world: World, event: object
+) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    world.store.odd_events.append(event)
+    world.store.put(names.CONFIGURATION_KEY, _with_route(2, "/new/"))
+    await _wait_for_version(gateway, 2)
+    assert gateway.link.connected
+
+
 async def _wait_for_version(gateway: Gateway, version: int) -> None:
     await wait_until(lambda: _version(gateway) == version, seconds=2.0)
 
