Take a version whose engine figures can't be read, with the engines known before

What callers would see: a change of routes, services or keys that is never in force (404 or 401 for what was added, or the old service), without a bound, after one line bad_document. Cause: a configuration was decoded all or nothing; a field of 'engine', which only serves placement, rejected the whole version. The store accepts only valid versions, so that what can't be read is newer than we are. Fix: the engine of each service is decoded by itself; where it can't be read, the service keeps the figures of the version before, and a line bad_engine says so; without an earlier version it counts as plain. A missing usual answer is assumed. Routes, keys, services and limits still have to be read whole: they decide who is served and where.

--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -277,6 +277,10 @@
         value = entry.value or b""
         if kind == CONFIGURATION:
             table = self._documents.configuration(value)
+            for service in table.adopt_engines(self._table):
+                logger.bind(event="bad_engine", service=service.name).warning(
+                    "the performance of a service's engines can't be read: {}", service.engine_error
+                )
             self._table, self._configuration_revision = table, entry.mod_revision
             self._configured.set()
             logger.bind(
--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -35,6 +35,8 @@
 
 _KINDS = {KIND_IDEMPOTENT: IDEMPOTENT, KIND_ONCE: ONCE, KIND_STREAM: STREAM}
 _SECONDS_PER_MS = 0.001
+# Assumed where the operators don't tell.
+_USUAL_ANSWER_TOKENS = 256.0
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
@@ -63,9 +65,9 @@
 
 
 class _TypicalRequest(msgspec.Struct):
-    """Sizes of a typical request; ``answer`` is the tokens of its completion."""
+    """Sizes of a typical request; ``answer`` is the tokens of its completion, if known."""
 
-    answer: float = 256.0
+    answer: float | None = None
 
 
 class _EnginePerformance(msgspec.Struct):
@@ -91,7 +93,7 @@
 class _Service(msgspec.Struct, rename="kebab"):
     name: _Text
     connection_limit: int = 64
-    engine: _EnginePerformance | None = None
+    engine: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -129,6 +131,7 @@
     born: int = 0
 
 
+_engine_decoder = msgspec.json.Decoder(_EnginePerformance | None)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _upstream_decoder = msgspec.json.Decoder(_Upstream)
 
@@ -196,11 +199,17 @@
 
 
 def _service(service: _Service) -> Service:
-    engine = service.engine
+    """Return a service; its engine only serves placement, so an odd one takes no route along."""
+    engine, error = None, None
+    try:
+        engine = _engine_decoder.decode(service.engine)
+    except DECODE_ERRORS as reason:
+        error = str(reason)
     return Service(
         name=service.name,
         max_connections=service.connection_limit,
         engine=None if engine is None else _engine(engine),
+        engine_error=error,
     )
 
 
@@ -214,7 +223,9 @@
         per_thousand_context=engine.context_per_k * _SECONDS_PER_MS,
         tokens_per_second=engine.read_per_s,
         per_million_pairs=engine.pairs_per_m * _SECONDS_PER_MS,
-        usual_answer_tokens=engine.usual.answer,
+        usual_answer_tokens=(
+            _USUAL_ANSWER_TOKENS if engine.usual.answer is None else engine.usual.answer
+        ),
     )
 
 
