--- a/src/baobabpulley/gateway/peer_snapshots.py
+++ b/src/baobabpulley/gateway/peer_snapshots.py
@@ -8,6 +8,7 @@
 from typing import final
 
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.gateway.gossip import RELAY_HEARD_SECONDS
 from baobabpulley.gateway.gossip import GossipProtocol
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
@@ -94,8 +95,15 @@
     async def _fetch(self) -> None:
         revision = self._fleet_state.revision
         newer = [peer for peer in self._gossip.live_peers() if peer.revision > revision]
-        # Sorting is stable: peers of the own failure domain first, the newest of them first.
-        newer.sort(key=lambda peer: peer.failure_domain != self._node.failure_domain)
+        # Sorting is stable: the newest first of the own failure domain, then of the others. A peer
+        # that has fallen silent may be cut off, and would hold up the question to a sound one.
+        recent = self._timers.now() - RELAY_HEARD_SECONDS
+        newer.sort(
+            key=lambda peer: (
+                peer.received_at < recent,
+                peer.failure_domain != self._node.failure_domain,
+            )
+        )
         known = [peer.control for peer in newer]
         others = [address for address in (*known, *self._seeds()) if address != self._node.control]
         await self._snapshots.fetch_newer(dict.fromkeys(others))
--- a/testing/test_store_confirmation.py
+++ b/testing/test_store_confirmation.py
@@ -6,6 +6,7 @@
 import contextlib
 import math
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 from collections.abc import Iterator
 from pathlib import Path
 from typing import final
@@ -26,6 +27,8 @@
 from baobabpulley.gateway.confirmation_header import format_confirmation
 from baobabpulley.gateway.confirmation_header import parse_confirmation
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.gossip_messages import GossipMessage
+from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store_watchers import WATCHERS_PER_DOMAIN
 from baobabpulley.platform import names
 from baobabpulley.policy.store_confirmation import StoreConfirmation
@@ -236,6 +239,25 @@
     assert fleet.world.store.calls - before <= WATCHERS_PER_DOMAIN * (8 + 1)
 
 
+async def test_a_neighbour_that_fell_silent_is_not_asked_before_a_sound_gateway_far_away(
+    fleet: LinkedGateways, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = await fleet.add()
+    asked: list[str] = []
+
+    async def record(fetcher: SnapshotFetcher, addresses: Iterable[str]) -> None:
+        asked.extend(addresses)
+
+    monkeypatch.setattr(SnapshotFetcher, "fetch_newer", record)
+    revision = gateway.fleet_state.revision + 5
+    for node, domain in (("near-cut", "fes"), ("far", "rabat"), ("near", "fes")):
+        control = f"127.0.0.9:{len(node)}"
+        gateway.gossip.receive(GossipMessage(node, "a", 1, domain, control, revision, 0))
+    gateway.gossip.peers["near-cut"].received_at -= 2.0
+    await wait_until(lambda: bool(asked))
+    assert asked[:3] == ["127.0.0.9:4", "127.0.0.9:3", "127.0.0.9:8"]
+
+
 def test_a_confirmation_never_becomes_younger_on_its_way() -> None:
     confirmation = StoreConfirmation(in_force_within=2.0)
     confirmation.record(100.0)
