Leave a relay alone also when the timer notices its age first

What callers would see: nothing wrong, but a gateway went back to a relay whose path to the store was cut, each 1.5 s. Cause: a follower whose confirmation grew too old left the relay either as its request timed out, which excludes the relay, or by the timer that checks the watchers, which didn't. Evidence: the new test fails before (no line store_relay_lost). Exclusions end after 12 s at most, as relays say now by themselves whether the store answers them.

--- a/src/baobabpulley/gateway/store_link.py
+++ b/src/baobabpulley/gateway/store_link.py
@@ -22,6 +22,8 @@
 from baobabpulley.gateway.fleet_state import FleetSnapshot
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.store_connection import OUTAGE_SECONDS
+from baobabpulley.gateway.store_connection import StoreConnection
 from baobabpulley.gateway.store_relay import UPDATE_TIMEOUT_SECONDS
 from baobabpulley.gateway.store_relay import FleetUpdate
 from baobabpulley.gateway.store_relay import fetch_update
@@ -37,14 +39,13 @@
 # Empty prefix: gateways read and watch all keys of the store.
 ALL_KEYS: Final = ""
 _INITIAL_BACKOFF_SECONDS: Final = 0.05
-# After a longer outage, leases of live upstreams may have expired, so removals are delayed.
-_OUTAGE_SECONDS: Final = 0.5
 # A watch is repeated at once after a few changes, and at this rate in a storm of changes.
 _WATCHES_PER_SECOND: Final = 5.0
 _WATCH_BURST: Final = 3.0
 # A gateway that the store failed, and that follows another, asks it again after this time.
 _PROBE_PERIOD_SECONDS: Final = 3.0
 _PROBE_JITTER: Final = 0.4
+_UNCONFIRMED: Final = "the store hasn't confirmed for too long what it sends"
 
 
 @final
@@ -58,8 +59,8 @@
     __slots__ = (
         "_client",
         "_confirmation",
+        "_connection",
         "_contact",
-        "_disconnected_at",
         "_fleet_state",
         "_followed",
         "_has_snapshot",
@@ -67,7 +68,6 @@
         "_outage_elsewhere",
         "_probe",
         "_random",
-        "_removal_delay_until",
         "_section",
         "_store",
         "_task",
@@ -106,8 +106,7 @@
         self._section = section
         self._timers = timers
         self._random = random.Random()
-        self._disconnected_at: float | None = None
-        self._removal_delay_until = 0.0
+        self._connection = StoreConnection(returned_within=section.returned_within, timers=timers)
         self._has_snapshot = False
         self._outage_elsewhere = False
         self._task: asyncio.Task[None] | None = None
@@ -115,7 +114,7 @@
     @property
     def connected(self) -> bool:
         """Whether the store answers this gateway, or the one that it follows."""
-        return self._disconnected_at is None
+        return self._connection.connected
 
     @property
     def store_reachable(self) -> bool:
@@ -165,7 +164,7 @@
             self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
 
     def _remove_expired(self) -> None:
-        if self._disconnected_at is None:
+        if self.connected:
             self._fleet_state.remove_expired(now=self._timers.now())
 
     def _relay(self) -> str | None:
@@ -184,8 +183,11 @@
     def _check_relay(self) -> None:
         """Change between the store and the gateways that watch it when the watchers change."""
         self._log_staleness()
-        if self._fleet_state.table is not None and self._relay() != self._followed:
-            self._restart()
+        if self._fleet_state.table is None or self._relay() == self._followed:
+            return
+        if self._followed is not None and self._is_stale:
+            self._leave_relay(self._followed, _UNCONFIRMED)
+        self._restart()
 
     async def _follow(self) -> None:
         failures = 0
@@ -201,11 +203,11 @@
                 self._contact.record_answer(now=self._timers.boot_time())
                 continue
             except StoreUnavailable as error:
-                failures = failures + 1 if self._disconnected_at is not None else 1
+                failures = failures + 1 if not self.connected else 1
                 if failures > 1:
                     # The store may cut a watch at any time, which says nothing of the next call.
                     self._contact.record_failure()
-                self._mark_disconnected(error)
+                self._connection.lose(error.message)
             except Exception:
                 failures += 1
                 logger.bind(event="store_follow_failed").exception(
@@ -244,7 +246,7 @@
             self._apply_update(received.update, source=address)
             self._confirm(received.confirmed_at)
         if self._is_stale:
-            self._leave_relay(address, "the store hasn't confirmed its changes")
+            self._leave_relay(address, _UNCONFIRMED)
 
     def _relay_timeout(self) -> float:
         """Return the seconds that a request for changes may take.
@@ -257,9 +259,9 @@
         return min(remaining, UPDATE_TIMEOUT_SECONDS)
 
     def _leave_relay(self, address: str, reason: str) -> None:
-        logger.bind(
-            event="store_relay_lost", peer=address, confirmation_age=self._rounded_age()
-        ).info("the gateway doesn't relay changes: {}", reason)
+        logger.bind(event="store_relay_lost", peer=address, **self._position).info(
+            "the gateway doesn't relay changes: {}", reason
+        )
         self._watchers.exclude(address)
 
     def _confirm(self, confirmed_at: float | None) -> None:
@@ -271,14 +273,10 @@
         if source == self._logged_source:
             return
         self._logged_source = source
-        details = {
-            "revision": self._fleet_state.revision,
-            "confirmation_age": self._rounded_age(),
-        }
         if source == STORE:
-            logger.bind(event="store_watch", **details).info("watching the store")
+            logger.bind(event="store_watch", **self._position).info("watching the store")
         else:
-            logger.bind(event="store_relay", peer=source, **details).info(
+            logger.bind(event="store_relay", peer=source, **self._position).info(
                 "following a gateway's watch"
             )
 
@@ -287,31 +285,32 @@
         if self._fleet_state.table is None or self._is_stale == self._was_stale:
             return
         self._was_stale = not self._was_stale
-        details = {
-            "revision": self._fleet_state.revision,
-            "confirmation_age": self._rounded_age(),
-        }
         if self._was_stale:
-            logger.bind(event="configuration_unconfirmed", **details).warning(
+            logger.bind(event="configuration_unconfirmed", **self._position).warning(
                 "changes may be missing: neither the store nor a gateway confirms the state;"
                 " serving goes on with it"
             )
         else:
-            logger.bind(event="configuration_confirmed", **details).info(
+            logger.bind(event="configuration_confirmed", **self._position).info(
                 "the store has confirmed the state again"
             )
 
-    def _rounded_age(self) -> float:
-        return round(self.confirmation_age, 3)
+    @property
+    def _position(self) -> dict[str, float]:
+        """Fields of a log line: the revision reached and the age of its confirmation."""
+        return {
+            "revision": self._fleet_state.revision,
+            "confirmation_age": round(self.confirmation_age, 3),
+        }
 
     def _apply_update(self, update: FleetUpdate, *, source: str = "") -> None:
         if update.connected:
-            self._mark_connected()
+            self._connection.regain()
         else:
-            self._mark_disconnected(StoreUnavailable("the gateway that is followed lost the store"))
+            self._connection.lose("the gateway that is followed lost the store")
         now = self._timers.now()
         # Kept, as gateways that follow this one get their delay from it.
-        self._removal_delay_until = max(self._removal_delay_until, now + update.removal_delay)
+        self._connection.delay_removals(update.removal_delay)
         removal_delay = self.removal_delay()
         if update.is_full:
             snapshot = FleetSnapshot(revision=update.revision, entries=update.entries)
@@ -382,38 +381,15 @@
             await self._timers.sleep(1.0 / _WATCHES_PER_SECOND)
 
     def removal_delay(self) -> float:
-        """Return the seconds by which removals are delayed.
-
-        Registrations may expire while the store is unavailable; their upstreams register again.
-        """
-        return max(0.0, self._removal_delay_until - self._timers.now())
-
-    def _mark_disconnected(self, error: StoreUnavailable) -> None:
-        if self._disconnected_at is None:
-            self._disconnected_at = self._timers.now()
-            logger.bind(event="store_lost").warning(
-                "lost connection to the store: {}", error.message
-            )
+        """Return the seconds by which removals are delayed after an outage."""
+        return self._connection.removal_delay
 
     def _mark_store_reached(self) -> None:
         now = self._timers.boot_time()
         # A watch call that was answered late may have been pending through an outage.
-        was_silent = self._contact.silence(now=now) > self._section.call_wait + _OUTAGE_SECONDS
+        was_silent = self._contact.silence(now=now) > self._section.call_wait + OUTAGE_SECONDS
         self._contact.record_answer(now=now)
         if self._outage_elsewhere or was_silent:
             self._outage_elsewhere = False
-            self._delay_removals()
-        self._mark_connected()
-
-    def _delay_removals(self) -> None:
-        self._removal_delay_until = self._timers.now() + self._section.returned_within
-
-    def _mark_connected(self) -> None:
-        if self._disconnected_at is None:
-            return
-        now = self._timers.now()
-        outage = now - self._disconnected_at
-        if outage > _OUTAGE_SECONDS:
-            self._delay_removals()
-        logger.bind(event="store_regained", away=round(outage, 2)).info("store reachable again")
-        self._disconnected_at = None
+            self._connection.delay_removals()
+        self._connection.regain()
--- a/src/baobabpulley/gateway/store_watchers.py
+++ b/src/baobabpulley/gateway/store_watchers.py
@@ -18,7 +18,7 @@
 _HEARD_SECONDS: Final = 1.2
 # A gateway that failed to relay is not followed for this long; twice as long if it fails again.
 _EXCLUSION_SECONDS: Final = 3.0
-_MAX_EXCLUSION_SECONDS: Final = 48.0
+_MAX_EXCLUSION_SECONDS: Final = 12.0
 
 
 class _Exclusion(msgspec.Struct, frozen=True):
--- a/testing/test_store_confirmation.py
+++ b/testing/test_store_confirmation.py
@@ -23,6 +23,7 @@
 from pausing_link import PausingLink
 from tornado.httputil import HTTPHeaders
 
+from baobabpulley.gateway import store_link
 from baobabpulley.gateway.confirmation_header import CONFIRMED_AFTER
 from baobabpulley.gateway.confirmation_header import format_confirmation
 from baobabpulley.gateway.confirmation_header import parse_confirmation
@@ -181,6 +182,25 @@
     await wait_until(lambda: follower.link.followed is not None, seconds=8.0)
 
 
+async def test_a_relay_that_holds_up_a_request_beyond_its_time_is_not_followed_again_at_once(
+    fleet: LinkedGateways, monkeypatch: pytest.MonkeyPatch, events: list[str]
+) -> None:
+    await fleet.start(2)
+    follower = fleet.followers[0]
+
+    async def hang(*_: object, **__: object) -> None:
+        await asyncio.sleep(LONG_SECONDS)
+
+    monkeypatch.setattr(store_link, "fetch_update", hang)
+    # The request that waits already is answered; the next one hangs.
+    await wait_until(lambda: follower.link.followed is None, seconds=3.0)
+    assert events.count("store_relay_lost") == 1
+    end = follower.timers.now() + 2.0
+    while follower.timers.now() < end:
+        assert follower.link.followed is None
+        await asyncio.sleep(0.01)
+
+
 async def test_a_gateway_that_nothing_confirms_says_so_and_serves_on(
     fleet: LinkedGateways, events: list[str]
 ) -> None:
