Let keepers ask the store when nobody has confirmed their settings for too long

What operators would see, in the product's own way of running: a changed limit or document that is not in force at some VMs, without a bound, though their keepers reach the store. A keeper that is no watcher takes a reply without changes for 'nothing has changed', also from watchers that lost the store; a failure domain whose watchers alone lost it, and that is cut off from the others, stayed behind for as long as they did. Fix: replies say how long ago the store confirmed the settings, counted by the receiver from its request; a keeper whose confirmation is older than three quarters of 3 s watches the store itself for 10 s. If the store fails it too, it asks again after 10 s, so that an outage for all keepers adds a tenth of a call a second for each (test: 250 to 450 attempts in an hour). Not mended: the watchers that lost the store, and their entries, don't pull from such a keeper; they follow once the store answers them.

--- a/src/baobabpulley/keeper/settings_relay.py
+++ b/src/baobabpulley/keeper/settings_relay.py
@@ -4,7 +4,8 @@
 domain a few keepers, the watchers, are chosen by rendezvous hashing to hold the watch on the
 store. The others subscribe to the watchers, and also pull from them periodically, which detects a
 subscription that has stopped delivering. The watchers of different failure domains pull from each
-other, so that settings still spread while the store is unavailable.
+other, so that settings still spread while the store is unavailable. Replies say how long ago the
+store confirmed the settings, so that a keeper whose watchers lost the store asks it itself.
 """
 
 from __future__ import annotations
@@ -31,13 +32,16 @@
 from baobabpulley.policy.joining import JOIN_CONCURRENCY
 from baobabpulley.policy.joining import response_timeout
 from baobabpulley.policy.relays import choose_relays
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.settings import Address
 from baobabpulley.settings import Count
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import section
 
 # Size of a settings request and its reply without changes, both directions together.
-EXCHANGE_BYTES: Final = 270
+EXCHANGE_BYTES: Final = 280
+# A change is to be in force everywhere within this time.
+IN_FORCE_WITHIN_SECONDS: Final = 3.0
 # A watcher pulls from this many other failure domains in each round, round-robin.
 REMOTE_DOMAINS_PER_ROUND: Final = 2
 # A keeper requests the capacity of all failure domains once in this many rounds.
@@ -67,6 +71,7 @@
 
     __slots__ = (
         "_capacity",
+        "_confirmation",
         "_context",
         "_pulling",
         "_round",
@@ -79,6 +84,7 @@
         self._context = context
         self._section = context.settings.get(RelaySection)
         self._capacity = CapacityTracker(view=context.view, timers=context.timers)
+        self._confirmation = StoreConfirmation(in_force_within=IN_FORCE_WITHIN_SECONDS)
         self._unresponsive: set[str] = set()
         self._subscribed: set[str] = set()
         self._pulling: set[str] = set()
@@ -89,6 +95,11 @@
         """Capacity of the failure domains, as far as it is known."""
         return self._capacity
 
+    @property
+    def confirmation(self) -> StoreConfirmation:
+        """When the store confirmed the settings in force here, in `TimerService.boot_time`."""
+        return self._confirmation
+
     @property
     def watchers(self) -> tuple[Vm, ...]:
         """Keepers of this failure domain that hold the watch, as seen by this keeper."""
@@ -175,6 +186,7 @@
                 vms=vm_relay_of(self._context).digest,
                 all_domains=self._round % CAPACITY_REQUEST_ROUNDS == 0,
             )
+            requested_at = self._context.timers.boot_time()
             update = await self._context.peers.request(
                 address,
                 request,
@@ -186,29 +198,51 @@
                 self._context.peers.subscribe(address, self._on_update)
             before, since = settings_state.revision, None
             self.receive(update)
+            self._confirm(update, requested_at=requested_at)
             more = update.more and settings_state.revision > before
 
+    def _confirm(self, reply: SettingsUpdate, *, requested_at: float) -> None:
+        """Record the confirmation of a reply that brought this keeper up to the sender's state."""
+        is_complete = (
+            not reply.more and self._context.view.settings_state.revision >= reply.revision
+        )
+        if is_complete and reply.confirmed_age is not None:
+            self._confirmation.record(requested_at - reply.confirmed_age)
+
+    def _confirmed_age(self) -> float | None:
+        if self._confirmation.confirmed_at is None:
+            return None
+        return self._confirmation.age(now=self._context.timers.boot_time())
+
     async def _handle_request(self, message: msgspec.Struct, sender: str) -> msgspec.Struct:
         del sender
         assert isinstance(message, SettingsRequest)
         capacity = message.capacity
         if capacity is None:
-            return self._update_since(message.revision)
+            return self._reply_since(message.revision)
         self._capacity.receive((capacity,))
         own_domain = capacity.failure_domain == self._context.node.failure_domain
         if not own_domain:
-            return self._update_since(message.revision, capacities=(self._capacity.own,))
+            return self._reply_since(message.revision, capacities=(self._capacity.own,))
         vms = vm_relay_of(self._context).delta_since(message.vms)
         capacities = self._capacity.domains if message.all_domains else ()
-        return self._update_since(message.revision, capacities=capacities, vms=vms)
+        return self._reply_since(message.revision, capacities=capacities, vms=vms)
 
-    def _update_since(
+    def _reply_since(
         self,
         since: int,
         *,
         capacities: tuple[DomainCapacity, ...] = (),
         vms: VmListDelta | None = None,
     ) -> SettingsUpdate:
+        return msgspec.structs.replace(
+            self._update_since(since),
+            capacities=capacities,
+            vms=vms,
+            confirmed_age=self._confirmed_age(),
+        )
+
+    def _update_since(self, since: int) -> SettingsUpdate:
         settings_state = self._context.view.settings_state
         page = settings_state.page(since)
         return SettingsUpdate(
@@ -217,8 +251,6 @@
             entries=page.entries,
             limits=settings_state.limits_above_documents,
             more=page.more,
-            capacities=capacities,
-            vms=vms,
         )
 
     def _publish(self, before: int) -> None:
--- a/src/baobabpulley/model/settings_messages.py
+++ b/src/baobabpulley/model/settings_messages.py
@@ -64,7 +64,8 @@
     above those of the entries. In a reply to a keeper of the same failure domain, ``vms`` brings
     its VM list up to date and ``capacities`` holds the capacity of all failure domains if it
     requested them. In a reply to a keeper of another failure domain, ``capacities`` holds only
-    the capacity of the sender's own.
+    the capacity of the sender's own. In a reply, ``confirmed_age`` is the model seconds since the
+    store confirmed to the sender, or to one that it has this from, that there are no later changes.
     """
 
     since: int
@@ -74,6 +75,7 @@
     more: bool = False
     capacities: tuple[DomainCapacity, ...] = ()
     vms: VmListDelta | None = None
+    confirmed_age: float | None = None
 
 
 @peer_message("settings.raise")
--- a/testing/fake_store.py
+++ b/testing/fake_store.py
@@ -30,7 +30,8 @@
 class StoreState:
     """The contents of the store, and the faults to inject.
 
-    ``disconnected_domains`` are the failure domains that cannot reach the store.
+    ``disconnected_domains`` are the failure domains that cannot reach the store,
+    ``disconnected_processes`` the addresses of single processes.
     ``response_loss_ratio`` is the share of transactions whose response is lost; the responses to
     the next ``responses_to_lose`` transactions are always lost. Such a transaction is applied at
     one of ``lost_swap_timings``: now, never, or late, before some later call; each call applies one
@@ -47,6 +48,7 @@
         self.compacted_revision = 0
         self.down = False
         self.disconnected_domains: set[str] = set()
+        self.disconnected_processes: set[str] = set()
         self.last_silent_watch = 0
         self.watches_opened = 0
         self.response_loss_ratio = 0.0
@@ -81,9 +83,12 @@
 
 
 class FakeStore(ConfigStore):
-    """A client of the store in one process; ``domain`` is the process's failure domain."""
+    """A client of the store in the process ``address``; ``domain`` is its failure domain."""
 
-    def __init__(self, state: StoreState, *, timers: TimerService, domain: str = "") -> None:
+    def __init__(
+        self, state: StoreState, *, timers: TimerService, domain: str = "", address: str = ""
+    ) -> None:
+        self._address = address
         self._state = state
         self._timers = timers
         self._domain = domain
@@ -164,7 +169,11 @@
         self._check()
 
     def _check(self) -> None:
-        if self._state.down or self._domain in self._state.disconnected_domains:
+        if (
+            self._state.down
+            or self._domain in self._state.disconnected_domains
+            or self._address in self._state.disconnected_processes
+        ):
             raise StoreUnavailable("the store is unreachable")
 
     async def _yield(self) -> None:
--- a/testing/settings_cluster.py
+++ b/testing/settings_cluster.py
@@ -191,7 +191,9 @@
             address=vm.address,
             timers=timers,
             peers=peers,
-            store=FakeStore(self.state, timers=timers, domain=vm.failure_domain),
+            store=FakeStore(
+                self.state, timers=timers, domain=vm.failure_domain, address=vm.address
+            ),
             vm_list=cast(Any, None),
             engine=cast(Any, None),
             view=view,
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import AsyncIterator
 
 import pytest
@@ -23,9 +24,12 @@
 from baobabpulley.model.documents import limit_key
 from baobabpulley.model.limits import Limit
 from baobabpulley.model.settings_state import SettingsState
+from baobabpulley.policy.own_watch import OWN_WATCH_SECONDS
+from baobabpulley.policy.own_watch import OwnWatch
 
 DOMAINS = {"fes": 3, "meknes": 2, "rabat": 1}
 IN_FORCE_WITHIN_SECONDS = 3.0
+
 KEY = document_key("souk", "menu")
 LIMIT = Limit(100, 1000)
 
@@ -117,6 +121,28 @@
     await check_change_spreads(cluster)
 
 
+async def test_a_change_reaches_keepers_whose_watchers_lost_the_store_in_time(
+    cluster: Cluster,
+) -> None:
+    cut_off = watchers(cluster, "fes")
+    cluster.state.disconnected_processes |= {
+        name.replace("keeper-fes-", "fes:") for name in cut_off
+    }
+    cluster.partitioned_links |= {frozenset(("fes", "rabat")), frozenset(("fes", "meknes"))}
+    entries = tuple(name.replace("keeper", "entry") for name in cut_off)
+    for number in (1, 2, 3):
+        revision = cluster.state.put(KEY, b'{"n": %d}' % number)
+        await cluster.advance(IN_FORCE_WITHIN_SECONDS)
+        assert set(cluster.lagging(KEY, revision)) <= {*cut_off, *entries}
+    # Once the watchers hear the store again, the others leave it to them.
+    cluster.state.disconnected_processes.clear()
+    await check_change_spreads(cluster)
+    await cluster.advance(2 * OWN_WATCH_SECONDS)
+    opened = cluster.state.watches_opened
+    await cluster.advance(2 * OWN_WATCH_SECONDS)
+    assert cluster.state.watches_opened == opened
+
+
 async def test_a_domain_cut_off_from_all_serves_and_follows_once_reconnected(
     cluster: Cluster,
 ) -> None:
@@ -417,3 +443,23 @@
     assert pages > 5
     assert reader.newer_than(0) == writer.newer_than(0)
     assert reader.revision == writer.revision
+
+
+def test_a_keeper_that_the_store_fails_too_asks_it_seldom() -> None:
+    own = OwnWatch(not_before=100.0, random=random.Random(1))
+    attempts = 0
+    # An hour of an outage for all: each attempt fails at once.
+    for tick in range(5 * 3600):
+        now = tick / 5
+        if own.is_due(is_stale=True, now=now):
+            attempts += 1
+            own.record_failure(now=now)
+    assert 250 <= attempts <= 450
+
+
+def test_a_keeper_whose_settings_are_confirmed_does_not_watch() -> None:
+    own = OwnWatch(not_before=0.0, random=random.Random(1))
+    assert not own.is_due(is_stale=False, now=1.0)
+    assert own.is_due(is_stale=True, now=2.0)
+    assert own.is_due(is_stale=False, now=2.0 + OWN_WATCH_SECONDS - 0.1)
+    assert not own.is_due(is_stale=False, now=2.0 + OWN_WATCH_SECONDS)
