Show keepers' age of confirmation, and log when one begins to watch by itself

A gauge baobab_store_confirmation_age and a warning with the age, so that a failure domain whose watchers lost the store is seen before a change is missed.

--- a/src/baobabpulley/adapters/metrics.py
+++ b/src/baobabpulley/adapters/metrics.py
@@ -101,6 +101,7 @@
         "rejected_revisions",
         "revision",
         "store_calls",
+        "store_confirmation_age",
         "swept_holds",
     )
 
@@ -124,6 +125,11 @@
         self.store_calls = Gauge(
             "baobab_store_calls", "Calls made to the configuration store", registry=self.registry
         )
+        self.store_confirmation_age = Gauge(
+            "baobab_store_confirmation_age",
+            "Seconds since the store last confirmed the settings in force",
+            registry=self.registry,
+        )
         self.control = ControlTraffic()
         self.registry.register(self.control)
         self.rejected_revisions = Gauge(
--- a/src/baobabpulley/keeper/daemon.py
+++ b/src/baobabpulley/keeper/daemon.py
@@ -6,6 +6,7 @@
 from importlib import import_module
 from typing import Any
 from typing import Final
+from typing import cast
 
 import msgspec
 from loguru import logger
@@ -23,6 +24,7 @@
 from baobabpulley.adapters.pynng_peers import PynngPeers
 from baobabpulley.keeper.context import KeeperContext
 from baobabpulley.keeper.context import keeper_parts
+from baobabpulley.keeper.settings_relay import SettingsRelay
 from baobabpulley.logs import configure_logs
 from baobabpulley.model.fleet_view import FleetView
 from baobabpulley.settings import Address
@@ -167,6 +169,10 @@
         settings_state = self._context.view.settings_state
         metrics.revision.set(settings_state.revision)
         metrics.set_rejected_revisions(settings_state.rejected_revisions)
+        relay = cast(SettingsRelay, self._context.parts["settings_relay"])
+        metrics.store_confirmation_age.set(
+            relay.confirmation.age(now=self._context.timers.boot_time())
+        )
         if isinstance(self._context.store, EtcdStore):
             metrics.store_calls.set(self._context.store.calls)
         self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
--- a/src/baobabpulley/keeper/settings_watch.py
+++ b/src/baobabpulley/keeper/settings_watch.py
@@ -90,9 +90,18 @@
                     return
 
     def _should_watch(self) -> bool:
+        if self._relay.is_watcher:
+            return True
         now = self._context.timers.boot_time()
-        is_stale = self._relay.confirmation.is_stale(now=now)
-        return self._relay.is_watcher or self._own_watch.is_due(is_stale=is_stale, now=now)
+        confirmation = self._relay.confirmation
+        was_due = self._own_watch.is_due(is_stale=False, now=now)
+        is_due = self._own_watch.is_due(is_stale=confirmation.is_stale(now=now), now=now)
+        if is_due and not was_due:
+            logger.warning(
+                "nobody has confirmed the settings for {:.1f} s; watching the store for a while",
+                confirmation.age(now=now),
+            )
+        return is_due
 
     async def _read_snapshot(self) -> None:
         asked_at = self._context.timers.boot_time()
--- a/testing/test_bad_input.py
+++ b/testing/test_bad_input.py
@@ -202,6 +202,8 @@
     )
     assert status == 200
     assert path != "/metrics" or b"baobab_settings_revision" in body
+    if path == "/metrics" and daemon == "keeper":
+        assert b"\nbaobab_store_confirmation_age " in body
 
 
 @pytest.mark.parametrize("stream", [True, False], ids=["streamed", "whole"])
