Review, case 4: a route with a long path prefix keeps every later version from use

A path prefix of more than 256 characters makes the gateways refuse the whole configuration: taken keys stay valid, new routes get 404, and a gateway that restarts has no configuration.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,160 +1,128 @@
-"""A large configuration changes often; gateways keep the versions and exceed their memory."""
+"""The configuration grows by routes with long path prefixes, and a key is taken away with them."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-import time
 from pathlib import Path
 
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
+from small_fleet import CONFIGURATION_MS
+from small_fleet import Answer
 from small_fleet import CannotRun
 from small_fleet import Client
 from small_fleet import Fleet
-from small_fleet import GatewayProcess
 from small_fleet import Record
 from small_fleet import configuration
 from small_fleet import route
 from small_fleet import run_case
 from small_fleet import small_fleet
 
-SERVICE, KEY, PATH = "job-desk", "key-of-the-dispatchers", "/booking/"
+SERVICE, PATH, KIND = "job-desk", "/booking/", "non_idempotent"
 SERVERS = {"i-desk-1": "kochi", "i-desk-2": "thrissur", "i-desk-3": "kozhikode"}
 SLOTS = 6
-# The limits of the site file's machines in kochi, to which the first two gateways belong.
-MEMORY_LIMIT_MB = 430
-LIMITED_GATEWAYS = 2
-# `big_config` adds up to 350 routes at a time; a version stays below the store's `value-bytes`.
-ADDED_ROUTES = 13 * 350
-VALUE_BYTES = 1_048_576
-# `config_storm` of the site file: up to 4.1 s, a change each 0.25 s; one storm after the other.
-STORM_GAP_SECONDS = 0.25
-STORM_CHANGES = 16
-STORMS = 26
-HISTORY_CHANGES = 80
-MEMORY_CHECK_SECONDS = 0.05
-CLIENTS_PER_GATEWAY = 6
-# The longest work of an order in the site file.
-WORK_SECONDS = 0.45
-# "more than three times"
-ALLOWED_CUTS = 3
-
-
-class Work:
-    """What the clients and the servers saw of each request on a kept connection."""
-
-    def __init__(self) -> None:
-        self.passed_on: set[str] = set()
-        self.kept: set[str] = set()
-        self.unanswered: list[str] = []
-
-
-async def _book(server: UpstreamStandin, call: Call, work: Work) -> None:
-    """Run an order and answer it."""
-    work.passed_on.add(call.attempt)
-    await asyncio.sleep(WORK_SECONDS)
-    await call.write(call.sealed(f"{server.name} booked {call.attempt}".encode()))
-
-
-async def _dispatcher(client: Client, number: int, work: Work, ended: asyncio.Event) -> None:
-    """Send one request after the other on a kept connection, until the gateway has ended."""
-    count = 0
-    while not ended.is_set():
-        attempt = f"a{number:02d}x{count:04d}"
-        if count:
-            work.kept.add(attempt)
-        count += 1
-        try:
-            answer = await client.send("POST", PATH + "7", key=KEY, attempt=attempt)
-        except OSError:
-            return
-        if not answer.status:
-            work.unanswered.append(attempt)
-            return
-    client.close()
-
-
-async def _limit_memory(gateway: GatewayProcess, record: Record, ended: asyncio.Event) -> None:
-    """Kill a process that exceeds its memory, as the platform does."""
-    highest = 0.0
-    while not ended.is_set():
-        highest = max(highest, gateway.anonymous_megabytes())
-        if highest > MEMORY_LIMIT_MB:
-            gateway.signal(signal.SIGKILL)
-            record.say(f"platform ends {gateway.name}: {highest:.0f} of {MEMORY_LIMIT_MB} MB")
-            return
-        await asyncio.sleep(MEMORY_CHECK_SECONDS)
-    record.say(f"{gateway.name} took {highest:.0f} of {MEMORY_LIMIT_MB} MB")
-
-
-def _document(version: int, added: int) -> bytes:
-    prefixes = [PATH, *(f"/desk-{number:05d}/" for number in range(added))]
-    routes = [route(prefix, SERVICE, "non_idempotent") for prefix in prefixes]
-    tenants = [{"name": "dispatch", "api-keys": [KEY], "priority": 1}]
+HELD, REMOVED = "key-that-is-kept", "key-that-is-taken-away"
+# `big_config` of the site file adds up to 350 routes.
+ADDED_ROUTES = 350
+# The pages set no limit; a request with such a path is far below `max-header-bytes`.
+PREFIX_BYTES = 300
+REQUESTS_PER_GATEWAY = 4
+MARGIN_SECONDS = 1.0
+RESTART_SECONDS = 12.0
+
+
+class Desk:
+    """The servers of the job desk and the attempts that they ran."""
+
+    def __init__(self, record: Record) -> None:
+        self.ran: set[str] = set()
+        self._record = record
+
+    async def serve(self, server: UpstreamStandin, call: Call) -> None:
+        """Run a request and answer it."""
+        self.ran.add(call.attempt)
+        self._record.write(f"server {server.name} runs {call.attempt} {call.target[:40]}")
+        await call.write(call.sealed(f"{server.name} ran {call.attempt}".encode()))
+
+
+def long_prefix(number: int) -> str:
+    """Return a path prefix of several segments."""
+    prefix = f"/buildings/{number:06d}/"
+    segment = "heat-interface-unit/"
+    while len(prefix) + len(segment) <= PREFIX_BYTES:
+        prefix += segment
+    return prefix + "x" * (PREFIX_BYTES - len(prefix) - 1) + "/"
+
+
+def _document(version: int, *, keys: list[str], prefixes: list[str]) -> bytes:
+    routes = [route(PATH, SERVICE, KIND)]
+    routes += [
+        route(prefix, SERVICE, KIND, name=f"r-{number}") for number, prefix in enumerate(prefixes)
+    ]
+    tenants = [{"name": "dispatch", "api-keys": keys, "priority": 1}]
     return configuration(version, routes=routes, tenants=tenants)
 
 
-async def _storms(fleet: Fleet, record: Record) -> None:
-    """Write versions, one storm after the other, until the processes with a limit have ended."""
-    added = ADDED_ROUTES
-    while len(_document(999, added)) > VALUE_BYTES:
-        added -= 10
-    document = _document(0, added)
-    begun = time.monotonic()
-    for change in range(1, STORMS * STORM_CHANGES + 1):
-        value = document.replace(b'"version": 0', b'"version": %d' % (change + 1), 1)
-        fleet.store.put("op/config", value)
-        if len(fleet.store.history) > HISTORY_CHANGES:
-            del fleet.store.history[0]
-            fleet.store.history_start = fleet.store.history[0]["revision"] - 1
-        if change % STORM_CHANGES == 0:
-            _record_memory(fleet, record, change, len(document))
-            if not any(gateway.running for gateway in fleet.gateways[:LIMITED_GATEWAYS]):
-                return
-        await asyncio.sleep(begun + change * STORM_GAP_SECONDS - time.monotonic())
-
-
-def _record_memory(fleet: Fleet, record: Record, changes: int, size: int) -> None:
-    megabytes = ", ".join(f"{gateway.name} {_memory(gateway)}" for gateway in fleet.gateways)
-    record.write(f"operator wrote {changes} versions of {size} bytes; MB: {megabytes}")
-
-
-def _memory(gateway: GatewayProcess) -> str:
-    return f"{gateway.anonymous_megabytes():.0f}" if gateway.running else "ended"
+async def _send(
+    fleet: Fleet, record: Record, *, label: str, key: str, path: str = PATH
+) -> list[Answer]:
+    answers = []
+    for index, gateway in enumerate(fleet.gateways):
+        client = Client(gateway, record)
+        for number in range(REQUESTS_PER_GATEWAY):
+            attempt = f"{label}-{index}-{number}"
+            answers.append(await client.send("POST", path + "7", key=key, attempt=attempt))
+        client.close()
+    return answers
+
+
+async def _restart_one(fleet: Fleet, record: Record) -> None:
+    """Kill one gateway and start it again; tell whether it becomes ready. For information."""
+    gateway = fleet.gateways[-1]
+    gateway.signal(signal.SIGKILL)
+    gateway.end()
+    gateway.start([f"{other.ip}:{other.control}" for other in fleet.gateways[:3]])
+    for second in range(int(RESTART_SECONDS)):
+        await asyncio.sleep(1.0)
+        if await gateway.is_ready():
+            record.say(f"{gateway.name}, restarted, is ready after {second + 1} s")
+            return
+    record.say(f"{gateway.name}, restarted, is not ready after {RESTART_SECONDS:.0f} s")
 
 
 async def case(record: Record, with_trouble: bool) -> bool:
-    """Return whether requests were cut as a process ended by itself."""
-    work, ended = Work(), asyncio.Event()
+    """Return whether a request ran with a key that an acknowledged version no longer has."""
+    desk = Desk(record)
+    prefixes = [long_prefix(number) for number in range(ADDED_ROUTES)] if with_trouble else []
     async with small_fleet() as fleet:
         for name, zone in SERVERS.items():
             server = await fleet.add_server(name, service=SERVICE, zone=zone, slots=SLOTS)
-            server.behaviour = lambda server, call: _book(server, call, work)
-        fleet.store.put("op/config", _document(1, 10))
+            server.behaviour = desk.serve
+        fleet.store.put("op/config", _document(1, keys=[HELD, REMOVED], prefixes=[]))
         await fleet.start_gateways()
-        limited = fleet.gateways[:LIMITED_GATEWAYS]
-        tasks = [asyncio.create_task(_limit_memory(each, record, ended)) for each in limited]
-        clients = [Client(each, record) for each in limited for _ in range(CLIENTS_PER_GATEWAY)]
-        tasks += [
-            asyncio.create_task(_dispatcher(client, number, work, ended))
-            for number, client in enumerate(clients)
-        ]
-        begun = time.monotonic()
-        if with_trouble:
-            await _storms(fleet, record)
-        else:
-            await asyncio.sleep(STORMS * STORM_CHANGES * STORM_GAP_SECONDS)
-        record.write(f"the changes took {time.monotonic() - begun:.1f} s")
-        await asyncio.sleep(2 * WORK_SECONDS)
-        ended.set()
-        await asyncio.gather(*tasks)
-    if not work.kept:
-        raise CannotRun("no request was sent on a kept connection")
-    cut = [each for each in work.unanswered if each in work.kept and each in work.passed_on]
-    record.say(f"requests on kept connections: {len(work.kept)}")
-    record.say(f"LOST: {len(cut)} of them were passed on and got no answer: {cut}")
-    return len(cut) > ALLOWED_CUTS
+        before = await _send(fleet, record, label="before", key=REMOVED)
+        if any(answer.status != 200 for answer in before):
+            raise CannotRun("requests weren't served before the change")
+        document = _document(2, keys=[HELD], prefixes=prefixes)
+        fleet.store.put("op/config", document)
+        record.write(
+            f"operator writes version 2: {len(document)} bytes, {len(prefixes)} new routes"
+        )
+        await asyncio.sleep(CONFIGURATION_MS / 1000 + MARGIN_SECONDS)
+        removed = await _send(fleet, record, label="removed", key=REMOVED)
+        held = await _send(fleet, record, label="held", key=HELD)
+        added: list[Answer] = []
+        if prefixes:
+            added = await _send(fleet, record, label="added", key=HELD, path=prefixes[0])
+        await _restart_one(fleet, record)
+    broken = [answer for answer in removed if answer.attempt in desk.ran]
+    refused = [answer for answer in added if answer.status in (401, 403, 404)]
+    served = sum(answer.status == 200 for answer in held)
+    record.say(f"CONFIG: {len(broken)} of {len(removed)} requests ran with a dropped key")
+    record.say(f"CONFIG: {len(refused)} of {len(added)} requests of a new route were refused")
+    record.say(f"served with the key that is kept: {served} of {len(held)}")
+    return bool(broken or refused)
 
 
 if __name__ == "__main__":
