--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,14 +5,13 @@
 import asyncio
 from pathlib import Path
 
-from platform_upstream import Call
-from platform_upstream import UpstreamStandin
 from small_fleet import CONFIGURATION_MS
 from small_fleet import Answer
 from small_fleet import CannotRun
 from small_fleet import Client
 from small_fleet import Fleet
 from small_fleet import Record
+from small_fleet import RunRecord
 from small_fleet import configuration
 from small_fleet import route
 from small_fleet import run_case
@@ -30,21 +29,6 @@
 MARGIN_SECONDS = 1.0
 
 
-class Desk:
-    """The servers of the job desk and the attempts that they ran."""
-
-    def __init__(self, record: Record) -> None:
-        self.ran: set[str] = set()
-        self._record = record
-
-    async def serve(self, server: UpstreamStandin, call: Call) -> None:
-        """Run a request and answer it."""
-        self.ran.add(call.attempt)
-        tenant = call.headers.get("x-tenant")
-        self._record.write(f"server {server.name} runs {call.attempt} X-Tenant={tenant}")
-        await call.write(call.sealed(f"{server.name} ran {call.attempt}".encode()))
-
-
 def _document(version: int, keys: dict[str, list[str]]) -> bytes:
     routes = [route(path, SERVICE, kind) for path, kind in PATHS.items()]
     tenants = [{"name": name, "api-keys": held, "priority": 1} for name, held in keys.items()]
@@ -77,7 +61,7 @@
 
 async def case(record: Record, with_trouble: bool) -> bool:
     """Return whether a request ran whose key no configuration ever held."""
-    desk = Desk(record)
+    desk = RunRecord(record)
     async with small_fleet() as fleet:
         for name, zone in SERVERS.items():
             server = await fleet.add_server(name, service=SERVICE, zone=zone, slots=SLOTS)
@@ -102,7 +86,7 @@
     return bool(broken)
 
 
-def _ran(answers: list[Answer], desk: Desk) -> int:
+def _ran(answers: list[Answer], desk: RunRecord) -> int:
     return sum(answer.attempt in desk.ran for answer in answers)
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,14 +6,13 @@
 import signal
 from pathlib import Path
 
-from platform_upstream import Call
-from platform_upstream import UpstreamStandin
 from small_fleet import CONFIGURATION_MS
 from small_fleet import Answer
 from small_fleet import CannotRun
 from small_fleet import Client
 from small_fleet import Fleet
 from small_fleet import Record
+from small_fleet import RunRecord
 from small_fleet import configuration
 from small_fleet import route
 from small_fleet import run_case
@@ -32,20 +31,6 @@
 RESTART_SECONDS = 12.0
 
 
-class Desk:
-    """The servers of the job desk and the attempts that they ran."""
-
-    def __init__(self, record: Record) -> None:
-        self.ran: set[str] = set()
-        self._record = record
-
-    async def serve(self, server: UpstreamStandin, call: Call) -> None:
-        """Run a request and answer it."""
-        self.ran.add(call.attempt)
-        self._record.write(f"server {server.name} runs {call.attempt} {call.target[:40]}")
-        await call.write(call.sealed(f"{server.name} ran {call.attempt}".encode()))
-
-
 def long_prefix(number: int) -> str:
     """Return a path prefix of several segments."""
     prefix = f"/buildings/{number:06d}/"
@@ -93,7 +78,7 @@
 
 async def case(record: Record, with_trouble: bool) -> bool:
     """Return whether a request ran with a key that an acknowledged version no longer has."""
-    desk = Desk(record)
+    desk = RunRecord(record)
     prefixes = [long_prefix(number) for number in range(ADDED_ROUTES)] if with_trouble else []
     async with small_fleet() as fleet:
         for name, zone in SERVERS.items():
--- a/review/lib/small_fleet.py
+++ b/review/lib/small_fleet.py
@@ -28,6 +28,7 @@
 from typing import Any
 
 from platform_store import StoreStandin
+from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -80,6 +81,21 @@
         return "x-response-seal" not in self.headers
 
 
+class RunRecord:
+    """Behaviour of servers that run each request at once, and the attempts that they ran."""
+
+    def __init__(self, record: Record) -> None:
+        self.ran: set[str] = set()
+        self._record = record
+
+    async def serve(self, server: UpstreamStandin, call: Call) -> None:
+        """Run a request and answer it."""
+        self.ran.add(call.attempt)
+        tenant = call.headers.get("x-tenant")
+        self._record.write(f"server {server.name} runs {call.attempt} X-Tenant={tenant}")
+        await call.write(call.sealed(f"{server.name} ran {call.attempt}".encode()))
+
+
 class GatewayProcess:
     """One gateway, started as deploy/system.toml says."""
 
