--- a/review/lib/small_fleet.py
+++ b/review/lib/small_fleet.py
@@ -324,20 +324,20 @@
             lines.append(f"Authorization: Bearer {key}")
         lines.append(f"Content-Length: {len(body)}")
         self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        answer = await self._read(attempt)
+        answer = await self._read(attempt, has_body=method != "HEAD")
         self._record.write(
             f"client {self.gateway.name} {attempt} {method} {path} key={key} -> {answer.status}"
             f"{' own' if answer.is_own else ''} {answer.body[:200]!r}"
         )
         return answer
 
-    async def _read(self, attempt: str) -> Answer:
+    async def _read(self, attempt: str, *, has_body: bool) -> Answer:
         assert self._reader is not None
         try:
             head = await asyncio.wait_for(self._reader.readuntil(b"\r\n\r\n"), 10.0)
             first, *rest = head.decode("latin1").rstrip("\r\n").split("\r\n")
             headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in rest)}
-            body = await self._read_body(headers)
+            body = await self._read_body(headers) if has_body else b""
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             self.close()
             return Answer(attempt, 0, {}, b"")
