A stream isn't resumed behind an event that has no id, and Last-Event-Id stays as it came

Callers saw: a resumable stream whose last event had no numeric id was begun anew at another upstream, within the same answer (pieces of two runs); one that was resumed by the caller with an id that isn't a number of at most 18 digits began anew, as the id was dropped on the way.

Why the fix works: whether a stream can be resumed follows from its last event; the id is kept as text, and compared as a number.

--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -13,7 +13,7 @@
 
 MAX_EVENT_BYTES: Final = 1_048_576
 # A number with more digits is no id of an event, and Python may refuse to convert it.
-MAX_ID_DIGITS: Final = 18
+MAX_ID_DIGITS: Final = 64
 # The begin of a line that is neither empty nor a comment.
 _FIELD: Final = re.compile(rb"^[^:\n]", re.MULTILINE)
 _ID: Final = re.compile(rb"^id:(.*)", re.MULTILINE)
@@ -60,17 +60,14 @@
     return _FIELD.search(event) is not None
 
 
-def event_id(event: bytes) -> int | None:
-    """Return an event's id, or ``None`` if it has none or the id isn't a number.
+def event_id(event: bytes) -> str | None:
+    """Return an event's id as it was sent, or ``None`` if it has none.
 
     >>> event_id(b"id: 12\\ndata: x\\n\\n"), event_id(b"data: x\\n\\n")
-    (12, None)
+    ('12', None)
     """
     field = _ID.search(event)
-    if field is None:
-        return None
-    text = field.group(1).strip()
-    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
+    return None if field is None else field.group(1).strip().decode("latin1")
 
 
 @final
@@ -81,24 +78,37 @@
     a gap between two ids doesn't show that an event is missing.
     """
 
-    __slots__ = ("_last",)
+    __slots__ = ("_can_resume", "_last", "_last_event")
 
     def __init__(self, last_event: str | None) -> None:
-        text = last_event or ""
-        is_id = text.isdecimal() and len(text) <= MAX_ID_DIGITS
-        self._last = int(text) if is_id else None
+        self._last_event = last_event or None
+        self._last = _parse_id(last_event or "")
+        self._can_resume = True
 
     @property
     def last_event(self) -> str | None:
-        """Id of the last event that the caller received, or ``None``."""
-        return None if self._last is None else str(self._last)
+        """Id of the last event that the caller received, as it was sent, or ``None``."""
+        return self._last_event
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether another upstream can go on: not after an event that has no id."""
+        return self._can_resume
 
     def accept(self, event: bytes) -> bool:
         """Record an event as received by the caller; return whether it wasn't received before."""
-        number = event_id(event)
+        text = event_id(event)
+        number = None if text is None else _parse_id(text)
         if number is None:
+            self._can_resume = self._can_resume and not has_content(event)
             return True
         if self._last is not None and number <= self._last:
             return False
-        self._last = number
+        self._last, self._last_event, self._can_resume = number, text, True
         return True
+
+
+def _parse_id(text: str) -> int | None:
+    """Return an id as a number, or ``None`` if it isn't one."""
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ID_DIGITS
+    return int(text) if is_number else None
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -38,6 +38,8 @@
     """Why a failed or silent attempt is not followed by another one."""
 
     NOT_RETRYABLE = "not_retryable"
+    # The caller has an event without an id, so no other upstream can go on after it.
+    NO_EVENT_ID = "no_event_id"
     ATTEMPTS = "attempts"
     TIME = "time"
     BUDGET = "budget"
--- a/src/baobabpulley/gateway/retry_rules.py
+++ b/src/baobabpulley/gateway/retry_rules.py
@@ -88,6 +88,7 @@
             exchange.attempts < exchange.route.max_attempts
             and left > MIN_ATTEMPT_SECONDS
             and (exchange.route.retryable or not exchange.may_have_run)
+            and exchange.progress.can_resume
         )
 
     def _refusal(self, exchange: Exchange, error: BaobabError) -> BaobabError:
@@ -100,6 +101,8 @@
         """Return why the count, the time or the route allows no other attempt."""
         if not exchange.route.retryable and exchange.may_have_run:
             return RetryDenial.NOT_RETRYABLE
+        if not exchange.progress.can_resume:
+            return RetryDenial.NO_EVENT_ID
         if exchange.attempts >= exchange.route.max_attempts:
             return RetryDenial.ATTEMPTS
         return RetryDenial.TIME
--- a/testing/test_event_ids.py
+++ b/testing/test_event_ids.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -13,7 +14,10 @@
 from gateway_builders import open_world
 from gateway_builders import route
 from gateway_builders import send
+from platform_upstream import Call
+from platform_upstream import UpstreamStandin
 
+from baobabpulley.gateway.event_stream import MAX_ID_DIGITS
 from baobabpulley.gateway.event_stream import StreamProgress
 from baobabpulley.platform import names
 
@@ -62,6 +66,46 @@
     assert (reply.complete, reply.events) == (True, _ids(8))
 
 
+# Guards against a stream that another upstream starts anew behind events without an id.
+async def test_a_stream_whose_last_event_has_no_id_is_cut_not_joined_with_a_second_run(
+    world: World,
+) -> None:
+    async def break_after_an_event_without_id(upstream: UpstreamStandin, call: Call) -> None:
+        stream_head = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        await call.write(call.head(200, f"{names.SEAL}: s", *stream_head))
+        await call.write_chunk(b"id: 43\ndata: a\n\ndata: b\n\n")
+        await asyncio.sleep(0.02)
+        await call.write_chunk(b"id: 86\nda")
+        call.close()
+
+    for name in ("i-1", "i-2"):
+        upstream = await world.add_upstream(name, service=KITCHEN)
+        upstream.behaviour = break_after_an_event_without_id
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1")
+    assert (reply.complete, reply.body) == (False, b"id: 43\ndata: a\n\ndata: b\n\n")
+    assert sum(len(upstream.journal) for upstream in world.upstreams.values()) == 1
+
+
+# Guards against a stream that starts anew, as the id behind which it goes on isn't passed on.
+@pytest.mark.parametrize("last", ["0043", "1796501427842000000", "part-7"])
+async def test_the_id_of_the_callers_last_event_is_passed_on_as_it_is(
+    world: World, last: str
+) -> None:
+    upstream = await world.add_upstream("i-1", service=KITCHEN)
+
+    async def end_at_once(upstream: UpstreamStandin, call: Call) -> None:
+        stream_head = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        await call.write(call.head(200, f"{names.SEAL}: s", *stream_head) + b"0\r\n\r\n")
+
+    upstream.behaviour = end_at_once
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1", **{names.LAST_EVENT: last})
+    assert (reply.status, reply.complete) == (200, True)
+    (call,) = upstream.journal
+    assert call.headers[names.LAST_EVENT.lower()] == last
+
+
 def test_each_event_is_passed_on_once_whatever_the_gap_before_it() -> None:
     progress = StreamProgress("3")
     assert not progress.accept(b"id: 3\ndata: x\n\n")
@@ -70,3 +114,11 @@
     assert progress.accept(b"id: 6\ndata: x\n\n")
     assert not progress.accept(b"id: 5\ndata: x\n\n")
     assert progress.last_event == "6"
+
+
+def test_ids_with_many_digits_are_compared_as_numbers() -> None:
+    progress = StreamProgress("9" * 19)
+    assert not progress.accept(b"id: 43\ndata: x\n\n")
+    longest = "9" * MAX_ID_DIGITS
+    assert progress.accept(f"id: {longest}\ndata: x\n\n".encode())
+    assert progress.last_event == longest
--- a/testing/test_platform_fuzz.py
+++ b/testing/test_platform_fuzz.py
@@ -101,8 +101,9 @@
 
 @given(st.binary(max_size=60))
 def test_any_bytes_as_an_event(event: bytes) -> None:
-    number = event_id(event)
-    assert number is None or number >= 0
+    id = event_id(event)
+    assert id is None or id.encode("latin1") in event
+    assert StreamProgress(None).accept(event)
 
 
 @settings(max_examples=200)
