--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -81,8 +81,10 @@
     __slots__ = ("_can_resume", "_last", "_last_event")
 
     def __init__(self, last_event: str | None) -> None:
-        self._last_event = last_event or None
-        self._last = _parse_id(last_event or "")
+        text = last_event or ""
+        self._last = _parse_id(text)
+        # A number that is too long is no id of an event; any other text may be one.
+        self._last_event = None if self._last is None and text.isdecimal() else text or None
         self._can_resume = True
 
     @property
