--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -113,7 +113,7 @@
         self._metrics.attempts.labels(service=exchange.service.name, outcome=error.code).inc()
         logger.bind(
             event="attempt_failed",
-            request=exchange.parameters.attempt,
+            request=exchange.parameters.logged_attempt,
             upstream=attempt.placement.upstream.id,
             code=error.code,
             attempt=exchange.attempts,
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -142,7 +142,7 @@
         if exchange is None:
             self._metrics.requests.labels(service="", kind="", outcome=outcome).inc()
             fields: dict[str, object] = {
-                "request": None if parameters is None else parameters.attempt
+                "request": None if parameters is None else parameters.logged_attempt
             }
         else:
             self._count(exchange, outcome, elapsed)
--- a/src/baobabpulley/gateway/exchange_state.py
+++ b/src/baobabpulley/gateway/exchange_state.py
@@ -159,7 +159,7 @@
         """Return the fields of the log line for the finished request."""
         first = self.first_event_at
         return {
-            "request": self.parameters.attempt,
+            "request": self.parameters.logged_attempt,
             "route": self.route.name,
             "account": None if self.account is None else self.account.name,
             "service": self.service.name,
@@ -176,7 +176,7 @@
     plan = placement.plan
     logger.bind(
         event="placed",
-        request=exchange.parameters.attempt,
+        request=exchange.parameters.logged_attempt,
         upstream=placement.upstream.id,
         prompt_tokens=exchange.parameters.prompt_tokens,
         helpers=[] if plan is None else [helper.id for helper in plan.helpers],
@@ -196,7 +196,7 @@
     """Log why no further attempt is made, with what it was decided from."""
     logger.bind(
         event="retry_denied",
-        request=exchange.parameters.attempt,
+        request=exchange.parameters.logged_attempt,
         service=exchange.service.name,
         reason=str(denial),
         attempts=exchange.attempts,
--- a/src/baobabpulley/gateway/sections.py
+++ b/src/baobabpulley/gateway/sections.py
@@ -10,13 +10,14 @@
 from baobabpulley.policy.store_confirmation import watch_wait
 from baobabpulley.settings import Address
 from baobabpulley.settings import Count
-from baobabpulley.settings import Name
 from baobabpulley.settings import Seconds
 from baobabpulley.settings import Share
 from baobabpulley.settings import section
 
 _MS_PER_SECOND: Final = 1000
 
+# The platform names its machines and failure domains; nothing is known of these names.
+PlatformName = Annotated[str, msgspec.Meta(min_length=1)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -28,8 +29,8 @@
     ``metrics_port`` serves ``/metrics`` on the host of the ``control`` address.
     """
 
-    id: Name
-    failure_domain: Name
+    id: PlatformName
+    failure_domain: PlatformName
     callers: Address
     readiness: Address
     control: Address
--- a/src/baobabpulley/model/exchanges.py
+++ b/src/baobabpulley/model/exchanges.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 from tornado.httputil import HTTPHeaders
 
+# Ids are bounded by the size of a head only; log lines hold their first characters.
+MAX_LOGGED_ID_CHARS: Final = 256
+
 
 class RequestParameters(msgspec.Struct, frozen=True):
     """Parameters that a caller sends with one request, apart from its body.
@@ -23,6 +28,11 @@
     max_output_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
 
+    @property
+    def logged_attempt(self) -> str:
+        """The caller's id for this attempt, shortened for log lines."""
+        return self.attempt[:MAX_LOGGED_ID_CHARS]
+
 
 class IncomingRequest(msgspec.Struct, frozen=True):
     """A complete request as received from a caller; ``arrived`` is in monotonic seconds."""
--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -2,6 +2,9 @@
 
 The private structs mirror the stored JSON, whose field names come from ``rename`` or ``name``;
 callers only see types of `baobabpulley.model` and `baobabpulley.ports`.
+
+Texts have no length limit here: the store bounds the size of a value, and what it accepted has to
+be in force.
 """
 
 from __future__ import annotations
@@ -39,19 +42,18 @@
 _USUAL_ANSWER_TOKENS = 256.0
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 
-_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class _Share(msgspec.Struct):
-    service: _Text
+    service: str
     weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 class _Route(msgspec.Struct, rename="kebab"):
-    name: _Text
-    host: _Text
-    path_prefix: _Text
+    name: str
+    host: str
+    path_prefix: str
     kind: str
     timeout_ms: _Positive
     target_latency_ms: _Positive = 1000.0
@@ -91,7 +93,7 @@
 
 
 class _Service(msgspec.Struct, rename="kebab"):
-    name: _Text
+    name: str
     connection_limit: int = 64
     engine: msgspec.Raw = msgspec.Raw(b"null")
 
@@ -104,7 +106,7 @@
 
 
 class _Account(msgspec.Struct, rename="kebab"):
-    name: _Text
+    name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
 
@@ -123,9 +125,9 @@
     ``state`` says whether it is draining; ``born`` is its start time in milliseconds.
     """
 
-    service: _Text
+    service: str
     address: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
-    zone: _Text
+    zone: str
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: str
     born: int = 0
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -10,6 +10,7 @@
 
 from baobabpulley.adapters.retry_after import parse_retry_after
 from baobabpulley.errors import BadRequest
+from baobabpulley.model.exchanges import MAX_LOGGED_ID_CHARS
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import HelperEngine
 from baobabpulley.model.exchanges import RequestParameters
@@ -18,7 +19,6 @@
 from baobabpulley.ports.exchange_wire import ResponseHead
 
 _MS_PER_SECOND: Final = 1000
-_MAX_ATTEMPT_ID_LENGTH: Final = 256
 # Ids of prompt parts are kept in memory: longer ones are hashed, parts beyond this number left out.
 _MAX_PART_ID_LENGTH: Final = 24
 _MAX_SHARED_PARTS: Final = 64
@@ -68,13 +68,13 @@
 
     def request_id(self, headers: HTTPHeaders) -> str | None:
         attempt = headers.get(names.ATTEMPT)
-        return None if attempt is None else attempt[:_MAX_ATTEMPT_ID_LENGTH]
+        return None if attempt is None else attempt[:MAX_LOGGED_ID_CHARS]
 
     def parse_request_headers(self, headers: HTTPHeaders) -> RequestParameters:
         attempt = headers.get(names.ATTEMPT, "")
-        if not 0 < len(attempt) <= _MAX_ATTEMPT_ID_LENGTH or "," in attempt:
+        if not attempt or "," in attempt:
             raise BadRequest(
-                f"{names.ATTEMPT} is missing, too long or holds more than one id",
+                f"{names.ATTEMPT} is missing or holds more than one id",
                 remedy="Send one id for each attempt.",
             )
         prompt_tokens, max_output_tokens = _parse_token_counts(headers.get(names.TOKEN_COUNTS))
