--- a/src/baobabpulley/model/routes.py
+++ b/src/baobabpulley/model/routes.py
@@ -113,9 +113,13 @@
 
 @final
 class RoutingTable:
-    """One accepted version of the operators' configuration."""
+    """One accepted version of the operators' configuration.
 
-    __slots__ = ("_accounts", "_by_host", "_services", "bounds", "version")
+    ``accounts`` is ``None`` if the configuration has no list of client accounts. With a list, also
+    an empty one, requests need a key.
+    """
+
+    __slots__ = ("_accounts", "_by_host", "_needs_keys", "_services", "bounds", "version")
 
     def __init__(
         self,
@@ -124,12 +128,14 @@
         routes: tuple[Route, ...],
         services: tuple[Service, ...],
         bounds: RequestBounds,
-        accounts: tuple[Account, ...],
+        accounts: tuple[Account, ...] | None,
     ) -> None:
         self.version = version
         self.bounds = bounds
         self._services = {service.name: service for service in services}
-        self._accounts = {key: account for account in accounts for key in account.keys}
+        # Whether any key is left doesn't matter: without one, nobody is let in.
+        self._needs_keys = accounts is not None
+        self._accounts = {key: account for account in accounts or () for key in account.keys}
         self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in routes:
             self._by_host[route.host.lower()][route.prefix] = route
@@ -137,7 +143,7 @@
     @property
     def needs_keys(self) -> bool:
         """Whether requests to routes that are not anonymous must carry an API key."""
-        return bool(self._accounts)
+        return self._needs_keys
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or ``None``.
--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -116,7 +116,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: tuple[_Account, ...] = ()
+    tenants: tuple[_Account, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Upstream(msgspec.Struct):
@@ -149,10 +149,7 @@
         routes=tuple(_route(route) for route in configuration.routes),
         services=tuple(_service(service) for service in configuration.services),
         bounds=_bounds(configuration.limits),
-        accounts=tuple(
-            Account(name=tenant.name, keys=tenant.api_keys, priority=tenant.priority)
-            for tenant in configuration.tenants
-        ),
+        accounts=_accounts(configuration.tenants),
     )
 
 
@@ -200,6 +197,15 @@
     )
 
 
+def _accounts(tenants: tuple[_Account, ...] | msgspec.UnsetType) -> tuple[Account, ...] | None:
+    if tenants is msgspec.UNSET:
+        return None
+    return tuple(
+        Account(name=tenant.name, keys=tenant.api_keys, priority=tenant.priority)
+        for tenant in tenants
+    )
+
+
 def _service(service: _Service) -> Service:
     """Return a service; its engine only serves placement, so an odd one takes no route along."""
     engine, error = None, None
--- /dev/null
+++ b/testing/test_keys.py
@@ -0,0 +1,81 @@
+"""Tests of API keys: who is let in as keys and client accounts come and go."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from gateway_builders import API_KEY
+from gateway_builders import LEDGER
+from gateway_builders import World
+from gateway_builders import configuration
+from gateway_builders import open_world
+from gateway_builders import route
+from gateway_builders import send
+from gateway_builders import wait_until
+
+from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.platform import names
+
+PATHS = ("/order/7", "/lookup/7")
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+# Guards against review/2: once the last key was taken away, each request was served.
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        pytest.param([{"name": "souk", "api-keys": []}], id="account-without-keys"),
+        pytest.param([{"name": "souk"}], id="account-without-a-list-of-keys"),
+        pytest.param([], id="no-account"),
+    ],
+)
+async def test_without_any_key_left_nobody_is_served(
+    world: World, tenants: list[dict[str, object]]
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/order/7")).status == 200
+    world.store.put(names.CONFIGURATION_KEY, configuration(2, tenants=tenants))
+    await _wait_for_version(gateway, 2)
+    restarted = await world.add_gateway()
+    for each in (gateway, restarted):
+        for path in PATHS:
+            for key in (API_KEY, "key-that-nobody-held", None):
+                assert (await send(each, path, key=key)).status == 401
+    assert len(upstream.journal) == 1
+
+
+async def test_without_any_key_left_anonymous_routes_are_served(world: World) -> None:
+    upstream = await world.add_upstream("i-1")
+    routes = [route("/order/", LEDGER, names.KIND_ONCE, **{"allow-anonymous": True})]
+    document = configuration(2, routes=routes, tenants=[])
+    world.store.put(names.CONFIGURATION_KEY, document)
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/order/7", key=None)).status == 200
+    (call,) = upstream.journal
+    assert names.ACCOUNT.lower() not in call.headers
+
+
+async def test_a_configuration_without_a_list_of_accounts_needs_no_key(world: World) -> None:
+    await world.add_upstream("i-1")
+    document = json.loads(configuration(2))
+    del document["tenants"]
+    world.store.put(names.CONFIGURATION_KEY, json.dumps(document).encode())
+    gateway = await world.add_gateway()
+    assert (await send(gateway, "/order/7", key=None)).status == 200
+
+
+async def _wait_for_version(gateway: Gateway, version: int) -> None:
+    def is_in_force() -> bool:
+        table = gateway.fleet_state.table
+        return table is not None and table.version == version
+
+    await wait_until(is_in_force, seconds=2.0)
