One part of a configuration that can't be read keeps no other part from use

Callers would see: a version with one route of a new kind, or a field of another type, is never in force; keys that it takes away stay valid, its new routes give 404, and a gateway that starts with it isn't ready.

Evidence: seven new cases of test_odd_entries.py (kind, timeout, attempts, weight, service, limits, account) failed before and pass now. Why it works: each route, service and account is decoded alone; what can't be read is named in a bad_part line. A route that can't be read stays, without a service, as a shorter prefix would send its requests elsewhere.

The configuration moved from platform/documents.py to a module of its own.

--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -277,6 +277,11 @@
         value = entry.value or b""
         if kind == CONFIGURATION:
             table = self._documents.configuration(value)
+            for fault in table.faults:
+                logger.bind(event="bad_part", version=table.version).warning(
+                    "a part of the configuration can't be read and is left out: {}", fault
+                )
+            table.adopt_bounds(self._table)
             for service in table.adopt_engines(self._table):
                 logger.bind(event="bad_engine", service=service.name).warning(
                     "the performance of a service's engines can't be read: {}", service.engine_error
--- a/src/baobabpulley/model/routes.py
+++ b/src/baobabpulley/model/routes.py
@@ -116,10 +116,19 @@
     """One accepted version of the operators' configuration.
 
     ``accounts`` is ``None`` if the configuration has no list of client accounts. With a list, also
-    an empty one, requests need a key.
+    an empty one, requests need a key. ``bounds`` is ``None`` if its limits can't be read.
+    ``faults`` names the parts of it that can't be read.
     """
 
-    __slots__ = ("_accounts", "_by_host", "_needs_keys", "_services", "bounds", "version")
+    __slots__ = (
+        "_accounts",
+        "_bounds",
+        "_by_host",
+        "_needs_keys",
+        "_services",
+        "faults",
+        "version",
+    )
 
     def __init__(
         self,
@@ -127,11 +136,13 @@
         version: int,
         routes: tuple[Route, ...],
         services: tuple[Service, ...],
-        bounds: RequestBounds,
+        bounds: RequestBounds | None,
         accounts: tuple[Account, ...] | None,
+        faults: tuple[str, ...] = (),
     ) -> None:
         self.version = version
-        self.bounds = bounds
+        self.faults = faults
+        self._bounds = bounds
         self._services = {service.name: service for service in services}
         # Whether any key is left doesn't matter: without one, nobody is let in.
         self._needs_keys = accounts is not None
@@ -140,6 +151,11 @@
         for route in routes:
             self._by_host[route.host.lower()][route.prefix] = route
 
+    @property
+    def bounds(self) -> RequestBounds:
+        """Limits on what a caller may send."""
+        return self._bounds or RequestBounds()
+
     @property
     def needs_keys(self) -> bool:
         """Whether requests to routes that are not anonymous must carry an API key."""
@@ -167,6 +183,11 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def adopt_bounds(self, earlier: RoutingTable | None) -> None:
+        """Use an earlier version's limits if this one's can't be read."""
+        if self._bounds is None and earlier is not None:
+            self._bounds = earlier.bounds
+
     def adopt_engines(self, earlier: RoutingTable | None) -> tuple[Service, ...]:
         """Use an earlier version's engines where this one's can't be read; return these services.
 
--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -115,6 +115,67 @@
     assert kitchen.engine.memory_tokens == 232_000
 
 
+# Guards against the class of review/4: one part that couldn't be read kept the others from use.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"kind": "of-tomorrow"}, id="kind"),
+        pytest.param({"timeout-ms": "long"}, id="timeout"),
+        pytest.param({"max-attempts": None}, id="attempts"),
+        pytest.param({"traffic-split": [{"service": LEDGER, "weight": -1}]}, id="weight"),
+    ],
+)
+async def test_a_route_that_cannot_be_read_is_refused_and_keeps_no_other_from_use(
+    world: World, changes: dict[str, object]
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    routes = [
+        {**route("/order/odd/", LEDGER, names.KIND_ONCE), **changes},
+        route("/order/", LEDGER, names.KIND_ONCE),
+        {"path-prefix": "/nowhere/"},
+    ]
+    tenants = [{"name": "souk", "api-keys": ["new-key"]}]
+    document = configuration(2, routes=routes, tenants=tenants)
+    world.store.put(names.CONFIGURATION_KEY, document)
+    await _wait_for_version(gateway, 2)
+    starting = await world.add_gateway()
+    for each in (gateway, starting):
+        assert (await send(each, "/order/7", key="new-key")).status == 200
+        assert (await send(each, "/order/7")).status == 401
+        refused = await send(each, "/order/odd/7", key="new-key")
+        assert (refused.status, "retry-after" in refused.headers) == (503, True)
+        assert (await send(each, "/nowhere/7", key="new-key")).status == 404
+    assert len(upstream.journal) == 2
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"services": [{"name": LEDGER, "connection-limit": "all"}, 7]}, id="service"),
+        pytest.param({"limits": {"max-body-bytes": "huge"}}, id="limits"),
+        pytest.param(
+            {"tenants": [{"name": "souk", "api-keys": ["new-key"], "priority": "high"}, {}]},
+            id="account",
+        ),
+    ],
+)
+async def test_a_part_that_cannot_be_read_keeps_no_route_or_key_from_use(
+    world: World, changes: dict[str, object]
+) -> None:
+    await world.add_upstream("i-1")
+    gateway = await world.add_gateway()
+    tenants = [{"name": "souk", "api-keys": ["new-key"]}]
+    document = configuration(2, **{"tenants": tenants, **changes})
+    world.store.put(names.CONFIGURATION_KEY, document)
+    await _wait_for_version(gateway, 2)
+    assert (await send(gateway, "/order/7", key="new-key")).status == 200
+    assert (await send(gateway, "/order/7")).status == 401
+    # As in the version before, or as in this one.
+    body = b"x" * 100_001
+    assert (await send(gateway, "/order/7", key="new-key", body=body)).status == 413
+
+
 async def test_an_engine_without_a_usual_answer_is_used_with_an_assumed_one(world: World) -> None:
     gateway = await world.add_gateway()
     services = [{"name": KITCHEN, "engine": engine(usual={"answer": None}, slots=5)}]
--- a/testing/test_platform_fuzz.py
+++ b/testing/test_platform_fuzz.py
@@ -19,8 +19,8 @@
 from baobabpulley.gateway.event_stream import event_id
 from baobabpulley.model.log_lines import read_log_lines
 from baobabpulley.model.routes import RoutingTable
+from baobabpulley.platform.configuration import decode_configuration
 from baobabpulley.platform.documents import PlatformDocuments
-from baobabpulley.platform.documents import decode_configuration
 from baobabpulley.platform.documents import decode_upstream
 from baobabpulley.platform.wire import PlatformWire
 
