--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 from typing import final
@@ -129,6 +130,11 @@
         """Whether the process has mapped a library whose path contains ``library``."""
         return library in Path(f"/proc/{self._popen.pid}/maps").read_text()
 
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen.poll() is None
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
@@ -181,10 +187,18 @@
             )
         return gateway
 
-    def start_gateway_process(self) -> GatewayProcess:
-        """Start a gateway in a separate process, without waiting for it."""
-        path = self.folder / "gateway-process.ini"
-        path.write_text(self._settings(100, next(_ports), {}))
+    def start_gateway_process(
+        self, name: str = "gateway-process", **options: str
+    ) -> GatewayProcess:
+        """Start a gateway in a separate process, without waiting for it.
+
+        One that had the same name before must have ended; its log is overwritten.
+        """
+        path = self.folder / f"{name}.ini"
+        if not path.exists():
+            number = 100 + len(self.processes)
+            seeds = [process.node.control for process in self.processes]
+            path.write_text(self._settings(number, next(_ports), options, seeds=seeds))
         process = GatewayProcess(path)
         self.processes.append(process)
         return process
@@ -198,10 +212,14 @@
     def _listed(self) -> int:
         return sum(key.startswith(names.UPSTREAM_PREFIX) for key in self.store.items)
 
-    def _settings(self, number: int, port: int, options: dict[str, str]) -> str:
+    def _settings(
+        self, number: int, port: int, options: dict[str, str], *, seeds: Sequence[str] = ()
+    ) -> str:
         host = f"{LOOPBACK_PREFIX}.{10 + number}"
-        seeds = [gateway.node.control for gateway in self.gateways]
-        news_port = self.gateways[0].node.news_port if self.gateways else port + 3
+        nodes = [each.node for each in (*self.gateways, *self.processes)]
+        seeds = seeds or [gateway.node.control for gateway in self.gateways]
+        news_port = nodes[0].news_port if nodes else port + 3
+        lag = options.get("balancer_lag", "0.3")
         return (
             f"[node]\nid = front-{number}\n"
             f"failure_domain = {options.get('failure_domain', 'fes')}\n"
@@ -212,7 +230,7 @@
             f"member_lease = {options.get('member_lease', '30')}\n"
             f"[peers]\nseeds = {','.join(seeds)}\n"
             f"[repeats]\nratio = 0.2\nslack = 100\n"
-            f"[shutdown]\nbalancer_lag = 0.3\ngrace = {options.get('grace', '3')}\n"
+            f"[shutdown]\nbalancer_lag = {lag}\ngrace = {options.get('grace', '3')}\n"
         )
 
     async def stop(self) -> None:
