--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -35,6 +35,7 @@
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.retry_rules import MIN_ATTEMPT_SECONDS
 from baobabpulley.gateway.retry_rules import RetryRules
+from baobabpulley.gateway.shutdown_gate import ShutdownGate
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.policy.deadlines import retry_after_seconds
 from baobabpulley.timers import TimerService
@@ -56,6 +57,7 @@
         "_random",
         "_record",
         "_retries",
+        "_shutdown",
         "_timers",
     )
 
@@ -69,6 +71,7 @@
         record: UpstreamRecord,
         evidence: CrashEvidence,
         gossip: GossipProtocol,
+        shutdown: ShutdownGate,
         timers: TimerService,
     ) -> None:
         self._placer = placer
@@ -78,6 +81,7 @@
         self._record = record
         self._evidence = evidence
         self._gossip = gossip
+        self._shutdown = shutdown
         self._timers = timers
         self._random = random.Random()
 
@@ -118,9 +122,11 @@
         return False
 
     async def _place(self, exchange: Exchange) -> Placement:
+        self._shutdown.check(exchange)
         self._check_quarantine(exchange)
         try:
-            placement = await self._placer.place(exchange.placement_request())
+            with self._shutdown.waiting(exchange):
+                placement = await self._placer.place(exchange.placement_request())
         except BaobabError as error:
             raise error_for_caller(exchange, error) from error
         try:
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -39,6 +39,7 @@
 from baobabpulley.gateway.sections import GatewayShutdownSection
 from baobabpulley.gateway.sections import RetryBudgetSection
 from baobabpulley.gateway.sections import StoreSection
+from baobabpulley.gateway.shutdown_gate import ShutdownGate
 from baobabpulley.gateway.snapshot_fetcher import SNAPSHOT_PATH
 from baobabpulley.gateway.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store_link import StoreLink
@@ -175,6 +176,7 @@
         self.retry_budget = NodeRetryBudget(
             ratio=section.ratio, slack=section.slack, window=section.window
         )
+        self._shutdown = ShutdownGate(timers=timers)
         closed = self.metrics.connections_closed
         self.listener = CallerListener(
             handler=self._exchange_server().serve,
@@ -249,12 +251,16 @@
     async def drain(self) -> None:
         """Stop accepting connections once the load balancer has noticed, then finish requests.
 
+        Requests for which too little time is left are refused as they arrive or while they wait.
         Each connection is closed once it is idle: nothing of a request has arrived, and the answer
         before it has been handed to the kernel. Requests that are still unanswered near the end of
         the grace period are refused, or answered 502 if they may have run.
         """
         section = self.settings.get(GatewayShutdownSection)
         begun = self.timers.now()
+        self._shutdown.begin(
+            seconds=_DRAIN_GRACE_RATIO * section.grace, expecting_seconds=section.expecting
+        )
         self.listener.draining = True
         logger.bind(event="stop", busy=self.listener.active_requests).info("draining")
         await self.timers.sleep(section.balancer_lag)
@@ -262,6 +268,7 @@
         self.listener.close_idle()
         while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
             await self.timers.sleep(_DRAIN_POLL_SECONDS)
+            self._shutdown.refuse_late()
             self.listener.close_idle()
         if self.listener.busy:
             self.listener.refuse_all(shutdown_error(None))
@@ -310,6 +317,7 @@
                 timers=self.timers,
             ),
             evidence=self.evidence,
+            shutdown=self._shutdown,
             timers=self.timers,
         )
 
--- a/src/baobabpulley/gateway/exchange.py
+++ b/src/baobabpulley/gateway/exchange.py
@@ -22,6 +22,7 @@
 from baobabpulley.gateway.placer import Placer
 from baobabpulley.gateway.replies import Reply
 from baobabpulley.gateway.retry_rules import RetryRules
+from baobabpulley.gateway.shutdown_gate import ShutdownGate
 from baobabpulley.gateway.tickets import TicketManager
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import IncomingRequest
@@ -41,6 +42,7 @@
         "_metrics",
         "_opener",
         "_retry_budget",
+        "_shutdown",
         "_timers",
         "_wire",
     )
@@ -58,9 +60,11 @@
         gossip: GossipProtocol,
         tickets: TicketManager,
         evidence: CrashEvidence,
+        shutdown: ShutdownGate,
         timers: TimerService,
     ) -> None:
         self._fleet_state = fleet_state
+        self._shutdown = shutdown
         self._opener = ExchangeOpener(fleet_state=fleet_state, timers=timers)
         self._wire = wire
         self._retry_budget = retry_budget
@@ -86,6 +90,7 @@
             record=record,
             evidence=evidence,
             gossip=gossip,
+            shutdown=shutdown,
             timers=timers,
         )
 
@@ -146,6 +151,7 @@
             }
         else:
             self._count(exchange, outcome, elapsed)
+            self._shutdown.record_end(exchange)
             fields = exchange.log_fields()
         table = self._fleet_state.table
         logger.bind(
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -119,9 +119,9 @@
 class GatewayProcess:
     """A gateway in a separate process; its log goes to a file beside its settings."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, *, start: int) -> None:
         self.node = load_settings(path, daemon="gateway").get(GatewayNodeSection)
-        self._log = path.with_suffix(".log")
+        self._log = path.with_suffix(f".{start}.log")
         command = [sys.executable, "-m", "baobabpulley", "gateway", "--settings", str(path)]
         with self._log.open("wb") as log:
             self._popen = subprocess.Popen(command, stdout=log, stderr=log)
@@ -192,14 +192,14 @@
     ) -> GatewayProcess:
         """Start a gateway in a separate process, without waiting for it.
 
-        One that had the same name before must have ended; its log is overwritten.
+        One that had the same name before must have ended.
         """
         path = self.folder / f"{name}.ini"
         if not path.exists():
             number = 100 + len(self.processes)
             seeds = [process.node.control for process in self.processes]
             path.write_text(self._settings(number, next(_ports), options, seeds=seeds))
-        process = GatewayProcess(path)
+        process = GatewayProcess(path, start=len(self.processes))
         self.processes.append(process)
         return process
 
@@ -231,6 +231,7 @@
             f"[peers]\nseeds = {','.join(seeds)}\n"
             f"[repeats]\nratio = 0.2\nslack = 100\n"
             f"[shutdown]\nbalancer_lag = {lag}\ngrace = {options.get('grace', '3')}\n"
+            f"expecting = {options.get('expecting', '1')}\n"
         )
 
     async def stop(self) -> None:
--- a/testing/stop_soak.py
+++ b/testing/stop_soak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 import signal
@@ -31,6 +32,7 @@
 
 GRACE_SECONDS: Final = 8.0
 BALANCER_LAG_SECONDS: Final = 3.2
+EXPECTING_SECONDS: Final = 2.5
 # The operators' rules excuse a cut only for requests that were sent no later after the SIGTERM.
 EXCUSED_SECONDS: Final = 3.0
 # The server has to be at work still in the last part of the grace period.
@@ -199,8 +201,8 @@
         self._avoided[name] = stop.at + PROBE_SECONDS * self.scale
         end = stop.at + GRACE_SECONDS * self.scale
         late = asyncio.create_task(self._disturb(process, extras))
-        while time.monotonic() < end and process.running:
-            await asyncio.sleep(0.02)
+        with contextlib.suppress(AssertionError):
+            await wait_until(lambda: not process.running, seconds=end - time.monotonic())
         process.kill()
         stop.gone = time.monotonic()
         await late
@@ -225,6 +227,7 @@
             name,
             grace=str(GRACE_SECONDS * self.scale),
             balancer_lag=str(BALANCER_LAG_SECONDS * self.scale),
+            expecting=str(EXPECTING_SECONDS * self.scale),
         )
         await wait_until(lambda: "configuration" in process.events(), seconds=20.0)
         self._gateways[name] = process
