--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -24,6 +24,7 @@
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.gateway.upstream_record import UpstreamRecord
+from baobabpulley.model.exchanges import MAX_LOGGED_ID_CHARS
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
@@ -178,10 +179,10 @@
         """Yield the response of one upstream; leaving the block early drops the connection.
 
         What arrives is recorded in ``progress``; silence ends nothing here. Raise
-        `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run
-        there, `UpstreamLost` if it may have, and `DeadlineExceeded` if the upstream did not finish
-        within ``parameters.remaining`` seconds. Nothing is sent to an upstream that
-        has asked for no requests since it was chosen.
+        `UpstreamUnreachable` or `UpstreamRefused` if the request is certain not to have run there,
+        `UpstreamLost` if it may have, also if the response is to another attempt, and
+        `DeadlineExceeded` if the upstream did not finish within ``parameters.remaining`` seconds.
+        Nothing is sent to an upstream that has asked for no requests since it was chosen.
         """
         self._record.check_accepting(upstream)
         timeout = self._timers.to_real_seconds(parameters.remaining)
@@ -204,8 +205,9 @@
                     max_idle=MAX_IDLE_SECONDS if retryable else NON_RETRYABLE_MAX_IDLE_SECONDS,
                 ) as response,
             ):
-                progress.record()
                 head = self._wire.parse_response_head(response.status, response.headers)
+                _check_owner(upstream, head, parameters)
+                progress.record()
                 self._record.record_head(upstream, head)
                 if head.not_run:
                     await self._skip_body(response)
@@ -213,10 +215,8 @@
                     raise refusal(
                         f"{upstream.id} answered {head.status}, not run", at_fault=head.at_fault
                     )
-                if head.attempt != parameters.attempt or not head.sealed:
-                    raise UpstreamLost(
-                        f"{upstream.id} sent a response without a seal or to another attempt"
-                    )
+                if not head.sealed:
+                    raise UpstreamLost(f"{upstream.id} sent a response without a seal")
                 yield UpstreamResponse(response, head, progress=progress, timeout=silence_timeout)
         except TimeoutError:
             raise DeadlineExceeded(
@@ -233,6 +233,26 @@
             logger.debug("the body of a refusal ended early: {!r}", error)
 
 
+def _check_owner(
+    upstream: ListedUpstream, head: ResponseHead, parameters: AttemptParameters
+) -> None:
+    """Raise `UpstreamLost` if a response is to another attempt: nothing it says counts here.
+
+    A faulty upstream may send a second response to an earlier request late, on the same connection.
+    """
+    if head.attempt == parameters.attempt:
+        return
+    logger.bind(
+        event="foreign_response",
+        request=parameters.attempt[:MAX_LOGGED_ID_CHARS],
+        upstream=upstream.id,
+        attempt=None if head.attempt is None else head.attempt[:MAX_LOGGED_ID_CHARS],
+        status=head.status,
+        not_run=head.not_run,
+    ).warning("ignored a response to another attempt")
+    raise UpstreamLost(f"{upstream.id} sent a response to another attempt")
+
+
 def did_not_run(error: Exception) -> bool:
     """Whether an error proves that the attempt did not run."""
     return isinstance(error, UpstreamUnreachable | UpstreamRefused)
--- a/src/baobabpulley/platform/memory_reservations.py
+++ b/src/baobabpulley/platform/memory_reservations.py
@@ -88,7 +88,11 @@
                     head_timeout=timeout,
                 ) as response,
             ):
-                head = self._wire.parse_response_head(response.status, response.headers)
+                received = self._wire.parse_response_head(response.status, response.headers)
+                if received.attempt is not None:
+                    # A late second response to a request, as orders have no attempt.
+                    raise UpstreamLost(f"{upstream.id} sent a response to another call")
+                head = received
                 with contextlib.suppress(TimeoutError, UpstreamLost):
                     async with asyncio.timeout(_BODY_TIMEOUT_SECONDS):
                         await response.body(idle_timeout=_BODY_TIMEOUT_SECONDS)
--- a/src/baobabpulley/platform/wire.py
+++ b/src/baobabpulley/platform/wire.py
@@ -108,7 +108,7 @@
     def parse_response_head(self, status: int, headers: HTTPHeaders) -> ResponseHead:
         return ResponseHead(
             status=status,
-            attempt=headers.get(names.ATTEMPT),
+            attempt=headers.get(names.ATTEMPT) or None,
             sealed=names.SEAL in headers,
             not_run=names.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             at_fault=headers.get(names.AT_SERVER),
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -92,7 +92,8 @@
     ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
     executed, and ``orders`` the orders received; without ``frames_orders`` their answers have no
     length. The first order waits for ``first_order_pause_seconds``. ``response_headers`` are
-    header lines of all responses. ``connections`` counts accepted connections, and
+    header lines of all responses. ``late_answer`` is sent before the next answer on a connection
+    that has been used before. ``connections`` counts accepted connections, and
     ``early_closes`` requests whose caller closed or sent more before the response was complete.
     """
 
@@ -110,6 +111,7 @@
         self.order_delay_seconds = 0.0
         self.first_order_pause_seconds = 0.0
         self.frames_orders = True
+        self.late_answer = b""
         self.connections = 0
         self.early_closes = 0
         self.address = ""
@@ -146,8 +148,13 @@
         assert task is not None
         self._tasks.add(task)
         self.connections += 1
+        is_used = False
         try:
             while (call := await _read_call(self, reader, writer)) is not None:
+                if is_used:
+                    late_answer, self.late_answer = self.late_answer, b""
+                    await call.write(late_answer)
+                is_used = True
                 await self._answer(call, reader)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
