--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -23,6 +23,7 @@
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
+from baobabpulley.gateway.strict_connection import HEAD
 from baobabpulley.gateway.upstream_record import UpstreamRecord
 from baobabpulley.model.exchanges import MAX_LOGGED_ID_CHARS
 from baobabpulley.model.exchanges import AttemptParameters
@@ -89,19 +90,24 @@
 
 @final
 class UpstreamResponse:
-    """An upstream's response with a checked head; ``timeout`` is in real seconds."""
+    """An upstream's response with a checked head; ``timeout`` is in real seconds.
 
-    __slots__ = ("_progress", "_response", "_timeout", "head")
+    The answer to a HEAD request has no body, whatever its head says.
+    """
+
+    __slots__ = ("_has_body", "_progress", "_response", "_timeout", "head")
 
     def __init__(
         self,
         response: HttpResponse,
         head: ResponseHead,
         *,
+        has_body: bool,
         progress: AttemptProgress,
         timeout: float,
     ) -> None:
         self._response = response
+        self._has_body = has_body
         self._progress = progress
         self._timeout = timeout
         self.head = head
@@ -119,7 +125,12 @@
     @property
     def is_stream(self) -> bool:
         """Whether the body is a stream of server-sent events."""
-        return EVENT_STREAM in self._response.headers.get("Content-Type", "")
+        return self._has_body and EVENT_STREAM in self._response.headers.get("Content-Type", "")
+
+    @property
+    def stated_length(self) -> str | None:
+        """Length of the body that the answer to a HEAD request tells of, if it does."""
+        return None if self._has_body else self._response.headers.get("Content-Length")
 
     @property
     def ends_with_connection(self) -> bool:
@@ -217,7 +228,13 @@
                     )
                 if not head.sealed:
                     raise UpstreamLost(f"{upstream.id} sent a response without a seal")
-                yield UpstreamResponse(response, head, progress=progress, timeout=silence_timeout)
+                yield UpstreamResponse(
+                    response,
+                    head,
+                    has_body=incoming.method != HEAD,
+                    progress=progress,
+                    timeout=silence_timeout,
+                )
         except TimeoutError:
             raise DeadlineExceeded(
                 f"{upstream.id} did not finish within {max(0.0, parameters.remaining):.2f} s"
--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -130,7 +130,10 @@
         race.claim(attempt)
         if response.status < 300:
             self._outcomes.record_survival(exchange)
-        exchange.reply.send(response.status, self._wire.response_headers(response.headers), body)
+        headers = self._wire.response_headers(response.headers)
+        if response.stated_length is not None:
+            headers["Content-Length"] = response.stated_length
+        exchange.reply.send(response.status, headers, body)
 
     async def _deliver_events(
         self,
--- a/src/baobabpulley/gateway/replies.py
+++ b/src/baobabpulley/gateway/replies.py
@@ -100,8 +100,11 @@
             self._connection.finish()
 
     def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        """Send a complete response."""
-        headers["Content-Length"] = str(len(body))
+        """Send a complete response; a HEAD request gets its head with the length of the body.
+
+        The length of an upstream's answer to HEAD is that of a body which isn't there.
+        """
+        headers.setdefault("Content-Length", str(len(body)))
         self._write_head(status, headers, body)
         self.finish()
 
@@ -127,6 +130,8 @@
             return
         if self._closing():
             headers["Connection"] = "close"
+        if self._connection.is_head_request:
+            body = None
         reason = _REASONS.get(status, "Answer")
         self._connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason), headers, body or None
--- a/src/baobabpulley/gateway/strict_connection.py
+++ b/src/baobabpulley/gateway/strict_connection.py
@@ -20,6 +20,7 @@
 
 # A caller that is still sending when its connection ends may do so for this many real seconds.
 LINGER_SECONDS: Final = 2.0
+HEAD: Final = "HEAD"
 # Lengths beyond this are no sizes of bodies, and Python may refuse to convert them.
 MAX_LENGTH_DIGITS: Final = 18
 
@@ -46,6 +47,12 @@
         """Whether the whole request has been read."""
         return self._read_finished
 
+    @property
+    def is_head_request(self) -> bool:
+        """Whether the request asks for the head of an answer only."""
+        request = self._request_start_line
+        return isinstance(request, RequestStartLine) and request.method == HEAD
+
     def answer_without_request(self) -> None:
         """Allow a response although the head of the request has not been read."""
         self._request_start_line = RequestStartLine("GET", "/", "HTTP/1.1")
