--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -29,6 +29,9 @@
 SILENCE_SECONDS: Final = 0.4
 # A silent engine is waited for no longer, as memory is held elsewhere meanwhile.
 MAX_SILENCE_SECONDS: Final = 2.0
+# A stream that is silent for longer has likely ended, its last bytes lost: its memory isn't renewed
+# until it goes on, so that it is free again within 4 s. Sound upstreams pause for a second or so.
+MAX_RENEWED_SILENCE_SECONDS: Final = 1.5
 # While an engine is silent, the others are looked at this often.
 CHECK_PERIOD_SECONDS: Final = 0.25
 
@@ -106,7 +109,7 @@
                 )
                 for helper in plan.helpers:
                     self._record.check_accepting(helper)
-                renewal = asyncio.get_running_loop().create_task(self._renew(tickets))
+                renewal = asyncio.get_running_loop().create_task(self._renew(tickets, progress))
             ticket_names = {ticket.upstream.id: ticket.name for ticket in tickets}
             yield tuple(
                 HelperEngine(address=helper.address, ticket=ticket_names.get(helper.id))
@@ -136,7 +139,7 @@
             _check_reserved(requests, answered)
             held = [requests[request] for request in answered]
             if silent:
-                renewal = loop.create_task(self._renew(held))
+                renewal = loop.create_task(self._renew(held, progress))
             while silent:
                 _check_needed(requests, silent, can_place_without)
                 progress.record()
@@ -164,14 +167,17 @@
             self._record.record_head(ticket.upstream, outcome.head)
         return outcome.reserved
 
-    async def _renew(self, tickets: list[_Ticket]) -> None:
-        """Renew tickets until cancelled, also those added meanwhile.
+    async def _renew(self, tickets: list[_Ticket], progress: AttemptProgress) -> None:
+        """Renew tickets until cancelled, also those added meanwhile, but not of a silent stream.
 
         An unresponsive engine doesn't delay the others.
         """
         async with asyncio.TaskGroup() as renewals:
             while True:
                 await self._timers.sleep(self._section.ticket_renewal)
+                silent_seconds = self._timers.now() - progress.at
+                if progress.is_streaming and silent_seconds > MAX_RENEWED_SILENCE_SECONDS:
+                    continue
                 for ticket in tickets:
                     renewals.create_task(self._renew_once(ticket))
 
--- a/testing/test_ticket_pauses.py
+++ b/testing/test_ticket_pauses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -17,6 +18,7 @@
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.gateway.tickets import MAX_RENEWED_SILENCE_SECONDS
 from baobabpulley.platform import names
 
 EVENTS = 3
@@ -132,3 +134,32 @@
     reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: TOKENS, remaining: "1500"})
     assert time.monotonic() - began < 1.6
     assert (reply.status, calls(world)) == (503, [])
+
+
+# Guards against LEAK: memory was renewed for a run that had ended, till its caller left.
+async def test_memory_is_not_renewed_for_a_stream_that_stays_silent(world: World) -> None:
+    engines = await add_engines(world, 3)
+    for engine in engines:
+        engine.behaviour = upstreams.stream(events=9, pause_after=3, pause=30.0)
+    gateway = await world.add_gateway()
+    task = asyncio.create_task(send(gateway, "/draft/7", **{names.TOKEN_COUNTS: TOKENS}))
+    await asyncio.sleep(MAX_RENEWED_SILENCE_SECONDS + 0.6)
+    renewed = reservations(engines)
+    assert renewed >= 6
+    await asyncio.sleep(0.8)
+    assert reservations(engines) == renewed
+    assert not (await task).complete
+
+
+async def test_memory_of_a_stream_that_goes_on_is_renewed_again(world: World) -> None:
+    engines = await add_engines(world, 3)
+    pause = MAX_RENEWED_SILENCE_SECONDS + 0.4
+    for engine in engines:
+        engine.behaviour = upstreams.stream(events=9, pause_after=3, pause=pause, gap=0.1)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: TOKENS})
+    assert (reply.complete, reply.events) == (True, list(range(9)))
+
+
+def reservations(engines: list[UpstreamStandin]) -> int:
+    return sum(order["operation"] == "reserve" for standin in engines for order in standin.orders)
