--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -34,6 +34,8 @@
 MAX_WHOLE_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_IDLE_PER_ADDRESS: Final = 64
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# Connections that are set aside are closed after this time, unless they are restored.
+ASIDE_SECONDS: Final = 3.0
 # The shortest period that the kernel allows.
 KEEPALIVE_PERIOD_SECONDS: Final = 1
 # Silence that is noticed later than by this may have been a hold-up of this process.
@@ -121,15 +123,20 @@
         raise UpstreamStalled(f"{self._connection.address} sent nothing for {idle_timeout:.2f} s")
 
 
+# Time until which a connection may be reused, time at which it became idle, connection.
+_Idle = tuple[float, float, IOStream]
+
+
 @final
 class HttpClient:
     """A pool of connections per address."""
 
-    __slots__ = ("_idle", "_opened", "_reused", "traffic")
+    __slots__ = ("_aside", "_idle", "_opened", "_reused", "traffic")
 
     def __init__(self) -> None:
-        # Per address: (time until which it may be reused, time it became idle, connection).
-        self._idle: dict[str, list[tuple[float, float, IOStream]]] = defaultdict(list)
+        self._idle: dict[str, list[_Idle]] = defaultdict(list)
+        # Idle connections that may have gone silent, by address.
+        self._aside: dict[str, list[_Idle]] = {}
         self._opened = 0
         self._reused = 0
         self.traffic = Traffic()
@@ -164,6 +171,7 @@
         ack_timeout: float | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
         max_idle: float = MAX_IDLE_SECONDS,
+        on_connected: Callable[[IOStream, bool], None] | None = None,
     ) -> AsyncIterator[HttpResponse]:
         """Send a request and yield its response; leaving the block early drops the connection.
 
@@ -175,14 +183,19 @@
         if it raises, the connection is dropped. It returns the time within which the body must be
         written, or ``None`` if that is unbounded: see `kill_after`. ``ack_timeout`` is the time
         after which the kernel drops a connection whose peer acknowledges neither sent bytes nor
-        the keepalive probes on a connection without traffic.
+        the keepalive probes on a connection without traffic. ``on_connected`` is called with the
+        connection, and whether it has been used before.
 
         Raises `UpstreamUnreachable` if no connection could be opened, and `UpstreamLost` on
         failures after that, when bytes may have been sent.
         """
-        stream = await self._acquire(
-            address, fresh=fresh, timeout=connect_timeout, max_idle=max_idle
-        )
+        stream = None if fresh else self._take_idle(address, max_idle=max_idle)
+        is_reused = stream is not None
+        if stream is None:
+            self._opened += 1
+            stream = await connect(address, timeout=connect_timeout)
+        if on_connected is not None:
+            on_connected(stream, is_reused)
         if ack_timeout is not None:
             _detect_dead_peer(stream.socket, ack_timeout)
         connection = Connection(address=address, stream=stream, traffic=self.traffic)
@@ -205,21 +218,52 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for streams in self._idle.values():
-            for _, _, stream in streams:
-                stream.close()
-        self._idle.clear()
+        for address in (*self._idle, *self._aside):
+            self.drop_idle(address)
 
     def drop_idle(self, address: str) -> None:
         """Close all idle connections to an address, for when another one to it has failed."""
-        for _, _, stream in self._idle.pop(address, []):
+        for _, _, stream in (*self._idle.pop(address, []), *self._aside.pop(address, [])):
             stream.close()
 
-    async def _acquire(
-        self, address: str, *, fresh: bool, timeout: float, max_idle: float
-    ) -> IOStream:
+    def set_aside(self, address: str, *, heard_before: float) -> int:
+        """Don't use the idle connections that were last heard before a time; return their number.
+
+        They may have gone silent with another one. They are closed after `ASIDE_SECONDS` unless
+        `restore` is called before. ``heard_before`` is by `time.monotonic`.
+        """
+        idle = self._idle.get(address, [])
+        aside = [each for each in idle if each[1] < heard_before]
+        if not aside:
+            return 0
+        self._idle[address] = [each for each in idle if each[1] >= heard_before]
+        self._aside.setdefault(address, []).extend(aside)
+        asyncio.get_running_loop().call_later(ASIDE_SECONDS, self._close_aside, address, aside)
+        return len(aside)
+
+    def set_all_aside(self, *, heard_before: float) -> int:
+        """Set aside the idle connections to all addresses that were last heard before a time."""
+        return sum(
+            self.set_aside(address, heard_before=heard_before) for address in tuple(self._idle)
+        )
+
+    def restore(self, address: str) -> None:
+        """Use the connections to an address again that were set aside."""
+        self._idle[address] = self._aside.pop(address, []) + self._idle.get(address, [])
+
+    def _close_aside(self, address: str, closing: list[_Idle]) -> None:
+        left = self._aside.get(address, [])
+        for each in closing:
+            if each in left:
+                left.remove(each)
+                each[2].close()
+        if not left:
+            self._aside.pop(address, None)
+
+    def _take_idle(self, address: str, *, max_idle: float) -> IOStream | None:
+        """Return an idle connection that may be used again, or ``None``."""
         streams = self._idle[address]
-        while streams and not fresh:
+        while streams:
             usable_until, idle_since, stream = streams.pop()
             now = time.monotonic()
             if is_reusable(stream) and now < min(usable_until, idle_since + max_idle):
@@ -227,8 +271,7 @@
                 stream.set_close_callback(None)
                 return stream
             stream.close()
-        self._opened += 1
-        return await connect(address, timeout=timeout)
+        return None
 
     def _release(self, connection: Connection, *, clean: bool) -> None:
         stream = connection.detach(clean=clean)
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from loguru import logger
+from tornado.iostream import IOStream
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
@@ -21,6 +22,7 @@
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.connection_watch import ConnectionWatch
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
 from baobabpulley.gateway.strict_connection import HEAD
@@ -54,14 +56,28 @@
     """When an attempt last received a part of its answer, or started, in monotonic seconds.
 
     A stream's events are also recorded for its upstream, from `begin_stream` to `end_stream`.
+    ``connection`` is the one that the request was sent on, and ``is_reused`` whether it had been
+    used before.
     """
 
-    __slots__ = ("_streams", "_timers", "at")
+    __slots__ = ("_streams", "_timers", "at", "connection", "is_reused")
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self._streams: EngineStreams | None = None
         self.at = timers.now()
+        self.connection: IOStream | None = None
+        self.is_reused = False
+
+    @property
+    def is_streaming(self) -> bool:
+        """Whether the first event has arrived, and the stream isn't over."""
+        return self._streams is not None
+
+    def record_connection(self, connection: IOStream, is_reused: bool) -> None:
+        """Record the connection on which the request is sent now."""
+        self.connection = connection
+        self.is_reused = is_reused
 
     def record(self) -> None:
         """Record that a part of the answer has arrived now."""
@@ -162,7 +178,7 @@
 class UpstreamCaller:
     """Send attempts to upstreams and check that the responses belong to them."""
 
-    __slots__ = ("_client", "_record", "_timers", "_wire")
+    __slots__ = ("_client", "_record", "_timers", "_watch", "_wire")
 
     def __init__(
         self,
@@ -170,9 +186,11 @@
         client: HttpClient,
         wire: ExchangeWire,
         record: UpstreamRecord,
+        watch: ConnectionWatch,
         timers: TimerService,
     ) -> None:
         self._client = client
+        self._watch = watch
         self._record = record
         self._wire = wire
         self._timers = timers
@@ -186,6 +204,7 @@
         *,
         retryable: bool,
         progress: AttemptProgress,
+        expected: float = 0.0,
     ) -> AsyncIterator[UpstreamResponse]:
         """Yield the response of one upstream; leaving the block early drops the connection.
 
@@ -194,6 +213,7 @@
         `UpstreamLost` if it may have, also if the response is to another attempt, and
         `DeadlineExceeded` if the upstream did not finish within ``parameters.remaining`` seconds.
         Nothing is sent to an upstream that has asked for no requests since it was chosen.
+        ``expected`` is the time in seconds after which the answer should begin.
         """
         self._record.check_accepting(upstream)
         timeout = self._timers.to_real_seconds(parameters.remaining)
@@ -202,6 +222,7 @@
         try:
             async with (
                 asyncio.timeout(timeout),
+                self._watch.watching(upstream, progress, expected=expected),
                 self._client.call(
                     address=upstream.address,
                     method=incoming.method,
@@ -214,6 +235,7 @@
                     ack_timeout=self._timers.to_real_seconds(UNACKNOWLEDGED_TIMEOUT_SECONDS),
                     connect_timeout=self._timers.to_real_seconds(CONNECT_TIMEOUT_SECONDS),
                     max_idle=MAX_IDLE_SECONDS if retryable else NON_RETRYABLE_MAX_IDLE_SECONDS,
+                    on_connected=progress.record_connection,
                 ) as response,
             ):
                 head = self._wire.parse_response_head(response.status, response.headers)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -15,6 +15,7 @@
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.candidates import CandidateList
 from baobabpulley.gateway.connection_closes import ConnectionCloses
+from baobabpulley.gateway.connection_watch import ConnectionWatch
 from baobabpulley.gateway.control import ChangesHandler
 from baobabpulley.gateway.control import MetricsHandler
 from baobabpulley.gateway.control import ReadinessHandler
@@ -177,6 +178,7 @@
             ratio=section.ratio, slack=section.slack, window=section.window
         )
         self._shutdown = ShutdownGate(timers=timers)
+        self.watch = ConnectionWatch(client=self.client, timers=timers)
         closed = self.metrics.connections_closed
         self.listener = CallerListener(
             handler=self._exchange_server().serve,
@@ -199,6 +201,7 @@
                 placer=self.placer,
                 record=self.record,
                 store=self.store,
+                watch=self.watch,
             ),
         )
         self._listed: dict[str, ListedUpstream] = {}
@@ -240,6 +243,7 @@
         self.reports.start()
         self.link.start()
         self.placer.start()
+        self.watch.start()
         self.reload.start()
         self.timers.every(_FREEZE_CHECK_PERIOD_SECONDS, self._check_for_freeze, name="pulse")
         self._peer_snapshots.start()
@@ -303,7 +307,11 @@
             fleet_state=self.fleet_state,
             placer=self.placer,
             caller=UpstreamCaller(
-                client=self.client, wire=wire, record=self.record, timers=self.timers
+                client=self.client,
+                wire=wire,
+                record=self.record,
+                watch=self.watch,
+                timers=self.timers,
             ),
             wire=wire,
             record=self.record,
--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -95,6 +95,7 @@
                 upstream,
                 retryable=exchange.route.retryable,
                 progress=attempt.progress,
+                expected=0.0 if placement.plan is None else placement.plan.first_event_seconds,
             ) as response:
                 await self._deliver(exchange, race, attempt, response)
 
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -7,6 +7,7 @@
 from typing import Final
 from typing import final
 
+from baobabpulley.gateway.connection_watch import ConnectionWatch
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.fleet_state import FleetState
 from baobabpulley.gateway.gossip import GossipProtocol
@@ -32,6 +33,7 @@
         "placer",
         "record",
         "store",
+        "watch",
     )
 
     def __init__(
@@ -45,6 +47,7 @@
         placer: Placer,
         record: UpstreamRecord,
         store: MemberStore,
+        watch: ConnectionWatch,
     ) -> None:
         self.evidence = evidence
         self.fleet_state = fleet_state
@@ -54,6 +57,7 @@
         self.placer = placer
         self.record = record
         self.store = store
+        self.watch = watch
 
 
 GaugeValue = Callable[[GaugeSources], float]
@@ -104,6 +108,11 @@
     return sources.store.calls
 
 
+@_gauge("Idle connections to upstreams kept from use so far, as another one went silent")
+def connections_set_aside(sources: GaugeSources) -> float:
+    return sources.watch.set_aside
+
+
 @_gauge("Gateways known, this one included")
 def gateways(sources: GaugeSources) -> float:
     return sources.gossip.gateway_count
--- a/testing/pausing_link.py
+++ b/testing/pausing_link.py
@@ -1,4 +1,4 @@
-"""A TCP link to a server that can be paused: while it is, no byte passes in either direction."""
+"""A TCP link to a server that can be paused, or whose open connections can go silent for good."""
 
 from __future__ import annotations
 
@@ -27,6 +27,7 @@
         self.connections = 0
         self.bytes_passed = 0
         self._late_connections = 0
+        self._silent_connections = 0
         self.address = ""
 
     async def start(self) -> None:
@@ -50,7 +51,13 @@
         self._late_connections = late_connections
         asyncio.get_running_loop().call_later(seconds, self._open.set)
 
+    def silence_open_connections(self) -> None:
+        """Let nothing pass any more on the connections accepted so far; new ones work."""
+        self._silent_connections = self.connections
+
     async def _wait_until_open(self, number: int) -> None:
+        if number <= self._silent_connections:
+            await asyncio.Event().wait()
         if self._open.is_set():
             return
         await self._open.wait()
--- a/testing/test_leaving_upstreams.py
+++ b/testing/test_leaving_upstreams.py
@@ -282,7 +282,11 @@
     chosen = gateway.fleet_state.upstreams["i-1"]
     await learn_that_it_leaves(world, gateway)
     caller = UpstreamCaller(
-        client=gateway.client, wire=PlatformWire(), record=gateway.record, timers=gateway.timers
+        client=gateway.client,
+        wire=PlatformWire(),
+        record=gateway.record,
+        watch=gateway.watch,
+        timers=gateway.timers,
     )
     attempt = caller.send(
         IncomingRequest("POST", "/order/7", "api.example", HTTPHeaders(), b"", 0.0),
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -60,7 +60,11 @@
 
 async def send_order(gateway: Gateway, upstream: ListedUpstream) -> None:
     caller = UpstreamCaller(
-        client=gateway.client, wire=PlatformWire(), record=gateway.record, timers=gateway.timers
+        client=gateway.client,
+        wire=PlatformWire(),
+        record=gateway.record,
+        watch=gateway.watch,
+        timers=gateway.timers,
     )
     attempt = caller.send(
         IncomingRequest("POST", "/order/7", "api.example", HTTPHeaders(), b"", 0.0),
