--- a/src/baobabpulley/gateway/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/attempt_outcomes.py
@@ -77,6 +77,13 @@
             self._record_health(exchange, upstream, error, failed_upstream)
         self._report(exchange, attempt, error)
 
+    def record_passed_on_failure(self, upstream: ListedUpstream) -> None:
+        """Record an upstream's own failure that its caller gets, as it isn't tried again."""
+        if self._record.backpressure_seconds_left(upstream) > 0:
+            self._record.record_reachable(upstream)
+        else:
+            self._record.record_response(upstream, succeeded=False)
+
     def record_event(self, exchange: Exchange, attempt: RunningAttempt) -> None:
         """Record an event with content."""
         attempt.events += 1
--- a/src/baobabpulley/gateway/delivery.py
+++ b/src/baobabpulley/gateway/delivery.py
@@ -124,6 +124,8 @@
             exchange.may_have_run = True
             exchange.upstream_failure = UpstreamFailure(response.status, response.headers, body)
             raise UpstreamFailed(f"{upstream.id} answered {response.status}")
+        if server_error:
+            self._outcomes.record_passed_on_failure(upstream)
         if exchange.reply.started:
             raise UpstreamLost(
                 f"cannot resume a stream from a response with status {response.status}"
--- a/testing/test_gateway_exchanges.py
+++ b/testing/test_gateway_exchanges.py
@@ -362,6 +362,19 @@
     await wait_until(lambda: gateway.record.usable([listed]) == [listed], seconds=2.0)
 
 
+# Guards against an upstream that is never used again while another one is usable.
+async def test_an_upstream_is_used_again_after_its_probe_was_answered_with_a_failure(
+    world: World,
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    upstream.behaviour = upstreams.fail
+    gateway = await world.add_gateway()
+    listed = gateway.fleet_state.upstreams["i-1"]
+    gateway.record.record_failure(listed)
+    assert (await send(gateway, "/order/7")).status == 500
+    await wait_until(lambda: gateway.record.usable([listed]) == [listed], seconds=3.0)
+
+
 async def test_a_caller_resumes_after_its_last_event(world: World) -> None:
     upstream = await world.add_upstream("i-1", service=KITCHEN)
     upstream.behaviour = upstreams.stream(events=9)
