--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Final
 from typing import final
 
 import msgspec
 
+from baobabpulley.adapters.addresses import split_address
 from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.model.routes import RoutingTable
@@ -22,6 +24,8 @@
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 
+_MAX_PORT: Final = 65_535
+_MAX_BYTE: Final = 255
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 
 
@@ -52,6 +56,10 @@
         ) from error
     if entry.state not in (STATE_READY, STATE_DRAINING):
         raise InvalidDocument(f"the entry of upstream {upstream[:64]!r} has an unknown state")
+    if not _can_be_connected_to(entry.address):
+        raise InvalidDocument(
+            f"the entry of upstream {upstream[:64]!r} has the address {entry.address!r}"
+        )
     return ListedUpstream(
         id=upstream,
         service=entry.service,
@@ -63,6 +71,16 @@
     )
 
 
+def _can_be_connected_to(address: str) -> bool:
+    """Whether the parts of an ``ip:port`` address are in their ranges.
+
+    >>> _can_be_connected_to("10.0.0.1:80"), _can_be_connected_to("10.0.0.1:65536")
+    (True, False)
+    """
+    host, port = split_address(address)
+    return all(int(part) <= _MAX_BYTE for part in host.split(".")) and 0 < port <= _MAX_PORT
+
+
 @final
 class PlatformDocuments(FleetDocuments):
     """Store keys and value formats of the platform."""
--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -116,6 +116,21 @@
     assert kitchen.engine.memory_tokens == 232_000
 
 
+# Guards against requests that are answered 500, as connecting to such an address raises.
+@pytest.mark.parametrize("address", ["10.0.0.1:65536", "10.0.0.1:0", "10.0.0.256:80"])
+async def test_an_upstream_that_cannot_be_connected_to_costs_itself_alone(
+    world: World, address: str
+) -> None:
+    upstream = await world.add_upstream("i-1")
+    odd = upstream.entry(address=address)
+    world.store.put(names.UPSTREAM_PREFIX + "i-0", odd)
+    gateway = await world.add_gateway(wait=False)
+    await wait_until(lambda: "i-1" in gateway.fleet_state.upstreams)
+    assert set(gateway.fleet_state.upstreams) == {"i-1"}
+    replies = [await send(gateway, "/order/7") for _ in range(4)]
+    assert {reply.status for reply in replies} == {200}
+
+
 # Guards against the class of review/4: one part that couldn't be read kept the others from use.
 @pytest.mark.parametrize(
     "changes",
