--- a/src/baobabpulley/gateway/fleet_state.py
+++ b/src/baobabpulley/gateway/fleet_state.py
@@ -114,6 +114,11 @@
         """Registered gateways by node."""
         return self._members
 
+    @property
+    def change_log_bytes(self) -> int:
+        """Bytes of the changes that are kept for gateways that follow this one."""
+        return self._change_log.size
+
     async def wait_for_table(self, *, seconds: float) -> RoutingTable | None:
         """Wait for the first configuration; return ``None`` if none is known in time."""
         with contextlib.suppress(TimeoutError):
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -108,6 +108,11 @@
     return sources.store.calls
 
 
+@_gauge("Bytes of the changes kept for gateways that follow this one")
+def change_log_bytes(sources: GaugeSources) -> float:
+    return sources.fleet_state.change_log_bytes
+
+
 @_gauge("Idle connections to upstreams kept from use so far, as another one went silent")
 def connections_set_aside(sources: GaugeSources) -> float:
     return sources.watch.set_aside
--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -17,8 +17,11 @@
 from gateway_builders import wait_for_version
 from gateway_builders import wait_until
 
+from baobabpulley.gateway.change_log import MAX_CHANGE_BYTES
+from baobabpulley.gateway.change_log import ChangeLog
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.fleet_state import FleetState
+from baobabpulley.model.documents import StoredEntry
 from baobabpulley.platform import names
 
 # Deeper than any decoder follows.
@@ -131,6 +134,19 @@
     assert {reply.status for reply in replies} == {200}
 
 
+# Guards against a gateway that keeps the values of its last 512 changes, 1 MB each.
+def test_the_log_of_changes_is_bounded_in_bytes() -> None:
+    log = ChangeLog()
+    log.restart(0)
+    value = b"x" * 1_048_576
+    for revision in range(1, 101):
+        log.append([StoredEntry("op/config", value, revision)], above=revision - 1)
+        assert log.size <= MAX_CHANGE_BYTES
+    latest = log.since(98)
+    assert latest is not None and [entry.mod_revision for entry in latest] == [99, 100]
+    assert log.since(50) is None
+
+
 # Guards against the class of review/4: one part that couldn't be read kept the others from use.
 @pytest.mark.parametrize(
     "changes",
