--- a/src/baobabpulley/gateway/attempt_loop.py
+++ b/src/baobabpulley/gateway/attempt_loop.py
@@ -18,9 +18,9 @@
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.attempt_outcomes import SURVIVAL_EVENTS
 from baobabpulley.gateway.attempt_outcomes import AttemptOutcomes
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.attempt_race import AttemptRace
 from baobabpulley.gateway.attempt_race import RunningAttempt
-from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.crash_evidence import CrashEvidence
 from baobabpulley.gateway.delivery import RESPONSE_MARGIN_SECONDS
 from baobabpulley.gateway.delivery import AttemptDelivery
--- a/src/baobabpulley/gateway/attempt_race.py
+++ b/src/baobabpulley/gateway/attempt_race.py
@@ -14,7 +14,7 @@
 from typing import final
 
 from baobabpulley.errors import BaobabError
-from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.timers import TimerService
 
--- a/src/baobabpulley/gateway/attempts.py
+++ b/src/baobabpulley/gateway/attempts.py
@@ -9,7 +9,6 @@
 from typing import final
 
 from loguru import logger
-from tornado.iostream import IOStream
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
@@ -22,6 +21,7 @@
 from baobabpulley.errors import UpstreamRefused
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.errors import UpstreamUnreachable
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.connection_watch import ConnectionWatch
 from baobabpulley.gateway.event_stream import EventSplitter
 from baobabpulley.gateway.event_stream import has_content
@@ -31,7 +31,6 @@
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.servers import ListedUpstream
-from baobabpulley.policy.upstream_silence import EngineStreams
 from baobabpulley.ports.exchange_wire import ExchangeWire
 from baobabpulley.ports.exchange_wire import ResponseHead
 from baobabpulley.timers import TimerService
@@ -51,59 +50,6 @@
 EVENT_STREAM: Final = "text/event-stream"
 
 
-@final
-class AttemptProgress:
-    """When an attempt last received a part of its answer, or started, in monotonic seconds.
-
-    A stream's events are also recorded for its upstream, from `begin_stream` to `end_stream`.
-    ``connection`` is the one that the request was sent on, and ``is_reused`` whether it had been
-    used before.
-    """
-
-    __slots__ = ("_streams", "_timers", "at", "connection", "is_reused")
-
-    def __init__(self, timers: TimerService) -> None:
-        self._timers = timers
-        self._streams: EngineStreams | None = None
-        self.at = timers.now()
-        self.connection: IOStream | None = None
-        self.is_reused = False
-
-    @property
-    def is_streaming(self) -> bool:
-        """Whether the first event has arrived, and the stream isn't over."""
-        return self._streams is not None
-
-    def record_connection(self, connection: IOStream, is_reused: bool) -> None:
-        """Record the connection on which the request is sent now."""
-        self.connection = connection
-        self.is_reused = is_reused
-
-    def record(self) -> None:
-        """Record that a part of the answer has arrived now."""
-        now = self._timers.now()
-        if self._streams is not None:
-            self._streams.record_event(gap=now - self.at, now=now)
-        self.at = now
-
-    def record_slow_caller(self) -> None:
-        """Record that the answer isn't read now, as the caller is slow."""
-        self.at = self._timers.now()
-        if self._streams is not None:
-            self._streams.record_heard(now=self.at)
-
-    def begin_stream(self, streams: EngineStreams) -> None:
-        """Record the first event of a stream, which has arrived now."""
-        self._streams = streams
-        streams.begin(now=self.at)
-
-    def end_stream(self) -> None:
-        """Record that the upstream's stream is over, if it has begun."""
-        if self._streams is not None:
-            self._streams.end()
-            self._streams = None
-
-
 @final
 class UpstreamResponse:
     """An upstream's response with a checked head; ``timeout`` is in real seconds.
--- a/src/baobabpulley/gateway/connection_watch.py
+++ b/src/baobabpulley/gateway/connection_watch.py
@@ -4,7 +4,6 @@
 
 import contextlib
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING
 from typing import Final
 from typing import final
 
@@ -12,14 +11,12 @@
 
 from baobabpulley.adapters.addresses import is_acknowledged
 from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.silent_connections import SilentConnections
 from baobabpulley.policy.silent_connections import silent_after
 from baobabpulley.timers import TimerService
 
-if TYPE_CHECKING:
-    from baobabpulley.gateway.attempts import AttemptProgress
-
 CHECK_PERIOD_SECONDS: Final = 0.1
 
 
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -263,7 +263,7 @@
         section = self.settings.get(GatewayShutdownSection)
         begun = self.timers.now()
         self._shutdown.begin(
-            seconds=_DRAIN_GRACE_RATIO * section.grace, expecting_seconds=section.expecting
+            seconds=_DRAIN_GRACE_RATIO * section.grace, lenient_seconds=section.lenient_admission
         )
         self.listener.draining = True
         logger.bind(event="stop", busy=self.listener.active_requests).info("draining")
--- a/src/baobabpulley/gateway/sections.py
+++ b/src/baobabpulley/gateway/sections.py
@@ -100,14 +100,15 @@
     """Durations of a graceful shutdown in seconds.
 
     ``balancer_lag`` is how long the load balancer may still send new connections; ``grace`` is the
-    time from the start of the shutdown until the process is killed. For ``expecting``, requests
-    are taken up that are expected to end in time; later ones only if their deadline is in time.
+    time from the start of the shutdown until the process is killed. For ``lenient_admission``
+    seconds, requests are admitted that are expected to end in time; later ones only if their
+    deadline is in time.
     """
 
     balancer_lag: Seconds = 3.2
     grace: Seconds = 8.0
     # The load balancer asks once a second and takes a gateway out after two misses.
-    expecting: Seconds = 2.5
+    lenient_admission: Seconds = 2.5
 
 
 @section("engines", "gateway")
--- a/src/baobabpulley/gateway/shutdown_gate.py
+++ b/src/baobabpulley/gateway/shutdown_gate.py
@@ -32,13 +32,13 @@
         self._timers = timers
         self._waiting: dict[asyncio.Task[object], Exchange] = {}
 
-    def begin(self, *, seconds: float, expecting_seconds: float) -> None:
+    def begin(self, *, seconds: float, lenient_seconds: float) -> None:
         """Begin a shutdown that ends what is running in so many seconds.
 
-        For ``expecting_seconds``, requests are admitted by their expected time.
+        For ``lenient_seconds``, requests are admitted by their expected time.
         """
         now = self._timers.now()
-        self._admission.begin(ends_at=now + seconds, expects_until=now + expecting_seconds)
+        self._admission.begin(ends_at=now + seconds, lenient_until=now + lenient_seconds)
 
     def record_end(self, exchange: Exchange) -> None:
         """Record how long a request took that was sent to an upstream."""
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from baobabpulley.errors import UpstreamOutOfMemory
-from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.gateway.sections import EnginesSection
 from baobabpulley.gateway.upstream_record import UpstreamRecord
--- a/src/baobabpulley/policy/shutdown_admission.py
+++ b/src/baobabpulley/policy/shutdown_admission.py
@@ -57,19 +57,19 @@
     are whose deadline is in time. Times are monotonic seconds.
     """
 
-    __slots__ = ("_ends_at", "_expects_until")
+    __slots__ = ("_ends_at", "_lenient_until")
 
     def __init__(self) -> None:
         self._ends_at: float | None = None
-        self._expects_until = 0.0
+        self._lenient_until = 0.0
 
-    def begin(self, *, ends_at: float, expects_until: float) -> None:
+    def begin(self, *, ends_at: float, lenient_until: float) -> None:
         """Begin the shutdown, which ends what is running at ``ends_at``.
 
-        Requests are admitted by their expected time up to ``expects_until``.
+        Requests are admitted by their expected time up to ``lenient_until``.
         """
         self._ends_at = ends_at
-        self._expects_until = expects_until
+        self._lenient_until = lenient_until
 
     def seconds_left(self, *, now: float) -> float | None:
         """Return the seconds until running requests are ended, ``None`` without a shutdown."""
@@ -79,7 +79,7 @@
         """Whether a request that is expected to take so many seconds may be taken up."""
         if self._ends_at is None or deadline <= self._ends_at:
             return True
-        return now <= self._expects_until and now + expected <= self._ends_at
+        return now <= self._lenient_until and now + expected <= self._ends_at
 
 
 def expected_seconds(
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -231,7 +231,7 @@
             f"[peers]\nseeds = {','.join(seeds)}\n"
             f"[repeats]\nratio = 0.2\nslack = 100\n"
             f"[shutdown]\nbalancer_lag = {lag}\ngrace = {options.get('grace', '3')}\n"
-            f"expecting = {options.get('expecting', '1')}\n"
+            f"lenient_admission = {options.get('lenient_admission', '1')}\n"
         )
 
     async def stop(self) -> None:
--- a/testing/stop_soak.py
+++ b/testing/stop_soak.py
@@ -32,7 +32,7 @@
 
 GRACE_SECONDS: Final = 8.0
 BALANCER_LAG_SECONDS: Final = 3.2
-EXPECTING_SECONDS: Final = 2.5
+LENIENT_SECONDS: Final = 2.5
 # The operators' rules excuse a cut only for requests that were sent no later after the SIGTERM.
 EXCUSED_SECONDS: Final = 3.0
 # The server has to be at work still in the last part of the grace period.
@@ -227,7 +227,7 @@
             name,
             grace=str(GRACE_SECONDS * self.scale),
             balancer_lag=str(BALANCER_LAG_SECONDS * self.scale),
-            expecting=str(EXPECTING_SECONDS * self.scale),
+            lenient_admission=str(LENIENT_SECONDS * self.scale),
         )
         await wait_until(lambda: "configuration" in process.events(), seconds=20.0)
         self._gateways[name] = process
--- a/testing/test_attempt_race.py
+++ b/testing/test_attempt_race.py
@@ -28,9 +28,9 @@
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
 
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.attempt_race import AttemptRace
 from baobabpulley.gateway.attempt_race import RunningAttempt
-from baobabpulley.gateway.attempts import AttemptProgress
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.placer import Placement
 from baobabpulley.model.servers import ListedUpstream
--- a/testing/test_leaving_upstreams.py
+++ b/testing/test_leaving_upstreams.py
@@ -21,7 +21,7 @@
 from tornado.httputil import HTTPHeaders
 
 from baobabpulley.errors import UpstreamSkipped
-from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.model.exchanges import AttemptParameters
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -28,7 +28,7 @@
 
 from baobabpulley.adapters import http_client
 from baobabpulley.errors import UpstreamSkipped
-from baobabpulley.gateway.attempts import AttemptProgress
+from baobabpulley.gateway.attempt_progress import AttemptProgress
 from baobabpulley.gateway.attempts import UpstreamCaller
 from baobabpulley.gateway.connection_closes import CloseReason
 from baobabpulley.gateway.daemon import Gateway
--- a/testing/test_shutdown_admission.py
+++ b/testing/test_shutdown_admission.py
@@ -53,7 +53,7 @@
 ) -> None:
     engine = await world.add_upstream("i-1", service=KITCHEN)
     engine.behaviour = upstreams.stream(events=12, gap=0.1)
-    gateway = await world.add_gateway(grace="2", expecting="0.5")
+    gateway = await world.add_gateway(grace="2", lenient_admission="0.5")
     host, port = gateway.node.callers.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(request_bytes("/draft/1", **LONG))
@@ -78,7 +78,7 @@
 ) -> None:
     engine = await world.add_upstream("i-1", service=KITCHEN)
     engine.behaviour = upstreams.stream(events=12, gap=0.1)
-    gateway = await world.add_gateway(grace="1", expecting="0.5")
+    gateway = await world.add_gateway(grace="1", lenient_admission="0.5")
     assert (await send(gateway, "/draft/1", **LONG)).complete
     draining = asyncio.create_task(gateway.drain())
     await asyncio.sleep(0.05)
@@ -93,7 +93,7 @@
     engine = await world.add_upstream("i-1", service=KITCHEN)
     engine.behaviour = upstreams.stream(events=10, gap=0.1)
     upstream = await world.add_upstream("i-2")
-    gateway = await world.add_gateway(grace="4", expecting="0.5")
+    gateway = await world.add_gateway(grace="4", lenient_admission="0.5")
     host, port = gateway.node.callers.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(request_bytes("/draft/1", **LONG))
@@ -114,7 +114,7 @@
 ) -> None:
     upstream = await world.add_upstream("i-1", slots=1)
     upstream.behaviour = upstreams.stay_silent
-    gateway = await world.add_gateway(grace="3", expecting="0.5")
+    gateway = await world.add_gateway(grace="3", lenient_admission="0.5")
     running = asyncio.create_task(send(gateway, "/order/1", **LONG))
     await wait_until(lambda: len(upstream.journal) == 1)
     waiting = asyncio.create_task(send(gateway, "/order/2", **LONG))
@@ -131,7 +131,7 @@
 async def test_without_a_shutdown_long_requests_are_served(world: World) -> None:
     engine = await world.add_upstream("i-1", service=KITCHEN)
     engine.behaviour = upstreams.stream(events=3)
-    gateway = await world.add_gateway(grace="0.5", expecting="0.1")
+    gateway = await world.add_gateway(grace="0.5", lenient_admission="0.1")
     assert (await send(gateway, "/draft/1", **LONG)).complete
 
 
@@ -180,7 +180,7 @@
 ) -> None:
     admission = ShutdownAdmission()
     assert admission.has_time(deadline=deadline, expected=expected, now=now)
-    admission.begin(ends_at=7.6, expects_until=2.5)
+    admission.begin(ends_at=7.6, lenient_until=2.5)
     admitted = admission.has_time(deadline=deadline, expected=expected, now=now)
     if now > 2.5:
         assert admitted == (deadline <= 7.6)
