Silence noticed after a hold-up of the gateway's own process says nothing

The new test failed before. The test of a pausing upstream uses look-ups at its end, as orders don't reuse connections idle for 2 s.

--- a/src/baobabpulley/gateway/connection_watch.py
+++ b/src/baobabpulley/gateway/connection_watch.py
@@ -18,6 +18,8 @@
 from baobabpulley.timers import TimerService
 
 CHECK_PERIOD_SECONDS: Final = 0.1
+# A check that is later than this says nothing: what arrived meanwhile has not been processed.
+MAX_LATENESS_SECONDS: Final = 0.1
 
 
 @final
@@ -44,7 +46,7 @@
     silent connection that is new says something about its upstream, not about connections.
     """
 
-    __slots__ = ("_client", "_set_aside", "_silent", "_timers", "_watched")
+    __slots__ = ("_checked_at", "_client", "_set_aside", "_silent", "_timers", "_watched")
 
     def __init__(self, *, client: HttpClient, timers: TimerService) -> None:
         self._client = client
@@ -52,6 +54,7 @@
         self._silent = SilentConnections()
         self._watched: set[_Watched] = set()
         self._set_aside = 0
+        self._checked_at = timers.now()
 
     @property
     def set_aside(self) -> int:
@@ -78,9 +81,13 @@
     def check(self) -> None:
         """Notice the connections that have gone silent, and those that go on."""
         now = self._timers.now()
+        is_late = now - self._checked_at > CHECK_PERIOD_SECONDS + MAX_LATENESS_SECONDS
+        self._checked_at = now
         for watched in tuple(self._watched):
             progress = watched.progress
             self._check_going_on(watched)
+            if is_late:
+                continue
             limit = silent_after(expected=watched.expected, is_streaming=progress.is_streaming)
             if progress.is_reused and not watched.is_silent and now - progress.at > limit:
                 self._record_silent(watched, now=now)
--- a/src/baobabpulley/gateway/tickets.py
+++ b/src/baobabpulley/gateway/tickets.py
@@ -32,6 +32,8 @@
 # A stream that is silent for longer has likely ended, its last bytes lost: its memory isn't renewed
 # until it goes on, so that it is free again within 4 s. Sound upstreams pause for a second or so.
 MAX_RENEWED_SILENCE_SECONDS: Final = 1.5
+# Silence that is noticed later than by this may have been a hold-up of this process.
+MAX_LATENESS_SECONDS: Final = 0.1
 # While an engine is silent, the others are looked at this often.
 CHECK_PERIOD_SECONDS: Final = 0.25
 
@@ -174,9 +176,12 @@
         """
         async with asyncio.TaskGroup() as renewals:
             while True:
+                begun = self._timers.now()
                 await self._timers.sleep(self._section.ticket_renewal)
-                silent_seconds = self._timers.now() - progress.at
-                if progress.is_streaming and silent_seconds > MAX_RENEWED_SILENCE_SECONDS:
+                now = self._timers.now()
+                is_late = now - begun > self._section.ticket_renewal + MAX_LATENESS_SECONDS
+                is_silent = now - progress.at > MAX_RENEWED_SILENCE_SECONDS
+                if progress.is_streaming and is_silent and not is_late:
                     continue
                 for ticket in tickets:
                     renewals.create_task(self._renew_once(ticket))
--- a/testing/test_silent_connections.py
+++ b/testing/test_silent_connections.py
@@ -9,19 +9,26 @@
 import platform_upstream as upstreams
 import pytest
 from fair_clock import FairClock
+from gateway_builders import LEDGER
 from gateway_builders import World
 from gateway_builders import open_world
 from gateway_builders import send
 from gateway_builders import wait_until
+from loguru import logger
 from pausing_link import PausingLink
 
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.gateway.attempt_progress import AttemptProgress
+from baobabpulley.gateway.connection_watch import ConnectionWatch
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
 from baobabpulley.policy.silent_connections import COMMON_CAUSE_UPSTREAMS
 from baobabpulley.policy.silent_connections import COMMON_CAUSE_WINDOW_SECONDS
 from baobabpulley.policy.silent_connections import SILENT_SECONDS
 from baobabpulley.policy.silent_connections import SilentConnections
 from baobabpulley.policy.silent_connections import silent_after
+from baobabpulley.timers import ManualTimers
 
 PAUSE_SECONDS = 1.2
 IDLE = 5
@@ -102,12 +109,39 @@
     replies = await asyncio.gather(*(send(gateway, "/order/1") for _ in range(2)))
     assert [reply.status for reply in replies] == [200, 200]
     await wait_until(lambda: gateway.client.idle_count(link.address) >= IDLE)
-    again = await asyncio.gather(*(send(gateway, "/order/2") for _ in range(IDLE)))
+    again = await asyncio.gather(*(send(gateway, "/lookup/2") for _ in range(IDLE)))
     assert {reply.status for reply in again} == {200}
     assert link.connections == opened
     await link.stop()
 
 
+async def test_silence_while_the_own_process_is_held_up_says_nothing() -> None:
+    timers = ManualTimers()
+    watch = ConnectionWatch(client=HttpClient(), timers=timers)
+    upstream = ListedUpstream(
+        id="i-1",
+        service=LEDGER,
+        address="127.0.0.1:1",
+        failure_domain="fes",
+        slots=8,
+        leaving=False,
+        born=0,
+    )
+    progress = AttemptProgress(timers)
+    progress.is_reused = True
+    lines: list[str] = []
+    sink = logger.add(lambda line: lines.append(line), format="{message}")
+    watch.start()
+    async with watch.watching(upstream, progress, expected=0.0):
+        await timers.advance(0.2)
+        await timers.pause(5.0)
+        assert not lines
+        await timers.advance(0.2)
+        assert lines == ["a connection that was used before sends nothing\n"]
+    logger.remove(sink)
+    timers.cancel_all()
+
+
 def test_silence_is_judged_by_when_an_answer_is_due() -> None:
     assert silent_after(expected=0.0, is_streaming=False) == SILENT_SECONDS
     assert silent_after(expected=2.0, is_streaming=False) > 2.0
