--- a/src/baobabpulley/gateway/event_stream.py
+++ b/src/baobabpulley/gateway/event_stream.py
@@ -12,16 +12,11 @@
 from baobabpulley.errors import UpstreamLost
 
 MAX_EVENT_BYTES: Final = 1_048_576
-_MAX_END_BYTES: Final = 4
 # A number with more digits is no id of an event, and Python may refuse to convert it.
 MAX_ID_DIGITS: Final = 64
-# An empty line ends an event; lines end with CR LF, LF or CR.
-_EVENT_END: Final = re.compile(rb"\r\n\r\n|\n\r\n|\r\n\n|\n\n|\r\r")
 # The begin of a line that is neither empty nor a comment.
 _FIELD: Final = re.compile(rb"^[^:\n]", re.MULTILINE)
 _ID: Final = re.compile(rb"^id:(.*)", re.MULTILINE)
-# A stream may begin with it.
-_BYTE_ORDER_MARK: Final = b"\xef\xbb\xbf"
 
 
 @final
@@ -33,8 +28,6 @@
     [b'id: 1\\ndata: a\\n\\n']
     >>> splitter.pending
     True
-    >>> EventSplitter().feed(b"id: 1\\r\\ndata: a\\r\\n\\r\\n")
-    [b'id: 1\\r\\ndata: a\\r\\n\\r\\n']
     """
 
     __slots__ = ("_buffer",)
@@ -52,35 +45,19 @@
 
         Raise `UpstreamLost` if an event is longer than `MAX_EVENT_BYTES`.
         """
-        # The end of an event may have begun in what is buffered.
-        start = max(0, len(self._buffer) - _MAX_END_BYTES)
-        events, self._buffer = _split(self._buffer + data, start=start)
+        *complete, self._buffer = (self._buffer + data).split(b"\n\n")
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamLost(f"an event of the stream is longer than {MAX_EVENT_BYTES} bytes")
-        return events
-
-
-def _split(received: bytes, *, start: int) -> tuple[list[bytes], bytes]:
-    """Return the complete events and the rest; no event ends before ``start``."""
-    if b"\r" not in received:
-        # Several times faster, and by far the most usual.
-        *complete, rest = received.split(b"\n\n")
-        return [event + b"\n\n" for event in complete], rest
-    events = []
-    begin = 0
-    for end in _EVENT_END.finditer(received, start):
-        events.append(received[begin : end.end()])
-        begin = end.end()
-    return events, received[begin:]
+        return [event + b"\n\n" for event in complete]
 
 
 def has_content(event: bytes) -> bool:
     """Whether an event has a field; comments, which keep a connection open, have none.
 
-    >>> has_content(b"id: 1\\ndata: a\\n\\n"), has_content(b": alive\\r\\n\\r\\n")
+    >>> has_content(b"id: 1\\ndata: a\\n\\n"), has_content(b": alive\\n\\n")
     (True, False)
     """
-    return _FIELD.search(_with_plain_lines(event)) is not None
+    return _FIELD.search(event) is not None
 
 
 def event_id(event: bytes) -> str | None:
@@ -89,17 +66,10 @@
     >>> event_id(b"id: 12\\ndata: x\\n\\n"), event_id(b"data: x\\n\\n")
     ('12', None)
     """
-    field = _ID.search(_with_plain_lines(event))
+    field = _ID.search(event)
     return None if field is None else field.group(1).strip().decode("latin1")
 
 
-def _with_plain_lines(event: bytes) -> bytes:
-    """Return an event whose lines end with LF, without a byte order mark."""
-    if b"\r" in event:
-        event = event.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-    return event.removeprefix(_BYTE_ORDER_MARK)
-
-
 @final
 class StreamProgress:
     """The last event that the caller received, across upstreams that resumed the stream.
