--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,6 +20,7 @@
 # A server that left serves for drain-ms "and a little longer", and then exits.
 SERVES_ON_SECONDS = DRAIN_SECONDS + 0.25
 WORK_SECONDS = 0.09
+BOOKING_GAP_SECONDS = 0.005
 LEAVE_GAP_SECONDS = 0.4
 LEAVING = 10
 STAYING = 4
@@ -57,7 +58,7 @@
     while time.monotonic() < until:
         attempt, data = request_bytes("/booking/1")
         tasks.append(asyncio.create_task(ask(gateway.address, data, seconds=3.0)))
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(BOOKING_GAP_SECONDS)
     answers = await asyncio.gather(*tasks)
     counts: dict[int, int] = {}
     for answer in answers:
