Tests: field names with blanks or control bytes, and resets during an upload, are no answers (47)

The stand-in of the servers can answer the head of a request without reading its body; at_once of test_unframed_answers moves to it as raw_answer.

--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -91,10 +91,11 @@
 
     ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
     executed, and ``orders`` the orders received; without ``frames_orders`` their answers have no
-    length. The first order waits for ``first_order_pause_seconds``. ``response_headers`` are
-    header lines of all responses. ``late_answer`` is sent before the next answer on a connection
-    that has been used before. ``connections`` counts accepted connections, and
-    ``early_closes`` requests whose caller closed or sent more before the response was complete.
+    length. The first order waits for ``first_order_pause_seconds``. Without ``reads_bodies`` it
+    responds to the head of a request, and reads no further on that connection.
+    ``response_headers`` are header lines of all responses. ``late_answer`` is sent before the next
+    answer on a connection that has been used before. ``connections`` counts accepted connections,
+    and ``early_closes`` requests whose caller closed or sent more before the response was complete.
     """
 
     def __init__(self, name: str, *, service: str, zone: str = "fes", slots: int = 8) -> None:
@@ -111,6 +112,7 @@
         self.order_delay_seconds = 0.0
         self.first_order_pause_seconds = 0.0
         self.frames_orders = True
+        self.reads_bodies = True
         self.late_answer = b""
         self.connections = 0
         self.early_closes = 0
@@ -155,6 +157,10 @@
                     late_answer, self.late_answer = self.late_answer, b""
                     await call.write(late_answer)
                 is_used = True
+                if not self.reads_bodies:
+                    self.journal.append(call)
+                    await self.behaviour(self, call)
+                    return
                 await self._answer(call, reader)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -201,7 +207,8 @@
     first, *lines = head.decode("latin1").rstrip("\r\n").split("\r\n")
     method, target, _ = first.split(" ")
     headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    length = int(headers.get("content-length", "0")) if upstream.reads_bodies else 0
+    body = await reader.readexactly(length)
     return Call(
         method=method, target=target, headers=headers, body=body, writer=writer, upstream=upstream
     )
@@ -420,6 +427,22 @@
     return run
 
 
+def raw_answer(data: bytes, *, then_reset: bool = False) -> Behaviour:
+    """Return a behaviour that sends raw bytes and ends the connection in the same moment.
+
+    ``ATTEMPT`` in ``data`` stands for the attempt's id.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(data.replace(b"ATTEMPT", call.attempt.encode()))
+        if then_reset:
+            call.reset()
+        else:
+            call.close()
+
+    return run
+
+
 async def fail_with_retry_after(upstream: UpstreamStandin, call: Call) -> None:
     """Send a sealed 503 with Retry-After that doesn't say that the request wasn't executed."""
     body = b"busy"
--- /dev/null
+++ b/testing/test_broken_heads.py
@@ -0,0 +1,146 @@
+"""Tests of upstreams whose answers have a broken head: nothing of it may reach a caller."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+from gateway_builders import KITCHEN
+from gateway_builders import LEDGER
+from gateway_builders import World
+from gateway_builders import open_world
+from gateway_builders import send
+from platform_upstream import Behaviour
+from platform_upstream import Call
+from platform_upstream import UpstreamStandin
+from platform_upstream import answer_complete
+from platform_upstream import first_then
+from platform_upstream import raw_answer
+from platform_upstream import unframed_stream
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.platform import names
+
+CALL_TIMEOUT_SECONDS = 3.0
+BODY = b"broken"
+CHUNKED_BODY = b"6\r\nbroken\r\n0\r\n\r\n"
+STATUS_LINE = b"HTTP/1.1 200 Answer"
+OWN_LINES = (f"{names.ATTEMPT}: ATTEMPT".encode(), f"{names.SEAL}: s".encode())
+LENGTH_LINE = b"Content-Length: %d" % len(BODY)
+
+
+def answer(
+    *, status_line: bytes = STATUS_LINE, lines: Sequence[bytes] = (LENGTH_LINE,), body: bytes = BODY
+) -> bytes:
+    """Return an answer with the id and the seal, in which ``ATTEMPT`` stands for the id."""
+    return b"\r\n".join((status_line, *OWN_LINES, *lines, b"", body))
+
+
+def line(text: bytes) -> bytes:
+    """Return an answer with a line in front of its length."""
+    return answer(lines=(text, LENGTH_LINE))
+
+
+BROKEN_FIELDS = {
+    "blank": line(b"X Note: 1"),
+    "blank-before-colon": line(b"X-Note : 1"),
+    "blank-first": line(b" X-Note: 1"),
+    "tab": line(b"X\tNote: 1"),
+    "tab-first": line(b"\tX-Note: 1"),
+    "nul": line(b"X\x00Note: 1"),
+    "control": line(b"X-Note\x01: 1"),
+    "vertical-tab": line(b"X\x0bNote: 1"),
+    "delete": line(b"X\x7fNote: 1"),
+    "next-line": line(b"X\x85Note: 1"),
+    "cr": line(b"X\rNote: 1"),
+    "cr-first": line(b"\rX-Note: 1"),
+    "lf": line(b"X\nNote: 1"),
+    "lf-before-colon": line(b"X-Note\n: 1"),
+    "no-name": line(b": 1"),
+    "no-colon": line(b"X-Note"),
+    "blank-in-the-length": answer(lines=(b"Content-Length : 3",)),
+    "blank-in-the-coding": answer(lines=(b"Transfer-Encoding : chunked",), body=CHUNKED_BODY),
+    "nul-in-a-value": line(b"X-Note: a\x00b"),
+    "cr-behind-a-value": line(b"X-Note: 1\r"),
+}
+BROKEN_HEADS = [pytest.param(head, id=name) for name, head in BROKEN_FIELDS.items()]
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+async def add_upstreams(world: World, behaviour: Behaviour, *, service: str = LEDGER) -> None:
+    for number in range(2):
+        upstream = await world.add_upstream(f"i-{service}-{number}", service=service)
+        upstream.behaviour = behaviour
+
+
+def calls(world: World) -> list[Call]:
+    return [call for upstream in world.upstreams.values() for call in upstream.journal]
+
+
+@pytest.mark.parametrize("broken", BROKEN_HEADS)
+async def test_a_broken_head_is_no_answer_to_a_request_that_may_run_once(
+    world: World, broken: bytes
+) -> None:
+    await add_upstreams(world, raw_answer(broken))
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/1")
+    assert (reply.status, reply.complete) == (502, True)
+    assert names.SEAL.lower() not in reply.headers
+    assert BODY not in reply.body
+    assert len(calls(world)) == 1
+
+
+@pytest.mark.parametrize("broken", BROKEN_HEADS)
+async def test_a_broken_head_is_followed_by_another_upstreams_answer(
+    world: World, broken: bytes
+) -> None:
+    await add_upstreams(world, first_then(raw_answer(broken), then=answer_complete))
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/lookup/1")
+    second = max(calls(world), key=lambda call: call.received_at)
+    assert (reply.status, reply.complete) == (200, True)
+    assert reply.body == f"{second.upstream.name} ran {second.attempt}".encode()
+    assert len(calls(world)) == 2
+
+
+@pytest.mark.parametrize("broken", BROKEN_HEADS)
+async def test_a_stream_with_a_broken_head_begins_at_another_upstream(
+    world: World, broken: bytes
+) -> None:
+    behaviour = first_then(raw_answer(broken), then=unframed_stream(events=4))
+    await add_upstreams(world, behaviour, service=KITCHEN)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1")
+    assert (reply.status, reply.complete, reply.events) == (200, True, [0, 1, 2, 3])
+    assert BODY not in reply.body
+
+
+@pytest.mark.parametrize("broken", BROKEN_HEADS)
+async def test_a_broken_head_is_an_error_to_every_user_of_the_http_client(broken: bytes) -> None:
+    """The store, peers, engines and services are called by the same client."""
+    upstream = UpstreamStandin("i-1", service=LEDGER)
+    upstream.behaviour = raw_answer(broken)
+    await upstream.start()
+    client = HttpClient()
+    with pytest.raises(UpstreamLost):
+        await fetch(
+            client,
+            address=upstream.address,
+            method="GET",
+            path="/",
+            headers={names.EXPECTED_INSTANCE: upstream.name},
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+    assert len(upstream.journal) == 1
+    assert client.idle_count(upstream.address) == 0
+    client.close()
+    await upstream.stop()
--- /dev/null
+++ b/testing/test_early_answers.py
@@ -0,0 +1,153 @@
+"""Tests of upstreams that answer a long upload before they have read it, and break off."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from gateway_builders import KITCHEN
+from gateway_builders import LEDGER
+from gateway_builders import World
+from gateway_builders import configuration
+from gateway_builders import open_world
+from gateway_builders import send
+from platform_upstream import Behaviour
+from platform_upstream import Call
+from platform_upstream import UpstreamStandin
+from platform_upstream import answer_complete
+from platform_upstream import first_then
+
+from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.http_client import fetch
+from baobabpulley.errors import UpstreamLost
+from baobabpulley.platform import names
+
+MEGABYTE = 1024 * 1024
+# More than the socket buffers of both sides hold.
+UPLOAD = b"u" * (24 * MEGABYTE)
+CALL_TIMEOUT_SECONDS = 3.0
+EVENT = b"id: 0\ndata: piece 0\n\n"
+STREAM_HEADER = "Content-Type: text/event-stream"
+PAUSES = [
+    pytest.param(0.0, id="at-once"),
+    pytest.param(0.001, id="soon"),
+    pytest.param(0.05, id="later"),
+]
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    async with open_world(tmp_path) as opened:
+        yield opened
+
+
+def early_part(part: bytes, *extra: str, pause: float, closes: bool = False) -> Behaviour:
+    """Return a behaviour that sends a head without a length and a part of the body, and resets.
+
+    With ``closes`` the connection is closed while it holds unread bytes, for which the kernel
+    resets it.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        # Not drained, as the reader may be behind.
+        call.writer.write(call.head(200, f"{names.SEAL}: s", *extra) + part)
+        await asyncio.sleep(pause)
+        if closes:
+            call.close()
+        else:
+            call.reset()
+
+    return run
+
+
+async def add_early_upstreams(world: World, behaviour: Behaviour, *, service: str = LEDGER) -> None:
+    limits = {"max-body-bytes": 2 * len(UPLOAD), "idle-timeout-ms": 15000}
+    world.store.put(names.CONFIGURATION_KEY, configuration(2, limits=limits))
+    for number in range(2):
+        upstream = await world.add_upstream(f"i-{service}-{number}", service=service)
+        upstream.behaviour = behaviour
+        upstream.reads_bodies = False
+
+
+def calls(world: World) -> list[Call]:
+    return [call for upstream in world.upstreams.values() for call in upstream.journal]
+
+
+@pytest.mark.parametrize("closes", [False, True], ids=["reset", "closed-unread"])
+@pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("size", [0, 1, 1000, 200_000])
+async def test_a_part_that_ends_with_a_reset_during_the_upload_is_no_answer(
+    world: World, size: int, pause: float, closes: bool
+) -> None:
+    await add_early_upstreams(world, early_part(b"x" * size, pause=pause, closes=closes))
+    gateway = await world.add_gateway()
+    for number in range(2):
+        reply = await send(gateway, f"/order/{number}", body=UPLOAD)
+        assert (reply.status, reply.complete) == (502, True)
+        assert b"xx" not in reply.body
+    assert len(calls(world)) == 2
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+async def test_an_upload_whose_answer_was_reset_is_answered_by_another_upstream(
+    world: World, pause: float
+) -> None:
+    behaviour = first_then(early_part(b"x" * 1000, pause=pause), then=answer_complete)
+    await add_early_upstreams(world, behaviour)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/lookup/1", body=UPLOAD)
+    assert (reply.status, reply.complete) == (200, True)
+    assert b" ran " in reply.body
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+async def test_a_stream_that_is_reset_during_the_upload_is_not_ended_as_complete(
+    world: World, pause: float
+) -> None:
+    behaviour = early_part(EVENT, STREAM_HEADER, pause=pause)
+    await add_early_upstreams(world, behaviour, service=KITCHEN)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1", body=UPLOAD)
+    assert not (reply.status == 200 and reply.complete)
+    assert reply.events in ([], [0])
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+async def test_a_reset_during_the_upload_is_an_error_to_every_user_of_the_http_client(
+    pause: float,
+) -> None:
+    upstream = UpstreamStandin("i-1", service=LEDGER)
+    upstream.behaviour = early_part(b"x" * 1000, pause=pause)
+    upstream.reads_bodies = False
+    await upstream.start()
+    client = HttpClient()
+    for _ in range(10):
+        with pytest.raises(UpstreamLost):
+            await fetch(
+                client,
+                address=upstream.address,
+                method="POST",
+                path="/",
+                body=UPLOAD,
+                timeout=CALL_TIMEOUT_SECONDS,
+            )
+    client.close()
+    await upstream.stop()
+
+
+async def test_a_reset_that_only_the_upload_notices_is_an_error_to_the_reader() -> None:
+    """The reader of a large part is behind, so that its connection isn't read when it is reset."""
+    upstream = UpstreamStandin("i-1", service=LEDGER)
+    upstream.behaviour = early_part(b"x" * (4 * MEGABYTE), pause=0.2)
+    upstream.reads_bodies = False
+    await upstream.start()
+    client = HttpClient()
+    call = client.call(address=upstream.address, method="POST", path="/", body=UPLOAD)
+    async with call as response:
+        await asyncio.sleep(0.5)
+        with pytest.raises(UpstreamLost):
+            await response.body(idle_timeout=CALL_TIMEOUT_SECONDS)
+    client.close()
+    await upstream.stop()
--- a/testing/test_unframed_answers.py
+++ b/testing/test_unframed_answers.py
@@ -28,6 +28,7 @@
 from platform_upstream import Behaviour
 from platform_upstream import Call
 from platform_upstream import UpstreamStandin
+from platform_upstream import raw_answer
 from platform_upstream import unframed
 from platform_upstream import unframed_stream
 
@@ -78,19 +79,6 @@
     return replies
 
 
-def at_once(begin: bytes, *, reset: bool) -> Behaviour:
-    """Return a behaviour that sends raw bytes and ends the connection in the same moment."""
-
-    async def run(upstream: UpstreamStandin, call: Call) -> None:
-        await call.write(begin.replace(b"ATTEMPT", call.attempt.encode()))
-        if reset:
-            call.reset()
-        else:
-            call.close()
-
-    return run
-
-
 HEAD = f"HTTP/1.1 200 Answer\r\n{names.ATTEMPT}: ATTEMPT\r\n{names.SEAL}: s\r\n\r\n".encode()
 
 WHOLE = [
@@ -98,7 +86,7 @@
     pytest.param(unframed(b"the ", b"whole ", b"answer", pause=0.02), id="in-pieces"),
     pytest.param(unframed(b"the whole answer", headers=("Connection: close",)), id="announced"),
     pytest.param(unframed(b"the whole answer", version="1.0"), id="http-1.0"),
-    pytest.param(at_once(HEAD + b"the whole answer", reset=False), id="one-segment"),
+    pytest.param(raw_answer(HEAD + b"the whole answer"), id="one-segment"),
 ]
 
 
@@ -167,18 +155,18 @@
 
 # Each of these may have run, and none is a whole answer.
 RESETS = [
-    pytest.param(at_once(b"", reset=True), id="before-the-head"),
-    pytest.param(at_once(HEAD[:30], reset=True), id="within-the-head"),
+    pytest.param(raw_answer(b"", then_reset=True), id="before-the-head"),
+    pytest.param(raw_answer(HEAD[:30], then_reset=True), id="within-the-head"),
     pytest.param(unframed(then_reset=True), id="behind-the-head"),
     pytest.param(unframed(b"the who", then_reset=True), id="within-the-body"),
     pytest.param(unframed(b"the whole answer", then_reset=True), id="behind-the-body"),
     pytest.param(unframed(b"the who", version="1.0", then_reset=True), id="http-1.0"),
     pytest.param(unframed(b"fai", status=500, then_reset=True), id="within-a-failure"),
-    pytest.param(at_once(HEAD, reset=True), id="with-the-head"),
-    pytest.param(at_once(HEAD + b"the who", reset=True), id="with-the-body"),
+    pytest.param(raw_answer(HEAD, then_reset=True), id="with-the-head"),
+    pytest.param(raw_answer(HEAD + b"the who", then_reset=True), id="with-the-body"),
     pytest.param(unframed(b"x" * 3 * MEGABYTE, then_reset=True), id="within-a-large-body"),
-    pytest.param(at_once(HEAD[:30], reset=False), id="closed-within-the-head"),
-    pytest.param(at_once(b"", reset=False), id="closed-before-the-head"),
+    pytest.param(raw_answer(HEAD[:30]), id="closed-within-the-head"),
+    pytest.param(raw_answer(b""), id="closed-before-the-head"),
 ]
 
 
@@ -312,7 +300,7 @@
     [
         pytest.param(unframed(b"second answer"), id="closed"),
         pytest.param(unframed(b"second answer", then_reset=True), id="reset"),
-        pytest.param(at_once(HEAD + b"second answer", reset=False), id="same-segment"),
+        pytest.param(raw_answer(HEAD + b"second answer"), id="same-segment"),
     ],
 )
 async def test_a_second_answer_without_length_reaches_nobody(world: World, more: Behaviour) -> None:
