--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -8,7 +8,6 @@
 from typing import Final
 from typing import final
 
-from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -18,8 +17,10 @@
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.adapters.kill_timer import kill_after
+from baobabpulley.adapters.response_connection import ResponseConnection
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamDisconnected
+from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamStalled
 from baobabpulley.policy.memory_budget import SMALL_BYTES
 from baobabpulley.policy.memory_budget import UPSTREAM_BYTES
@@ -137,16 +138,18 @@
         self.finished = True
         self.queue.put_nowait(END_OF_BODY)
 
-    def on_connection_close(self) -> None:
-        self.fail()
+    def fail(self, *, malformed: str | None = None) -> None:
+        """Report a broken connection to the reader, unless the response is complete.
 
-    def fail(self) -> None:
-        """Report a broken connection to the reader, unless the response is complete."""
+        ``malformed`` is what is wrong with the head of the response, if that is the cause.
+        """
         if self.finished:
             return
-        error = UpstreamDisconnected(
-            f"the connection to {self.address} broke before the response ended"
-        )
+        error = UpstreamLost(f"{self.address} sent a malformed response: {malformed}")
+        if malformed is None:
+            error = UpstreamDisconnected(
+                f"the connection to {self.address} broke before the response ended"
+            )
         if not self.head.done():
             self.head.set_exception(error)
         self.queue.put_nowait(error)
@@ -177,7 +180,7 @@
         self._traffic = traffic
         self._stream = stream
         params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=MAX_RESPONSE_BYTES)
-        self._http = HTTP1Connection(stream, True, params)
+        self._http = ResponseConnection(stream, params)
         self._read_task: asyncio.Task[None] | None = None
 
     async def send(
@@ -248,7 +251,7 @@
         except StreamClosedError:
             pass
         finally:
-            delegate.fail()
+            delegate.fail(malformed=self._http.malformed)
 
 
 def _idle_seconds(headers: HTTPHeaders) -> float:
--- /dev/null
+++ b/src/baobabpulley/adapters/response_connection.py
@@ -0,0 +1,49 @@
+"""The client's side of one HTTP/1.1 exchange, which takes only well-formed responses."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPInputError
+from tornado.httputil import parse_response_start_line
+from tornado.iostream import IOStream
+
+# The range of HTTP statuses; RFC 9110, section 15, calls all others invalid.
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
+
+
+@final
+class ResponseConnection(HTTP1Connection):
+    """Close the connection instead of passing on a response whose head is malformed.
+
+    Tornado checks the fields of a head, but takes any three digits for a status.
+    """
+
+    def __init__(self, stream: IOStream, parameters: HTTP1ConnectionParameters) -> None:
+        super().__init__(stream, True, parameters)
+        self._malformed: str | None = None
+
+    @property
+    def malformed(self) -> str | None:
+        """What is wrong with the head of the response, if it has been found malformed."""
+        return self._malformed
+
+    def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
+        try:
+            start_line, headers = super()._parse_headers(data)
+            _check_status(start_line)
+        except HTTPInputError as error:
+            self._malformed = str(error)
+            raise
+        return start_line, headers
+
+
+def _check_status(start_line: str) -> None:
+    status = parse_response_start_line(start_line).code
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise HTTPInputError(f"{status:03d} is not an HTTP status")
--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -40,11 +40,18 @@
     return b"\r\n".join((status_line, *OWN_LINES, *lines, b"", body))
 
 
+def status(text: bytes) -> bytes:
+    return answer(status_line=b"HTTP/1.1 %s Answer" % text)
+
+
 def line(text: bytes) -> bytes:
     """Return an answer with a line in front of its length."""
     return answer(lines=(text, LENGTH_LINE))
 
 
+BROKEN_STATUSES = {
+    text.decode(): status(text) for text in (b"000", b"001", b"042", b"099", b"600", b"999")
+}
 BROKEN_FIELDS = {
     "blank": line(b"X Note: 1"),
     "blank-before-colon": line(b"X-Note : 1"),
@@ -67,7 +74,9 @@
     "nul-in-a-value": line(b"X-Note: a\x00b"),
     "cr-behind-a-value": line(b"X-Note: 1\r"),
 }
-BROKEN_HEADS = [pytest.param(head, id=name) for name, head in BROKEN_FIELDS.items()]
+BROKEN_HEADS = [
+    pytest.param(head, id=name) for name, head in {**BROKEN_STATUSES, **BROKEN_FIELDS}.items()
+]
 
 
 @pytest.fixture
@@ -144,3 +153,11 @@
     assert client.idle_count(upstream.address) == 0
     client.close()
     await upstream.stop()
+
+
+@pytest.mark.parametrize("code", [200, 299, 404, 500, 599])
+async def test_statuses_of_http_reach_callers(world: World, code: int) -> None:
+    await add_upstreams(world, raw_answer(status(b"%d" % code)))
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/1")
+    assert (reply.status, reply.body, reply.complete) == (code, BODY, True)
