The head of an answer has only CR LF as line ends (47)

What callers get without this: where a field's name begins with an LF, the head ends there, and the rest of it reaches the caller as the beginning of the body, with status 200 and the server's seal: 'X-Note: 1' and the other lines, or chunk sizes. An LF in a value makes a field of what stands behind it, so that a body of 6 bytes reached the caller as 3. Cause: Tornado takes a bare LF for the end of a line, and CRs before CR LF for nothing, in the head of an answer as in that of a request; requests are checked for it in StrictConnection, answers weren't. Fix: the check moves to adapters/line_ends and is made for answers as for requests, before the head is split into lines.

--- a/src/baobabpulley/adapters/response_connection.py
+++ b/src/baobabpulley/adapters/response_connection.py
@@ -12,6 +12,8 @@
 from tornado.httputil import parse_response_start_line
 from tornado.iostream import IOStream
 
+from baobabpulley.adapters.line_ends import check_line_ends
+
 # The range of HTTP statuses; RFC 9110, section 15, calls all others invalid.
 MIN_STATUS: Final = 100
 MAX_STATUS: Final = 599
@@ -21,7 +23,8 @@
 class ResponseConnection(HTTP1Connection):
     """Close the connection instead of passing on a response whose head is malformed.
 
-    Tornado checks the fields of a head, but takes any three digits for a status.
+    Tornado checks the names and values of a head's fields, but takes a bare LF for the end of a
+    line, and any three digits for a status.
     """
 
     def __init__(self, stream: IOStream, parameters: HTTP1ConnectionParameters) -> None:
@@ -35,6 +38,7 @@
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
         try:
+            check_line_ends(data)
             start_line, headers = super()._parse_headers(data)
             _check_status(start_line)
         except HTTPInputError as error:
--- a/src/baobabpulley/gateway/callers/strict_connection.py
+++ b/src/baobabpulley/gateway/callers/strict_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 from typing import Final
 from typing import final
@@ -18,14 +17,14 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
 
+from baobabpulley.adapters.line_ends import check_line_ends
+
 # A caller that is still sending when its connection ends may do so for this many real seconds.
 LINGER_SECONDS: Final = 2.0
 HEAD: Final = "HEAD"
 # Lengths beyond this are no sizes of bodies, and Python may refuse to convert them.
 MAX_LENGTH_DIGITS: Final = 18
 
-_BARE_LINE_END: Final = re.compile(rb"(?<!\r)\n|\r(?!\n)")
-
 
 @final
 class StrictConnection(HTTP1Connection):
@@ -88,8 +87,7 @@
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
         self.head_size = len(data)
-        if _BARE_LINE_END.search(data):
-            raise HTTPInputError("a header line does not end with CR LF")
+        check_line_ends(data)
         start_line, headers = super()._parse_headers(data)
         lengths = headers.get_list("Content-Length")
         encodings = headers.get_list("Transfer-Encoding")
--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -74,8 +74,22 @@
     "nul-in-a-value": line(b"X-Note: a\x00b"),
     "cr-behind-a-value": line(b"X-Note: 1\r"),
 }
+# Names and values that hold an LF or CR, so that two parsers could see other lines.
+BROKEN_LINE_ENDS = {
+    "lf-first": line(b"\nX-Note: 1"),
+    "two-lf-first": line(b"\n\nX-Note: 1"),
+    "lf-first-behind-the-length": answer(lines=(LENGTH_LINE, b"\nX-Note: 1")),
+    "lf-before-the-length": answer(lines=(b"\nContent-Length: 6",)),
+    "lf-before-the-coding": answer(lines=(b"\nTransfer-Encoding: chunked",), body=CHUNKED_BODY),
+    "lf-in-a-value": answer(lines=(b"X-Note: 1\nContent-Length: 3",)),
+    "lf-behind-a-value": answer(lines=(b"X-Note: 1\n", LENGTH_LINE)),
+    "cr-behind-the-status-line": answer(status_line=STATUS_LINE + b"\r"),
+    "lf-behind-the-status-line": answer(status_line=STATUS_LINE + b"\n"),
+    "lf-only": answer().replace(b"\r\n", b"\n"),
+}
 BROKEN_HEADS = [
-    pytest.param(head, id=name) for name, head in {**BROKEN_STATUSES, **BROKEN_FIELDS}.items()
+    pytest.param(head, id=name)
+    for name, head in {**BROKEN_STATUSES, **BROKEN_FIELDS, **BROKEN_LINE_ENDS}.items()
 ]
 
 
