--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -17,6 +17,7 @@
 from tornado.iostream import StreamClosedError
 
 from baobabpulley.adapters.kill_timer import kill_after
+from baobabpulley.adapters.response_connection import MIN_FINAL_STATUS
 from baobabpulley.adapters.response_connection import ResponseConnection
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamDisconnected
@@ -76,12 +77,15 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
-        self.status = start_line.code
-        self._version = start_line.version
-        self.headers = headers
         self._traffic.received += HEAD_OVERHEAD_BYTES + sum(
             len(name) + len(value) for name, value in headers.items()
         )
+        if start_line.code < MIN_FINAL_STATUS:
+            # The head of the response itself follows.
+            return
+        self.status = start_line.code
+        self._version = start_line.version
+        self.headers = headers
         if not self.head.done():
             self.head.set_result(None)
 
--- a/src/baobabpulley/adapters/response_connection.py
+++ b/src/baobabpulley/adapters/response_connection.py
@@ -17,6 +17,10 @@
 # The range of HTTP statuses; RFC 9110, section 15, calls all others invalid.
 MIN_STATUS: Final = 100
 MAX_STATUS: Final = 599
+# Responses below this are interim: the final one follows on the same connection.
+MIN_FINAL_STATUS: Final = 200
+# Answers a request with `Upgrade`, which is never sent; what follows is no HTTP.
+SWITCHING_PROTOCOLS: Final = 101
 
 
 @final
@@ -51,3 +55,5 @@
     status = parse_response_start_line(start_line).code
     if not MIN_STATUS <= status <= MAX_STATUS:
         raise HTTPInputError(f"{status:03d} is not an HTTP status")
+    if status == SWITCHING_PROTOCOLS:
+        raise HTTPInputError("a change of protocols was not requested")
--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 from pathlib import Path
@@ -175,3 +176,65 @@
     gateway = await world.add_gateway()
     reply = await send(gateway, "/order/1")
     assert (reply.status, reply.body, reply.complete) == (code, BODY, True)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05], ids=["same-segment", "later"])
+@pytest.mark.parametrize("code", [100, 102, 103, 199])
+async def test_an_interim_response_is_not_taken_for_the_answer(
+    world: World, code: int, pause: float
+) -> None:
+    async def announce(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(call.head(code, f"{names.SEAL}: early", f"{names.NOT_EXECUTED}: 1"))
+        await asyncio.sleep(pause)
+        await call.write(call.sealed(b"the answer"))
+
+    await add_upstreams(world, announce)
+    gateway = await world.add_gateway()
+    for path in ("/order/1", "/lookup/2", "/order/3"):
+        reply = await send(gateway, path)
+        assert (reply.status, reply.body, reply.complete) == (200, b"the answer", True)
+        assert reply.headers[names.SEAL.lower()] != "early"
+        assert names.NOT_EXECUTED.lower() not in reply.headers
+    assert len(calls(world)) == 3
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05], ids=["same-segment", "later"])
+async def test_a_stream_behind_an_interim_response_is_whole(world: World, pause: float) -> None:
+    async def announce(upstream: UpstreamStandin, call: Call) -> None:
+        await call.write(call.head(103, f"{names.SEAL}: early", "Content-Type: text/plain"))
+        await asyncio.sleep(pause)
+        await unframed_stream(events=4)(upstream, call)
+
+    await add_upstreams(world, announce, service=KITCHEN)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/draft/1")
+    assert (reply.status, reply.complete, reply.events) == (200, True, [0, 1, 2, 3])
+    assert len(calls(world)) == 1
+
+
+@pytest.mark.parametrize("ending", ["closed", "without-end"])
+@pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
+async def test_interim_responses_alone_are_no_answer(world: World, path: str, ending: str) -> None:
+    async def only_announce(upstream: UpstreamStandin, call: Call) -> None:
+        announcement = call.head(100, f"{names.SEAL}: early", "Content-Type: text/event-stream")
+        await call.write(announcement)
+        while ending == "without-end" and not call.writer.is_closing():
+            await call.write(announcement)
+            await asyncio.sleep(0)
+        call.close()
+
+    await add_upstreams(world, only_announce)
+    await add_upstreams(world, only_announce, service=KITCHEN)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, path)
+    assert (reply.status, reply.complete) == (502, True)
+    assert names.SEAL.lower() not in reply.headers
+
+
+async def test_a_change_of_protocols_that_nobody_asked_for_is_no_answer(world: World) -> None:
+    switch = answer(status_line=b"HTTP/1.1 101 Answer", lines=(b"Upgrade: other",), body=b"")
+    await add_upstreams(world, raw_answer(switch + answer()))
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/1")
+    assert (reply.status, reply.complete) == (502, True)
+    assert names.SEAL.lower() not in reply.headers
