--- a/src/baobabpulley/adapters/line_ends.py
+++ b/src/baobabpulley/adapters/message_heads.py
@@ -1,4 +1,4 @@
-"""The check that two parsers see the same lines in the head of an HTTP/1.1 message."""
+"""Checks that two parsers find the same in the head of an HTTP/1.1 message."""
 
 from __future__ import annotations
 
@@ -7,6 +7,9 @@
 
 from tornado.httputil import HTTPInputError
 
+# Lengths beyond this are no sizes of bodies, and Python may refuse to convert them.
+MAX_LENGTH_DIGITS: Final = 18
+
 _BARE_LINE_END: Final = re.compile(rb"(?<!\r)\n|\r(?!\n)")
 
 
@@ -24,3 +27,18 @@
     """
     if _BARE_LINE_END.search(head):
         raise HTTPInputError("a header line does not end with CR LF")
+
+
+def check_length(text: str) -> None:
+    """Raise `HTTPInputError` if the text of a ``Content-Length`` is no number of bytes.
+
+    >>> check_length("42")
+    >>> check_length("+42")
+    Traceback (most recent call last):
+        ...
+    tornado.httputil.HTTPInputError: Content-Length is not a decimal number of at most 18 digits
+    """
+    if not (text.isdecimal() and len(text) <= MAX_LENGTH_DIGITS):
+        raise HTTPInputError(
+            f"Content-Length is not a decimal number of at most {MAX_LENGTH_DIGITS} digits"
+        )
--- a/src/baobabpulley/adapters/response_connection.py
+++ b/src/baobabpulley/adapters/response_connection.py
@@ -12,7 +12,8 @@
 from tornado.httputil import parse_response_start_line
 from tornado.iostream import IOStream
 
-from baobabpulley.adapters.line_ends import check_line_ends
+from baobabpulley.adapters.message_heads import check_length
+from baobabpulley.adapters.message_heads import check_line_ends
 
 # The range of HTTP statuses; RFC 9110, section 15, calls all others invalid.
 MIN_STATUS: Final = 100
@@ -28,7 +29,7 @@
     """Close the connection instead of passing on a response whose head is malformed.
 
     Tornado checks the names and values of a head's fields, but takes a bare LF for the end of a
-    line, and any three digits for a status.
+    line and any three digits for a status, and checks a length only as the body begins.
     """
 
     def __init__(self, stream: IOStream, parameters: HTTP1ConnectionParameters) -> None:
@@ -45,6 +46,7 @@
             check_line_ends(data)
             start_line, headers = super()._parse_headers(data)
             _check_status(start_line)
+            _check_lengths(headers)
         except HTTPInputError as error:
             self._malformed = str(error)
             raise
@@ -57,3 +59,14 @@
         raise HTTPInputError(f"{status:03d} is not an HTTP status")
     if status == SWITCHING_PROTOCOLS:
         raise HTTPInputError("a change of protocols was not requested")
+
+
+def _check_lengths(headers: HTTPHeaders) -> None:
+    """Check the length of the body, and leave one if it is stated several times."""
+    fields = headers.get_list("Content-Length")
+    lengths = {length.strip() for field in fields for length in field.split(",")}
+    if len(lengths) > 1:
+        raise HTTPInputError("the response has several Content-Lengths")
+    for length in lengths:
+        check_length(length)
+        headers["Content-Length"] = length
--- a/src/baobabpulley/gateway/callers/strict_connection.py
+++ b/src/baobabpulley/gateway/callers/strict_connection.py
@@ -17,13 +17,12 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
 
-from baobabpulley.adapters.line_ends import check_line_ends
+from baobabpulley.adapters.message_heads import check_length
+from baobabpulley.adapters.message_heads import check_line_ends
 
 # A caller that is still sending when its connection ends may do so for this many real seconds.
 LINGER_SECONDS: Final = 2.0
 HEAD: Final = "HEAD"
-# Lengths beyond this are no sizes of bodies, and Python may refuse to convert them.
-MAX_LENGTH_DIGITS: Final = 18
 
 
 @final
@@ -93,10 +92,8 @@
         encodings = headers.get_list("Transfer-Encoding")
         if len(lengths) + len(encodings) > 1:
             raise HTTPInputError("more than one Content-Length or Transfer-Encoding header")
-        if lengths and not (lengths[0].isdecimal() and len(lengths[0]) <= MAX_LENGTH_DIGITS):
-            raise HTTPInputError(
-                f"Content-Length is not a decimal number of at most {MAX_LENGTH_DIGITS} digits"
-            )
+        if lengths:
+            check_length(lengths[0])
         if encodings and encodings[0].lower() != "chunked":
             raise HTTPInputError("Transfer-Encoding is not chunked")
         if len(headers.get_list("Host")) != 1:
--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -310,29 +310,33 @@
 
 async def send(gateway: Gateway, path: str, **options: Any) -> Reply:
     """Send one request on a new connection and return the response."""
-    return await send_raw(gateway, request_bytes(path, **options))
+    has_body = options.get("method") != "HEAD"
+    return await send_raw(gateway, request_bytes(path, **options), has_body=has_body)
 
 
-async def send_raw(gateway: Gateway, data: bytes) -> Reply:
+async def send_raw(gateway: Gateway, data: bytes, *, has_body: bool = True) -> Reply:
     """Send raw bytes on a new connection and return the response."""
     host, port = gateway.node.callers.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
         writer.write(data)
-        return await asyncio.wait_for(read_reply(reader), 20)
+        return await asyncio.wait_for(read_reply(reader, has_body=has_body), 20)
     finally:
         writer.close()
 
 
-async def read_reply(reader: asyncio.StreamReader) -> Reply:
-    """Read one response; status 0 means that the connection was closed without one."""
+async def read_reply(reader: asyncio.StreamReader, *, has_body: bool = True) -> Reply:
+    """Read one response; status 0 means that the connection was closed without one.
+
+    The response to a HEAD request has no body.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return Reply(0, {}, b"", complete=False)
     first, *lines = head.decode("latin1").rstrip("\r\n").split("\r\n")
     headers = {name.lower(): text for name, text in (line.split(": ", 1) for line in lines)}
-    body, complete = await _read_body(reader, headers)
+    body, complete = await _read_body(reader, headers) if has_body else (b"", True)
     return Reply(int(first.split(" ")[1]), headers, body, complete=complete)
 
 
--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -88,9 +88,25 @@
     "lf-behind-the-status-line": answer(status_line=STATUS_LINE + b"\n"),
     "lf-only": answer().replace(b"\r\n", b"\n"),
 }
+BROKEN_LENGTHS = {
+    "lengths-differ": answer(lines=(LENGTH_LINE, b"Content-Length: 5")),
+    "length-list": answer(lines=(b"Content-Length: 6, 5",)),
+    "negative-length": answer(lines=(b"Content-Length: -6",)),
+    "signed-length": answer(lines=(b"Content-Length: +6",)),
+    "superscript-length": answer(lines=(b"Content-Length: \xb2",)),
+    "word-for-length": answer(lines=(b"Content-Length: six",)),
+    "empty-length": answer(lines=(b"Content-Length:",)),
+    "length-of-20-digits": answer(lines=(b"Content-Length: " + b"9" * 20,)),
+    "length-of-5000-digits": answer(lines=(b"Content-Length: " + b"9" * 5000,)),
+}
 BROKEN_HEADS = [
     pytest.param(head, id=name)
-    for name, head in {**BROKEN_STATUSES, **BROKEN_FIELDS, **BROKEN_LINE_ENDS}.items()
+    for name, head in {
+        **BROKEN_STATUSES,
+        **BROKEN_FIELDS,
+        **BROKEN_LINE_ENDS,
+        **BROKEN_LENGTHS,
+    }.items()
 ]
 
 
@@ -123,6 +139,15 @@
     assert len(calls(world)) == 1
 
 
+@pytest.mark.parametrize("broken", BROKEN_HEADS)
+async def test_a_broken_head_is_no_answer_to_a_head_request(world: World, broken: bytes) -> None:
+    await add_upstreams(world, raw_answer(broken.removesuffix(BODY)))
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/1", method="HEAD", body=b"")
+    assert reply.status == 502
+    assert names.SEAL.lower() not in reply.headers
+
+
 @pytest.mark.parametrize("broken", BROKEN_HEADS)
 async def test_a_broken_head_is_followed_by_another_upstreams_answer(
     world: World, broken: bytes
@@ -178,6 +203,14 @@
     assert (reply.status, reply.body, reply.complete) == (code, BODY, True)
 
 
+async def test_a_length_that_is_repeated_reaches_callers_once(world: World) -> None:
+    await add_upstreams(world, raw_answer(answer(lines=(LENGTH_LINE, LENGTH_LINE))))
+    gateway = await world.add_gateway()
+    for method in ("POST", "HEAD"):
+        reply = await send(gateway, "/order/1", method=method)
+        assert (reply.status, reply.headers["content-length"]) == (200, "6")
+
+
 @pytest.mark.parametrize("pause", [0.0, 0.05], ids=["same-segment", "later"])
 @pytest.mark.parametrize("code", [100, 102, 103, 199])
 async def test_an_interim_response_is_not_taken_for_the_answer(
--- a/testing/test_head_requests.py
+++ b/testing/test_head_requests.py
@@ -45,14 +45,12 @@
     host, port = gateway.node.callers.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(request_bytes(path, method="HEAD", body=b"", key=key, **headers))
-    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_SECONDS)
-    first, *lines = head.decode().rstrip("\r\n").split("\r\n")
-    received = {name.lower(): text for name, text in (line.split(": ", 1) for line in lines)}
+    head = await asyncio.wait_for(read_reply(reader, has_body=False), WAIT_SECONDS)
     # If a body followed the head, this would read it as the beginning of the next answer.
     writer.write(request_bytes(then, method="GET", body=b""))
     reply = await asyncio.wait_for(read_reply(reader), WAIT_SECONDS)
     writer.close()
-    return int(first.split(" ")[1]), received, reply.status
+    return head.status, head.headers, reply.status
 
 
 # Guards against review/5: the gateway's own answers to HEAD ended as a closed connection.
