--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -22,11 +22,11 @@
 from tornado.iostream import IOStream
 
 from baobabpulley.adapters.addresses import connect
-from baobabpulley.adapters.addresses import is_reusable
 from baobabpulley.adapters.http_connection import END_OF_BODY
 from baobabpulley.adapters.http_connection import MAX_IDLE_SECONDS
 from baobabpulley.adapters.http_connection import Connection
 from baobabpulley.adapters.http_connection import ResponseDelegate
+from baobabpulley.adapters.streams import is_reusable
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamStalled
--- /dev/null
+++ b/src/baobabpulley/adapters/streams.py
@@ -0,0 +1,64 @@
+"""TCP connections as streams, and what their buffers and the kernel hold."""
+
+from __future__ import annotations
+
+import fcntl
+import socket
+import struct
+import termios
+from typing import Any
+from typing import Final
+
+from tornado.iostream import IOStream
+
+_INT: Final = struct.Struct("i")
+
+
+class NoDelayStream(IOStream):
+    """A connection with ``TCP_NODELAY`` always on, so that each write is sent at once."""
+
+    def __init__(self, connection: socket.socket, **options: Any) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(connection, **options)
+
+    def set_nodelay(self, value: bool) -> None:
+        """Ignore the call: Nagle's algorithm would delay tokens until an ACK arrives."""
+
+
+def unconsumed_bytes(stream: IOStream) -> int:
+    """Return how many bytes have been read from the socket that no read has consumed yet."""
+    return int(stream._read_buffer_size)
+
+
+def unwritten_bytes(stream: IOStream) -> int:
+    """Return how many written bytes an open connection's stream hasn't handed to the kernel."""
+    return len(stream._write_buffer)
+
+
+def outgoing_bytes(stream: IOStream) -> int:
+    """Return how many bytes the kernel holds that the other side hasn't acknowledged."""
+    unacknowledged = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(_INT.size))
+    return int(_INT.unpack(unacknowledged)[0])
+
+
+def is_acknowledged(stream: IOStream) -> bool:
+    """Whether the other side has received all bytes that were written to an open connection."""
+    return not stream.writing() and outgoing_bytes(stream) == 0
+
+
+def is_reusable(stream: IOStream) -> bool:
+    """Whether an idle connection is still open and has received no unexpected bytes."""
+    return not unconsumed_bytes(stream) and is_drained(stream)
+
+
+def is_drained(stream: IOStream) -> bool:
+    """Whether a connection is open and its socket holds no bytes that have not been read."""
+    if stream.closed():
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/baobabpulley/entry/listener.py
+++ b/src/baobabpulley/entry/listener.py
@@ -17,8 +17,8 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
-from baobabpulley.adapters.addresses import NoDelayStream
 from baobabpulley.adapters.addresses import split_address
+from baobabpulley.adapters.streams import NoDelayStream
 from baobabpulley.entry.callers import CallersSection
 from baobabpulley.entry.context import EntryContext
 from baobabpulley.entry.web import IDLE_SECONDS_SETTING
--- a/src/baobabpulley/gateway/callers/caller_stream.py
+++ b/src/baobabpulley/gateway/callers/caller_stream.py
@@ -13,7 +13,7 @@
 import msgspec
 from tornado.iostream import UnsatisfiableReadError
 
-from baobabpulley.adapters.addresses import NoDelayStream
+from baobabpulley.adapters.streams import NoDelayStream
 from baobabpulley.adapters.turns import Turns
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import HeaderTooLarge
--- a/src/baobabpulley/gateway/callers/listener.py
+++ b/src/baobabpulley/gateway/callers/listener.py
@@ -21,8 +21,8 @@
 from tornado.iostream import UnsatisfiableReadError
 from tornado.tcpserver import TCPServer
 
-from baobabpulley.adapters.addresses import is_acknowledged
-from baobabpulley.adapters.addresses import is_reusable
+from baobabpulley.adapters.streams import is_acknowledged
+from baobabpulley.adapters.streams import is_reusable
 from baobabpulley.errors import BaobabError
 from baobabpulley.gateway.callers.caller_stream import DISCARDED_BYTES
 from baobabpulley.gateway.callers.caller_stream import CallerStream
--- a/src/baobabpulley/gateway/callers/received_request.py
+++ b/src/baobabpulley/gateway/callers/received_request.py
@@ -16,8 +16,8 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import IOStream
 
-from baobabpulley.adapters.addresses import is_drained
-from baobabpulley.adapters.addresses import unconsumed_bytes
+from baobabpulley.adapters.streams import is_drained
+from baobabpulley.adapters.streams import unconsumed_bytes
 from baobabpulley.errors import BadRequest
 from baobabpulley.errors import BaobabError
 from baobabpulley.errors import BodyTooLarge
--- a/src/baobabpulley/gateway/callers/unsent_bytes.py
+++ b/src/baobabpulley/gateway/callers/unsent_bytes.py
@@ -6,9 +6,9 @@
 
 from tornado.iostream import IOStream
 
-from baobabpulley.adapters.addresses import outgoing_bytes
-from baobabpulley.adapters.addresses import unconsumed_bytes
-from baobabpulley.adapters.addresses import unwritten_bytes
+from baobabpulley.adapters.streams import outgoing_bytes
+from baobabpulley.adapters.streams import unconsumed_bytes
+from baobabpulley.adapters.streams import unwritten_bytes
 from baobabpulley.policy.memory_budget import CONNECTION_BYTES
 from baobabpulley.policy.memory_budget import MemoryBudget
 
--- a/src/baobabpulley/gateway/exchanges/connection_watch.py
+++ b/src/baobabpulley/gateway/exchanges/connection_watch.py
@@ -9,8 +9,8 @@
 
 from loguru import logger
 
-from baobabpulley.adapters.addresses import is_acknowledged
 from baobabpulley.adapters.http_client import HttpClient
+from baobabpulley.adapters.streams import is_acknowledged
 from baobabpulley.gateway.exchanges.attempt_progress import AttemptProgress
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.silent_connections import SilentConnections
