--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -8,7 +8,7 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
-from baobabpulley.adapters.streams import NoDelayStream
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.errors import UpstreamUnreachable
 
 
@@ -22,13 +22,13 @@
     return host, int(port)
 
 
-async def connect(address: str, *, timeout: float) -> IOStream:
+async def connect(address: str, *, timeout: float) -> ClientStream:
     """Open a TCP connection; raise `UpstreamUnreachable` if it fails or takes too long.
 
     ``timeout`` is in real seconds. A connection that has opened by the time the process notices the
     timeout is returned: the process may have been late.
     """
-    stream = NoDelayStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    stream = ClientStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     try:
         await _open(stream, address, timeout)
     except (StreamClosedError, OSError) as error:
--- /dev/null
+++ b/src/baobabpulley/adapters/client_stream.py
@@ -0,0 +1,93 @@
+"""A connection to a server that tells an end in order from a reset of what is still being sent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+import time
+from typing import Any
+from typing import Final
+from typing import final
+
+from baobabpulley.adapters.streams import NoDelayStream
+from baobabpulley.adapters.streams import is_acknowledged
+from baobabpulley.adapters.streams import unacknowledged_bytes
+
+# A server that is gone resets the connection as soon as bytes reach it: a round trip, and a
+# retransmission if they are lost.
+RESET_TIMEOUT_SECONDS: Final = 0.5
+RESET_POLL_SECONDS: Final = 0.005
+# Sent after the server's end if nothing is on its way, so that one that is gone resets.
+PROBE_BYTES: Final = 65_536
+
+
+@final
+class ClientStream(NoDelayStream):
+    """A stream that keeps its socket for a while if the server ends it before it has everything.
+
+    The kernel of a process that is gone ends its connection in order if the process had read all
+    that had arrived; only the reset that answers the rest of the request shows that it broke off.
+    Tornado closes the stream at the end of the input, so a duplicate of the socket is kept until
+    `was_reset` has returned or the closed stream is closed once more.
+    """
+
+    def __init__(self, connection: socket.socket, **options: Any) -> None:
+        super().__init__(connection, **options)
+        self._unfinished: socket.socket | None = None
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what has arrived; see Tornado's `IOStream`."""
+        size = super().read_from_fd(buf)
+        if size == 0 and not is_acknowledged(self):
+            self._send_probe()
+            self._unfinished = self._duplicate()
+        return size
+
+    def close(self, exc_info: Any = False) -> None:
+        """Close the stream, or what has been kept of a closed one."""
+        if self.closed():
+            self._drop_unfinished()
+        super().close(exc_info)
+
+    async def was_reset(self) -> bool:
+        """Whether the server has reset the closed connection, also after its end in order.
+
+        Wait for at most `RESET_TIMEOUT_SECONDS`, real seconds, while the server has not
+        acknowledged what was sent.
+        """
+        if self.error is not None:
+            return True
+        try:
+            return await self._is_rest_reset()
+        finally:
+            self._drop_unfinished()
+
+    async def _is_rest_reset(self) -> bool:
+        end = time.monotonic() + RESET_TIMEOUT_SECONDS
+        while self._unfinished is not None and time.monotonic() < end:
+            if self._unfinished.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return True
+            if not unacknowledged_bytes(self._unfinished):
+                return False
+            await asyncio.sleep(RESET_POLL_SECONDS)
+        return False
+
+    def _send_probe(self) -> None:
+        """Send some of what is left to be sent; raise `OSError` if the connection was reset."""
+        if self.writing():
+            with self._write_buffer.peek(PROBE_BYTES) as data, contextlib.suppress(BlockingIOError):
+                self.write_to_fd(data)
+
+    def _duplicate(self) -> socket.socket:
+        try:
+            return self.socket.dup()
+        except OSError as error:
+            # Without a descriptor nothing tells whether the response is whole.
+            raise ConnectionAbortedError(errno.ECONNABORTED, str(error)) from error
+
+    def _drop_unfinished(self) -> None:
+        if self._unfinished is not None:
+            self._unfinished.close()
+            self._unfinished = None
--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -19,9 +19,9 @@
 from typing import final
 
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import IOStream
 
 from baobabpulley.adapters.addresses import connect
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.adapters.http_connection import END_OF_BODY
 from baobabpulley.adapters.http_connection import MAX_IDLE_SECONDS
 from baobabpulley.adapters.http_connection import Connection
@@ -142,7 +142,7 @@
 
 
 # Time until which a connection may be reused, time at which it became idle, connection.
-_Idle = tuple[float, float, IOStream]
+_Idle = tuple[float, float, ClientStream]
 
 
 @final
@@ -190,7 +190,7 @@
         ack_timeout: float | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
         max_idle: float = MAX_IDLE_SECONDS,
-        on_connected: Callable[[IOStream, bool], None] | None = None,
+        on_connected: Callable[[ClientStream, bool], None] | None = None,
     ) -> AsyncIterator[HttpResponse]:
         """Send a request and yield its response; leaving the block early drops the connection.
 
@@ -281,7 +281,7 @@
         if not left:
             self._aside.pop(address, None)
 
-    def _take_idle(self, address: str, *, max_idle: float) -> IOStream | None:
+    def _take_idle(self, address: str, *, max_idle: float) -> ClientStream | None:
         """Return an idle connection that may be used again, or ``None``."""
         streams = self._idle[address]
         while streams:
--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -13,9 +13,9 @@
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
-from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.adapters.kill_timer import kill_after
 from baobabpulley.adapters.response_connection import MIN_FINAL_STATUS
 from baobabpulley.adapters.response_connection import ResponseConnection
@@ -48,7 +48,7 @@
     """
 
     def __init__(
-        self, address: str, traffic: Traffic, *, stream: IOStream, budget: MemoryBudget
+        self, address: str, traffic: Traffic, *, stream: ClientStream, budget: MemoryBudget
     ) -> None:
         self._budget = budget
         self.address = address
@@ -57,7 +57,7 @@
         self.status = 0
         self._version = "HTTP/1.1"
         self.headers = HTTPHeaders()
-        self.finished = False
+        self.finished = self._is_read = False
         self.queue: asyncio.Queue[object] = asyncio.Queue()
         self._unread_bytes = 0
         self._is_dropped = self._is_waiting = False
@@ -94,9 +94,10 @@
         """Whether the body is delimited only by the end of the connection."""
         return "Content-Length" not in self.headers and "Transfer-Encoding" not in self.headers
 
-    def was_reset(self) -> bool:
-        """Whether the connection ended with an error instead of a regular close."""
-        return self._stream.error is not None
+    @property
+    def awaits_end(self) -> bool:
+        """Whether the body has been read, and is whole unless its connection was reset."""
+        return self._is_read and not self.finished
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._traffic.received += CHUNK_OVERHEAD_BYTES + len(chunk)
@@ -136,9 +137,12 @@
         self._is_waiting = False
 
     def finish(self) -> None:
-        if self.ends_with_connection and self.was_reset():
-            self.fail()
-            return
+        self._is_read = True
+        if not (self.ends_with_connection and self._stream.closed()):
+            self.complete()
+
+    def complete(self) -> None:
+        """Report the end of a whole response to the reader."""
         self.finished = True
         self.queue.put_nowait(END_OF_BODY)
 
@@ -175,7 +179,7 @@
     )
 
     def __init__(
-        self, *, address: str, stream: IOStream, traffic: Traffic, budget: MemoryBudget
+        self, *, address: str, stream: ClientStream, traffic: Traffic, budget: MemoryBudget
     ) -> None:
         self._budget = budget
         self._delegate: ResponseDelegate | None = None
@@ -236,7 +240,7 @@
             ) from error
         return delegate
 
-    def detach(self, *, clean: bool) -> IOStream | None:
+    def detach(self, *, clean: bool) -> ClientStream | None:
         """Return the connection for reuse if the response was complete; else close it."""
         delegate = self._delegate
         # A reader that waits for room finds the stream closed; Tornado would log its cancellation.
@@ -245,13 +249,16 @@
         if delegate is not None:
             delegate.drop()
         if clean and not self._stream.closed():
-            return self._http.detach()
+            self._http.detach()
+            return self._stream
         self._stream.close()
         return None
 
     async def _read(self, delegate: ResponseDelegate) -> None:
         try:
             await self._http.read_response(delegate)
+            if delegate.awaits_end and not await self._stream.was_reset():
+                delegate.complete()
         except StreamClosedError:
             pass
         finally:
--- a/src/baobabpulley/adapters/streams.py
+++ b/src/baobabpulley/adapters/streams.py
@@ -37,8 +37,13 @@
 
 def outgoing_bytes(stream: IOStream) -> int:
     """Return how many bytes the kernel holds that the other side hasn't acknowledged."""
-    unacknowledged = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(_INT.size))
-    return int(_INT.unpack(unacknowledged)[0])
+    return unacknowledged_bytes(stream.socket)
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return how many sent bytes the other side of a connection hasn't acknowledged."""
+    count = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(_INT.size))
+    return int(_INT.unpack(count)[0])
 
 
 def is_acknowledged(stream: IOStream) -> bool:
--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -29,6 +29,7 @@
         target: str,
         headers: dict[str, str],
         body: bytes,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         upstream: UpstreamStandin,
     ) -> None:
@@ -36,6 +37,7 @@
         self.target = target
         self.headers = headers
         self.body = body
+        self.reader = reader
         self.writer = writer
         self.upstream = upstream
         self.received_at = time.monotonic()
@@ -92,7 +94,7 @@
     ``behaviour`` responds to requests. ``arrivals`` lists the attempts received, ``journal`` those
     executed, and ``orders`` the orders received; without ``frames_orders`` their answers have no
     length. The first order waits for ``first_order_pause_seconds``. Without ``reads_bodies`` it
-    responds to the head of a request, and reads no further on that connection.
+    responds to the head of a request, and only ``behaviour`` reads on from that connection.
     ``response_headers`` are header lines of all responses. ``late_answer`` is sent before the next
     answer on a connection that has been used before. ``connections`` counts accepted connections,
     and ``early_closes`` requests whose caller closed or sent more before the response was complete.
@@ -210,7 +212,13 @@
     length = int(headers.get("content-length", "0")) if upstream.reads_bodies else 0
     body = await reader.readexactly(length)
     return Call(
-        method=method, target=target, headers=headers, body=body, writer=writer, upstream=upstream
+        method=method,
+        target=target,
+        headers=headers,
+        body=body,
+        reader=reader,
+        writer=writer,
+        upstream=upstream,
     )
 
 
--- a/testing/test_early_answers.py
+++ b/testing/test_early_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -62,6 +63,29 @@
     return run
 
 
+def early_end(part: bytes, *extra: str, pause: float) -> Behaviour:
+    """Return a behaviour that ends an early answer in order, and then resets the upload.
+
+    So does the kernel for a process that is killed once it has read all that has arrived.
+    """
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        call.writer.write(call.head(200, f"{names.SEAL}: s", *extra) + part)
+        call.writer.write_eof()
+        await asyncio.sleep(pause)
+        call.reset()
+
+    return run
+
+
+async def answer_early_and_read_on(upstream: UpstreamStandin, call: Call) -> None:
+    """Send a whole answer without a length, end in order, and read the upload to its end."""
+    call.writer.write(call.head(200, f"{names.SEAL}: s") + b"the whole answer")
+    call.writer.write_eof()
+    while await call.reader.read(MEGABYTE):
+        pass
+
+
 async def add_early_upstreams(world: World, behaviour: Behaviour, *, service: str = LEDGER) -> None:
     limits = {"max-body-bytes": 2 * len(UPLOAD), "idle-timeout-ms": 15000}
     world.store.put(names.CONFIGURATION_KEY, configuration(2, limits=limits))
@@ -90,6 +114,36 @@
     assert len(calls(world)) == 2
 
 
+@pytest.mark.parametrize("pause", PAUSES)
+async def test_a_part_that_ends_in_order_before_the_upload_is_reset_is_no_answer(
+    world: World, pause: float
+) -> None:
+    await add_early_upstreams(world, early_end(b"x" * 1000, pause=pause))
+    gateway = await world.add_gateway()
+    for number in range(2):
+        reply = await send(gateway, f"/order/{number}", body=UPLOAD)
+        assert (reply.status, reply.complete) == (502, True)
+        assert b"xx" not in reply.body
+    assert len(calls(world)) == 2
+
+
+async def test_a_whole_answer_without_length_ends_before_the_upload(world: World) -> None:
+    await add_early_upstreams(world, answer_early_and_read_on)
+    gateway = await world.add_gateway()
+    for number in range(3):
+        reply = await send(gateway, f"/order/{number}", body=UPLOAD)
+        assert (reply.status, reply.body, reply.complete) == (200, b"the whole answer", True)
+    assert len(calls(world)) == 3
+
+
+async def test_a_whole_answer_whose_upload_is_not_read_further_is_passed_on(world: World) -> None:
+    behaviour = early_end(b"the whole answer", pause=CALL_TIMEOUT_SECONDS)
+    await add_early_upstreams(world, behaviour)
+    gateway = await world.add_gateway()
+    reply = await send(gateway, "/order/1", body=UPLOAD)
+    assert (reply.status, reply.body, reply.complete) == (200, b"the whole answer", True)
+
+
 @pytest.mark.parametrize("pause", PAUSES)
 async def test_an_upload_whose_answer_was_reset_is_answered_by_another_upstream(
     world: World, pause: float
@@ -103,10 +157,11 @@
 
 
 @pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("begin", [early_part, early_end])
 async def test_a_stream_that_is_reset_during_the_upload_is_not_ended_as_complete(
-    world: World, pause: float
+    world: World, begin: Callable[..., Behaviour], pause: float
 ) -> None:
-    behaviour = early_part(EVENT, STREAM_HEADER, pause=pause)
+    behaviour = begin(EVENT, STREAM_HEADER, pause=pause)
     await add_early_upstreams(world, behaviour, service=KITCHEN)
     gateway = await world.add_gateway()
     reply = await send(gateway, "/draft/1", body=UPLOAD)
@@ -115,11 +170,12 @@
 
 
 @pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("begin", [early_part, early_end])
 async def test_a_reset_during_the_upload_is_an_error_to_every_user_of_the_http_client(
-    pause: float,
+    begin: Callable[..., Behaviour], pause: float
 ) -> None:
     upstream = UpstreamStandin("i-1", service=LEDGER)
-    upstream.behaviour = early_part(b"x" * 1000, pause=pause)
+    upstream.behaviour = begin(b"x" * 1000, pause=pause)
     upstream.reads_bodies = False
     await upstream.start()
     client = HttpClient()
