--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Sequence
 from pathlib import Path
 
 import pytest
@@ -20,6 +19,13 @@
 from platform_upstream import first_then
 from platform_upstream import raw_answer
 from platform_upstream import unframed_stream
+from raw_answers import BODY
+from raw_answers import CHUNKED_BODY
+from raw_answers import LENGTH_LINE
+from raw_answers import STATUS_LINE
+from raw_answers import answer
+from raw_answers import line
+from raw_answers import status
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
@@ -27,31 +33,16 @@
 from baobabpulley.platform import names
 
 CALL_TIMEOUT_SECONDS = 3.0
-BODY = b"broken"
-CHUNKED_BODY = b"6\r\nbroken\r\n0\r\n\r\n"
-STATUS_LINE = b"HTTP/1.1 200 Answer"
-OWN_LINES = (f"{names.ATTEMPT}: ATTEMPT".encode(), f"{names.SEAL}: s".encode())
-LENGTH_LINE = b"Content-Length: %d" % len(BODY)
-
-
-def answer(
-    *, status_line: bytes = STATUS_LINE, lines: Sequence[bytes] = (LENGTH_LINE,), body: bytes = BODY
-) -> bytes:
-    """Return an answer with the id and the seal, in which ``ATTEMPT`` stands for the id."""
-    return b"\r\n".join((status_line, *OWN_LINES, *lines, b"", body))
-
-
-def status(text: bytes) -> bytes:
-    return answer(status_line=b"HTTP/1.1 %s Answer" % text)
-
-
-def line(text: bytes) -> bytes:
-    """Return an answer with a line in front of its length."""
-    return answer(lines=(text, LENGTH_LINE))
-
-
 BROKEN_STATUSES = {
-    text.decode(): status(text) for text in (b"000", b"001", b"042", b"099", b"600", b"999")
+    text.decode(): status(text)
+    for text in (b"000", b"001", b"042", b"099", b"600", b"999", b"20", b"2000", b"+20", b" 200")
+}
+BROKEN_STATUS_LINES = {
+    "version-2.0": answer(status_line=b"HTTP/2.0 200 Answer"),
+    "version-0.9": answer(status_line=b"HTTP/0.9 200 Answer"),
+    "lower-case": answer(status_line=b"http/1.1 200 Answer"),
+    "nul-in-the-reason": answer(status_line=STATUS_LINE + b"\x00"),
+    "blank-before-the-status-line": b" " + answer(),
 }
 BROKEN_FIELDS = {
     "blank": line(b"X Note: 1"),
@@ -103,6 +94,7 @@
     pytest.param(head, id=name)
     for name, head in {
         **BROKEN_STATUSES,
+        **BROKEN_STATUS_LINES,
         **BROKEN_FIELDS,
         **BROKEN_LINE_ENDS,
         **BROKEN_LENGTHS,
