--- a/src/baobabpulley/adapters/http_connection.py
+++ b/src/baobabpulley/adapters/http_connection.py
@@ -146,15 +146,12 @@
         self.finished = True
         self.queue.put_nowait(END_OF_BODY)
 
-    def fail(self, *, malformed: str | None = None) -> None:
-        """Report a broken connection to the reader, unless the response is complete.
-
-        ``malformed`` is what is wrong with the head of the response, if that is the cause.
-        """
+    def fail(self, *, is_malformed: bool) -> None:
+        """Report a broken connection or a malformed head, unless the response is complete."""
         if self.finished:
             return
-        error = UpstreamLost(f"{self.address} sent a malformed response: {malformed}")
-        if malformed is None:
+        error = UpstreamLost(f"{self.address} sent a malformed response")
+        if not is_malformed:
             error = UpstreamDisconnected(
                 f"the connection to {self.address} broke before the response ended"
             )
@@ -188,7 +185,7 @@
         self._traffic = traffic
         self._stream = stream
         params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=MAX_RESPONSE_BYTES)
-        self._http = ResponseConnection(stream, params)
+        self._http = ResponseConnection(stream, params, address=address)
         self._read_task: asyncio.Task[None] | None = None
 
     async def send(
@@ -262,7 +259,7 @@
         except StreamClosedError:
             pass
         finally:
-            delegate.fail(malformed=self._http.malformed)
+            delegate.fail(is_malformed=self._http.is_malformed)
 
 
 def _idle_seconds(headers: HTTPHeaders) -> float:
--- a/src/baobabpulley/adapters/response_connection.py
+++ b/src/baobabpulley/adapters/response_connection.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import final
 
+from loguru import logger
 from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
@@ -22,6 +23,8 @@
 MIN_FINAL_STATUS: Final = 200
 # Answers a request with `Upgrade`, which is never sent; what follows is no HTTP.
 SWITCHING_PROTOCOLS: Final = 101
+# Of what the log says of a malformed head.
+MAX_REASON_CHARS: Final = 120
 
 
 @final
@@ -32,14 +35,17 @@
     line and any three digits for a status, and checks a length only as the body begins.
     """
 
-    def __init__(self, stream: IOStream, parameters: HTTP1ConnectionParameters) -> None:
+    def __init__(
+        self, stream: IOStream, parameters: HTTP1ConnectionParameters, *, address: str
+    ) -> None:
         super().__init__(stream, True, parameters)
-        self._malformed: str | None = None
+        self._address = address
+        self._is_malformed = False
 
     @property
-    def malformed(self) -> str | None:
-        """What is wrong with the head of the response, if it has been found malformed."""
-        return self._malformed
+    def is_malformed(self) -> bool:
+        """Whether the head of the response has been found malformed."""
+        return self._is_malformed
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
         try:
@@ -48,7 +54,13 @@
             _check_status(start_line)
             _check_lengths(headers)
         except HTTPInputError as error:
-            self._malformed = str(error)
+            self._is_malformed = True
+            # Only here, as the reason may quote the server's bytes.
+            logger.bind(
+                event="malformed_response",
+                address=self._address,
+                reason=str(error)[:MAX_REASON_CHARS],
+            ).warning("closed a connection for a malformed response")
             raise
         return start_line, headers
 
--- a/testing/test_broken_heads.py
+++ b/testing/test_broken_heads.py
@@ -128,6 +128,7 @@
     assert (reply.status, reply.complete) == (502, True)
     assert names.SEAL.lower() not in reply.headers
     assert BODY not in reply.body
+    assert b"Note" not in reply.body
     assert len(calls(world)) == 1
 
 
