--- a/testing/platform_upstream.py
+++ b/testing/platform_upstream.py
@@ -162,7 +162,9 @@
                 if not self.reads_bodies:
                     self.journal.append(call)
                     await self.behaviour(self, call)
-                    return
+                    if writer.is_closing():
+                        return
+                    continue
                 await self._answer(call, reader)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
--- a/testing/test_early_answers.py
+++ b/testing/test_early_answers.py
@@ -74,12 +74,33 @@
     return run
 
 
-async def answer_early_and_read_on(upstream: UpstreamStandin, call: Call) -> None:
-    """Send a whole answer without a length, end in order, and read the upload to its end."""
-    call.writer.write(call.head(200, f"{names.SEAL}: s") + b"the whole answer")
-    call.writer.write_eof()
-    while await call.reader.read(MEGABYTE):
-        pass
+@enum.unique
+class Framing(enum.Enum):
+    """What tells the end of a whole answer."""
+
+    CONNECTION = "connection"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+
+
+def answer_early_and_read_on(framing: Framing) -> Behaviour:
+    """Return a behaviour that sends a whole answer first and then reads the upload to its end."""
+
+    async def run(upstream: UpstreamStandin, call: Call) -> None:
+        body, seal = b"the whole answer", f"{names.SEAL}: s"
+        if framing is Framing.LENGTH:
+            await call.write(call.sealed(body))
+        elif framing is Framing.CHUNKS:
+            await call.write(call.head(200, seal, "Transfer-Encoding: chunked"))
+            await call.write_chunk(body)
+            await call.write_chunk(b"")
+        else:
+            call.writer.write(call.head(200, seal) + body)
+            call.writer.write_eof()
+        # No further than the upload, as another request may follow it on the same connection.
+        await call.reader.readexactly(int(call.headers["content-length"]))
+
+    return run
 
 
 async def add_early_upstreams(world: World, behaviour: Behaviour, *, service: str = LEDGER) -> None:
@@ -110,8 +131,11 @@
     assert len(calls(world)) == 2
 
 
-async def test_a_whole_answer_without_length_ends_before_the_upload(world: World) -> None:
-    await add_early_upstreams(world, answer_early_and_read_on)
+@pytest.mark.parametrize("framing", Framing, ids=lambda framing: framing.value)
+async def test_a_whole_answer_that_ends_before_the_upload_reaches_its_caller(
+    world: World, framing: Framing
+) -> None:
+    await add_early_upstreams(world, answer_early_and_read_on(framing))
     gateway = await world.add_gateway()
     for number in range(3):
         reply = await send(gateway, f"/order/{number}", body=UPLOAD)
