--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -94,6 +94,11 @@
     return sources.fleet_state.revision
 
 
+@_gauge("Latest era of the store that it stated to this gateway")
+def store_era(sources: GaugeSources) -> float:
+    return sources.store.era
+
+
 @_gauge("1 while the store answers")
 def store_connected(sources: GaugeSources) -> float:
     return float(sources.link.connected)
--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -170,6 +170,12 @@
         of a gateway.
         """
         if snapshot.revision < self._revision:
+            logger.bind(
+                event="older_snapshot",
+                revision=snapshot.revision,
+                known=self._revision,
+                source=source,
+            ).info("dropped a snapshot that is older than what is known")
             return False
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -198,7 +198,7 @@
                 await self._follow_once()
                 failures = 0
             except StoreCompacted:
-                logger.bind(event="store_compacted").info(
+                logger.bind(event="store_compacted", **self._position).info(
                     "the store compacted the history of the watch; reading all keys again"
                 )
                 self._has_snapshot = False
--- a/src/baobabpulley/platform/names.py
+++ b/src/baobabpulley/platform/names.py
@@ -19,6 +19,8 @@
 PROMPT_PREFIX: Final = "X-Prompt-Prefix"
 URGENCY: Final = "X-Request-Urgency"
 HELPERS: Final = "X-Helpers"
+# How often the store has come back from a copy; in all its answers.
+STORE_ERA: Final = "Store-Era"
 AUTHORIZATION: Final = "Authorization"
 KEY_SCHEME: Final = "Bearer"
 
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -10,9 +10,10 @@
 
 import msgspec
 from loguru import logger
+from tornado.httputil import HTTPHeaders
 
 from baobabpulley.adapters.http_client import HttpClient
-from baobabpulley.adapters.http_client import fetch
+from baobabpulley.adapters.http_client import fetch_response
 from baobabpulley.decoding import DECODE_ERRORS
 from baobabpulley.errors import StoreCompacted
 from baobabpulley.errors import StoreResponseLost
@@ -33,6 +34,8 @@
 _MS_PER_SECOND: Final = 1000
 # Of an item that can't be decoded.
 _LOGGED_BYTES: Final = 80
+# A number with more digits is no era.
+_MAX_ERA_DIGITS: Final = 6
 
 T = TypeVar("T")
 
@@ -104,13 +107,19 @@
 class PlatformStore(MemberStore):
     """Client of the store; ``watch_wait`` is the maximum wait of one watch call in seconds."""
 
-    __slots__ = ("_address", "_calls", "_client", "_watch_wait")
+    __slots__ = ("_address", "_calls", "_client", "_era", "_watch_wait")
 
     def __init__(self, *, client: HttpClient, address: str, watch_wait: float) -> None:
         self._client = client
         self._address = address
         self._watch_wait = watch_wait
         self._calls = 0
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Latest era of the store that an answer stated, 0 before the first."""
+        return self._era
 
     @property
     def calls(self) -> int:
@@ -223,7 +232,7 @@
         body = b"" if message is None else msgspec.json.encode(message)
         headers = {"Content-Type": "application/json"} if body else {}
         try:
-            return await fetch(
+            response = await fetch_response(
                 self._client,
                 address=self._address,
                 method=method,
@@ -239,6 +248,28 @@
             self._client.drop_idle(self._address)
             kind = StoreResponseLost if writes else StoreUnavailable
             raise kind(f"the store did not answer: {error.message}") from error
+        self._record_era(response.headers)
+        return response.status, response.body
+
+    def _record_era(self, headers: HTTPHeaders) -> None:
+        """Record in which era the store answered, if it says so."""
+        stated = _parse_era(headers.get(names.STORE_ERA))
+        if stated is None or stated <= self._era:
+            return
+        previous, self._era = self._era, stated
+        logger.bind(event="store_era", previous=previous, era=stated).warning(
+            "the store answers in a new era: it may have come back from an older copy"
+        )
+
+
+def _parse_era(text: str | None) -> int | None:
+    """Return the era that a header states, or ``None`` if it states none that can be read.
+
+    >>> _parse_era("3"), _parse_era("-1"), _parse_era("9" * 30), _parse_era(None)
+    (3, None, None, None)
+    """
+    text = (text or "").strip()
+    return int(text) if text.isdecimal() and len(text) <= _MAX_ERA_DIGITS else None
 
 
 def _require_ok(status: int, body: bytes) -> bytes:
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -110,6 +110,11 @@
     def calls(self) -> int:
         """Number of calls made so far."""
 
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """How often the store has come back from a copy, as far as its answers tell."""
+
     @abstractmethod
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         """Write a key unconditionally; raise `StoreUnavailable` or `StoreResponseLost`."""
--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -17,6 +17,18 @@
 from baobabpulley.platform import names
 
 
+@final
+class StoreCopy:
+    """What a store held at one moment."""
+
+    def __init__(
+        self, items: dict[str, dict[str, Any]], leases: dict[int, set[str]], revision: int
+    ) -> None:
+        self.items = dict(items)
+        self.leases = {lease: set(keys) for lease, keys in leases.items()}
+        self.revision = revision
+
+
 @final
 class StoreStandin:
     """An HTTP server over keys with revisions in memory.
@@ -27,7 +39,8 @@
     ``responses_to_lose`` is how many more transactions take effect without a response, and
     ``transactions_to_refuse`` how many get 503 without effect. A watch from a revision before
     ``history_start`` gets 410. ``page_size`` is the number of keys in a
-    page of a range. ``odd_events`` are sent as they are, before the others of each watch.
+    page of a range. ``odd_events`` are sent as they are, before the others of each watch. ``era``
+    is stated in all answers unless it is ``None``.
     """
 
     def __init__(self) -> None:
@@ -36,10 +49,12 @@
         self.revision = 1
         self.history_start = 0
         self.mode = ""
+        self.era: int | None = 0
         self.silent_watches = False
         self.responses_to_lose = 0
         self.transactions_to_refuse = 0
         self.calls = 0
+        self.returns = 0
         self.leases: dict[int, set[str]] = {}
         self.lease_numbers = itertools.count(1000)
         self.page_size = 500
@@ -96,15 +111,36 @@
         for key in self.leases.pop(lease, set()):
             self.delete(key)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        return StoreCopy(self.items, self.leases, self.revision)
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy, in the next era; pending watches are cut."""
+        self.items = dict(copy.items)
+        self.leases = {lease: set(keys) for lease, keys in copy.leases.items()}
+        self.lease_numbers = itertools.count(max(copy.leases, default=999) + 1)
+        self.revision = copy.revision
+        self.history = [event for event in self.history if event["revision"] <= copy.revision]
+        if self.era is not None:
+            self.era += 1
+        self.returns += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _record_event(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def changes(self, prefix: str, after: int, wait: float) -> list[dict[str, Any]]:
-        """Return the events after a revision, waiting up to ``wait`` seconds for one."""
+    async def changes(self, prefix: str, after: int, wait: float) -> list[dict[str, Any]] | None:
+        """Return the events after a revision, waiting up to ``wait`` seconds for one.
+
+        Return ``None`` if the store came back from a copy meanwhile.
+        """
         end = asyncio.get_running_loop().time() + wait
-        while True:
+        returns = self.returns
+        while returns == self.returns:
             changed = self._changed
             events = [
                 event
@@ -118,6 +154,7 @@
                 await asyncio.wait_for(changed.wait(), remaining)
             except TimeoutError:
                 return []
+        return None
 
 
 class _Handler(RequestHandler):
@@ -126,6 +163,8 @@
 
     async def prepare(self) -> None:
         self.store.calls += 1
+        if self.store.era is not None:
+            self.set_header(names.STORE_ERA, str(self.store.era))
         if self.store.mode == "busy":
             self.set_status(503)
             self.finish()
@@ -169,7 +208,7 @@
         if self.store.silent_watches:
             await asyncio.sleep(3600)
         after = int(self.get_query_argument("after"))
-        if after < self.store.history_start:
+        if after < self.store.history_start or after > self.store.revision:
             self.respond({}, 410)
             return
         prefix = self.get_query_argument("path-prefix")
@@ -177,7 +216,7 @@
         events = await self.store.changes(prefix, after, wait)
         if self.store.silent_watches:
             await asyncio.sleep(3600)
-        if self.store.mode:
+        if self.store.mode or events is None:
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
         if events:
