--- a/src/baobabpulley/gateway/control.py
+++ b/src/baobabpulley/gateway/control.py
@@ -16,9 +16,12 @@
 from baobabpulley.gateway.store.compression import COMPRESSED_TYPE
 from baobabpulley.gateway.store.compression import compress
 from baobabpulley.gateway.store.confirmation_header import format_confirmation
+from baobabpulley.gateway.store.fleet_snapshot import as_sent
 from baobabpulley.gateway.store.fleet_state import FleetState
 from baobabpulley.gateway.store.store_link import StoreLink
 from baobabpulley.gateway.store.store_relay import ChangePublisher
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.timers import TimerService
 
@@ -71,7 +74,7 @@
 
     def get(self) -> None:
         self._set_confirmation()
-        data = msgspec.msgpack.encode(self._fleet_state.snapshot())
+        data = msgspec.msgpack.encode(as_sent(self._fleet_state.snapshot()))
         if self.request.headers.get("Accept") == COMPRESSED_TYPE:
             self.set_header("Content-Type", COMPRESSED_TYPE)
             self.write(compress(data))
@@ -92,11 +95,14 @@
 
     async def get(self) -> None:
         after = self.get_query_argument("after")
-        if not after.isdecimal():
+        # Gateways of earlier versions know no eras: their numbers are taken for those of this one.
+        own_era = era_of(self._publisher.revision)
+        era = self.get_query_argument("era", str(own_era))
+        if not (after.isdecimal() and era.isdecimal()):
             self.send_error(400)
             return
         update = await self._publisher.update_since(
-            int(after),
+            ordered_revision(int(after), era=int(era)),
             removal_delay=self._link.removal_delay,
             connected=lambda: self._link.connected,
         )
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -94,7 +94,9 @@
         if memory.machine_mb:
             return_large_blocks()
         self.client = HttpClient(self.budget)
-        self.fleet_state = FleetState(PlatformDocuments())
+        self.fleet_state = FleetState(
+            PlatformDocuments(), returned_within=settings.get(StoreSection).returned_within
+        )
         self.store = PlatformStore(
             client=HttpClient(),
             address=settings.get(StoreSection).address,
@@ -105,6 +107,7 @@
             store=self.store,
             documents=PlatformDocuments(),
             lease_seconds=settings.get(StoreSection).member_lease,
+            fleet_state=self.fleet_state,
             timers=timers,
         )
         self.loads = LoadTracker()
--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -17,6 +17,7 @@
 from baobabpulley.gateway.store.fleet_state import FleetState
 from baobabpulley.gateway.store.store_link import StoreLink
 from baobabpulley.logs import dropped_line_count
+from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.memory_budget import UNLIMITED
 from baobabpulley.ports.config_store import MemberStore
 
@@ -91,7 +92,7 @@
 
 @_gauge("Revision of the store followed")
 def store_revision(sources: GaugeSources) -> float:
-    return sources.fleet_state.revision
+    return number_of(sources.fleet_state.revision)
 
 
 @_gauge("Latest era of the store that it stated to this gateway")
--- a/src/baobabpulley/gateway/peers/gossip.py
+++ b/src/baobabpulley/gateway/peers/gossip.py
@@ -37,6 +37,8 @@
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.sections import GatewayPeersSection
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.fleet_load import LoadTracker
 from baobabpulley.policy.gossip_delta import GossipDelta
 from baobabpulley.policy.rendezvous import ranked
@@ -230,14 +232,14 @@
         self._loads.receive(message.node, message.shares, now=now)
         if message.crashes or message.survivals:
             self._evidence.receive(message.crashes, message.survivals)
-        self._reports.receive_leaving(message.node, message.leaving)
+        self._reports.receive_leaving(message.node, message.leaving, era=message.era)
         self._reports.receive_backpressure(message.node, message.backpressure)
         self._silent.receive(message.silent, now=now)
         if message.retry_wants or message.retry_loans:
             self._loans.receive(message, nodes=self.live_nodes(), shares=self.gateway_count)
         self._account_use.receive(message.node, message.account_use, now=now)
-        if message.revision > self._fleet_state.revision:
-            self._on_newer_revision(message.revision)
+        if message.ordered_revision > self._fleet_state.revision:
+            self._on_newer_revision(message.ordered_revision)
         return True
 
     def _is_late(self, peer: GossipPeer, now: float) -> bool:
@@ -282,8 +284,8 @@
             failure_domain=self._node.failure_domain,
             sequence=self._sequence,
             control=self._node.control,
-            revision=revision,
-            configuration_revision=self._fleet_state.configuration_revision,
+            revision=number_of(revision),
+            configuration_revision=number_of(self._fleet_state.configuration_revision),
             shares=shares,
             store_reachable=self._store_reachable(),
             is_urgent=is_urgent,
@@ -295,6 +297,7 @@
             retry_wants=wants,
             retry_loans=loans,
             account_use=account_use,
+            era=era_of(revision),
         )
 
     def _publish_soon(self) -> None:
--- a/src/baobabpulley/gateway/peers/gossip_messages.py
+++ b/src/baobabpulley/gateway/peers/gossip_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.policy.fleet_load import LoadShare
 from baobabpulley.policy.retry_loans import RetryLoanRow
 from baobabpulley.policy.retry_loans import RetryWantRow
@@ -74,7 +75,8 @@
     upstreams that said to the gateway that they are leaving, ``backpressure`` those that asked it
     for no requests. ``silent`` are engines at which none of the gateway's running streams goes on.
     ``retry_wants`` are the retries that the gateway asks for, ``retry_loans`` those that it lends.
-    ``account_use`` is the recent use of client accounts, sent only while requests wait.
+    ``account_use`` is the recent use of client accounts, sent only while requests wait. ``era`` is
+    that of all revisions in the message, which are the store's numbers.
     """
 
     node: str
@@ -95,6 +97,12 @@
     retry_wants: tuple[RetryWantRow, ...] = ()
     retry_loans: tuple[RetryLoanRow, ...] = ()
     account_use: tuple[AccountUseRow, ...] = ()
+    era: int = 0
+
+    @property
+    def ordered_revision(self) -> int:
+        """The store revision that the gateway has reached, comparable across eras."""
+        return ordered_revision(self.revision, era=self.era)
 
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
         """Return a later message of the same process, with what this one has and it lacks."""
--- a/src/baobabpulley/gateway/peers/gossip_peers.py
+++ b/src/baobabpulley/gateway/peers/gossip_peers.py
@@ -35,7 +35,7 @@
         self.failure_domain = message.failure_domain
         self.incarnation = message.incarnation
         self.sequence = message.sequence
-        self.revision = message.revision
+        self.revision = message.ordered_revision
         self.store_reachable = message.store_reachable
         self.received_at = received_at
         # The incarnation before this one: its messages may still be on their way through relays.
--- a/src/baobabpulley/gateway/peers/upstream_reports.py
+++ b/src/baobabpulley/gateway/peers/upstream_reports.py
@@ -12,6 +12,8 @@
 from baobabpulley.gateway.peers.gossip_messages import BackpressureRow
 from baobabpulley.gateway.peers.gossip_messages import LeavingRow
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.model.revisions import number_of
+from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.backpressure_hints import HINT_TOLERANCE_SECONDS
 from baobabpulley.policy.backpressure_hints import hint_seconds
@@ -71,12 +73,19 @@
             upstream, until=now + seconds, now=now, is_known=is_covered(seconds, heard=heard)
         )
 
-    def receive_leaving(self, node: str, rows: Iterable[LeavingRow]) -> None:
-        """Record which upstreams said to another gateway that they are leaving."""
+    def receive_leaving(self, node: str, rows: Iterable[LeavingRow], *, era: int = 0) -> None:
+        """Record which upstreams said to another gateway that they are leaving.
+
+        ``era`` is that of the store revisions in the rows.
+        """
         now = self._timers.now()
         for row in rows:
             self._fleet_state.record_reported_leaving(
-                row.upstream, born=row.born, revision=row.revision, peer=node, now=now
+                row.upstream,
+                born=row.born,
+                revision=ordered_revision(row.revision, era=era),
+                peer=node,
+                now=now,
             )
             listed = self._fleet_state.upstreams.get(row.upstream)
             if listed is not None and listed.born == row.born:
@@ -121,7 +130,7 @@
         for id in self._leaving.take_due(most=MAX_LEAVING_PER_MESSAGE, now=self._timers.now()):
             listed = state.upstreams.get(id)
             if listed is not None and state.has_said_leaving(id):
-                rows.append(LeavingRow(id, listed.born, state.revision))
+                rows.append(LeavingRow(id, listed.born, number_of(state.revision)))
             else:
                 self._leaving.drop(id)
         return tuple(rows)
--- a/src/baobabpulley/gateway/placement/cold_record.py
+++ b/src/baobabpulley/gateway/placement/cold_record.py
@@ -180,7 +180,8 @@
         end = self._last_end(upstream.failure_domain)
         if end is None:
             return
-        if upstream.revision > end.revision:
+        # An entry that came back with a copy of the store may be older than the end.
+        if upstream.revision > max(end.revision, self._fleet_state.returned_at):
             self._cold.end_assumption(upstream.id)
             return
         until = end.at + service.cold_seconds
--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -1,8 +1,9 @@
 """The gateway's copy of the configuration, the upstreams and the member list.
 
 Entries come from the store, or from other gateways while the store is unavailable. All updates are
-ordered by store revision: an entry is replaced only by a newer one, whatever its source, so the
-state never goes back to an older one.
+ordered by store era and revision: an entry is replaced only by a newer one, whatever its source, so
+the state never goes back to an older one. A snapshot of a newer era comes from a store that came
+back from a copy, see ``docs/design/store-eras.md``.
 
 An upstream counts as leaving if its entry says so, or if it said so itself in a response to this
 gateway or another; see `baobabpulley.policy.leaving_upstreams`.
@@ -25,10 +26,14 @@
 from baobabpulley.gateway.store.change_log import ChangeLog
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import number_of
+from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.evacuation import EvacuatedDomains
 from baobabpulley.policy.leaving_upstreams import LeavingUpstreams
+from baobabpulley.policy.outdated_entries import OutdatedEntries
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 
@@ -56,14 +61,23 @@
         "_listeners",
         "_may_lack_evacuations",
         "_members",
+        "_outdated",
         "_pending_removals",
+        "_return_listeners",
+        "_returned_at",
+        "_returned_within",
         "_revision",
         "_table",
         "_upstreams",
     )
 
-    def __init__(self, documents: FleetDocuments) -> None:
+    def __init__(self, documents: FleetDocuments, *, returned_within: float = 0.0) -> None:
         self._documents = documents
+        # Seconds within which upstreams and gateways register again after a return of the store.
+        self._returned_within = returned_within
+        self._outdated = OutdatedEntries()
+        self._returned_at = 0
+        self._return_listeners: list[Listener] = []
         self._entries: dict[str, StoredEntry] = {}
         self._change_log = ChangeLog()
         # Keys that were missing after a store outage, and when they are to be removed
@@ -92,9 +106,14 @@
 
     @property
     def revision(self) -> int:
-        """Store revision up to which all changes have been applied."""
+        """Ordered store revision up to which all changes have been applied."""
         return self._revision
 
+    @property
+    def returned_at(self) -> int:
+        """Revision of the first snapshot after the store came back from a copy; 0 if it hasn't."""
+        return self._returned_at
+
     @property
     def upstreams(self) -> dict[str, ListedUpstream]:
         """Upstreams by id, including those that are leaving."""
@@ -140,6 +159,13 @@
         """Call ``listener`` after each update."""
         self._listeners.append(listener)
 
+    def listen_to_returns(self, listener: Listener) -> None:
+        """Call ``listener`` when the store has come back from a copy, before its snapshot is used.
+
+        What the system wrote to the store since the copy is gone then.
+        """
+        self._return_listeners.append(listener)
+
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
         return self._snapshot(self._entries.values())
@@ -167,16 +193,22 @@
 
         Entries that it lacks are removed; upstreams that aren't draining only after
         ``removal_delay`` seconds. ``source`` is where it came from: `STORE`, or the control address
-        of a gateway.
+        of a gateway. A snapshot of a newer era replaces all that is known; what it lacks may be
+        written again.
         """
         if snapshot.revision < self._revision:
             logger.bind(
                 event="older_snapshot",
-                revision=snapshot.revision,
-                known=self._revision,
+                revision=number_of(snapshot.revision),
+                era=era_of(snapshot.revision),
+                known=number_of(self._revision),
+                known_era=era_of(self._revision),
                 source=source,
             ).info("dropped a snapshot that is older than what is known")
             return False
+        if self._revision and era_of(snapshot.revision) > era_of(self._revision):
+            removal_delay = max(removal_delay, self._returned_within)
+            self._enter_era(snapshot, now=now, source=source)
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
             self._install(entry, source=source)
@@ -203,6 +235,9 @@
         source: str = STORE,
     ) -> None:
         """Apply all changes up to a revision; the rest is as for `install`."""
+        if era_of(revision) != era_of(self._revision):
+            # Only a snapshot leads from one era into another.
+            return
         self._change_log.append(entries, above=self._revision)
         # Changes up to the revision reached are known: one of a removed key must not bring it back.
         new = [entry for entry in entries if entry.mod_revision > self._revision]
@@ -279,15 +314,56 @@
         entry = self._entries.get(key)
         return 0 if entry is None else entry.mod_revision
 
+    def _enter_era(self, snapshot: FleetSnapshot, *, now: float, source: str) -> None:
+        """Prepare the state for the first snapshot of a store that came back from a copy."""
+        era = era_of(snapshot.revision)
+        logger.bind(
+            event="store_returned",
+            era=era,
+            known_era=era_of(self._revision),
+            revision=number_of(snapshot.revision),
+            known=number_of(self._revision),
+            source=source,
+        ).warning("the store came back from a copy: what it holds replaces what is known")
+        self._returned_at = snapshot.revision
+        for listener in self._return_listeners:
+            listener()
+        oldest = ordered_revision(0, era=era)
+        for key, entry in self._entries.items():
+            self._entries[key] = msgspec.structs.replace(entry, mod_revision=oldest)
+        for upstream in self._upstreams.values():
+            if upstream.leaving and not self._leaving.is_only_reported(upstream.id):
+                self._leaving.record(upstream)
+        for entry in snapshot.entries:
+            if self._is_outdated(entry, now=now):
+                self._outdated.withhold(entry.key, revision=entry.mod_revision)
+
+    def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
+        """Whether an entry of a copy is older than what is known of its key."""
+        kind, _ = self._documents.classify_key(entry.key)
+        if kind == UPSTREAM:
+            return self._outdated.was_removed(entry.key, now=now)
+        if kind != CONFIGURATION or self._table is None:
+            return False
+        try:
+            return self._documents.configuration(entry.value or b"").version < self._table.version
+        except InvalidDocument:
+            return False
+
     def _install(self, entry: StoredEntry, *, source: str) -> None:
+        if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
+            return
         self._pending_removals.pop(entry.key, None)
         if self._known_revision(entry.key) >= entry.mod_revision:
             return
+        self._outdated.record_entry(entry.key)
         kind, name = self._documents.classify_key(entry.key)
         if kind is None:
             return
         self._entries[entry.key] = entry
-        log = logger.bind(event="bad_document", key=entry.key, revision=entry.mod_revision)
+        log = logger.bind(
+            event="bad_document", key=entry.key, revision=number_of(entry.mod_revision)
+        )
         try:
             self._decode(kind, name, entry, source=source)
         except InvalidDocument as error:
@@ -320,7 +396,7 @@
             logger.bind(
                 event="configuration",
                 version=table.version,
-                revision=entry.mod_revision,
+                revision=number_of(entry.mod_revision),
                 source=source,
             ).info("applied a configuration")
         elif kind == UPSTREAM:
@@ -338,7 +414,7 @@
                     upstream=name,
                     service=upstream.service,
                     leaving=upstream.leaving,
-                    revision=entry.mod_revision,
+                    revision=number_of(entry.mod_revision),
                 ).info("upstream registered or changed state")
         elif kind == EVACUATION:
             if self._evacuations.begin(name, revision=entry.mod_revision):
@@ -363,8 +439,10 @@
         if kind == UPSTREAM:
             self._remove_upstream(removed.key, name, now=now, removal_delay=removal_delay)
             return
-        if kind == MEMBER and removal_delay:
-            # A short list would let each gateway take the others' share of what they divide.
+        is_lost_in_return = 0 < removed.mod_revision == self._returned_at
+        if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
+            # A short list would let each gateway take the others' share of what they divide, and an
+            # evacuation that the copy lacks is written again.
             self._pending_removals.setdefault(removed.key, now + removal_delay)
             return
         self._pending_removals.pop(removed.key, None)
@@ -386,6 +464,7 @@
         self._entries.pop(key, None)
         self._upstreams.pop(name, None)
         self._leaving.forget(name)
+        self._outdated.record_removal(key, now=now)
         if upstream is not None:
             logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
 
@@ -412,6 +491,6 @@
 
 
 def _log_evacuation(event: str, domain: str, revision: int, source: str) -> None:
-    logger.bind(event=event, domain=domain, revision=revision, source=source).info(
+    logger.bind(event=event, domain=domain, revision=number_of(revision), source=source).info(
         "the operators changed the evacuation of a failure domain"
     )
--- a/src/baobabpulley/gateway/store/member_registration.py
+++ b/src/baobabpulley/gateway/store/member_registration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import random
 from typing import Final
 from typing import final
 
@@ -10,19 +13,36 @@
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.sections import GatewayNodeSection
+from baobabpulley.gateway.store.fleet_state import FleetState
 from baobabpulley.ports.config_store import MemberStore
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 from baobabpulley.timers import TimerService
 
 _RETRY_SECONDS: Final = 1.0
+# After a return of the store, all gateways register again within this time.
+_SPREAD_SECONDS: Final = 1.0
 
 
 @final
 class MemberRegistration:
-    """Keep a gateway's member entry in the store, and renew its lease of ``lease_seconds``."""
+    """Keep a gateway's member entry in the store, and renew its lease of ``lease_seconds``.
 
-    __slots__ = ("_key", "_lease_seconds", "_store", "_timers", "_value")
+    The entry is written again, under another lease, when the store has come back from a copy: the
+    lease may be gone by then, or be another gateway's.
+    """
+
+    __slots__ = (
+        "_era",
+        "_key",
+        "_lease",
+        "_lease_seconds",
+        "_random",
+        "_returned",
+        "_store",
+        "_timers",
+        "_value",
+    )
 
     def __init__(
         self,
@@ -31,6 +51,7 @@
         store: MemberStore,
         documents: FleetDocuments,
         lease_seconds: float,
+        fleet_state: FleetState,
         timers: TimerService,
     ) -> None:
         host = split_address(node.control)[0]
@@ -39,24 +60,47 @@
         self._store = store
         self._lease_seconds = lease_seconds
         self._timers = timers
+        self._random = random.Random()
+        self._lease = 0
+        # The store's era in which the lease was granted.
+        self._era = 0
+        self._returned = asyncio.Event()
+        fleet_state.listen_to_returns(self._returned.set)
 
     async def run(self) -> None:
         """Keep the entry until the task is cancelled."""
-        lease = 0
         while True:
             try:
-                lease = await self._renew(lease)
-                await self._timers.sleep(self._lease_seconds / 3)
+                await self._renew()
+                await self._pause(self._lease_seconds / 3)
             except StoreUnavailable as error:
                 logger.bind(event="membership").info(
                     "not registered in the store: {}", error.message
                 )
                 await self._timers.sleep(_RETRY_SECONDS)
 
-    async def _renew(self, lease: int) -> int:
-        """Renew a lease, or write the entry under a new one; return the lease in force."""
-        if lease and await self._store.keep_alive(lease):
-            return lease
+    async def _renew(self) -> None:
+        """Renew the lease, or write the entry under a new one."""
+        if (
+            self._holds_lease()
+            and await self._store.keep_alive(self._lease)
+            and self._holds_lease()
+        ):
+            return
+        self._lease = 0
         lease = await self._store.grant_lease(self._lease_seconds)
+        era = self._store.era
         await self._store.put(self._key, self._value, lease=lease)
-        return lease
+        self._lease, self._era = lease, era
+
+    def _holds_lease(self) -> bool:
+        return self._lease != 0 and self._era == self._store.era
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the lease is to be renewed, or shortly after a return of the store."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._returned.wait(), self._timers.to_real_seconds(seconds))
+        if self._returned.is_set():
+            self._returned.clear()
+            self._lease = 0
+            await self._timers.sleep(self._random.uniform(0.0, _SPREAD_SECONDS))
--- a/src/baobabpulley/gateway/store/snapshot_fetcher.py
+++ b/src/baobabpulley/gateway/store/snapshot_fetcher.py
@@ -18,7 +18,9 @@
 from baobabpulley.gateway.store.compression import decompress
 from baobabpulley.gateway.store.confirmation_header import parse_confirmation
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
+from baobabpulley.gateway.store.fleet_snapshot import as_received
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.timers import TimerService
 
@@ -26,8 +28,8 @@
 _TIMEOUT_SECONDS: Final = 0.5
 # Number of peers that a gateway without a configuration asks at least.
 _FIRST_SNAPSHOTS: Final = 3
-# MessagePack encodes a snapshot, an array of two or three fields, with one of these first bytes.
-_SNAPSHOT_STARTS: Final = (b"\x92", b"\x93")
+# MessagePack encodes a snapshot, an array of two to four fields, with one of these first bytes.
+_SNAPSHOT_STARTS: Final = (b"\x92", b"\x93", b"\x94")
 
 _decoder = msgspec.msgpack.Decoder(FleetSnapshot)
 
@@ -73,7 +75,7 @@
             return False
         newer = snapshot.revision > self._fleet_state.revision
         if newer and self._fleet_state.install(snapshot, now=self._timers.now(), source=address):
-            logger.bind(event="snapshot", peer=address, revision=snapshot.revision).info(
+            logger.bind(event="snapshot", peer=address, revision=number_of(snapshot.revision)).info(
                 "applied a peer's snapshot"
             )
         self._confirm(response, requested_at=requested_at)
@@ -103,4 +105,4 @@
 def _decode(body: bytes) -> FleetSnapshot:
     # Gateways of earlier versions don't compress.
     is_compressed = not body.startswith(_SNAPSHOT_STARTS)
-    return _decoder.decode(decompress(body) if is_compressed else body)
+    return as_received(_decoder.decode(decompress(body) if is_compressed else body))
--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -28,11 +28,13 @@
 from baobabpulley.gateway.store.store_relay import FleetUpdate
 from baobabpulley.gateway.store.store_relay import fetch_update
 from baobabpulley.gateway.store.store_watchers import StoreWatchers
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.backoff import backoff_seconds
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.store_contact import StoreContact
 from baobabpulley.policy.token_bucket import TokenBucket
-from baobabpulley.ports.config_store import ConfigStore
+from baobabpulley.ports.config_store import MemberStore
 from baobabpulley.ports.config_store import WatchBatch
 from baobabpulley.timers import TimerService
 
@@ -45,6 +47,7 @@
 # A gateway that the store failed, and that follows another, asks it again after this time.
 _PROBE_PERIOD_SECONDS: Final = 3.0
 _PROBE_JITTER: Final = 0.4
+_OLDER_ERA: Final = "it doesn't know yet that the store came back from a copy"
 _UNCONFIRMED: Final = "the store hasn't confirmed for too long what it sends"
 
 
@@ -80,7 +83,7 @@
     def __init__(
         self,
         *,
-        store: ConfigStore,
+        store: MemberStore,
         fleet_state: FleetState,
         client: HttpClient,
         section: StoreSection,
@@ -107,6 +110,7 @@
         self._timers = timers
         self._random = random.Random()
         self._connection = StoreConnection(returned_within=section.returned_within, timers=timers)
+        fleet_state.listen_to_returns(self._connection.delay_removals)
         self._has_snapshot = False
         self._outage_elsewhere = False
         self._task: asyncio.Task[None] | None = None
@@ -170,10 +174,12 @@
     def _relay(self) -> str | None:
         """Return the gateway to follow, or ``None`` to watch the store.
 
-        A gateway that may lack changes or evacuations asks the store itself, whatever others say of
-        theirs.
+        A gateway that may lack changes or evacuations, or knows of a newer era, asks the store
+        itself, whatever others say of theirs.
         """
-        may_lack = self._is_stale or self._fleet_state.may_lack_evacuations
+        state = self._fleet_state
+        is_older_era = self._store.era > era_of(state.revision)
+        may_lack = self._is_stale or state.may_lack_evacuations or is_older_era
         if may_lack and self.store_reachable:
             return None
         return self._watchers.relay(store_reachable=self.store_reachable, current=self._followed)
@@ -245,6 +251,9 @@
             except BaobabError as error:
                 self._leave_relay(address, error.message)
                 return
+            if era_of(received.update.revision) < era_of(self._fleet_state.revision):
+                self._leave_relay(address, _OLDER_ERA)
+                return
             self._apply_update(received.update, source=address)
             self._confirm(received.confirmed_at)
         if self._is_stale:
@@ -301,7 +310,8 @@
     def _position(self) -> dict[str, float]:
         """Fields of a log line: the revision reached and the age of its confirmation."""
         return {
-            "revision": self._fleet_state.revision,
+            "revision": number_of(self._fleet_state.revision),
+            "era": era_of(self._fleet_state.revision),
             "confirmation_age": round(self.confirmation_age, 3),
         }
 
@@ -338,6 +348,8 @@
             asked_at = self._timers.boot_time()
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
+            if era_of(snapshot.revision) < era_of(self._fleet_state.revision):
+                raise StoreUnavailable("the store answers in an older era than other gateways know")
             self._fleet_state.install(
                 FleetSnapshot(
                     revision=snapshot.revision, entries=snapshot.entries, covers_evacuations=True
--- a/src/baobabpulley/gateway/store/store_relay.py
+++ b/src/baobabpulley/gateway/store/store_relay.py
@@ -21,8 +21,12 @@
 from baobabpulley.gateway.store.compression import compress
 from baobabpulley.gateway.store.compression import decompress
 from baobabpulley.gateway.store.confirmation_header import parse_confirmation
+from baobabpulley.gateway.store.fleet_snapshot import as_received
+from baobabpulley.gateway.store.fleet_snapshot import as_sent
 from baobabpulley.gateway.store.fleet_state import FleetState
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.timers import TimerService
 
@@ -36,7 +40,7 @@
     """Changes up to a store revision, or all entries of that revision if ``is_full``.
 
     Removals are delayed by ``removal_delay`` seconds. ``connected`` is whether the store answers
-    the sender. ``covers_evacuations`` is as for `FleetSnapshot`.
+    the sender. ``covers_evacuations`` and ``era`` are as for `FleetSnapshot`.
     """
 
     revision: int
@@ -45,6 +49,7 @@
     removal_delay: float
     connected: bool
     covers_evacuations: bool = False
+    era: int = 0
 
 
 class ReceivedUpdate(msgspec.Struct, frozen=True):
@@ -75,6 +80,11 @@
         fleet_state.listen(self._wake)
         confirmation.listen(self._wake)
 
+    @property
+    def revision(self) -> int:
+        """Ordered store revision up to which changes can be answered."""
+        return self._fleet_state.revision
+
     async def update_since(
         self, revision: int, *, removal_delay: Callable[[], float], connected: Callable[[], bool]
     ) -> FleetUpdate:
@@ -97,7 +107,7 @@
     def encode(self, update: FleetUpdate) -> bytes:
         """Return an update as it is sent."""
         if self._encoded is None or self._encoded[0] != update:
-            self._encoded = (update, compress(_encoder.encode(update)))
+            self._encoded = (update, compress(_encoder.encode(as_sent(update))))
         return self._encoded[1]
 
     def _wake(self) -> None:
@@ -117,13 +127,13 @@
         client,
         address=address,
         method="GET",
-        path=f"{CHANGES_PATH}?after={after}",
+        path=f"{CHANGES_PATH}?after={number_of(after)}&era={era_of(after)}",
         timeout=timers.to_real_seconds(timeout),
     )
     if response.status != 200:
         raise UpstreamLost(f"{address} answered {response.status} to a request for changes")
     try:
-        update = _decoder.decode(decompress(response.body))
+        update = as_received(_decoder.decode(decompress(response.body)))
     except DECODE_ERRORS as error:
         raise UpstreamLost(f"{address} sent invalid changes: {error}") from error
     confirmed_at = parse_confirmation(
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -1,4 +1,7 @@
-"""`ConfigStore` on the platform's key-value store: HTTP/1.1, JSON bodies, base64 values."""
+"""`ConfigStore` on the platform's key-value store: HTTP/1.1, JSON bodies, base64 values.
+
+All revisions that it takes and returns are ordered ones, see `baobabpulley.model.revisions`.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,6 @@
 
 import msgspec
 from loguru import logger
-from tornado.httputil import HTTPHeaders
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch_response
@@ -21,6 +23,9 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.revisions import era_of
+from baobabpulley.model.revisions import number_of
+from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.platform import names
 from baobabpulley.ports.config_store import MemberStore
 from baobabpulley.ports.config_store import StoreSnapshot
@@ -103,6 +108,14 @@
     ttl_ms: int
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """An answer of the store, and the era in which it was given."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 @final
 class PlatformStore(MemberStore):
     """Client of the store; ``watch_wait`` is the maximum wait of one watch call in seconds."""
@@ -133,10 +146,13 @@
         after = ""
         while True:
             query = {"path-prefix": prefix, **({"after": after} if after else {})}
-            page = await self._get(f"{names.STORE_RANGE}?{urlencode(query)}", _Page)
+            answer = await self._get(f"{names.STORE_RANGE}?{urlencode(query)}")
+            page = _decode(answer.body, _Page)
             # Pages may differ in revision, so a watch has to start at the first page's.
-            first = page.at if first is None else first
-            readable = _readable_entries(page.items)
+            first = ordered_revision(page.at, era=answer.era) if first is None else first
+            if answer.era != era_of(first):
+                raise StoreCompacted("the store came back from a copy while it was read")
+            readable = _readable_entries(page.items, era=answer.era)
             entries += readable
             if not page.has_more or not page.items:
                 return StoreSnapshot(revision=first, entries=tuple(entries))
@@ -146,47 +162,51 @@
 
     async def get(self, key: str) -> StoredEntry | None:
         path = f"{names.STORE_KEY}?{urlencode({'key': key})}"
-        status, body = await self._call("GET", path)
-        if status == 404:
+        answer = await self._call("GET", path)
+        if answer.status == 404:
             return None
-        return _entry(_decode(_require_ok(status, body), _Item))
+        return _entry(_decode(_require_ok(answer), _Item), era=answer.era)
 
     async def swap(self, *swaps: Swap) -> SwapOutcome:
+        expected = [swap.expected_revision for swap in swaps if swap.expected_revision]
+        if any(era_of(revision) != self._era for revision in expected):
+            # The store may have given out the same number again for another change.
+            return SwapOutcome(applied=False, revision=0)
         transaction = _Transaction(
-            expected=tuple(_Expectation(swap.key, swap.expected_revision) for swap in swaps),
+            expected=tuple(
+                _Expectation(swap.key, number_of(swap.expected_revision)) for swap in swaps
+            ),
             puts=tuple(
                 _Put(swap.key, swap.value, swap.lease) for swap in swaps if swap.value is not None
             ),
             remove=tuple(swap.key for swap in swaps if swap.value is None),
         )
-        status, body = await self._call("POST", names.STORE_TXN, transaction, writes=True)
-        if status == 412:
+        answer = await self._call("POST", names.STORE_TXN, transaction, writes=True)
+        if answer.status == 412:
             return SwapOutcome(applied=False, revision=0)
-        return SwapOutcome(
-            applied=True, revision=_decode(_require_ok(status, body), _Revision).revision
-        )
+        number = _decode(_require_ok(answer), _Revision).revision
+        return SwapOutcome(applied=True, revision=ordered_revision(number, era=answer.era))
 
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         """Write a key unconditionally; raise `StoreUnavailable` or `StoreResponseLost`."""
         transaction = _Transaction(expected=(), puts=(_Put(key, value, lease),), remove=())
-        status, body = await self._call("POST", names.STORE_TXN, transaction, writes=True)
-        _require_ok(status, body)
+        _require_ok(await self._call("POST", names.STORE_TXN, transaction, writes=True))
 
     async def grant_lease(self, seconds: float) -> int:
         request = _LeaseRequest(ttl_ms=round(seconds * _MS_PER_SECOND))
-        status, body = await self._call("POST", names.STORE_LEASE, request, writes=True)
-        return _decode(_require_ok(status, body), _Lease).lease
+        answer = await self._call("POST", names.STORE_LEASE, request, writes=True)
+        return _decode(_require_ok(answer), _Lease).lease
 
     async def keep_alive(self, lease: int) -> float:
-        status, body = await self._call("POST", f"{names.STORE_KEEP_ALIVE}{lease}")
-        if status == 404:
+        answer = await self._call("POST", f"{names.STORE_KEEP_ALIVE}{lease}")
+        if answer.status == 404:
             return 0.0
-        return _decode(_require_ok(status, body), _Lease).ttl_ms / _MS_PER_SECOND
+        return _decode(_require_ok(answer), _Lease).ttl_ms / _MS_PER_SECOND
 
     async def revoke_lease(self, lease: int) -> None:
-        status, body = await self._call("DELETE", f"{names.STORE_LEASE_END}{lease}", writes=True)
-        if status != 404:
-            _require_ok(status, body)
+        answer = await self._call("DELETE", f"{names.STORE_LEASE_END}{lease}", writes=True)
+        if answer.status != 404:
+            _require_ok(answer)
 
     async def watch(
         self, prefix: str, *, from_revision: int, last_prefix: str | None = None
@@ -196,28 +216,32 @@
         while True:
             query = {
                 "path-prefix": prefix,
-                "after": after,
+                "after": number_of(after),
                 "wait-ms": round(self._watch_wait * _MS_PER_SECOND),
             }
             path = f"{names.STORE_WATCH}?{urlencode(query)}"
             asked_at = boot_seconds()
-            changes = await self._get(path, _Changes, wait_seconds=self._watch_wait)
-            after = max(after, changes.at)
+            answer = await self._get(path, wait_seconds=self._watch_wait)
+            if answer.era != era_of(after):
+                raise StoreCompacted("the store came back from a copy since it was read")
+            changes = _decode(answer.body, _Changes)
+            after = max(after, ordered_revision(changes.at, era=answer.era))
             # Without changes, the store answers only when the wait is over.
             waited = 0.0 if changes.events else self._watch_wait
             yield WatchBatch(
                 revision=after,
-                entries=tuple(_readable_entries(changes.events)),
+                entries=tuple(_readable_entries(changes.events, era=answer.era)),
                 age=max(0.0, boot_seconds() - asked_at - waited),
             )
 
-    async def _get(self, path: str, kind: type[T], *, wait_seconds: float = 0.0) -> T:
-        status, body = await self._call("GET", path, wait_seconds=wait_seconds)
-        if status == 410:
+    async def _get(self, path: str, *, wait_seconds: float = 0.0) -> _Answer:
+        answer = await self._call("GET", path, wait_seconds=wait_seconds)
+        if answer.status == 410:
             raise StoreCompacted(
-                "the store has compacted the requested history; read all keys again"
+                "the store doesn't have the requested history; read all keys again"
             )
-        return _decode(_require_ok(status, body), kind)
+        _require_ok(answer)
+        return answer
 
     async def _call(
         self,
@@ -227,7 +251,7 @@
         *,
         writes: bool = False,
         wait_seconds: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         self._calls += 1
         body = b"" if message is None else msgspec.json.encode(message)
         headers = {"Content-Type": "application/json"} if body else {}
@@ -248,13 +272,15 @@
             self._client.drop_idle(self._address)
             kind = StoreResponseLost if writes else StoreUnavailable
             raise kind(f"the store did not answer: {error.message}") from error
-        self._record_era(response.headers)
-        return response.status, response.body
+        stated = _parse_era(response.headers.get(names.STORE_ERA))
+        if stated is not None and stated < self._era:
+            kind = StoreResponseLost if writes else StoreUnavailable
+            raise kind(f"the store answered in era {stated}, which ended before era {self._era}")
+        self._record_era(stated)
+        return _Answer(status=response.status, body=response.body, era=self._era)
 
-    def _record_era(self, headers: HTTPHeaders) -> None:
-        """Record in which era the store answered, if it says so."""
-        stated = _parse_era(headers.get(names.STORE_ERA))
-        if stated is None or stated <= self._era:
+    def _record_era(self, stated: int | None) -> None:
+        if stated is None or stated == self._era:
             return
         previous, self._era = self._era, stated
         logger.bind(event="store_era", previous=previous, era=stated).warning(
@@ -272,10 +298,12 @@
     return int(text) if text.isdecimal() and len(text) <= _MAX_ERA_DIGITS else None
 
 
-def _require_ok(status: int, body: bytes) -> bytes:
-    if status != 200:
-        raise StoreUnavailable(f"the store answered with status {status}: {body[:80]!r}")
-    return body
+def _require_ok(answer: _Answer) -> bytes:
+    if answer.status != 200:
+        raise StoreUnavailable(
+            f"the store answered with status {answer.status}: {answer.body[:80]!r}"
+        )
+    return answer.body
 
 
 def _decode(body: bytes, kind: type[T]) -> T:
@@ -285,14 +313,14 @@
         raise StoreUnavailable(f"the store's response is invalid: {error}") from error
 
 
-def _readable_entries(items: tuple[msgspec.Raw, ...]) -> list[StoredEntry]:
+def _readable_entries(items: tuple[msgspec.Raw, ...], *, era: int) -> list[StoredEntry]:
     """Return the items that can be decoded, so that an odd one keeps no other from use."""
     entries = []
     for item in items:
         try:
-            entries.append(_entry(msgspec.json.decode(item, type=_Item)))
+            entries.append(_entry(msgspec.json.decode(item, type=_Item), era=era))
         except DECODE_ERRORS as error:
-            entry = _entry_without_value(item)
+            entry = _entry_without_value(item, era=era)
             if entry is not None:
                 entries.append(entry)
                 continue
@@ -303,7 +331,7 @@
     return entries
 
 
-def _entry_without_value(item: msgspec.Raw) -> StoredEntry | None:
+def _entry_without_value(item: msgspec.Raw, *, era: int) -> StoredEntry | None:
     """Return an item whose value can't be decoded if its key's presence is all that counts."""
     try:
         presence = msgspec.json.decode(item, type=_Presence)
@@ -312,9 +340,11 @@
     if not presence.key.startswith(names.EVACUATION_PREFIX):
         return None
     value = None if presence.tombstone else b""
-    return StoredEntry(key=presence.key, value=value, mod_revision=presence.revision)
+    revision = ordered_revision(presence.revision, era=era)
+    return StoredEntry(key=presence.key, value=value, mod_revision=revision)
 
 
-def _entry(item: _Item) -> StoredEntry:
+def _entry(item: _Item, *, era: int) -> StoredEntry:
     value = None if item.tombstone else item.value
-    return StoredEntry(key=item.key, value=value, mod_revision=item.revision)
+    revision = ordered_revision(item.revision, era=era)
+    return StoredEntry(key=item.key, value=value, mod_revision=revision)
