A store that refuses each watch as compacted is asked again after a pause (51)

What was seen: 2301 calls to the store in a second by one gateway, as each 410 was followed at once by a full read and the next watch. After a return from a copy, on the code before, three gateways made 1526 in a second. Cause: the pause was left out after StoreCompacted, on the belief that a full read always helps. Now a second refusal at the revision that the read had reached counts as a failure and backs off.

--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -199,6 +199,7 @@
 
     async def _follow(self) -> None:
         failures = 0
+        reread_at: int | None = None
         while True:
             try:
                 await self._follow_once()
@@ -209,7 +210,12 @@
                 )
                 self._has_snapshot = False
                 self._contact.record_answer(now=self._timers.boot_time())
-                continue
+                is_repeated = reread_at == self._fleet_state.revision
+                reread_at = self._fleet_state.revision
+                if not is_repeated:
+                    continue
+                # Reading again didn't help, so the store is not asked at once.
+                failures += 1
             except StoreUnavailable as error:
                 failures = failures + 1 if not self.connected else 1
                 if failures > 1:
--- a/testing/test_gateway_following.py
+++ b/testing/test_gateway_following.py
@@ -70,6 +70,20 @@
     )
 
 
+async def test_a_store_that_refuses_each_watch_as_compacted_is_not_asked_without_pause(
+    world: World,
+) -> None:
+    await world.add_gateway()
+    world.store.history_start = world.store.revision + 1_000
+    world.store.mode = "cut"
+    await asyncio.sleep(0.1)
+    world.store.mode = ""
+    calls = world.store.calls
+    await asyncio.sleep(1.0)
+    # Each time a read and a watch, after pauses that grow from 0.05 s.
+    assert world.store.calls - calls <= 2 * 10
+
+
 async def test_after_compaction_the_configuration_is_listed_again(world: World) -> None:
     await world.add_upstream("i-1")
     gateway = await world.add_gateway()
