--- a/src/baobabpulley/gateway/store/member_registration.py
+++ b/src/baobabpulley/gateway/store/member_registration.py
@@ -100,7 +100,8 @@
         """Wait until the lease is to be renewed, or shortly after a return of the store."""
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._returned.wait(), self._timers.to_real_seconds(seconds))
-        if self._returned.is_set():
-            self._returned.clear()
-            self._lease = 0
+        if not self._returned.is_set():
+            return
+        self._returned.clear()
+        if not self._holds_lease():
             await self._timers.sleep(self._random.uniform(0.0, _SPREAD_SECONDS))
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -120,7 +120,7 @@
 class PlatformStore(MemberStore):
     """Client of the store; ``watch_wait`` is the maximum wait of one watch call in seconds."""
 
-    __slots__ = ("_address", "_calls", "_client", "_era", "_watch_wait")
+    __slots__ = ("_address", "_calls", "_client", "_era", "_number", "_states_era", "_watch_wait")
 
     def __init__(self, *, client: HttpClient, address: str, watch_wait: float) -> None:
         self._client = client
@@ -128,10 +128,13 @@
         self._watch_wait = watch_wait
         self._calls = 0
         self._era = 0
+        # Highest revision number that the store has answered with in this era.
+        self._number = 0
+        self._states_era = False
 
     @property
     def era(self) -> int:
-        """Latest era of the store that an answer stated, 0 before the first."""
+        """Latest era of the store, 0 before the first return that is known of."""
         return self._era
 
     @property
@@ -146,13 +149,15 @@
         after = ""
         while True:
             query = {"path-prefix": prefix, **({"after": after} if after else {})}
+            number = self._number
             answer = await self._get(f"{names.STORE_RANGE}?{urlencode(query)}")
             page = _decode(answer.body, _Page)
+            era = self._era_at(page.at, answer, asked_at=number)
             # Pages may differ in revision, so a watch has to start at the first page's.
-            first = ordered_revision(page.at, era=answer.era) if first is None else first
-            if answer.era != era_of(first):
+            first = ordered_revision(page.at, era=era) if first is None else first
+            if era != era_of(first):
                 raise StoreCompacted("the store came back from a copy while it was read")
-            readable = _readable_entries(page.items, era=answer.era)
+            readable = _readable_entries(page.items, era=era)
             entries += readable
             if not page.has_more or not page.items:
                 return StoreSnapshot(revision=first, entries=tuple(entries))
@@ -213,7 +218,11 @@
     ) -> AsyncIterator[WatchBatch]:
         del last_prefix
         after = from_revision
+        if not self._states_era:
+            # Other gateways may have seen a return that this one hasn't.
+            self._record_era(max(self._era, era_of(after)))
         while True:
+            number = self._number
             query = {
                 "path-prefix": prefix,
                 "after": number_of(after),
@@ -222,15 +231,16 @@
             path = f"{names.STORE_WATCH}?{urlencode(query)}"
             asked_at = boot_seconds()
             answer = await self._get(path, wait_seconds=self._watch_wait)
-            if answer.era != era_of(after):
-                raise StoreCompacted("the store came back from a copy since it was read")
             changes = _decode(answer.body, _Changes)
-            after = max(after, ordered_revision(changes.at, era=answer.era))
+            era = self._era_at(changes.at, answer, asked_at=number)
+            if era != era_of(after):
+                raise StoreCompacted("the store came back from a copy since it was read")
+            after = max(after, ordered_revision(changes.at, era=era))
             # Without changes, the store answers only when the wait is over.
             waited = 0.0 if changes.events else self._watch_wait
             yield WatchBatch(
                 revision=after,
-                entries=tuple(_readable_entries(changes.events, era=answer.era)),
+                entries=tuple(_readable_entries(changes.events, era=era)),
                 age=max(0.0, boot_seconds() - asked_at - waited),
             )
 
@@ -276,14 +286,28 @@
         if stated is not None and stated < self._era:
             kind = StoreResponseLost if writes else StoreUnavailable
             raise kind(f"the store answered in era {stated}, which ended before era {self._era}")
-        self._record_era(stated)
+        if stated is not None:
+            self._states_era = True
+            self._record_era(stated)
         return _Answer(status=response.status, body=response.body, era=self._era)
 
-    def _record_era(self, stated: int | None) -> None:
-        if stated is None or stated == self._era:
+    def _era_at(self, number: int, answer: _Answer, *, asked_at: int) -> int:
+        """Return the era of an answer with a revision number; without a stated one, infer it.
+
+        The number that was known when the store was asked can't be above that of its answer, unless
+        the store came back from a copy.
+        """
+        if not self._states_era and answer.era == self._era and number < asked_at <= self._number:
+            self._record_era(self._era + 1)
+            self._number = number
+        self._number = max(self._number, number)
+        return answer.era if self._states_era else self._era
+
+    def _record_era(self, era: int) -> None:
+        if era == self._era:
             return
-        previous, self._era = self._era, stated
-        logger.bind(event="store_era", previous=previous, era=stated).warning(
+        previous, self._era = self._era, era
+        logger.bind(event="store_era", previous=previous, era=era).warning(
             "the store answers in a new era: it may have come back from an older copy"
         )
 
--- a/testing/test_store_copy.py
+++ b/testing/test_store_copy.py
@@ -172,6 +172,20 @@
         await wait_for_version(gateway, 3)
 
 
+async def test_a_store_that_states_no_era_is_followed_after_its_return(world: World) -> None:
+    world.store.era = None
+    await world.add_upstream("i-1")
+    gateways = await _add_gateways(world)
+    copy = world.store.copy()
+    _write_heartbeats(world)
+    await asyncio.sleep(0.1)
+    await _come_back(world, copy, version=2, upstreams=["i-1"])
+    gateways.append(await world.add_gateway())
+    world.store.put(names.CONFIGURATION_KEY, _with_route(3, "/v3/"))
+    for gateway in gateways:
+        await wait_for_version(gateway, 3)
+
+
 async def test_what_left_since_the_copy_does_not_come_back(world: World) -> None:
     for name in ("i-1", "i-2", "i-3"):
         await world.add_upstream(name)
