--- a/src/baobabpulley/adapters/client_stream.py
+++ b/src/baobabpulley/adapters/client_stream.py
@@ -30,12 +30,14 @@
     The kernel of a process that is gone ends its connection in order if the process had read all
     that had arrived; only the reset that answers the rest of the request shows that it broke off.
     Tornado closes the stream at the end of the input, so a duplicate of the socket is kept until
-    `was_reset` has returned or the closed stream is closed once more.
+    `was_reset` has returned or the closed stream is closed once more. ``is_tunnel`` is whether it
+    leads through another gateway, and so carries one request only.
     """
 
     def __init__(self, connection: socket.socket, **options: Any) -> None:
         super().__init__(connection, **options)
         self._unfinished: socket.socket | None = None
+        self.is_tunnel = False
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived; see Tornado's `IOStream`."""
--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -9,13 +9,13 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Final
+from typing import Protocol
 from typing import final
 
 from tornado.httputil import HTTPHeaders
@@ -26,6 +26,7 @@
 from baobabpulley.adapters.http_connection import MAX_IDLE_SECONDS
 from baobabpulley.adapters.http_connection import Connection
 from baobabpulley.adapters.http_connection import ResponseDelegate
+from baobabpulley.adapters.streams import detect_dead_peer
 from baobabpulley.adapters.streams import is_reusable
 from baobabpulley.adapters.traffic import Traffic
 from baobabpulley.errors import UpstreamLost
@@ -39,13 +40,10 @@
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
 # Connections that are set aside are closed after this time, unless they are restored.
 ASIDE_SECONDS: Final = 3.0
-# The shortest period that the kernel allows.
-KEEPALIVE_PERIOD_SECONDS: Final = 1
 # Silence that is noticed later than by this may have been a hold-up of this process.
 MAX_LATENESS_SECONDS: Final = 0.1
 # What arrived during a hold-up is processed within this.
 HOLD_UP_GRACE_SECONDS: Final = 0.1
-_MS_PER_SECOND: Final = 1000
 
 
 class HttpResponse:
@@ -141,6 +139,15 @@
         raise UpstreamStalled(f"{self._connection.address} sent nothing for {idle_timeout:.2f} s")
 
 
+class Connect(Protocol):
+    """Open a connection to an address; raise `UpstreamUnreachable` if that fails.
+
+    ``timeout`` is in real seconds.
+    """
+
+    async def __call__(self, address: str, *, timeout: float) -> ClientStream: ...
+
+
 # Time until which a connection may be reused, time at which it became idle, connection.
 _Idle = tuple[float, float, ClientStream]
 
@@ -149,10 +156,11 @@
 class HttpClient:
     """A pool of connections per address."""
 
-    __slots__ = ("_aside", "_budget", "_idle", "_opened", "_reused", "traffic")
+    __slots__ = ("_aside", "_budget", "_connect", "_idle", "_opened", "_reused", "traffic")
 
-    def __init__(self, budget: MemoryBudget | None = None) -> None:
+    def __init__(self, budget: MemoryBudget | None = None, *, connect: Connect = connect) -> None:
         self._budget = budget or MemoryBudget()
+        self._connect = connect
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
         # Idle connections that may have gone silent, by address.
         self._aside: dict[str, list[_Idle]] = {}
@@ -212,11 +220,11 @@
         is_reused = stream is not None
         if stream is None:
             self._opened += 1
-            stream = await connect(address, timeout=connect_timeout)
+            stream = await self._connect(address, timeout=connect_timeout)
         if on_connected is not None:
             on_connected(stream, is_reused)
         if ack_timeout is not None:
-            _detect_dead_peer(stream.socket, ack_timeout)
+            detect_dead_peer(stream.socket, ack_timeout)
         connection = Connection(
             address=address, stream=stream, traffic=self.traffic, budget=self._budget
         )
@@ -235,7 +243,7 @@
             yield HttpResponse(connection=connection, delegate=delegate)
             clean = delegate.finished and delegate.queue.empty() and delegate.allows_reuse
         finally:
-            self._release(connection, clean=clean)
+            self._release(connection, clean=clean and not stream.is_tunnel)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -307,16 +315,6 @@
         streams.append((now + connection.idle_seconds, now, stream))
 
 
-def _detect_dead_peer(plain: socket.socket, seconds: float) -> None:
-    """Let the kernel drop a connection whose peer's machine is gone; a silent process is not."""
-    plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PERIOD_SECONDS)
-    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_SECONDS)
-    plain.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, round(seconds * _MS_PER_SECOND))
-    )
-
-
 @final
 class WholeResponse:
     """A response whose body has arrived completely."""
--- a/src/baobabpulley/adapters/streams.py
+++ b/src/baobabpulley/adapters/streams.py
@@ -11,7 +11,12 @@
 
 from tornado.iostream import IOStream
 
+# The shortest period that the kernel allows.
+KEEPALIVE_PERIOD_SECONDS: Final = 1
+_MS_PER_SECOND: Final = 1000
 _INT: Final = struct.Struct("i")
+# On, and no time to linger.
+_RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class NoDelayStream(IOStream):
@@ -67,3 +72,18 @@
     except OSError:
         return False
     return False
+
+
+def detect_dead_peer(plain: socket.socket, seconds: float) -> None:
+    """Let the kernel drop a connection whose peer's machine is gone; a silent process is not."""
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PERIOD_SECONDS)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_SECONDS)
+    plain.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, round(seconds * _MS_PER_SECOND))
+    )
+
+
+def reset_on_close(plain: socket.socket) -> None:
+    """Let closing a connection reset it, which the peer notices even while it doesn't read."""
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.allocator import return_large_blocks
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.gateway.callers.connection_closes import ConnectionCloses
 from baobabpulley.gateway.callers.listener import CallerListener
@@ -58,6 +59,10 @@
 from baobabpulley.gateway.store.store_relay import CHANGES_PATH
 from baobabpulley.gateway.store.store_relay import ChangePublisher
 from baobabpulley.gateway.store.store_watchers import StoreWatchers
+from baobabpulley.gateway.tunnels.tunnel_server import TUNNEL_PATH
+from baobabpulley.gateway.tunnels.tunnel_server import TunnelHandler
+from baobabpulley.gateway.tunnels.tunnel_server import TunnelServer
+from baobabpulley.gateway.tunnels.upstream_connector import UpstreamConnector
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
@@ -93,7 +98,7 @@
         self.budget = MemoryBudget(machine_mb=memory.machine_mb, descriptors=memory.descriptors)
         if memory.machine_mb:
             return_large_blocks()
-        self.client = HttpClient(self.budget)
+        self.client = HttpClient(self.budget, connect=self._connect)
         self.fleet_state = FleetState(
             PlatformDocuments(), returned_within=settings.get(StoreSection).returned_within
         )
@@ -141,9 +146,24 @@
             timers=timers,
             on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
+            cut_off=lambda: self.connector.is_cut_off,
             silent_engines=silent_engines,
             account_use=AccountUseReports(account_use, is_waiting=lambda: self.placer.waiting > 0),
         )
+        self.connector = UpstreamConnector(
+            node=self.node.id,
+            fleet_state=self.fleet_state,
+            gossip=self.gossip,
+            timers=timers,
+            on_cut_off=self._leave_broken_links,
+        )
+        self.tunnels = TunnelServer(
+            fleet_state=self.fleet_state,
+            budget=self.budget,
+            is_draining=lambda: self.listener.draining,
+            is_cut_off=lambda: self.connector.is_cut_off,
+            timers=timers,
+        )
         watchers = StoreWatchers(
             node=self.node.id,
             failure_domain=self.node.failure_domain,
@@ -213,7 +233,11 @@
             use=account_use,
         )
         self._shutdown = ShutdownGate(timers=timers)
-        self.watch = ConnectionWatch(client=self.client, timers=timers)
+        self.watch = ConnectionWatch(
+            client=self.client,
+            timers=timers,
+            on_silence=lambda since: self.connector.check_soon(silent_since=since),
+        )
         closed = self.metrics.connections_closed
         self.listener = CallerListener(
             handler=self._exchange_server().serve,
@@ -233,6 +257,7 @@
         register_gauges(
             self.metrics,
             GaugeSources(
+                connector=self.connector,
                 evidence=self.evidence,
                 fleet_state=self.fleet_state,
                 gossip=self.gossip,
@@ -241,6 +266,7 @@
                 placer=self.placer,
                 record=self.record,
                 store=self.store,
+                tunnels=self.tunnels,
                 watch=self.watch,
             ),
         )
@@ -254,6 +280,11 @@
         """Whether the load balancer should send new connections to this gateway."""
         return self.fleet_state.table is not None and not self.listener.draining
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether requests of callers or of other gateways' callers are being served."""
+        return self.listener.busy or self.tunnels.active > 0
+
     async def start(self) -> None:
         """Start to listen, and to follow the store and the peers."""
         node = self.node
@@ -274,6 +305,7 @@
                 [
                     (SNAPSHOT_PATH, SnapshotHandler, snapshot),
                     (CHANGES_PATH, ChangesHandler, changes),
+                    (TUNNEL_PATH, TunnelHandler, {"tunnels": self.tunnels}),
                 ],
             ),
             serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)]),
@@ -285,6 +317,7 @@
         self.cold.start()
         self.placer.start()
         self.watch.start()
+        self.connector.start()
         self.reload.start()
         self._freeze_watch.start()
         self._peer_snapshots.start()
@@ -311,7 +344,8 @@
         await self.timers.sleep(section.balancer_lag)
         self.listener.stop()
         self.listener.close_idle()
-        while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
+        grace = _DRAIN_GRACE_RATIO * section.grace
+        while self._is_busy and self.timers.now() - begun < grace:
             await self.timers.sleep(_DRAIN_POLL_SECONDS)
             self._shutdown.refuse_late()
             self.listener.close_idle()
@@ -339,6 +373,7 @@
         self.listener.stop()
         self.listener.close_all()
         self.gossip.close()
+        self.tunnels.close()
         self.client.close()
         self.timers.cancel_all()
 
@@ -370,6 +405,7 @@
             shutdown=self._shutdown,
             timers=self.timers,
             budget=self.budget,
+            is_cut_off=lambda: self.connector.is_cut_off,
         )
 
     def _apply(self, settings: Settings) -> None:
@@ -389,6 +425,17 @@
         table = self.fleet_state.table
         return RequestBounds() if table is None else table.bounds
 
+    async def _connect(self, address: str, *, timeout: float) -> ClientStream:
+        return await self.connector.connect(address, timeout=timeout)
+
+    def _leave_broken_links(self, since: float) -> None:
+        """Use no connection to an upstream that was last heard before this gateway was cut off.
+
+        What failed since then is no fault of the upstreams.
+        """
+        self.client.set_all_aside(heard_before=self.timers.to_real_seconds(since))
+        self.record.forget_failures()
+
     def _replace_connections(self) -> None:
         """Replace idle connections and the watch, as a freeze may have broken them."""
         self.client.close()
--- a/src/baobabpulley/gateway/exchanges/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/exchanges/attempt_outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
@@ -37,9 +38,12 @@
 
 @final
 class AttemptOutcomes:
-    """Record how attempts ended, in their exchange and for the choice of upstreams."""
+    """Record how attempts ended, in their exchange and for the choice of upstreams.
 
-    __slots__ = ("_evidence", "_metrics", "_placer", "_record")
+    ``is_cut_off`` returns whether this gateway's own links to the upstreams fail.
+    """
+
+    __slots__ = ("_evidence", "_is_cut_off", "_metrics", "_placer", "_record")
 
     def __init__(
         self,
@@ -48,8 +52,10 @@
         evidence: CrashEvidence,
         placer: Placer,
         metrics: GatewayMetrics,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._evidence = evidence
+        self._is_cut_off = is_cut_off
         self._record = record
         self._placer = placer
         self._metrics = metrics
@@ -89,7 +95,7 @@
             self._evidence.record_crash(upstream.id, exchange.parameters.shared_parts)
         if not attempt.reported_silent:
             # The silence of the others has been counted against their upstream.
-            self._record_health(exchange, upstream, error, failed_upstream)
+            self._record_health(exchange, attempt, error, failed_upstream)
         self._report(exchange, attempt, error)
 
     def record_passed_on_failure(self, upstream: ListedUpstream) -> None:
@@ -128,15 +134,18 @@
         attempt.reported_silent = True
         exchange.excluded.add(upstream.id)
         error = UpstreamStalled(f"{upstream.id} sent nothing for {seconds:.2f} s")
-        self._record_health(exchange, upstream, error, upstream)
+        self._record_health(exchange, attempt, error, upstream)
         self._report(exchange, attempt, error)
 
     def _may_be_crash(self, exchange: Exchange, attempt: RunningAttempt) -> bool:
         """Whether an engine that was lost may have crashed as it began the answer.
 
         A caller that has events, of this exchange or of one before, has them from an engine that
-        went on.
+        went on. Where this gateway is cut off, its links broke, or those of the other gateway that
+        the connection led through.
         """
+        if attempt.progress.is_tunnel or self._is_cut_off():
+            return False
         resumed = exchange.parameters.last_event is not None
         return not resumed and max(attempt.events, exchange.events) < SURVIVAL_EVENTS
 
@@ -161,11 +170,12 @@
     def _record_health(
         self,
         exchange: Exchange,
-        upstream: ListedUpstream,
+        attempt: RunningAttempt,
         error: BaobabError,
         failed_upstream: ListedUpstream,
     ) -> None:
         """Record the result of a failed attempt for health checks and circuit breaking."""
+        upstream = attempt.placement.upstream
         if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped):
             self._record.record_inconclusive(upstream)
         elif self._is_backpressure(upstream, error):
@@ -181,6 +191,8 @@
             self._record.record_inconclusive(upstream)
         elif isinstance(error, UpstreamFailed):
             self._record.record_response(upstream, succeeded=False)
+        elif attempt.progress.is_direct and self._is_cut_off():
+            self._record.record_inconclusive(upstream)
         else:
             self._record.record_failure(upstream)
 
--- a/src/baobabpulley/gateway/exchanges/attempt_progress.py
+++ b/src/baobabpulley/gateway/exchanges/attempt_progress.py
@@ -4,8 +4,7 @@
 
 from typing import final
 
-from tornado.iostream import IOStream
-
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.policy.upstream_silence import EngineStreams
 from baobabpulley.timers import TimerService
 
@@ -25,15 +24,25 @@
         self._timers = timers
         self._streams: EngineStreams | None = None
         self.at = timers.now()
-        self.connection: IOStream | None = None
+        self.connection: ClientStream | None = None
         self.is_reused = False
 
+    @property
+    def is_direct(self) -> bool:
+        """Whether the request was sent on a connection that leads through no other gateway."""
+        return self.connection is not None and not self.connection.is_tunnel
+
+    @property
+    def is_tunnel(self) -> bool:
+        """Whether the request was sent on a connection that leads through another gateway."""
+        return self.connection is not None and self.connection.is_tunnel
+
     @property
     def is_streaming(self) -> bool:
         """Whether the first event has arrived, and the stream isn't over."""
         return self._streams is not None
 
-    def record_connection(self, connection: IOStream, is_reused: bool) -> None:
+    def record_connection(self, connection: ClientStream, is_reused: bool) -> None:
         """Record the connection on which the request is sent now."""
         self.connection = connection
         self.is_reused = is_reused
--- a/src/baobabpulley/gateway/exchanges/connection_watch.py
+++ b/src/baobabpulley/gateway/exchanges/connection_watch.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
@@ -22,6 +23,10 @@
 MAX_LATENESS_SECONDS: Final = 0.1
 
 
+def _ignore(silent_since: float) -> None:
+    pass
+
+
 @final
 class _Watched:
     """A running attempt; ``is_silent`` is whether its connection counts as silent now."""
@@ -44,17 +49,34 @@
 
     Those that have been heard since stay in use. If the silent one goes on, so do the others. A
     silent connection that is new says something about its upstream, not about connections.
+    ``on_silence`` is called with the time since which a connection is silent, new or not, as long
+    as it is.
     """
 
-    __slots__ = ("_checked_at", "_client", "_set_aside", "_silent", "_timers", "_watched")
+    __slots__ = (
+        "_checked_at",
+        "_client",
+        "_on_silence",
+        "_set_aside",
+        "_silent",
+        "_timers",
+        "_watched",
+    )
 
-    def __init__(self, *, client: HttpClient, timers: TimerService) -> None:
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        timers: TimerService,
+        on_silence: Callable[[float], None] = _ignore,
+    ) -> None:
         self._client = client
         self._timers = timers
         self._silent = SilentConnections()
         self._watched: set[_Watched] = set()
         self._set_aside = 0
         self._checked_at = timers.now()
+        self._on_silence = on_silence
 
     @property
     def set_aside(self) -> int:
@@ -89,7 +111,10 @@
             if is_late:
                 continue
             limit = silent_after(expected=watched.expected, is_streaming=progress.is_streaming)
-            if progress.is_reused and not watched.is_silent and now - progress.at > limit:
+            if now - progress.at <= limit:
+                continue
+            self._on_silence(progress.at)
+            if progress.is_reused and not watched.is_silent:
                 self._record_silent(watched, now=now)
 
     def _record_silent(self, watched: _Watched, *, now: float) -> None:
--- a/src/baobabpulley/gateway/exchanges/exchange.py
+++ b/src/baobabpulley/gateway/exchanges/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
@@ -70,6 +71,7 @@
         shutdown: ShutdownGate,
         timers: TimerService,
         budget: MemoryBudget,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._fleet_state = fleet_state
         self._shutdown = shutdown
@@ -78,7 +80,13 @@
         self._retry_budget = retry_budget
         self._metrics = metrics
         self._timers = timers
-        outcomes = AttemptOutcomes(record=record, evidence=evidence, placer=placer, metrics=metrics)
+        outcomes = AttemptOutcomes(
+            record=record,
+            evidence=evidence,
+            placer=placer,
+            metrics=metrics,
+            is_cut_off=is_cut_off,
+        )
         retries = RetryRules(
             budget=retry_budget, loans=loans, gossip=gossip, placer=placer, timers=timers
         )
--- a/src/baobabpulley/gateway/peers/gossip.py
+++ b/src/baobabpulley/gateway/peers/gossip.py
@@ -63,11 +63,13 @@
     ``traffic`` counts all bytes sent, ``remote_traffic`` those sent to other failure domains.
 
     ``on_newer_revision`` is called with each newer store revision that another gateway has reached.
-    ``store_reachable`` returns what this gateway tells the others of the store.
+    ``store_reachable`` returns what this gateway tells the others of the store, and ``cut_off``
+    whether it reaches no upstream itself.
     """
 
     __slots__ = (
         "_account_use",
+        "_cut_off",
         "_delta",
         "_evidence",
         "_fleet_state",
@@ -79,6 +81,7 @@
         "_on_newer_revision",
         "_peers",
         "_publish_scheduled",
+        "_published_cut_off",
         "_published_revision",
         "_relay",
         "_reports",
@@ -107,6 +110,7 @@
         timers: TimerService,
         on_newer_revision: Callable[[int], None],
         store_reachable: Callable[[], bool] = lambda: True,
+        cut_off: Callable[[], bool] = lambda: False,
         silent_engines: SilentEngines | None = None,
         account_use: AccountUseReports | None = None,
     ) -> None:
@@ -120,6 +124,8 @@
         self._timers = timers
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
+        self._cut_off = cut_off
+        self._published_cut_off = False
         self._silent = silent_engines or SilentEngines()
         self._account_use = account_use or AccountUseReports()
         self._incarnation = secrets.token_hex(4)
@@ -183,9 +189,9 @@
         """Start to publish on the open socket."""
         self._timers.every(self._section.news_period, self._publish, name="news")
         self._timers.every(RELAY_PERIOD_SECONDS, self._relay_news, name="news relay")
-        self._loads.listen(self._publish_soon)
-        self._evidence.listen(self._publish_soon)
-        self._loans.listen(self._publish_soon)
+        self._loads.listen(self.publish_soon)
+        self._evidence.listen(self.publish_soon)
+        self._loans.listen(self.publish_soon)
 
     def close(self) -> None:
         """Close the socket."""
@@ -267,16 +273,21 @@
         leaving = self._reports.take_due_leaving()
         backpressure = self._reports.take_due_backpressure()
         revision = self._fleet_state.revision
-        silent = self._silent.take_reports(now=now)
+        cut_off = self._cut_off()
+        # Those that are silent here only would be avoided by all.
+        silent = () if cut_off else self._silent.take_reports(now=now)
         wants, loans = self._loans.take_due_wants(), self._loans.take_due_loans()
         account_use = self._account_use.take_due(now=now)
         reports = (crashes, survivals, leaving, backpressure, silent, account_use)
         unchanged = (
-            not any((shares, *reports, wants, loans)) and revision == self._published_revision
+            not any((shares, *reports, wants, loans))
+            and revision == self._published_revision
+            and cut_off == self._published_cut_off
         )
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
-        self._published_revision, self._sent_at = revision, now
+        self._published_revision, self._published_cut_off = revision, cut_off
+        self._sent_at = now
         self._sequence += 1
         return GossipMessage(
             node=self._node.id,
@@ -298,9 +309,10 @@
             retry_loans=loans,
             account_use=account_use,
             era=era_of(revision),
+            cut_off=cut_off,
         )
 
-    def _publish_soon(self) -> None:
+    def publish_soon(self) -> None:
         """Publish what changes the choice of other gateways at once, like a long prompt's load."""
         if not self._publish_scheduled:
             self._publish_scheduled = True
--- a/src/baobabpulley/gateway/peers/gossip_messages.py
+++ b/src/baobabpulley/gateway/peers/gossip_messages.py
@@ -76,7 +76,8 @@
     for no requests. ``silent`` are engines at which none of the gateway's running streams goes on.
     ``retry_wants`` are the retries that the gateway asks for, ``retry_loans`` those that it lends.
     ``account_use`` is the recent use of client accounts, sent only while requests wait. ``era`` is
-    that of all revisions in the message, which are the store's numbers.
+    that of all revisions in the message, which are the store's numbers. ``cut_off`` is true while
+    the gateway reaches no upstream itself.
     """
 
     node: str
@@ -98,6 +99,7 @@
     retry_loans: tuple[RetryLoanRow, ...] = ()
     account_use: tuple[AccountUseRow, ...] = ()
     era: int = 0
+    cut_off: bool = False
 
     @property
     def ordered_revision(self) -> int:
--- a/src/baobabpulley/gateway/peers/gossip_peers.py
+++ b/src/baobabpulley/gateway/peers/gossip_peers.py
@@ -18,6 +18,7 @@
     __slots__ = (
         "_ended",
         "control",
+        "cut_off",
         "failure_domain",
         "incarnation",
         "node",
@@ -32,6 +33,7 @@
     ) -> None:
         self.node = message.node
         self.control = message.control
+        self.cut_off = message.cut_off
         self.failure_domain = message.failure_domain
         self.incarnation = message.incarnation
         self.sequence = message.sequence
--- a/src/baobabpulley/gateway/placement/upstream_record.py
+++ b/src/baobabpulley/gateway/placement/upstream_record.py
@@ -216,6 +216,11 @@
         self._health.forget(upstream.id)
         self._silent.forget(upstream.id)
 
+    def forget_failures(self) -> None:
+        """Drop what failures showed of all upstreams: this gateway's own links were the cause."""
+        self._health = UpstreamHealth()
+        self._breaker.reset()
+
     def has_no_record(self, upstream: str) -> bool:
         """Whether no failure of the upstream is on record."""
         return not self._health.has_record(upstream)
--- a/src/baobabpulley/policy/domain_circuit_breaker.py
+++ b/src/baobabpulley/policy/domain_circuit_breaker.py
@@ -61,6 +61,10 @@
         """Record a response from a failure domain, which resets its breaker."""
         self._domains.pop(domain, None)
 
+    def reset(self) -> None:
+        """Let all failure domains get requests."""
+        self._domains.clear()
+
     def allows(self, domain: str, *, last_seen: float | None, now: float) -> bool:
         """Whether a failure domain may get a request; if its breaker is tripped, only a probe."""
         state = self._domains.get(domain)
