--- a/src/baobabpulley/gateway/gauges.py
+++ b/src/baobabpulley/gateway/gauges.py
@@ -16,6 +16,8 @@
 from baobabpulley.gateway.placement.upstream_record import UpstreamRecord
 from baobabpulley.gateway.store.fleet_state import FleetState
 from baobabpulley.gateway.store.store_link import StoreLink
+from baobabpulley.gateway.tunnels.tunnel_server import TunnelServer
+from baobabpulley.gateway.tunnels.upstream_connector import UpstreamConnector
 from baobabpulley.logs import dropped_line_count
 from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.memory_budget import UNLIMITED
@@ -27,6 +29,7 @@
     """The components of a gateway whose state is shown."""
 
     __slots__ = (
+        "connector",
         "evidence",
         "fleet_state",
         "gossip",
@@ -35,12 +38,14 @@
         "placer",
         "record",
         "store",
+        "tunnels",
         "watch",
     )
 
     def __init__(
         self,
         *,
+        connector: UpstreamConnector,
         evidence: CrashEvidence,
         fleet_state: FleetState,
         gossip: GossipProtocol,
@@ -49,8 +54,10 @@
         placer: Placer,
         record: UpstreamRecord,
         store: MemberStore,
+        tunnels: TunnelServer,
         watch: ConnectionWatch,
     ) -> None:
+        self.connector = connector
         self.evidence = evidence
         self.fleet_state = fleet_state
         self.gossip = gossip
@@ -59,6 +66,7 @@
         self.placer = placer
         self.record = record
         self.store = store
+        self.tunnels = tunnels
         self.watch = watch
 
 
@@ -125,6 +133,26 @@
     return sources.watch.set_aside
 
 
+@_gauge("1 while this gateway reaches upstreams only through other gateways")
+def cut_off(sources: GaugeSources) -> float:
+    return float(sources.connector.is_cut_off)
+
+
+@_gauge("Connections to upstreams opened through other gateways so far")
+def tunnels_used(sources: GaugeSources) -> float:
+    return sources.connector.tunnels_used
+
+
+@_gauge("Connections to upstreams opened for other gateways so far")
+def tunnels_opened(sources: GaugeSources) -> float:
+    return sources.tunnels.opened
+
+
+@_gauge("Connections to upstreams that are open for other gateways")
+def tunnels_active(sources: GaugeSources) -> float:
+    return sources.tunnels.active
+
+
 @_gauge("Gateways known, this one included")
 def gateways(sources: GaugeSources) -> float:
     return sources.gossip.gateway_count
