--- a/src/baobabpulley/gateway/peers/gossip.py
+++ b/src/baobabpulley/gateway/peers/gossip.py
@@ -81,8 +81,7 @@
         "_on_newer_revision",
         "_peers",
         "_publish_scheduled",
-        "_published_cut_off",
-        "_published_revision",
+        "_published_state",
         "_relay",
         "_reports",
         "_section",
@@ -125,14 +124,13 @@
         self._on_newer_revision = on_newer_revision
         self._store_reachable = store_reachable
         self._cut_off = cut_off
-        self._published_cut_off = False
         self._silent = silent_engines or SilentEngines()
         self._account_use = account_use or AccountUseReports()
         self._incarnation = secrets.token_hex(4)
         self._sequence = 0
         self._sent_at = 0.0
         self._delta = GossipDelta()
-        self._published_revision = -1
+        self._published_state = (-1, False)
         self._peers: dict[str, GossipPeer] = {}
         self._last_seen: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -281,13 +279,11 @@
         reports = (crashes, survivals, leaving, backpressure, silent, account_use)
         unchanged = (
             not any((shares, *reports, wants, loans))
-            and revision == self._published_revision
-            and cut_off == self._published_cut_off
+            and (revision, cut_off) == self._published_state
         )
         if unchanged and now - self._sent_at < self._section.quiet_period:
             return None
-        self._published_revision, self._published_cut_off = revision, cut_off
-        self._sent_at = now
+        self._published_state, self._sent_at = (revision, cut_off), now
         self._sequence += 1
         return GossipMessage(
             node=self._node.id,
