--- a/src/baobabpulley/adapters/streams.py
+++ b/src/baobabpulley/adapters/streams.py
@@ -17,6 +17,7 @@
 _INT: Final = struct.Struct("i")
 # On, and no time to linger.
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+_END_ON_CLOSE: Final = struct.pack("ii", 0, 0)
 
 
 class NoDelayStream(IOStream):
@@ -84,6 +85,11 @@
     )
 
 
-def reset_on_close(plain: socket.socket) -> None:
-    """Let closing a connection reset it, which the peer notices even while it doesn't read."""
-    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+def reset_on_close(plain: socket.socket, *, enabled: bool = True) -> None:
+    """Let closing a connection reset it, also if this process is killed.
+
+    The peer notices a reset even while it doesn't read, and takes it for no end in order.
+    """
+    plain.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE if enabled else _END_ON_CLOSE
+    )
--- a/testing/test_stranded_gateways.py
+++ b/testing/test_stranded_gateways.py
@@ -234,6 +234,7 @@
     assert {reply.status for reply in replies} <= {502, 503}
     assert clock.seconds < 2.5
     assert len(_orders(world)) == runs
+    assert not first.connector.is_cut_off and not second.connector.is_cut_off
     assert not first.tunnels.active and not second.tunnels.active
 
 
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -14,11 +14,19 @@
 from gateway_builders import World
 from gateway_builders import open_world
 from gateway_builders import wait_until
+from test_early_answers import CALL_TIMEOUT_SECONDS
+from test_early_answers import UPLOAD
+from test_early_answers import Ending
+from test_early_answers import Framing
+from test_early_answers import answer_early_and_read_on
+from test_early_answers import early_part
 
 from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import UpstreamDisconnected
+from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.tunnels import tunnel_server
@@ -180,6 +188,61 @@
     assert (status, body) == (200, b"half whole")
 
 
+# Guards against an answer that looks whole as the peer in between ends.
+async def test_a_peer_that_ends_resets_its_tunnels(world: World) -> None:
+    gateway, upstream = await _start(world)
+    world.upstreams["i-1"].behaviour = upstreams.unframed(b"half ", b"whole", pause=0.2)
+    answer = asyncio.create_task(
+        fetch(
+            _client(gateway, upstream),
+            address=upstream.address,
+            method="GET",
+            path="/lookup/1",
+            headers=HEADERS,
+            timeout=2 * TIMEOUT_SECONDS,
+        )
+    )
+    await asyncio.sleep(0.3)
+    gateway.tunnels.close()
+    with pytest.raises(UpstreamDisconnected):
+        await answer
+
+
+@pytest.mark.parametrize("ending", Ending, ids=lambda ending: ending.value)
+@pytest.mark.parametrize("size", [1, 200_000])
+async def test_a_part_whose_upload_is_reset_is_no_answer(
+    world: World, size: int, ending: Ending
+) -> None:
+    gateway, upstream = await _start(world)
+    world.upstreams["i-1"].reads_bodies = False
+    world.upstreams["i-1"].behaviour = early_part(b"x" * size, pause=0.01, ending=ending)
+    with pytest.raises(UpstreamLost):
+        await _upload(gateway, upstream)
+
+
+# Guards against the loss of an answer as the peer resets a tunnel with unread bytes.
+@pytest.mark.parametrize("framing", Framing, ids=lambda framing: framing.value)
+async def test_a_whole_answer_that_ends_before_the_upload_arrives(
+    world: World, framing: Framing
+) -> None:
+    gateway, upstream = await _start(world)
+    world.upstreams["i-1"].reads_bodies = False
+    world.upstreams["i-1"].behaviour = answer_early_and_read_on(framing)
+    assert await _upload(gateway, upstream) == (200, b"the whole answer")
+
+
+async def _upload(gateway: Gateway, upstream: ListedUpstream) -> tuple[int, bytes]:
+    return await fetch(
+        _client(gateway, upstream),
+        address=upstream.address,
+        method="POST",
+        path="/lookup/1",
+        body=UPLOAD,
+        headers=HEADERS,
+        timeout=CALL_TIMEOUT_SECONDS,
+    )
+
+
 @contextlib.asynccontextmanager
 async def _raw_upstream(
     world: World, serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], object]
