--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from pathlib import Path
-from typing import Final
 from typing import final
 
 from loguru import logger
@@ -25,10 +24,10 @@
 from baobabpulley.gateway.exchanges.attempts import UpstreamCaller
 from baobabpulley.gateway.exchanges.connection_watch import ConnectionWatch
 from baobabpulley.gateway.exchanges.exchange import ExchangeServer
-from baobabpulley.gateway.exchanges.exchange_state import shutdown_error
 from baobabpulley.gateway.freeze_watch import FreezeWatch
 from baobabpulley.gateway.gauges import GaugeSources
 from baobabpulley.gateway.gauges import register_gauges
+from baobabpulley.gateway.graceful_shutdown import GracefulShutdown
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.peers.account_use_reports import AccountUseReports
 from baobabpulley.gateway.peers.crash_evidence import CrashEvidence
@@ -81,10 +80,6 @@
 from baobabpulley.shutdown import stop_event
 from baobabpulley.timers import TimerService
 
-_DRAIN_POLL_SECONDS: Final = 0.05
-# Requests that are unanswered after this fraction of the grace period are ended.
-_DRAIN_GRACE_RATIO: Final = 0.95
-
 
 @final
 class Gateway:
@@ -253,6 +248,9 @@
                 count=lambda action: self.metrics.memory_actions.labels(action=action).inc(),
             ),
         )
+        self._graceful_shutdown = GracefulShutdown(
+            listener=self.listener, tunnels=self.tunnels, gate=self._shutdown, timers=timers
+        )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         register_gauges(
             self.metrics,
@@ -280,11 +278,6 @@
         """Whether the load balancer should send new connections to this gateway."""
         return self.fleet_state.table is not None and not self.listener.draining
 
-    @property
-    def _is_busy(self) -> bool:
-        """Whether requests of callers or of other gateways' callers are being served."""
-        return self.listener.busy or self.tunnels.active > 0
-
     async def start(self) -> None:
         """Start to listen, and to follow the store and the peers."""
         node = self.node
@@ -327,33 +320,8 @@
         logger.bind(event="start").info("gateway started")
 
     async def drain(self) -> None:
-        """Stop accepting connections once the load balancer has noticed, then finish requests.
-
-        Requests for which too little time is left are refused as they arrive or while they wait.
-        Each connection is closed once it is idle: nothing of a request has arrived, and the answer
-        before it has been handed to the kernel. Requests that are still unanswered near the end of
-        the grace period are refused, or answered 502 if they may have run.
-        """
-        section = self.settings.get(GatewayShutdownSection)
-        begun = self.timers.now()
-        self._shutdown.begin(
-            seconds=_DRAIN_GRACE_RATIO * section.grace, lenient_seconds=section.lenient_admission
-        )
-        self.listener.draining = True
-        logger.bind(event="stop", busy=self.listener.active_requests).info("draining")
-        await self.timers.sleep(section.balancer_lag)
-        self.listener.stop()
-        self.listener.close_idle()
-        grace = _DRAIN_GRACE_RATIO * section.grace
-        while self._is_busy and self.timers.now() - begun < grace:
-            await self.timers.sleep(_DRAIN_POLL_SECONDS)
-            self._shutdown.refuse_late()
-            self.listener.close_idle()
-        if self.listener.busy:
-            self.listener.refuse_all(shutdown_error(None))
-            await self.timers.sleep(_DRAIN_POLL_SECONDS)
-        self.listener.close_all()
-        logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
+        """Finish what is running, and accept nothing new; see `GracefulShutdown`."""
+        await self._graceful_shutdown.run(self.settings.get(GatewayShutdownSection))
 
     def _forget_removed(self) -> None:
         """Drop the records of removed upstreams; a restarted upstream has a new id."""
