--- a/testing/test_evacuation.py
+++ b/testing/test_evacuation.py
@@ -25,13 +25,13 @@
 from platform_upstream import UpstreamStandin
 from tornado.iostream import IOStream
 
-from baobabpulley.adapters import http_client
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.placement.evacuation_refusal import RETRY_AFTER_SECONDS
 from baobabpulley.gateway.placement.placer import Placement
 from baobabpulley.gateway.placement.placer import Placer
 from baobabpulley.gateway.placement.planning import PlacementRequest
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
+from baobabpulley.gateway.tunnels import upstream_connector
 from baobabpulley.platform import names
 
 EVENTS = 6
@@ -276,7 +276,7 @@
     gateway = await world.add_gateway()
     zones = {each.address: zone for zone, (each,) in servers.items()}
     chosen: list[str] = []
-    open_connection = http_client.connect
+    open_connection = upstream_connector.connect
 
     async def evacuate_meanwhile(address: str, *, timeout: float) -> IOStream:
         stream = await open_connection(address, timeout=timeout)
@@ -285,7 +285,7 @@
             await evacuate(world, zones[address], known_to=gateway)
         return stream
 
-    monkeypatch.setattr(http_client, "connect", evacuate_meanwhile)
+    monkeypatch.setattr(upstream_connector, "connect", evacuate_meanwhile)
     # No retry is in the budget, so the second attempt must not need one.
     gateway.retry_budget.configure(ratio=0.0, slack=0, window=10.0)
     assert (await send(gateway, "/order/7")).status == 200
@@ -339,7 +339,7 @@
     gateway = await world.add_gateway()
     addresses = {each.address for each in engines["fes"]}
     begun: list[str] = []
-    open_connection = http_client.connect
+    open_connection = upstream_connector.connect
 
     async def evacuate_meanwhile(address: str, *, timeout: float) -> IOStream:
         stream = await open_connection(address, timeout=timeout)
@@ -348,7 +348,7 @@
             await evacuate(world, "fes", known_to=gateway)
         return stream
 
-    monkeypatch.setattr(http_client, "connect", evacuate_meanwhile)
+    monkeypatch.setattr(upstream_connector, "connect", evacuate_meanwhile)
     for _ in range(4):
         reply = await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: LONG_TOKENS})
         assert (reply.status, reply.complete) == (200, True)
@@ -369,7 +369,7 @@
         standin.behaviour = upstreams.stream(events=EVENTS)
     gateway = await world.add_gateway()
     evacuated: list[str] = []
-    open_connection = http_client.connect
+    open_connection = upstream_connector.connect
 
     async def evacuate_meanwhile(address: str, *, timeout: float) -> IOStream:
         stream = await open_connection(address, timeout=timeout)
@@ -378,7 +378,7 @@
             await evacuate(world, *evacuated, known_to=gateway)
         return stream
 
-    monkeypatch.setattr(http_client, "connect", evacuate_meanwhile)
+    monkeypatch.setattr(upstream_connector, "connect", evacuate_meanwhile)
     assert (await send(gateway, "/draft/7", **{names.TOKEN_COUNTS: "150000,100"})).complete
     (call,) = [call for standin in world.upstreams.values() for call in standin.journal]
     helpers = call.headers[names.HELPERS.lower()]
--- a/testing/test_review_findings.py
+++ b/testing/test_review_findings.py
@@ -26,7 +26,6 @@
 from tornado.iostream import IOStream
 from tornado.testing import bind_unused_port
 
-from baobabpulley.adapters import http_client
 from baobabpulley.errors import UpstreamSkipped
 from baobabpulley.gateway.callers.connection_closes import CloseReason
 from baobabpulley.gateway.callers.listener import CallerListener
@@ -34,6 +33,7 @@
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.exchanges.attempt_progress import AttemptProgress
 from baobabpulley.gateway.exchanges.attempts import UpstreamCaller
+from baobabpulley.gateway.tunnels import upstream_connector
 from baobabpulley.model.exchanges import AttemptParameters
 from baobabpulley.model.exchanges import IncomingRequest
 from baobabpulley.model.routes import RequestBounds
@@ -110,7 +110,7 @@
     upstream = await world.add_upstream("i-1")
     gateway = await world.add_gateway()
     chosen = gateway.fleet_state.upstreams["i-1"]
-    open_connection = http_client.connect
+    open_connection = upstream_connector.connect
 
     async def hear_meanwhile(address: str, *, timeout: float) -> IOStream:
         stream = await open_connection(address, timeout=timeout)
@@ -118,7 +118,7 @@
         gateway.record.record_head(chosen, head)
         return stream
 
-    monkeypatch.setattr(http_client, "connect", hear_meanwhile)
+    monkeypatch.setattr(upstream_connector, "connect", hear_meanwhile)
     with pytest.raises(UpstreamSkipped) as raised:
         await send_order(gateway, chosen)
     assert raised.value.ran is False
