--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -4,9 +4,6 @@
 ordered by store era and revision: an entry is replaced only by a newer one, whatever its source, so
 the state never goes back to an older one. A snapshot of a newer era comes from a store that came
 back from a copy, see ``docs/design/store-eras.md``.
-
-An upstream counts as leaving if its entry says so, or if it said so itself in a response to this
-gateway or another; see `baobabpulley.policy.leaving_upstreams`.
 """
 
 from __future__ import annotations
@@ -25,6 +22,7 @@
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.gateway.store.change_log import ChangeLog
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
+from baobabpulley.gateway.store.listed_upstreams import ListedUpstreams
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.revisions import era_of
 from baobabpulley.model.revisions import number_of
@@ -32,7 +30,6 @@
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.evacuation import EvacuatedDomains
-from baobabpulley.policy.leaving_upstreams import LeavingUpstreams
 from baobabpulley.policy.outdated_entries import OutdatedEntries
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
@@ -57,7 +54,6 @@
         "_documents",
         "_entries",
         "_evacuations",
-        "_leaving",
         "_listeners",
         "_may_lack_evacuations",
         "_members",
@@ -83,8 +79,7 @@
         # Keys that were missing after a store outage, and when they are to be removed
         # (monotonic seconds) unless they are registered again.
         self._pending_removals: dict[str, float] = {}
-        self._upstreams: dict[str, ListedUpstream] = {}
-        self._leaving = LeavingUpstreams()
+        self._upstreams = ListedUpstreams(notify=self._notify)
         self._evacuations = EvacuatedDomains()
         self._may_lack_evacuations = False
         self._members: dict[str, GatewayMember] = {}
@@ -117,17 +112,17 @@
     @property
     def upstreams(self) -> dict[str, ListedUpstream]:
         """Upstreams by id, including those that are leaving."""
-        return self._upstreams
+        return self._upstreams.by_id
 
     @property
     def said_leaving_count(self) -> int:
         """Number of upstreams that said that they are leaving, but are registered as ready."""
-        return self._leaving.said_count
+        return self._upstreams.leaving.said_count
 
     @property
     def reported_leaving_count(self) -> int:
         """Number of upstreams that are leaving only by reports of other gateways."""
-        return self._leaving.reported_count
+        return self._upstreams.leaving.reported_count
 
     @property
     def members(self) -> dict[str, GatewayMember]:
@@ -252,54 +247,34 @@
 
     def has_said_leaving(self, upstream: str) -> bool:
         """Whether an upstream that is registered as ready said that it is leaving."""
-        return self._leaving.has_said_so(upstream)
+        return self._upstreams.leaving.has_said_so(upstream)
 
     def is_only_reported_leaving(self, upstream: str) -> bool:
         """Whether an upstream is leaving only by reports of other gateways."""
-        return self._leaving.is_only_reported(upstream)
+        return self._upstreams.leaving.is_only_reported(upstream)
 
     def accepting(self, upstreams: Sequence[ListedUpstream]) -> list[ListedUpstream]:
         """Return the upstreams of a service, of all those listed, that may get new requests."""
-        return self._leaving.accepting(upstreams)
+        return self._upstreams.accepting(upstreams)
 
     def record_leaving(self, upstream: ListedUpstream) -> bool:
         """Record that an upstream, as listed when it got a request, said that it is leaving.
 
         Return whether neither its entry nor a response said so before.
         """
-        listed = self._upstreams.get(upstream.id)
-        if listed is None or listed.born > upstream.born:
-            return False
-        if listed.leaving and not self._leaving.is_only_reported(listed.id):
-            return False
-        self._leaving.record(listed)
-        self._begin_leaving(listed, source="response", peer=None)
-        return True
+        return self._upstreams.record_leaving(upstream)
 
     def record_reported_leaving(
         self, id: str, *, born: int, revision: int, peer: str, now: float
     ) -> None:
         """Record another gateway's report that an upstream said that it is leaving."""
-        listed = self._upstreams.get(id)
-        if listed is None:
-            return
-        if not self._leaving.record_report(listed, born=born, revision=revision, now=now):
-            return
-        if not listed.leaving:
-            self._begin_leaving(listed, source="peer", peer=peer)
+        self._upstreams.record_reported_leaving(
+            id, born=born, revision=revision, peer=peer, now=now
+        )
 
     def drop_expired_reports(self, *, now: float) -> None:
         """Use the upstreams again of which other gateways no longer report that they leave."""
-        expired = self._leaving.take_expired(now=now)
-        for id in expired:
-            listed = self._upstreams.get(id)
-            if listed is not None:
-                self._upstreams[id] = msgspec.structs.replace(listed, leaving=False)
-            logger.bind(event="upstream_leaving_expired", upstream=id).info(
-                "no gateway reports any more that an upstream is leaving"
-            )
-        if expired:
-            self._notify()
+        self._upstreams.drop_expired_reports(now=now)
 
     def remove_expired(self, *, now: float) -> None:
         """Remove upstreams that weren't registered again within the removal delay."""
@@ -331,9 +306,7 @@
         oldest = ordered_revision(0, era=era)
         for key, entry in self._entries.items():
             self._entries[key] = msgspec.structs.replace(entry, mod_revision=oldest)
-        for upstream in self._upstreams.values():
-            if upstream.leaving and not self._leaving.is_only_reported(upstream.id):
-                self._leaving.record(upstream)
+        self._upstreams.keep_leaving()
         for entry in snapshot.entries:
             if self._is_outdated(entry, now=now):
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
@@ -376,7 +349,7 @@
         # An upstream whose entry is invalid is dropped; after an invalid configuration the last
         # valid one stays in use.
         if kind == UPSTREAM:
-            self._upstreams.pop(name, None)
+            self._upstreams.drop(name)
 
     def _decode(self, kind: str, name: str, entry: StoredEntry, *, source: str) -> None:
         value = entry.value or b""
@@ -401,21 +374,7 @@
             ).info("applied a configuration")
         elif kind == UPSTREAM:
             registered = self._documents.upstream(name, value)
-            upstream = msgspec.structs.replace(
-                registered,
-                leaving=self._leaving.is_leaving(registered, revision=entry.mod_revision),
-                revision=entry.mod_revision,
-            )
-            previous = self._upstreams.get(name)
-            self._upstreams[name] = upstream
-            if previous is None or previous.leaving != upstream.leaving:
-                logger.bind(
-                    event="upstream",
-                    upstream=name,
-                    service=upstream.service,
-                    leaving=upstream.leaving,
-                    revision=number_of(entry.mod_revision),
-                ).info("upstream registered or changed state")
+            self._upstreams.register(registered, revision=entry.mod_revision)
         elif kind == EVACUATION:
             if self._evacuations.begin(name, revision=entry.mod_revision):
                 _log_evacuation("evacuation_began", name, entry.mod_revision, source)
@@ -455,30 +414,14 @@
             _log_evacuation("evacuation_ended", name, removed.mod_revision, source)
 
     def _remove_upstream(self, key: str, name: str, *, now: float, removal_delay: float) -> None:
-        upstream = self._upstreams.get(name)
-        draining = upstream is not None and upstream.leaving and name not in self._leaving
-        if upstream is not None and removal_delay and not draining:
+        is_leaving = self._upstreams.is_registered_leaving(name)
+        if name in self._upstreams.by_id and removal_delay and not is_leaving:
             self._pending_removals.setdefault(key, now + removal_delay)
             return
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
-        self._upstreams.pop(name, None)
-        self._leaving.forget(name)
+        self._upstreams.remove(name)
         self._outdated.record_removal(key, now=now)
-        if upstream is not None:
-            logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
-
-    def _begin_leaving(self, listed: ListedUpstream, *, source: str, peer: str | None) -> None:
-        self._upstreams[listed.id] = msgspec.structs.replace(listed, leaving=True)
-        logger.bind(
-            event="upstream_leaving",
-            upstream=listed.id,
-            service=listed.service,
-            born=listed.born,
-            source=source,
-            peer=peer,
-        ).info("upstream said in a response that it is leaving")
-        self._notify()
 
     def _notify(self) -> None:
         for listener in self._listeners:
