--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -209,6 +209,7 @@
         if self._revision and era_of(snapshot.revision) > era_of(self._revision):
             removal_delay = max(removal_delay, self._returned_within)
             self._enter_era(snapshot, now=now, source=source)
+        self._withhold_outdated(snapshot, now=now)
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
             self._install(entry, source=source)
@@ -334,22 +335,43 @@
         for upstream in self._upstreams.values():
             if upstream.leaving and not self._leaving.is_only_reported(upstream.id):
                 self._leaving.record(upstream)
+
+    def _withhold_outdated(self, snapshot: FleetSnapshot, *, now: float) -> None:
+        """Withhold the entries of a copy that are older than what is known from before it.
+
+        The snapshot that led into the era may have come from a gateway that withholds them, so
+        each one is looked at.
+        """
+        if era_of(snapshot.revision) == 0:
+            return
         for entry in snapshot.entries:
             if self._is_outdated(entry, now=now):
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
 
     def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
-        """Whether an entry of a copy is older than what is known of its key."""
         kind, _ = self._documents.classify_key(entry.key)
-        if kind == UPSTREAM:
-            return self._outdated.was_removed(entry.key, now=now)
-        if kind != CONFIGURATION or self._table is None:
+        if kind == UPSTREAM and self._outdated.was_removed(
+            entry.key, before=entry.mod_revision, now=now
+        ):
+            return True
+        if not self._is_of_earlier_era(entry.key):
             return False
         try:
-            return self._documents.configuration(entry.value or b"").version < self._table.version
+            return self._is_older(kind, entry.value or b"")
         except InvalidDocument:
             return False
 
+    def _is_older(self, kind: str | None, value: bytes) -> bool:
+        """Whether a document is older than the one known, by what it says itself."""
+        if kind == CONFIGURATION and self._table is not None:
+            return self._documents.configuration(value).version < self._table.version
+        return False
+
+    def _is_of_earlier_era(self, key: str) -> bool:
+        """Whether the entry known of a key was written before the store came back from a copy."""
+        entry = self._entries.get(key)
+        return entry is not None and number_of(entry.mod_revision) == 0
+
     def _install(self, entry: StoredEntry, *, source: str) -> None:
         if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
             return
@@ -437,7 +459,7 @@
             # Operators never delete the configuration, so its absence is a fault of the store.
             return
         if kind == UPSTREAM:
-            self._remove_upstream(removed.key, name, now=now, removal_delay=removal_delay)
+            self._remove_upstream(removed, name, now=now, removal_delay=removal_delay)
             return
         is_lost_in_return = 0 < removed.mod_revision == self._returned_at
         if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
@@ -454,7 +476,10 @@
         ):
             _log_evacuation("evacuation_ended", name, removed.mod_revision, source)
 
-    def _remove_upstream(self, key: str, name: str, *, now: float, removal_delay: float) -> None:
+    def _remove_upstream(
+        self, removed: StoredEntry, name: str, *, now: float, removal_delay: float
+    ) -> None:
+        key = removed.key
         upstream = self._upstreams.get(name)
         draining = upstream is not None and upstream.leaving and name not in self._leaving
         if upstream is not None and removal_delay and not draining:
@@ -464,7 +489,7 @@
         self._entries.pop(key, None)
         self._upstreams.pop(name, None)
         self._leaving.forget(name)
-        self._outdated.record_removal(key, now=now)
+        self._outdated.record_removal(key, revision=removed.mod_revision, now=now)
         if upstream is not None:
             logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
 
