--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -349,7 +349,7 @@
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
 
     def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
-        kind, _ = self._documents.classify_key(entry.key)
+        kind, name = self._documents.classify_key(entry.key)
         if kind == UPSTREAM and self._outdated.was_removed(
             entry.key, before=entry.mod_revision, now=now
         ):
@@ -357,14 +357,16 @@
         if not self._is_of_earlier_era(entry.key):
             return False
         try:
-            return self._is_older(kind, entry.value or b"")
+            return self._is_older(kind, name, entry.value or b"")
         except InvalidDocument:
             return False
 
-    def _is_older(self, kind: str | None, value: bytes) -> bool:
+    def _is_older(self, kind: str | None, name: str, value: bytes) -> bool:
         """Whether a document is older than the one known, by what it says itself."""
         if kind == CONFIGURATION and self._table is not None:
             return self._documents.configuration(value).version < self._table.version
+        if kind == UPSTREAM and name in self._upstreams:
+            return self._documents.upstream(name, value).born < self._upstreams[name].born
         return False
 
     def _is_of_earlier_era(self, key: str) -> bool:
--- a/testing/test_store_copy_state.py
+++ b/testing/test_store_copy_state.py
@@ -116,3 +116,16 @@
     # What is written after the return is in force, whatever its version.
     follower.install(_snapshot(30, _configuration(1, number=25, era=1), era=1), now=2.0)
     assert _version(follower) == 1
+
+
+def test_an_earlier_incarnation_of_an_upstream_does_not_come_back() -> None:
+    state = _state()
+    known = _upstream("i-1", number=70, era=0, born=2000)
+    state.install(_snapshot(80, _configuration(1, number=1, era=0), known, era=0), now=0.0)
+    draining = _upstream("i-1", number=50, era=1, born=1000, state=names.STATE_DRAINING)
+    state.install(_snapshot(55, _configuration(1, number=1, era=1), draining, era=1), now=1.0)
+    assert (_used(state), state.upstreams["i-1"].born) == ({"i-1"}, 2000)
+    # It is gone if the store says so.
+    removed = StoredEntry(names.UPSTREAM_PREFIX + "i-1", None, ordered_revision(60, era=1))
+    state.apply_changes((removed,), revision=removed.mod_revision, now=4.0)
+    assert not state.upstreams
