--- a/src/baobabpulley/gateway/store/fleet_snapshot.py
+++ b/src/baobabpulley/gateway/store/fleet_snapshot.py
@@ -19,14 +19,16 @@
     """All entries at one store revision.
 
     ``covers_evacuations`` is whether the requests to evacuate domains are among the entries.
-    ``era`` is that of the revisions while they are sent. Gateways of earlier versions leave out
-    the last fields; they leave out evacuations, and know no era but 0.
+    ``era`` is that of the revisions while they are sent. The store lacks the keys in
+    ``unregistered``, whose removal is only delayed. Gateways of earlier versions leave out the last
+    fields; they leave out evacuations, and know no era but 0.
     """
 
     revision: int
     entries: tuple[StoredEntry, ...]
     covers_evacuations: bool = False
     era: int = 0
+    unregistered: tuple[str, ...] = ()
 
 
 class _Sent(Protocol):
--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -168,7 +168,8 @@
 
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
-        return self._snapshot(self._entries.values())
+        snapshot = self._snapshot(self._entries.values())
+        return msgspec.structs.replace(snapshot, unregistered=tuple(self._pending_removals))
 
     def changes_since(self, revision: int) -> tuple[StoredEntry, ...] | None:
         """Return the changes after a revision, or ``None`` if they are no longer known."""
@@ -210,9 +211,13 @@
             removal_delay = max(removal_delay, self._returned_within)
             self._enter_era(snapshot, now=now, source=source)
         self._withhold_outdated(snapshot, now=now)
-        present = {entry.key for entry in snapshot.entries}
+        unregistered = frozenset(snapshot.unregistered)
+        if unregistered:
+            removal_delay = max(removal_delay, self._returned_within)
+        present = {entry.key for entry in snapshot.entries} - unregistered
         for entry in snapshot.entries:
-            self._install(entry, source=source)
+            if entry.key in present or entry.key not in self._entries:
+                self._install(entry, source=source)
         self._may_lack_evacuations = not snapshot.covers_evacuations
         for key, entry in tuple(self._entries.items()):
             if key in present or entry.mod_revision > snapshot.revision:
--- a/src/baobabpulley/gateway/store/snapshot_fetcher.py
+++ b/src/baobabpulley/gateway/store/snapshot_fetcher.py
@@ -28,8 +28,8 @@
 _TIMEOUT_SECONDS: Final = 0.5
 # Number of peers that a gateway without a configuration asks at least.
 _FIRST_SNAPSHOTS: Final = 3
-# MessagePack encodes a snapshot, an array of two to four fields, with one of these first bytes.
-_SNAPSHOT_STARTS: Final = (b"\x92", b"\x93", b"\x94")
+# MessagePack encodes a snapshot, an array of two to five fields, with one of these first bytes.
+_SNAPSHOT_STARTS: Final = (b"\x92", b"\x93", b"\x94", b"\x95")
 
 _decoder = msgspec.msgpack.Decoder(FleetSnapshot)
 
--- a/testing/test_store_copy_state.py
+++ b/testing/test_store_copy_state.py
@@ -129,3 +129,17 @@
     removed = StoredEntry(names.UPSTREAM_PREFIX + "i-1", None, ordered_revision(60, era=1))
     state.apply_changes((removed,), revision=removed.mod_revision, now=4.0)
     assert not state.upstreams
+
+
+def test_what_a_peer_keeps_only_for_a_while_is_removed_here_too() -> None:
+    peer, state, started = _state(), _state(), _state()
+    known = (_configuration(1, number=1, era=0), _upstream("i-1", number=2, era=0))
+    for each in (peer, state):
+        each.install(_snapshot(90, *known, _upstream("i-2", number=80, era=0), era=0), now=0.0)
+    known = (_configuration(1, number=1, era=1), _upstream("i-1", number=2, era=1))
+    peer.install(_snapshot(20, *known, era=1), now=1.0)
+    for each in (state, started):
+        each.install(peer.snapshot(), now=1.5)
+        assert _used(each) == {"i-1", "i-2"}
+        each.remove_expired(now=1.5 + RETURNED_WITHIN_SECONDS)
+        assert _used(each) == {"i-1"}
