--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -468,7 +468,7 @@
         if kind == UPSTREAM:
             self._remove_upstream(removed, name, now=now, removal_delay=removal_delay)
             return
-        is_lost_in_return = 0 < removed.mod_revision == self._returned_at
+        is_lost_in_return = self._is_of_earlier_era(removed.key)
         if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
             # A short list would let each gateway take the others' share of what they divide, and an
             # evacuation that the copy lacks is written again.
--- a/testing/test_store_copy_state.py
+++ b/testing/test_store_copy_state.py
@@ -143,3 +143,17 @@
         assert _used(each) == {"i-1", "i-2"}
         each.remove_expired(now=1.5 + RETURNED_WITHIN_SECONDS)
         assert _used(each) == {"i-1"}
+
+
+def test_an_evacuation_that_the_copy_lacks_goes_on_through_a_second_read() -> None:
+    state = _state()
+    evacuation = StoredEntry(names.EVACUATION_PREFIX + "fes", b"{}", 70)
+    state.install(_snapshot(80, _configuration(1, number=1, era=0), evacuation, era=0), now=0.0)
+    known = _configuration(1, number=1, era=1)
+    # A peer of an earlier version tells of the return, and knows no evacuations.
+    state.install(FleetSnapshot(ordered_revision(20, era=1), (known,)), now=1.0)
+    for number in (21, 22):
+        state.install(_snapshot(number, known, era=1), now=1.2, removal_delay=1.8)
+        assert state.evacuations.domains == {"fes"}
+    state.remove_expired(now=3.0)
+    assert not state.evacuations.domains
