--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -163,7 +163,8 @@
 
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
-        return self._snapshot(self._entries.values())
+        snapshot = self._snapshot(self._entries.values())
+        return msgspec.structs.replace(snapshot, unregistered=tuple(self._pending_removals))
 
     def changes_since(self, revision: int) -> tuple[StoredEntry, ...] | None:
         """Return the changes after a revision, or ``None`` if they are no longer known."""
@@ -204,9 +205,14 @@
         if self._revision and era_of(snapshot.revision) > era_of(self._revision):
             removal_delay = max(removal_delay, self._returned_within)
             self._enter_era(snapshot, now=now, source=source)
-        present = {entry.key for entry in snapshot.entries}
+        self._withhold_outdated(snapshot, now=now)
+        unregistered = frozenset(snapshot.unregistered)
+        if unregistered:
+            removal_delay = max(removal_delay, self._returned_within)
+        present = {entry.key for entry in snapshot.entries} - unregistered
         for entry in snapshot.entries:
-            self._install(entry, source=source)
+            if entry.key in present or entry.key not in self._entries:
+                self._install(entry, source=source)
         self._may_lack_evacuations = not snapshot.covers_evacuations
         for key, entry in tuple(self._entries.items()):
             if key in present or entry.mod_revision > snapshot.revision:
@@ -307,22 +313,45 @@
         for key, entry in self._entries.items():
             self._entries[key] = msgspec.structs.replace(entry, mod_revision=oldest)
         self._upstreams.keep_leaving()
+
+    def _withhold_outdated(self, snapshot: FleetSnapshot, *, now: float) -> None:
+        """Withhold the entries of a copy that are older than what is known from before it.
+
+        The snapshot that led into the era may have come from a gateway that withholds them, so
+        each one is looked at.
+        """
+        if era_of(snapshot.revision) == 0:
+            return
         for entry in snapshot.entries:
             if self._is_outdated(entry, now=now):
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
 
     def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
-        """Whether an entry of a copy is older than what is known of its key."""
-        kind, _ = self._documents.classify_key(entry.key)
-        if kind == UPSTREAM:
-            return self._outdated.was_removed(entry.key, now=now)
-        if kind != CONFIGURATION or self._table is None:
+        kind, name = self._documents.classify_key(entry.key)
+        if kind == UPSTREAM and self._outdated.was_removed(
+            entry.key, before=entry.mod_revision, now=now
+        ):
+            return True
+        if not self._is_of_earlier_era(entry.key):
             return False
         try:
-            return self._documents.configuration(entry.value or b"").version < self._table.version
+            return self._is_older(kind, name, entry.value or b"")
         except InvalidDocument:
             return False
 
+    def _is_older(self, kind: str | None, name: str, value: bytes) -> bool:
+        """Whether a document is older than the one known, by what it says itself."""
+        if kind == CONFIGURATION and self._table is not None:
+            return self._documents.configuration(value).version < self._table.version
+        if kind == UPSTREAM and name in self._upstreams.by_id:
+            return self._documents.upstream(name, value).born < self._upstreams.by_id[name].born
+        return False
+
+    def _is_of_earlier_era(self, key: str) -> bool:
+        """Whether the entry known of a key was written before the store came back from a copy."""
+        entry = self._entries.get(key)
+        return entry is not None and number_of(entry.mod_revision) == 0
+
     def _install(self, entry: StoredEntry, *, source: str) -> None:
         if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
             return
@@ -396,9 +425,9 @@
             # Operators never delete the configuration, so its absence is a fault of the store.
             return
         if kind == UPSTREAM:
-            self._remove_upstream(removed.key, name, now=now, removal_delay=removal_delay)
+            self._remove_upstream(removed, name, now=now, removal_delay=removal_delay)
             return
-        is_lost_in_return = 0 < removed.mod_revision == self._returned_at
+        is_lost_in_return = self._is_of_earlier_era(removed.key)
         if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
             # A short list would let each gateway take the others' share of what they divide, and an
             # evacuation that the copy lacks is written again.
@@ -413,7 +442,10 @@
         ):
             _log_evacuation("evacuation_ended", name, removed.mod_revision, source)
 
-    def _remove_upstream(self, key: str, name: str, *, now: float, removal_delay: float) -> None:
+    def _remove_upstream(
+        self, removed: StoredEntry, name: str, *, now: float, removal_delay: float
+    ) -> None:
+        key = removed.key
         is_leaving = self._upstreams.is_registered_leaving(name)
         if name in self._upstreams.by_id and removal_delay and not is_leaving:
             self._pending_removals.setdefault(key, now + removal_delay)
@@ -421,7 +453,7 @@
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
         self._upstreams.remove(name)
-        self._outdated.record_removal(key, now=now)
+        self._outdated.record_removal(key, revision=removed.mod_revision, now=now)
 
     def _notify(self) -> None:
         for listener in self._listeners:
