--- a/src/baobabpulley/gateway/exchanges/attempt_loop.py
+++ b/src/baobabpulley/gateway/exchanges/attempt_loop.py
@@ -31,8 +31,8 @@
 from baobabpulley.gateway.peers.crash_evidence import CrashEvidence
 from baobabpulley.gateway.peers.gossip import GossipProtocol
 from baobabpulley.gateway.placement.placement import Placement
-from baobabpulley.gateway.placement.placer import NO_EXCLUSIONS
 from baobabpulley.gateway.placement.placer import Placer
+from baobabpulley.gateway.placement.upstream_chooser import NO_EXCLUSIONS
 from baobabpulley.gateway.placement.upstream_record import UpstreamRecord
 from baobabpulley.gateway.shutdown_gate import ShutdownGate
 from baobabpulley.policy.deadlines import retry_after_seconds
