--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -106,7 +106,10 @@
 
     @property
     def returned_at(self) -> int:
-        """Revision of the first snapshot after the store came back from a copy; 0 if it hasn't."""
+        """Revision of the first snapshot known of the store's era; 0 in era 0.
+
+        Whatever is of a later revision was written after the store came back from a copy.
+        """
         return self._returned_at
 
     @property
@@ -205,6 +208,8 @@
         if self._revision and era_of(snapshot.revision) > era_of(self._revision):
             removal_delay = max(removal_delay, self._returned_within)
             self._enter_era(snapshot, now=now, source=source)
+        elif not self._revision and era_of(snapshot.revision):
+            self._returned_at = snapshot.revision
         self._withhold_outdated(snapshot, now=now)
         unregistered = frozenset(snapshot.unregistered)
         if unregistered:
@@ -327,6 +332,9 @@
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
 
     def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
+        if entry.mod_revision > self._returned_at:
+            # Written after the return, whatever was known before.
+            return False
         kind, name = self._documents.classify_key(entry.key)
         if kind == UPSTREAM and self._outdated.was_removed(
             entry.key, before=entry.mod_revision, now=now
--- a/testing/test_store_copy_state.py
+++ b/testing/test_store_copy_state.py
@@ -92,6 +92,18 @@
     assert _used(state) == {"i-2"}
 
 
+def test_a_removed_upstream_is_used_at_once_if_its_entry_is_newer_than_the_return() -> None:
+    state = _state()
+    known = _configuration(1, number=1, era=0)
+    state.install(_snapshot(80, known, _upstream("i-2", number=3, era=0), era=0), now=0.0)
+    _remove(state, "i-2", number=81, now=0.5)
+    # From a gateway that withholds the copy's entry, and then from the store.
+    known = _configuration(1, number=1, era=1)
+    state.install(_snapshot(20, known, era=1), now=1.0)
+    state.install(_snapshot(30, known, _upstream("i-2", number=25, era=1), era=1), now=1.5)
+    assert _used(state) == {"i-2"}
+
+
 def test_an_upstream_removed_and_registered_after_the_return_is_used() -> None:
     state = _state()
     known = _configuration(1, number=1, era=0)
