--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -111,6 +111,7 @@
         self._random = random.Random()
         self._connection = StoreConnection(returned_within=section.returned_within, timers=timers)
         fleet_state.listen_to_returns(self._connection.delay_removals)
+        fleet_state.listen_to_returns(lambda: store.adopt_era(era_of(fleet_state.returned_at)))
         self._has_snapshot = False
         self._outage_elsewhere = False
         self._task: asyncio.Task[None] | None = None
@@ -351,6 +352,8 @@
         self._outage_elsewhere = self._watchers.store_failed_peer
         self._log_source(STORE)
         if not self._has_snapshot or self._fleet_state.may_lack_evacuations:
+            # Other gateways may have told of a return before the store answered this one.
+            self._store.adopt_era(era_of(self._fleet_state.revision))
             asked_at = self._timers.boot_time()
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -115,6 +115,10 @@
     def era(self) -> int:
         """How often the store has come back from a copy, as far as its answers tell."""
 
+    @abstractmethod
+    def adopt_era(self, era: int) -> None:
+        """Take over a later era that other processes know of; answers of earlier ones are lost."""
+
     @abstractmethod
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
         """Write a key unconditionally; raise `StoreUnavailable` or `StoreResponseLost`."""
--- a/testing/test_store_copy.py
+++ b/testing/test_store_copy.py
@@ -19,6 +19,7 @@
 from platform_store import StoreCopy
 
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.model.revisions import era_of
 from baobabpulley.platform import names
 
 # Writes since the copy: more than are written again before the next change.
@@ -186,6 +187,42 @@
         await wait_for_version(gateway, 3)
 
 
+async def test_a_return_of_a_store_that_states_no_era_counts_once(world: World) -> None:
+    world.store.era = None
+    await world.add_upstream("i-1")
+    gateways = await _add_gateways(world, 6)
+    copy = world.store.copy()
+    _write_heartbeats(world)
+    await asyncio.sleep(0.3)
+    await _come_back(world, copy, version=2, upstreams=["i-1"])
+    for _ in range(8):
+        await asyncio.sleep(0.2)
+        _register(world, "i-1")
+    assert [era_of(gateway.fleet_state.revision) for gateway in gateways] == [1] * len(gateways)
+
+
+async def test_a_gateway_that_starts_after_the_return_learns_of_an_era_that_no_answer_states(
+    world: World,
+) -> None:
+    world.store.era = None
+    await world.add_upstream("i-1")
+    gateways = await _add_gateways(world)
+    copy = world.store.copy()
+    _write_heartbeats(world)
+    await asyncio.sleep(0.3)
+    await _come_back(world, copy, version=2, upstreams=["i-1"])
+    for gateway in gateways:
+        await wait_until(lambda g=gateway: era_of(g.fleet_state.revision) == 1)
+    late = await world.add_gateway(failure_domain="safi")
+    # It hears of the newer era, and then reads the store and watches it in that.
+    await wait_until(lambda: era_of(late.fleet_state.revision) == late.store.era == 1)
+    for version in range(3, 8):
+        world.store.put(names.CONFIGURATION_KEY, _with_route(version, f"/v{version}/"))
+        for gateway in (*gateways, late):
+            await wait_for_version(gateway, version)
+        await asyncio.sleep(0.2)
+
+
 async def test_what_left_since_the_copy_does_not_come_back(world: World) -> None:
     for name in ("i-1", "i-2", "i-3"):
         await world.add_upstream(name)
--- a/testing/test_store_eras.py
+++ b/testing/test_store_eras.py
@@ -13,6 +13,7 @@
 from gateway_builders import configuration
 from gateway_builders import open_world
 from gateway_builders import wait_until
+from platform_store import StoreCopy
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
@@ -192,3 +193,17 @@
         answers += 1
     # One for each confirmation of the store, not one at once for each question.
     assert answers <= 2 * MAX_WAIT_SECONDS / watch_wait(in_force_within=2.0)
+
+
+async def test_a_store_without_eras_is_in_that_of_other_gateways(world: World) -> None:
+    world.store.era = None
+    store = _store(world)
+    for _ in range(20):
+        world.store.put("members/front-99", b"{}")
+    await store.read("")
+    store.adopt_era(2)
+    copy = StoreCopy(world.store.items, {}, 5)
+    world.store.return_from(copy)
+    # Lower than what it answered before, which others have seen already.
+    assert era_of((await store.read("")).revision) == 2
+    assert store.era == 2
