--- a/src/baobabpulley/gateway/peers/gossip_messages.py
+++ b/src/baobabpulley/gateway/peers/gossip_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -104,12 +105,21 @@
         """The store revision that the gateway has reached, comparable across eras."""
         return ordered_revision(self.revision, era=self.era)
 
+    def _leaving_in(self, era: int) -> Iterable[LeavingRow]:
+        """Return the reports of leaving upstreams with revisions of an era.
+
+        Those of an earlier era are older than anything in a later one.
+        """
+        if era == self.era:
+            return self.leaving
+        return [msgspec.structs.replace(row, revision=0) for row in self.leaving]
+
     def updated_by(self, newer: GossipMessage) -> GossipMessage:
         """Return a later message of the same process, with what this one has and it lacks."""
         shares = {share.upstream: share for share in (*self.shares, *newer.shares)}
         crashes = {crash.upstream: crash for crash in (*self.crashes, *newer.crashes)}
         survivals = {survival.part: survival for survival in (*self.survivals, *newer.survivals)}
-        leaving = {row.upstream: row for row in (*self.leaving, *newer.leaving)}
+        leaving = {row.upstream: row for row in (*self._leaving_in(newer.era), *newer.leaving)}
         backpressure = {row.upstream: row for row in (*self.backpressure, *newer.backpressure)}
         silent = dict.fromkeys((*self.silent, *newer.silent))
         wants = {row.id: row for row in (*self.retry_wants, *newer.retry_wants)}
--- a/testing/test_store_eras.py
+++ b/testing/test_store_eras.py
@@ -21,6 +21,7 @@
 from baobabpulley.errors import StoreResponseLost
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.peers.gossip_messages import GossipMessage
+from baobabpulley.gateway.peers.gossip_messages import LeavingRow
 from baobabpulley.gateway.peers.gossip_messages import decode
 from baobabpulley.gateway.peers.gossip_messages import encode
 from baobabpulley.gateway.store.compression import decompress
@@ -195,6 +196,14 @@
     assert answers <= 2 * MAX_WAIT_SECONDS / watch_wait(in_force_within=2.0)
 
 
+def test_reports_of_an_earlier_era_that_a_relay_holds_do_not_count_as_of_the_later_one() -> None:
+    first = GossipMessage("n", "a", 1, "d", "h:1", 90, 7, leaving=(LeavingRow("i-1", 5, 90),))
+    second = GossipMessage("n", "a", 2, "d", "h:1", 20, 0, era=1)
+    assert first.updated_by(second).leaving == (LeavingRow("i-1", 5, 0),)
+    same = msgspec.structs.replace(second, era=0)
+    assert first.updated_by(same).leaving == first.leaving
+
+
 async def test_a_store_without_eras_is_in_that_of_other_gateways(world: World) -> None:
     world.store.era = None
     store = _store(world)
