--- a/src/baobabpulley/gateway/store/snapshot_fetcher.py
+++ b/src/baobabpulley/gateway/store/snapshot_fetcher.py
@@ -20,6 +20,7 @@
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
 from baobabpulley.gateway.store.fleet_snapshot import as_received
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.model.revisions import era_of
 from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.timers import TimerService
@@ -73,6 +74,9 @@
                 "no valid snapshot from the peer: {}", error
             )
             return False
+        if era_of(snapshot.revision) < era_of(self._fleet_state.revision):
+            # What the peer has confirmed is of a store that has lost its latest writes since.
+            return False
         newer = snapshot.revision > self._fleet_state.revision
         if newer and self._fleet_state.install(snapshot, now=self._timers.now(), source=address):
             logger.bind(event="snapshot", peer=address, revision=number_of(snapshot.revision)).info(
--- a/testing/test_store_eras.py
+++ b/testing/test_store_eras.py
@@ -29,6 +29,7 @@
 from baobabpulley.gateway.store.fleet_snapshot import as_received
 from baobabpulley.gateway.store.fleet_snapshot import as_sent
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.gateway.store.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store.store_relay import MAX_WAIT_SECONDS
 from baobabpulley.gateway.store.store_relay import FleetUpdate
 from baobabpulley.model.documents import StoredEntry
@@ -38,8 +39,10 @@
 from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.platform.store import PlatformStore
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.store_confirmation import watch_wait
 from baobabpulley.ports.config_store import Swap
+from baobabpulley.timers import TimerService
 
 
 class EarlierUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -204,6 +207,23 @@
     assert first.updated_by(same).leaving == first.leaving
 
 
+async def test_a_peer_in_an_earlier_era_confirms_nothing(world: World) -> None:
+    gateway = await world.add_gateway()
+    timers = TimerService()
+    state = FleetState(PlatformDocuments())
+    confirmation = StoreConfirmation(in_force_within=2.0)
+    fetcher = SnapshotFetcher(
+        client=gateway.client, fleet_state=state, confirmation=confirmation, timers=timers
+    )
+    state.install(_snapshot(5, number=2, era=1), now=0.0)
+    assert not await fetcher.fetch(gateway.node.control)
+    assert confirmation.confirmed_at is None
+    world.store.era = 1
+    await wait_until(lambda: era_of(gateway.fleet_state.revision) == 1)
+    await fetcher.fetch(gateway.node.control)
+    assert confirmation.confirmed_at is not None
+
+
 async def test_a_store_without_eras_is_in_that_of_other_gateways(world: World) -> None:
     world.store.era = None
     store = _store(world)
