--- a/testing/gateway_builders.py
+++ b/testing/gateway_builders.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -117,14 +118,18 @@
 
 @final
 class GatewayProcess:
-    """A gateway in a separate process; its log goes to a file beside its settings."""
+    """A gateway in a separate process; its log goes to a file beside its settings.
 
-    def __init__(self, path: Path, *, start: int) -> None:
+    It runs the code of this source tree, or of the one in ``source``.
+    """
+
+    def __init__(self, path: Path, *, start: int, source: Path | None = None) -> None:
         self.node = load_settings(path, daemon="gateway").get(GatewayNodeSection)
         self._log = path.with_suffix(f".{start}.log")
         command = [sys.executable, "-m", "baobabpulley", "gateway", "--settings", str(path)]
+        environment = None if source is None else {**os.environ, "PYTHONPATH": f"{source}/src"}
         with self._log.open("wb") as log:
-            self._popen = subprocess.Popen(command, stdout=log, stderr=log)
+            self._popen = subprocess.Popen(command, stdout=log, stderr=log, env=environment)
 
     def has_loaded(self, library: str) -> bool:
         """Whether the process has mapped a library whose path contains ``library``."""
@@ -146,8 +151,12 @@
 
     def events(self) -> set[str]:
         """Return the names of the events in its log."""
+        return set(self.event_counts())
+
+    def event_counts(self) -> Counter[str]:
+        """Return how often each event is in its log."""
         lines = self._log.read_text().splitlines()
-        return {str(json.loads(line).get("event")) for line in lines if line.startswith("{")}
+        return Counter(str(json.loads(line).get("event")) for line in lines if line[:1] == "{")
 
     def kill(self) -> None:
         """Kill the process."""
@@ -193,18 +202,19 @@
         return gateway
 
     def start_gateway_process(
-        self, name: str = "gateway-process", **options: str
+        self, name: str = "gateway-process", *, source: Path | None = None, **options: str
     ) -> GatewayProcess:
         """Start a gateway in a separate process, without waiting for it.
 
-        One that had the same name before must have ended.
+        One that had the same name before must have ended. ``source`` is a source tree other than
+        this one.
         """
         path = self.folder / f"{name}.ini"
         if not path.exists():
             number = 100 + len(self.processes)
             seeds = [process.node.control for process in self.processes]
             path.write_text(self._settings(number, next(_ports), options, seeds=seeds))
-        process = GatewayProcess(path, start=len(self.processes))
+        process = GatewayProcess(path, start=len(self.processes), source=source)
         self.processes.append(process)
         return process
 
@@ -231,7 +241,8 @@
             f"callers = {host}:{port}\nreadiness = {host}:{port + 1}\n"
             f"control = {host}:{port + 2}\nnews_port = {news_port}\nmetrics_port = {port + 4}\n"
             f"[store]\naddress = {options.get('store', self.store.address)}\n"
-            f"watch_wait = {options.get('watch_wait', '1')}\nreturned_within = 0.8\n"
+            f"watch_wait = {options.get('watch_wait', '1')}\n"
+            f"returned_within = {options.get('returned_within', '0.8')}\n"
             f"member_lease = {options.get('member_lease', '30')}\n"
             f"[peers]\nseeds = {','.join(seeds)}\n"
             f"[repeats]\nratio = 0.2\nslack = 100\nlending = true\n"
