--- a/src/baobabpulley/gateway/store/member_registration.py
+++ b/src/baobabpulley/gateway/store/member_registration.py
@@ -98,8 +98,10 @@
 
     async def _pause(self, seconds: float) -> None:
         """Wait until the lease is to be renewed, or shortly after a return of the store."""
+        # `asyncio.wait_for` would swallow a cancellation that comes just as the store returns.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._returned.wait(), self._timers.to_real_seconds(seconds))
+            async with asyncio.timeout(self._timers.to_real_seconds(seconds)):
+                await self._returned.wait()
         if not self._returned.is_set():
             return
         self._returned.clear()
