--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -352,10 +352,9 @@
         self._log_source(STORE)
         if not self._has_snapshot or self._fleet_state.may_lack_evacuations:
             asked_at = self._timers.boot_time()
+            self._learn_era()
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
-            if era_of(snapshot.revision) < era_of(self._fleet_state.revision):
-                raise StoreUnavailable("the store answers in an older era than other gateways know")
             self._fleet_state.install(
                 FleetSnapshot(
                     revision=snapshot.revision, entries=snapshot.entries, covers_evacuations=True
@@ -365,6 +364,7 @@
             )
             self._confirm(asked_at)
             self._has_snapshot = True
+        self._learn_era()
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         async with contextlib.aclosing(changes):
             async for batch in changes:
@@ -374,6 +374,10 @@
                 if batch.entries:
                     await self._limit_watches()
 
+    def _learn_era(self) -> None:
+        """Tell the store's client of a return that other gateways may have seen before it."""
+        self._store.learn_era(era_of(self._fleet_state.revision))
+
     def _apply_batch(self, batch: WatchBatch) -> None:
         self._mark_store_reached()
         self._fleet_state.apply_changes(
@@ -392,6 +396,7 @@
             self._probe = asyncio.get_running_loop().create_task(self._ask_store())
 
     async def _ask_store(self) -> None:
+        self._learn_era()
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         try:
             async with contextlib.aclosing(changes):
--- a/src/baobabpulley/platform/store.py
+++ b/src/baobabpulley/platform/store.py
@@ -142,6 +142,10 @@
         """Number of calls made so far."""
         return self._calls
 
+    def learn_era(self, era: int) -> None:
+        if era > self._era:
+            self._record_era(era)
+
     async def read(self, prefix: str, *, last_prefix: str | None = None) -> StoreSnapshot:
         del last_prefix
         entries: list[StoredEntry] = []
@@ -218,9 +222,6 @@
     ) -> AsyncIterator[WatchBatch]:
         del last_prefix
         after = from_revision
-        if not self._states_era:
-            # Other gateways may have seen a return that this one hasn't.
-            self._record_era(max(self._era, era_of(after)))
         while True:
             number = self._number
             query = {
@@ -299,7 +300,6 @@
         """
         if not self._states_era and answer.era == self._era and number < asked_at <= self._number:
             self._record_era(self._era + 1)
-            self._number = number
         self._number = max(self._number, number)
         return answer.era if self._states_era else self._era
 
@@ -307,8 +307,9 @@
         if era == self._era:
             return
         previous, self._era = self._era, era
+        self._number = 0
         logger.bind(event="store_era", previous=previous, era=era).warning(
-            "the store answers in a new era: it may have come back from an older copy"
+            "the store is in a new era: it may have come back from an older copy"
         )
 
 
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -113,7 +113,14 @@
     @property
     @abstractmethod
     def era(self) -> int:
-        """How often the store has come back from a copy, as far as its answers tell."""
+        """How often the store has come back from a copy, as far as is known."""
+
+    @abstractmethod
+    def learn_era(self, era: int) -> None:
+        """Record an era that other gateways know of; an earlier one than the known has no effect.
+
+        Answers of earlier eras count as lost from then on.
+        """
 
     @abstractmethod
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
