A watch that began in an older era ends when the gateway learns of a newer one (51, CONFIG)

What callers saw: a gateway that started after the return of a store that states no era served by an old configuration for good, unless another gateway was ahead of it, and counted as confirmed all the while. Cause: it watches in the older era, as it saw no count go back; once it has the newer era from another gateway, each batch of its watch is dropped as of another era, without a word, yet confirms the state. Evidence: test_a_gateway_that_starts_after_the_return_hears_changes_by_itself, before, 3 of 3 runs: condition not met within 2.0 s. Why this works: such a batch is no answer for this state: all keys are read again, in the era known by then.

--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -379,6 +379,8 @@
         self._store.learn_era(era_of(self._fleet_state.revision))
 
     def _apply_batch(self, batch: WatchBatch) -> None:
+        if era_of(batch.revision) < era_of(self._fleet_state.revision):
+            raise StoreCompacted("the store came back from a copy since the watch began")
         self._mark_store_reached()
         self._fleet_state.apply_changes(
             batch.entries,
--- a/testing/test_store_without_era.py
+++ b/testing/test_store_without_era.py
@@ -8,7 +8,9 @@
 
 import pytest
 from gateway_builders import World
+from gateway_builders import configuration
 from gateway_builders import open_world
+from gateway_builders import wait_for_version
 from gateway_builders import wait_until
 
 from baobabpulley.adapters.http_client import HttpClient
@@ -67,3 +69,15 @@
     position = ordered_revision(copy.revision, era=1)
     batch = await anext(aiter(store.watch("", from_revision=position)))
     assert (store.era, batch.revision) == (1, position)
+
+
+async def test_a_gateway_that_starts_after_the_return_hears_changes_by_itself(world: World) -> None:
+    first = await world.add_gateway()
+    await _lose_writes(world)
+    await wait_until(lambda: _era(first) == 1)
+    started = await world.add_gateway(failure_domain="rabat")
+    await wait_until(lambda: _era(started) == 1)
+    first.close()
+    world.gateways.remove(first)
+    world.store.put(names.CONFIGURATION_KEY, configuration(2))
+    await wait_for_version(started, 2)
