--- a/src/baobabpulley/gateway/store/member_registration.py
+++ b/src/baobabpulley/gateway/store/member_registration.py
@@ -14,6 +14,7 @@
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.sections import GatewayNodeSection
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.model.revisions import era_of
 from baobabpulley.ports.config_store import MemberStore
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
@@ -34,6 +35,7 @@
 
     __slots__ = (
         "_era",
+        "_fleet_state",
         "_key",
         "_lease",
         "_lease_seconds",
@@ -58,6 +60,7 @@
         entry = GatewayMember(node=node.id, control=node.control, news=f"{host}:{node.news_port}")
         self._key, self._value = documents.encode_member(entry)
         self._store = store
+        self._fleet_state = fleet_state
         self._lease_seconds = lease_seconds
         self._timers = timers
         self._random = random.Random()
@@ -81,6 +84,8 @@
 
     async def _renew(self) -> None:
         """Renew the lease, or write the entry under a new one."""
+        # Other gateways may have told of a return before any answer of the store did.
+        self._store.learn_era(era_of(self._fleet_state.revision))
         if (
             self._holds_lease()
             and await self._store.keep_alive(self._lease)
@@ -103,5 +108,4 @@
         if not self._returned.is_set():
             return
         self._returned.clear()
-        if not self._holds_lease():
-            await self._timers.sleep(self._random.uniform(0.0, _SPREAD_SECONDS))
+        await self._timers.sleep(self._random.uniform(0.0, _SPREAD_SECONDS))
--- a/testing/test_store_copy.py
+++ b/testing/test_store_copy.py
@@ -270,6 +270,20 @@
     assert all(world.store.items[node]["lease"] in world.store.leases for node in nodes)
 
 
+async def test_registrations_after_the_return_are_spread_out(world: World) -> None:
+    copy = world.store.copy()
+    gateways = [await world.add_gateway() for _ in range(8)]
+    nodes = {names.MEMBER_PREFIX + gateway.node.id for gateway in gateways}
+    await wait_until(lambda: nodes <= world.store.items.keys())
+    await asyncio.sleep(0.5)
+    await _come_back(world, copy, version=1, upstreams=[])
+    await wait_until(lambda: not nodes.isdisjoint(world.store.items.keys()))
+    await asyncio.sleep(0.1)
+    # All of them within a second.
+    assert len(nodes & world.store.items.keys()) <= 5
+    await wait_until(lambda: nodes <= world.store.items.keys(), seconds=2.0)
+
+
 async def test_a_stale_lease_that_another_gateway_holds_now_is_not_renewed(world: World) -> None:
     copy = world.store.copy()
     gateway = await world.add_gateway(member_lease="0.6")
