--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -111,7 +111,6 @@
         self._random = random.Random()
         self._connection = StoreConnection(returned_within=section.returned_within, timers=timers)
         fleet_state.listen_to_returns(self._connection.delay_removals)
-        fleet_state.listen_to_returns(lambda: store.adopt_era(era_of(fleet_state.returned_at)))
         self._has_snapshot = False
         self._outage_elsewhere = False
         self._task: asyncio.Task[None] | None = None
@@ -352,13 +351,10 @@
         self._outage_elsewhere = self._watchers.store_failed_peer
         self._log_source(STORE)
         if not self._has_snapshot or self._fleet_state.may_lack_evacuations:
-            # Other gateways may have told of a return before the store answered this one.
-            self._store.adopt_era(era_of(self._fleet_state.revision))
             asked_at = self._timers.boot_time()
+            self._adopt_era()
             snapshot = await self._store.read(ALL_KEYS)
             self._mark_store_reached()
-            if era_of(snapshot.revision) < era_of(self._fleet_state.revision):
-                raise StoreUnavailable("the store answers in an older era than other gateways know")
             self._fleet_state.install(
                 FleetSnapshot(
                     revision=snapshot.revision, entries=snapshot.entries, covers_evacuations=True
@@ -368,6 +364,7 @@
             )
             self._confirm(asked_at)
             self._has_snapshot = True
+        self._adopt_era()
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         async with contextlib.aclosing(changes):
             async for batch in changes:
@@ -377,7 +374,13 @@
                 if batch.entries:
                     await self._limit_watches()
 
+    def _adopt_era(self) -> None:
+        """Tell the store's client of a return that other gateways may have seen before it."""
+        self._store.adopt_era(era_of(self._fleet_state.revision))
+
     def _apply_batch(self, batch: WatchBatch) -> None:
+        if era_of(batch.revision) < era_of(self._fleet_state.revision):
+            raise StoreCompacted("the store came back from a copy since the watch began")
         self._mark_store_reached()
         self._fleet_state.apply_changes(
             batch.entries,
@@ -395,6 +398,7 @@
             self._probe = asyncio.get_running_loop().create_task(self._ask_store())
 
     async def _ask_store(self) -> None:
+        self._adopt_era()
         changes = self._store.watch(ALL_KEYS, from_revision=self._fleet_state.revision)
         try:
             async with contextlib.aclosing(changes):
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -113,7 +113,7 @@
     @property
     @abstractmethod
     def era(self) -> int:
-        """How often the store has come back from a copy, as far as its answers tell."""
+        """How often the store has come back from a copy, as far as is known."""
 
     @abstractmethod
     def adopt_era(self, era: int) -> None:
