--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import itertools
 import json
 from typing import Any
@@ -150,10 +151,8 @@
             remaining = end - asyncio.get_running_loop().time()
             if events or remaining <= 0:
                 return events
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), remaining)
-            except TimeoutError:
-                return []
         return None
 
 
