The log says of which start and sequence an upstream's registration is (51)

When an upstream that was leaving is used again, the line 'upstream' didn't tell a registration that is newer from one that the store carried out late, nor whether the store or a gateway told of it. It has born, sequence, source and what the entry itself says now. A sequence that can't be read counts as unknown, and the entry holds.

--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -374,7 +374,7 @@
             ).info("applied a configuration")
         elif kind == UPSTREAM:
             registered = self._documents.upstream(name, value)
-            self._upstreams.register(registered, revision=entry.mod_revision)
+            self._upstreams.register(registered, revision=entry.mod_revision, source=source)
         elif kind == EVACUATION:
             if self._evacuations.begin(name, revision=entry.mod_revision):
                 _log_evacuation("evacuation_began", name, entry.mod_revision, source)
--- a/src/baobabpulley/gateway/store/listed_upstreams.py
+++ b/src/baobabpulley/gateway/store/listed_upstreams.py
@@ -39,8 +39,8 @@
         """Which upstreams are leaving while registered as ready."""
         return self._leaving
 
-    def register(self, registered: ListedUpstream, *, revision: int) -> None:
-        """List an upstream as registered at a store revision."""
+    def register(self, registered: ListedUpstream, *, revision: int, source: str) -> None:
+        """List an upstream as registered at a store revision; ``source`` told of it."""
         upstream = msgspec.structs.replace(
             registered,
             leaving=self._leaving.is_leaving(registered, revision=revision),
@@ -54,7 +54,11 @@
                 upstream=upstream.id,
                 service=upstream.service,
                 leaving=upstream.leaving,
+                registered_leaving=registered.leaving,
+                born=upstream.born,
+                sequence=upstream.sequence,
                 revision=number_of(revision),
+                source=source,
             ).info("upstream registered or changed state")
 
     def is_registered_leaving(self, id: str) -> bool:
--- a/src/baobabpulley/platform/documents.py
+++ b/src/baobabpulley/platform/documents.py
@@ -26,6 +26,7 @@
 
 _MAX_PORT: Final = 65_535
 _MAX_BYTE: Final = 255
+_MAX_SEQUENCE: Final = 2**63 - 1
 _SECONDS_PER_MS: Final = 0.001
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 
@@ -34,7 +35,8 @@
     """An upstream's registration.
 
     ``state`` says whether it is draining; ``born`` is its start time in milliseconds.
-    ``cold_remaining_ms`` is for how many milliseconds it is still cold.
+    ``cold_remaining_ms`` is for how many milliseconds it is still cold, and ``sequence`` counts its
+    registrations since then.
     """
 
     service: str
@@ -46,6 +48,7 @@
     cold_remaining_ms: msgspec.Raw = msgspec.field(
         name="cold-remaining-ms", default=msgspec.Raw(b"null")
     )
+    sequence: msgspec.Raw = msgspec.Raw(b"null")
 
 
 _KINDS_BY_PREFIX: Final = (
@@ -55,6 +58,9 @@
 )
 _upstream_decoder = msgspec.json.Decoder(_Upstream)
 _milliseconds_decoder = msgspec.json.Decoder(Annotated[float, msgspec.Meta(ge=0)] | None)
+_sequence_decoder = msgspec.json.Decoder(
+    Annotated[int, msgspec.Meta(ge=0, le=_MAX_SEQUENCE)] | None
+)
 
 
 def decode_upstream(upstream: str, value: bytes) -> ListedUpstream:
@@ -80,6 +86,7 @@
         leaving=entry.state == STATE_DRAINING,
         born=entry.born,
         cold_seconds=_seconds(entry.cold_remaining_ms),
+        sequence=_sequence(entry.sequence),
     )
 
 
@@ -95,6 +102,14 @@
     return None if value is None else value * _SECONDS_PER_MS
 
 
+def _sequence(sequence: msgspec.Raw) -> int | None:
+    """Return a sequence number, or ``None`` if none is given or it can't be read."""
+    try:
+        return _sequence_decoder.decode(sequence)
+    except DECODE_ERRORS:
+        return None
+
+
 def _can_be_connected_to(address: str) -> bool:
     """Whether the parts of an ``ip:port`` address are in their ranges.
 
