--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -163,7 +163,7 @@
 
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
-        return self._snapshot(self._entries.values())
+        return self._snapshot(self._all_entries())
 
     def changes_since(self, revision: int) -> tuple[StoredEntry, ...] | None:
         """Return the changes after a revision, or ``None`` if they are no longer known."""
@@ -172,7 +172,7 @@
     def registered_snapshot(self) -> FleetSnapshot:
         """Return all entries but those of upstreams whose removal is only delayed."""
         entries = (
-            entry for key, entry in self._entries.items() if key not in self._pending_removals
+            entry for entry in self._all_entries() if entry.key not in self._pending_removals
         )
         return self._snapshot(entries)
 
@@ -206,10 +206,10 @@
             self._enter_era(snapshot, now=now, source=source)
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
-            self._install(entry, source=source)
+            self._install(entry, now=now, source=source)
         self._may_lack_evacuations = not snapshot.covers_evacuations
-        for key, entry in tuple(self._entries.items()):
-            if key in present or entry.mod_revision > snapshot.revision:
+        for key in dict.fromkeys(entry.key for entry in self._all_entries()):
+            if key in present or self._known_revision(key) > snapshot.revision:
                 continue
             if self._may_lack_evacuations and self._documents.classify_key(key)[0] == EVACUATION:
                 continue
@@ -238,7 +238,7 @@
         new = [entry for entry in entries if entry.mod_revision > self._revision]
         for entry in new:
             if entry.value is not None:
-                self._install(entry, source=source)
+                self._install(entry, now=now, source=source)
             elif self._known_revision(entry.key) < entry.mod_revision:
                 self._remove(entry, now=now, removal_delay=removal_delay, source=source)
         self._revision = max(self._revision, revision)
@@ -277,17 +277,29 @@
         self._upstreams.drop_expired_reports(now=now)
 
     def remove_expired(self, *, now: float) -> None:
-        """Remove upstreams that weren't registered again within the removal delay."""
+        """Remove upstreams that weren't registered again within the removal delay.
+
+        Entries that were held back for long are used.
+        """
+        released = self._upstreams.take_held(now=now)
+        for entry in released:
+            self._install(entry, now=now, source=STORE)
         expired = [key for key, until in self._pending_removals.items() if until <= now]
         for key in expired:
             removed = StoredEntry(key=key, value=None, mod_revision=self._revision)
             self._remove(removed, now=now, removal_delay=0.0, source=STORE)
-        if expired:
+        if expired or released:
             self._notify()
 
+    def _all_entries(self) -> list[StoredEntry]:
+        """Return the entries in use, then those held back, which have later revisions."""
+        return [*self._entries.values(), *self._upstreams.held_entries]
+
     def _known_revision(self, key: str) -> int:
         entry = self._entries.get(key)
-        return 0 if entry is None else entry.mod_revision
+        revision = 0 if entry is None else entry.mod_revision
+        kind, name = self._documents.classify_key(key)
+        return max(revision, self._upstreams.held_revision(name)) if kind == UPSTREAM else revision
 
     def _enter_era(self, snapshot: FleetSnapshot, *, now: float, source: str) -> None:
         """Prepare the state for the first snapshot of a store that came back from a copy."""
@@ -323,31 +335,38 @@
         except InvalidDocument:
             return False
 
-    def _install(self, entry: StoredEntry, *, source: str) -> None:
+    def _install(self, entry: StoredEntry, *, now: float, source: str) -> None:
         if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
             return
         self._pending_removals.pop(entry.key, None)
         if self._known_revision(entry.key) >= entry.mod_revision:
             return
-        self._outdated.record_entry(entry.key)
         kind, name = self._documents.classify_key(entry.key)
         if kind is None:
             return
-        self._entries[entry.key] = entry
         log = logger.bind(
             event="bad_document", key=entry.key, revision=number_of(entry.mod_revision)
         )
         try:
-            self._decode(kind, name, entry, source=source)
+            if kind == UPSTREAM:
+                registered = self._documents.upstream(name, entry.value or b"")
+                if self._upstreams.hold_back(registered, entry, now=now, source=source):
+                    return
+                self._upstreams.register(registered, revision=entry.mod_revision, source=source)
+            else:
+                self._decode(kind, name, entry, source=source)
         except InvalidDocument as error:
             log.warning("{}", error.message)
+            self._drop_invalid(kind, name)
         except Exception:
             # One entry must not keep the others from being applied.
             log.exception("unexpected error while decoding a stored entry")
-        else:
-            return
-        # An upstream whose entry is invalid is dropped; after an invalid configuration the last
-        # valid one stays in use.
+            self._drop_invalid(kind, name)
+        self._entries[entry.key] = entry
+        self._outdated.record_entry(entry.key)
+
+    def _drop_invalid(self, kind: str, name: str) -> None:
+        """Drop an upstream whose entry is invalid; an invalid configuration replaces no other."""
         if kind == UPSTREAM:
             self._upstreams.drop(name)
 
@@ -372,9 +391,6 @@
                 revision=number_of(entry.mod_revision),
                 source=source,
             ).info("applied a configuration")
-        elif kind == UPSTREAM:
-            registered = self._documents.upstream(name, value)
-            self._upstreams.register(registered, revision=entry.mod_revision, source=source)
         elif kind == EVACUATION:
             if self._evacuations.begin(name, revision=entry.mod_revision):
                 _log_evacuation("evacuation_began", name, entry.mod_revision, source)
@@ -420,7 +436,7 @@
             return
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
-        self._upstreams.remove(name)
+        self._upstreams.remove(name, now=now)
         self._outdated.record_removal(key, now=now)
 
     def _notify(self) -> None:
--- a/src/baobabpulley/gateway/store/listed_upstreams.py
+++ b/src/baobabpulley/gateway/store/listed_upstreams.py
@@ -1,7 +1,8 @@
 """The upstreams that are registered, and which of them are leaving.
 
 An upstream counts as leaving if its entry says so, or if it said so itself in a response to this
-gateway or another; see `baobabpulley.policy.leaving_upstreams`.
+gateway or another; see `baobabpulley.policy.leaving_upstreams`. An entry that is older than what is
+known of its upstream is held back; see `baobabpulley.policy.registration_order`.
 """
 
 from __future__ import annotations
@@ -13,20 +14,23 @@
 import msgspec
 from loguru import logger
 
+from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.revisions import number_of
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.leaving_upstreams import LeavingUpstreams
+from baobabpulley.policy.registration_order import RegistrationOrder
 
 
 @final
 class ListedUpstreams:
     """Upstreams by id; ``notify`` is called when one begins to leave or is used again."""
 
-    __slots__ = ("_by_id", "_leaving", "_notify")
+    __slots__ = ("_by_id", "_leaving", "_notify", "_order")
 
     def __init__(self, *, notify: Callable[[], None]) -> None:
         self._by_id: dict[str, ListedUpstream] = {}
         self._leaving = LeavingUpstreams()
+        self._order = RegistrationOrder()
         self._notify = notify
 
     @property
@@ -39,8 +43,51 @@
         """Which upstreams are leaving while registered as ready."""
         return self._leaving
 
+    @property
+    def held_entries(self) -> list[StoredEntry]:
+        """The entries that are held back, as newer ones of their upstreams are known."""
+        return self._order.held
+
+    def held_revision(self, id: str) -> int:
+        """Return the revision of an upstream's entry that is held back, 0 if none is."""
+        entry = self._order.held_entry(id)
+        return 0 if entry is None else entry.mod_revision
+
+    def hold_back(
+        self, registered: ListedUpstream, entry: StoredEntry, *, now: float, source: str
+    ) -> bool:
+        """Hold a registration back if it is older than what is known; return whether it is."""
+        if not self._order.is_older(registered):
+            return False
+        self._order.hold(registered.id, entry, now=now)
+        newest = self._order.newest(registered.id)
+        logger.bind(
+            event="older_registration",
+            upstream=registered.id,
+            registered_leaving=registered.leaving,
+            born=registered.born,
+            known_born=None if newest is None else newest.born,
+            sequence=registered.sequence,
+            known_sequence=None if newest is None else newest.sequence,
+            revision=number_of(entry.mod_revision),
+            source=source,
+        ).info("held a registration back that is older than what is known of its upstream")
+        return True
+
+    def take_held(self, *, now: float) -> list[StoredEntry]:
+        """Return the entries that were held back for long; they are newest from now on."""
+        entries = self._order.take_expired(now=now)
+        for entry in entries:
+            logger.bind(
+                event="older_registration_used",
+                key=entry.key,
+                revision=number_of(entry.mod_revision),
+            ).info("a registration that was held back still stands and is used")
+        return entries
+
     def register(self, registered: ListedUpstream, *, revision: int, source: str) -> None:
         """List an upstream as registered at a store revision; ``source`` told of it."""
+        self._order.record(registered)
         upstream = msgspec.structs.replace(
             registered,
             leaving=self._leaving.is_leaving(registered, revision=revision),
@@ -68,11 +115,13 @@
 
     def drop(self, id: str) -> None:
         """Take an upstream with an invalid entry off the list."""
+        self._order.release(id)
         self._by_id.pop(id, None)
 
-    def remove(self, id: str) -> None:
+    def remove(self, id: str, *, now: float) -> None:
         """Take an upstream off the list, and forget that it was leaving."""
         self._leaving.forget(id)
+        self._order.record_removal(id, now=now)
         if self._by_id.pop(id, None) is not None:
             logger.bind(event="upstream_gone", upstream=id).info("upstream removed")
 
--- a/src/baobabpulley/policy/leaving_upstreams.py
+++ b/src/baobabpulley/policy/leaving_upstreams.py
@@ -6,7 +6,8 @@
 holds until a registration proves that it no longer applies:
 
 - it has a later start time, so it is of another incarnation under the same id;
-- it says that the upstream is draining, as from then on the registrations are up to date;
+- it says that the upstream is draining, as from then on the registrations are up to date, and
+  older ones are held back (`baobabpulley.policy.registration_order`);
 - it was removed.
 
 A restarted upstream normally has a new id, to which nothing that was said before applies.
