--- a/src/baobabpulley/gateway/daemon.py
+++ b/src/baobabpulley/gateway/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from pathlib import Path
-from typing import Final
 from typing import final
 
 from loguru import logger
@@ -12,6 +11,7 @@
 
 from baobabpulley.adapters.addresses import split_address
 from baobabpulley.adapters.allocator import return_large_blocks
+from baobabpulley.adapters.client_stream import ClientStream
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.gateway.callers.connection_closes import ConnectionCloses
 from baobabpulley.gateway.callers.listener import CallerListener
@@ -24,10 +24,10 @@
 from baobabpulley.gateway.exchanges.attempts import UpstreamCaller
 from baobabpulley.gateway.exchanges.connection_watch import ConnectionWatch
 from baobabpulley.gateway.exchanges.exchange import ExchangeServer
-from baobabpulley.gateway.exchanges.exchange_state import shutdown_error
 from baobabpulley.gateway.freeze_watch import FreezeWatch
 from baobabpulley.gateway.gauges import GaugeSources
 from baobabpulley.gateway.gauges import register_gauges
+from baobabpulley.gateway.graceful_shutdown import GracefulShutdown
 from baobabpulley.gateway.metrics import GatewayMetrics
 from baobabpulley.gateway.peers.account_use_reports import AccountUseReports
 from baobabpulley.gateway.peers.crash_evidence import CrashEvidence
@@ -58,6 +58,10 @@
 from baobabpulley.gateway.store.store_relay import CHANGES_PATH
 from baobabpulley.gateway.store.store_relay import ChangePublisher
 from baobabpulley.gateway.store.store_watchers import StoreWatchers
+from baobabpulley.gateway.tunnels.tunnel_server import TUNNEL_PATH
+from baobabpulley.gateway.tunnels.tunnel_server import TunnelHandler
+from baobabpulley.gateway.tunnels.tunnel_server import TunnelServer
+from baobabpulley.gateway.tunnels.upstream_connector import UpstreamConnector
 from baobabpulley.model.routes import RequestBounds
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform.documents import PlatformDocuments
@@ -76,10 +80,6 @@
 from baobabpulley.shutdown import stop_event
 from baobabpulley.timers import TimerService
 
-_DRAIN_POLL_SECONDS: Final = 0.05
-# Requests that are unanswered after this fraction of the grace period are ended.
-_DRAIN_GRACE_RATIO: Final = 0.95
-
 
 @final
 class Gateway:
@@ -93,7 +93,7 @@
         self.budget = MemoryBudget(machine_mb=memory.machine_mb, descriptors=memory.descriptors)
         if memory.machine_mb:
             return_large_blocks()
-        self.client = HttpClient(self.budget)
+        self.client = HttpClient(self.budget, connect=self._connect)
         self.fleet_state = FleetState(
             PlatformDocuments(), returned_within=settings.get(StoreSection).returned_within
         )
@@ -141,9 +141,24 @@
             timers=timers,
             on_newer_revision=lambda revision: self._peer_snapshots.record_newer(revision),
             store_reachable=lambda: self.link.store_reachable,
+            cut_off=lambda: self.connector.is_cut_off,
             silent_engines=silent_engines,
             account_use=AccountUseReports(account_use, is_waiting=lambda: self.placer.waiting > 0),
         )
+        self.connector = UpstreamConnector(
+            node=self.node.id,
+            fleet_state=self.fleet_state,
+            gossip=self.gossip,
+            timers=timers,
+            on_cut_off=self._leave_broken_links,
+        )
+        self.tunnels = TunnelServer(
+            fleet_state=self.fleet_state,
+            budget=self.budget,
+            is_draining=lambda: self.listener.draining,
+            is_cut_off=lambda: self.connector.is_cut_off,
+            timers=timers,
+        )
         watchers = StoreWatchers(
             node=self.node.id,
             failure_domain=self.node.failure_domain,
@@ -213,7 +228,11 @@
             use=account_use,
         )
         self._shutdown = ShutdownGate(timers=timers)
-        self.watch = ConnectionWatch(client=self.client, timers=timers)
+        self.watch = ConnectionWatch(
+            client=self.client,
+            timers=timers,
+            on_silence=lambda since: self.connector.check_soon(silent_since=since),
+        )
         closed = self.metrics.connections_closed
         self.listener = CallerListener(
             handler=self._exchange_server().serve,
@@ -229,10 +248,14 @@
                 count=lambda action: self.metrics.memory_actions.labels(action=action).inc(),
             ),
         )
+        self._graceful_shutdown = GracefulShutdown(
+            listener=self.listener, tunnels=self.tunnels, gate=self._shutdown, timers=timers
+        )
         self.reload = SettingsReload(path=path, daemon="gateway", apply=self._apply, timers=timers)
         register_gauges(
             self.metrics,
             GaugeSources(
+                connector=self.connector,
                 evidence=self.evidence,
                 fleet_state=self.fleet_state,
                 gossip=self.gossip,
@@ -241,6 +264,7 @@
                 placer=self.placer,
                 record=self.record,
                 store=self.store,
+                tunnels=self.tunnels,
                 watch=self.watch,
             ),
         )
@@ -274,6 +298,7 @@
                 [
                     (SNAPSHOT_PATH, SnapshotHandler, snapshot),
                     (CHANGES_PATH, ChangesHandler, changes),
+                    (TUNNEL_PATH, TunnelHandler, {"tunnels": self.tunnels}),
                 ],
             ),
             serve_http(f"{host}:{node.metrics_port}", [("/metrics", MetricsHandler, metrics)]),
@@ -285,6 +310,7 @@
         self.cold.start()
         self.placer.start()
         self.watch.start()
+        self.connector.start()
         self.reload.start()
         self._freeze_watch.start()
         self._peer_snapshots.start()
@@ -294,32 +320,8 @@
         logger.bind(event="start").info("gateway started")
 
     async def drain(self) -> None:
-        """Stop accepting connections once the load balancer has noticed, then finish requests.
-
-        Requests for which too little time is left are refused as they arrive or while they wait.
-        Each connection is closed once it is idle: nothing of a request has arrived, and the answer
-        before it has been handed to the kernel. Requests that are still unanswered near the end of
-        the grace period are refused, or answered 502 if they may have run.
-        """
-        section = self.settings.get(GatewayShutdownSection)
-        begun = self.timers.now()
-        self._shutdown.begin(
-            seconds=_DRAIN_GRACE_RATIO * section.grace, lenient_seconds=section.lenient_admission
-        )
-        self.listener.draining = True
-        logger.bind(event="stop", busy=self.listener.active_requests).info("draining")
-        await self.timers.sleep(section.balancer_lag)
-        self.listener.stop()
-        self.listener.close_idle()
-        while self.listener.busy and self.timers.now() - begun < _DRAIN_GRACE_RATIO * section.grace:
-            await self.timers.sleep(_DRAIN_POLL_SECONDS)
-            self._shutdown.refuse_late()
-            self.listener.close_idle()
-        if self.listener.busy:
-            self.listener.refuse_all(shutdown_error(None))
-            await self.timers.sleep(_DRAIN_POLL_SECONDS)
-        self.listener.close_all()
-        logger.bind(event="stopped", busy=self.listener.active_requests).info("gateway stopped")
+        """Finish what is running, and accept nothing new; see `GracefulShutdown`."""
+        await self._graceful_shutdown.run(self.settings.get(GatewayShutdownSection))
 
     def _forget_removed(self) -> None:
         """Drop the records of removed upstreams; a restarted upstream has a new id."""
@@ -339,6 +341,7 @@
         self.listener.stop()
         self.listener.close_all()
         self.gossip.close()
+        self.tunnels.close()
         self.client.close()
         self.timers.cancel_all()
 
@@ -370,6 +373,7 @@
             shutdown=self._shutdown,
             timers=self.timers,
             budget=self.budget,
+            is_cut_off=lambda: self.connector.is_cut_off,
         )
 
     def _apply(self, settings: Settings) -> None:
@@ -389,6 +393,17 @@
         table = self.fleet_state.table
         return RequestBounds() if table is None else table.bounds
 
+    async def _connect(self, address: str, *, timeout: float) -> ClientStream:
+        return await self.connector.connect(address, timeout=timeout)
+
+    def _leave_broken_links(self, since: float) -> None:
+        """Use no connection to an upstream that was last heard before this gateway was cut off.
+
+        What failed since then is no fault of the upstreams.
+        """
+        self.client.set_all_aside(heard_before=self.timers.to_real_seconds(since))
+        self.record.forget_failures()
+
     def _replace_connections(self) -> None:
         """Replace idle connections and the watch, as a freeze may have broken them."""
         self.client.close()
