--- a/src/baobabpulley/adapters/client_stream.py
+++ b/src/baobabpulley/adapters/client_stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import os
 import socket
 import time
 from typing import Any
@@ -40,9 +41,11 @@
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived; see Tornado's `IOStream`."""
         size = super().read_from_fd(buf)
-        if size == 0 and not is_acknowledged(self):
-            self._send_probe()
-            self._unfinished = self._duplicate()
+        if size == 0:
+            self._raise_if_reset()
+            if not is_acknowledged(self):
+                self._send_probe()
+                self._unfinished = self._duplicate()
         return size
 
     def close(self, exc_info: Any = False) -> None:
@@ -75,6 +78,14 @@
             await asyncio.sleep(RESET_POLL_SECONDS)
         return False
 
+    def _raise_if_reset(self) -> None:
+        """Raise `ConnectionResetError` if a reset has followed the end of the input.
+
+        The kernel reports the end first, however soon the reset came.
+        """
+        if error := self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ConnectionResetError(errno.ECONNRESET, os.strerror(error))
+
     def _send_probe(self) -> None:
         """Send some of what is left to be sent; raise `OSError` if the connection was reset."""
         if self.writing():
--- a/testing/test_early_answers.py
+++ b/testing/test_early_answers.py
@@ -74,6 +74,14 @@
     return run
 
 
+async def end_and_reset_together(upstream: UpstreamStandin, call: Call) -> None:
+    """Send a head without a length and a part, end in order, and reset in the same moment."""
+    extra = (STREAM_HEADER,) if upstream.service == KITCHEN else ()
+    call.writer.write(call.head(200, f"{names.SEAL}: s", *extra) + EVENT)
+    call.writer.write_eof()
+    call.reset()
+
+
 @enum.unique
 class Framing(enum.Enum):
     """What tells the end of a whole answer."""
@@ -131,6 +139,18 @@
     assert len(calls(world)) == 2
 
 
+@pytest.mark.parametrize("service", [LEDGER, KITCHEN])
+@pytest.mark.parametrize("upload", [b"hello", b"u" * 50_000], ids=["short", "long"])
+async def test_a_part_that_is_reset_as_it_ends_is_no_answer_though_the_upload_has_arrived(
+    world: World, upload: bytes, service: str
+) -> None:
+    await add_early_upstreams(world, end_and_reset_together, service=service)
+    gateway = await world.add_gateway()
+    path = "/order/1" if service == LEDGER else "/draft/1"
+    reply = await send(gateway, path, body=upload)
+    assert not (reply.status == 200 and reply.complete)
+
+
 @pytest.mark.parametrize("framing", Framing, ids=lambda framing: framing.value)
 async def test_a_whole_answer_that_ends_before_the_upload_reaches_its_caller(
     world: World, framing: Framing
