--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -4,9 +4,6 @@
 ordered by store era and revision: an entry is replaced only by a newer one, whatever its source, so
 the state never goes back to an older one. A snapshot of a newer era comes from a store that came
 back from a copy, see ``docs/design/store-eras.md``.
-
-An upstream counts as leaving if its entry says so, or if it said so itself in a response to this
-gateway or another; see `baobabpulley.policy.leaving_upstreams`.
 """
 
 from __future__ import annotations
@@ -25,6 +22,7 @@
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.gateway.store.change_log import ChangeLog
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
+from baobabpulley.gateway.store.listed_upstreams import ListedUpstreams
 from baobabpulley.model.documents import StoredEntry
 from baobabpulley.model.revisions import era_of
 from baobabpulley.model.revisions import number_of
@@ -32,7 +30,6 @@
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.evacuation import EvacuatedDomains
-from baobabpulley.policy.leaving_upstreams import LeavingUpstreams
 from baobabpulley.policy.outdated_entries import OutdatedEntries
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
@@ -57,7 +54,6 @@
         "_documents",
         "_entries",
         "_evacuations",
-        "_leaving",
         "_listeners",
         "_may_lack_evacuations",
         "_members",
@@ -83,8 +79,7 @@
         # Keys that were missing after a store outage, and when they are to be removed
         # (monotonic seconds) unless they are registered again.
         self._pending_removals: dict[str, float] = {}
-        self._upstreams: dict[str, ListedUpstream] = {}
-        self._leaving = LeavingUpstreams()
+        self._upstreams = ListedUpstreams(notify=self._notify)
         self._evacuations = EvacuatedDomains()
         self._may_lack_evacuations = False
         self._members: dict[str, GatewayMember] = {}
@@ -111,23 +106,26 @@
 
     @property
     def returned_at(self) -> int:
-        """Revision of the first snapshot after the store came back from a copy; 0 if it hasn't."""
+        """Revision of the first snapshot known of the store's era; 0 in era 0.
+
+        Whatever is of a later revision was written after the store came back from a copy.
+        """
         return self._returned_at
 
     @property
     def upstreams(self) -> dict[str, ListedUpstream]:
         """Upstreams by id, including those that are leaving."""
-        return self._upstreams
+        return self._upstreams.by_id
 
     @property
     def said_leaving_count(self) -> int:
         """Number of upstreams that said that they are leaving, but are registered as ready."""
-        return self._leaving.said_count
+        return self._upstreams.leaving.said_count
 
     @property
     def reported_leaving_count(self) -> int:
         """Number of upstreams that are leaving only by reports of other gateways."""
-        return self._leaving.reported_count
+        return self._upstreams.leaving.reported_count
 
     @property
     def members(self) -> dict[str, GatewayMember]:
@@ -168,7 +166,8 @@
 
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
-        return self._snapshot(self._entries.values())
+        snapshot = self._snapshot(self._all_entries())
+        return msgspec.structs.replace(snapshot, unregistered=tuple(self._pending_removals))
 
     def changes_since(self, revision: int) -> tuple[StoredEntry, ...] | None:
         """Return the changes after a revision, or ``None`` if they are no longer known."""
@@ -177,7 +176,7 @@
     def registered_snapshot(self) -> FleetSnapshot:
         """Return all entries but those of upstreams whose removal is only delayed."""
         entries = (
-            entry for key, entry in self._entries.items() if key not in self._pending_removals
+            entry for entry in self._all_entries() if entry.key not in self._pending_removals
         )
         return self._snapshot(entries)
 
@@ -209,12 +208,19 @@
         if self._revision and era_of(snapshot.revision) > era_of(self._revision):
             removal_delay = max(removal_delay, self._returned_within)
             self._enter_era(snapshot, now=now, source=source)
-        present = {entry.key for entry in snapshot.entries}
+        elif not self._revision and era_of(snapshot.revision):
+            self._returned_at = snapshot.revision
+        self._withhold_outdated(snapshot, now=now)
+        unregistered = frozenset(snapshot.unregistered)
+        if unregistered:
+            removal_delay = max(removal_delay, self._returned_within)
+        present = {entry.key for entry in snapshot.entries} - unregistered
         for entry in snapshot.entries:
-            self._install(entry, source=source)
+            if entry.key in present or entry.key not in self._entries:
+                self._install(entry, now=now, source=source)
         self._may_lack_evacuations = not snapshot.covers_evacuations
-        for key, entry in tuple(self._entries.items()):
-            if key in present or entry.mod_revision > snapshot.revision:
+        for key in dict.fromkeys(entry.key for entry in self._all_entries()):
+            if key in present or self._known_revision(key) > snapshot.revision:
                 continue
             if self._may_lack_evacuations and self._documents.classify_key(key)[0] == EVACUATION:
                 continue
@@ -243,7 +249,7 @@
         new = [entry for entry in entries if entry.mod_revision > self._revision]
         for entry in new:
             if entry.value is not None:
-                self._install(entry, source=source)
+                self._install(entry, now=now, source=source)
             elif self._known_revision(entry.key) < entry.mod_revision:
                 self._remove(entry, now=now, removal_delay=removal_delay, source=source)
         self._revision = max(self._revision, revision)
@@ -252,67 +258,59 @@
 
     def has_said_leaving(self, upstream: str) -> bool:
         """Whether an upstream that is registered as ready said that it is leaving."""
-        return self._leaving.has_said_so(upstream)
+        return self._upstreams.leaving.has_said_so(upstream)
 
     def is_only_reported_leaving(self, upstream: str) -> bool:
         """Whether an upstream is leaving only by reports of other gateways."""
-        return self._leaving.is_only_reported(upstream)
+        return self._upstreams.leaving.is_only_reported(upstream)
 
     def accepting(self, upstreams: Sequence[ListedUpstream]) -> list[ListedUpstream]:
         """Return the upstreams of a service, of all those listed, that may get new requests."""
-        return self._leaving.accepting(upstreams)
+        return self._upstreams.accepting(upstreams)
 
     def record_leaving(self, upstream: ListedUpstream) -> bool:
         """Record that an upstream, as listed when it got a request, said that it is leaving.
 
         Return whether neither its entry nor a response said so before.
         """
-        listed = self._upstreams.get(upstream.id)
-        if listed is None or listed.born > upstream.born:
-            return False
-        if listed.leaving and not self._leaving.is_only_reported(listed.id):
-            return False
-        self._leaving.record(listed)
-        self._begin_leaving(listed, source="response", peer=None)
-        return True
+        return self._upstreams.record_leaving(upstream)
 
     def record_reported_leaving(
         self, id: str, *, born: int, revision: int, peer: str, now: float
     ) -> None:
         """Record another gateway's report that an upstream said that it is leaving."""
-        listed = self._upstreams.get(id)
-        if listed is None:
-            return
-        if not self._leaving.record_report(listed, born=born, revision=revision, now=now):
-            return
-        if not listed.leaving:
-            self._begin_leaving(listed, source="peer", peer=peer)
+        self._upstreams.record_reported_leaving(
+            id, born=born, revision=revision, peer=peer, now=now
+        )
 
     def drop_expired_reports(self, *, now: float) -> None:
         """Use the upstreams again of which other gateways no longer report that they leave."""
-        expired = self._leaving.take_expired(now=now)
-        for id in expired:
-            listed = self._upstreams.get(id)
-            if listed is not None:
-                self._upstreams[id] = msgspec.structs.replace(listed, leaving=False)
-            logger.bind(event="upstream_leaving_expired", upstream=id).info(
-                "no gateway reports any more that an upstream is leaving"
-            )
-        if expired:
-            self._notify()
+        self._upstreams.drop_expired_reports(now=now)
 
     def remove_expired(self, *, now: float) -> None:
-        """Remove upstreams that weren't registered again within the removal delay."""
+        """Remove upstreams that weren't registered again within the removal delay.
+
+        Entries that were held back for long are used.
+        """
+        released = self._upstreams.take_held(now=now)
+        for entry in released:
+            self._install(entry, now=now, source=STORE)
         expired = [key for key, until in self._pending_removals.items() if until <= now]
         for key in expired:
             removed = StoredEntry(key=key, value=None, mod_revision=self._revision)
             self._remove(removed, now=now, removal_delay=0.0, source=STORE)
-        if expired:
+        if expired or released:
             self._notify()
 
+    def _all_entries(self) -> list[StoredEntry]:
+        """Return the entries in use, then those held back, which have later revisions."""
+        return [*self._entries.values(), *self._upstreams.held_entries]
+
     def _known_revision(self, key: str) -> int:
         entry = self._entries.get(key)
-        return 0 if entry is None else entry.mod_revision
+        revision = 0 if entry is None else entry.mod_revision
+        kind, name = self._documents.classify_key(key)
+        return max(revision, self._upstreams.held_revision(name)) if kind == UPSTREAM else revision
 
     def _enter_era(self, snapshot: FleetSnapshot, *, now: float, source: str) -> None:
         """Prepare the state for the first snapshot of a store that came back from a copy."""
@@ -331,52 +329,83 @@
         oldest = ordered_revision(0, era=era)
         for key, entry in self._entries.items():
             self._entries[key] = msgspec.structs.replace(entry, mod_revision=oldest)
-        for upstream in self._upstreams.values():
-            if upstream.leaving and not self._leaving.is_only_reported(upstream.id):
-                self._leaving.record(upstream)
+        self._upstreams.keep_leaving()
+
+    def _withhold_outdated(self, snapshot: FleetSnapshot, *, now: float) -> None:
+        """Withhold the entries of a copy that are older than what is known from before it.
+
+        The snapshot that led into the era may have come from a gateway that withholds them, so
+        each one is looked at.
+        """
+        if era_of(snapshot.revision) == 0:
+            return
         for entry in snapshot.entries:
             if self._is_outdated(entry, now=now):
                 self._outdated.withhold(entry.key, revision=entry.mod_revision)
 
     def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
-        """Whether an entry of a copy is older than what is known of its key."""
-        kind, _ = self._documents.classify_key(entry.key)
-        if kind == UPSTREAM:
-            return self._outdated.was_removed(entry.key, now=now)
-        if kind != CONFIGURATION or self._table is None:
+        if entry.mod_revision > self._returned_at:
+            # Written after the return, whatever was known before.
+            return False
+        kind, name = self._documents.classify_key(entry.key)
+        if kind == UPSTREAM and self._outdated.was_removed(
+            entry.key, before=entry.mod_revision, now=now
+        ):
+            return True
+        if not self._is_of_earlier_era(entry.key):
             return False
         try:
-            return self._documents.configuration(entry.value or b"").version < self._table.version
+            return self._is_older(kind, name, entry.value or b"")
         except InvalidDocument:
             return False
 
-    def _install(self, entry: StoredEntry, *, source: str) -> None:
+    def _is_older(self, kind: str | None, name: str, value: bytes) -> bool:
+        """Whether a document is older than the one known, by what it says itself."""
+        if kind == CONFIGURATION and self._table is not None:
+            return self._documents.configuration(value).version < self._table.version
+        if kind == UPSTREAM and name in self._upstreams.by_id:
+            return self._documents.upstream(name, value).born < self._upstreams.by_id[name].born
+        return False
+
+    def _is_of_earlier_era(self, key: str) -> bool:
+        """Whether the entry known of a key was written before the store came back from a copy."""
+        entry = self._entries.get(key)
+        return entry is not None and number_of(entry.mod_revision) == 0
+
+    def _install(self, entry: StoredEntry, *, now: float, source: str) -> None:
         if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
             return
         self._pending_removals.pop(entry.key, None)
         if self._known_revision(entry.key) >= entry.mod_revision:
             return
-        self._outdated.record_entry(entry.key)
         kind, name = self._documents.classify_key(entry.key)
         if kind is None:
             return
-        self._entries[entry.key] = entry
         log = logger.bind(
             event="bad_document", key=entry.key, revision=number_of(entry.mod_revision)
         )
         try:
-            self._decode(kind, name, entry, source=source)
+            if kind == UPSTREAM:
+                registered = self._documents.upstream(name, entry.value or b"")
+                if self._upstreams.hold_back(registered, entry, now=now, source=source):
+                    return
+                self._upstreams.register(registered, revision=entry.mod_revision, source=source)
+            else:
+                self._decode(kind, name, entry, source=source)
         except InvalidDocument as error:
             log.warning("{}", error.message)
+            self._drop_invalid(kind, name)
         except Exception:
             # One entry must not keep the others from being applied.
             log.exception("unexpected error while decoding a stored entry")
-        else:
-            return
-        # An upstream whose entry is invalid is dropped; after an invalid configuration the last
-        # valid one stays in use.
+            self._drop_invalid(kind, name)
+        self._entries[entry.key] = entry
+        self._outdated.record_entry(entry.key)
+
+    def _drop_invalid(self, kind: str, name: str) -> None:
+        """Drop an upstream whose entry is invalid; an invalid configuration replaces no other."""
         if kind == UPSTREAM:
-            self._upstreams.pop(name, None)
+            self._upstreams.drop(name)
 
     def _decode(self, kind: str, name: str, entry: StoredEntry, *, source: str) -> None:
         value = entry.value or b""
@@ -399,23 +428,6 @@
                 revision=number_of(entry.mod_revision),
                 source=source,
             ).info("applied a configuration")
-        elif kind == UPSTREAM:
-            registered = self._documents.upstream(name, value)
-            upstream = msgspec.structs.replace(
-                registered,
-                leaving=self._leaving.is_leaving(registered, revision=entry.mod_revision),
-                revision=entry.mod_revision,
-            )
-            previous = self._upstreams.get(name)
-            self._upstreams[name] = upstream
-            if previous is None or previous.leaving != upstream.leaving:
-                logger.bind(
-                    event="upstream",
-                    upstream=name,
-                    service=upstream.service,
-                    leaving=upstream.leaving,
-                    revision=number_of(entry.mod_revision),
-                ).info("upstream registered or changed state")
         elif kind == EVACUATION:
             if self._evacuations.begin(name, revision=entry.mod_revision):
                 _log_evacuation("evacuation_began", name, entry.mod_revision, source)
@@ -437,9 +449,9 @@
             # Operators never delete the configuration, so its absence is a fault of the store.
             return
         if kind == UPSTREAM:
-            self._remove_upstream(removed.key, name, now=now, removal_delay=removal_delay)
+            self._remove_upstream(removed, name, now=now, removal_delay=removal_delay)
             return
-        is_lost_in_return = 0 < removed.mod_revision == self._returned_at
+        is_lost_in_return = self._is_of_earlier_era(removed.key)
         if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
             # A short list would let each gateway take the others' share of what they divide, and an
             # evacuation that the copy lacks is written again.
@@ -454,31 +466,18 @@
         ):
             _log_evacuation("evacuation_ended", name, removed.mod_revision, source)
 
-    def _remove_upstream(self, key: str, name: str, *, now: float, removal_delay: float) -> None:
-        upstream = self._upstreams.get(name)
-        draining = upstream is not None and upstream.leaving and name not in self._leaving
-        if upstream is not None and removal_delay and not draining:
+    def _remove_upstream(
+        self, removed: StoredEntry, name: str, *, now: float, removal_delay: float
+    ) -> None:
+        key = removed.key
+        is_leaving = self._upstreams.is_registered_leaving(name)
+        if name in self._upstreams.by_id and removal_delay and not is_leaving:
             self._pending_removals.setdefault(key, now + removal_delay)
             return
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
-        self._upstreams.pop(name, None)
-        self._leaving.forget(name)
-        self._outdated.record_removal(key, now=now)
-        if upstream is not None:
-            logger.bind(event="upstream_gone", upstream=name).info("upstream removed")
-
-    def _begin_leaving(self, listed: ListedUpstream, *, source: str, peer: str | None) -> None:
-        self._upstreams[listed.id] = msgspec.structs.replace(listed, leaving=True)
-        logger.bind(
-            event="upstream_leaving",
-            upstream=listed.id,
-            service=listed.service,
-            born=listed.born,
-            source=source,
-            peer=peer,
-        ).info("upstream said in a response that it is leaving")
-        self._notify()
+        self._upstreams.remove(name, now=now)
+        self._outdated.record_removal(key, revision=removed.mod_revision, now=now)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/src/baobabpulley/ports/config_store.py
+++ b/src/baobabpulley/ports/config_store.py
@@ -113,7 +113,11 @@
     @property
     @abstractmethod
     def era(self) -> int:
-        """How often the store has come back from a copy, as far as its answers tell."""
+        """How often the store has come back from a copy, as far as is known."""
+
+    @abstractmethod
+    def adopt_era(self, era: int) -> None:
+        """Take over a later era that other processes know of; answers of earlier ones are lost."""
 
     @abstractmethod
     async def put(self, key: str, value: bytes, *, lease: int) -> None:
--- a/testing/test_store_eras.py
+++ b/testing/test_store_eras.py
@@ -13,6 +13,7 @@
 from gateway_builders import configuration
 from gateway_builders import open_world
 from gateway_builders import wait_until
+from platform_store import StoreCopy
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import fetch
@@ -20,6 +21,7 @@
 from baobabpulley.errors import StoreResponseLost
 from baobabpulley.errors import StoreUnavailable
 from baobabpulley.gateway.peers.gossip_messages import GossipMessage
+from baobabpulley.gateway.peers.gossip_messages import LeavingRow
 from baobabpulley.gateway.peers.gossip_messages import decode
 from baobabpulley.gateway.peers.gossip_messages import encode
 from baobabpulley.gateway.store.compression import decompress
@@ -27,6 +29,7 @@
 from baobabpulley.gateway.store.fleet_snapshot import as_received
 from baobabpulley.gateway.store.fleet_snapshot import as_sent
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.gateway.store.snapshot_fetcher import SnapshotFetcher
 from baobabpulley.gateway.store.store_relay import MAX_WAIT_SECONDS
 from baobabpulley.gateway.store.store_relay import FleetUpdate
 from baobabpulley.model.documents import StoredEntry
@@ -36,8 +39,10 @@
 from baobabpulley.platform import names
 from baobabpulley.platform.documents import PlatformDocuments
 from baobabpulley.platform.store import PlatformStore
+from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.store_confirmation import watch_wait
 from baobabpulley.ports.config_store import Swap
+from baobabpulley.timers import TimerService
 
 
 class EarlierUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -192,3 +197,42 @@
         answers += 1
     # One for each confirmation of the store, not one at once for each question.
     assert answers <= 2 * MAX_WAIT_SECONDS / watch_wait(in_force_within=2.0)
+
+
+def test_reports_of_an_earlier_era_that_a_relay_holds_do_not_count_as_of_the_later_one() -> None:
+    first = GossipMessage("n", "a", 1, "d", "h:1", 90, 7, leaving=(LeavingRow("i-1", 5, 90),))
+    second = GossipMessage("n", "a", 2, "d", "h:1", 20, 0, era=1)
+    assert first.updated_by(second).leaving == (LeavingRow("i-1", 5, 0),)
+    same = msgspec.structs.replace(second, era=0)
+    assert first.updated_by(same).leaving == first.leaving
+
+
+async def test_a_peer_in_an_earlier_era_confirms_nothing(world: World) -> None:
+    gateway = await world.add_gateway()
+    timers = TimerService()
+    state = FleetState(PlatformDocuments())
+    confirmation = StoreConfirmation(in_force_within=2.0)
+    fetcher = SnapshotFetcher(
+        client=gateway.client, fleet_state=state, confirmation=confirmation, timers=timers
+    )
+    state.install(_snapshot(5, number=2, era=1), now=0.0)
+    assert not await fetcher.fetch(gateway.node.control)
+    assert confirmation.confirmed_at is None
+    world.store.era = 1
+    await wait_until(lambda: era_of(gateway.fleet_state.revision) == 1)
+    await fetcher.fetch(gateway.node.control)
+    assert confirmation.confirmed_at is not None
+
+
+async def test_a_store_without_eras_is_in_that_of_other_gateways(world: World) -> None:
+    world.store.era = None
+    store = _store(world)
+    for _ in range(20):
+        world.store.put("members/front-99", b"{}")
+    await store.read("")
+    store.adopt_era(2)
+    copy = StoreCopy(world.store.items, {}, 5)
+    world.store.return_from(copy)
+    # Lower than what it answered before, which others have seen already.
+    assert era_of((await store.read("")).revision) == 2
+    assert store.era == 2
