--- a/src/baobabpulley/gateway/tunnels/upstream_connector.py
+++ b/src/baobabpulley/gateway/tunnels/upstream_connector.py
@@ -206,6 +206,9 @@
                 unreached = error
             except TunnelUnavailable as error:
                 self._record_unavailable(node, error)
+                if error.status is None and not self.is_cut_off:
+                    # Peers may be out of reach too; the request isn't held up for all of them.
+                    break
         if unreached is not None:
             self._reach.record_unreached_by_peer(upstream.id, now=self._timers.now())
             raise unreached
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -11,8 +11,10 @@
 
 import platform_upstream as upstreams
 import pytest
+from fair_clock import FairClock
 from gateway_builders import World
 from gateway_builders import open_world
+from gateway_builders import send
 from gateway_builders import wait_until
 from test_early_answers import CALL_TIMEOUT_SECONDS
 from test_early_answers import UPLOAD
@@ -29,9 +31,12 @@
 from baobabpulley.errors import UpstreamLost
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.peers.gossip_messages import GossipMessage
 from baobabpulley.gateway.tunnels import tunnel_server
 from baobabpulley.gateway.tunnels.tunnel_client import TunnelUnavailable
 from baobabpulley.gateway.tunnels.tunnel_client import open_tunnel
+from baobabpulley.gateway.tunnels.upstream_connector import DIRECT_TIMEOUT_SECONDS
+from baobabpulley.gateway.tunnels.upstream_connector import TUNNEL_TIMEOUT_SECONDS
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.platform import names
 
@@ -154,6 +159,30 @@
             await open_tunnel(control, upstream, node="front-9", timeout=0.1)
 
 
+# Guards against requests held up for one silent peer after the other in a cut of a whole domain.
+async def test_a_request_waits_for_one_silent_peer_only(world: World) -> None:
+    gateway, _ = await _start(world)
+    await world.upstreams["i-1"].stop()
+    with contextlib.ExitStack() as listeners:
+        for number in range(3):
+            listener = listeners.enter_context(socket.create_server(("127.0.0.1", 0)))
+            message = GossipMessage(
+                node=f"front-{number + 5}",
+                incarnation="a",
+                sequence=1,
+                failure_domain="fes",
+                control=f"127.0.0.1:{listener.getsockname()[1]}",
+                revision=0,
+                configuration_revision=0,
+            )
+            assert gateway.gossip.receive(message)
+        clock = FairClock()
+        reply = await send(gateway, "/order/1")
+        assert reply.status in (502, 503)
+        assert clock.seconds < DIRECT_TIMEOUT_SECONDS + 1.5 * TUNNEL_TIMEOUT_SECONDS
+    gateway.gossip.peers.clear()
+
+
 # Guards against an answer whose reset is taken for its end, as the peer closes in order.
 @pytest.mark.parametrize(
     "behaviour", [upstreams.answer_without_length_and_reset, upstreams.reset_after_run]
