--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -41,7 +41,8 @@
 # Empty prefix: gateways read and watch all keys of the store.
 ALL_KEYS: Final = ""
 _INITIAL_BACKOFF_SECONDS: Final = 0.05
-# A watch is repeated at once after a few changes, and at this rate in a storm of changes.
+# A watch is repeated at once after a few changes, and at this rate in a storm of changes; so is the
+# question to a gateway that answers without changes.
 _WATCHES_PER_SECOND: Final = 5.0
 _WATCH_BURST: Final = 3.0
 # A gateway that the store failed, and that follows another, asks it again after this time.
@@ -262,6 +263,9 @@
                 return
             self._apply_update(received.update, source=address)
             self._confirm(received.confirmed_at)
+            if not received.update.entries:
+                # Usual are two confirmations a second, which the limit lets pass.
+                await self._limit_watches()
         if self._is_stale:
             self._leave_relay(address, _UNCONFIRMED)
 
--- a/testing/test_store_relay.py
+++ b/testing/test_store_relay.py
@@ -165,6 +165,23 @@
     await wait_for_version(gateways, 3, seconds=4.0)
 
 
+async def test_a_watcher_that_answers_at_once_without_changes_is_not_asked_without_pause(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await start_gateways(world, 3)
+    asked = 0
+
+    async def answer_at_once(publisher: ChangePublisher, after: int, **options: object) -> object:
+        nonlocal asked
+        asked += 1
+        return FleetUpdate(publisher.revision, (), False, 0.0, True, True)
+
+    monkeypatch.setattr(ChangePublisher, "update_since", answer_at_once)
+    await wait_until(lambda: asked > 0)
+    await asyncio.sleep(1.0)
+    assert asked <= 10
+
+
 async def test_gateways_that_the_store_refuses_do_not_watch_it(world: World) -> None:
     refused = [await world.add_gateway(store=DEAD_STORE, wait=False) for _ in range(2)]
     served = [await world.add_gateway() for _ in range(3)]
