--- a/src/baobabpulley/gateway/store/fleet_state.py
+++ b/src/baobabpulley/gateway/store/fleet_state.py
@@ -21,23 +21,23 @@
 
 from baobabpulley.errors import InvalidDocument
 from baobabpulley.gateway.store.change_log import ChangeLog
+from baobabpulley.gateway.store.entry_kinds import CONFIGURATION
+from baobabpulley.gateway.store.entry_kinds import EVACUATION
+from baobabpulley.gateway.store.entry_kinds import MEMBER
+from baobabpulley.gateway.store.entry_kinds import UPSTREAM
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
 from baobabpulley.gateway.store.listed_upstreams import ListedUpstreams
+from baobabpulley.gateway.store.store_return import StoreReturn
 from baobabpulley.model.documents import StoredEntry
+from baobabpulley.model.revisions import carried_over
 from baobabpulley.model.revisions import era_of
 from baobabpulley.model.revisions import number_of
-from baobabpulley.model.revisions import ordered_revision
 from baobabpulley.model.routes import RoutingTable
 from baobabpulley.model.servers import ListedUpstream
 from baobabpulley.policy.evacuation import EvacuatedDomains
-from baobabpulley.policy.outdated_entries import OutdatedEntries
 from baobabpulley.ports.fleet_documents import FleetDocuments
 from baobabpulley.ports.fleet_documents import GatewayMember
 
-CONFIGURATION: Final = "configuration"
-UPSTREAM: Final = "upstream"
-MEMBER: Final = "member"
-EVACUATION: Final = "evacuation"
 STORE: Final = "store"
 
 Listener = Callable[[], None]
@@ -57,10 +57,8 @@
         "_listeners",
         "_may_lack_evacuations",
         "_members",
-        "_outdated",
         "_pending_removals",
-        "_return_listeners",
-        "_returned_at",
+        "_return",
         "_returned_within",
         "_revision",
         "_table",
@@ -71,15 +69,18 @@
         self._documents = documents
         # Seconds within which upstreams and gateways register again after a return of the store.
         self._returned_within = returned_within
-        self._outdated = OutdatedEntries()
-        self._returned_at = 0
-        self._return_listeners: list[Listener] = []
         self._entries: dict[str, StoredEntry] = {}
         self._change_log = ChangeLog()
         # Keys that were missing after a store outage, and when they are to be removed
         # (monotonic seconds) unless they are registered again.
         self._pending_removals: dict[str, float] = {}
         self._upstreams = ListedUpstreams(notify=self._notify)
+        self._return = StoreReturn(
+            documents=documents,
+            entries=self._entries,
+            upstreams=self._upstreams,
+            table=lambda: self._table,
+        )
         self._evacuations = EvacuatedDomains()
         self._may_lack_evacuations = False
         self._members: dict[str, GatewayMember] = {}
@@ -110,7 +111,7 @@
 
         Whatever is of a later revision was written after the store came back from a copy.
         """
-        return self._returned_at
+        return self._return.revision
 
     @property
     def upstreams(self) -> dict[str, ListedUpstream]:
@@ -162,7 +163,7 @@
 
         What the system wrote to the store since the copy is gone then.
         """
-        self._return_listeners.append(listener)
+        self._return.listen(listener)
 
     def snapshot(self) -> FleetSnapshot:
         """Return all entries."""
@@ -207,10 +208,10 @@
             return False
         if self._revision and era_of(snapshot.revision) > era_of(self._revision):
             removal_delay = max(removal_delay, self._returned_within)
-            self._enter_era(snapshot, now=now, source=source)
-        elif not self._revision and era_of(snapshot.revision):
-            self._returned_at = snapshot.revision
-        self._withhold_outdated(snapshot, now=now)
+            self._enter_era(snapshot.revision, source=source)
+        elif not self._revision:
+            self._return.begin(snapshot.revision)
+        self._return.withhold_outdated(snapshot, now=now)
         unregistered = frozenset(snapshot.unregistered)
         if unregistered:
             removal_delay = max(removal_delay, self._returned_within)
@@ -312,68 +313,16 @@
         kind, name = self._documents.classify_key(key)
         return max(revision, self._upstreams.held_revision(name)) if kind == UPSTREAM else revision
 
-    def _enter_era(self, snapshot: FleetSnapshot, *, now: float, source: str) -> None:
+    def _enter_era(self, revision: int, *, source: str) -> None:
         """Prepare the state for the first snapshot of a store that came back from a copy."""
-        era = era_of(snapshot.revision)
-        logger.bind(
-            event="store_returned",
-            era=era,
-            known_era=era_of(self._revision),
-            revision=number_of(snapshot.revision),
-            known=number_of(self._revision),
-            source=source,
-        ).warning("the store came back from a copy: what it holds replaces what is known")
-        self._returned_at = snapshot.revision
-        for listener in self._return_listeners:
-            listener()
-        oldest = ordered_revision(0, era=era)
+        self._return.record_return(revision, known=self._revision, source=source)
+        oldest = carried_over(era_of(revision))
         for key, entry in self._entries.items():
             self._entries[key] = msgspec.structs.replace(entry, mod_revision=oldest)
         self._upstreams.keep_leaving()
 
-    def _withhold_outdated(self, snapshot: FleetSnapshot, *, now: float) -> None:
-        """Withhold the entries of a copy that are older than what is known from before it.
-
-        The snapshot that led into the era may have come from a gateway that withholds them, so
-        each one is looked at.
-        """
-        if era_of(snapshot.revision) == 0:
-            return
-        for entry in snapshot.entries:
-            if self._is_outdated(entry, now=now):
-                self._outdated.withhold(entry.key, revision=entry.mod_revision)
-
-    def _is_outdated(self, entry: StoredEntry, *, now: float) -> bool:
-        if entry.mod_revision > self._returned_at:
-            # Written after the return, whatever was known before.
-            return False
-        kind, name = self._documents.classify_key(entry.key)
-        if kind == UPSTREAM and self._outdated.was_removed(
-            entry.key, before=entry.mod_revision, now=now
-        ):
-            return True
-        if not self._is_of_earlier_era(entry.key):
-            return False
-        try:
-            return self._is_older(kind, name, entry.value or b"")
-        except InvalidDocument:
-            return False
-
-    def _is_older(self, kind: str | None, name: str, value: bytes) -> bool:
-        """Whether a document is older than the one known, by what it says itself."""
-        if kind == CONFIGURATION and self._table is not None:
-            return self._documents.configuration(value).version < self._table.version
-        if kind == UPSTREAM and name in self._upstreams.by_id:
-            return self._documents.upstream(name, value).born < self._upstreams.by_id[name].born
-        return False
-
-    def _is_of_earlier_era(self, key: str) -> bool:
-        """Whether the entry known of a key was written before the store came back from a copy."""
-        entry = self._entries.get(key)
-        return entry is not None and number_of(entry.mod_revision) == 0
-
     def _install(self, entry: StoredEntry, *, now: float, source: str) -> None:
-        if self._outdated.is_withheld(entry.key, revision=entry.mod_revision):
+        if self._return.is_withheld(entry):
             return
         self._pending_removals.pop(entry.key, None)
         if self._known_revision(entry.key) >= entry.mod_revision:
@@ -400,7 +349,7 @@
             log.exception("unexpected error while decoding a stored entry")
             self._drop_invalid(kind, name)
         self._entries[entry.key] = entry
-        self._outdated.record_entry(entry.key)
+        self._return.record_entry(entry.key)
 
     def _drop_invalid(self, kind: str, name: str) -> None:
         """Drop an upstream whose entry is invalid; an invalid configuration replaces no other."""
@@ -451,7 +400,7 @@
         if kind == UPSTREAM:
             self._remove_upstream(removed, name, now=now, removal_delay=removal_delay)
             return
-        is_lost_in_return = self._is_of_earlier_era(removed.key)
+        is_lost_in_return = self._return.is_carried_over(removed.key)
         if removal_delay and (kind == MEMBER or (kind == EVACUATION and is_lost_in_return)):
             # A short list would let each gateway take the others' share of what they divide, and an
             # evacuation that the copy lacks is written again.
@@ -477,7 +426,7 @@
         self._pending_removals.pop(key, None)
         self._entries.pop(key, None)
         self._upstreams.remove(name, now=now)
-        self._outdated.record_removal(key, revision=removed.mod_revision, now=now)
+        self._return.record_removal(removed, now=now)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/src/baobabpulley/model/revisions.py
+++ b/src/baobabpulley/model/revisions.py
@@ -45,6 +45,24 @@
     return revision & _NUMBER_MASK
 
 
+def carried_over(era: int) -> int:
+    """Return the revision, in an era, of what is known only from an earlier one.
+
+    >>> carried_over(2) < ordered_revision(1, era=2)
+    True
+    """
+    return ordered_revision(0, era=era)
+
+
+def is_carried_over(revision: int) -> bool:
+    """Whether a revision is that of what is known only from an earlier era.
+
+    >>> is_carried_over(carried_over(2)), is_carried_over(ordered_revision(1, era=2))
+    (True, False)
+    """
+    return number_of(revision) == 0
+
+
 def with_numbers(entries: Iterable[StoredEntry]) -> tuple[StoredEntry, ...]:
     """Return entries with the store's revision numbers in place of ordered revisions."""
     return tuple(
