--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -22,7 +22,6 @@
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
 from baobabpulley.gateway.store.fleet_state import STORE
 from baobabpulley.gateway.store.fleet_state import FleetState
-from baobabpulley.gateway.store.store_connection import OUTAGE_SECONDS
 from baobabpulley.gateway.store.store_connection import StoreConnection
 from baobabpulley.gateway.store.store_relay import UPDATE_TIMEOUT_SECONDS
 from baobabpulley.gateway.store.store_relay import FleetUpdate
@@ -109,7 +108,12 @@
         self._section = section
         self._timers = timers
         self._random = random.Random()
-        self._connection = StoreConnection(returned_within=section.returned_within, timers=timers)
+        self._connection = StoreConnection(
+            returned_within=section.returned_within,
+            confirmed_within=section.in_force_within,
+            call_wait=section.call_wait,
+            timers=timers,
+        )
         fleet_state.listen_to_returns(self._connection.delay_removals)
         self._has_snapshot = False
         self._outage_elsewhere = False
@@ -143,7 +147,7 @@
     def start(self) -> None:
         """Start to follow the store."""
         self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
-        self._timers.every(0.2, self._remove_expired, name="delayed removals")
+        self._timers.every(0.1, self._remove_expired, name="delayed removals")
         self._timers.every(0.2, self._check_relay, name="store watchers")
         self._timers.every(
             _PROBE_PERIOD_SECONDS, self._probe_store, jitter=_PROBE_JITTER, name="store probe"
@@ -221,7 +225,7 @@
                 if failures > 1:
                     # The store may cut a watch at any time, which says nothing of the next call.
                     self._contact.record_failure()
-                self._connection.lose(error.message)
+                self._connection.fail(error.message)
             except Exception:
                 failures += 1
                 logger.bind(event="store_follow_failed").exception(
@@ -322,13 +326,13 @@
         }
 
     def _apply_update(self, update: FleetUpdate, *, source: str = "") -> None:
+        # Kept, as gateways that follow this one get their delay from it.
+        self._connection.receive_delay(update.removal_delay, unconfirmed=self.confirmation_age)
         if update.connected:
-            self._connection.regain()
+            self._connection.regain(unconfirmed=self.confirmation_age)
         else:
             self._connection.lose("the gateway that is followed lost the store")
         now = self._timers.now()
-        # Kept, as gateways that follow this one get their delay from it.
-        self._connection.delay_removals(update.removal_delay)
         removal_delay = self.removal_delay()
         if update.is_full:
             snapshot = FleetSnapshot(
@@ -412,10 +416,10 @@
 
     def _mark_store_reached(self) -> None:
         now = self._timers.boot_time()
-        # A watch call that was answered late may have been pending through an outage.
-        was_silent = self._contact.silence(now=now) > self._section.call_wait + OUTAGE_SECONDS
+        silent = self._contact.silence(now=now)
         self._contact.record_answer(now=now)
-        if self._outage_elsewhere or was_silent:
+        unconfirmed = self.confirmation_age
+        if self._outage_elsewhere:
             self._outage_elsewhere = False
-            self._connection.delay_removals()
-        self._connection.regain()
+            self._connection.take_over(unconfirmed=unconfirmed)
+        self._connection.answer(unconfirmed=unconfirmed, silent=silent)
