--- a/src/baobabpulley/gateway/store/store_link.py
+++ b/src/baobabpulley/gateway/store/store_link.py
@@ -22,13 +22,13 @@
 from baobabpulley.gateway.store.fleet_snapshot import FleetSnapshot
 from baobabpulley.gateway.store.fleet_state import STORE
 from baobabpulley.gateway.store.fleet_state import FleetState
+from baobabpulley.gateway.store.source_log import SourceLog
 from baobabpulley.gateway.store.store_connection import StoreConnection
 from baobabpulley.gateway.store.store_relay import UPDATE_TIMEOUT_SECONDS
 from baobabpulley.gateway.store.store_relay import FleetUpdate
 from baobabpulley.gateway.store.store_relay import fetch_update
 from baobabpulley.gateway.store.store_watchers import StoreWatchers
 from baobabpulley.model.revisions import era_of
-from baobabpulley.model.revisions import number_of
 from baobabpulley.policy.backoff import backoff_seconds
 from baobabpulley.policy.store_confirmation import StoreConfirmation
 from baobabpulley.policy.store_contact import StoreContact
@@ -44,6 +44,9 @@
 # question to a gateway that answers without changes.
 _WATCHES_PER_SECOND: Final = 5.0
 _WATCH_BURST: Final = 3.0
+# How often delayed removals that are due, and the choice of the gateway to follow, are looked at.
+_REMOVAL_PERIOD_SECONDS: Final = 0.1
+_RELAY_PERIOD_SECONDS: Final = 0.2
 # A gateway that the store failed, and that follows another, asks it again after this time.
 _PROBE_PERIOD_SECONDS: Final = 3.0
 _PROBE_JITTER: Final = 0.4
@@ -67,7 +70,7 @@
         "_fleet_state",
         "_followed",
         "_has_snapshot",
-        "_logged_source",
+        "_log",
         "_outage_elsewhere",
         "_probe",
         "_random",
@@ -75,7 +78,6 @@
         "_store",
         "_task",
         "_timers",
-        "_was_stale",
         "_watch_bucket",
         "_watchers",
     )
@@ -101,8 +103,7 @@
         self._confirmation = confirmation
         self._contact = StoreContact(max_silence=confirmation.max_age)
         self._probe: asyncio.Task[None] | None = None
-        self._logged_source: str | None = None
-        self._was_stale = False
+        self._log = SourceLog(fleet_state=fleet_state, confirmation=confirmation, timers=timers)
         self._store = store
         self._fleet_state = fleet_state
         self._client = client
@@ -148,8 +149,8 @@
     def start(self) -> None:
         """Start to follow the store."""
         self._task = asyncio.get_running_loop().create_task(self._follow(), name="store")
-        self._timers.every(0.1, self._remove_expired, name="delayed removals")
-        self._timers.every(0.2, self._check_relay, name="store watchers")
+        self._timers.every(_REMOVAL_PERIOD_SECONDS, self._remove_expired, name="delayed removals")
+        self._timers.every(_RELAY_PERIOD_SECONDS, self._check_relay, name="store watchers")
         self._timers.every(
             _PROBE_PERIOD_SECONDS, self._probe_store, jitter=_PROBE_JITTER, name="store probe"
         )
@@ -195,7 +196,7 @@
 
     def _check_relay(self) -> None:
         """Change between the store and the gateways that watch it when the watchers change."""
-        self._log_staleness()
+        self._log.log_staleness(is_stale=self._is_stale)
         if self._fleet_state.table is None or self._relay() == self._followed:
             return
         if self._followed is not None and self._is_stale:
@@ -210,7 +211,7 @@
                 await self._follow_once()
                 failures = 0
             except StoreCompacted:
-                logger.bind(event="store_compacted", **self._position).info(
+                logger.bind(event="store_compacted", **self._log.position).info(
                     "the store compacted the history of the watch; reading all keys again"
                 )
                 self._has_snapshot = False
@@ -249,7 +250,7 @@
 
     async def _follow_peer(self, address: str) -> None:
         """Apply the changes that a gateway relays, until it fails or is no longer a watcher."""
-        self._log_source(address)
+        self._log.log_source(address)
         while self._relay() == address:
             try:
                 received = await fetch_update(
@@ -284,7 +285,7 @@
         return min(remaining, UPDATE_TIMEOUT_SECONDS)
 
     def _leave_relay(self, address: str, reason: str) -> None:
-        logger.bind(event="store_relay_lost", peer=address, **self._position).info(
+        logger.bind(event="store_relay_lost", peer=address, **self._log.position).info(
             "the gateway doesn't relay changes: {}", reason
         )
         self._watchers.exclude(address)
@@ -293,42 +294,6 @@
         if confirmed_at is not None:
             self._confirmation.record(confirmed_at)
 
-    def _log_source(self, source: str) -> None:
-        """Log from where changes come from now on: the store, or a gateway that relays them."""
-        if source == self._logged_source:
-            return
-        self._logged_source = source
-        if source == STORE:
-            logger.bind(event="store_watch", **self._position).info("watching the store")
-        else:
-            logger.bind(event="store_relay", peer=source, **self._position).info(
-                "following a gateway's watch"
-            )
-
-    def _log_staleness(self) -> None:
-        """Log when changes may begin to be missing, and when the store has confirmed all again."""
-        if self._fleet_state.table is None or self._is_stale == self._was_stale:
-            return
-        self._was_stale = not self._was_stale
-        if self._was_stale:
-            logger.bind(event="configuration_unconfirmed", **self._position).warning(
-                "changes may be missing: neither the store nor a gateway confirms the state;"
-                " serving goes on with it"
-            )
-        else:
-            logger.bind(event="configuration_confirmed", **self._position).info(
-                "the store has confirmed the state again"
-            )
-
-    @property
-    def _position(self) -> dict[str, float]:
-        """Fields of a log line: the revision reached and the age of its confirmation."""
-        return {
-            "revision": number_of(self._fleet_state.revision),
-            "era": era_of(self._fleet_state.revision),
-            "confirmation_age": round(self.confirmation_age, 3),
-        }
-
     def _apply_update(self, update: FleetUpdate, *, source: str = "") -> None:
         # Kept, as gateways that follow this one get their delay from it.
         self._connection.receive_delay(update.removal_delay, unconfirmed=self.confirmation_age)
@@ -357,7 +322,7 @@
     async def _read_and_watch(self) -> None:
         # A gateway that takes over from one that lost the store has not seen how long it was away.
         self._outage_elsewhere = self._watchers.store_failed_peer
-        self._log_source(STORE)
+        self._log.log_source(STORE)
         if not self._has_snapshot or self._fleet_state.may_lack_evacuations:
             asked_at = self._timers.boot_time()
             self._adopt_era()
