--- a/testing/platform_store.py
+++ b/testing/platform_store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import contextlib
 import itertools
 import json
 from typing import Any
@@ -143,19 +142,25 @@
         returns = self.returns
         while returns == self.returns:
             changed = self._changed
-            events = [
-                event
-                for event in self.history
-                if event["revision"] > after and event["key"].startswith(prefix)
-            ]
-            remaining = end - asyncio.get_running_loop().time()
-            if events or remaining <= 0:
+            events = self._events_after(after, prefix)
+            if events:
                 return events
-            # A change may come just as the time is over, and the answer's revision covers it.
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), remaining)
+            try:
+                await asyncio.wait_for(
+                    changed.wait(), max(0.0, end - asyncio.get_running_loop().time())
+                )
+            except TimeoutError:
+                # A change may come just as the time is over, and the answer's revision covers it.
+                return self._events_after(after, prefix) if returns == self.returns else None
         return None
 
+    def _events_after(self, revision: int, prefix: str) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.history
+            if event["revision"] > revision and event["key"].startswith(prefix)
+        ]
+
 
 class _Handler(RequestHandler):
     def initialize(self, store: StoreStandin) -> None:
