--- a/src/baobabpulley/adapters/tunnel_pipe.py
+++ b/src/baobabpulley/adapters/tunnel_pipe.py
@@ -23,6 +23,8 @@
 RESET_CHECK_SECONDS: Final = 0.1
 # A client closes its connection within this time after it has read the end.
 END_TIMEOUT_SECONDS: Final = 1.0
+# What the client is still sending arrives within this time after the server's end.
+REST_SECONDS: Final = 0.05
 
 
 async def pipe(near: IOStream, far: ClientStream) -> None:
@@ -34,11 +36,13 @@
     before the end of its connection. If this is cancelled, the client's connection is reset.
     """
     reset_on_close(near.socket)
+    # The client has the rest of a request that the server may have ended too early.
+    far.keeps_end = True
     to_server = asyncio.create_task(_copy_to_server(near, far))
     to_client = asyncio.create_task(_copy_to_client(far, near))
     try:
         await asyncio.wait((to_server, to_client), return_when=asyncio.FIRST_COMPLETED)
-        is_reset = near.closed() or await far.was_reset()
+        is_reset = near.closed() or await far.was_reset(at_least=REST_SECONDS)
         if is_reset:
             await _wait_until_received(near)
         elif not near.closed():
@@ -60,15 +64,17 @@
             await client.write(await server.read_bytes(BLOCK_BYTES, partial=True))
 
 
-async def _copy_to_server(client: IOStream, server: IOStream) -> None:
+async def _copy_to_server(client: IOStream, server: ClientStream) -> None:
     """Copy until the client's connection is closed; what the server no longer takes is dropped."""
     while True:
         try:
             block = await client.read_bytes(BLOCK_BYTES, partial=True)
         except StreamClosedError:
             return
-        with contextlib.suppress(StreamClosedError):
+        try:
             await _write_while_open(server, block, client)
+        except StreamClosedError:
+            server.send_after_end(block)
 
 
 async def _write_while_open(server: IOStream, block: bytes, client: IOStream) -> None:
