--- a/src/baobabpulley/adapters/streams.py
+++ b/src/baobabpulley/adapters/streams.py
@@ -14,6 +14,11 @@
 # The shortest period that the kernel allows.
 KEEPALIVE_PERIOD_SECONDS: Final = 1
 _MS_PER_SECOND: Final = 1000
+# Unanswered probes of a receiver that takes nothing after which it is taken for gone.
+MAX_UNANSWERED_PROBES: Final = 4
+# In the kernel's `tcp_info`: the probes without an answer, and the segments that are on their way.
+_TCP_PROBES: Final = struct.Struct("3xB")
+_TCP_UNACKED: Final = struct.Struct("24xI")
 _INT: Final = struct.Struct("i")
 # On, and no time to linger.
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -85,6 +90,18 @@
     )
 
 
+def allow_pause(plain: socket.socket, seconds: float) -> None:
+    """Keep the limit of `detect_dead_peer`, except while a live peer takes no more bytes.
+
+    The kernel applies it to a closed window too, though the peer answers the probes.
+    """
+    info = plain.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_UNACKED.size)
+    (probes,), (unacked,) = _TCP_PROBES.unpack_from(info), _TCP_UNACKED.unpack_from(info)
+    is_paused = not unacked and unacknowledged_bytes(plain) and probes < MAX_UNANSWERED_PROBES
+    limit = 0 if is_paused else max(1, round(seconds * _MS_PER_SECOND))
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+
+
 def reset_on_close(plain: socket.socket, *, enabled: bool = True) -> None:
     """Let closing a connection reset it, also if this process is killed.
 
--- a/src/baobabpulley/adapters/tunnel_pipe.py
+++ b/src/baobabpulley/adapters/tunnel_pipe.py
@@ -14,6 +14,7 @@
 from baobabpulley.adapters.client_stream import RESET_POLL_SECONDS
 from baobabpulley.adapters.client_stream import RESET_TIMEOUT_SECONDS
 from baobabpulley.adapters.client_stream import ClientStream
+from baobabpulley.adapters.streams import allow_pause
 from baobabpulley.adapters.streams import is_acknowledged
 from baobabpulley.adapters.streams import reset_on_close
 
@@ -21,19 +22,22 @@
 BLOCK_BYTES: Final = 32 * 1024
 # While the server reads nothing, it is checked this often whether the client has left.
 RESET_CHECK_SECONDS: Final = 0.1
+# So often in the time after which a client is dead is it checked whether it only pauses.
+PAUSE_CHECKS: Final = 6
 # A client closes its connection within this time after it has read the end.
 END_TIMEOUT_SECONDS: Final = 1.0
 # What the client is still sending arrives within this time after the server's end.
 REST_SECONDS: Final = 0.05
 
 
-async def pipe(near: IOStream, far: ClientStream) -> None:
+async def pipe(near: IOStream, far: ClientStream, *, dead_after: float) -> None:
     """Pass bytes both ways until one side ends, and let the other side end in the same way.
 
     ``near`` is the client's connection, ``far`` the server's. Nothing is read while the other side
     doesn't take what was read before. Once the client has left, the server's connection is closed;
     the client resets its own for that, see `reset_on_close`. What the server sent is passed on
-    before the end of its connection. If this is cancelled, the client's connection is reset.
+    before the end of its connection. If this is cancelled, the client's connection is reset. So it
+    is if the client acknowledges nothing for ``dead_after`` real seconds; a slow one may pause.
     """
     reset_on_close(near.socket)
     # The client has the rest of a request that the server may have ended too early.
@@ -41,7 +45,7 @@
     to_server = asyncio.create_task(_copy_to_server(near, far))
     to_client = asyncio.create_task(_copy_to_client(far, near))
     try:
-        await asyncio.wait((to_server, to_client), return_when=asyncio.FIRST_COMPLETED)
+        await _wait_for_end(near, (to_server, to_client), dead_after)
         is_reset = near.closed() or await far.was_reset(at_least=REST_SECONDS)
         if is_reset:
             await _wait_until_received(near)
@@ -57,6 +61,17 @@
         await asyncio.gather(to_server, to_client, return_exceptions=True)
 
 
+async def _wait_for_end(
+    near: IOStream, copies: tuple[asyncio.Task[None], ...], dead_after: float
+) -> None:
+    """Wait until one of the copies has ended."""
+    period = dead_after / PAUSE_CHECKS
+    while not any(copy.done() for copy in copies):
+        await asyncio.wait(copies, timeout=period, return_when=asyncio.FIRST_COMPLETED)
+        if not near.closed():
+            allow_pause(near.socket, dead_after)
+
+
 async def _copy_to_client(server: IOStream, client: IOStream) -> None:
     """Copy until the server's connection has ended or the client's is closed."""
     with contextlib.suppress(StreamClosedError):
--- a/src/baobabpulley/gateway/tunnels/tunnel_server.py
+++ b/src/baobabpulley/gateway/tunnels/tunnel_server.py
@@ -118,7 +118,8 @@
             detect_dead_peer(stream.socket, timeout)
         near.set_nodelay(True)
         self._budget.change(TUNNEL_BYTES)
-        task = asyncio.get_running_loop().create_task(pipe(near, far), name="tunnel")
+        passing = pipe(near, far, dead_after=timeout)
+        task = asyncio.get_running_loop().create_task(passing, name="tunnel")
         self._tasks.add(task)
         task.add_done_callback(self._end)
 
--- a/testing/test_tunnel_ends.py
+++ b/testing/test_tunnel_ends.py
@@ -11,12 +11,14 @@
 from tornado.iostream import IOStream
 
 from baobabpulley.adapters.addresses import connect
+from baobabpulley.adapters.streams import detect_dead_peer
 from baobabpulley.adapters.tunnel_pipe import pipe
 
 BEGIN = b"x" * 1000
 REST = b"y" * 1000
 READ_BYTES = 65_536
 REST_LATENESS_SECONDS = 0.01
+DEAD_AFTER_SECONDS = 1.0
 PART = b"HTTP/1.1 200 OK\r\n\r\nhalf"
 
 
@@ -35,7 +37,8 @@
         near, _ = await loop.sock_accept(listener)
     for plain in (server, near):
         plain.setblocking(False)
-    running = asyncio.create_task(pipe(IOStream(near), far))
+    detect_dead_peer(near, DEAD_AFTER_SECONDS)
+    running = asyncio.create_task(pipe(IOStream(near), far, dead_after=DEAD_AFTER_SECONDS))
     with server, client:
         yield client, server
     await running
@@ -85,3 +88,18 @@
         await _begin(client, server)
         server.close()
         assert await _read_to_end(client) == PART
+
+
+# Guards against an answer that is cut off as its reader pauses for longer than a dead one may.
+@pytest.mark.parametrize("is_over", [False, True])
+async def test_an_answer_whose_reader_pauses_arrives_whole(is_over: bool) -> None:
+    size = 20_000_000 if not is_over else 1_000_000
+    loop = asyncio.get_running_loop()
+    async with _tunnel() as (client, server):
+        sending = asyncio.create_task(loop.sock_sendall(server, bytes(size)))
+        await asyncio.sleep(3 * DEAD_AFTER_SECONDS)
+        assert sending.done() is is_over
+        reading = asyncio.create_task(_read_to_end(client))
+        await sending
+        server.close()
+        assert len(await reading) == size
