--- a/src/baobabpulley/adapters/http_client.py
+++ b/src/baobabpulley/adapters/http_client.py
@@ -190,7 +190,7 @@
         method: str,
         path: str,
         body: bytes = b"",
-        headers: dict[str, str] | HTTPHeaders | None = None,
+        headers: dict[str, str] | HTTPHeaders | Callable[[], HTTPHeaders] | None = None,
         head_timeout: float = 30.0,
         fresh: bool = False,
         before_send: Callable[[], None] | None = None,
@@ -202,9 +202,11 @@
     ) -> AsyncIterator[HttpResponse]:
         """Send a request and yield its response; leaving the block early drops the connection.
 
-        All durations are in real seconds. A ``Host`` in ``headers`` replaces the address in the
-        ``Host`` header. ``head_timeout`` bounds the wait for the response's headers. ``fresh``
-        opens a new connection instead of reusing one that has been idle for ``max_idle`` at most.
+        All durations are in real seconds. If ``headers`` is a function, it is called once a
+        connection is open, for headers that depend on the time. A ``Host`` in ``headers`` replaces
+        the address in the ``Host`` header. ``head_timeout`` bounds the wait for the response's
+        headers. ``fresh`` opens a new connection instead of reusing one that has been idle for
+        ``max_idle`` at most.
         ``before_send`` is called once a connection is open; if it raises, nothing is sent.
         ``before_body`` is called after the request's headers are written and before its body is;
         if it raises, the connection is dropped. It returns the time within which the body must be
@@ -236,7 +238,7 @@
                 method=method,
                 path=path,
                 body=body,
-                headers=headers if headers is not None else {},
+                headers=headers() if callable(headers) else headers or {},
                 timeout=head_timeout,
                 before_body=before_body,
             )
--- a/src/baobabpulley/gateway/exchanges/attempts.py
+++ b/src/baobabpulley/gateway/exchanges/attempts.py
@@ -11,7 +11,9 @@
 from typing import Final
 from typing import final
 
+import msgspec
 from loguru import logger
+from tornado.httputil import HTTPHeaders
 
 from baobabpulley.adapters.http_client import HttpClient
 from baobabpulley.adapters.http_client import HttpResponse
@@ -179,6 +181,14 @@
             self._check_engines(upstream, helpers)
             check()
 
+        begun = self._timers.now()
+
+        def headers() -> HTTPHeaders:
+            """Return the headers with the time that is left once the connection is open."""
+            left = max(0.0, parameters.remaining - (self._timers.now() - begun))
+            outgoing = msgspec.structs.replace(parameters, remaining=left)
+            return self._wire.request_headers(incoming.headers, outgoing)
+
         check_all()
         timeout = self._timers.to_real_seconds(parameters.remaining)
         # The deadline ends a silent attempt first, so that it isn't taken for a lost connection.
@@ -192,7 +202,7 @@
                     method=incoming.method,
                     path=incoming.target,
                     body=incoming.body,
-                    headers=self._wire.request_headers(incoming.headers, parameters),
+                    headers=headers,
                     head_timeout=silence_timeout,
                     # Again, as opening the connection may have taken a while.
                     before_send=check_all,
--- a/testing/test_stranded_gateways.py
+++ b/testing/test_stranded_gateways.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import collections
+import contextlib
+import socket
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -24,12 +27,15 @@
 from partitions import Partition
 
 from baobabpulley.gateway.daemon import Gateway
+from baobabpulley.gateway.peers.gossip_messages import GossipMessage
 from baobabpulley.gateway.peers.gossip_peers import GossipPeer
 from baobabpulley.platform import names
+from baobabpulley.policy.tunnel_peers import TunnelPeers
 
 # The platform's `contact-ms`: from then on, callers of a machine that is cut off are to be served.
 CONTACT_SECONDS = 3.0
 SERVED_SHARE = 0.95
+LATENESS_MS = 100
 ANY_CUT = pytest.mark.parametrize("how", list(Cut))
 
 
@@ -210,6 +216,34 @@
     assert not peers[0].tunnels.active
 
 
+# Guards against upstreams that are handed the time that was spent on silent peers.
+async def test_an_upstream_is_handed_no_more_time_than_is_left(
+    world: World, partition: Partition, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    stranded, _ = await _start(partition, gateways=2)
+    await _cut_and_wait(partition, [stranded], Cut.SILENT)
+    monkeypatch.setattr(TunnelPeers, "choose", lambda _, nodes, now: sorted(nodes, reverse=True))
+    with contextlib.ExitStack() as listeners:
+        for node in ("front-8", "front-9"):
+            listener = listeners.enter_context(socket.create_server(("127.0.0.1", 0)))
+            message = GossipMessage(
+                node=node,
+                incarnation="a",
+                sequence=1,
+                failure_domain="fes",
+                control=f"127.0.0.1:{listener.getsockname()[1]}",
+                revision=0,
+                configuration_revision=0,
+            )
+            assert stranded.gossip.receive(message)
+        begun = time.monotonic()
+        await send(stranded, "/order/1", **{names.REMAINING_MS: "2000"})
+    stranded.gossip.peers.clear()
+    (call,) = [order for order in _orders(world) if order.received_at >= begun]
+    handed = int(call.headers[names.REMAINING_MS.lower()])
+    assert handed <= 2000 - 1000 * (call.received_at - begun) + LATENESS_MS
+
+
 async def test_two_stranded_gateways_use_the_third_and_not_each_other(
     world: World, partition: Partition
 ) -> None:
