--- a/src/baobabpulley/errors/__init__.py
+++ b/src/baobabpulley/errors/__init__.py
@@ -52,6 +52,7 @@
 from baobabpulley.errors.requests import TooFewEngines
 from baobabpulley.errors.requests import UnknownModel
 from baobabpulley.errors.upstreams import MismatchedResponse
+from baobabpulley.errors.upstreams import NoPathToUpstream
 from baobabpulley.errors.upstreams import OrderTooLate
 from baobabpulley.errors.upstreams import RetryLoanExpired
 from baobabpulley.errors.upstreams import UpstreamBackpressure
@@ -96,6 +97,7 @@
     "MessageRejected",
     "MethodNotAllowed",
     "MismatchedResponse",
+    "NoPathToUpstream",
     "NoUpstream",
     "NotFound",
     "NotReady",
--- a/src/baobabpulley/errors/upstreams.py
+++ b/src/baobabpulley/errors/upstreams.py
@@ -55,6 +55,15 @@
     default_remedy = "Retry; another upstream will be chosen."
 
 
+class NoPathToUpstream(UpstreamUnreachable):
+    """This gateway is cut off, and no other one could try to reach the upstream.
+
+    It says nothing of the upstream.
+    """
+
+    code = "no_path"
+
+
 class UpstreamRefused(BaobabError):
     """The upstream reported that it did not run the request."""
 
--- a/src/baobabpulley/gateway/exchanges/attempt_outcomes.py
+++ b/src/baobabpulley/gateway/exchanges/attempt_outcomes.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from baobabpulley.errors import BaobabError
+from baobabpulley.errors import NoPathToUpstream
 from baobabpulley.errors import RetryLoanExpired
 from baobabpulley.errors import UpstreamBackpressure
 from baobabpulley.errors import UpstreamDisconnected
@@ -176,7 +177,7 @@
     ) -> None:
         """Record the result of a failed attempt for health checks and circuit breaking."""
         upstream = attempt.placement.upstream
-        if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped):
+        if isinstance(error, UpstreamOutOfMemory | UpstreamSkipped | NoPathToUpstream):
             self._record.record_inconclusive(upstream)
         elif self._is_backpressure(upstream, error):
             self._record.record_reachable(upstream)
--- a/src/baobabpulley/gateway/tunnels/upstream_connector.py
+++ b/src/baobabpulley/gateway/tunnels/upstream_connector.py
@@ -13,6 +13,7 @@
 
 from baobabpulley.adapters.addresses import connect
 from baobabpulley.adapters.client_stream import ClientStream
+from baobabpulley.errors import NoPathToUpstream
 from baobabpulley.errors import UpstreamUnreachable
 from baobabpulley.gateway.peers.gossip import GossipProtocol
 from baobabpulley.gateway.peers.gossip_peers import GossipPeer
@@ -105,7 +106,8 @@
     async def connect(self, address: str, *, timeout: float) -> ClientStream:
         """Open a connection; raise `UpstreamUnreachable` if it fails.
 
-        ``timeout`` is that of a direct connection, in real seconds.
+        ``timeout`` is that of a direct connection, in real seconds. Raise `NoPathToUpstream` if
+        this gateway is cut off and no peer could try.
         """
         upstream = self._find(address)
         if upstream is None:
@@ -116,10 +118,10 @@
                 return stream
         try:
             return await self._connect_directly(upstream, timeout=timeout)
-        except UpstreamUnreachable:
-            if self.is_cut_off or not self._reach.record_unreached(
-                upstream.id, now=self._timers.now()
-            ):
+        except UpstreamUnreachable as error:
+            if self.is_cut_off:
+                raise NoPathToUpstream(f"no other gateway could try either: {error}") from error
+            if not self._reach.record_unreached(upstream.id, now=self._timers.now()):
                 raise
             stream = await self._connect_through_peer(upstream)
             if stream is None:
--- a/testing/test_stranded_gateways.py
+++ b/testing/test_stranded_gateways.py
@@ -29,6 +29,7 @@
 from baobabpulley.gateway.daemon import Gateway
 from baobabpulley.gateway.peers.gossip_messages import GossipMessage
 from baobabpulley.gateway.peers.gossip_peers import GossipPeer
+from baobabpulley.gateway.tunnels import tunnel_server
 from baobabpulley.platform import names
 from baobabpulley.policy.tunnel_peers import TunnelPeers
 
@@ -356,3 +357,17 @@
     await _cut_and_wait(partition, [stranded], Cut.RESET)
     assert not stranded.evidence.quarantined
     assert not any(peer.evidence.quarantined for peer in peers)
+
+
+# Guards against upstreams that get nothing for seconds as peers had no room for a moment.
+async def test_upstreams_are_not_blamed_while_peers_have_no_room_for_tunnels(
+    world: World, partition: Partition, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    stranded, _ = await _start(partition, gateways=2)
+    await _cut_and_wait(partition, [stranded], Cut.REFUSED)
+    listed = list(stranded.fleet_state.upstreams.values())
+    with monkeypatch.context() as patches:
+        patches.setattr(tunnel_server, "MAX_TUNNELS", 0)
+        replies = await asyncio.gather(*(send(stranded, "/lookup/1") for _ in range(5)))
+    assert {reply.status for reply in replies} == {503}
+    assert stranded.record.usable(listed) == listed
