A connection for which no descriptor is left is an unreachable upstream

Found by the review of tunnels, which take two descriptors each: the bare OSError (EMFILE) was an unexpected error, and the caller got `internal`. The new test failed before with OSError: [Errno 24].

--- a/src/baobabpulley/adapters/addresses.py
+++ b/src/baobabpulley/adapters/addresses.py
@@ -28,7 +28,10 @@
     ``timeout`` is in real seconds. A connection that has opened by the time the process notices the
     timeout is returned: the process may have been late.
     """
-    stream = ClientStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    try:
+        stream = ClientStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    except OSError as error:
+        raise UpstreamUnreachable(f"no connection to {address}: {error}") from error
     try:
         await _open(stream, address, timeout)
     except (StreamClosedError, OSError) as error:
--- a/testing/test_connecting.py
+++ b/testing/test_connecting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from collections.abc import Iterator
@@ -69,3 +70,14 @@
     opening.cancel()
     with pytest.raises(asyncio.CancelledError):
         await opening
+
+
+async def test_a_connection_without_a_descriptor_left_is_unreachable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refuse(*arguments: object, **options: object) -> socket.socket:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(socket, "socket", refuse)
+    with pytest.raises(UpstreamUnreachable, match="Too many open files"):
+        await connect("127.0.0.1:9", timeout=TIMEOUT_SECONDS)
