--- a/src/baobabpulley/gateway/tunnels/tunnel_server.py
+++ b/src/baobabpulley/gateway/tunnels/tunnel_server.py
@@ -195,4 +195,8 @@
         self.set_header("Connection", "Upgrade")
         self.set_header("Upgrade", UPGRADE)
         self.finish()
-        self._tunnels.start(self.detach(), far)
+        near = self.detach()
+        if near.closed():
+            far.close()
+            return
+        self._tunnels.start(near, far)
